--- /dev/null
+++ b/packages/bench/src/tamarack_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Part of tamarackturn."""
--- /dev/null
+++ b/packages/core/src/tamarack_core/actions.py
@@ -0,0 +1,73 @@
+"""What the core asks its surroundings to do."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+from tamarack_core.errors import Refusal
+from tamarack_core.protocol import AnswerPart, AnswerQuery, ChangesAnswer, ChangesQuery
+
+
+class Send(NamedTuple):
+    """Send a message to a peer; `address` is its zmq address, empty if known by name."""
+
+    router: str
+    message: Any
+    address: str = ""
+
+
+class StartRun(NamedTuple):
+    """Run a request at an endpoint."""
+
+    request: str
+    endpoint: str
+    address: str
+
+
+class RefuseRequest(NamedTuple):
+    """End a held request without running it (again)."""
+
+    request: str
+    refusal: Refusal
+
+
+class FollowRequest(NamedTuple):
+    """Serve a held request with the answer of another request, held by `router`."""
+
+    request: str
+    holder: str
+
+
+class ClaimRow(NamedTuple):
+    """Claim a key that names no keeper by a row of the table service."""
+
+    key: str
+    workspace: str
+    digest: str
+    request: str
+
+
+class RowDone(NamedTuple):
+    """Record in the table service how the run of a claimed key ended."""
+
+    key: str
+    workspace: str
+    state: str
+
+
+class Deliver(NamedTuple):
+    """Hand a peer's message to the task that answers it outside the core."""
+
+    sender: str
+    message: AnswerQuery | AnswerPart | ChangesQuery | ChangesAnswer
+
+
+class WatchEndpoints(NamedTuple):
+    """Ask these endpoints for their load; the list replaces the one before."""
+
+    addresses: dict[str, str]
+
+
+Action = (
+    Send | StartRun | RefuseRequest | FollowRequest | ClaimRow | RowDone | Deliver | WatchEndpoints
+)
--- /dev/null
+++ b/packages/core/src/tamarack_core/configuration.py
@@ -0,0 +1,330 @@
+"""The configuration in force: entries, their checks, changes and versions."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from typing import Any, NamedTuple, NotRequired, TypedDict, get_type_hints
+
+import msgspec
+
+from tamarack_core.defaults import DEADLINE_MS, DEFAULT_COST, QUEUE_LIMIT, SHARD_SIZE
+from tamarack_core.dispatcher import DispatchPolicy
+from tamarack_core.endpoint_pool import EndpointSpec
+from tamarack_core.protocol import ShardKey
+from tamarack_core.rendezvous import winner
+
+MAX_NAME = 64
+MAX_BATCH = 500
+NAME_ALPHABET = frozenset("abcdefghijklmnopqrstuvwxyz0123456789-._")
+
+
+class WorkspaceEntry(TypedDict):
+    """A workspace: hashes of its keys, and how many of its requests may wait."""
+
+    key_hashes: list[str]
+    queue_limit: NotRequired[int]
+
+
+class ServiceEntry(TypedDict):
+    """A service: `kind` is `model` or `plain`.
+
+    `repeatable` lists operations that may run more than once, as `METHOD /path`. A model is
+    called by `model`, the service's name if not set. Costs of models are tokens, prompt tokens
+    counted `prompt_weight` times; costs of plain services are milliseconds.
+    """
+
+    kind: str
+    model: NotRequired[str]
+    repeatable: NotRequired[list[str]]
+    prompt_weight: NotRequired[float]
+    default_cost: NotRequired[float]
+    deadline_ms: NotRequired[int]
+    max_unavailable: NotRequired[int]
+
+
+class PresetEntry(TypedDict):
+    """A preset: weights per workspace, and what engines are to load (endpoint to model)."""
+
+    weights: NotRequired[dict[str, float]]
+    default_weight: NotRequired[float]
+    loads: NotRequired[dict[str, str]]
+
+
+class EndpointEntry(TypedDict):
+    """An endpoint of a service, with the slots that it starts from."""
+
+    service: str
+    address: str
+    failure_domain: str
+    slots: NotRequired[int]
+    drained: NotRequired[bool]
+    checks_fencing: NotRequired[bool]
+
+
+ENTRY_TYPES: dict[str, type] = {
+    "workspace": WorkspaceEntry,
+    "service": ServiceEntry,
+    "preset": PresetEntry,
+    "endpoint": EndpointEntry,
+}
+
+
+class EntryPut(NamedTuple):
+    """An entry to write whole."""
+
+    kind: str
+    name: str
+    body: dict[str, Any]
+
+
+class EntryName(NamedTuple):
+    """An entry to delete."""
+
+    kind: str
+    name: str
+
+
+class Change(NamedTuple):
+    """One accepted change; `preset` is the one in force after it."""
+
+    version: int
+    id: str
+    author: str
+    at_ms: int
+    puts: list[EntryPut]
+    deletes: list[EntryName]
+    preset: str
+
+
+class Fault(NamedTuple):
+    """What is wrong with a change, and where."""
+
+    path: str
+    message: str
+
+
+class Snapshot(NamedTuple):
+    """The whole configuration at one version."""
+
+    version: int
+    preset: str
+    entries: list[EntryPut]
+
+
+def hash_key(key: str) -> str:
+    """Digest under which a workspace's key is stored."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class Configuration:
+    """An immutable configuration at one version."""
+
+    def __init__(
+        self, version: int = 0, preset: str = "", entries: dict[str, dict[str, Any]] | None = None
+    ) -> None:
+        self._version = version
+        self._preset = preset
+        self._entries = entries or {kind: {} for kind in ENTRY_TYPES}
+        self._keys = {
+            digest: name
+            for name, body in self._entries["workspace"].items()
+            for digest in body["key_hashes"]
+        }
+        self._by_service: dict[str, list[EndpointSpec]] = {}
+        for name in sorted(self._entries["endpoint"]):
+            body = self._entries["endpoint"][name]
+            spec = EndpointSpec(
+                name,
+                body["address"],
+                body["failure_domain"],
+                body.get("slots", 4),
+                body.get("drained", False),
+            )
+            self._by_service.setdefault(body["service"], []).append(spec)
+        self._models = {
+            body.get("model", name): name
+            for name, body in self._entries["service"].items()
+            if body["kind"] == "model"
+        }
+
+    @property
+    def version(self) -> int:
+        """The version; rises by one with each accepted change."""
+        return self._version
+
+    @property
+    def preset(self) -> str:
+        """Name of the preset in force."""
+        return self._preset
+
+    @property
+    def models(self) -> dict[str, str]:
+        """Service of each model."""
+        return self._models
+
+    def entries(self, kind: str) -> dict[str, Any]:
+        """All entries of a kind by name."""
+        return self._entries[kind]
+
+    def workspace_of(self, key: str) -> str | None:
+        """Workspace of a bearer key."""
+        return self._keys.get(hash_key(key))
+
+    def service(self, name: str) -> ServiceEntry | None:
+        """Entry of a service."""
+        entry: ServiceEntry | None = self._entries["service"].get(name)
+        return entry
+
+    def endpoint(self, name: str) -> EndpointEntry | None:
+        """Entry of an endpoint."""
+        entry: EndpointEntry | None = self._entries["endpoint"].get(name)
+        return entry
+
+    def endpoints_of(self, service: str) -> list[EndpointSpec]:
+        """Endpoints of a service."""
+        return self._by_service.get(service, [])
+
+    def deadline_ms(self, service: str) -> int:
+        """Longest time that a request of the service may take."""
+        entry = self.service(service)
+        return entry.get("deadline_ms", DEADLINE_MS) if entry else DEADLINE_MS
+
+    def policy(self, service: str) -> DispatchPolicy:
+        """Weights and limits that a dispatcher of the service follows."""
+        preset = self._entries["preset"].get(self._preset, {})
+        limits = [b.get("queue_limit", QUEUE_LIMIT) for b in self._entries["workspace"].values()]
+        entry = self.service(service)
+        return DispatchPolicy(
+            preset.get("weights", {}),
+            preset.get("default_weight", 1.0),
+            max(limits, default=QUEUE_LIMIT),
+            entry.get("default_cost", DEFAULT_COST) if entry else DEFAULT_COST,
+        )
+
+    def shard_count(self, service: str, shard_size: int = SHARD_SIZE) -> int:
+        """Number of shards of a service."""
+        return max(1, math.ceil(len(self.endpoints_of(service)) / shard_size))
+
+    def shard_endpoints(self, shard: ShardKey, shard_size: int = SHARD_SIZE) -> list[EndpointSpec]:
+        """Endpoints of one shard; few of them move when the number of shards changes."""
+        specs = self.endpoints_of(shard.service)
+        count = self.shard_count(shard.service, shard_size)
+        if count == 1:
+            return specs
+        names = [str(index) for index in range(count)]
+        return [spec for spec in specs if winner(spec.name, names) == str(shard.number)]
+
+    def apply(self, change: Change) -> Configuration:
+        """Return the configuration after the change that follows this version."""
+        if change.version != self._version + 1:
+            raise ValueError(f"change {change.version} does not follow version {self._version}")
+        entries = {kind: dict(named) for kind, named in self._entries.items()}
+        for name in change.deletes:
+            entries[name.kind].pop(name.name, None)
+        for put in change.puts:
+            entries[put.kind][put.name] = put.body
+        return Configuration(change.version, change.preset, entries)
+
+    def snapshot(self) -> Snapshot:
+        """The whole configuration as one value."""
+        entries = [
+            EntryPut(kind, name, body)
+            for kind, named in self._entries.items()
+            for name, body in named.items()
+        ]
+        return Snapshot(self._version, self._preset, entries)
+
+    @classmethod
+    def restore(cls, snapshot: Snapshot) -> Configuration:
+        """Build a configuration from a snapshot."""
+        entries: dict[str, dict[str, Any]] = {kind: {} for kind in ENTRY_TYPES}
+        for put in snapshot.entries:
+            entries[put.kind][put.name] = put.body
+        return cls(snapshot.version, snapshot.preset, entries)
+
+    def check(
+        self, puts: list[EntryPut], deletes: list[EntryName], preset: str | None = None
+    ) -> list[Fault]:
+        """Find every fault of a change to this version; nothing is applied."""
+        faults = []
+        if len(puts) + len(deletes) > MAX_BATCH:
+            faults.append(Fault("", f"a change holds at most {MAX_BATCH} entries"))
+        for put in puts:
+            faults.extend(_check_entry(put))
+        for name in deletes:
+            if name.name not in self._entries.get(name.kind, {}):
+                faults.append(Fault(f"{name.kind}/{name.name}", "there is no such entry"))
+        if faults:
+            return faults
+        new_preset = self._preset if preset is None else preset
+        after = self.apply(
+            Change(self._version + 1, "", "", 0, list(puts), list(deletes), new_preset)
+        )
+        return after._check_references()
+
+    def _check_references(self) -> list[Fault]:
+        faults = []
+        for name, body in self._entries["endpoint"].items():
+            if body["service"] not in self._entries["service"]:
+                faults.append(Fault(f"endpoint/{name}/service", "there is no such service"))
+        for name, body in self._entries["preset"].items():
+            for workspace in body.get("weights", {}):
+                if workspace not in self._entries["workspace"]:
+                    path = f"preset/{name}/weights/{workspace}"
+                    faults.append(Fault(path, "there is no such workspace"))
+            for endpoint in body.get("loads", {}):
+                if endpoint not in self._entries["endpoint"]:
+                    path = f"preset/{name}/loads/{endpoint}"
+                    faults.append(Fault(path, "there is no such endpoint"))
+        if self._preset and self._preset not in self._entries["preset"]:
+            faults.append(Fault("preset", f"there is no preset {self._preset}"))
+        return faults
+
+
+def _check_entry(put: EntryPut) -> list[Fault]:
+    base = f"{put.kind}/{put.name}"
+    entry_type = ENTRY_TYPES.get(put.kind)
+    if entry_type is None:
+        return [Fault(base, f"kind is one of {', '.join(ENTRY_TYPES)}")]
+    faults = []
+    if not put.name or len(put.name) > MAX_NAME or not NAME_ALPHABET.issuperset(put.name):
+        faults.append(Fault(base, "a name has 1 to 64 of a-z 0-9 - . _"))
+    if not isinstance(put.body, dict):
+        return [*faults, Fault(base, "an entry is a table of fields")]
+    hints = get_type_hints(entry_type, include_extras=False)
+    for field in entry_type.__required_keys__ - put.body.keys():  # type: ignore[attr-defined]
+        faults.append(Fault(f"{base}/{field}", "the field is missing"))
+    for field, value in put.body.items():
+        if field not in hints:
+            faults.append(Fault(f"{base}/{field}", "the field is unknown"))
+            continue
+        try:
+            msgspec.convert(value, hints[field])
+        except msgspec.ValidationError as error:
+            faults.append(Fault(f"{base}/{field}", str(error)))
+    if not faults:
+        faults.extend(_check_values(put, base))
+    return sorted(faults)
+
+
+def _check_values(put: EntryPut, base: str) -> list[Fault]:
+    body = put.body
+    faults = []
+    if put.kind == "service" and body["kind"] not in ("model", "plain"):
+        faults.append(Fault(f"{base}/kind", "kind is model or plain"))
+    if put.kind == "endpoint" and not 1 <= body.get("slots", 1) <= 4096:
+        faults.append(Fault(f"{base}/slots", "slots are 1 to 4096"))
+    if put.kind == "preset":
+        weights = {**body.get("weights", {}), "default_weight": body.get("default_weight", 1.0)}
+        for name, weight in weights.items():
+            if not 0 < weight <= 1e6:
+                faults.append(Fault(f"{base}/weights/{name}", "a weight is over 0, up to 1e6"))
+    if put.kind == "workspace":
+        for digest in body["key_hashes"]:
+            if len(digest) != 64:
+                faults.append(Fault(f"{base}/key_hashes", "a hash has 64 hexadecimal digits"))
+    for field in ("deadline_ms", "queue_limit", "default_cost", "max_unavailable"):
+        if body.get(field, 1) <= 0:
+            faults.append(Fault(f"{base}/{field}", "the value is over 0"))
+    return faults
--- /dev/null
+++ b/packages/core/src/tamarack_core/dispatcher.py
@@ -0,0 +1,452 @@
+"""Grants the slots of one shard's endpoints to waiting tickets, for one term."""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from typing import NamedTuple
+
+from tamarack_core.actions import Send
+from tamarack_core.defaults import (
+    DEFAULT_COST,
+    PROGRESS_STEP,
+    QUEUE_LIMIT,
+    REGISTRATION_WINDOW_MS,
+)
+from tamarack_core.endpoint_pool import EndpointPool, EndpointSpec, LoadReport
+from tamarack_core.errors import ErrorCode
+from tamarack_core.estimator import Estimator
+from tamarack_core.fair_queue import FairQueue, Waiting
+from tamarack_core.protocol import (
+    USAGE_FAILED,
+    USAGE_FINISHED,
+    USAGE_RETURNED,
+    USAGE_RUNNING,
+    USAGE_UNREACHABLE,
+    Grant,
+    Grants,
+    Poll,
+    PollAck,
+    RefuseTickets,
+    Register,
+    ShardCounters,
+    ShardKey,
+    Ticket,
+    TicketRefusal,
+    Usage,
+)
+
+GRANT_IN_FLIGHT_MS = 500
+PREDICT_FROM = 8
+PASS_LIMIT = 8
+RATE_GAIN = 0.1
+
+
+class DispatchPolicy(NamedTuple):
+    """What the configuration in force says of one service."""
+
+    weights: dict[str, float] = {}
+    default_weight: float = 1.0
+    queue_limit: int = QUEUE_LIMIT
+    default_cost: float = DEFAULT_COST
+
+
+class Running(NamedTuple):
+    """A grant in use."""
+
+    request: str
+    router: str
+    workspace: str
+    endpoint: str
+    charged: float
+    granted_ms: float
+
+
+class ShareReading(NamedTuple):
+    """Shares of one workspace at a dispatcher, for operators."""
+
+    workspace: str
+    counter: float
+    waiting: int
+    running: int
+    served: float
+
+
+class Dispatcher:
+    """One shard's dispatcher for one term.
+
+    Parameters
+    ----------
+    shard, term
+        What it dispatches, and the number of its term.
+    shards
+        How many shards the service has.
+    now_ms
+        Time of the term's start; grants begin when registrations had time to arrive.
+    """
+
+    def __init__(
+        self,
+        shard: ShardKey,
+        term: int,
+        policy: DispatchPolicy,
+        now_ms: float,
+        *,
+        shards: int = 1,
+        exchange_ms: float = 1_000.0,
+        registration_ms: float = REGISTRATION_WINDOW_MS,
+    ) -> None:
+        grace_ms = 2 * exchange_ms if shards > 1 else 0.0
+        self._shard = shard
+        self._term = term
+        self._policy = policy
+        self._shards = shards
+        self._open_ms = now_ms + registration_ms
+        self._pool = EndpointPool(seed=term)
+        self._queue = FairQueue(
+            policy.weights, default_weight=policy.default_weight, return_grace_ms=grace_ms
+        )
+        self._estimator = Estimator(policy.default_cost)
+        self._running: dict[str, Running] = {}
+        self._held: Counter[str] = Counter()
+        self._deadlines: list[tuple[float, str]] = []
+        self._served: Counter[str] = Counter()
+        self._waiting_by_router: Counter[str] = Counter()
+        self._running_by_router: Counter[str] = Counter()
+        self._granted_ms: dict[str, float] = {}
+        self._mismatched: set[str] = set()
+        self._intervals: dict[str, tuple[float, float]] = {}
+        self._remote: dict[int, ShardCounters] = {}
+        self._domains: dict[str, str] = {}
+        self._counts: Counter[str] = Counter()
+
+    @property
+    def term(self) -> int:
+        """Number of the term."""
+        return self._term
+
+    @property
+    def counts(self) -> Counter[str]:
+        """Events by name since the term began."""
+        return self._counts
+
+    @property
+    def waiting(self) -> int:
+        """Tickets that wait."""
+        return len(self._queue)
+
+    @property
+    def running(self) -> int:
+        """Grants in use."""
+        return len(self._running)
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing waits and nothing runs."""
+        return not self._running and not len(self._queue)
+
+    @property
+    def pool(self) -> EndpointPool:
+        """The shard's endpoints."""
+        return self._pool
+
+    @property
+    def queue(self) -> FairQueue:
+        """The waiting tickets."""
+        return self._queue
+
+    def shares(self) -> list[ShareReading]:
+        """Counter, backlog and service of each workspace seen in this term."""
+        names = sorted({name for name, _, _ in self._queue.totals()} | set(self._queue.backlogged))
+        return [
+            ShareReading(
+                name,
+                self._queue.counter(name),
+                self._queue.waiting_of(name),
+                self._held[name],
+                self._served[name],
+            )
+            for name in names
+        ]
+
+    def configure(
+        self,
+        specs: list[EndpointSpec],
+        policy: DispatchPolicy,
+        domains: dict[str, str],
+        now_ms: float,
+    ) -> None:
+        """Take endpoints, weights and the routers' failure domains in force."""
+        self._policy = policy
+        self._domains = domains
+        self._queue.reweigh(policy.weights, policy.default_weight)
+        self._pool.configure(specs, now_ms)
+
+    def report(self, endpoint: str, load: LoadReport, now_ms: float) -> None:
+        """Take in an endpoint's load."""
+        self._pool.report(endpoint, load, now_ms)
+
+    def submit(self, router: str, tickets: list[Ticket], now_ms: float) -> list[Send]:
+        """Queue tickets of a router; those that cannot be served are refused at once."""
+        refusals = []
+        for ticket in tickets:
+            refusal = self._admit(router, ticket, now_ms)
+            if refusal is not None:
+                refusals.append(refusal)
+        return self._refuse(router, refusals)
+
+    def cancel(self, router: str, requests: list[str], now_ms: float) -> None:
+        """Drop tickets that no longer wait.
+
+        A grant may have crossed the cancellation; the router returns it when it arrives.
+        """
+        for request in requests:
+            waiting = self._queue.find(request)
+            if waiting is not None and waiting.router == router:
+                self._queue.remove(request, now_ms)
+                self._waiting_by_router[router] -= 1
+
+    def usage(self, router: str, usages: list[Usage], now_ms: float) -> None:
+        """Take in progress and settlements."""
+        for usage in usages:
+            running = self._running.get(usage.request)
+            if running is None or running.router != router:
+                self._counts["usage_unmatched"] += 1
+                continue
+            if usage.state == USAGE_RUNNING:
+                self._progress(running, usage.cost)
+            else:
+                self._settle(running, usage, now_ms)
+
+    def register(self, router: str, message: Register, now_ms: float) -> list[Send]:
+        """Replace all that is known of a router by its own list."""
+        told = {grant.request for grant in message.running}
+        waiting = {ticket.request for ticket in message.tickets}
+        self._drop_router(router, now_ms, keep=waiting)
+        for workspace, counter in message.counters.items():
+            self._queue.raise_to(workspace, counter)
+        for grant in message.running:
+            running = Running(
+                grant.request, router, grant.workspace, grant.endpoint, grant.charged, now_ms
+            )
+            self._adopt(running)
+        tickets = [t for t in message.tickets if t.request not in told]
+        return self.submit(router, tickets, now_ms)
+
+    def poll(self, router: str, message: Poll, now_ms: float) -> Send:
+        """Answer a router's check; ask for all it has when the counts differ twice running."""
+        waiting = self._waiting_by_router[router]
+        running = self._running_by_router[router]
+        differs = waiting + running != message.waiting + message.running
+        if now_ms - self._granted_ms.get(router, float("-inf")) > GRANT_IN_FLIGHT_MS:
+            differs = differs or waiting != message.waiting
+        resync = differs and router in self._mismatched
+        if differs and not resync:
+            self._mismatched.add(router)
+        else:
+            self._mismatched.discard(router)
+        if resync:
+            self._counts["resync"] += 1
+        return Send(router, PollAck(self._shard, self._term, resync))
+
+    def router_gone(self, router: str, now_ms: float) -> None:
+        """Free what a dead router held."""
+        self._drop_router(router, now_ms)
+
+    def tick(self, now_ms: float) -> list[Send]:
+        """Refuse tickets whose deadline has passed, and refresh the endpoints."""
+        self._pool.refresh(now_ms)
+        late: dict[str, list[TicketRefusal]] = {}
+        while self._deadlines and self._deadlines[0][0] <= now_ms:
+            _, request = heapq.heappop(self._deadlines)
+            waiting = self._queue.find(request)
+            if waiting is None or waiting.deadline_ms > now_ms:
+                continue
+            self._queue.remove(request, now_ms)
+            self._waiting_by_router[waiting.router] -= 1
+            late.setdefault(waiting.router, []).append(
+                TicketRefusal(request, ErrorCode.DEADLINE, 1_000)
+            )
+        sends = []
+        for router, refusals in late.items():
+            sends.extend(self._refuse(router, refusals))
+        return sends
+
+    def dispatch(self, now_ms: float) -> list[Send]:
+        """Grant free slots to waiting tickets in the order of fair shares."""
+        if now_ms < self._open_ms:
+            return []
+        grants: dict[str, list[Grant]] = {}
+        counters: dict[str, dict[str, float]] = {}
+        passed_over: list[Waiting] = []
+        while len(self._queue):
+            if not self._pool.has_free or len(passed_over) >= PASS_LIMIT:
+                break
+            waiting = self._queue.pop(now_ms)
+            if waiting is None:
+                break
+            endpoint = self._endpoint_for(waiting, now_ms)
+            if endpoint is None:
+                passed_over.append(waiting)
+                continue
+            grant = self._grant(waiting, endpoint, now_ms)
+            grants.setdefault(waiting.router, []).append(grant)
+            workspace = waiting.ticket.workspace
+            counters.setdefault(waiting.router, {})[workspace] = self._queue.counter(workspace)
+        for waiting in passed_over:
+            self._queue.push(waiting, now_ms)
+        return [
+            Send(router, Grants(self._shard, self._term, granted, counters[router]))
+            for router, granted in grants.items()
+        ]
+
+    def exchange(self) -> ShardCounters:
+        """Totals for the other shards: of backlogged workspaces and those that run."""
+        live = set(self._queue.backlogged) | {r.workspace for r in self._running.values()}
+        charged = {}
+        refunded = {}
+        for name, plus, minus in self._queue.totals():
+            if name in live:
+                charged[name] = plus
+                refunded[name] = minus
+        return ShardCounters(self._shard, self._term, charged, refunded)
+
+    def merge(self, message: ShardCounters) -> None:
+        """Take in another shard's totals; older ones of the same term change nothing."""
+        index = message.shard.number
+        known = self._remote.get(index)
+        if known is not None:
+            message = merge_counters(known, message)
+        self._remote[index] = message
+        remote: Counter[str] = Counter()
+        serving: Counter[str] = Counter()
+        for counters in self._remote.values():
+            for name, charged in counters.charged.items():
+                remote[name] += charged - counters.refunded.get(name, 0.0)  # type: ignore[assignment]
+                serving[name] += 1
+        for name, total in remote.items():
+            self._queue.exchange(name, float(total), min(self._shards, 1 + serving[name]))
+
+    def _endpoint_for(self, waiting: Waiting, now_ms: float) -> str | None:
+        ticket = waiting.ticket
+        domain = self._domains.get(waiting.router, "")
+        # With one endpoint there is nowhere else to go, so its failure does not exclude it.
+        exclude = ticket.exclude if len(self._pool) > 1 else ""
+        return self._pool.choose(
+            now_ms, prefix=ticket.prefix, failure_domain=domain, exclude=exclude
+        )
+
+    def _admit(self, router: str, ticket: Ticket, now_ms: float) -> TicketRefusal | None:
+        if ticket.request in self._running:
+            granted_ms = self._running[ticket.request].granted_ms
+            if now_ms - granted_ms < GRANT_IN_FLIGHT_MS:
+                return None
+            # The grant was lost on its way; otherwise the ticket would wait for ever.
+            self._release(self._running[ticket.request], now_ms, refund=True)
+        workspace = ticket.workspace
+        if self._queue.waiting_of(workspace) >= self._policy.queue_limit:
+            return TicketRefusal(ticket.request, ErrorCode.QUEUE_FULL, 1_000)
+        wait_ms = self._expected_wait(workspace)
+        if wait_ms > ticket.deadline_ms:
+            return TicketRefusal(ticket.request, ErrorCode.DEADLINE, int(wait_ms / 2))
+        deadline_ms = now_ms + ticket.deadline_ms
+        waiting = Waiting(ticket, router, now_ms - ticket.waited_ms, deadline_ms)
+        if not self._queue.push(waiting, now_ms):
+            self._counts["ticket_duplicate"] += 1
+            return None
+        self._counts["tickets"] += 1
+        self._waiting_by_router[router] += 1
+        heapq.heappush(self._deadlines, (deadline_ms, ticket.request))
+        return None
+
+    def _expected_wait(self, workspace: str) -> float:
+        waiting = self._queue.waiting_of(workspace)
+        if waiting < PREDICT_FROM or workspace not in self._intervals:
+            return 0.0
+        return waiting * self._intervals[workspace][1]
+
+    def _grant(self, waiting: Waiting, endpoint: str, now_ms: float) -> Grant:
+        ticket = waiting.ticket
+        charged = self._estimator.estimate(ticket.workspace, ticket.hint)
+        self._waiting_by_router[waiting.router] -= 1
+        self._granted_ms[waiting.router] = now_ms
+        self._note_interval(ticket.workspace, now_ms)
+        self._queue.charge(ticket.workspace, charged)
+        running = Running(
+            ticket.request, waiting.router, ticket.workspace, endpoint, charged, now_ms
+        )
+        self._adopt(running, ticket.prefix)
+        self._counts["grants"] += 1
+        return Grant(ticket.request, endpoint, charged)
+
+    def _note_interval(self, workspace: str, now_ms: float) -> None:
+        last_ms, mean_ms = self._intervals.get(workspace, (now_ms, 0.0))
+        mean_ms += (now_ms - last_ms - mean_ms) * RATE_GAIN
+        self._intervals[workspace] = (now_ms, mean_ms)
+
+    def _adopt(self, running: Running, prefix: int = 0) -> None:
+        if running.request in self._running:
+            self._release(self._running[running.request], running.granted_ms)
+        self._running[running.request] = running
+        self._held[running.workspace] += 1
+        self._running_by_router[running.router] += 1
+        self._pool.take(running.endpoint, running.granted_ms, prefix=prefix)
+
+    def _progress(self, running: Running, cost: float) -> None:
+        if cost <= running.charged:
+            return
+        # Charged past what has run, so that a long run is felt before its next report.
+        charged = cost * (1.0 + PROGRESS_STEP)
+        self._queue.charge(running.workspace, charged - running.charged)
+        self._running[running.request] = running._replace(charged=charged)
+
+    def _settle(self, running: Running, usage: Usage, now_ms: float) -> None:
+        cost = usage.cost if usage.state in (USAGE_FINISHED, USAGE_FAILED) else 0.0
+        if usage.state == USAGE_FINISHED:
+            self._estimator.learn(running.workspace, cost)
+        self._served[running.workspace] += cost  # type: ignore[assignment]
+        self._queue.charge(running.workspace, cost - running.charged)
+        failed = usage.state in (USAGE_FAILED, USAGE_UNREACHABLE)
+        self._counts["failed" if failed else "settled"] += 1
+        if usage.state == USAGE_RETURNED:
+            self._counts["returned"] += 1
+        self._release(running, now_ms, failed=failed)
+
+    def _release(
+        self, running: Running, now_ms: float, *, failed: bool = False, refund: bool = False
+    ) -> None:
+        del self._running[running.request]
+        self._held[running.workspace] -= 1
+        self._running_by_router[running.router] -= 1
+        self._pool.release(running.endpoint, now_ms, failed=failed)
+        if refund:
+            self._queue.charge(running.workspace, -running.charged)
+
+    def _drop_router(self, router: str, now_ms: float, keep: set[str] = frozenset()) -> None:  # type: ignore[assignment]
+        for waiting in [w for w in self._queue.entries() if w.router == router]:
+            self._queue.remove(waiting.ticket.request, now_ms)
+        self._waiting_by_router[router] = 0
+        for running in [r for r in self._running.values() if r.router == router]:
+            fresh = now_ms - running.granted_ms < GRANT_IN_FLIGHT_MS
+            if not (fresh and running.request in keep):
+                self._release(running, now_ms)
+        self._mismatched.discard(router)
+
+    def _refuse(self, router: str, refusals: list[TicketRefusal]) -> list[Send]:
+        if not refusals:
+            return []
+        self._counts["refused"] += len(refusals)
+        return [Send(router, RefuseTickets(self._shard, self._term, refusals))]
+
+
+def merge_counters(one: ShardCounters, other: ShardCounters) -> ShardCounters:
+    """Merge two readings of one shard: the newer term, or the maximum of each counter."""
+    if one.term != other.term:
+        return one if one.term > other.term else other
+    charged = dict(one.charged)
+    for name, value in other.charged.items():
+        charged[name] = max(value, charged.get(name, 0.0))
+    refunded = dict(one.refunded)
+    for name, value in other.refunded.items():
+        refunded[name] = max(value, refunded.get(name, 0.0))
+    return ShardCounters(one.shard, one.term, charged, refunded)
--- /dev/null
+++ b/packages/core/src/tamarack_core/membership.py
@@ -0,0 +1,315 @@
+"""Membership by probing, with suspicion and incarnation numbers (SWIM, Das et al. 2002)."""
+
+from __future__ import annotations
+
+import math
+import random
+from typing import NamedTuple
+
+from tamarack_core.actions import Send
+from tamarack_core.defaults import (
+    FORGET_DEAD_MS,
+    GOSSIP_FACTOR,
+    PIGGYBACK_LIMIT,
+    PROBE_INTERVAL_MS,
+    PROBE_TIMEOUT_MS,
+    SUSPICION_MS,
+    SYNC_MEMBERS,
+)
+from tamarack_core.protocol import MemberUpdate, Ping, PingAck, PingRelayed, PingRequest
+
+ALIVE, LEAVING, SUSPECT, DEAD = 0, 1, 2, 3
+STATE_NAMES = ("alive", "leaving", "suspect", "dead")
+HELPERS = 2
+
+
+class _Probe(NamedTuple):
+    """A probe that has not been answered."""
+
+    sequence: int
+    target: str
+    sent_ms: float
+    asked_helpers: bool
+
+
+class _Known(NamedTuple):
+    """What is known of a member and since when."""
+
+    update: MemberUpdate
+    since_ms: float
+    heard_ms: float
+
+
+class Membership:
+    """The members of the fleet as one router sees them.
+
+    Parameters
+    ----------
+    me
+        The router's own entry.
+    seed
+        Seed of the order of probes.
+    """
+
+    def __init__(self, me: MemberUpdate, *, seed: int = 0) -> None:
+        self._me = me
+        self._random = random.Random(seed)
+        self._known: dict[str, _Known] = {}
+        self._gossip: dict[str, int] = {}
+        self._order: list[str] = []
+        self._probe: _Probe | None = None
+        self._relayed: dict[int, tuple[str, int]] = {}
+        self._sequence = 0
+        self._next_probe_ms = 0.0
+        self._changes = 0
+
+    @property
+    def me(self) -> MemberUpdate:
+        """The router's own entry."""
+        return self._me
+
+    @property
+    def changes(self) -> int:
+        """Rises whenever a member's state changes."""
+        return self._changes
+
+    @property
+    def members(self) -> list[MemberUpdate]:
+        """All members known, the router itself first."""
+        return [self._me, *(known.update for known in self._known.values())]
+
+    @property
+    def usable(self) -> list[str]:
+        """Members that may dispatch and take new requests: alive and not leaving."""
+        return [m.router for m in self.members if m.state == ALIVE]
+
+    @property
+    def reachable(self) -> list[str]:
+        """Other members that are not thought dead."""
+        return [n for n, known in self._known.items() if known.update.state in (ALIVE, LEAVING)]
+
+    def find(self, router: str) -> MemberUpdate | None:
+        """Entry of a member."""
+        if router == self._me.router:
+            return self._me
+        known = self._known.get(router)
+        return known.update if known else None
+
+    def cut_off(self, now_ms: float) -> bool:
+        """Whether most of the members known in the last minute cannot be seen."""
+        recent = [
+            k for k in self._known.values() if k.update.state != DEAD or self._fresh(k, now_ms)
+        ]
+        lost = sum(1 for k in recent if k.update.state in (SUSPECT, DEAD))
+        return bool(recent) and lost * 2 > len(recent)
+
+    def describe(self, *, config_version: int | None = None, room: int | None = None) -> None:
+        """Change what the router tells of itself."""
+        me = self._me
+        version = me.config_version if config_version is None else config_version
+        changed = version != me.config_version
+        new_room = me.room if room is None else room
+        # Room changes with each request; only a change by a quarter is worth the bytes.
+        changed = changed or abs(new_room - me.room) * 4 > max(me.room, 8)
+        if not changed:
+            return
+        self._me = me._replace(
+            config_version=version, room=new_room, incarnation=me.incarnation + 1
+        )
+        self._spread(me.router)
+
+    def leave(self) -> list[Send]:
+        """Tell that this router takes no new work; a few members hear it at once."""
+        self._me = self._me._replace(state=LEAVING, incarnation=self._me.incarnation + 1)
+        self._changes += 1
+        self._spread(self._me.router)
+        return [self._ping(name) for name in self._sample(SYNC_MEMBERS, exclude="")]
+
+    def join(self, addresses: list[str]) -> list[Send]:
+        """Probe seeds whose names are not known yet."""
+        known = {k.update.peer_address for k in self._known.values()} | {self._me.peer_address}
+        return [
+            Send("", Ping(0, "", [self._me]), address)
+            for address in addresses
+            if address not in known
+        ]
+
+    def tick(self, now_ms: float) -> list[Send]:
+        """Probe the next member, and move silent ones on to suspect and dead."""
+        sends = self._check_probe(now_ms)
+        self._expire(now_ms)
+        if now_ms >= self._next_probe_ms:
+            self._next_probe_ms = now_ms + PROBE_INTERVAL_MS
+            sends.extend(self._start_probe(now_ms))
+        return sends
+
+    def heard(self, router: str, now_ms: float) -> None:
+        """Note that a message of a member came in."""
+        known = self._known.get(router)
+        if known is not None:
+            self._known[router] = known._replace(heard_ms=now_ms)
+
+    def ping(self, sender: str, message: Ping, now_ms: float) -> list[Send]:
+        """Answer a probe; one who is not known yet is told of many members."""
+        if message.target not in ("", self._me.router):
+            return []
+        new = sender not in self._known
+        self._take(message.updates, now_ms)
+        known = self._known.get(sender)
+        if known is None:
+            return []
+        limit = SYNC_MEMBERS if new or not message.target else 0
+        updates = self._piggyback() + [
+            self._known[name].update for name in self._sample(limit, exclude=sender)
+        ]
+        if known.update.state in (SUSPECT, DEAD):
+            updates.append(known.update)
+        ack = PingAck(message.sequence, [self._me, *updates])
+        return [Send(sender, ack, known.update.peer_address)]
+
+    def ack(self, sender: str, message: PingAck, now_ms: float) -> list[Send]:
+        """Take in the answer to a probe, and pass it on if it was made for another."""
+        self._take(message.updates, now_ms)
+        self._answered(sender, message.sequence, now_ms)
+        waiting = self._relayed.pop(message.sequence, None)
+        if waiting is None:
+            return []
+        asker, sequence = waiting
+        return [Send(asker, PingRelayed(sequence, sender))]
+
+    def ping_request(self, sender: str, message: PingRequest) -> list[Send]:
+        """Probe a member on another's behalf."""
+        self._sequence += 1
+        self._relayed[self._sequence] = (sender, message.sequence)
+        while len(self._relayed) > 64:
+            del self._relayed[next(iter(self._relayed))]
+        ping = Ping(self._sequence, message.target, self._piggyback())
+        return [Send(message.target, ping, message.peer_address)]
+
+    def relayed(self, message: PingRelayed, now_ms: float) -> None:
+        """Take in that a helper reached a member."""
+        self._answered(message.target, message.sequence, now_ms)
+
+    def _fresh(self, known: _Known, now_ms: float) -> bool:
+        return now_ms - known.since_ms < FORGET_DEAD_MS
+
+    def _answered(self, router: str, sequence: int, now_ms: float) -> None:
+        self.heard(router, now_ms)
+        if self._probe is not None and self._probe.sequence == sequence:
+            self._probe = None
+        known = self._known.get(router)
+        if known is not None and known.update.state == SUSPECT:
+            self._set(known.update._replace(state=ALIVE), now_ms)
+
+    def _check_probe(self, now_ms: float) -> list[Send]:
+        probe = self._probe
+        if probe is None:
+            return []
+        waited_ms = now_ms - probe.sent_ms
+        if waited_ms >= PROBE_INTERVAL_MS:
+            self._probe = None
+            known = self._known.get(probe.target)
+            if known is not None and known.update.state in (ALIVE, LEAVING):
+                self._set(known.update._replace(state=SUSPECT), now_ms)
+            return []
+        if waited_ms < PROBE_TIMEOUT_MS or probe.asked_helpers:
+            return []
+        self._probe = probe._replace(asked_helpers=True)
+        known = self._known.get(probe.target)
+        if known is None:
+            return []
+        request = PingRequest(probe.sequence, probe.target, known.update.peer_address)
+        return [Send(name, request) for name in self._sample(HELPERS, exclude=probe.target)]
+
+    def _start_probe(self, now_ms: float) -> list[Send]:
+        while self._order:
+            target = self._order.pop()
+            if target in self._known:
+                break
+        else:
+            self._order = list(self._known)
+            self._random.shuffle(self._order)
+            if not self._order:
+                return []
+            target = self._order.pop()
+        if self._probe is not None:
+            return []
+        send = self._ping(target)
+        self._probe = _Probe(self._sequence, target, now_ms, False)
+        return [send]
+
+    def _ping(self, target: str) -> Send:
+        self._sequence += 1
+        known = self._known[target]
+        updates = [self._me, *self._piggyback()]
+        if known.update.state in (SUSPECT, DEAD):
+            # Told of the suspicion, a live member can refute it by a higher incarnation.
+            updates.append(known.update)
+        return Send(target, Ping(self._sequence, target, updates), known.update.peer_address)
+
+    def _sample(self, count: int, exclude: str) -> list[str]:
+        names = [n for n in self.reachable if n != exclude]
+        return self._random.sample(names, min(count, len(names)))
+
+    def _expire(self, now_ms: float) -> None:
+        for name, known in list(self._known.items()):
+            state = known.update.state
+            if state == SUSPECT and now_ms - known.since_ms >= SUSPICION_MS:
+                self._set(known.update._replace(state=DEAD), now_ms)
+            elif state == DEAD and not self._fresh(known, now_ms):
+                del self._known[name]
+                self._gossip.pop(name, None)
+
+    def _take(self, updates: list[MemberUpdate], now_ms: float) -> None:
+        for update in updates:
+            if update.router == self._me.router:
+                self._refute(update)
+            else:
+                self._consider(update, now_ms)
+
+    def _refute(self, update: MemberUpdate) -> None:
+        me = self._me
+        wrong = update.state in (SUSPECT, DEAD) and update.incarnation >= me.incarnation
+        if wrong:
+            self._me = me._replace(incarnation=update.incarnation + 1)
+            self._spread(me.router)
+
+    def _consider(self, update: MemberUpdate, now_ms: float) -> None:
+        known = self._known.get(update.router)
+        if known is None:
+            if update.state != DEAD:
+                self._set(update, now_ms)
+            return
+        old = known.update
+        newer = update.incarnation > old.incarnation
+        worse = update.incarnation == old.incarnation and update.state > old.state
+        if newer or worse:
+            self._set(update, now_ms)
+
+    def _set(self, update: MemberUpdate, now_ms: float) -> None:
+        old = self._known.get(update.router)
+        heard_ms = old.heard_ms if old else now_ms
+        same_state = old is not None and old.update.state == update.state
+        since_ms = old.since_ms if old is not None and same_state else now_ms
+        self._known[update.router] = _Known(update, since_ms, heard_ms)
+        if not same_state:
+            self._changes += 1
+        if old is None:
+            position = self._random.randint(0, len(self._order))
+            self._order.insert(position, update.router)
+        self._spread(update.router)
+
+    def _spread(self, router: str) -> None:
+        self._gossip[router] = GOSSIP_FACTOR * math.ceil(math.log2(len(self._known) + 2))
+
+    def _piggyback(self) -> list[MemberUpdate]:
+        names = sorted(self._gossip, key=lambda n: self._gossip[n], reverse=True)[:PIGGYBACK_LIMIT]
+        updates = []
+        for name in names:
+            update = self.find(name)
+            self._gossip[name] -= 1
+            if self._gossip[name] <= 0:
+                del self._gossip[name]
+            if update is not None:
+                updates.append(update)
+        return updates
--- /dev/null
+++ b/packages/core/src/tamarack_core/protocol.py
@@ -0,0 +1,401 @@
+"""Typed messages between routers, and their encoding.
+
+A frame is msgpack: `[sender, incarnation, [[kind, body], ...]]`. Kinds are numbered by a
+registry that the `message` decorator fills; numbers are never given twice.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, NamedTuple, TypeVar
+
+import msgspec
+
+T = TypeVar("T", bound=type)
+
+_TYPES: dict[int, type] = {}
+_KINDS: dict[type, int] = {}
+
+
+def message(kind: int) -> Callable[[T], T]:
+    """Enter a NamedTuple into the registry of peer messages under `kind`."""
+
+    def register(cls: T) -> T:
+        if kind in _TYPES:
+            raise ValueError(f"message kind {kind} is taken by {_TYPES[kind].__name__}")
+        _TYPES[kind] = cls
+        _KINDS[cls] = kind
+        return cls
+
+    return register
+
+
+class ShardKey(NamedTuple):
+    """One shard of a service's endpoints."""
+
+    service: str
+    number: int
+
+
+# Membership
+
+
+class MemberUpdate(NamedTuple):
+    """What is known of one router; spread on the back of probes.
+
+    Attributes
+    ----------
+    state
+        0 alive, 1 leaving, 2 suspect, 3 dead.
+    room
+        Requests that the router can still take.
+    """
+
+    router: str
+    incarnation: int
+    state: int
+    peer_address: str
+    caller_address: str
+    failure_domain: str
+    config_version: int = 0
+    room: int = 0
+
+
+@message(1)
+class Ping(NamedTuple):
+    """Probe of a member; `target` names whom the sender means to reach."""
+
+    sequence: int
+    target: str
+    updates: list[MemberUpdate]
+
+
+@message(2)
+class PingAck(NamedTuple):
+    """Answer to a probe."""
+
+    sequence: int
+    updates: list[MemberUpdate]
+
+
+@message(3)
+class PingRequest(NamedTuple):
+    """Request to probe `target` on the sender's behalf."""
+
+    sequence: int
+    target: str
+    peer_address: str
+
+
+@message(4)
+class PingRelayed(NamedTuple):
+    """Report that a probe made on another's behalf was answered."""
+
+    sequence: int
+    target: str
+
+
+# Dispatch
+
+
+class Ticket(NamedTuple):
+    """A request that waits for a slot; its body stays with the router that holds it.
+
+    Attributes
+    ----------
+    request
+        Request id, unique over the fleet.
+    priority
+        Order inside the workspace; lower goes first.
+    deadline_ms
+        Milliseconds left when sent.
+    hint
+        Expected cost in cost units; zero if unknown.
+    prefix
+        Digest of the prompt's start; zero if there is none.
+    waited_ms
+        Milliseconds that the ticket has already waited elsewhere.
+    exclude
+        Endpoint that failed this request before it ran.
+    """
+
+    request: str
+    workspace: str
+    priority: int = 0
+    deadline_ms: int = 60_000
+    hint: float = 0.0
+    prefix: int = 0
+    waited_ms: int = 0
+    exclude: str = ""
+
+
+class RunningGrant(NamedTuple):
+    """A grant in use, as told to a new dispatcher."""
+
+    request: str
+    workspace: str
+    endpoint: str
+    charged: float
+
+
+@message(10)
+class SubmitTickets(NamedTuple):
+    """Tickets for a shard's dispatcher."""
+
+    shard: ShardKey
+    term: int
+    tickets: list[Ticket]
+
+
+@message(11)
+class CancelTickets(NamedTuple):
+    """Requests that no longer wait."""
+
+    shard: ShardKey
+    requests: list[str]
+
+
+class Grant(NamedTuple):
+    """Permission to run one request at one endpoint."""
+
+    request: str
+    endpoint: str
+    charged: float
+
+
+@message(12)
+class Grants(NamedTuple):
+    """Grants of one dispatcher's term, with counters of the workspaces granted."""
+
+    shard: ShardKey
+    term: int
+    grants: list[Grant]
+    counters: dict[str, float]
+
+
+class TicketRefusal(NamedTuple):
+    """A ticket that will not be granted."""
+
+    request: str
+    code: str
+    retry_after_ms: int
+
+
+@message(13)
+class RefuseTickets(NamedTuple):
+    """Tickets that a dispatcher gives back ungranted."""
+
+    shard: ShardKey
+    term: int
+    refusals: list[TicketRefusal]
+
+
+class Usage(NamedTuple):
+    """Cost of one request so far.
+
+    Attributes
+    ----------
+    cost
+        Cost units: weighted tokens for models, milliseconds for plain services.
+    state
+        0 running, 1 finished, 2 endpoint failed, 3 returned without running, 4 could not connect.
+    """
+
+    request: str
+    cost: float
+    state: int
+
+
+USAGE_RUNNING = 0
+USAGE_FINISHED = 1
+USAGE_FAILED = 2
+USAGE_RETURNED = 3
+USAGE_UNREACHABLE = 4
+
+
+@message(14)
+class ReportUsage(NamedTuple):
+    """Progress and settlement of grants."""
+
+    shard: ShardKey
+    usages: list[Usage]
+
+
+@message(15)
+class Poll(NamedTuple):
+    """A router's check that its dispatcher lives and agrees on what is outstanding."""
+
+    shard: ShardKey
+    term: int
+    waiting: int
+    running: int
+
+
+@message(16)
+class PollAck(NamedTuple):
+    """Answer to a poll; `resync` asks for a full registration."""
+
+    shard: ShardKey
+    term: int
+    resync: bool
+
+
+@message(17)
+class Register(NamedTuple):
+    """All that a router has outstanding at a shard; replaces what was known of it."""
+
+    shard: ShardKey
+    term: int
+    tickets: list[Ticket]
+    running: list[RunningGrant]
+    counters: dict[str, float]
+
+
+@message(18)
+class TermStart(NamedTuple):
+    """A dispatcher begins a term and asks for registrations."""
+
+    shard: ShardKey
+    term: int
+
+
+@message(19)
+class ShardCounters(NamedTuple):
+    """Grow-only totals of one shard's term, normalised by weight, of backlogged workspaces."""
+
+    shard: ShardKey
+    term: int
+    charged: dict[str, float]
+    refunded: dict[str, float]
+
+
+# At most once
+
+
+@message(30)
+class Claim(NamedTuple):
+    """Ask a keeper whether a key may run."""
+
+    key: str
+    workspace: str
+    digest: str
+    request: str
+
+
+@message(31)
+class ClaimAnswer(NamedTuple):
+    """A keeper's answer.
+
+    Attributes
+    ----------
+    state
+        `fresh`, `running`, `done`, `conflict`, `unknown`.
+    holder
+        Request id under which the key runs or ran.
+    """
+
+    key: str
+    workspace: str
+    request: str
+    state: str
+    holder: str
+
+
+@message(32)
+class ClaimDone(NamedTuple):
+    """The router that ran a key tells the keeper how it ended."""
+
+    key: str
+    workspace: str
+    request: str
+    state: str
+
+
+@message(33)
+class AnswerQuery(NamedTuple):
+    """Ask the router that holds a request for its state and answer from an offset."""
+
+    correlation: int
+    workspace: str
+    request: str
+    offset: int
+
+
+@message(34)
+class AnswerPart(NamedTuple):
+    """State of a request and a part of its answer.
+
+    Attributes
+    ----------
+    state
+        `waiting`, `running`, `done`, `refused`, `unknown`, `gone`.
+    status
+        HTTP status of the answer; zero while there is none.
+    total
+        Bytes of the answer so far.
+    """
+
+    correlation: int
+    state: str
+    status: int
+    content_type: str
+    offset: int
+    total: int
+    data: bytes
+
+
+# Configuration
+
+
+@message(40)
+class ChangesQuery(NamedTuple):
+    """Ask a peer for configuration changes after a version."""
+
+    after: int
+
+
+@message(41)
+class ChangesAnswer(NamedTuple):
+    """Encoded changes in order of version, without gaps, as far as the peer has them."""
+
+    head: int
+    changes: list[bytes]
+
+
+class Frame(NamedTuple):
+    """One decoded frame."""
+
+    sender: str
+    incarnation: int
+    messages: list[Any]
+
+
+_decoder = msgspec.msgpack.Decoder(tuple[str, int, list[tuple[int, msgspec.Raw]]])
+_encoder = msgspec.msgpack.Encoder()
+_body_decoders: dict[int, msgspec.msgpack.Decoder[Any]] = {}
+
+
+def encode(sender: str, incarnation: int, messages: list[Any]) -> bytes:
+    """Write one frame."""
+    bodies = [(_KINDS[type(body)], body) for body in messages]
+    return _encoder.encode((sender, incarnation, bodies))
+
+
+def decode(data: bytes) -> Frame | None:
+    """Read one frame; None if it is not one.
+
+    Messages of unknown kinds are left out, so that a newer router may speak to an older one.
+    """
+    try:
+        sender, incarnation, bodies = _decoder.decode(data)
+        messages = [_decode_body(kind, raw) for kind, raw in bodies if kind in _TYPES]
+    except (msgspec.DecodeError, msgspec.ValidationError):
+        return None
+    return Frame(sender, incarnation, messages)
+
+
+def _decode_body(kind: int, raw: msgspec.Raw) -> Any:
+    decoder = _body_decoders.get(kind)
+    if decoder is None:
+        decoder = _body_decoders[kind] = msgspec.msgpack.Decoder(_TYPES[kind])
+    return decoder.decode(raw)
--- /dev/null
+++ b/packages/core/src/tamarack_core/request_table.py
@@ -0,0 +1,543 @@
+"""Requests that a router holds: claim, ticket, grant, run and settlement.
+
+Every event returns actions; a request leaves the table when it is finished or refused.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from typing import NamedTuple
+
+from tamarack_core.actions import (
+    Action,
+    ClaimRow,
+    FollowRequest,
+    RefuseRequest,
+    RowDone,
+    Send,
+    StartRun,
+)
+from tamarack_core.configuration import Configuration
+from tamarack_core.defaults import (
+    AVOID_DISPATCHER_MS,
+    CLAIM_TIMEOUT_MS,
+    DISPATCHER_SILENCE_MS,
+    POLL_INTERVAL_MS,
+    PROGRESS_STEP,
+    SHARD_SIZE,
+)
+from tamarack_core.errors import ErrorCode, Outcome, Refusal
+from tamarack_core.keeper import CONFLICT, DONE, FRESH, FULL, RELEASED, RUNNING, UNKNOWN
+from tamarack_core.key_token import parse_key
+from tamarack_core.protocol import (
+    USAGE_RETURNED,
+    USAGE_RUNNING,
+    CancelTickets,
+    Claim,
+    ClaimAnswer,
+    ClaimDone,
+    Grant,
+    Grants,
+    Poll,
+    PollAck,
+    RefuseTickets,
+    Register,
+    ReportUsage,
+    RunningGrant,
+    ShardKey,
+    SubmitTickets,
+    TermStart,
+    Ticket,
+    Usage,
+)
+from tamarack_core.rendezvous import ranked
+from tamarack_core.retry_budget import RetryBudget
+
+IDLE_POLL_MS = 1_000
+TICKET_SHARDS = 2
+RETRY_AFTER_MS = 1_000
+
+
+class RequestSpec(NamedTuple):
+    """A request to be routed, without its body.
+
+    Attributes
+    ----------
+    key
+        Idempotency key, empty if the caller sent none.
+    first
+        Whether the caller says that it sends the key for the first time.
+    digest
+        Digest of method, path and body, to tell a key used for something else.
+    repeatable
+        Whether it may run more than once.
+    deadline_ms
+        Monotonic time at which the caller stops waiting.
+    """
+
+    request: str
+    workspace: str
+    service: str
+    key: str = ""
+    first: bool = False
+    digest: str = ""
+    repeatable: bool = False
+    deadline_ms: float = 60_000.0
+    priority: int = 0
+    hint: float = 0.0
+    prefix: int = 0
+
+
+class _Held:
+    """State of one request."""
+
+    def __init__(self, spec: RequestSpec, now_ms: float) -> None:
+        self.spec = spec
+        self.since_ms = now_ms
+        self.claim_sent_ms = 0.0
+        self.claim_asked = ""
+        self.state = "new"
+        self.shards: list[ShardKey] = []
+        self.grant: Grant | None = None
+        self.grant_shard: ShardKey | None = None
+        self.told_cost = 0.0
+        self.exclude = ""
+        self.maybe_ran = False
+
+    def ticket(self, now_ms: float) -> Ticket:
+        spec = self.spec
+        return Ticket(
+            spec.request,
+            spec.workspace,
+            spec.priority,
+            max(0, int(spec.deadline_ms - now_ms)),
+            spec.hint,
+            spec.prefix,
+            int(now_ms - self.since_ms),
+            self.exclude,
+        )
+
+
+class _ShardLink:
+    """What passes between this router and the dispatcher of one shard."""
+
+    def __init__(self) -> None:
+        self.target = ""
+        self.term = 0
+        self.heard_ms = 0.0
+        self.polled_ms = 0.0
+        self.unanswered_ms: float | None = None
+        self.pinned_until_ms = 0.0
+        self.avoid: dict[str, float] = {}
+        self.waiting: set[str] = set()
+        self.running: set[str] = set()
+        self.counters: dict[str, float] = {}
+
+
+class RequestTable:
+    """Requests held by one router.
+
+    Parameters
+    ----------
+    router
+        The router's own name.
+    usable
+        Gives the names of the members that may dispatch, the router itself included.
+    """
+
+    def __init__(
+        self, router: str, usable: Callable[[], list[str]], *, shard_size: int = SHARD_SIZE
+    ) -> None:
+        self._router = router
+        self._usable = usable
+        self._shard_size = shard_size
+        self._config = Configuration()
+        self._held: dict[str, _Held] = {}
+        self._links: dict[ShardKey, _ShardLink] = {}
+        self._budget = RetryBudget()
+        self._counts: Counter[str] = Counter()
+
+    def __len__(self) -> int:
+        return len(self._held)
+
+    @property
+    def counts(self) -> Counter[str]:
+        """Events by name."""
+        return self._counts
+
+    @property
+    def waiting(self) -> int:
+        """Requests without a grant."""
+        return sum(1 for held in self._held.values() if held.state in ("claiming", "waiting"))
+
+    @property
+    def running(self) -> int:
+        """Requests with a grant."""
+        return sum(1 for held in self._held.values() if held.state == "running")
+
+    def terms(self) -> dict[ShardKey, tuple[str, int]]:
+        """Dispatcher and term followed for each shard in use."""
+        return {shard: (link.target, link.term) for shard, link in self._links.items()}
+
+    def term_of(self, shard: ShardKey) -> int:
+        """Highest term seen of a shard."""
+        link = self._links.get(shard)
+        return link.term if link else 0
+
+    def configure(self, config: Configuration) -> None:
+        """Take the configuration in force."""
+        self._config = config
+
+    # Events of the request itself
+
+    def submit(self, spec: RequestSpec, now_ms: float) -> list[Action]:
+        """Take a request; it is claimed first if it has a key."""
+        self._budget.earn()
+        held = self._held[spec.request] = _Held(spec, now_ms)
+        if not spec.key:
+            return self._queue(held, now_ms)
+        held.state = "claiming"
+        held.claim_sent_ms = now_ms
+        token = parse_key(spec.key)
+        if token is None:
+            return [ClaimRow(spec.key, spec.workspace, spec.digest, spec.request)]
+        held.claim_asked = token.router
+        claim = Claim(spec.key, spec.workspace, spec.digest, spec.request)
+        return [Send(token.router, claim)]
+
+    def claim_answer(self, answer: ClaimAnswer, now_ms: float) -> list[Action]:
+        """Go on with a request as its keeper (or the table service) decided."""
+        held = self._held.get(answer.request)
+        if held is None or held.state != "claiming":
+            # The caller has left; the claim that was opened for it must not bar a retry.
+            self._counts["claim_unmatched"] += 1
+            if answer.state == FRESH:
+                return self._release_key(answer.key, answer.workspace, answer.request)
+            return []
+        if answer.state == FRESH:
+            return self._queue(held, now_ms)
+        if answer.state in (RUNNING, DONE):
+            del self._held[answer.request]
+            return [FollowRequest(answer.request, answer.holder)]
+        return self._refuse(held, _claim_refusal(answer.state, held.spec), now_ms)
+
+    def cancel(self, request: str, now_ms: float) -> list[Action]:
+        """The caller of a request that does not run yet went away."""
+        held = self._held.get(request)
+        if held is None or held.state == "running":
+            return []
+        self._counts["cancelled"] += 1
+        actions = self._withdraw(held, now_ms)
+        actions.extend(self._release_key(held.spec.key, held.spec.workspace, request))
+        del self._held[request]
+        return actions
+
+    def progress(self, request: str, cost: float, now_ms: float) -> list[Action]:
+        """Tell the dispatcher when a run has passed what it was charged."""
+        held = self._held.get(request)
+        if held is None or held.grant is None or cost <= held.told_cost:
+            return []
+        held.told_cost = cost * (1.0 + PROGRESS_STEP)
+        return self._report(held, Usage(request, cost, USAGE_RUNNING))
+
+    def finished(
+        self, request: str, cost: float, usage_state: int, key_state: str, now_ms: float
+    ) -> list[Action]:
+        """Settle a run that has ended, and tell the keeper."""
+        held = self._held.pop(request, None)
+        if held is None:
+            return []
+        actions = self._settle(held, Usage(request, cost, usage_state))
+        actions.extend(self._tell_keeper(held.spec, key_state))
+        return actions
+
+    def again(
+        self, request: str, usage: Usage, now_ms: float, *, sent: bool
+    ) -> list[Action] | None:
+        """Queue a request anew after an endpoint failed; None if it may not run again.
+
+        Parameters
+        ----------
+        sent
+            Whether a byte of the request may have reached the endpoint.
+        """
+        held = self._held.get(request)
+        if held is None or held.grant is None or now_ms >= held.spec.deadline_ms:
+            return None
+        if sent and not (held.spec.repeatable and self._budget.spend()):
+            return None
+        held.exclude = held.grant.endpoint
+        held.maybe_ran = held.maybe_ran or sent
+        actions = self._settle(held, usage)
+        actions.extend(self._queue(held, now_ms))
+        self._counts["again"] += 1
+        return actions
+
+    # Messages of dispatchers
+
+    def grants(self, sender: str, message: Grants, now_ms: float) -> list[Action]:
+        """Start granted requests; grants that are not needed go back."""
+        link = self._heard(message.shard, sender, message.term, now_ms)
+        if link is not None:
+            link.counters.update(message.counters)
+        actions: list[Action] = []
+        for grant in message.grants:
+            actions.extend(self._granted(sender, message.shard, grant, now_ms))
+        return actions
+
+    def refusals(self, sender: str, message: RefuseTickets, now_ms: float) -> list[Action]:
+        """End requests that the dispatcher refused."""
+        self._heard(message.shard, sender, message.term, now_ms)
+        actions: list[Action] = []
+        for refusal in message.refusals:
+            held = self._held.get(refusal.request)
+            if held is None or held.state != "waiting":
+                self._counts["refusal_unmatched"] += 1
+                continue
+            self._link(message.shard).waiting.discard(refusal.request)
+            code = ErrorCode(refusal.code)
+            reason = Refusal(code, _REFUSED[code], Outcome.NOT_RUN, max(1, refusal.retry_after_ms))
+            actions.extend(self._refuse(held, reason, now_ms))
+        return actions
+
+    def poll_ack(self, sender: str, message: PollAck, now_ms: float) -> list[Action]:
+        """Note that the dispatcher lives; register anew if it asks."""
+        link = self._heard(message.shard, sender, message.term, now_ms)
+        if link is None or not message.resync:
+            return []
+        return [self._registration(message.shard, link, now_ms)]
+
+    def term_start(self, sender: str, message: TermStart, now_ms: float) -> list[Action]:
+        """Follow a dispatcher that has begun a higher term."""
+        link = self._links.get(message.shard)
+        if link is None:
+            return []
+        if message.term <= link.term:
+            return []
+        link.term = message.term
+        link.target = sender
+        link.pinned_until_ms = now_ms + AVOID_DISPATCHER_MS
+        link.heard_ms = now_ms
+        link.unanswered_ms = None
+        return [self._registration(message.shard, link, now_ms)]
+
+    def tick(self, now_ms: float) -> list[Action]:
+        """Check dispatchers, claims and deadlines."""
+        actions: list[Action] = []
+        for shard, link in self._links.items():
+            actions.extend(self._check_link(shard, link, now_ms))
+        for held in list(self._held.values()):
+            actions.extend(self._check_held(held, now_ms))
+        return actions
+
+    # Helpers
+
+    def _queue(self, held: _Held, now_ms: float) -> list[Action]:
+        held.state = "waiting"
+        held.grant = None
+        held.grant_shard = None
+        service = held.spec.service
+        if not self._config.endpoints_of(service):
+            return self._refuse(
+                held, Refusal(ErrorCode.NO_ENDPOINT, "The service has no endpoint."), now_ms
+            )
+        count = self._config.shard_count(service, self._shard_size)
+        names = [str(index) for index in range(count)]
+        chosen = ranked(held.spec.request, names)[:TICKET_SHARDS]
+        held.shards = [ShardKey(service, int(name)) for name in chosen]
+        actions: list[Action] = []
+        ticket = held.ticket(now_ms)
+        for shard in held.shards:
+            link = self._link(shard)
+            actions.extend(self._retarget(shard, link, now_ms))
+            link.waiting.add(held.spec.request)
+            if link.unanswered_ms is None:
+                link.unanswered_ms = now_ms
+            actions.append(Send(link.target, SubmitTickets(shard, link.term, [ticket])))
+        return actions
+
+    def _granted(self, sender: str, shard: ShardKey, grant: Grant, now_ms: float) -> list[Action]:
+        held = self._held.get(grant.request)
+        endpoint = self._config.endpoint(grant.endpoint)
+        if held is not None and held.grant is not None and held.grant_shard == shard:
+            self._counts["grant_duplicate"] += 1
+            return []
+        if held is None or held.state != "waiting" or endpoint is None:
+            self._counts["grant_returned"] += 1
+            returned = Usage(grant.request, 0.0, USAGE_RETURNED)
+            if held is not None:
+                self._link(shard).waiting.discard(grant.request)
+            return [Send(sender, ReportUsage(shard, [returned]))]
+        actions = self._withdraw(held, now_ms, keep=shard)
+        held.state = "running"
+        held.grant = grant
+        held.grant_shard = shard
+        held.told_cost = grant.charged
+        self._link(shard).running.add(grant.request)
+        actions.append(StartRun(grant.request, grant.endpoint, endpoint["address"]))
+        return actions
+
+    def _withdraw(
+        self, held: _Held, now_ms: float, *, keep: ShardKey | None = None
+    ) -> list[Action]:
+        actions: list[Action] = []
+        request = held.spec.request
+        for shard in held.shards:
+            link = self._link(shard)
+            if request not in link.waiting:
+                continue
+            link.waiting.discard(request)
+            if shard != keep:
+                actions.append(Send(link.target, CancelTickets(shard, [request])))
+        return actions
+
+    def _settle(self, held: _Held, usage: Usage) -> list[Action]:
+        if held.grant_shard is None:
+            return []
+        self._link(held.grant_shard).running.discard(held.spec.request)
+        return self._report(held, usage)
+
+    def _report(self, held: _Held, usage: Usage) -> list[Action]:
+        if held.grant_shard is None:
+            return []
+        link = self._link(held.grant_shard)
+        return [Send(link.target, ReportUsage(held.grant_shard, [usage]))]
+
+    def _refuse(self, held: _Held, refusal: Refusal, now_ms: float) -> list[Action]:
+        self._held.pop(held.spec.request, None)
+        actions = self._withdraw(held, now_ms)
+        if held.maybe_ran:
+            # An earlier try may have run; calling this one not run would invite a second run.
+            refusal = refusal._replace(outcome=Outcome.UNKNOWN)
+        if refusal.outcome == Outcome.NOT_RUN:
+            actions.extend(self._tell_keeper(held.spec, RELEASED))
+        actions.append(RefuseRequest(held.spec.request, refusal))
+        return actions
+
+    def _release_key(self, key: str, workspace: str, request: str) -> list[Action]:
+        spec = RequestSpec(request, workspace, "", key)
+        return self._tell_keeper(spec, RELEASED)
+
+    def _tell_keeper(self, spec: RequestSpec, state: str) -> list[Action]:
+        if not spec.key:
+            return []
+        token = parse_key(spec.key)
+        if token is None:
+            return [RowDone(spec.key, spec.workspace, state)]
+        return [Send(token.router, ClaimDone(spec.key, spec.workspace, spec.request, state))]
+
+    def _link(self, shard: ShardKey) -> _ShardLink:
+        link = self._links.get(shard)
+        if link is None:
+            link = self._links[shard] = _ShardLink()
+        return link
+
+    def _heard(self, shard: ShardKey, sender: str, term: int, now_ms: float) -> _ShardLink | None:
+        link = self._links.get(shard)
+        if link is None or sender != link.target or term < link.term:
+            self._counts["stale_term"] += 1
+            return None
+        link.term = term
+        link.heard_ms = now_ms
+        link.unanswered_ms = None
+        return link
+
+    def _preferred(self, shard: ShardKey, link: _ShardLink, now_ms: float) -> str:
+        usable = self._usable()
+        if now_ms < link.pinned_until_ms and link.target in usable:
+            return link.target
+        allowed = [name for name in usable if link.avoid.get(name, 0.0) <= now_ms]
+        order = ranked(f"{shard.service}/{shard.number}", allowed or usable or [self._router])
+        return order[0]
+
+    def _retarget(self, shard: ShardKey, link: _ShardLink, now_ms: float) -> list[Action]:
+        preferred = self._preferred(shard, link, now_ms)
+        if preferred == link.target:
+            return []
+        first = not link.target
+        link.target = preferred
+        link.unanswered_ms = None
+        link.polled_ms = now_ms
+        if first:
+            return []
+        self._counts["retarget"] += 1
+        link.unanswered_ms = now_ms if link.waiting else None
+        return [self._registration(shard, link, now_ms)]
+
+    def _registration(self, shard: ShardKey, link: _ShardLink, now_ms: float) -> Send:
+        tickets = [
+            self._held[request].ticket(now_ms)
+            for request in sorted(link.waiting)
+            if request in self._held
+        ]
+        running = []
+        for request in sorted(link.running):
+            held = self._held.get(request)
+            if held is not None and held.grant is not None:
+                charged = max(held.grant.charged, held.told_cost)
+                running.append(
+                    RunningGrant(request, held.spec.workspace, held.grant.endpoint, charged)
+                )
+        return Send(link.target, Register(shard, link.term, tickets, running, link.counters))
+
+    def _check_link(self, shard: ShardKey, link: _ShardLink, now_ms: float) -> list[Action]:
+        if not link.waiting and not link.running:
+            return []
+        actions = self._retarget(shard, link, now_ms)
+        # The router itself cannot be silent towards itself.
+        silent_ms = now_ms - link.unanswered_ms if link.unanswered_ms is not None else 0.0
+        if link.waiting and silent_ms >= DISPATCHER_SILENCE_MS and link.target != self._router:
+            self._counts["dispatcher_silent"] += 1
+            link.avoid[link.target] = now_ms + AVOID_DISPATCHER_MS
+            link.pinned_until_ms = 0.0
+            actions.extend(self._retarget(shard, link, now_ms))
+        interval = POLL_INTERVAL_MS if link.waiting else IDLE_POLL_MS
+        if now_ms - max(link.heard_ms, link.polled_ms) >= interval:
+            link.polled_ms = now_ms
+            if link.unanswered_ms is None:
+                link.unanswered_ms = now_ms
+            poll = Poll(shard, link.term, len(link.waiting), len(link.running))
+            actions.append(Send(link.target, poll))
+        return actions
+
+    def _check_held(self, held: _Held, now_ms: float) -> list[Action]:
+        if held.state == "claiming" and held.claim_asked:
+            if now_ms - held.claim_sent_ms >= CLAIM_TIMEOUT_MS:
+                self._counts["keeper_silent"] += 1
+                return self._refuse(held, _claim_refusal("silent", held.spec), now_ms)
+        elif held.state == "waiting" and now_ms >= held.spec.deadline_ms:
+            refusal = Refusal(
+                ErrorCode.DEADLINE,
+                _REFUSED[ErrorCode.DEADLINE],
+                Outcome.NOT_RUN,
+                RETRY_AFTER_MS,
+            )
+            return self._refuse(held, refusal, now_ms)
+        return []
+
+
+_REFUSED: dict[ErrorCode, str] = {
+    ErrorCode.QUEUE_FULL: "Too many requests of the workspace wait.",
+    ErrorCode.DEADLINE: "The request cannot be served before its deadline.",
+    ErrorCode.NO_ENDPOINT: "The service has no endpoint.",
+}
+
+
+def _claim_refusal(state: str, spec: RequestSpec) -> Refusal:
+    if state == CONFLICT:
+        message = "The key was used for a request with other content."
+        return Refusal(ErrorCode.KEY_CONFLICT, message)
+    if state == FULL:
+        message = "Too many keys of the workspace are kept."
+        return Refusal(ErrorCode.OVER_SHARE, message, Outcome.NOT_RUN, RETRY_AFTER_MS)
+    if state == "store-down":
+        message = "The table service that keeps this key does not answer."
+        outcome = Outcome.NOT_RUN if spec.first else Outcome.UNKNOWN
+        return Refusal(ErrorCode.STORE_DOWN, message, outcome, RETRY_AFTER_MS)
+    if spec.first and state in ("silent", UNKNOWN):
+        # Nothing was ever sent under this key, so that a fresh one is safe.
+        message = "The keeper of the key is gone; send the request with a fresh key."
+        return Refusal(ErrorCode.KEEPER_GONE, message, Outcome.NOT_RUN, 1)
+    message = "Whether the request with this key ran is not known; it will not run again."
+    return Refusal(ErrorCode.KEY_UNKNOWN, message, Outcome.UNKNOWN)
--- /dev/null
+++ b/packages/core/src/tamarack_core/router_core.py
@@ -0,0 +1,360 @@
+"""All decisions of one router: members, tickets, dispatching, keys.
+
+Events go in with the time, actions come out. Nothing here knows of sockets or threads, so a
+failure can be told as a list of events.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from collections.abc import Callable
+from typing import Any
+
+from tamarack_core.actions import Action, Deliver, Send
+from tamarack_core.configuration import Configuration
+from tamarack_core.defaults import EXCHANGE_INTERVAL_MS, PAUSE_MS, SHARD_SIZE
+from tamarack_core.dispatch_host import DispatchHost
+from tamarack_core.endpoint_pool import LoadReport
+from tamarack_core.keeper import Keeper
+from tamarack_core.key_token import KeyToken
+from tamarack_core.membership import DEAD, Membership
+from tamarack_core.protocol import (
+    AnswerPart,
+    AnswerQuery,
+    CancelTickets,
+    ChangesAnswer,
+    ChangesQuery,
+    Claim,
+    ClaimAnswer,
+    ClaimDone,
+    Frame,
+    Grants,
+    MemberUpdate,
+    Ping,
+    PingAck,
+    PingRelayed,
+    PingRequest,
+    Poll,
+    PollAck,
+    RefuseTickets,
+    Register,
+    ReportUsage,
+    ShardCounters,
+    SubmitTickets,
+    TermStart,
+    Usage,
+)
+from tamarack_core.request_table import RequestSpec, RequestTable
+
+Handler = Callable[["RouterCore", str, Any, float], "list[Action]"]
+_HANDLERS: dict[type, Handler] = {}
+
+
+def handles(*kinds: type) -> Callable[[Handler], Handler]:
+    """Enter a method into the registry of handlers of peer messages."""
+
+    def register(handler: Handler) -> Handler:
+        for kind in kinds:
+            _HANDLERS[kind] = handler
+        return handler
+
+    return register
+
+
+class RouterCore:
+    """One router's state and decisions.
+
+    Parameters
+    ----------
+    me
+        The router's entry as a member; its incarnation is the start of its life.
+    now_ms
+        Monotonic time of the start.
+    """
+
+    def __init__(
+        self,
+        me: MemberUpdate,
+        now_ms: float,
+        *,
+        shard_size: int = SHARD_SIZE,
+        exchange_ms: float = EXCHANGE_INTERVAL_MS,
+        seed: int = 0,
+    ) -> None:
+        self._router = me.router
+        self._boot = me.incarnation
+        self._membership = Membership(me, seed=seed)
+        self._requests = RequestTable(
+            me.router, lambda: self._membership.usable, shard_size=shard_size
+        )
+        self._host = DispatchHost(self._membership, shard_size=shard_size, exchange_ms=exchange_ms)
+        self._keeper = Keeper(me.router, self._boot, now_ms)
+        self._config = Configuration()
+        self._boots: dict[str, int] = {}
+        self._dead: set[str] = set()
+        self._ticked_ms = now_ms
+        self._counts: Counter[str] = Counter()
+
+    @property
+    def boot(self) -> int:
+        """Start of this router's life, in milliseconds since the Unix epoch."""
+        return self._boot
+
+    @property
+    def membership(self) -> Membership:
+        """The members as seen here."""
+        return self._membership
+
+    @property
+    def requests(self) -> RequestTable:
+        """Requests held here."""
+        return self._requests
+
+    @property
+    def host(self) -> DispatchHost:
+        """Dispatchers that live here."""
+        return self._host
+
+    @property
+    def keeper(self) -> Keeper:
+        """Keys kept here."""
+        return self._keeper
+
+    @property
+    def counts(self) -> Counter[str]:
+        """Events by name, of all parts."""
+        total = Counter(self._counts)
+        for part in (self._requests.counts, self._host.counts):
+            total.update(part)
+        for dispatcher in self._host.dispatchers.values():
+            total.update(dispatcher.counts)
+        return total
+
+    def token(self, now_ms: float) -> KeyToken:
+        """Keeper token to hand out with an address answer."""
+        return self._keeper.token(now_ms)
+
+    def configure(self, config: Configuration, now_ms: float) -> None:
+        """Take the configuration in force."""
+        self._config = config
+        self._membership.describe(config_version=config.version)
+        self._requests.configure(config)
+        self._host.configure(config, now_ms)
+
+    def join(self, addresses: list[str]) -> list[Action]:
+        """Look for members at these addresses."""
+        return list(self._membership.join(addresses))
+
+    def leave(self) -> list[Action]:
+        """Announce that this router takes no new work, and hand its shards over."""
+        sends = self._membership.leave()
+        self._host.step_down()
+        return list(sends)
+
+    def receive(self, frame: Frame, now_ms: float) -> list[Action]:
+        """Take in a frame of a peer."""
+        if not self._note_boot(frame.sender, frame.incarnation, now_ms):
+            return []
+        actions: list[Action] = []
+        self._membership.heard(frame.sender, now_ms)
+        for message in frame.messages:
+            actions.extend(self._handle(frame.sender, message, now_ms))
+        return self._settle(actions, now_ms)
+
+    def submit(self, spec: RequestSpec, now_ms: float) -> list[Action]:
+        """Take a request."""
+        return self._settle(self._requests.submit(spec, now_ms), now_ms)
+
+    def claim_answer(self, answer: ClaimAnswer, now_ms: float) -> list[Action]:
+        """Take the table service's answer to a claim."""
+        return self._settle(self._requests.claim_answer(answer, now_ms), now_ms)
+
+    def cancel(self, request: str, now_ms: float) -> list[Action]:
+        """The caller of a waiting request went away."""
+        return self._settle(self._requests.cancel(request, now_ms), now_ms)
+
+    def progress(self, request: str, cost: float, now_ms: float) -> list[Action]:
+        """A run has cost this much so far."""
+        return self._settle(self._requests.progress(request, cost, now_ms), now_ms)
+
+    def finished(
+        self, request: str, cost: float, usage_state: int, key_state: str, now_ms: float
+    ) -> list[Action]:
+        """A run has ended."""
+        actions = self._requests.finished(request, cost, usage_state, key_state, now_ms)
+        return self._settle(actions, now_ms)
+
+    def again(
+        self, request: str, usage: Usage, now_ms: float, *, sent: bool
+    ) -> list[Action] | None:
+        """Try a request at another endpoint; None if it may not run again."""
+        actions = self._requests.again(request, usage, now_ms, sent=sent)
+        return None if actions is None else self._settle(actions, now_ms)
+
+    def report(self, endpoint: str, load: LoadReport, now_ms: float) -> None:
+        """Take in an endpoint's load."""
+        self._host.report(endpoint, load, now_ms)
+
+    def dispatch(self, now_ms: float) -> list[Action]:
+        """Grant what can be granted; called once after a batch of events."""
+        return self._settle(list(self._host.dispatch(now_ms)), now_ms)
+
+    def tick(self, now_ms: float) -> list[Action]:
+        """Do what time alone calls for; wanted every 20 to 50 ms."""
+        actions: list[Action] = []
+        if now_ms - self._ticked_ms > PAUSE_MS:
+            # The process was stopped or starved: others have taken its shards over, and grants
+            # made from its old state would be made twice.
+            self._counts["paused"] += 1
+            self._host.step_down()
+        self._ticked_ms = now_ms
+        actions.extend(self._membership.tick(now_ms))
+        actions.extend(self._bury(now_ms))
+        actions.extend(self._host.tick(now_ms))
+        actions.extend(self._requests.tick(now_ms))
+        return self._settle(actions, now_ms)
+
+    def _settle(self, actions: list[Action], now_ms: float) -> list[Action]:
+        """Handle messages to this router itself until none are left."""
+        pending = deque(actions)
+        out: list[Action] = []
+        while pending:
+            action = pending.popleft()
+            if isinstance(action, Send) and action.router == self._router:
+                pending.extend(self._handle(self._router, action.message, now_ms))
+            else:
+                out.append(action)
+        return out
+
+    def _handle(self, sender: str, message: Any, now_ms: float) -> list[Action]:
+        handler = _HANDLERS.get(type(message))
+        if handler is None:
+            self._counts["message_unhandled"] += 1
+            return []
+        return handler(self, sender, message, now_ms)
+
+    def _note_boot(self, sender: str, boot: int, now_ms: float) -> bool:
+        known = self._boots.get(sender)
+        if known is not None and boot < known:
+            self._counts["stale_life"] += 1
+            return False
+        self._boots[sender] = boot
+        if known is not None and boot > known:
+            self._gone(sender, known, now_ms)
+        return True
+
+    def _bury(self, now_ms: float) -> list[Action]:
+        dead = {m.router for m in self._membership.members if m.state == DEAD}
+        for name in dead - self._dead:
+            self._gone(name, self._boots.get(name, 0), now_ms)
+        self._dead = dead
+        return []
+
+    def _gone(self, router: str, boot: int, now_ms: float) -> None:
+        self._counts["router_gone"] += 1
+        self._host.router_gone(router, now_ms)
+        self._keeper.router_gone(f"{router}~{boot}~")
+
+    # Membership
+
+    @handles(Ping)
+    def _on_ping(self, sender: str, message: Ping, now_ms: float) -> list[Action]:
+        return list(self._membership.ping(sender, message, now_ms))
+
+    @handles(PingAck)
+    def _on_ack(self, sender: str, message: PingAck, now_ms: float) -> list[Action]:
+        return list(self._membership.ack(sender, message, now_ms))
+
+    @handles(PingRequest)
+    def _on_ping_request(self, sender: str, message: PingRequest, now_ms: float) -> list[Action]:
+        return list(self._membership.ping_request(sender, message))
+
+    @handles(PingRelayed)
+    def _on_relayed(self, sender: str, message: PingRelayed, now_ms: float) -> list[Action]:
+        self._membership.relayed(message, now_ms)
+        return []
+
+    # As a dispatcher
+
+    @handles(SubmitTickets)
+    def _on_submit(self, sender: str, message: SubmitTickets, now_ms: float) -> list[Action]:
+        dispatcher, sends = self._host.ensure(message.shard, message.term, now_ms)
+        actions: list[Action] = list(sends)
+        if dispatcher is not None:
+            actions.extend(dispatcher.submit(sender, message.tickets, now_ms))
+        return actions
+
+    @handles(CancelTickets)
+    def _on_cancel(self, sender: str, message: CancelTickets, now_ms: float) -> list[Action]:
+        dispatcher = self._host.dispatchers.get(message.shard)
+        if dispatcher is not None:
+            dispatcher.cancel(sender, message.requests, now_ms)
+        return []
+
+    @handles(ReportUsage)
+    def _on_usage(self, sender: str, message: ReportUsage, now_ms: float) -> list[Action]:
+        dispatcher = self._host.dispatchers.get(message.shard)
+        if dispatcher is not None:
+            dispatcher.usage(sender, message.usages, now_ms)
+        return []
+
+    @handles(Poll)
+    def _on_poll(self, sender: str, message: Poll, now_ms: float) -> list[Action]:
+        dispatcher, sends = self._host.ensure(message.shard, message.term, now_ms)
+        actions: list[Action] = list(sends)
+        if dispatcher is not None:
+            actions.append(dispatcher.poll(sender, message, now_ms))
+        return actions
+
+    @handles(Register)
+    def _on_register(self, sender: str, message: Register, now_ms: float) -> list[Action]:
+        dispatcher, sends = self._host.ensure(message.shard, message.term, now_ms)
+        actions: list[Action] = list(sends)
+        if dispatcher is not None:
+            actions.extend(dispatcher.register(sender, message, now_ms))
+        return actions
+
+    @handles(ShardCounters)
+    def _on_counters(self, sender: str, message: ShardCounters, now_ms: float) -> list[Action]:
+        self._host.merge(message)
+        return []
+
+    # As a holder of requests
+
+    @handles(Grants)
+    def _on_grants(self, sender: str, message: Grants, now_ms: float) -> list[Action]:
+        return self._requests.grants(sender, message, now_ms)
+
+    @handles(RefuseTickets)
+    def _on_refusals(self, sender: str, message: RefuseTickets, now_ms: float) -> list[Action]:
+        return self._requests.refusals(sender, message, now_ms)
+
+    @handles(PollAck)
+    def _on_poll_ack(self, sender: str, message: PollAck, now_ms: float) -> list[Action]:
+        return self._requests.poll_ack(sender, message, now_ms)
+
+    @handles(TermStart)
+    def _on_term_start(self, sender: str, message: TermStart, now_ms: float) -> list[Action]:
+        self._host.term_start(sender, message)
+        return self._requests.term_start(sender, message, now_ms)
+
+    # Keys
+
+    @handles(Claim)
+    def _on_claim(self, sender: str, message: Claim, now_ms: float) -> list[Action]:
+        return [Send(sender, self._keeper.claim(message, now_ms))]
+
+    @handles(ClaimAnswer)
+    def _on_claim_answer(self, sender: str, message: ClaimAnswer, now_ms: float) -> list[Action]:
+        return self._requests.claim_answer(message, now_ms)
+
+    @handles(ClaimDone)
+    def _on_claim_done(self, sender: str, message: ClaimDone, now_ms: float) -> list[Action]:
+        self._keeper.done(message)
+        return []
+
+    # Handled outside the core
+
+    @handles(AnswerQuery, AnswerPart, ChangesQuery, ChangesAnswer)
+    def _on_other(self, sender: str, message: Any, now_ms: float) -> list[Action]:
+        return [Deliver(sender, message)]
