--- a/packages/client/src/tamarack_client/__init__.py
+++ b/packages/client/src/tamarack_client/__init__.py
@@ -1,1 +1,14 @@
-"""Part of tamarackturn."""
+"""What a caller's or an operator's program uses to reach a tamarackturn fleet."""
+
+from tamarack_client.admin import AdminClient, AdminError
+from tamarack_client.answer import Answer, OutcomeUnknownError, RefusedError
+from tamarack_client.client import Client
+
+__all__ = [
+    "AdminClient",
+    "AdminError",
+    "Answer",
+    "Client",
+    "OutcomeUnknownError",
+    "RefusedError",
+]
--- /dev/null
+++ b/packages/client/src/tamarack_client/address_book.py
@@ -0,0 +1,97 @@
+"""The addresses to use, as routers last told them."""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+from typing import NamedTuple
+
+import urllib3
+
+ASK_TIMEOUT = urllib3.Timeout(connect=0.5, read=1.0)
+AVOID_S = 2.0
+
+
+class Addresses(NamedTuple):
+    """One answer: addresses in order of preference, kept until `good_until`."""
+
+    addresses: list[str]
+    keeper_token: str
+    good_until: float
+
+
+class NoRouterError(Exception):
+    """No router gave an address answer."""
+
+
+class AddressBook:
+    """Asks the routers that it knows of which ones to use, and keeps the answer for its time.
+
+    Parameters
+    ----------
+    seeds
+        `IP:PORT` of some routers, to begin with.
+    """
+
+    def __init__(self, http: urllib3.PoolManager, seeds: list[str], key: str, scheme: str) -> None:
+        self._http = http
+        self._seeds = list(seeds)
+        self._headers = {"Authorization": f"Bearer {key}"}
+        self._scheme = scheme
+        self._current = Addresses([], "", 0.0)
+        self._avoid: dict[str, float] = {}
+        self._lock = threading.Lock()
+
+    def current(self) -> Addresses:
+        """The addresses to use now."""
+        with self._lock:
+            if time.monotonic() >= self._current.good_until or not self._current.addresses:
+                self._refresh()
+            return self._current
+
+    def ordered(self) -> list[str]:
+        """Addresses in order of preference, those that just failed at the end, then seeds."""
+        addresses = self.current().addresses
+        others = [seed for seed in self._seeds if seed not in addresses]
+        now = time.monotonic()
+        return sorted([*addresses, *others], key=lambda a: self._avoid.get(a, 0.0) > now)
+
+    def failed(self, address: str) -> None:
+        """Note that an address did not serve; the answer that named it is asked anew."""
+        with self._lock:
+            self._avoid[address] = time.monotonic() + AVOID_S
+            self._current = self._current._replace(good_until=0.0)
+
+    def renew(self) -> None:
+        """Ask anew at the next use."""
+        with self._lock:
+            self._current = self._current._replace(good_until=0.0)
+
+    def _refresh(self) -> None:
+        now = time.monotonic()
+        known = list(dict.fromkeys([*self._current.addresses, *self._seeds]))
+        known.sort(key=lambda a: self._avoid.get(a, 0.0) > now)
+        for address in known:
+            answer = self._ask(address)
+            if answer is not None:
+                self._current = answer
+                return
+            self._avoid[address] = time.monotonic() + AVOID_S
+        raise NoRouterError(f"none of {len(known)} routers answered")
+
+    def _ask(self, address: str) -> Addresses | None:
+        url = f"{self._scheme}://{address}/v1/addresses"
+        try:
+            response = self._http.request(
+                "GET", url, headers=self._headers, timeout=ASK_TIMEOUT, retries=False
+            )
+            if response.status != 200:
+                return None
+            body = json.loads(response.data)
+        except (urllib3.exceptions.HTTPError, ValueError):
+            return None
+        if not body["addresses"]:
+            return None
+        good_until = time.monotonic() + body["ttl_ms"] / 1000
+        return Addresses(body["addresses"], body["keeper_token"], good_until)
--- a/packages/core/src/tamarack_core/actions.py
+++ b/packages/core/src/tamarack_core/actions.py
@@ -16,12 +16,23 @@
     address: str = ""
 
 
+class Reconnect(NamedTuple):
+    """Drop the connection to a peer and open a new one before the next message.
+
+    A connection can go silent for good while new ones work; without this a peer that is well
+    would be called dead.
+    """
+
+    router: str
+
+
 class StartRun(NamedTuple):
-    """Run a request at an endpoint."""
+    """Run a request at an endpoint, for which `charged` cost units were charged."""
 
     request: str
     endpoint: str
     address: str
+    charged: float
 
 
 class RefuseRequest(NamedTuple):
@@ -62,12 +73,4 @@
     message: AnswerQuery | AnswerPart | ChangesQuery | ChangesAnswer
 
 
-class WatchEndpoints(NamedTuple):
-    """Ask these endpoints for their load; the list replaces the one before."""
-
-    addresses: dict[str, str]
-
-
-Action = (
-    Send | StartRun | RefuseRequest | FollowRequest | ClaimRow | RowDone | Deliver | WatchEndpoints
-)
+Action = Send | Reconnect | StartRun | RefuseRequest | FollowRequest | ClaimRow | RowDone | Deliver
--- a/packages/core/src/tamarack_core/configuration.py
+++ b/packages/core/src/tamarack_core/configuration.py
@@ -1,7 +1,6 @@
 """The configuration in force: entries, their checks, changes and versions."""
 
-from __future__ import annotations
-
+# TypedDict reads NotRequired from evaluated annotations only, so they are not deferred here.
 import hashlib
 import math
 from typing import Any, NamedTuple, NotRequired, TypedDict, get_type_hints
@@ -215,7 +214,7 @@
         names = [str(index) for index in range(count)]
         return [spec for spec in specs if winner(spec.name, names) == str(shard.number)]
 
-    def apply(self, change: Change) -> Configuration:
+    def apply(self, change: Change) -> "Configuration":
         """Return the configuration after the change that follows this version."""
         if change.version != self._version + 1:
             raise ValueError(f"change {change.version} does not follow version {self._version}")
@@ -236,7 +235,7 @@
         return Snapshot(self._version, self._preset, entries)
 
     @classmethod
-    def restore(cls, snapshot: Snapshot) -> Configuration:
+    def restore(cls, snapshot: Snapshot) -> "Configuration":
         """Build a configuration from a snapshot."""
         entries: dict[str, dict[str, Any]] = {kind: {} for kind in ENTRY_TYPES}
         for put in snapshot.entries:
--- a/packages/core/src/tamarack_core/membership.py
+++ b/packages/core/src/tamarack_core/membership.py
@@ -6,7 +6,7 @@
 import random
 from typing import NamedTuple
 
-from tamarack_core.actions import Send
+from tamarack_core.actions import Reconnect, Send
 from tamarack_core.defaults import (
     FORGET_DEAD_MS,
     GOSSIP_FACTOR,
@@ -134,7 +134,7 @@
             if address not in known
         ]
 
-    def tick(self, now_ms: float) -> list[Send]:
+    def tick(self, now_ms: float) -> list[Send | Reconnect]:
         """Probe the next member, and move silent ones on to suspect and dead."""
         sends = self._check_probe(now_ms)
         self._expire(now_ms)
@@ -201,7 +201,7 @@
         if known is not None and known.update.state == SUSPECT:
             self._set(known.update._replace(state=ALIVE), now_ms)
 
-    def _check_probe(self, now_ms: float) -> list[Send]:
+    def _check_probe(self, now_ms: float) -> list[Send | Reconnect]:
         probe = self._probe
         if probe is None:
             return []
@@ -218,8 +218,15 @@
         known = self._known.get(probe.target)
         if known is None:
             return []
-        request = PingRequest(probe.sequence, probe.target, known.update.peer_address)
-        return [Send(name, request) for name in self._sample(HELPERS, exclude=probe.target)]
+        address = known.update.peer_address
+        request = PingRequest(probe.sequence, probe.target, address)
+        ping = Ping(probe.sequence, probe.target, [self._me])
+        helpers = self._sample(HELPERS, exclude=probe.target)
+        return [
+            Reconnect(probe.target),
+            Send(probe.target, ping, address),
+            *(Send(name, request) for name in helpers),
+        ]
 
     def _start_probe(self, now_ms: float) -> list[Send]:
         while self._order:
--- a/packages/core/src/tamarack_core/protocol.py
+++ b/packages/core/src/tamarack_core/protocol.py
@@ -328,7 +328,7 @@
     Attributes
     ----------
     state
-        `waiting`, `running`, `done`, `refused`, `unknown`, `gone`.
+        `waiting`, `running`, `done`, `refused`, `broken`, `gone`.
     status
         HTTP status of the answer; zero while there is none.
     total
@@ -342,6 +342,10 @@
     offset: int
     total: int
     data: bytes
+    stream: bool = False
+    code: str = ""
+    outcome: str = ""
+    explanation: str = ""
 
 
 # Configuration
--- a/packages/core/src/tamarack_core/request_table.py
+++ b/packages/core/src/tamarack_core/request_table.py
@@ -375,7 +375,7 @@
         held.grant_shard = shard
         held.told_cost = grant.charged
         self._link(shard).running.add(grant.request)
-        actions.append(StartRun(grant.request, grant.endpoint, endpoint["address"]))
+        actions.append(StartRun(grant.request, grant.endpoint, endpoint["address"], grant.charged))
         return actions
 
     def _withdraw(
--- a/packages/router/src/tamarack_router/__init__.py
+++ b/packages/router/src/tamarack_router/__init__.py
@@ -1,1 +1,1 @@
-"""Part of tamarackturn."""
+"""tamarackd: the router that every entry instance runs."""
--- /dev/null
+++ b/packages/router/src/tamarack_router/body_reader.py
@@ -0,0 +1,30 @@
+"""Reads a caller's body within its bounds."""
+
+from __future__ import annotations
+
+from cheroot.errors import MaxSizeExceeded
+from tamarack_core.errors import ErrorCode, Refusal
+
+from tamarack_router.http_listener import HttpCall
+
+
+def read_body(call: HttpCall, limit: int) -> bytes | Refusal:
+    """Read the whole body, or say why it is not taken."""
+    length = call.content_length
+    if length is not None and length > limit:
+        return _too_large(limit)
+    try:
+        data: bytes = call.reader.read()
+    except MaxSizeExceeded:
+        return _too_large(limit)
+    except (OSError, ValueError):
+        return Refusal(ErrorCode.BODY_TOO_SLOW, "The body did not come in time.")
+    if len(data) > limit:
+        return _too_large(limit)
+    if length is not None and len(data) < length:
+        return Refusal(ErrorCode.BODY_TOO_SLOW, "The body did not come in time.")
+    return data
+
+
+def _too_large(limit: int) -> Refusal:
+    return Refusal(ErrorCode.BODY_TOO_LARGE, f"A body has at most {limit} bytes.")
--- /dev/null
+++ b/packages/router/src/tamarack_router/control.py
@@ -0,0 +1,412 @@
+"""The control task: owns the peer sockets, the router's core and the configuration."""
+
+from __future__ import annotations
+
+import threading
+from collections import Counter
+from collections.abc import Callable
+from types import TracebackType
+from typing import Any
+
+import zmq
+from tamarack_core.actions import (
+    Action,
+    ClaimRow,
+    Deliver,
+    FollowRequest,
+    Reconnect,
+    RefuseRequest,
+    RowDone,
+    Send,
+    StartRun,
+)
+from tamarack_core.clock import Clock
+from tamarack_core.config_follower import AskPeer, AskStore, ConfigFollower
+from tamarack_core.configuration import Configuration
+from tamarack_core.errors import ErrorCode, Outcome, Refusal
+from tamarack_core.keeper import RELEASED, UNKNOWN
+from tamarack_core.membership import STATE_NAMES
+from tamarack_core.protocol import (
+    USAGE_FAILED,
+    USAGE_UNREACHABLE,
+    AnswerPart,
+    AnswerQuery,
+    ChangesAnswer,
+    ChangesQuery,
+    Usage,
+    decode,
+)
+from tamarack_core.router_core import RouterCore
+
+from tamarack_router.fleet_view import FleetView, ViewHolder
+from tamarack_router.load_task import LoadTask
+from tamarack_router.logs import PartLog
+from tamarack_router.mailbox import Mailbox
+from tamarack_router.messages import (
+    CancelRequest,
+    ChangesRead,
+    EndRequest,
+    HeadRead,
+    Leave,
+    LoadRead,
+    PeerAnswer,
+    PeerMessage,
+    PeerQuery,
+    RowClaimed,
+    RunFailed,
+    RunFinished,
+    RunProgress,
+    SeedsRead,
+    Stop,
+    SubmitRequest,
+)
+from tamarack_router.peer_links import PeerLinks
+from tamarack_router.platform_task import PlatformTask
+
+TICK_MS = 25.0
+VIEW_MS = 100.0
+FRAMES_PER_ROUND = 200
+STORE_DOWN_MS = 3_000.0
+
+Handler = Callable[["Control", Any], None]
+_HANDLERS: dict[type, Handler] = {}
+
+
+def handles(kind: type) -> Callable[[Handler], Handler]:
+    """Enter a method into the registry of handlers of the control task's mailbox."""
+
+    def register(handler: Handler) -> Handler:
+        _HANDLERS[kind] = handler
+        return handler
+
+    return register
+
+
+class Control:
+    """The control task of one router.
+
+    Parameters
+    ----------
+    relay
+        Mailbox of the relay.
+    room
+        Gives how many requests the router can still take.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        core: RouterCore,
+        links: PeerLinks,
+        mailbox: Mailbox,
+        relay: Mailbox,
+        views: ViewHolder,
+        room: Callable[[], int],
+        seeds: list[str],
+    ) -> None:
+        self._clock = clock
+        self._core = core
+        self._links = links
+        self._mailbox = mailbox
+        self._relay = relay
+        self._views = views
+        self._room = room
+        self._seeds = seeds
+        self._follower = ConfigFollower()
+        self._platform: PlatformTask | None = None
+        self._load: LoadTask | None = None
+        self._outbox: dict[tuple[str, str], list[Any]] = {}
+        self._counts: Counter[str] = Counter()
+        self._store_answered_ms = clock.now_ms
+        self._store_up = False
+        self._leaving = False
+        self._stopped = False
+        self._next_tick_ms = 0.0
+        self._next_view_ms = 0.0
+        self._log = PartLog("control")
+        self._thread = threading.Thread(target=self._loop, name="control", daemon=True)
+
+    def __enter__(self) -> Control:
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._mailbox.put(Stop())
+        self._thread.join(2.0)
+
+    @property
+    def mailbox(self) -> Mailbox:
+        """Where other tasks put messages for this one."""
+        return self._mailbox
+
+    @property
+    def failed(self) -> bool:
+        """Whether the task has ended though nobody asked it to."""
+        return not self._stopped and not self._thread.is_alive()
+
+    def serve(self, platform: PlatformTask, load: LoadTask) -> None:
+        """Name the tasks that make blocking calls for this one; before it starts."""
+        self._platform = platform
+        self._load = load
+
+    # The loop
+
+    def _loop(self) -> None:
+        poller = zmq.Poller()
+        poller.register(self._links.inbound, zmq.POLLIN)
+        poller.register(self._mailbox.fileno(), zmq.POLLIN)
+        while not self._stopped:
+            wait_ms = max(0.0, self._next_tick_ms - self._clock.now_ms)
+            poller.poll(int(wait_ms) + 1)
+            self._read_frames()
+            self._read_mailbox()
+            now_ms = self._clock.now_ms
+            if now_ms >= self._next_tick_ms:
+                self._tick(now_ms)
+            self._perform(self._core.dispatch(now_ms))
+            self._flush()
+
+    def _read_frames(self) -> None:
+        for _ in range(FRAMES_PER_ROUND):
+            data = self._links.receive()
+            if data is None:
+                return
+            frame = decode(data)
+            if frame is None:
+                self._counts["frames_malformed"] += 1
+                continue
+            self._perform(self._core.receive(frame, self._clock.now_ms))
+
+    def _read_mailbox(self) -> None:
+        for message in self._mailbox.drain():
+            handler = _HANDLERS.get(type(message))
+            if handler is not None:
+                handler(self, message)
+
+    def _tick(self, now_ms: float) -> None:
+        self._next_tick_ms = now_ms + TICK_MS
+        self._perform(self._core.tick(now_ms))
+        for member in self._core.membership.members[1:]:
+            self._follower.peer_version(member.router, member.config_version)
+        self._ask_for_changes(now_ms)
+        if now_ms >= self._next_view_ms:
+            self._next_view_ms = now_ms + VIEW_MS
+            self._core.membership.describe(room=self._room())
+            if self._load is not None:
+                self._load.watch(self._core.host.watched())
+            self._publish(now_ms)
+
+    def _ask_for_changes(self, now_ms: float) -> None:
+        question = self._follower.next_question(now_ms, store_up=self._store_up)
+        if isinstance(question, AskPeer):
+            self._send(question.router, "", ChangesQuery(question.after))
+        elif isinstance(question, AskStore) and self._platform is not None:
+            self._platform.read_changes(question.after)
+
+    # Actions of the core
+
+    def _perform(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Send(router, message, address):
+                    self._send(router, address, message)
+                case Reconnect(router):
+                    self._links.drop(router)
+                case StartRun() | FollowRequest():
+                    self._relay.put(action)
+                case RefuseRequest(request, refusal):
+                    self._relay.put(EndRequest(request, refusal))
+                case ClaimRow() if self._platform is not None:
+                    self._platform.claim(action)
+                case RowDone() if self._platform is not None:
+                    self._platform.row_done(action)
+                case Deliver(sender, message):
+                    self._deliver(sender, message)
+
+    def _deliver(self, sender: str, message: Any) -> None:
+        match message:
+            case AnswerQuery():
+                self._relay.put(PeerQuery(sender, message))
+            case AnswerPart():
+                self._relay.put(PeerAnswer(message))
+            case ChangesQuery(after):
+                changes = self._follower.changes_after(after)
+                head = self._follower.config.version
+                self._send(sender, "", ChangesAnswer(head, changes or []))
+            case ChangesAnswer(head, changes):
+                self._follower.peer_version(sender, head)
+                self._take_changes(None, changes)
+
+    def _send(self, router: str, address: str, message: Any) -> None:
+        if not address:
+            member = self._core.membership.find(router)
+            if member is None:
+                self._counts["peer_unknown"] += 1
+                return
+            address = member.peer_address
+        if router == self._core.membership.me.router:
+            self._deliver(router, message)
+            return
+        self._outbox.setdefault((router, address), []).append(message)
+
+    def _flush(self) -> None:
+        for (router, address), messages in self._outbox.items():
+            self._links.send(router, address, messages)
+        self._outbox.clear()
+
+    # Configuration
+
+    def _take_changes(self, snapshot: Configuration | None, changes: list[bytes]) -> None:
+        before = self._follower.config.version
+        was_ready = self._follower.ready
+        if snapshot is not None:
+            self._follower.restore(snapshot)
+        self._follower.offer(changes)
+        config = self._follower.config
+        if config.version != before:
+            now_ms = self._clock.now_ms
+            self._core.configure(config, now_ms)
+            self._publish(now_ms)
+            self._log.info("A configuration is in force.", version=config.version)
+        if self._follower.ready and not was_ready:
+            self._log.info("The router is ready.", version=config.version)
+
+    def _publish(self, now_ms: float) -> None:
+        membership = self._core.membership
+        host = self._core.host
+        isolated = not self._store_up and membership.cut_off(now_ms)
+        counts = self._core.counts
+        counts.update(self._counts)
+        counts.update({f"peer_{name}": n for name, n in self._links.counts.items()})
+        counts.update({f"sent_{kind}": n for kind, n in self._links.bytes_by_kind.items()})
+        gauges: dict[str, float] = {
+            "requests_waiting": self._core.requests.waiting,
+            "requests_running": self._core.requests.running,
+            "keys_kept": len(self._core.keeper),
+            "config_version": self._follower.config.version,
+            "config_head": self._follower.head,
+            "store_up": float(self._store_up),
+            "isolated": float(isolated),
+            "shards_dispatched": len(host.dispatchers),
+        }
+        for state, name in enumerate(STATE_NAMES):
+            gauges[f"members_{name}"] = sum(1 for m in membership.members if m.state == state)
+        for shard, dispatcher in host.dispatchers.items():
+            label = f"{shard.service}/{shard.number}"
+            gauges[f"slots:{label}"] = dispatcher.pool.slots
+            gauges[f"slots_granted:{label}"] = dispatcher.pool.in_flight
+            gauges[f"tickets_waiting:{label}"] = dispatcher.waiting
+        self._views.publish(
+            FleetView(
+                self._follower.config,
+                self._follower.ready,
+                isolated,
+                self._leaving,
+                self._store_up,
+                membership.members,
+                self._core.token(now_ms),
+                dict(counts),
+                gauges,
+                self._shares(),
+                {f"{s.service}/{s.number}": f"{t}:{n}" for s, (t, n) in self._terms().items()},
+            )
+        )
+
+    def _terms(self) -> dict[Any, tuple[str, int]]:
+        return self._core.requests.terms()
+
+    def _shares(self) -> dict[str, list[dict[str, Any]]]:
+        return {
+            f"{shard.service}/{shard.number}": [reading._asdict() for reading in d.shares()]
+            for shard, d in self._core.host.dispatchers.items()
+        }
+
+    # Messages
+
+    @handles(Stop)
+    def _on_stop(self, message: Stop) -> None:
+        self._flush()
+        self._stopped = True
+
+    @handles(Leave)
+    def _on_leave(self, message: Leave) -> None:
+        self._leaving = True
+        self._perform(self._core.leave())
+        self._publish(self._clock.now_ms)
+        self._log.info("The router is leaving.")
+
+    @handles(SubmitRequest)
+    def _on_submit(self, message: SubmitRequest) -> None:
+        self._perform(self._core.submit(message.spec, self._clock.now_ms))
+
+    @handles(CancelRequest)
+    def _on_cancel(self, message: CancelRequest) -> None:
+        self._perform(self._core.cancel(message.request, self._clock.now_ms))
+
+    @handles(RunProgress)
+    def _on_progress(self, message: RunProgress) -> None:
+        now_ms = self._clock.now_ms
+        self._perform(self._core.progress(message.request, message.cost, now_ms))
+
+    @handles(RunFinished)
+    def _on_finished(self, message: RunFinished) -> None:
+        self._perform(
+            self._core.finished(
+                message.request,
+                message.cost,
+                message.usage_state,
+                message.key_state,
+                self._clock.now_ms,
+            )
+        )
+
+    @handles(RunFailed)
+    def _on_failed(self, message: RunFailed) -> None:
+        now_ms = self._clock.now_ms
+        state = USAGE_FAILED if message.sent else USAGE_UNREACHABLE
+        usage = Usage(message.request, message.cost, state)
+        actions = self._core.again(message.request, usage, now_ms, sent=message.sent)
+        if actions is not None:
+            self._perform(actions)
+            return
+        outcome = Outcome.UNKNOWN if message.sent else Outcome.NOT_RUN
+        key_state = UNKNOWN if message.sent else RELEASED
+        self._perform(self._core.finished(message.request, message.cost, state, key_state, now_ms))
+        refusal = Refusal(ErrorCode.ENDPOINT_FAILED, "The endpoint failed.", outcome)
+        self._relay.put(EndRequest(message.request, refusal))
+
+    @handles(LoadRead)
+    def _on_load(self, message: LoadRead) -> None:
+        self._core.report(message.endpoint, message.load, self._clock.now_ms)
+
+    @handles(HeadRead)
+    def _on_head(self, message: HeadRead) -> None:
+        now_ms = self._clock.now_ms
+        if message.version is not None:
+            self._store_answered_ms = now_ms
+            self._store_up = True
+            self._follower.store_head(message.version)
+            self._ask_for_changes(now_ms)
+        elif now_ms - self._store_answered_ms >= STORE_DOWN_MS:
+            self._store_up = False
+
+    @handles(ChangesRead)
+    def _on_changes(self, message: ChangesRead) -> None:
+        self._take_changes(message.snapshot, message.changes)
+
+    @handles(RowClaimed)
+    def _on_row_claimed(self, message: RowClaimed) -> None:
+        self._perform(self._core.claim_answer(message.answer, self._clock.now_ms))
+
+    @handles(SeedsRead)
+    def _on_seeds(self, message: SeedsRead) -> None:
+        self._perform(self._core.join([*self._seeds, *message.addresses]))
+
+    @handles(PeerMessage)
+    def _on_peer_message(self, message: PeerMessage) -> None:
+        self._send(message.router, "", message.message)
--- /dev/null
+++ b/packages/router/src/tamarack_router/endpoint_connection.py
@@ -0,0 +1,180 @@
+"""One HTTP exchange with an endpoint over a non-blocking socket of its own.
+
+A connection carries one exchange and is closed after it. A reused connection is how answers
+cross: the unread remainder of one would be read as the next.
+"""
+
+from __future__ import annotations
+
+import errno
+import selectors
+import socket
+from typing import NamedTuple
+
+import h11
+import httptools
+
+READ_BYTES = 65_536
+MAX_HEAD_BYTES = 65_536
+
+
+class Head(NamedTuple):
+    """Status and headers came in; names are lower case."""
+
+    status: int
+    headers: dict[str, str]
+
+
+class Body(NamedTuple):
+    """A part of the body came in."""
+
+    data: bytes
+
+
+class End(NamedTuple):
+    """The answer is whole."""
+
+
+class Broke(NamedTuple):
+    """The connection ended before the answer did."""
+
+    reason: str
+
+
+ConnectionEvent = Head | Body | End | Broke
+
+
+class EndpointConnection:
+    """Connects, sends one request, and gives what comes back as events.
+
+    Parameters
+    ----------
+    address
+        `IP:PORT` of the endpoint.
+    """
+
+    def __init__(
+        self, address: str, method: str, path: str, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self._target = (host, int(port))
+        self._out = memoryview(_request_bytes(address, method, path, headers, body))
+        self._position = 0
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setblocking(False)
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._connected = False
+        self._ended = False
+        self._events: list[ConnectionEvent] = []
+        self._headers: dict[str, str] = {}
+        self._parser = httptools.HttpResponseParser(self)
+
+    @property
+    def sock(self) -> socket.socket:
+        """The socket to select on."""
+        return self._sock
+
+    @property
+    def sent(self) -> bool:
+        """Whether a byte of the request may have reached the endpoint."""
+        return self._position > 0
+
+    @property
+    def interest(self) -> int:
+        """What to select for."""
+        if self._position < len(self._out):
+            return selectors.EVENT_WRITE | (selectors.EVENT_READ if self._connected else 0)
+        return selectors.EVENT_READ
+
+    def start(self) -> list[ConnectionEvent]:
+        """Begin to connect."""
+        code = self._sock.connect_ex(self._target)
+        if code not in (0, errno.EINPROGRESS):
+            return [Broke(errno.errorcode.get(code, str(code)))]
+        return []
+
+    def close(self) -> None:
+        """Close the socket, read or not."""
+        self._sock.close()
+
+    def ready(self, mask: int) -> list[ConnectionEvent]:
+        """Go on as far as the socket lets; return what happened."""
+        try:
+            if mask & selectors.EVENT_WRITE:
+                self._write()
+            if mask & selectors.EVENT_READ and self._connected:
+                self._read()
+        except OSError as error:
+            self._broke(errno.errorcode.get(error.errno or 0, str(error)))
+        except httptools.HttpParserError as error:
+            self._broke(f"malformed answer: {error}")
+        events = self._events
+        self._events = []
+        return events
+
+    def _write(self) -> None:
+        if not self._connected:
+            code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                raise OSError(code, "connect failed")
+            self._connected = True
+        try:
+            self._position += self._sock.send(self._out[self._position :])
+        except BlockingIOError:
+            return
+
+    def _read(self) -> None:
+        try:
+            data = self._sock.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        if not data:
+            self._broke("closed early")
+            return
+        self._parser.feed_data(data)
+
+    def _broke(self, reason: str) -> None:
+        if not self._ended:
+            self._ended = True
+            self._events.append(Broke(reason))
+
+    # Callbacks of the parser
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header."""
+        if len(self._headers) < 256:
+            self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_headers_complete(self) -> None:
+        """Take the end of the head."""
+        status = self._parser.get_status_code()
+        if status >= 200:
+            self._events.append(Head(status, self._headers))
+        self._headers = {}
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body."""
+        self._events.append(Body(data))
+
+    def on_message_complete(self) -> None:
+        """Take the end of the answer; an early one may come before the request was sent."""
+        if not self._ended and self._parser.get_status_code() >= 200:
+            self._ended = True
+            self._events.append(End())
+
+
+def _request_bytes(
+    address: str, method: str, path: str, headers: list[tuple[str, str]], body: bytes
+) -> bytes:
+    connection = h11.Connection(h11.CLIENT)
+    all_headers = [
+        ("Host", address),
+        ("Connection", "close"),
+        ("Content-Length", str(len(body))),
+        *headers,
+    ]
+    request = h11.Request(method=method, target=path, headers=all_headers)
+    out = connection.send(request) or b""
+    if body:
+        out += connection.send(h11.Data(data=body)) or b""
+    return out + (connection.send(h11.EndOfMessage()) or b"")
--- /dev/null
+++ b/packages/router/src/tamarack_router/http_listener.py
@@ -0,0 +1,264 @@
+"""An HTTP listener with its own threads, on cheroot."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from collections.abc import Callable
+from types import TracebackType
+from typing import Any, NamedTuple, Protocol
+from urllib.parse import parse_qsl
+
+from cheroot.server import Gateway, HTTPConnection, HTTPServer
+from tamarack_core.errors import ErrorCode, Outcome, Refusal
+
+from tamarack_router.http_reply import Reply, refusal_reply
+from tamarack_router.logs import PartLog
+
+# cheroot's own backlog of 5 resets connections when 200 callers arrive at once.
+BACKLOG = 1_024
+MAX_HEADER_BYTES = 16_384
+REAP_EVERY_S = 0.25
+KEEP_ALIVE_CONNECTIONS = 2_000
+IDLE_TIMEOUT_S = 10
+
+
+class HttpCall(NamedTuple):
+    """One parsed request head, its body still unread.
+
+    Attributes
+    ----------
+    headers
+        Names in lower case.
+    """
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    sock: socket.socket
+    reader: Any
+
+    @property
+    def content_length(self) -> int | None:
+        """Length that the caller states; None if it states none that is a number."""
+        text = self.headers.get("content-length", "")
+        return int(text) if text.isdecimal() else None
+
+
+class App(Protocol):
+    """What answers the calls of a listener."""
+
+    def respond(self, call: HttpCall) -> Reply | None:
+        """Answer, or take the socket over and give None."""
+
+
+class ListenerLimits(NamedTuple):
+    """Bounds on what a caller may send.
+
+    Attributes
+    ----------
+    send_ms
+        Longest time for head and body together.
+    """
+
+    threads: int
+    max_body_bytes: int
+    send_ms: int
+
+
+class HttpListener:
+    """Serves an app at an address until it is closed.
+
+    Parameters
+    ----------
+    part
+        Name for threads and logs.
+    certificate, private_key
+        PEM files for TLS; empty for plain HTTP.
+    """
+
+    def __init__(
+        self,
+        part: str,
+        address: str,
+        app: App,
+        limits: ListenerLimits,
+        *,
+        certificate: str = "",
+        private_key: str = "",
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self._reaper = _Reaper(limits.send_ms / 1000)
+        self._server = HTTPServer(
+            (host, int(port)),
+            _gateway_for(app, PartLog(part)),
+            minthreads=limits.threads,
+            maxthreads=limits.threads,
+            server_name="tamarackd",
+        )
+        self._server.request_queue_size = BACKLOG
+        self._server.max_request_header_size = MAX_HEADER_BYTES
+        self._server.max_request_body_size = limits.max_body_bytes
+        self._server.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
+        self._server.timeout = IDLE_TIMEOUT_S
+        self._server.ConnectionClass = _connection_class(self._reaper)
+        self._server.error_log = _error_log(PartLog(part))  # type: ignore[method-assign]
+        if certificate:
+            from cheroot.ssl.builtin import BuiltinSSLAdapter
+
+            self._server.ssl_adapter = BuiltinSSLAdapter(certificate, private_key)
+        self._thread = threading.Thread(target=self._server.serve, name=part, daemon=True)
+
+    def __enter__(self) -> HttpListener:
+        self._server.prepare()
+        self._thread.start()
+        self._reaper.start()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._reaper.stop()
+        self._server.stop()
+
+    @property
+    def address(self) -> str:
+        """`IP:PORT` as bound."""
+        host, port = self._server.bind_addr[:2]
+        return f"{host}:{port}"
+
+
+class _Reaper:
+    """Ends connections that send too slowly.
+
+    A socket timeout counts from the last byte, so a caller that sends a byte now and then would
+    hold a thread for ever. One would notice listeners without free threads under little load.
+    """
+
+    def __init__(self, limit_s: float) -> None:
+        self._limit_s = limit_s
+        self._due: dict[int, tuple[float, socket.socket]] = {}
+        self._lock = threading.Lock()
+        self._stop = threading.Event()
+
+    def start(self) -> None:
+        threading.Thread(target=self._run, name="reaper", daemon=True).start()
+
+    def stop(self) -> None:
+        self._stop.set()
+
+    def watch(self, sock: socket.socket) -> None:
+        with self._lock:
+            self._due[id(sock)] = (time.monotonic() + self._limit_s, sock)
+
+    def release(self, sock: socket.socket) -> None:
+        with self._lock:
+            self._due.pop(id(sock), None)
+
+    def _run(self) -> None:
+        while not self._stop.wait(REAP_EVERY_S):
+            now = time.monotonic()
+            with self._lock:
+                late = [sock for due, sock in self._due.values() if due <= now]
+                for sock in late:
+                    del self._due[id(sock)]
+            for sock in late:
+                try:
+                    sock.shutdown(socket.SHUT_RD)
+                except OSError:
+                    continue
+
+
+def _connection_class(reaper: _Reaper) -> type:
+    class WatchedConnection(HTTPConnection):
+        """A connection whose time in a worker thread is bounded."""
+
+        def communicate(self) -> Any:
+            reaper.watch(self.socket)
+            try:
+                return super().communicate()
+            finally:
+                reaper.release(self.socket)
+
+    return WatchedConnection
+
+
+def _gateway_for(app: App, log: PartLog) -> type:
+    class AppGateway(Gateway):
+        """Passes a request to the app, and its reply or its socket on."""
+
+        def respond(self) -> None:
+            req = self.req
+            if req.response_protocol != "HTTP/1.1":
+                # Without chunks a cut stream would look whole.
+                _write(req, refusal_reply(_refusal("HTTP/1.1 is needed.")))
+                return
+            try:
+                reply = app.respond(_call(req))
+            except Exception as error:
+                log.error("A call failed.", error=repr(error), path=req.path.decode("latin-1"))
+                message = "The router failed; whether the request ran is not known."
+                refusal = Refusal(ErrorCode.INTERNAL, message, Outcome.UNKNOWN)
+                reply = refusal_reply(refusal)
+            if reply is not None:
+                _write(req, reply)
+                return
+            # The socket now belongs to another task; cheroot must neither answer nor close.
+            req.sent_headers = True
+            req.close_connection = True
+            req.conn.linger = True
+
+    return AppGateway
+
+
+def _refusal(message: str) -> Refusal:
+    return Refusal(ErrorCode.BAD_REQUEST, message)
+
+
+def _call(req: Any) -> HttpCall:
+    headers = {
+        name.decode("latin-1").lower(): value.decode("latin-1")
+        for name, value in req.inheaders.items()
+    }
+    query = dict(parse_qsl(req.qs.decode("latin-1"), keep_blank_values=True))
+    return HttpCall(
+        req.method.decode("latin-1"),
+        req.path.decode("latin-1"),
+        query,
+        headers,
+        req.conn.socket,
+        req.rfile,
+    )
+
+
+def _write(req: Any, reply: Reply) -> None:
+    req.status = f"{reply.status} {_reason(reply.status)}".encode()
+    req.outheaders = [
+        (b"Content-Type", reply.content_type.encode()),
+        (b"Content-Length", str(len(reply.body)).encode()),
+        *((name.encode(), value.encode("latin-1", "replace")) for name, value in reply.headers),
+    ]
+    req.ensure_headers_sent()
+    if req.method != b"HEAD":
+        req.write(reply.body)
+
+
+def _reason(status: int) -> str:
+    from http import HTTPStatus
+
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
+
+
+def _error_log(log: PartLog) -> Callable[..., None]:
+    def write(message: str = "", level: int = 20, traceback: bool = False) -> None:
+        log.warning("The HTTP library reported a fault.", detail=str(message)[:300])
+
+    return write
--- /dev/null
+++ b/packages/router/src/tamarack_router/http_reply.py
@@ -0,0 +1,48 @@
+"""Answers that a listener gives itself."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+import msgspec
+from tamarack_core.errors import Refusal
+
+
+class Reply(NamedTuple):
+    """A whole HTTP answer."""
+
+    status: int
+    body: bytes
+    content_type: str = "application/json"
+    headers: list[tuple[str, str]] = []
+
+
+def json_bytes(value: Any) -> bytes:
+    """Write a value as JSON."""
+    return msgspec.json.encode(value)
+
+
+def json_reply(value: Any, status: int = 200) -> Reply:
+    """Answer with JSON."""
+    return Reply(status, json_bytes(value))
+
+
+def error_body(refusal: Refusal) -> bytes:
+    """The usual error body, as stock clients read it."""
+    error = {
+        "message": refusal.message,
+        "type": "tamarack_error",
+        "param": None,
+        "code": refusal.code.value,
+        "outcome": refusal.outcome.value,
+    }
+    return json_bytes({"error": error})
+
+
+def refusal_reply(refusal: Refusal) -> Reply:
+    """Answer with a refusal."""
+    headers = [("Tamarack-Outcome", refusal.outcome.value)]
+    if refusal.retry_after_ms:
+        headers.append(("Retry-After", str(max(1, -(-refusal.retry_after_ms // 1000)))))
+        headers.append(("Tamarack-Retry-After-Ms", str(refusal.retry_after_ms)))
+    return Reply(refusal.status, error_body(refusal), headers=headers)
--- /dev/null
+++ b/packages/router/src/tamarack_router/main.py
@@ -0,0 +1,215 @@
+"""tamarackd: starts the tasks of one router and stops them in order."""
+
+from __future__ import annotations
+
+import contextlib
+import gc
+import signal
+import sys
+import threading
+from typing import Any
+
+from tamarack_core.clock import Clock
+from tamarack_core.membership import ALIVE
+from tamarack_core.protocol import MemberUpdate
+from tamarack_core.router_core import RouterCore
+
+from tamarack_router.admin_app import AdminApp
+from tamarack_router.caller_app import CallerApp, CallerLimits
+from tamarack_router.config_store import ConfigStore
+from tamarack_router.control import Control
+from tamarack_router.fleet_view import ViewHolder
+from tamarack_router.http_listener import App, HttpListener, ListenerLimits
+from tamarack_router.kept_answer import AnswerStore
+from tamarack_router.load_task import LoadTask
+from tamarack_router.logs import PartLog, start_logs
+from tamarack_router.mailbox import Mailbox
+from tamarack_router.messages import Leave
+from tamarack_router.metrics_app import MetricsApp
+from tamarack_router.peer_links import CurveKeys, PeerLinks
+from tamarack_router.platform import InstanceList, ObjectStore, TableService
+from tamarack_router.platform_task import PlatformTask
+from tamarack_router.relay import Relay
+from tamarack_router.run import RunLimits
+from tamarack_router.settings import Settings, printable, settings_from_process
+from tamarack_router.share_guard import ShareGuard
+from tamarack_router.tracing import Tracing
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+ADMIN_BODY_BYTES = 2_000_000
+DRAIN_POLL_S = 0.05
+LAST_GOSSIP_S = 0.3
+
+
+class _Signals:
+    """Counts requests to stop; the second one shortens the wait."""
+
+    def __init__(self) -> None:
+        self._first = threading.Event()
+        self._second = threading.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._on_signal)
+
+    def _on_signal(self, number: int, frame: Any) -> None:
+        if self._first.is_set():
+            self._second.set()
+        self._first.set()
+
+    def wait_first(self, timeout_s: float) -> bool:
+        """Wait for the first request to stop."""
+        return self._first.wait(timeout_s)
+
+    def wait_second(self, timeout_s: float) -> bool:
+        """Wait for the second request to stop."""
+        return self._second.wait(timeout_s)
+
+
+class Router:
+    """All tasks of one router, in the order in which they need each other."""
+
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._stack = contextlib.ExitStack()
+        self._log = PartLog("main")
+
+    def __enter__(self) -> Router:
+        settings, clock, stack = self._settings, self._clock, self._stack
+        boot = clock.wall_ms
+        curve = None
+        if settings.curve_secret:
+            curve = CurveKeys(settings.curve_public, settings.curve_secret)
+        links = stack.enter_context(
+            PeerLinks(settings.router, boot, settings.peer_listen, curve=curve)
+        )
+        tracing = stack.enter_context(
+            Tracing(settings.router, settings.trace, settings.trace_address, settings.trace_sample)
+        )
+        views = ViewHolder()
+        mailbox = stack.enter_context(Mailbox())
+        held = ShareGuard(settings.max_held, settings.share_alpha)
+        answers = AnswerStore(settings.answer_memory_bytes, settings.answer_lifetime_ms)
+        limits = RunLimits(settings.stream_silence_ms, settings.whole_silence_ms)
+        self.relay = stack.enter_context(Relay(clock, mailbox, answers, held, tracing, limits))
+        self.caller_app = CallerApp(
+            settings.router,
+            boot,
+            clock,
+            views,
+            self.relay.mailbox,
+            ShareGuard(settings.threads, settings.share_alpha),
+            held,
+            tracing,
+            CallerLimits(settings.max_body_bytes, settings.address_ttl_ms),
+        )
+        callers = self._listen("callers", settings.listen, self.caller_app, settings.threads)
+        me = MemberUpdate(
+            settings.router,
+            boot,
+            ALIVE,
+            links.address,
+            callers.address,
+            settings.failure_domain,
+            0,
+            settings.max_held,
+        )
+        core = RouterCore(
+            me,
+            clock.now_ms,
+            shard_size=settings.shard_size,
+            exchange_ms=settings.exchange_ms,
+            seed=boot,
+        )
+        self.control = Control(
+            clock, core, links, mailbox, self.relay.mailbox, views, lambda: held.free, settings.peer
+        )
+        self._start_outer_tasks(views, mailbox)
+        stack.enter_context(self.control)
+        self._log.info(
+            "The router has started.",
+            router=settings.router,
+            listen=callers.address,
+            peer=links.address,
+        )
+        return self
+
+    def __exit__(self, *exc: Any) -> None:
+        self._stack.close()
+
+    def _start_outer_tasks(self, views: ViewHolder, mailbox: Mailbox) -> None:
+        settings, stack = self._settings, self._stack
+        table = TableService(settings.platform)
+        store = ConfigStore(table, ObjectStore(settings.platform))
+        instances = InstanceList(settings.platform)
+        platform = PlatformTask(store, table, instances, mailbox, settings.config_poll_ms)
+        stack.enter_context(platform)
+        load = stack.enter_context(LoadTask(mailbox, settings.load_poll_ms))
+        self.control.serve(platform, load)
+        admin = AdminApp(
+            settings.router, self._clock, views, store, platform, settings.admin_tokens
+        )
+        metrics = MetricsApp(
+            settings.router,
+            views,
+            {"relay": lambda: self.relay.counts, "callers": lambda: self.caller_app.counts},
+        )
+        self._listen("admin", settings.admin_listen, admin, settings.admin_threads)
+        self._listen("metrics", settings.metrics_listen, metrics, settings.admin_threads)
+
+    def _listen(self, part: str, address: str, app: App, threads: int) -> HttpListener:
+        settings = self._settings
+        body_bytes = settings.max_body_bytes if part == "callers" else ADMIN_BODY_BYTES
+        listener = HttpListener(
+            part,
+            address,
+            app,
+            ListenerLimits(threads, body_bytes, settings.send_ms),
+            certificate=settings.tls_certificate if part != "metrics" else "",
+            private_key=settings.tls_key if part != "metrics" else "",
+        )
+        self._stack.enter_context(listener)
+        return listener
+
+    def drain(self, signals: _Signals) -> None:
+        """Leave: tell the others, serve while callers hold this address, finish what runs."""
+        self.control.mailbox.put(Leave())
+        # Callers keep an address for its time to live; until then they are still served here.
+        signals.wait_second(self._settings.address_ttl_ms / 1000)
+        self.caller_app.close()
+        while self.relay.busy:
+            threading.Event().wait(DRAIN_POLL_S)
+        threading.Event().wait(LAST_GOSSIP_S)
+        self._log.info("Nothing is in progress.")
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run a router until it is told to stop."""
+    parsed, settings = settings_from_process(arguments)
+    if isinstance(settings, list):
+        for fault in settings:
+            print(f"tamarackd: {fault.setting} {fault.message}.", file=sys.stderr)
+        return EXIT_SETTINGS
+    if parsed.print_settings:
+        print("\n".join(printable(settings)))
+        return EXIT_OK
+    start_logs(settings.log_level)
+    sys.setswitchinterval(settings.switch_interval_us / 1e6)
+    signals = _Signals()
+    try:
+        with Router(settings, Clock()) as router:
+            gc.freeze()
+            while not signals.wait_first(0.2):
+                if router.control.failed:
+                    PartLog("main").error("The control task has ended.")
+                    return EXIT_FAILED
+            router.drain(signals)
+    except OSError as error:
+        PartLog("main").error("The router cannot start.", error=str(error))
+        return EXIT_FAILED
+    return EXIT_OK
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/router/src/tamarack_router/metrics_app.py
@@ -0,0 +1,99 @@
+"""Metrics in the Prometheus text format, and health."""
+
+from __future__ import annotations
+
+import resource
+import time
+from collections.abc import Callable
+
+import aioprometheus
+from aioprometheus.formats import text
+
+from tamarack_router.fleet_view import ViewHolder
+from tamarack_router.http_listener import HttpCall
+from tamarack_router.http_reply import Reply, json_reply
+
+PREFIX = "tamarack_"
+
+
+class MetricsApp:
+    """Renders what the tasks have counted.
+
+    Each task counts in a counter of its own that only it writes; a scrape copies them, so that
+    no lock stands in a hot path.
+    """
+
+    def __init__(
+        self, router: str, views: ViewHolder, sources: dict[str, Callable[[], dict[str, int]]]
+    ) -> None:
+        self._labels = {"router": router}
+        self._views = views
+        self._sources = sources
+
+    def respond(self, call: HttpCall) -> Reply:
+        """Answer a scrape or a probe."""
+        view = self._views.view
+        if call.path == "/healthz":
+            return json_reply({"status": "ok"})
+        if call.path == "/readyz":
+            return self._readiness()
+        if call.path == "/metrics":
+            return Reply(200, self._render(), "text/plain; version=0.0.4; charset=utf-8")
+        return json_reply({"error": "not found", "router": view.token.router}, 404)
+
+    def _readiness(self) -> Reply:
+        view = self._views.view
+        reasons = []
+        if not view.ready:
+            reasons.append("the configuration in force is not known")
+        if view.isolated:
+            reasons.append("cut off from the store and most routers")
+        if view.leaving:
+            reasons.append("leaving")
+        return json_reply({"ready": not reasons, "reasons": reasons}, 503 if reasons else 200)
+
+    def _render(self) -> bytes:
+        registry = aioprometheus.Registry()
+        view = self._views.view
+        events = aioprometheus.Counter(
+            f"{PREFIX}events_total", "Events by part and name.", registry=registry
+        )
+        for part, source in self._sources.items():
+            for name, count in dict(source()).items():
+                events.set({**self._labels, "part": part, "name": name}, count)
+        for name, count in view.counts.items():
+            events.set({**self._labels, "part": "control", "name": name}, count)
+        self._add_gauges(registry)
+        self._add_shares(registry)
+        return bytes(text.TextFormatter().marshall(registry))
+
+    def _add_gauges(self, registry: aioprometheus.Registry) -> None:
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        values = {
+            **self._views.view.gauges,
+            "cpu_seconds": usage.ru_utime + usage.ru_stime,
+            "resident_bytes": usage.ru_maxrss * 1024,
+            "time_seconds": time.time(),
+        }
+        gauges: dict[str, aioprometheus.Gauge] = {}
+        for name, value in values.items():
+            base, _, shard = name.partition(":")
+            if base not in gauges:
+                gauges[base] = aioprometheus.Gauge(
+                    f"{PREFIX}{base}", f"Present value of {base}.", registry=registry
+                )
+            labels = {**self._labels, "shard": shard} if shard else self._labels
+            gauges[base].set(labels, value)
+
+    def _add_shares(self, registry: aioprometheus.Registry) -> None:
+        counter = aioprometheus.Gauge(
+            f"{PREFIX}share_counter", "Service charged per weight.", registry=registry
+        )
+        waiting = aioprometheus.Gauge(
+            f"{PREFIX}share_waiting", "Tickets that wait.", registry=registry
+        )
+        for shard, readings in self._views.view.shares.items():
+            for reading in readings:
+                labels = {**self._labels, "shard": shard, "workspace": reading["workspace"]}
+                counter.set(labels, reading["counter"])
+                waiting.set(labels, reading["waiting"])
--- /dev/null
+++ b/packages/router/src/tamarack_router/peer_links.py
@@ -0,0 +1,167 @@
+"""Sockets to the other routers."""
+
+from __future__ import annotations
+
+from collections import Counter
+from types import TracebackType
+from typing import Any, NamedTuple
+
+import zmq
+from tamarack_core.protocol import encode
+
+SEND_LIMIT = 10_000
+HEARTBEAT_MS = 2_000
+HEARTBEAT_TIMEOUT_MS = 6_000
+CLOSE_LINGER_MS = 300
+MAX_FRAME_BYTES = 4_000_000
+
+
+class CurveKeys(NamedTuple):
+    """Key pair that all routers of a fleet share, in Z85."""
+
+    public: str
+    secret: str
+
+
+class PeerLinks:
+    """One bound socket for what comes in, and one connection per peer that is spoken to.
+
+    Parameters
+    ----------
+    listen
+        Address as `IP:PORT`; port 0 takes a free one.
+    """
+
+    def __init__(
+        self, router: str, boot: int, listen: str, *, curve: CurveKeys | None = None
+    ) -> None:
+        self._router = router
+        self._boot = boot
+        self._curve = curve
+        self._context = zmq.Context()
+        self._authenticator: Any = None
+        if curve is not None:
+            self._authenticator = self._start_authenticator(curve)
+        self._inbound = self._context.socket(zmq.ROUTER)
+        self._inbound.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
+        self._inbound.setsockopt(zmq.RCVHWM, SEND_LIMIT)
+        if curve is not None:
+            self._secure(self._inbound, curve, server=True)
+        host, _, port = listen.rpartition(":")
+        if port == "0":
+            port = str(self._inbound.bind_to_random_port(f"tcp://{host}"))
+        else:
+            self._inbound.bind(f"tcp://{listen}")
+        self._address = f"{host}:{port}"
+        self._peers: dict[str, tuple[str, zmq.Socket[bytes]]] = {}
+        self._counts: Counter[str] = Counter()
+        self._bytes_by_kind: Counter[str] = Counter()
+
+    def __enter__(self) -> PeerLinks:
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        for name in list(self._peers):
+            self.drop(name)
+        self._inbound.close(linger=0)
+        if self._authenticator is not None:
+            self._authenticator.stop()
+        self._context.term()
+
+    @property
+    def address(self) -> str:
+        """Address at which peers reach this router."""
+        return self._address
+
+    @property
+    def inbound(self) -> zmq.Socket[bytes]:
+        """The socket to poll for frames."""
+        return self._inbound
+
+    @property
+    def counts(self) -> Counter[str]:
+        """Frames and bytes in and out."""
+        return self._counts
+
+    @property
+    def bytes_by_kind(self) -> Counter[str]:
+        """Bytes sent by kind of message."""
+        return self._bytes_by_kind
+
+    def receive(self) -> bytes | None:
+        """Take one frame that waits, None if there is none."""
+        try:
+            parts = self._inbound.recv_multipart(zmq.NOBLOCK)
+        except zmq.Again:
+            return None
+        self._counts["frames_in"] += 1
+        self._counts["bytes_in"] += len(parts[-1])
+        return parts[-1]
+
+    def send(self, router: str, address: str, messages: list[Any]) -> None:
+        """Send messages as one frame; a peer that takes nothing loses them, counted."""
+        data = encode(self._router, self._boot, messages)
+        self._counts["messages_out"] += len(messages)
+        self._counts["bytes_out"] += len(data)
+        self._counts["frames_out"] += 1
+        self._bytes_by_kind[type(messages[0]).__name__] += len(data)
+        try:
+            self._connect(router or address, address).send(data, zmq.NOBLOCK)
+        except zmq.Again:
+            self._counts["frames_dropped"] += 1
+
+    def drop(self, router: str) -> None:
+        """Close the connection to a peer; the next message opens a new one."""
+        known = self._peers.pop(router, None)
+        if known is not None:
+            known[1].close(linger=CLOSE_LINGER_MS)
+
+    def _connect(self, router: str, address: str) -> zmq.Socket[bytes]:
+        known = self._peers.get(router)
+        if known is not None and known[0] == address:
+            return known[1]
+        self.drop(router)
+        sock: zmq.Socket[bytes] = self._context.socket(zmq.DEALER)
+        sock.setsockopt(zmq.SNDHWM, SEND_LIMIT)
+        sock.setsockopt(zmq.LINGER, CLOSE_LINGER_MS)
+        sock.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+        sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        if self._curve is not None:
+            self._secure(sock, self._curve, server=False)
+        sock.connect(f"tcp://{address}")
+        self._peers[router] = (address, sock)
+        return sock
+
+    def _start_authenticator(self, curve: CurveKeys) -> Any:
+        from zmq.auth.thread import ThreadAuthenticator
+        from zmq.utils import z85
+
+        authenticator = ThreadAuthenticator(self._context)
+        authenticator.start()
+        # Only holders of the fleet's own key may join; without a list any key pair could.
+        authenticator.configure_curve_callback("*", _OnlyKey(z85.decode(curve.public)))
+        return authenticator
+
+    def _secure(self, sock: zmq.Socket[bytes], curve: CurveKeys, *, server: bool) -> None:
+        sock.curve_publickey = curve.public.encode()
+        sock.curve_secretkey = curve.secret.encode()
+        if server:
+            sock.curve_server = True
+        else:
+            sock.curve_serverkey = curve.public.encode()
+
+
+class _OnlyKey:
+    """Lets one key pass."""
+
+    def __init__(self, public: bytes) -> None:
+        self._public = public
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Whether a peer's key is the fleet's."""
+        return key == self._public
--- /dev/null
+++ b/packages/router/src/tamarack_router/platform_task.py
@@ -0,0 +1,187 @@
+"""Blocking calls to the platform, made beside the control task."""
+
+from __future__ import annotations
+
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from types import TracebackType
+
+from tamarack_core.actions import ClaimRow, RowDone
+from tamarack_core.configuration import Change, Configuration
+from tamarack_core.keeper import CONFLICT, FRESH, RELEASED, RUNNING
+from tamarack_core.protocol import ClaimAnswer
+
+from tamarack_router.config_store import SNAPSHOT_EVERY, ConfigStore
+from tamarack_router.logs import PartLog
+from tamarack_router.mailbox import Mailbox
+from tamarack_router.messages import ChangesRead, HeadRead, RowClaimed, SeedsRead
+from tamarack_router.platform import (
+    Condition,
+    InstanceList,
+    PlatformError,
+    TableService,
+    Write,
+)
+
+KEYS = "keys"
+INSTANCE_INTERVAL_S = 2.0
+WORKERS = 4
+
+
+class PlatformTask:
+    """Polls the head and the instance list, and carries out single calls.
+
+    Results go to the control task's mailbox.
+    """
+
+    def __init__(
+        self,
+        store: ConfigStore,
+        table: TableService,
+        instances: InstanceList,
+        control: Mailbox,
+        poll_ms: int,
+    ) -> None:
+        self._store = store
+        self._table = table
+        self._instances = instances
+        self._control = control
+        self._poll_s = poll_ms / 1000
+        self._stop = threading.Event()
+        self._wake = threading.Event()
+        self._pool = ThreadPoolExecutor(WORKERS, thread_name_prefix="platform")
+        self._threads = [
+            threading.Thread(target=self._poll_head, name="platform-head", daemon=True),
+            threading.Thread(target=self._poll_instances, name="platform-list", daemon=True),
+        ]
+        self._log = PartLog("platform")
+        self._up: bool | None = None
+
+    def __enter__(self) -> PlatformTask:
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._stop.set()
+        self._wake.set()
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def poll_now(self) -> None:
+        """Read the head at once."""
+        self._wake.set()
+
+    def read_changes(self, after: int) -> None:
+        """Read the changes after a version; a cold router starts from the newest snapshot."""
+        self._pool.submit(self._read_changes, after)
+
+    def claim(self, claim: ClaimRow) -> None:
+        """Claim a key by a row."""
+        self._pool.submit(self._claim, claim)
+
+    def row_done(self, done: RowDone) -> None:
+        """Record how the run of a key ended."""
+        self._pool.submit(self._row_done, done)
+
+    def snapshot_after(self, config: Configuration, change: Change) -> None:
+        """Store a snapshot if the change's version calls for one."""
+        if change.version % SNAPSHOT_EVERY == 0:
+            self._pool.submit(self._save_snapshot, config.apply(change))
+
+    def _save_snapshot(self, config: Configuration) -> None:
+        try:
+            self._store.save_snapshot(config)
+        except PlatformError:
+            self._log.warning("A snapshot could not be stored.", version=config.version)
+
+    def _poll_head(self) -> None:
+        while not self._stop.is_set():
+            try:
+                self._note(True)
+                self._control.put(HeadRead(self._store.head().version, True))
+            except PlatformError:
+                self._note(False)
+                self._control.put(HeadRead(None, False))
+            self._wake.wait(self._poll_s)
+            self._wake.clear()
+
+    def _poll_instances(self) -> None:
+        while not self._stop.is_set():
+            try:
+                instances = self._instances.read()
+                seeds = [i["peer_address"] for i in instances if i["kind"] == "router"]
+                self._control.put(SeedsRead(seeds))
+            except PlatformError:
+                self._log.debug("The instance list did not answer.")
+            self._stop.wait(INSTANCE_INTERVAL_S)
+
+    def _note(self, up: bool) -> None:
+        if self._up is not None and up != self._up:
+            self._log.warning("The store answers." if up else "The store does not answer.")
+        self._up = up
+
+    def _read_changes(self, after: int) -> None:
+        try:
+            snapshot = self._store.snapshot() if after == 0 else None
+            start = snapshot.version if snapshot is not None else after
+            self._control.put(ChangesRead(snapshot, self._store.changes_after(start)))
+        except PlatformError:
+            self._log.debug("Changes could not be read.")
+
+    def _claim(self, claim: ClaimRow) -> None:
+        row_key = f"{claim.workspace}/{claim.key}"
+        value = {"digest": claim.digest, "request": claim.request, "state": RUNNING}
+        try:
+            fresh = self._table.transact(
+                [Condition(KEYS, row_key, 0)], [Write(KEYS, row_key, value)]
+            )
+            state, holder = (FRESH, claim.request) if fresh else self._held(row_key, claim)
+        except PlatformError as error:
+            state, holder = self._after_error(error, row_key, claim)
+        answer = ClaimAnswer(claim.key, claim.workspace, claim.request, state, holder)
+        self._control.put(RowClaimed(answer))
+
+    def _held(self, row_key: str, claim: ClaimRow) -> tuple[str, str]:
+        row = self._table.read(KEYS, row_key)
+        if row is None:
+            return "store-down", ""
+        if row.value["digest"] != claim.digest:
+            return CONFLICT, ""
+        if row.value["request"] == claim.request:
+            return FRESH, claim.request
+        if row.value["state"] == RELEASED:
+            return self._take_over(row_key, row.version, claim)
+        return row.value["state"], row.value["request"]
+
+    def _take_over(self, row_key: str, version: int, claim: ClaimRow) -> tuple[str, str]:
+        value = {"digest": claim.digest, "request": claim.request, "state": RUNNING}
+        won = self._table.transact(
+            [Condition(KEYS, row_key, version)], [Write(KEYS, row_key, value)]
+        )
+        return (FRESH, claim.request) if won else ("store-down", "")
+
+    def _after_error(self, error: PlatformError, row_key: str, claim: ClaimRow) -> tuple[str, str]:
+        # The claim may have taken effect though its answer was lost; the row says whose it is.
+        if error.effect_unknown:
+            try:
+                return self._held(row_key, claim)
+            except PlatformError:
+                self._log.debug("A claim could not be read back.")
+        return "store-down", ""
+
+    def _row_done(self, done: RowDone) -> None:
+        row_key = f"{done.workspace}/{done.key}"
+        try:
+            row = self._table.read(KEYS, row_key)
+            if row is not None:
+                value = {**row.value, "state": done.state}
+                self._table.transact(
+                    [Condition(KEYS, row_key, row.version)], [Write(KEYS, row_key, value)]
+                )
+        except PlatformError:
+            self._log.debug("The end of a key could not be recorded.")
--- /dev/null
+++ b/packages/router/src/tamarack_router/relay.py
@@ -0,0 +1,506 @@
+"""One task that selects over all streams: callers' sockets and endpoints' sockets.
+
+A thread for each stream would pay a wake-up for each token. Here a token costs a read, the
+parser, the framing and a write, and waiting callers are watched for going away.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import selectors
+import threading
+from collections import Counter
+from collections.abc import Callable
+from types import TracebackType
+from typing import Any
+
+from tamarack_core.actions import FollowRequest, StartRun
+from tamarack_core.clock import Clock
+from tamarack_core.errors import ErrorCode, Outcome, Refusal
+from tamarack_core.keeper import DONE, RELEASED, UNKNOWN
+from tamarack_core.protocol import (
+    USAGE_FAILED,
+    USAGE_FINISHED,
+    USAGE_RETURNED,
+    AnswerPart,
+    AnswerQuery,
+)
+from tamarack_core.request_table import RequestSpec
+
+from tamarack_router.endpoint_connection import EndpointConnection
+from tamarack_router.follower import Follower
+from tamarack_router.kept_answer import AnswerState, AnswerStore, KeptAnswer
+from tamarack_router.logs import PartLog
+from tamarack_router.mailbox import Mailbox
+from tamarack_router.messages import (
+    CancelRequest,
+    EndpointCall,
+    EndRequest,
+    FollowAnswer,
+    HoldRequest,
+    PeerAnswer,
+    PeerMessage,
+    PeerQuery,
+    RunFailed,
+    RunFinished,
+    RunProgress,
+    Stop,
+    SubmitRequest,
+)
+from tamarack_router.remote_answers import RemoteAnswers
+from tamarack_router.run import RESUME_PAUSE_MS, Run, RunLimits, Step
+from tamarack_router.share_guard import ShareGuard
+from tamarack_router.tracing import Tracing, traceparent_of
+
+CHECK_MS = 100.0
+PART_BYTES = 262_144
+SIDE_CALL_MS = 1_000.0
+
+Handler = Callable[["Relay", Any], None]
+_HANDLERS: dict[type, Handler] = {}
+
+
+def handles(kind: type) -> Callable[[Handler], Handler]:
+    """Enter a method into the registry of handlers of the relay's mailbox."""
+
+    def register(handler: Handler) -> Handler:
+        _HANDLERS[kind] = handler
+        return handler
+
+    return register
+
+
+class _Held:
+    """A request in the relay."""
+
+    def __init__(
+        self, spec: RequestSpec, call: EndpointCall, answer: KeptAnswer, span: Any
+    ) -> None:
+        self.spec = spec
+        self.call = call
+        self.answer = answer
+        self.span = span
+        self.run: Run | None = None
+
+
+class Relay:
+    """The relay task of one router.
+
+    Parameters
+    ----------
+    control
+        Mailbox of the control task.
+    guard
+        Counts held requests per workspace; given back when a request ends.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        control: Mailbox,
+        answers: AnswerStore,
+        guard: ShareGuard,
+        tracing: Tracing,
+        limits: RunLimits,
+    ) -> None:
+        self._clock = clock
+        self._control = control
+        self._answers = answers
+        self._guard = guard
+        self._tracing = tracing
+        self._limits = limits
+        self._mailbox = Mailbox()
+        self._selector = selectors.DefaultSelector()
+        self._held: dict[str, _Held] = {}
+        self._followers: dict[str, list[Follower]] = {}
+        self._remote = RemoteAnswers(control)
+        self._timers: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = itertools.count()
+        self._counts: Counter[str] = Counter()
+        self._next_check_ms = 0.0
+        self._stopped = False
+        self._log = PartLog("relay")
+        self._thread = threading.Thread(target=self._loop, name="relay", daemon=True)
+
+    def __enter__(self) -> Relay:
+        self._selector.register(self._mailbox, selectors.EVENT_READ, None)
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._mailbox.put(Stop())
+        self._thread.join(2.0)
+
+    @property
+    def mailbox(self) -> Mailbox:
+        """Where other tasks put messages for the relay."""
+        return self._mailbox
+
+    @property
+    def counts(self) -> Counter[str]:
+        """Events by name; read by other threads, written by this one."""
+        return self._counts
+
+    @property
+    def busy(self) -> int:
+        """Requests held and callers still being written to."""
+        return len(self._held) + sum(len(group) for group in self._followers.values())
+
+    # The loop
+
+    def _loop(self) -> None:
+        while not self._stopped:
+            for key, mask in self._selector.select(self._wait_s()):
+                if key.data is None:
+                    self._read_mailbox()
+                else:
+                    key.data(mask)
+            self._run_timers()
+        for group in self._followers.values():
+            for follower in group:
+                follower.close()
+        self._selector.close()
+
+    def _wait_s(self) -> float:
+        now_ms = self._clock.now_ms
+        due_ms = self._next_check_ms
+        if self._timers:
+            due_ms = min(due_ms, self._timers[0][0])
+        return max(0.0, due_ms - now_ms) / 1000
+
+    def _read_mailbox(self) -> None:
+        for message in self._mailbox.drain():
+            handler = _HANDLERS.get(type(message))
+            if handler is not None:
+                handler(self, message)
+
+    def _run_timers(self) -> None:
+        now_ms = self._clock.now_ms
+        while self._timers and self._timers[0][0] <= now_ms:
+            heapq.heappop(self._timers)[2]()
+        if now_ms >= self._next_check_ms:
+            self._next_check_ms = now_ms + CHECK_MS
+            self._check(now_ms)
+
+    def _later(self, delay_ms: float, action: Callable[[], None]) -> None:
+        due_ms = self._clock.now_ms + delay_ms
+        heapq.heappush(self._timers, (due_ms, next(self._sequence), action))
+
+    def _check(self, now_ms: float) -> None:
+        for held in list(self._held.values()):
+            if held.run is not None:
+                self._check_run(held, held.run, now_ms)
+        for answer in self._remote.check(now_ms):
+            self._pump(answer)
+        self._answers.expire(now_ms)
+
+    def _check_run(self, held: _Held, run: Run, now_ms: float) -> None:
+        if now_ms >= held.spec.deadline_ms:
+            self._counts["deadline_while_running"] += 1
+            message = "The deadline passed while the request was running."
+            self._break(held, Refusal(ErrorCode.DEADLINE, message, Outcome.UNKNOWN))
+        elif run.silent(now_ms):
+            self._counts["silent_connections"] += 1
+            self._log.info("A connection is silent.", request=held.spec.request)
+            self._step(held, run, run.lost())
+        elif run.call.kind == "plain":
+            self._report(held, run, now_ms)
+
+    # Messages
+
+    @handles(Stop)
+    def _on_stop(self, message: Stop) -> None:
+        self._stopped = True
+
+    @handles(HoldRequest)
+    def _on_hold(self, message: HoldRequest) -> None:
+        spec = message.spec
+        answer = KeptAnswer(spec.request, spec.workspace, stream=message.call.stream)
+        self._answers.add(answer)
+        self._held[spec.request] = _Held(spec, message.call, answer, message.span)
+        self._counts["held"] += 1
+        self._attach(Follower(message.sock, answer))
+        self._control.put(SubmitRequest(spec))
+
+    @handles(FollowAnswer)
+    def _on_follow_answer(self, message: FollowAnswer) -> None:
+        state_only = message.offset < 0
+        answer = self._answers.find(message.request, message.workspace)
+        if answer is None:
+            answer = self._remote.open(message.request, message.workspace, self._clock.now_ms)
+        offset = max(0, message.offset)
+        follower = Follower(message.sock, answer, offset=offset, state_only=state_only)
+        self._attach(follower)
+        if not state_only or answer.status or answer.ended or message.request in self._held:
+            self._pump_one(follower)
+
+    @handles(StartRun)
+    def _on_start(self, message: StartRun) -> None:
+        held = self._held.get(message.request)
+        now_ms = self._clock.now_ms
+        if held is None or held.run is not None:
+            if held is None:
+                self._control.put(RunFinished(message.request, 0.0, USAGE_RETURNED, RELEASED))
+            return
+        span = self._tracing.start("run", parent=held.span)
+        span.set_attribute("tamarack.endpoint", message.endpoint)
+        run = Run(
+            held.call,
+            held.answer,
+            message.endpoint,
+            message.address,
+            self._limits,
+            traceparent_of(span),
+            now_ms,
+            charged=message.charged,
+        )
+        run.span = span
+        held.run = run
+        self._counts["runs"] += 1
+        self._open(held, run)
+
+    @handles(EndRequest)
+    def _on_end(self, message: EndRequest) -> None:
+        held = self._held.get(message.request)
+        if held is not None:
+            self._drop_run(held)
+            held.answer.refuse(message.refusal)
+            self._counts[f"refused_{message.refusal.code}"] += 1
+            self._ended(held)
+
+    @handles(FollowRequest)
+    def _on_follow(self, message: FollowRequest) -> None:
+        held = self._held.pop(message.request, None)
+        if held is None:
+            return
+        self._guard.give_back(held.spec.workspace)
+        held.span.end()
+        self._answers.remove(message.request)
+        self._counts["followed"] += 1
+        target = self._answers.find(message.holder, held.spec.workspace)
+        if target is None:
+            workspace = held.spec.workspace
+            target = self._remote.open(message.holder, workspace, self._clock.now_ms)
+        for follower in self._followers.pop(message.request, []):
+            self._selector.unregister(follower.sock)
+            self._attach(Follower(follower.sock, target))
+        self._pump(target)
+
+    @handles(PeerQuery)
+    def _on_peer_query(self, message: PeerQuery) -> None:
+        query = message.query
+        answer = self._answers.find(query.request, query.workspace)
+        part = answer_part(query, answer)
+        self._control.put(PeerMessage(message.sender, part))
+
+    @handles(PeerAnswer)
+    def _on_peer_answer(self, message: PeerAnswer) -> None:
+        answer = self._remote.take(message.part, self._clock.now_ms)
+        if answer is not None:
+            self._pump(answer)
+
+    # Callers
+
+    def _attach(self, follower: Follower) -> None:
+        self._followers.setdefault(follower.answer.request, []).append(follower)
+
+        def ready(mask: int) -> None:
+            follower.ready(mask)
+            self._after_write(follower)
+
+        self._selector.register(follower.sock, follower.interest, ready)
+
+    def _pump(self, answer: KeptAnswer) -> None:
+        for follower in list(self._followers.get(answer.request, [])):
+            self._pump_one(follower)
+
+    def _pump_one(self, follower: Follower) -> None:
+        follower.pump()
+        self._after_write(follower)
+
+    def _after_write(self, follower: Follower) -> None:
+        if not follower.finished:
+            key = self._selector.get_key(follower.sock)
+            if key.events != follower.interest:
+                self._selector.modify(follower.sock, follower.interest, key.data)
+            return
+        self._selector.unregister(follower.sock)
+        follower.close()
+        request = follower.answer.request
+        group = self._followers[request]
+        group.remove(follower)
+        if not group:
+            del self._followers[request]
+            self._remote.close(request)
+            if follower.gone:
+                self._caller_gone(request)
+
+    def _caller_gone(self, request: str) -> None:
+        held = self._held.get(request)
+        if held is None:
+            return
+        self._counts["caller_gone"] += 1
+        if held.run is None:
+            self._control.put(CancelRequest(request))
+            self._forget(held)
+        elif not held.spec.key:
+            # With a key the caller may come back for the answer; without one nobody can.
+            message = "The caller went away."
+            self._break(held, Refusal(ErrorCode.CALLER_GONE, message, Outcome.UNKNOWN))
+
+    # Runs
+
+    def _open(self, held: _Held, run: Run) -> None:
+        connection, events = run.open(self._clock.now_ms)
+        if events:
+            self._events(held, run, events)
+            return
+
+        def ready(mask: int) -> None:
+            if run.connection is connection and held.run is run:
+                self._events(held, run, connection.ready(mask))
+                self._select_again(run, connection)
+
+        self._selector.register(connection.sock, connection.interest, ready)
+
+    def _select_again(self, run: Run, connection: EndpointConnection) -> None:
+        if run.connection is not connection:
+            return
+        key = self._selector.get_key(connection.sock)
+        if key.events != connection.interest:
+            self._selector.modify(connection.sock, connection.interest, key.data)
+
+    def _events(self, held: _Held, run: Run, events: list[Any]) -> None:
+        now_ms = self._clock.now_ms
+        steps = {run.take(event, now_ms) for event in events}
+        for step in (Step.RESUME, Step.FAILED, Step.BROKEN, Step.FINISHED, Step.GREW):
+            if step in steps:
+                self._step(held, run, step)
+                return
+
+    def _step(self, held: _Held, run: Run, step: Step) -> None:
+        now_ms = self._clock.now_ms
+        request = held.spec.request
+        if step == Step.GREW:
+            self._pump(held.answer)
+            self._report(held, run, now_ms)
+        elif step == Step.FINISHED:
+            cost = run.cost(now_ms)
+            self._drop_run(held)
+            self._counts["finished"] += 1
+            self._control.put(RunFinished(request, cost, USAGE_FINISHED, DONE))
+            self._ended(held)
+        elif step == Step.RESUME:
+            self._counts["resumes"] += 1
+            self._unregister(run)
+            run.close()
+            self._later(RESUME_PAUSE_MS, lambda: self._resume(held, run))
+        elif step == Step.FAILED:
+            cost = run.cost(now_ms)
+            sent = run.sent
+            self._drop_run(held)
+            held.answer.restart()
+            self._counts["run_failures"] += 1
+            self._control.put(RunFailed(request, cost, sent))
+        elif step == Step.BROKEN:
+            message = "The endpoint failed while the answer was coming."
+            self._break(held, Refusal(ErrorCode.ENDPOINT_FAILED, message, Outcome.UNKNOWN))
+
+    def _report(self, held: _Held, run: Run, now_ms: float) -> None:
+        cost = run.passed_charge(now_ms)
+        if cost:
+            self._control.put(RunProgress(held.spec.request, cost))
+
+    def _resume(self, held: _Held, run: Run) -> None:
+        if held.run is run and self._held.get(held.spec.request) is held:
+            self._open(held, run)
+
+    def _break(self, held: _Held, refusal: Refusal) -> None:
+        """End a run that has begun, and say that its outcome is unknown."""
+        run = held.run
+        cost = 0.0
+        if run is not None:
+            cost = run.cost(self._clock.now_ms)
+            if run.call.kind == "model" and run.sent:
+                self._cancel_at_endpoint(run)
+        self._drop_run(held)
+        self._counts[f"broken_{refusal.code}"] += 1
+        state = USAGE_FAILED if refusal.code == ErrorCode.ENDPOINT_FAILED else USAGE_FINISHED
+        self._control.put(RunFinished(held.spec.request, cost, state, UNKNOWN))
+        held.answer.refuse(refusal)
+        self._ended(held)
+
+    def _cancel_at_endpoint(self, run: Run) -> None:
+        path = f"/v1/streams/{run.answer.request}"
+        connection = EndpointConnection(run.address, "DELETE", path, [], b"")
+        if connection.start():
+            connection.close()
+            return
+
+        def ready(mask: int) -> None:
+            if connection.ready(mask):
+                close()
+            elif self._selector.get_key(connection.sock).events != connection.interest:
+                self._selector.modify(connection.sock, connection.interest, ready)
+
+        def close() -> None:
+            if connection.sock.fileno() >= 0:
+                self._selector.unregister(connection.sock)
+                connection.close()
+
+        self._selector.register(connection.sock, connection.interest, ready)
+        self._later(SIDE_CALL_MS, close)
+
+    def _unregister(self, run: Run) -> None:
+        connection = run.connection
+        if connection is not None and connection.sock in self._selector.get_map():
+            self._selector.unregister(connection.sock)
+
+    def _drop_run(self, held: _Held) -> None:
+        run = held.run
+        held.run = None
+        if run is not None:
+            self._unregister(run)
+            run.close()
+            run.span.end()
+
+    def _ended(self, held: _Held) -> None:
+        self._forget(held)
+        self._answers.ended(held.answer, self._clock.now_ms)
+        self._pump(held.answer)
+
+    def _forget(self, held: _Held) -> None:
+        self._held.pop(held.spec.request, None)
+        self._guard.give_back(held.spec.workspace)
+        held.span.end()
+        if held.answer.state == AnswerState.WAITING:
+            self._answers.remove(held.spec.request)
+
+
+def answer_part(query: AnswerQuery, answer: KeptAnswer | None) -> AnswerPart:
+    """Make a peer's part of an answer kept here."""
+    if answer is None:
+        return AnswerPart(query.correlation, "gone", 0, "", query.offset, 0, b"")
+    data = bytes(answer.body[query.offset : query.offset + PART_BYTES])
+    part = AnswerPart(
+        query.correlation,
+        answer.state.value,
+        answer.status,
+        answer.content_type,
+        query.offset,
+        len(answer.body),
+        data,
+        answer.stream,
+    )
+    refusal = answer.refusal
+    if refusal is None:
+        return part
+    return part._replace(
+        code=refusal.code.value, outcome=refusal.outcome.value, explanation=refusal.message
+    )
--- /dev/null
+++ b/packages/router/src/tamarack_router/remote_answers.py
@@ -0,0 +1,105 @@
+"""Answers that another router holds, mirrored while callers here follow them."""
+
+from __future__ import annotations
+
+import itertools
+
+from tamarack_core.errors import ErrorCode, Outcome, Refusal
+from tamarack_core.protocol import AnswerPart, AnswerQuery
+
+from tamarack_router.kept_answer import AnswerState, KeptAnswer
+from tamarack_router.mailbox import Mailbox
+from tamarack_router.messages import PeerMessage
+
+ASK_EVERY_MS = 100.0
+SILENCE_MS = 2_000.0
+LOST_MESSAGE = "The router that held the request does not answer; it will not run again."
+GONE_MESSAGE = "The answer is no longer kept."
+
+
+class _Mirror:
+    """One mirrored answer."""
+
+    def __init__(self, answer: KeptAnswer, holder: str, correlation: int, now_ms: float) -> None:
+        self.answer = answer
+        self.holder = holder
+        self.correlation = correlation
+        self.heard_ms = now_ms
+
+
+class RemoteAnswers:
+    """Asks holders for what is new of the answers that are followed here."""
+
+    def __init__(self, control: Mailbox) -> None:
+        self._control = control
+        self._mirrors: dict[str, _Mirror] = {}
+        self._by_correlation: dict[int, _Mirror] = {}
+        self._numbers = itertools.count(1)
+
+    def open(self, request: str, workspace: str, now_ms: float) -> KeptAnswer:
+        """Begin to mirror a request; its id names the router that holds it."""
+        known = self._mirrors.get(request)
+        if known is not None and known.answer.workspace == workspace:
+            return known.answer
+        answer = KeptAnswer(request, workspace, stream=False)
+        holder, _, _ = request.partition("~")
+        mirror = _Mirror(answer, holder, next(self._numbers), now_ms)
+        self._mirrors[request] = mirror
+        self._by_correlation[mirror.correlation] = mirror
+        self._ask(mirror)
+        return answer
+
+    def close(self, request: str) -> None:
+        """Stop mirroring a request that nobody here follows any more."""
+        mirror = self._mirrors.pop(request, None)
+        if mirror is not None:
+            del self._by_correlation[mirror.correlation]
+
+    def check(self, now_ms: float) -> list[KeptAnswer]:
+        """Ask again; return answers that ended because their holder is silent."""
+        lost = []
+        for mirror in self._mirrors.values():
+            if mirror.answer.ended:
+                continue
+            if now_ms - mirror.heard_ms >= SILENCE_MS:
+                refusal = Refusal(ErrorCode.KEY_UNKNOWN, LOST_MESSAGE, Outcome.UNKNOWN)
+                mirror.answer.refuse(refusal)
+                lost.append(mirror.answer)
+            else:
+                self._ask(mirror)
+        return lost
+
+    def take(self, part: AnswerPart, now_ms: float) -> KeptAnswer | None:
+        """Take in a part; one that was not asked for, or not from here on, is dropped."""
+        mirror = self._by_correlation.get(part.correlation)
+        if mirror is None or mirror.answer.ended:
+            return None
+        mirror.heard_ms = now_ms
+        answer = mirror.answer
+        if part.state == "gone":
+            answer.refuse(Refusal(ErrorCode.ANSWER_GONE, GONE_MESSAGE, Outcome.UNKNOWN))
+            return answer
+        if part.offset != len(answer.body):
+            return None
+        answer.stream = part.stream
+        if part.status and not answer.status:
+            answer.begin(part.status, part.content_type)
+        answer.body += part.data
+        if part.state == AnswerState.WAITING or len(answer.body) < part.total:
+            if part.data:
+                self._ask(mirror)
+            return answer
+        self._end(answer, part)
+        return answer
+
+    def _end(self, answer: KeptAnswer, part: AnswerPart) -> None:
+        if part.state == AnswerState.DONE:
+            answer.finish()
+        elif part.state in (AnswerState.REFUSED, AnswerState.BROKEN):
+            code = ErrorCode(part.code)
+            answer.refuse(Refusal(code, part.explanation, Outcome(part.outcome)))
+
+    def _ask(self, mirror: _Mirror) -> None:
+        answer = mirror.answer
+        query = AnswerQuery(mirror.correlation, answer.workspace, answer.request, len(answer.body))
+        self._control.put(PeerMessage(mirror.holder, query))
--- /dev/null
+++ b/packages/router/src/tamarack_router/run.py
@@ -0,0 +1,215 @@
+"""One request's run at an endpoint: the exchange, its resumption, its cost."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Any, NamedTuple
+
+import msgspec
+from tamarack_core.defaults import PROGRESS_STEP
+
+from tamarack_router.endpoint_connection import (
+    Body,
+    Broke,
+    ConnectionEvent,
+    End,
+    EndpointConnection,
+    Head,
+)
+from tamarack_router.kept_answer import KeptAnswer
+from tamarack_router.messages import EndpointCall
+
+CONNECT_MS = 1_000.0
+RESUME_TRIES = 4
+RESUME_PAUSE_MS = 150.0
+EVENT_MARK = b"data: "
+NOT_RUN_HEADER = "endpoint-outcome"
+
+
+class Step(Enum):
+    """What the relay has to do after a run has gone on."""
+
+    NOTHING = 0
+    GREW = 1
+    FINISHED = 2
+    FAILED = 3
+    BROKEN = 4
+    RESUME = 5
+
+
+class RunLimits(NamedTuple):
+    """Longest silences, in milliseconds, after which a new connection is tried."""
+
+    stream_silence_ms: float
+    whole_silence_ms: float
+
+
+class Run:
+    """State of one run.
+
+    Parameters
+    ----------
+    answer
+        Where the answer is collected.
+    traceparent
+        Passed on to the endpoint, empty if not traced.
+    """
+
+    def __init__(
+        self,
+        call: EndpointCall,
+        answer: KeptAnswer,
+        endpoint: str,
+        address: str,
+        limits: RunLimits,
+        traceparent: str,
+        now_ms: float,
+        *,
+        charged: float = 0.0,
+    ) -> None:
+        self.call = call
+        self.answer = answer
+        self.endpoint = endpoint
+        self.address = address
+        self.started_ms = now_ms
+        self.heard_ms = now_ms
+        self.span: Any = None
+        self._limits = limits
+        self._traceparent = traceparent
+        self._resumes = 0
+        self._resuming = False
+        self._maybe_sent = False
+        self._refused_by_endpoint = False
+        self._tokens = 0
+        self._report_at = charged
+        self._connection: EndpointConnection | None = None
+
+    @property
+    def connection(self) -> EndpointConnection | None:
+        """The connection in use."""
+        return self._connection
+
+    @property
+    def sent(self) -> bool:
+        """Whether the endpoint may have the request; its own word that it has not counts."""
+        if self._refused_by_endpoint:
+            return False
+        return self._maybe_sent or (self._connection is not None and self._connection.sent)
+
+    @property
+    def resumable(self) -> bool:
+        """Whether the endpoint can be asked for the rest on a new connection."""
+        return self.call.kind == "model" and self.sent and self._resumes < RESUME_TRIES
+
+    def cost(self, now_ms: float) -> float:
+        """Cost units so far: tokens for models, milliseconds for plain services."""
+        if self.call.kind == "model":
+            return self.call.prompt_cost + self._tokens if self.sent else 0.0
+        return now_ms - self.started_ms if self.sent else 0.0
+
+    def passed_charge(self, now_ms: float) -> float:
+        """Cost so far if it has passed what was charged, else zero."""
+        cost = self.cost(now_ms)
+        if cost <= self._report_at:
+            return 0.0
+        self._report_at = cost * (1.0 + PROGRESS_STEP)
+        return cost
+
+    def open(self, now_ms: float) -> tuple[EndpointConnection, list[ConnectionEvent]]:
+        """Make the first connection, or one that resumes where the answer stands."""
+        self.close()
+        self.heard_ms = now_ms
+        headers = [("Tamarack-Request-Id", self.answer.request)]
+        if self._traceparent:
+            headers.append(("traceparent", self._traceparent))
+        if self._resuming:
+            path = f"/v1/streams/{self.answer.request}?offset={len(self.answer.body)}"
+            connection = EndpointConnection(self.address, "GET", path, headers, b"")
+        else:
+            headers += [("Tamarack-Workspace", self.answer.workspace), *self.call.headers]
+            connection = EndpointConnection(
+                self.address, self.call.method, self.call.path, headers, self.call.body
+            )
+        self._connection = connection
+        return connection, connection.start()
+
+    def close(self) -> None:
+        """Close the connection in use."""
+        if self._connection is not None:
+            if not self._resuming:
+                self._maybe_sent = self._maybe_sent or self._connection.sent
+            self._connection.close()
+            self._connection = None
+
+    def silent(self, now_ms: float) -> bool:
+        """Whether nothing came for so long that a new connection should be tried."""
+        connection = self._connection
+        if connection is None:
+            return False
+        quiet_ms = now_ms - self.heard_ms
+        if not connection.sent:
+            return quiet_ms >= CONNECT_MS
+        if self.call.kind != "model":
+            return False
+        limit = self._limits.stream_silence_ms
+        if not self.call.stream:
+            limit = self._limits.whole_silence_ms
+        return quiet_ms >= limit
+
+    def lost(self) -> Step:
+        """Decide what follows a connection that broke or fell silent."""
+        if self.resumable:
+            self._resumes += 1
+            self._resuming = True
+            return Step.RESUME
+        shown = self.call.stream and self.answer.status != 0
+        return Step.BROKEN if shown else Step.FAILED
+
+    def take(self, event: ConnectionEvent, now_ms: float) -> Step:
+        """Take in one event of the connection."""
+        self.heard_ms = now_ms
+        match event:
+            case Head(status, headers):
+                return self._head(status, headers)
+            case Body(data):
+                return self._body(data)
+            case End():
+                return self._end()
+            case Broke():
+                return self.lost()
+
+    def _head(self, status: int, headers: dict[str, str]) -> Step:
+        if self._resuming:
+            if status != 200:
+                # The endpoint does not know the request (any more): what became of it is unknown.
+                self._resumes = RESUME_TRIES
+                return self.lost()
+            if not self.answer.status:
+                original = int(headers.get("tamarack-status", "200"))
+                self.answer.begin(original, headers.get("content-type", ""))
+            return Step.GREW
+        if status == 503 and headers.get(NOT_RUN_HEADER) == "not-run":
+            self._refused_by_endpoint = True
+            return Step.FAILED
+        self.answer.begin(status, headers.get("content-type", ""))
+        return Step.GREW
+
+    def _body(self, data: bytes) -> Step:
+        self.answer.body += data
+        self._tokens += data.count(EVENT_MARK)
+        if self._resuming and self._resumes > 1:
+            self._resumes = 1
+        return Step.GREW
+
+    def _end(self) -> Step:
+        if not self.call.stream and self.call.kind == "model":
+            self._read_usage()
+        self.answer.finish()
+        return Step.FINISHED
+
+    def _read_usage(self) -> None:
+        try:
+            body = msgspec.json.decode(bytes(self.answer.body))
+            self._tokens = int(body["usage"]["completion_tokens"])
+        except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+            self._tokens = len(self.answer.body) // 4
--- /dev/null
+++ b/packages/router/src/tamarack_router/share_guard.py
@@ -0,0 +1,44 @@
+"""A dynamic threshold on what one workspace may hold (Choudhury and Hahne 1998)."""
+
+from __future__ import annotations
+
+import threading
+from collections import Counter
+
+
+class ShareGuard:
+    """Counts what workspaces hold of a bounded thing.
+
+    A workspace may hold at most `alpha` times what is free, so that one that floods leaves room
+    for the others, while a lone one may still use most of it.
+    """
+
+    def __init__(self, capacity: int, alpha: float) -> None:
+        self._capacity = capacity
+        self._alpha = alpha
+        self._held: Counter[str] = Counter()
+        self._total = 0
+        self._lock = threading.Lock()
+
+    @property
+    def free(self) -> int:
+        """How much nobody holds."""
+        return self._capacity - self._total
+
+    def take(self, workspace: str) -> bool:
+        """Take one for a workspace; False if it holds its share."""
+        with self._lock:
+            free = self._capacity - self._total
+            if free <= 0 or self._held[workspace] >= max(1.0, self._alpha * free):
+                return False
+            self._held[workspace] += 1
+            self._total += 1
+            return True
+
+    def give_back(self, workspace: str) -> None:
+        """Give one back."""
+        with self._lock:
+            self._held[workspace] -= 1
+            self._total -= 1
+            if not self._held[workspace]:
+                del self._held[workspace]
--- a/packages/standins/src/tamarack_standins/__init__.py
+++ b/packages/standins/src/tamarack_standins/__init__.py
@@ -1,1 +1,1 @@
-"""Part of tamarackturn."""
+"""Small stand-ins for the endpoints and the platform; never shipped."""
--- /dev/null
+++ b/packages/standins/src/tamarack_standins/engine.py
@@ -0,0 +1,391 @@
+"""Stand-in of a model engine: continuous batching, streams that resume, orders.
+
+Every token tells the request id that it belongs to, so that a crossed answer shows.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import hashlib
+import json
+import random
+import time
+from collections import deque
+from typing import Any, NamedTuple
+
+from aiohttp import ClientSession, web
+
+from tamarack_standins.faults import Faults
+from tamarack_standins.prefix_cache import PrefixCache
+from tamarack_standins.run_log import RunLog, RunRecord
+from tamarack_standins.server import make_app, serve
+
+KEPT_GENERATIONS = 2_000
+PREFILL_TOKENS_PER_STEP = 512
+PREFIX_CHARACTERS = 256
+LONGEST_ANSWER = 400
+SHORTEST_ANSWER = 5
+
+
+class EngineOptions(NamedTuple):
+    """How an engine behaves; times in milliseconds."""
+
+    name: str
+    model: str
+    step_ms: float
+    batch: int
+    crowding: float
+    load_lag_ms: float
+    cache_tokens: int
+    checks_fencing: bool
+    can_resume: bool
+    weights: str
+
+
+class Generation:
+    """One request in the engine."""
+
+    def __init__(self, request: str, workspace: str, body: dict[str, Any], chat: bool) -> None:
+        self.request = request
+        self.stream = bool(body.get("stream"))
+        self.model = str(body.get("model"))
+        self.chat = chat
+        self.prompt = _prompt_of(body)
+        self.prompt_tokens = max(1, len(self.prompt) // 4)
+        self.wanted = _answer_tokens(body, self.prompt)
+        self.produced = 0
+        self.prefill_steps = 0
+        self.out = bytearray()
+        self.text: list[str] = []
+        self.done = False
+        self.cancelled = False
+        self.changed = asyncio.Event()
+        self.record: RunRecord | None = None
+
+    def token(self) -> str:
+        """Text of the next token."""
+        return f"{self.request}#{self.produced} "
+
+    def notify(self) -> None:
+        """Wake whoever writes this generation."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class Engine:
+    """A batch of generations that step together."""
+
+    def __init__(self, options: EngineOptions, faults: Faults) -> None:
+        self._options = options
+        self._faults = faults
+        self._log = RunLog()
+        self._cache = PrefixCache(options.cache_tokens, options.load_lag_ms)
+        self._generations: dict[str, Generation] = {}
+        self._queue: deque[Generation] = deque()
+        self._active: list[Generation] = []
+        self._model = options.model
+        self._role = "serve"
+        self._leaving = False
+        self._fence = 0
+        self._orders: list[dict[str, Any]] = []
+        self._loading = False
+        self._reports: deque[tuple[float, dict[str, Any]]] = deque()
+        self._wake = asyncio.Event()
+        self._busy_ms = 0.0
+
+    def app(self) -> web.Application:
+        """The engine's routes."""
+        app = make_app(self._faults, self._log)
+        app.router.add_post("/v1/completions", self._on_completion)
+        app.router.add_post("/v1/chat/completions", self._on_completion)
+        app.router.add_get("/v1/streams/{request}", self._on_resume)
+        app.router.add_delete("/v1/streams/{request}", self._on_cancel)
+        app.router.add_get("/v1/models", self._on_models)
+        app.router.add_get("/v1/cache-events", self._on_cache_events)
+        app.router.add_get("/load", self._on_load)
+        app.router.add_post("/orders", self._on_order)
+        app.router.add_get("/standin/orders", self._on_orders)
+        return app
+
+    async def run(self) -> None:
+        """Step for ever."""
+        options = self._options
+        while True:
+            if not self._active and not self._queue:
+                self._wake.clear()
+                await self._wake.wait()
+            started = time.monotonic()
+            self._admit()
+            load = len(self._active) / options.batch
+            step_s = options.step_ms * (1 + options.crowding * load) / 1000
+            if fault := self._faults.take("paused", "/"):
+                await asyncio.sleep(fault.value / 1000)
+            await asyncio.sleep(max(0.0, step_s - (time.monotonic() - started)))
+            self._busy_ms += step_s * 1000 * len(self._active)
+            self._step()
+
+    def _admit(self) -> None:
+        while self._queue and len(self._active) < self._options.batch:
+            generation = self._queue.popleft()
+            if generation.cancelled:
+                continue
+            prefix = generation.prompt[:PREFIX_CHARACTERS]
+            hit = self._cache.hit(prefix, generation.prompt_tokens, time.time() * 1000)
+            if not hit:
+                generation.prefill_steps = generation.prompt_tokens // PREFILL_TOKENS_PER_STEP
+            self._active.append(generation)
+
+    def _step(self) -> None:
+        for generation in list(self._active):
+            if generation.cancelled:
+                self._active.remove(generation)
+                self._finish(generation, "cancelled")
+                continue
+            if generation.prefill_steps > 0:
+                generation.prefill_steps -= 1
+                continue
+            self._emit(generation)
+            if generation.produced >= generation.wanted:
+                self._active.remove(generation)
+                self._finish(generation, "finished")
+            generation.notify()
+
+    def _emit(self, generation: Generation) -> None:
+        text = generation.token()
+        generation.text.append(text)
+        generation.produced += 1
+        if generation.record is not None:
+            generation.record["tokens"] = generation.produced
+        if generation.stream:
+            generation.out += _event(generation, text)
+
+    def _finish(self, generation: Generation, state: str) -> None:
+        generation.done = True
+        if generation.record is not None:
+            self._log.finish(generation.record, state)
+        if state == "finished":
+            generation.out += _last_bytes(generation)
+        generation.notify()
+        self._forget_old()
+
+    def _forget_old(self) -> None:
+        while len(self._generations) > KEPT_GENERATIONS:
+            oldest = next(iter(self._generations))
+            if not self._generations[oldest].done:
+                return
+            del self._generations[oldest]
+
+    # Routes
+
+    async def _on_completion(self, request: web.Request) -> web.StreamResponse:
+        if self._leaving or self._loading:
+            return _not_run("leaving")
+        body = await request.json()
+        if body.get("model") != self._model:
+            return _not_run("other model")
+        request_id = request.headers.get("Tamarack-Request-Id", f"direct~{random.random()}")
+        workspace = request.headers.get("Tamarack-Workspace", "")
+        generation = Generation(request_id, workspace, body, "chat" in request.path)
+        generation.record = self._log.start(request_id, workspace, request.path)
+        self._generations[request_id] = generation
+        self._queue.append(generation)
+        self._wake.set()
+        return await self._write(request, generation, 0)
+
+    async def _on_resume(self, request: web.Request) -> web.StreamResponse:
+        generation = self._generations.get(request.match_info["request"])
+        if generation is None or not self._options.can_resume:
+            return web.json_response({"error": "unknown stream"}, status=404)
+        return await self._write(request, generation, int(request.query.get("offset", "0")))
+
+    async def _on_cancel(self, request: web.Request) -> web.StreamResponse:
+        generation = self._generations.get(request.match_info["request"])
+        if generation is None:
+            return web.json_response({"error": "unknown stream"}, status=404)
+        generation.cancelled = True
+        return web.json_response({"cancelled": True})
+
+    async def _on_models(self, request: web.Request) -> web.Response:
+        return web.json_response({"object": "list", "data": [{"id": self._model}]})
+
+    async def _on_cache_events(self, request: web.Request) -> web.Response:
+        after = int(request.query.get("after", "0"))
+        return web.json_response({"events": self._cache.events_after(after, time.time() * 1000)})
+
+    async def _on_load(self, request: web.Request) -> web.Response:
+        now = time.monotonic() * 1000
+        self._reports.append((now, self._report()))
+        while len(self._reports) > 1 and self._reports[1][0] <= now - self._options.load_lag_ms:
+            self._reports.popleft()
+        report = dict(self._reports[0][1])
+        # What follows an order is told at once; only the load lags.
+        report.update(leaving=self._leaving or self._loading, **self._observed())
+        return web.json_response(report)
+
+    def _report(self) -> dict[str, Any]:
+        options = self._options
+        load = len(self._active) / options.batch
+        return {
+            "in_flight": len(self._active) + len(self._queue),
+            "step_ms": options.step_ms * (1 + options.crowding * load),
+            "idle_step_ms": options.step_ms,
+            "busy_slot_ms": self._busy_ms,
+        }
+
+    def _observed(self) -> dict[str, Any]:
+        return {"model": self._model, "role": self._role, "fence": self._fence}
+
+    async def _on_order(self, request: web.Request) -> web.Response:
+        order = await request.json()
+        fence = int(order.get("fence", 0))
+        if self._options.checks_fencing and fence < self._fence:
+            return web.json_response({"error": "stale fence", "fence": self._fence}, status=409)
+        self._orders.append({**order, "at": time.time() * 1000})
+        self._fence = max(fence, self._fence)
+        if "leaving" in order:
+            self._leaving = bool(order["leaving"])
+        if "role" in order:
+            self._role = str(order["role"])
+        wanted = order.get("model")
+        if wanted and wanted != self._model and not self._loading:
+            self._loading = True
+            asyncio.ensure_future(self._load_model(str(wanted)))
+        return web.json_response(self._observed())
+
+    async def _load_model(self, model: str) -> None:
+        try:
+            if self._options.weights:
+                async with ClientSession() as session:
+                    url = f"http://{self._options.weights}/weights/{model}"
+                    async with session.get(url) as response:
+                        await response.read()
+                        if response.status != 200:
+                            return
+            self._model = model
+        finally:
+            self._loading = False
+
+    async def _on_orders(self, request: web.Request) -> web.Response:
+        return web.json_response({"orders": self._orders})
+
+    async def _write(
+        self, request: web.Request, generation: Generation, offset: int
+    ) -> web.StreamResponse:
+        if not generation.stream:
+            while not generation.done:
+                await generation.changed.wait()
+        content_type = "text/event-stream" if generation.stream else "application/json"
+        response = web.StreamResponse(headers={"Content-Type": content_type})
+        await response.prepare(request)
+        silent = self._faults.take("silent_after", request.path, request.method)
+        position = offset
+        while True:
+            changed = generation.changed
+            data = bytes(generation.out[position:])
+            if data:
+                if silent and position - offset + len(data) > silent.value:
+                    await asyncio.sleep(3600)
+                position += len(data)
+                await response.write(data)
+            elif generation.done:
+                if generation.cancelled and request.transport is not None:
+                    request.transport.abort()
+                return response
+            else:
+                await changed.wait()
+
+
+def _prompt_of(body: dict[str, Any]) -> str:
+    if "messages" in body:
+        return "\n".join(str(message.get("content", "")) for message in body["messages"])
+    return str(body.get("prompt", ""))
+
+
+def _answer_tokens(body: dict[str, Any], prompt: str) -> int:
+    limit = int(body.get("max_tokens") or LONGEST_ANSWER)
+    seed = int.from_bytes(hashlib.sha256(prompt.encode()).digest()[:8], "big")
+    drawn = random.Random(seed).randint(SHORTEST_ANSWER, LONGEST_ANSWER)
+    exact = body.get("standin_tokens")
+    return int(exact) if exact else max(1, min(limit, drawn))
+
+
+def _event(generation: Generation, text: str) -> bytes:
+    if generation.chat:
+        choice: dict[str, Any] = {"index": 0, "delta": {"content": text}, "finish_reason": None}
+    else:
+        choice = {"index": 0, "text": text, "finish_reason": None}
+    return b"data: " + json.dumps(_chunk(generation, choice)).encode() + b"\n\n"
+
+
+def _chunk(generation: Generation, choice: dict[str, Any]) -> dict[str, Any]:
+    kind = "chat.completion" if generation.chat else "text_completion"
+    if generation.chat and generation.stream:
+        kind = "chat.completion.chunk"
+    return {
+        "id": generation.request,
+        "object": kind,
+        "created": 0,
+        "model": generation.model,
+        "choices": [choice],
+    }
+
+
+def _last_bytes(generation: Generation) -> bytes:
+    if generation.stream:
+        return b"data: [DONE]\n\n"
+    text = "".join(generation.text)
+    choice: dict[str, Any] = {"index": 0, "finish_reason": "stop"}
+    if generation.chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    usage = {
+        "prompt_tokens": generation.prompt_tokens,
+        "completion_tokens": generation.produced,
+        "total_tokens": generation.prompt_tokens + generation.produced,
+    }
+    return json.dumps({**_chunk(generation, choice), "usage": usage}).encode()
+
+
+def _not_run(reason: str) -> web.Response:
+    return web.json_response({"error": reason}, status=503, headers={"Endpoint-Outcome": "not-run"})
+
+
+def main() -> None:
+    """Run one engine."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--listen", default="127.0.0.1:0")
+    parser.add_argument("--name", default="engine")
+    parser.add_argument("--model", default="model")
+    parser.add_argument("--step-ms", type=float, default=3.0)
+    parser.add_argument("--batch", type=int, default=4)
+    parser.add_argument("--crowding", type=float, default=0.2)
+    parser.add_argument("--load-lag-ms", type=float, default=300.0)
+    parser.add_argument("--cache-tokens", type=int, default=20_000)
+    parser.add_argument("--ignores-fencing", action="store_true")
+    parser.add_argument("--no-resume", action="store_true")
+    parser.add_argument("--weights", default="")
+    args = parser.parse_args()
+    options = EngineOptions(
+        args.name,
+        args.model,
+        args.step_ms,
+        args.batch,
+        args.crowding,
+        args.load_lag_ms,
+        args.cache_tokens,
+        not args.ignores_fencing,
+        not args.no_resume,
+        args.weights,
+    )
+    asyncio.run(_serve(options, args.listen))
+
+
+async def _serve(options: EngineOptions, listen: str) -> None:
+    engine = Engine(options, Faults())
+    await serve(engine.app(), listen, engine.run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/standins/src/tamarack_standins/fleet.py
@@ -0,0 +1,315 @@
+"""Starts the stand-ins and a number of routers on loopback, and stops them in order."""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import json
+import secrets
+import signal
+import socket
+import sys
+import threading
+import time
+from pathlib import Path
+from types import TracebackType
+from typing import Any, NamedTuple
+
+import urllib3
+from tamarack_client.admin import AdminClient
+
+from tamarack_standins.deployments import (
+    ADMIN_TOKEN,
+    DEPLOYMENTS,
+    Deployment,
+    ServiceShape,
+    initial_entries,
+)
+from tamarack_standins.processes import Processes, read_line
+
+READY_TIMEOUT_S = 30.0
+HOST = "127.0.0.1"
+
+
+class RouterProcess(NamedTuple):
+    """One router of the fleet and its addresses."""
+
+    router: str
+    failure_domain: str
+    address: str
+    admin: str
+    metrics: str
+    peer: str
+    pid: int
+
+
+class Fleet:
+    """A running fleet; a context manager that ends every process.
+
+    Parameters
+    ----------
+    settings
+        Further settings of the routers, by environment variable.
+    base_port
+        First of the ports given out; 0 takes free ones.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        routers: int,
+        *,
+        base_port: int = 0,
+        settings: dict[str, str] | None = None,
+        log_dir: str = "",
+        address_ttl_ms: int = 1_000,
+    ) -> None:
+        self._deployment = deployment
+        self._count = routers
+        self._next_port = base_port
+        self._settings = settings or {}
+        self._log_dir = log_dir
+        self._address_ttl_ms = address_ttl_ms
+        self._stack = contextlib.ExitStack()
+        self._processes = Processes()
+        self._http = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(2.0))
+        self.routers: dict[str, RouterProcess] = {}
+        self.endpoints: list[dict[str, Any]] = []
+        self.keys = {name: f"key-{name}-{secrets.token_hex(8)}" for name in deployment.workspaces}
+        self.platform: dict[str, Any] = {}
+
+    def __enter__(self) -> Fleet:
+        self._stack.enter_context(self._processes)
+        try:
+            self._start()
+        except BaseException:
+            self._stack.close()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._stack.close()
+
+    @property
+    def deployment(self) -> Deployment:
+        """The deployment that is stood in for."""
+        return self._deployment
+
+    @property
+    def processes(self) -> Processes:
+        """The fleet's processes."""
+        return self._processes
+
+    @property
+    def addresses(self) -> list[str]:
+        """Caller addresses of all routers started so far."""
+        return [router.address for router in self.routers.values()]
+
+    def admin(self, operator: str = "fleet") -> AdminClient:
+        """A client of the administration API."""
+        addresses = [router.admin for router in self.routers.values()]
+        return AdminClient(addresses, ADMIN_TOKEN, operator=operator)
+
+    def describe(self) -> dict[str, Any]:
+        """The line that tells of a fleet that is ready."""
+        fields = ("endpoint", "service", "kind", "address", "pid")
+        return {
+            "ready": True,
+            "deployment": self._deployment.name,
+            "routers": [router._asdict() for router in self.routers.values()],
+            "endpoints": [{f: e[f] for f in fields} for e in self.endpoints],
+            "platform": self.platform,
+            "workspaces": self.keys,
+            "admin_token": ADMIN_TOKEN,
+        }
+
+    def start_router(self, name: str, failure_domain: str) -> RouterProcess:
+        """Start one router; a name that was used before is a cold restart on new ports."""
+        ports = [self._port() for _ in range(4)]
+        listen, admin, metrics, peer = (f"{HOST}:{port}" for port in ports)
+        environment = {
+            "TAMARACK_ADMIN_TOKENS": f"configure:{ADMIN_TOKEN}",
+            "TAMARACK_ADDRESS_TTL_MS": str(self._address_ttl_ms),
+            "TAMARACK_CONFIG_POLL_MS": "500",
+            **self._settings,
+        }
+        arguments = [
+            "--router", name,
+            "--failure-domain", failure_domain,
+            "--listen", listen,
+            "--admin-listen", admin,
+            "--metrics-listen", metrics,
+            "--peer-listen", peer,
+            "--platform", f"http://{self.platform['address']}",
+        ]  # fmt: skip
+        seeds = [r.peer for r in self.routers.values()][:3]
+        if seeds:
+            arguments += ["--peer", ",".join(seeds)]
+        child = self._processes.start(
+            name, "tamarack_router.main", arguments, environment=environment, log=self._log(name)
+        )
+        router = RouterProcess(name, failure_domain, listen, admin, metrics, peer, child.pid)
+        self.routers[name] = router
+        entry = {"kind": "router", "address": listen, "peer_address": peer, "state": "live"}
+        self.platform_call("PUT", f"/instances/{name}", entry)
+        return router
+
+    def get_json(self, address: str, path: str) -> Any:
+        """Read JSON from one of the fleet's processes."""
+        return json.loads(self._http.request("GET", f"http://{address}{path}").data)
+
+    def set_faults(self, address: str, faults: list[dict[str, Any]]) -> None:
+        """Set the faults of a stand-in."""
+        body = json.dumps(faults).encode()
+        headers = {"Content-Type": "application/json"}
+        url = f"http://{address}/standin/faults"
+        self._http.request("POST", url, body=body, headers=headers)
+
+    def platform_call(self, method: str, path: str, body: Any) -> None:
+        """Act as the platform towards its own stand-ins."""
+        url = f"http://{self.platform['address']}{path}"
+        self._http.request(method, url, body=json.dumps(body).encode())
+
+    def wait_ready(self, names: list[str]) -> None:
+        """Wait until routers are ready."""
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        waiting = list(names)
+        while waiting:
+            waiting = [name for name in waiting if not self._is_ready(name)]
+            if time.monotonic() > deadline:
+                raise RuntimeError(f"not ready in time: {', '.join(waiting)}")
+            time.sleep(0.05)
+
+    def _start(self) -> None:
+        listen = f"{HOST}:{self._next_port and self._port()}"
+        platform = self._processes.start(
+            "platform", "tamarack_standins.platform_server", ["--listen", listen], output=True
+        )
+        self.platform = {"address": read_line(platform)["address"], "pid": platform.pid}
+        self._start_endpoints()
+        domains = self._deployment.failure_domains
+        for index in range(self._count):
+            domain = domains[index % len(domains)]
+            self.start_router(f"{domain}-r{index + 1}", domain)
+        self._commit_first_configuration()
+        self.wait_ready(list(self.routers))
+
+    def _start_endpoints(self) -> None:
+        started = []
+        for service in self._deployment.services:
+            for index in range(service.endpoints):
+                started.append(self._start_endpoint(service, index))
+        for endpoint, child in started:
+            endpoint["address"] = read_line(child)["address"]
+            self.endpoints.append(endpoint)
+
+    def _start_endpoint(self, service: ServiceShape, index: int) -> tuple[dict[str, Any], Any]:
+        domains = self._deployment.failure_domains
+        name = f"{service.name}-{index + 1}"
+        old = index < service.old
+        listen = f"{HOST}:{self._next_port and self._port()}"
+        arguments = ["--listen", listen, "--name", name]
+        if service.kind == "model":
+            module = "tamarack_standins.engine"
+            step_ms = service.step_ms * (2 if old else 1)
+            slots = service.slots // 2 if old else service.slots
+            arguments += ["--model", service.model, "--step-ms", str(step_ms)]
+            arguments += ["--batch", str(slots), "--weights", self.platform["address"]]
+        else:
+            module = "tamarack_standins.plain_service"
+            slots = service.slots
+            arguments += ["--work-ms", str(service.step_ms)]
+        child = self._processes.start(name, module, arguments, output=True, log=self._log(name))
+        endpoint = {
+            "endpoint": name,
+            "service": service.name,
+            "kind": service.kind,
+            "failure_domain": domains[index % len(domains)],
+            "slots": slots,
+            "pid": child.pid,
+        }
+        return endpoint, child
+
+    def _commit_first_configuration(self) -> None:
+        puts = initial_entries(self._deployment, self.endpoints, self.keys)
+        admin = self.admin()
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while True:
+            try:
+                admin.change(puts, preset="ordinary")
+                return
+            except Exception:
+                if time.monotonic() > deadline:
+                    raise
+                time.sleep(0.1)
+
+    def _is_ready(self, name: str) -> bool:
+        if not self._processes.running(name):
+            raise RuntimeError(f"router {name} has ended")
+        try:
+            url = f"http://{self.routers[name].metrics}/readyz"
+            return self._http.request("GET", url).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def _log(self, name: str) -> Any:
+        if not self._log_dir:
+            import subprocess
+
+            return subprocess.DEVNULL
+        path = Path(self._log_dir)
+        path.mkdir(parents=True, exist_ok=True)
+        return self._stack.enter_context(open(path / f"{name}.log", "ab"))
+
+    def _port(self) -> int:
+        if self._next_port:
+            port = self._next_port
+            self._next_port += 1
+            return port
+        return free_port()
+
+
+_given: set[int] = set()
+
+
+def free_port() -> int:
+    """A port that was free just now, and that was not given before."""
+    while True:
+        with socket.socket() as sock:
+            sock.bind((HOST, 0))
+            port: int = sock.getsockname()[1]
+        if port not in _given:
+            _given.add(port)
+            return port
+
+
+def main() -> int:
+    """Run a fleet in the foreground until SIGTERM or SIGINT."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--deployment", choices=sorted(DEPLOYMENTS), default="domandina")
+    parser.add_argument("--routers", type=int, default=6)
+    parser.add_argument("--base-port", type=int, default=0)
+    parser.add_argument("--log-dir", default="")
+    args = parser.parse_args()
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    fleet = Fleet(
+        DEPLOYMENTS[args.deployment],
+        args.routers,
+        base_port=args.base_port,
+        log_dir=args.log_dir,
+    )
+    with fleet:
+        print(json.dumps(fleet.describe()), flush=True)
+        stop.wait()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
