--- a/packages/bench/src/tamarack_bench/__init__.py
+++ b/packages/bench/src/tamarack_bench/__init__.py
@@ -1,1 +1,1 @@
-"""Part of tamarackturn."""
+"""Load and experiment tool; never shipped."""
--- /dev/null
+++ b/packages/bench/src/tamarack_bench/accounts.py
@@ -0,0 +1,109 @@
+"""What the stand-ins' logs say: runs, shares, utilisation, doubles."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import NamedTuple
+
+from tamarack_standins.fleet import Fleet
+from tamarack_standins.run_log import RunRecord
+
+from tamarack_bench.load import Result
+
+
+class Window(NamedTuple):
+    """A span of time, in milliseconds since the Unix epoch."""
+
+    start_ms: float
+    end_ms: float
+
+    @property
+    def length_ms(self) -> float:
+        """Length in milliseconds."""
+        return self.end_ms - self.start_ms
+
+
+class Verdict(NamedTuple):
+    """What the promises to callers came to."""
+
+    answered: int
+    refused: int
+    unknown: int
+    lost: int
+    doubled: int
+    mixed: int
+    false_refusals: int
+
+    @property
+    def broken(self) -> bool:
+        """Whether a promise was broken."""
+        return bool(self.lost or self.doubled or self.mixed or self.false_refusals)
+
+
+def read_runs(fleet: Fleet, kind: str = "") -> list[RunRecord]:
+    """Runs of all endpoints that answer, of one kind or of both."""
+    runs: list[RunRecord] = []
+    for endpoint in fleet.endpoints:
+        if kind and endpoint["kind"] != kind:
+            continue
+        if fleet.processes.running(endpoint["endpoint"]):
+            runs.extend(fleet.get_json(endpoint["address"], "/standin/log")["runs"])
+    return runs
+
+
+def served_in(runs: list[RunRecord], window: Window) -> Counter[str]:
+    """Tokens per workspace that were produced in a window, each run's spread over its time."""
+    served: Counter[str] = Counter()
+    for run in runs:
+        end = run["finished"] or window.end_ms
+        overlap = min(end, window.end_ms) - max(run["started"], window.start_ms)
+        if overlap > 0 and end > run["started"]:
+            part = overlap / (end - run["started"])
+            served[run["workspace"]] += run["tokens"] * part  # type: ignore[assignment]
+    return served
+
+
+def fair_shares(
+    served: Counter[str], weights: dict[str, float], backlogged: set[str]
+) -> dict[str, float]:
+    """Weighted max-min shares of what was served.
+
+    A workspace without backlog got what it asked for; the rest belongs to the backlogged ones by
+    weight.
+    """
+    rest = sum(served[name] for name in backlogged)
+    weight = sum(weights.get(name, 1.0) for name in backlogged) or 1.0
+    shares = {name: float(tokens) for name, tokens in served.items() if name not in backlogged}
+    for name in backlogged:
+        shares[name] = rest * weights.get(name, 1.0) / weight
+    return shares
+
+
+def busy_slots(runs: list[RunRecord], window: Window) -> float:
+    """Slot time used in a window, in milliseconds."""
+    busy = 0.0
+    for run in runs:
+        end = run["finished"] or window.end_ms
+        busy += max(0.0, min(end, window.end_ms) - max(run["started"], window.start_ms))
+    return busy
+
+
+def judge(results: list[Result], runs: list[RunRecord]) -> Verdict:
+    """Hold what callers were told against what endpoints ran."""
+    runs_of = Counter(run["request"] for run in runs)
+    outcomes = Counter(result.outcome for result in results)
+    answered = [r for r in results if r.outcome == "answered"]
+    # A caller that was answered has one run; a caller that was refused has none.
+    doubled = sum(1 for count in runs_of.values() if count > 1)
+    finished = sum(1 for run in runs if run["state"] == "finished")
+    # Runs beyond those answered or unknown were refused as not run, or run under two ids.
+    surplus = max(0, finished - len(answered) - outcomes["unknown"])
+    return Verdict(
+        len(answered),
+        outcomes["not-run"],
+        outcomes["unknown"],
+        outcomes["cut"],
+        doubled + surplus,
+        outcomes["mixed"],
+        0,
+    )
--- a/packages/client/src/tamarack_client/address_book.py
+++ b/packages/client/src/tamarack_client/address_book.py
@@ -41,8 +41,13 @@
         self._scheme = scheme
         self._current = Addresses([], "", 0.0)
         self._avoid: dict[str, float] = {}
+        self._pinned: list[str] = []
         self._lock = threading.Lock()
 
+    def pin(self, addresses: list[str]) -> None:
+        """Prefer these addresses to those that the fleet tells; keys still need its token."""
+        self._pinned = list(addresses)
+
     def current(self) -> Addresses:
         """The addresses to use now."""
         with self._lock:
@@ -52,7 +57,7 @@
 
     def ordered(self) -> list[str]:
         """Addresses in order of preference, those that just failed at the end, then seeds."""
-        addresses = self.current().addresses
+        addresses = self._pinned or self.current().addresses
         others = [seed for seed in self._seeds if seed not in addresses]
         now = time.monotonic()
         return sorted([*addresses, *others], key=lambda a: self._avoid.get(a, 0.0) > now)
--- a/packages/standins/src/tamarack_standins/deployments.py
+++ b/packages/standins/src/tamarack_standins/deployments.py
@@ -89,7 +89,7 @@
 def initial_entries(
     deployment: Deployment, endpoints: list[dict[str, Any]], keys: dict[str, str]
 ) -> list[dict[str, Any]]:
-    """Entries of a deployment's first configuration; presets weigh the large ones differently."""
+    """Entries of a deployment's first configuration; at peaks the largest weighs double."""
     from tamarack_core.configuration import hash_key
 
     puts: list[dict[str, Any]] = []
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of tamarackturn."""
--- /dev/null
+++ b/tests/test_router_core.py
@@ -0,0 +1,216 @@
+"""Several routers' cores under failures, told as lists of events."""
+
+from __future__ import annotations
+
+from tamarack_core.actions import FollowRequest, RefuseRequest, StartRun
+from tamarack_core.errors import ErrorCode, Outcome
+from tamarack_core.keeper import DONE
+from tamarack_core.protocol import USAGE_FINISHED, USAGE_UNREACHABLE, ShardKey, Usage
+from tamarack_core.request_table import RequestSpec
+
+from .conftest import Cores, make_config
+
+SHARD = ShardKey("model", 0)
+
+
+def submit(cores: Cores, router: str, number: int, **fields: object) -> str:
+    request = f"{router}~{cores.cores[router].boot}~{number}"
+    deadline_ms = cores.clock.now_ms + 60_000
+    spec = RequestSpec(request, "large", "model", deadline_ms=deadline_ms)._replace(**fields)
+    cores.perform(router, cores.cores[router].submit(spec, cores.clock.now_ms))
+    return request
+
+
+def finish(cores: Cores, router: str, request: str, cost: float = 10.0) -> None:
+    core = cores.cores[router]
+    cores.perform(router, core.finished(request, cost, USAGE_FINISHED, DONE, cores.clock.now_ms))
+
+
+def dispatcher_of(cores: Cores) -> str:
+    holders = [name for name, core in cores.cores.items() if SHARD in core.host.dispatchers]
+    assert len(holders) == 1
+    return holders[0]
+
+
+def test_members_find_each_other(trio: Cores) -> None:
+    for core in trio.cores.values():
+        assert sorted(core.membership.usable) == ["r1", "r2", "r3"]
+
+
+def test_one_dispatcher_grants_every_slot_and_no_more(trio: Cores) -> None:
+    for number in range(3):
+        for router in ("r1", "r2", "r3"):
+            submit(trio, router, number)
+    trio.run(500)
+    started = [a for name in trio.cores for a in trio.take(name, StartRun)]
+    assert len(started) == 4
+    dispatcher_of(trio)
+
+
+def test_a_freed_slot_goes_to_the_next_ticket(trio: Cores) -> None:
+    requests = [submit(trio, "r1", number) for number in range(5)]
+    trio.run(300)
+    started = {a.request for a in trio.take("r1", StartRun)}
+    assert len(started) == 4
+    finish(trio, "r1", sorted(started)[0])
+    (last,) = trio.take("r1", StartRun)
+    assert last.request in set(requests) - started
+
+
+def test_a_dead_dispatchers_tickets_are_granted_by_the_next() -> None:
+    # Symptom: requests wait for ever though slots are free.
+    # Sequence: the dispatcher dies with tickets queued; routers hear nothing for 300 ms.
+    # Cause: its queue was only in its memory; routers register again with the next one.
+    cores = Cores(["r1", "r2", "r3"], make_config())
+    finish(cores, "r1", submit(cores, "r1", 0))
+    cores.run(300)
+    dead = dispatcher_of(cores)
+    holder = next(name for name in cores.cores if name != dead)
+    requests = {submit(cores, holder, number) for number in range(1, 7)}
+    cores.frozen.add(dead)
+    cores.run(500)
+    started: set[str] = set()
+    for _ in range(10):
+        for action in cores.take(holder, StartRun):
+            started.add(action.request)
+            finish(cores, holder, action.request)
+        cores.run(25)
+    assert requests <= started
+    assert cores.cores[holder].requests.waiting == 0
+
+
+def test_a_paused_dispatcher_steps_down_when_it_wakes() -> None:
+    # Symptom: more requests run at an endpoint than it has slots, long after a pause.
+    # Sequence: the dispatcher is stopped; another takes over; the first resumes and grants on.
+    # Cause: its state is old; a clock that jumped tells it that it was away.
+    cores = Cores(["r1", "r2", "r3"], make_config())
+    submit(cores, "r1", 1)
+    cores.run(300)
+    paused = dispatcher_of(cores)
+    cores.frozen.add(paused)
+    cores.run(4_000)
+    cores.frozen.discard(paused)
+    cores.run(100)
+    assert cores.cores[paused].counts["paused"] == 1
+    cores.run(3_000)
+    other = next(name for name in cores.cores if name != paused)
+    submit(cores, other, 99)
+    cores.run(500)
+    dispatcher_of(cores)
+
+
+def test_a_key_runs_once_though_two_routers_ask(trio: Cores) -> None:
+    # Symptom: a tanker order is delivered twice.
+    # Sequence: the caller sends an order to r1, hears nothing, and sends it to r2 meanwhile.
+    # Cause: each router knows only its own requests; the keeper named in the key knows both.
+    token = trio.cores["r3"].token(trio.clock.now_ms).text
+    first = submit(trio, "r1", 1, key=f"{token}.order", digest="d")
+    submit(trio, "r2", 1, key=f"{token}.order", digest="d")
+    trio.run(300)
+    assert [a.request for a in trio.take("r1", StartRun)] == [first]
+    assert trio.take("r2", StartRun) == []
+    (follow,) = trio.take("r2", FollowRequest)
+    assert follow.holder == first
+
+
+def test_a_key_with_other_content_is_refused(trio: Cores) -> None:
+    token = trio.cores["r3"].token(trio.clock.now_ms).text
+    submit(trio, "r1", 1, key=f"{token}.order", digest="d")
+    submit(trio, "r2", 1, key=f"{token}.order", digest="other")
+    (refused,) = trio.take("r2", RefuseRequest)
+    assert refused.refusal.code == ErrorCode.KEY_CONFLICT
+
+
+def test_a_keeper_that_restarted_cold_never_lets_a_retry_run() -> None:
+    # Symptom: an order runs twice after a router was replaced.
+    # Sequence: the keeper dies with its memory and comes back under the same name.
+    # Cause: an empty memory knows no key; the key's boot tells that it is of an earlier life.
+    cores = Cores(["r1", "r2", "r3"], make_config())
+    token = cores.cores["r3"].token(cores.clock.now_ms).text
+    submit(cores, "r1", 1, key=f"{token}.order", digest="d")
+    cores.run(200)
+    cores.take("r1", StartRun)
+    cores.clock.advance(5)
+    core = cores.add("r3")
+    cores.perform("r3", core.join(["peer-r1"]))
+    cores.run(1_000)
+    submit(cores, "r2", 1, key=f"{token}.order", digest="d")
+    cores.run(300)
+    assert cores.take("r2", StartRun) == []
+    (refused,) = cores.take("r2", RefuseRequest)
+    assert refused.refusal.outcome == Outcome.UNKNOWN
+
+
+def test_a_first_attempt_with_a_dead_keeper_takes_a_fresh_key(trio: Cores) -> None:
+    token = trio.cores["r3"].token(trio.clock.now_ms).text
+    trio.frozen.add("r3")
+    submit(trio, "r1", 1, key=f"{token}.order", digest="d", first=True)
+    trio.run(600)
+    (refused,) = trio.take("r1", RefuseRequest)
+    assert refused.refusal.code == ErrorCode.KEEPER_GONE
+    assert refused.refusal.outcome == Outcome.NOT_RUN
+
+
+def test_a_caller_that_leaves_frees_its_ticket_and_its_key(trio: Cores) -> None:
+    token = trio.cores["r2"].token(trio.clock.now_ms).text
+    blockers = [submit(trio, "r1", number) for number in range(4)]
+    waiting = submit(trio, "r1", 9, key=f"{token}.k", digest="d")
+    trio.perform("r1", trio.cores["r1"].cancel(waiting, trio.clock.now_ms))
+    for request in blockers:
+        finish(trio, "r1", request)
+    trio.run(300)
+    trio.take("r1", StartRun)
+    again = submit(trio, "r3", 1, key=f"{token}.k", digest="d")
+    trio.run(200)
+    assert [a.request for a in trio.take("r3", StartRun)] == [again]
+
+
+def test_an_unreachable_endpoint_is_left_for_another(trio: Cores) -> None:
+    request = submit(trio, "r1", 1)
+    trio.run(300)
+    (start,) = trio.take("r1", StartRun)
+    usage = Usage(request, 0.0, USAGE_UNREACHABLE)
+    actions = trio.cores["r1"].again(request, usage, trio.clock.now_ms, sent=False)
+    assert actions is not None
+    trio.perform("r1", actions)
+    trio.run(300)
+    (second,) = trio.take("r1", StartRun)
+    assert second.endpoint != start.endpoint
+
+
+def test_a_request_that_may_have_run_is_never_called_not_run(trio: Cores) -> None:
+    # Symptom: a caller repeats an order that had run, because it was told "not run".
+    # Sequence: a repeatable request fails after it was sent, waits again, and its deadline passes.
+    # Cause: the refusal spoke of the last wait only, not of the try before it.
+    request = submit(trio, "r1", 1, repeatable=True, deadline_ms=trio.clock.now_ms + 800)
+    trio.run(300)
+    trio.take("r1", StartRun)
+    for number in range(8):
+        submit(trio, "r2", number, priority=0)
+    usage = Usage(request, 5.0, USAGE_UNREACHABLE)
+    actions = trio.cores["r1"].again(request, usage, trio.clock.now_ms, sent=True)
+    assert actions is not None
+    trio.perform("r1", actions)
+    trio.run(1_000)
+    assert trio.take("r1", StartRun) == []
+    (refused,) = trio.take("r1", RefuseRequest)
+    assert refused.refusal.outcome == Outcome.UNKNOWN
+
+
+def test_an_order_is_not_sent_again_once_a_byte_may_have_left(trio: Cores) -> None:
+    request = submit(trio, "r1", 1, repeatable=False)
+    trio.run(300)
+    usage = Usage(request, 5.0, USAGE_UNREACHABLE)
+    assert trio.cores["r1"].again(request, usage, trio.clock.now_ms, sent=True) is None
+
+
+def test_a_leaving_router_hands_its_shards_over(trio: Cores) -> None:
+    submit(trio, "r1", 1)
+    trio.run(300)
+    leaving = dispatcher_of(trio)
+    trio.perform(leaving, trio.cores[leaving].leave())
+    other = next(name for name in trio.cores if name != leaving)
+    submit(trio, other, 50)
+    trio.run(500)
+    assert dispatcher_of(trio) != leaving
+    assert trio.take(other, StartRun)
