Read a dead router's runs at their engines, free its slots early

Cause: after a router's kill the dispatcher kept the dead router's slots until the members called it dead (2.2 s at 0.42 utilisation), and retries were told unknown though engines went on. Ruled out: lost settlements (no resync was counted); the dispatcher's own fail-over (it lived). Change: a dispatcher probes routers that hold 5 in 100 of its slots after 300 ms of silence and frees them after 700; the keeper learns the endpoint of each keyed run, so that any router reads the run there when the holder is silent; followers of a silent holder no longer leak, which had held a graceful stop for ever. What is left unknown had not reached an engine for sure, or its log.

--- a/packages/client/src/tamarack_client/client.py
+++ b/packages/client/src/tamarack_client/client.py
@@ -139,17 +139,21 @@
         """Make a request and give the body as it comes."""
         exchange = _Exchange(self, method, path, body, deadline_s, key, headers or {})
         response = exchange.open()
-        request_id = response.headers.get("Tamarack-Request-Id", "")
         received = 0
         while True:
+            position = 0
             try:
                 for data in response.stream(READ_BYTES, decode_content=False):
-                    received += len(data)
-                    yield data
+                    fresh = data[max(0, received - position) :]
+                    position += len(data)
+                    if fresh:
+                        received += len(fresh)
+                        yield fresh
                 return
             except urllib3.exceptions.HTTPError:
-                response.close()
-                response = self._resume(request_id, received, exchange)
+                # The key brings the same answer, from whoever can still read the run.
+                exchange.lost(response)
+                response = exchange.open()
 
     def state(self, request_id: str) -> dict[str, Any]:
         """State of a request, from any router."""
@@ -181,23 +185,6 @@
         """The addresses in use."""
         return self._book
 
-    def _resume(self, request_id: str, offset: int, exchange: _Exchange) -> BaseHTTPResponse:
-        path = f"/v1/requests/{request_id}?offset={offset}"
-        while time.monotonic() < exchange.deadline:
-            for address in self._book.ordered():
-                attempt = self.send(address, "GET", path, None, {})
-                response = attempt.response
-                if response is None:
-                    self._book.failed(address)
-                    continue
-                if response.status == 200:
-                    return response
-                code, message, _ = _read_error(response)
-                if response.status in (409, 410, 404):
-                    raise OutcomeUnknownError(code, message, request_id)
-            time.sleep(0.05)
-        raise OutcomeUnknownError("deadline", "The answer could not be resumed.", request_id)
-
 
 class _Exchange:
     """One request until it has an answer: keys, attempts, pauses."""
@@ -237,6 +224,9 @@
 
     def lost(self, response: BaseHTTPResponse) -> None:
         """Note that an answer broke off; only the key makes it safe to ask again."""
+        response.close()
+        if time.monotonic() >= self.deadline:
+            self._give_up()
         self._maybe_received = True
         self._client.book.renew()
 
--- a/packages/core/src/tamarack_core/actions.py
+++ b/packages/core/src/tamarack_core/actions.py
@@ -43,10 +43,21 @@
 
 
 class FollowRequest(NamedTuple):
-    """Serve a held request with the answer of another request, held by `router`."""
+    """Serve a held request with the answer of another request.
+
+    Attributes
+    ----------
+    holder
+        Request whose router holds the answer; empty if none does any more.
+    run, address
+        Where the run can be read if the holder is silent: the request id that the endpoint knows
+        it by, and the endpoint's address; empty if it cannot.
+    """
 
     request: str
     holder: str
+    run: str = ""
+    address: str = ""
 
 
 class ClaimRow(NamedTuple):
--- a/packages/core/src/tamarack_core/dispatcher.py
+++ b/packages/core/src/tamarack_core/dispatcher.py
@@ -12,6 +12,8 @@
     PROGRESS_STEP,
     QUEUE_LIMIT,
     REGISTRATION_WINDOW_MS,
+    ROUTER_PROBE_MS,
+    ROUTER_SILENCE_MS,
 )
 from tamarack_core.endpoint_pool import EndpointPool, EndpointSpec, LoadReport
 from tamarack_core.errors import ErrorCode
@@ -27,6 +29,7 @@
     Grants,
     Poll,
     PollAck,
+    Probe,
     RefuseTickets,
     Register,
     ShardCounters,
@@ -37,6 +40,7 @@
 )
 
 GRANT_IN_FLIGHT_MS = 500
+PROBE_SHARE = 0.05
 PREDICT_FROM = 8
 PASS_LIMIT = 8
 RATE_GAIN = 0.1
@@ -115,6 +119,8 @@
         self._running_by_router: Counter[str] = Counter()
         self._granted_ms: dict[str, float] = {}
         self._mismatched: set[str] = set()
+        self._heard_ms: dict[str, float] = {}
+        self._probed_ms: dict[str, float] = {}
         self._intervals: dict[str, tuple[float, float]] = {}
         self._remote: dict[int, ShardCounters] = {}
         self._domains: dict[str, str] = {}
@@ -188,6 +194,7 @@
 
     def submit(self, router: str, tickets: list[Ticket], now_ms: float) -> list[Send]:
         """Queue tickets of a router; those that cannot be served are refused at once."""
+        self._heard_ms[router] = now_ms
         refusals = []
         for ticket in tickets:
             refusal = self._admit(router, ticket, now_ms)
@@ -208,6 +215,7 @@
 
     def usage(self, router: str, usages: list[Usage], now_ms: float) -> None:
         """Take in progress and settlements."""
+        self._heard_ms[router] = now_ms
         for usage in usages:
             running = self._running.get(usage.request)
             if running is None or running.router != router:
@@ -235,6 +243,7 @@
 
     def poll(self, router: str, message: Poll, now_ms: float) -> Send:
         """Answer a router's check; ask for all it has when the counts differ twice running."""
+        self._heard_ms[router] = now_ms
         waiting = self._waiting_by_router[router]
         running = self._running_by_router[router]
         differs = waiting + running != message.waiting + message.running
@@ -270,7 +279,7 @@
         sends = []
         for router, refusals in late.items():
             sends.extend(self._refuse(router, refusals))
-        return sends
+        return sends + self._check_routers(now_ms)
 
     def dispatch(self, now_ms: float) -> list[Send]:
         """Grant free slots to waiting tickets in the order of fair shares."""
@@ -327,6 +336,26 @@
         for name, total in remote.items():
             self._queue.exchange(name, float(total), min(self._shards, 1 + serving[name]))
 
+    def _check_routers(self, now_ms: float) -> list[Send]:
+        """Free the slots of routers that hold many and have gone silent.
+
+        The members' own probing takes seconds to call a router dead; until then its slots would
+        stand idle while work waits. A router that was only cut off registers its runs again.
+        """
+        sends = []
+        many = max(1.0, self._pool.slots * PROBE_SHARE)
+        for router, held in list(self._running_by_router.items()):
+            silent_ms = now_ms - self._heard_ms.setdefault(router, now_ms)
+            if held < many or silent_ms < ROUTER_PROBE_MS:
+                continue
+            if silent_ms >= ROUTER_SILENCE_MS:
+                self._counts["router_silent"] += 1
+                self._drop_router(router, now_ms)
+            elif now_ms - self._probed_ms.get(router, float("-inf")) >= ROUTER_PROBE_MS:
+                self._probed_ms[router] = now_ms
+                sends.append(Send(router, Probe(self._shard, self._term)))
+        return sends
+
     def _endpoint_for(self, waiting: Waiting, now_ms: float) -> str | None:
         ticket = waiting.ticket
         domain = self._domains.get(waiting.router, "")
--- a/packages/core/src/tamarack_core/keeper.py
+++ b/packages/core/src/tamarack_core/keeper.py
@@ -7,12 +7,13 @@
 
 from tamarack_core.defaults import KEY_LIFETIME_MS, KEY_MEMORY
 from tamarack_core.key_token import EPOCH_MS, KeyToken, parse_key
-from tamarack_core.protocol import Claim, ClaimAnswer, ClaimDone
+from tamarack_core.protocol import Claim, ClaimAnswer, ClaimDone, ClaimRunning
 
-FRESH, RUNNING, DONE, CONFLICT, UNKNOWN, FULL, RELEASED = (
+FRESH, RUNNING, DONE, ORPHAN, CONFLICT, UNKNOWN, FULL, RELEASED = (
     "fresh",
     "running",
     "done",
+    "orphan",
     "conflict",
     "unknown",
     "full",
@@ -22,11 +23,21 @@
 
 
 class _Record(NamedTuple):
-    """A key that was claimed."""
+    """A key that was claimed.
+
+    Attributes
+    ----------
+    request
+        Request whose router holds the answer.
+    run
+        Request id that the endpoint knows the run by; differs once a run was adopted.
+    """
 
     digest: str
     request: str
     state: str
+    endpoint: str = ""
+    run: str = ""
 
 
 class Keeper:
@@ -69,8 +80,23 @@
 
     def claim(self, claim: Claim, now_ms: float) -> ClaimAnswer:
         """Say whether a key may run, and if not, under which request it runs or ran."""
-        state, holder = self._decide(claim, now_ms)
-        return ClaimAnswer(claim.key, claim.workspace, claim.request, state, holder)
+        state, record = self._decide(claim, now_ms)
+        return ClaimAnswer(
+            claim.key,
+            claim.workspace,
+            claim.request,
+            state,
+            record.request,
+            record.run,
+            record.endpoint,
+        )
+
+    def running(self, message: ClaimRunning) -> None:
+        """Record where a key runs."""
+        index = (message.workspace, message.key)
+        record = self._records.get(index)
+        if record is not None and record.request == message.request:
+            self._records[index] = record._replace(endpoint=message.endpoint, run=message.request)
 
     def done(self, done: ClaimDone) -> None:
         """Record how a run ended; `released` says that it never began."""
@@ -81,36 +107,41 @@
         self._records[index] = record._replace(state=done.state)
 
     def router_gone(self, prefix: str) -> None:
-        """A router died: what it was running has an outcome that nobody knows."""
+        """A router died: its runs may still be read at their endpoints, the rest is unknown."""
         for index, record in self._records.items():
             if record.state in (RUNNING, DONE) and record.request.startswith(prefix):
-                self._records[index] = record._replace(state=UNKNOWN)
+                state = ORPHAN if record.endpoint else UNKNOWN
+                self._records[index] = record._replace(state=state)
 
-    def _decide(self, claim: Claim, now_ms: float) -> tuple[str, str]:
+    def _decide(self, claim: Claim, now_ms: float) -> tuple[str, _Record]:
+        nobody = _Record("", "", "")
         token = parse_key(claim.key)
         if token is None or (token.router, token.boot) != (self._router, self._boot):
-            return UNKNOWN, ""
+            return UNKNOWN, nobody
         self._forget(now_ms)
         epoch = self._epoch(now_ms)
         if token.epoch <= epoch - self._epochs_kept or token.epoch > epoch:
-            return UNKNOWN, ""
+            return UNKNOWN, nobody
         index = (claim.workspace, claim.key)
         record = self._records.get(index)
         if record is None:
             return self._open(index, claim, token.epoch)
         if record.digest != claim.digest:
-            return CONFLICT, ""
+            return CONFLICT, nobody
         if record.state == RELEASED or record.request == claim.request:
-            self._records[index] = _Record(claim.digest, claim.request, RUNNING)
-            return FRESH, claim.request
-        return record.state, record.request
-
-    def _open(self, index: tuple[str, str], claim: Claim, epoch: int) -> tuple[str, str]:
+            fresh = self._records[index] = _Record(claim.digest, claim.request, RUNNING)
+            return FRESH, fresh
+        if record.state == ORPHAN:
+            # The asker reads the run at its endpoint and holds the answer from now on.
+            self._records[index] = record._replace(request=claim.request, state=RUNNING)
+        return record.state, record
+
+    def _open(self, index: tuple[str, str], claim: Claim, epoch: int) -> tuple[str, _Record]:
         free = self._memory - len(self._records)
         # A flooding workspace may not use up the keys of all others.
         if self._held[claim.workspace] >= max(1, WORKSPACE_FRACTION * free):
-            return FULL, ""
-        self._records[index] = _Record(claim.digest, claim.request, RUNNING)
+            return FULL, _Record("", "", "")
+        record = self._records[index] = _Record(claim.digest, claim.request, RUNNING)
         self._held[claim.workspace] += 1
         for kept, indexes in self._by_epoch:
             if kept == epoch:
@@ -118,7 +149,7 @@
                 break
         else:
             self._by_epoch.append((epoch, {index}))
-        return FRESH, claim.request
+        return FRESH, record
 
     def _epoch(self, now_ms: float) -> int:
         return int((now_ms - self._started_ms) // EPOCH_MS)
--- a/packages/core/src/tamarack_core/protocol.py
+++ b/packages/core/src/tamarack_core/protocol.py
@@ -240,6 +240,14 @@
     resync: bool
 
 
+@message(20)
+class Probe(NamedTuple):
+    """A dispatcher's check that a router which holds many of its grants lives."""
+
+    shard: ShardKey
+    term: int
+
+
 @message(17)
 class Register(NamedTuple):
     """All that a router has outstanding at a shard; replaces what was known of it."""
@@ -289,9 +297,13 @@
     Attributes
     ----------
     state
-        `fresh`, `running`, `done`, `conflict`, `unknown`.
+        `fresh`, `running`, `done`, `orphan`, `conflict`, `full`, `unknown`.
     holder
         Request id under which the key runs or ran.
+    run
+        Request id that the endpoint knows the run by.
+    endpoint
+        Where it runs or ran, empty if that is not known.
     """
 
     key: str
@@ -299,6 +311,8 @@
     request: str
     state: str
     holder: str
+    run: str = ""
+    endpoint: str = ""
 
 
 @message(32)
@@ -311,6 +325,16 @@
     state: str
 
 
+@message(35)
+class ClaimRunning(NamedTuple):
+    """The router that runs a key tells the keeper where, so that others can find the run."""
+
+    key: str
+    workspace: str
+    request: str
+    endpoint: str
+
+
 @message(33)
 class AnswerQuery(NamedTuple):
     """Ask the router that holds a request for its state and answer from an offset."""
--- a/packages/core/src/tamarack_core/request_table.py
+++ b/packages/core/src/tamarack_core/request_table.py
@@ -28,7 +28,7 @@
     SHARD_SIZE,
 )
 from tamarack_core.errors import ErrorCode, Outcome, Refusal
-from tamarack_core.keeper import CONFLICT, DONE, FRESH, FULL, RELEASED, RUNNING, UNKNOWN
+from tamarack_core.keeper import CONFLICT, DONE, FRESH, FULL, ORPHAN, RELEASED, RUNNING, UNKNOWN
 from tamarack_core.key_token import parse_key
 from tamarack_core.protocol import (
     USAGE_RETURNED,
@@ -37,10 +37,12 @@
     Claim,
     ClaimAnswer,
     ClaimDone,
+    ClaimRunning,
     Grant,
     Grants,
     Poll,
     PollAck,
+    Probe,
     RefuseTickets,
     Register,
     ReportUsage,
@@ -217,9 +219,14 @@
             return []
         if answer.state == FRESH:
             return self._queue(held, now_ms)
+        address = self._readable_at(answer, held.spec)
         if answer.state in (RUNNING, DONE):
             del self._held[answer.request]
-            return [FollowRequest(answer.request, answer.holder)]
+            follow = FollowRequest(answer.request, answer.holder, answer.run, address)
+            return [follow]
+        if answer.state == ORPHAN and address:
+            held.state = "running"
+            return [FollowRequest(answer.request, "", answer.run, address)]
         return self._refuse(held, _claim_refusal(answer.state, held.spec), now_ms)
 
     def cancel(self, request: str, now_ms: float) -> list[Action]:
@@ -308,6 +315,15 @@
             return []
         return [self._registration(message.shard, link, now_ms)]
 
+    def probe(self, sender: str, message: Probe, now_ms: float) -> list[Action]:
+        """Show a dispatcher that this router lives, and what it has outstanding there."""
+        link = self._links.get(message.shard)
+        if link is None or sender != link.target:
+            return []
+        link.polled_ms = now_ms
+        waiting, running = len(link.waiting), len(link.running)
+        return [Send(sender, Poll(message.shard, link.term, waiting, running))]
+
     def term_start(self, sender: str, message: TermStart, now_ms: float) -> list[Action]:
         """Follow a dispatcher that has begun a higher term."""
         link = self._links.get(message.shard)
@@ -375,6 +391,7 @@
         held.grant_shard = shard
         held.told_cost = grant.charged
         self._link(shard).running.add(grant.request)
+        actions.extend(self._tell_where(held.spec, grant.endpoint))
         actions.append(StartRun(grant.request, grant.endpoint, endpoint["address"], grant.charged))
         return actions
 
@@ -392,6 +409,14 @@
                 actions.append(Send(link.target, CancelTickets(shard, [request])))
         return actions
 
+    def _readable_at(self, answer: ClaimAnswer, spec: RequestSpec) -> str:
+        """Address of the endpoint that can give the run's answer again, empty if none can."""
+        service = self._config.service(spec.service)
+        endpoint = self._config.endpoint(answer.endpoint)
+        if service is None or endpoint is None or service["kind"] != "model":
+            return ""
+        return endpoint["address"]
+
     def _settle(self, held: _Held, usage: Usage) -> list[Action]:
         if held.grant_shard is None:
             return []
@@ -427,6 +452,13 @@
             return [RowDone(spec.key, spec.workspace, state)]
         return [Send(token.router, ClaimDone(spec.key, spec.workspace, spec.request, state))]
 
+    def _tell_where(self, spec: RequestSpec, endpoint: str) -> list[Action]:
+        token = parse_key(spec.key) if spec.key else None
+        if token is None:
+            return []
+        message = ClaimRunning(spec.key, spec.workspace, spec.request, endpoint)
+        return [Send(token.router, message)]
+
     def _link(self, shard: ShardKey) -> _ShardLink:
         link = self._links.get(shard)
         if link is None:
--- a/packages/core/src/tamarack_core/router_core.py
+++ b/packages/core/src/tamarack_core/router_core.py
@@ -27,6 +27,7 @@
     Claim,
     ClaimAnswer,
     ClaimDone,
+    ClaimRunning,
     Frame,
     Grants,
     MemberUpdate,
@@ -36,6 +37,7 @@
     PingRequest,
     Poll,
     PollAck,
+    Probe,
     RefuseTickets,
     Register,
     ReportUsage,
@@ -333,6 +335,10 @@
     def _on_poll_ack(self, sender: str, message: PollAck, now_ms: float) -> list[Action]:
         return self._requests.poll_ack(sender, message, now_ms)
 
+    @handles(Probe)
+    def _on_probe(self, sender: str, message: Probe, now_ms: float) -> list[Action]:
+        return self._requests.probe(sender, message, now_ms)
+
     @handles(TermStart)
     def _on_term_start(self, sender: str, message: TermStart, now_ms: float) -> list[Action]:
         self._host.term_start(sender, message)
@@ -348,6 +354,11 @@
     def _on_claim_answer(self, sender: str, message: ClaimAnswer, now_ms: float) -> list[Action]:
         return self._requests.claim_answer(message, now_ms)
 
+    @handles(ClaimRunning)
+    def _on_claim_running(self, sender: str, message: ClaimRunning, now_ms: float) -> list[Action]:
+        self._keeper.running(message)
+        return []
+
     @handles(ClaimDone)
     def _on_claim_done(self, sender: str, message: ClaimDone, now_ms: float) -> list[Action]:
         self._keeper.done(message)
--- a/packages/ctl/src/tamarack_ctl/__init__.py
+++ b/packages/ctl/src/tamarack_ctl/__init__.py
@@ -1,1 +1,1 @@
-"""Part of tamarackturn."""
+"""tamarackctl: the operators' command line."""
--- a/packages/router/src/tamarack_router/caller_app.py
+++ b/packages/router/src/tamarack_router/caller_app.py
@@ -123,8 +123,11 @@
         members = view.members
         if view.isolated or view.leaving or not view.ready:
             members = [m for m in members if m.router != self._router]
+        own = next((m.caller_address for m in view.members if m.router == self._router), "")
+        # The keeper should not die together with the router that runs the request.
+        addresses = sorted(choose_addresses(workspace, members), key=lambda a: a == own)
         answer = {
-            "addresses": choose_addresses(workspace, members),
+            "addresses": addresses,
             "ttl_ms": self._limits.address_ttl_ms,
             "keeper_token": view.token.text,
         }
--- a/packages/router/src/tamarack_router/follower.py
+++ b/packages/router/src/tamarack_router/follower.py
@@ -85,6 +85,10 @@
         if mask & selectors.EVENT_WRITE:
             self.pump()
 
+    def follow(self, answer: KeptAnswer) -> None:
+        """Go on with another copy of the same answer, from where this one stands."""
+        self._answer = answer
+
     def pump(self) -> None:
         """Write what there is to write, as far as the socket takes it."""
         while not self._gone:
--- a/packages/router/src/tamarack_router/main.py
+++ b/packages/router/src/tamarack_router/main.py
@@ -41,6 +41,7 @@
 ADMIN_BODY_BYTES = 2_000_000
 DRAIN_POLL_S = 0.05
 LAST_GOSSIP_S = 0.3
+LOG_EVERY = 100
 
 
 class _Signals:
@@ -178,8 +179,13 @@
         # Callers keep an address for its time to live; until then they are still served here.
         signals.wait_second(self._settings.address_ttl_ms / 1000)
         self.caller_app.close()
+        rounds = 0
         while self.relay.busy:
             threading.Event().wait(DRAIN_POLL_S)
+            rounds += 1
+            if rounds % LOG_EVERY == 0:
+                held, followers = self.relay.held, self.relay.followers
+                self._log.info("Requests are in progress.", held=held, followers=followers)
         threading.Event().wait(LAST_GOSSIP_S)
         self._log.info("Nothing is in progress.")
 
--- a/packages/router/src/tamarack_router/relay.py
+++ b/packages/router/src/tamarack_router/relay.py
@@ -115,6 +115,7 @@
         self._held: dict[str, _Held] = {}
         self._followers: dict[str, list[Follower]] = {}
         self._remote = RemoteAnswers(control)
+        self._following: dict[str, list[tuple[_Held, FollowRequest]]] = {}
         self._timers: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         self._counts: Counter[str] = Counter()
@@ -147,10 +148,20 @@
         """Events by name; read by other threads, written by this one."""
         return self._counts
 
+    @property
+    def held(self) -> int:
+        """Requests held."""
+        return len(self._held)
+
+    @property
+    def followers(self) -> int:
+        """Callers that wait for an answer or are being written one."""
+        return sum(len(group) for group in list(self._followers.values()))
+
     @property
     def busy(self) -> int:
-        """Requests held and callers still being written to."""
-        return len(self._held) + sum(len(group) for group in self._followers.values())
+        """What a graceful stop waits for."""
+        return self.held + self.followers
 
     # The loop
 
@@ -197,7 +208,7 @@
             if held.run is not None:
                 self._check_run(held, held.run, now_ms)
         for answer in self._remote.check(now_ms):
-            self._pump(answer)
+            self._holder_silent(answer)
         self._answers.expire(now_ms)
 
     def _check_run(self, held: _Held, run: Run, now_ms: float) -> None:
@@ -276,22 +287,80 @@
 
     @handles(FollowRequest)
     def _on_follow(self, message: FollowRequest) -> None:
-        held = self._held.pop(message.request, None)
+        held = self._held.get(message.request)
         if held is None:
             return
-        self._guard.give_back(held.spec.workspace)
-        held.span.end()
-        self._answers.remove(message.request)
         self._counts["followed"] += 1
-        target = self._answers.find(message.holder, held.spec.workspace)
+        if not message.holder:
+            self._adopt(held, message)
+            return
+        workspace = held.spec.workspace
+        target = self._answers.find(message.holder, workspace)
         if target is None:
-            workspace = held.spec.workspace
             target = self._remote.open(message.holder, workspace, self._clock.now_ms)
-        for follower in self._followers.pop(message.request, []):
+            self._following.setdefault(message.holder, []).append((held, message))
+        else:
+            self._held.pop(message.request)
+            self._guard.give_back(workspace)
+            held.span.end()
+        self._answers.remove(message.request)
+        self._move_followers(message.request, target)
+
+    def _move_followers(self, request: str, target: KeptAnswer) -> None:
+        for follower in self._followers.pop(request, []):
             self._selector.unregister(follower.sock)
-            self._attach(Follower(follower.sock, target))
+            follower.follow(target)
+            self._attach(follower)
         self._pump(target)
 
+    def _holder_silent(self, answer: KeptAnswer) -> None:
+        """Read a run at its endpoint when the router that holds its answer is silent.
+
+        Without this a caller whose router died would be told that its outcome is unknown, though
+        the engine goes on with the run and can give its stream again.
+        """
+        waiting = self._following.pop(answer.request, [])
+        readable = [pair for pair in waiting if pair[1].address]
+        if not readable:
+            self._following[answer.request] = waiting
+            self._remote.lose(answer)
+            self._pump(answer)
+            return
+        held, message = readable[0]
+        for other, _ in waiting:
+            if other is not held:
+                self._held.pop(other.spec.request, None)
+                self._guard.give_back(other.spec.workspace)
+                other.span.end()
+        self._answers.add(held.answer)
+        self._adopt(held, message)
+        self._remote.close(answer.request)
+        self._move_followers(answer.request, held.answer)
+
+    def _adopt(self, held: _Held, message: FollowRequest) -> None:
+        self._counts["adopted"] += 1
+        span = self._tracing.start("adopted run", parent=held.span)
+        now_ms = self._clock.now_ms
+        run = Run(
+            held.call,
+            held.answer,
+            "",
+            message.address,
+            self._limits,
+            traceparent_of(span),
+            now_ms,
+            adopted=message.run,
+        )
+        run.span = span
+        held.run = run
+        self._open(held, run)
+
+    def _stop_following(self, request: str) -> None:
+        for held, _ in self._following.pop(request, []):
+            self._held.pop(held.spec.request, None)
+            self._guard.give_back(held.spec.workspace)
+            held.span.end()
+
     @handles(PeerQuery)
     def _on_peer_query(self, message: PeerQuery) -> None:
         query = message.query
@@ -338,6 +407,7 @@
         if not group:
             del self._followers[request]
             self._remote.close(request)
+            self._stop_following(request)
             if follower.gone:
                 self._caller_gone(request)
 
@@ -437,7 +507,7 @@
         self._ended(held)
 
     def _cancel_at_endpoint(self, run: Run) -> None:
-        path = f"/v1/streams/{run.answer.request}"
+        path = f"/v1/streams/{run.run_id}"
         connection = EndpointConnection(run.address, "DELETE", path, [], b"")
         if connection.start():
             connection.close()
--- a/packages/router/src/tamarack_router/remote_answers.py
+++ b/packages/router/src/tamarack_router/remote_answers.py
@@ -12,7 +12,7 @@
 from tamarack_router.messages import PeerMessage
 
 ASK_EVERY_MS = 100.0
-SILENCE_MS = 2_000.0
+SILENCE_MS = 700.0
 LOST_MESSAGE = "The router that held the request does not answer; it will not run again."
 GONE_MESSAGE = "The answer is no longer kept."
 
@@ -56,19 +56,21 @@
             del self._by_correlation[mirror.correlation]
 
     def check(self, now_ms: float) -> list[KeptAnswer]:
-        """Ask again; return answers that ended because their holder is silent."""
+        """Ask again; return answers whose holder is silent."""
         lost = []
         for mirror in self._mirrors.values():
             if mirror.answer.ended:
                 continue
             if now_ms - mirror.heard_ms >= SILENCE_MS:
-                refusal = Refusal(ErrorCode.KEY_UNKNOWN, LOST_MESSAGE, Outcome.UNKNOWN)
-                mirror.answer.refuse(refusal)
                 lost.append(mirror.answer)
             else:
                 self._ask(mirror)
         return lost
 
+    def lose(self, answer: KeptAnswer) -> None:
+        """End an answer whose holder is silent, and that cannot be read elsewhere."""
+        answer.refuse(Refusal(ErrorCode.KEY_UNKNOWN, LOST_MESSAGE, Outcome.UNKNOWN))
+
     def take(self, part: AnswerPart, now_ms: float) -> KeptAnswer | None:
         """Take in a part; one that was not asked for, or not from here on, is dropped."""
         mirror = self._by_correlation.get(part.correlation)
--- a/packages/router/src/tamarack_router/run.py
+++ b/packages/router/src/tamarack_router/run.py
@@ -53,6 +53,8 @@
         Where the answer is collected.
     traceparent
         Passed on to the endpoint, empty if not traced.
+    adopted
+        Id of a run that another router began, to read here; empty for a run of one's own.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         now_ms: float,
         *,
         charged: float = 0.0,
+        adopted: str = "",
     ) -> None:
         self.call = call
         self.answer = answer
@@ -77,8 +80,10 @@
         self._limits = limits
         self._traceparent = traceparent
         self._resumes = 0
-        self._resuming = False
-        self._maybe_sent = False
+        # An adopted run was begun by another router; here it is only read, under its own id.
+        self._run_id = adopted or answer.request
+        self._resuming = bool(adopted)
+        self._maybe_sent = bool(adopted)
         self._refused_by_endpoint = False
         self._tokens = 0
         self._report_at = charged
@@ -89,6 +94,11 @@
         """The connection in use."""
         return self._connection
 
+    @property
+    def run_id(self) -> str:
+        """Request id that the endpoint knows the run by."""
+        return self._run_id
+
     @property
     def sent(self) -> bool:
         """Whether the endpoint may have the request; its own word that it has not counts."""
@@ -123,7 +133,7 @@
         if self._traceparent:
             headers.append(("traceparent", self._traceparent))
         if self._resuming:
-            path = f"/v1/streams/{self.answer.request}?offset={len(self.answer.body)}"
+            path = f"/v1/streams/{self._run_id}?offset={len(self.answer.body)}"
             connection = EndpointConnection(self.address, "GET", path, headers, b"")
         else:
             headers += [("Tamarack-Workspace", self.answer.workspace), *self.call.headers]
