Let shards take turns at the lowest workspaces; add baselines to measure against

Cause: between two exchanges all shards saw the same lowest workspaces and granted to them at once. Change: a shard holds each workspace back by a number of places of one grant's charge, a different number on each shard; orders of service in a registry: fair, fcfs, local.

--- a/packages/core/src/tamarack_core/dispatch_host.py
+++ b/packages/core/src/tamarack_core/dispatch_host.py
@@ -13,9 +13,10 @@
     SHARD_SIZE,
 )
 from tamarack_core.dispatcher import Dispatcher
-from tamarack_core.endpoint_pool import LoadReport
+from tamarack_core.endpoint_pool import EndpointSpec, LoadReport
 from tamarack_core.membership import Membership
 from tamarack_core.protocol import ShardCounters, ShardKey, TermStart
+from tamarack_core.queue_policy import FAIR, LOCAL, slots_of
 from tamarack_core.rendezvous import winner
 
 
@@ -32,10 +33,13 @@
         *,
         shard_size: int = SHARD_SIZE,
         exchange_ms: float = EXCHANGE_INTERVAL_MS,
+        order: str = FAIR,
     ) -> None:
         self._membership = membership
         self._shard_size = shard_size
         self._exchange_ms = exchange_ms
+        self._order = order
+        self._configured_at = 0
         self._config = Configuration()
         self._dispatchers: dict[ShardKey, Dispatcher] = {}
         self._seen: dict[ShardKey, int] = {}
@@ -118,6 +122,10 @@
     def tick(self, now_ms: float) -> list[Send]:
         """Refuse late tickets, exchange counters, drop what is no longer dispatched here."""
         sends: list[Send] = []
+        if self._order == LOCAL and self._configured_at != self._membership.changes:
+            self._configured_at = self._membership.changes
+            for shard in self._dispatchers:
+                self._configure_one(shard, now_ms)
         for dispatcher in self._dispatchers.values():
             sends.extend(dispatcher.tick(now_ms))
         if now_ms >= self._next_exchange_ms:
@@ -144,6 +152,7 @@
             shards=self._config.shard_count(shard.service, self._shard_size),
             exchange_ms=self._exchange_ms,
             registration_ms=REGISTRATION_WINDOW_MS if others else 0.0,
+            order=self._order,
         )
         self._dispatchers[shard] = dispatcher
         self._configure_one(shard, now_ms)
@@ -154,12 +163,25 @@
     def _configure_one(self, shard: ShardKey, now_ms: float) -> None:
         domains = {m.router: m.failure_domain for m in self._membership.members}
         self._dispatchers[shard].configure(
-            self._config.shard_endpoints(shard, self._shard_size),
+            self._endpoints_of(shard),
             self._config.policy(shard.service),
             domains,
             now_ms,
         )
 
+    def _endpoints_of(self, shard: ShardKey) -> list[EndpointSpec]:
+        specs = self._config.shard_endpoints(shard, self._shard_size)
+        if self._order != LOCAL:
+            return specs
+        first = 0
+        own = []
+        for spec in specs:
+            me, usable = self._membership.me.router, self._membership.usable
+            slots = slots_of(me, [*usable, me] if me not in usable else usable, spec.slots, first)
+            first += spec.slots
+            own.append(spec._replace(slots=slots))
+        return own
+
     def _exchange(self) -> list[Send]:
         sends: list[Send] = []
         usable = self._membership.usable
--- a/packages/core/src/tamarack_core/dispatcher.py
+++ b/packages/core/src/tamarack_core/dispatcher.py
@@ -38,6 +38,7 @@
     TicketRefusal,
     Usage,
 )
+from tamarack_core.queue_policy import FAIR, QUEUES
 
 GRANT_IN_FLIGHT_MS = 500
 PROBE_SHARE = 0.05
@@ -99,6 +100,7 @@
         shards: int = 1,
         exchange_ms: float = 1_000.0,
         registration_ms: float = REGISTRATION_WINDOW_MS,
+        order: str = FAIR,
     ) -> None:
         grace_ms = 2 * exchange_ms if shards > 1 else 0.0
         self._shard = shard
@@ -107,8 +109,13 @@
         self._shards = shards
         self._open_ms = now_ms + registration_ms
         self._pool = EndpointPool(seed=term)
-        self._queue = FairQueue(
-            policy.weights, default_weight=policy.default_weight, return_grace_ms=grace_ms
+        self._queue = QUEUES[order](
+            policy.weights,
+            default_weight=policy.default_weight,
+            return_grace_ms=grace_ms,
+            shard=shard.number,
+            shards=shards,
+            unit=policy.default_cost,
         )
         self._estimator = Estimator(policy.default_cost)
         self._running: dict[str, Running] = {}
@@ -401,6 +408,7 @@
         self._granted_ms[waiting.router] = now_ms
         self._note_interval(ticket.workspace, now_ms)
         self._queue.charge(ticket.workspace, charged)
+        self._queue.set_unit(ticket.workspace, charged)
         running = Running(
             ticket.request, waiting.router, ticket.workspace, endpoint, charged, now_ms
         )
--- a/packages/core/src/tamarack_core/fair_queue.py
+++ b/packages/core/src/tamarack_core/fair_queue.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+import xxhash
+
 from tamarack_core.defaults import AGING_MS
 from tamarack_core.protocol import Ticket
 
@@ -44,6 +46,8 @@
         self.exchanged = 0.0
         self.lift = 0.0
         self.factor = 1.0
+        self.unit = 0.0
+        self.place = 0
         self.idle_since_ms = float("-inf")
         self.heap: list[tuple[tuple[float, float, str], str]] = []
         self.waiting: dict[str, Waiting] = {}
@@ -58,6 +62,13 @@
         others = self.remote + since_exchange * (self.factor - 1.0)
         return self.own + others + self.lift
 
+    @property
+    def order(self) -> float:
+        """Place among the workspaces; written out, since every grant asks for it often."""
+        own = self.charged - self.refunded
+        others = self.remote + (own - self.exchanged) * (self.factor - 1.0)
+        return own + others + self.lift + self.unit * self.place
+
 
 class FairQueue:
     """Tickets of one shard, taken in the order of fair shares.
@@ -69,6 +80,11 @@
     return_grace_ms
         How long a workspace may be without tickets before its return lifts its counter to the
         lowest active one. Zero where this queue sees every ticket of the service.
+    shard, shards, unit
+        Which of how many shards this queue is, and what one grant is first thought to cost. Between
+        two exchanges all shards see the same lowest workspaces and would grant to them at once, as
+        many grants as there are shards. So each shard holds a workspace back by some places of one
+        grant's charge, and no two shards by the same number of places: they take turns.
     """
 
     def __init__(
@@ -77,10 +93,16 @@
         *,
         default_weight: float = 1.0,
         return_grace_ms: float = 0.0,
+        shard: int = 0,
+        shards: int = 1,
+        unit: float = 0.0,
     ) -> None:
         self._weights = weights or {}
         self._default_weight = default_weight
         self._return_grace_ms = return_grace_ms
+        self._shard = shard
+        self._shards = shards
+        self._unit = unit
         self._flows: dict[str, _Flow] = {}
         self._heap: list[tuple[float, str]] = []
         self._owners: dict[str, str] = {}
@@ -111,6 +133,10 @@
         for flow in self._flows.values():
             yield from flow.waiting.values()
 
+    def waiting_in(self, workspace: str) -> list[Waiting]:
+        """Waiting tickets of one workspace, in no order."""
+        return list(self._flow(workspace).waiting.values())
+
     def find(self, request: str) -> Waiting | None:
         """The waiting ticket of a request."""
         workspace = self._owners.get(request)
@@ -167,6 +193,11 @@
         if flow.waiting:
             self._enter(workspace, flow)
 
+    def set_unit(self, workspace: str, cost: float) -> None:
+        """Say what one grant of a workspace is thought to cost now."""
+        flow = self._flow(workspace)
+        flow.unit = cost / flow.weight
+
     def raise_to(self, workspace: str, counter: float) -> None:
         """Lift a counter to one that an earlier dispatcher had told."""
         flow = self._flow(workspace)
@@ -193,6 +224,14 @@
         if flow.waiting:
             self._enter(workspace, flow)
 
+    def override(
+        self, workspace: str, *, factor: float | None = None, place: int | None = None
+    ) -> None:
+        """Set the factor or the place of a workspace by hand, to measure without them."""
+        flow = self._flow(workspace)
+        flow.factor = flow.factor if factor is None else max(1.0, factor)
+        flow.place = flow.place if place is None else place
+
     def reweigh(self, weights: dict[str, float], default_weight: float) -> None:
         """Take the weights of another preset; counters stay."""
         self._weights = weights
@@ -211,6 +250,9 @@
         if flow is None:
             weight = self._weights.get(workspace, self._default_weight)
             flow = self._flows[workspace] = _Flow(weight)
+            offset = xxhash.xxh32_intdigest(workspace.encode())
+            flow.place = (self._shard + offset) % self._shards
+            flow.unit = self._unit / weight
         return flow
 
     def _activate(self, workspace: str, flow: _Flow, now_ms: float) -> None:
@@ -221,22 +263,22 @@
         self._enter(workspace, flow)
 
     def _enter(self, workspace: str, flow: _Flow) -> None:
-        heapq.heappush(self._heap, (flow.counter, workspace))
+        heapq.heappush(self._heap, (flow.order, workspace))
         # Each change of a counter leaves a stale entry behind; rebuild before they outgrow.
         if len(self._heap) > 64 + 8 * len(self._flows):
-            live = [(f.counter, name) for name, f in self._flows.items() if f.waiting]
+            live = [(f.order, name) for name, f in self._flows.items() if f.waiting]
             heapq.heapify(live)
             self._heap = live
 
     def _lowest(self) -> str | None:
         while self._heap:
-            counter, workspace = self._heap[0]
+            order, workspace = self._heap[0]
             flow = self._flows.get(workspace)
             if flow is None or not flow.waiting:
                 heapq.heappop(self._heap)
                 continue
-            if counter != flow.counter:
-                heapq.heapreplace(self._heap, (flow.counter, workspace))
+            if order != flow.order:
+                heapq.heapreplace(self._heap, (flow.order, workspace))
                 continue
             heapq.heappop(self._heap)
             return workspace
--- a/packages/core/src/tamarack_core/router_core.py
+++ b/packages/core/src/tamarack_core/router_core.py
@@ -46,6 +46,7 @@
     TermStart,
     Usage,
 )
+from tamarack_core.queue_policy import FAIR, LOCAL
 from tamarack_core.request_table import RequestSpec, RequestTable
 
 Handler = Callable[["RouterCore", str, Any, float], "list[Action]"]
@@ -82,14 +83,17 @@
         shard_size: int = SHARD_SIZE,
         exchange_ms: float = EXCHANGE_INTERVAL_MS,
         seed: int = 0,
+        order: str = FAIR,
     ) -> None:
         self._router = me.router
         self._boot = me.incarnation
         self._membership = Membership(me, seed=seed)
         self._requests = RequestTable(
-            me.router, lambda: self._membership.usable, shard_size=shard_size
+            me.router, self._dispatchers_for(order), shard_size=shard_size
+        )
+        self._host = DispatchHost(
+            self._membership, shard_size=shard_size, exchange_ms=exchange_ms, order=order
         )
-        self._host = DispatchHost(self._membership, shard_size=shard_size, exchange_ms=exchange_ms)
         self._keeper = Keeper(me.router, self._boot, now_ms)
         self._config = Configuration()
         self._boots: dict[str, int] = {}
@@ -216,6 +220,11 @@
         actions.extend(self._requests.tick(now_ms))
         return self._settle(actions, now_ms)
 
+    def _dispatchers_for(self, order: str) -> Callable[[], list[str]]:
+        if order == LOCAL:
+            return lambda: [self._router]
+        return lambda: self._membership.usable
+
     def _settle(self, actions: list[Action], now_ms: float) -> list[Action]:
         """Handle messages to this router itself until none are left."""
         pending = deque(actions)
--- a/packages/router/src/tamarack_router/main.py
+++ b/packages/router/src/tamarack_router/main.py
@@ -122,6 +122,7 @@
             shard_size=settings.shard_size,
             exchange_ms=settings.exchange_ms,
             seed=boot,
+            order=settings.policy,
         )
         self.control = Control(
             clock, core, links, mailbox, self.relay.mailbox, views, lambda: held.free, settings.peer
--- a/packages/router/src/tamarack_router/settings.py
+++ b/packages/router/src/tamarack_router/settings.py
@@ -8,6 +8,8 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from tamarack_core.queue_policy import QUEUES
+
 from tamarack_router.admin_app import ROLES, AdminToken
 
 ENV_PREFIX = "TAMARACK_"
@@ -46,6 +48,7 @@
     answer_lifetime_ms: int
     shard_size: int
     exchange_ms: int
+    policy: str
     switch_interval_us: int
     trace: str
     trace_address: str
@@ -205,6 +208,12 @@
     Setting("answer_lifetime_ms", _integer(0, 86_400_000), "120000", "how long answers are kept"),
     Setting("shard_size", _integer(1, 4_096), "64", "endpoints that one dispatcher serves at most"),
     Setting("exchange_ms", _integer(50, 60_000), "1000", "how often shards exchange counters"),
+    Setting(
+        "policy",
+        _one_of(*sorted(QUEUES)),
+        "fair",
+        "order of service; all but fair are baselines for measurements",
+    ),
     Setting(
         "switch_interval_us", _integer(50, 100_000), "500", "interpreter's thread switch interval"
     ),
--- a/packages/standins/src/tamarack_standins/engine.py
+++ b/packages/standins/src/tamarack_standins/engine.py
@@ -188,6 +188,7 @@
         workspace = request.headers.get("Tamarack-Workspace", "")
         generation = Generation(request_id, workspace, body, "chat" in request.path)
         generation.record = self._log.start(request_id, workspace, request.path)
+        generation.record["prompt_tokens"] = generation.prompt_tokens
         self._generations[request_id] = generation
         self._queue.append(generation)
         self._wake.set()
--- a/packages/standins/src/tamarack_standins/run_log.py
+++ b/packages/standins/src/tamarack_standins/run_log.py
@@ -15,6 +15,7 @@
     started: float
     finished: float
     tokens: int
+    prompt_tokens: int
     state: str
 
 
@@ -38,6 +39,7 @@
             started=time.time() * 1000,
             finished=0.0,
             tokens=0,
+            prompt_tokens=0,
             state="running",
         )
         self._records.append(record)
