--- /dev/null
+++ b/packages/bench/src/tamarack_bench/core_scenarios.py
@@ -0,0 +1,49 @@
+"""Scenarios on the core alone, with a held clock."""
+
+from __future__ import annotations
+
+from tamarack_bench.core_bench import measure_decisions, measure_gap
+from tamarack_bench.member_bench import measure_membership
+from tamarack_bench.scenarios import Options, Reading, scenario
+
+
+@scenario("core-shards", "gap of 16 shards to the gap of one exact dispatcher")
+def core_shards(options: Options) -> Reading:
+    """Measure with turns and counting for others, and without each of them."""
+    exact = measure_gap(1, slots=1024, seed=options.seed).gap_tokens
+    both = measure_gap(16, seed=options.seed).gap_tokens
+    counting = measure_gap(16, take_turns=False, seed=options.seed).gap_tokens
+    neither = measure_gap(
+        16, count_for_others=False, take_turns=False, seed=options.seed
+    ).gap_tokens
+    figures = {
+        "gap_exact_tokens": exact,
+        "gap_sharded_tokens": both,
+        "gap_without_turns_tokens": counting,
+        "gap_without_either_tokens": neither,
+        "ratio_to_exact": both / exact,
+        "ratio_without_either": neither / exact,
+    }
+    return Reading("core-shards", figures)
+
+
+@scenario("core-decisions", "decisions a second of one dispatcher core")
+def core_decisions(options: Options) -> Reading:
+    """Measure at three numbers of workspaces; the best of three runs each."""
+    rates = {
+        size: max(measure_decisions(size, 64).decisions_per_s for _ in range(3))
+        for size in (68, 680, 6_800)
+    }
+    figures = {f"decisions_per_s_{size}_workspaces": rate for size, rate in rates.items()}
+    figures["ratio_6800_to_68"] = rates[6_800] / rates[68]
+    return Reading("core-decisions", figures)
+
+
+@scenario("membership", "bytes of membership per router and second, by fleet size")
+def membership(options: Options) -> Reading:
+    """Count the encoded bytes of quiet fleets."""
+    readings = {size: measure_membership(size, seed=options.seed) for size in (8, 16, 32, 64)}
+    figures = {f"bytes_per_s_{size}_routers": value for size, value in readings.items()}
+    figures["ratio_64_to_8"] = readings[64] / readings[8]
+    series = {"bytes per second": [(float(size), value) for size, value in readings.items()]}
+    return Reading("membership", figures, series)
--- /dev/null
+++ b/packages/bench/src/tamarack_bench/fair_scenarios.py
@@ -0,0 +1,170 @@
+"""Scenarios of fair shares and full capacity, on real routers."""
+
+from __future__ import annotations
+
+import signal
+import time
+
+from tamarack_standins.deployments import DEPLOYMENTS
+
+from tamarack_bench.accounts import Window, served_in
+from tamarack_bench.fleet_run import (
+    Account,
+    backlogged_of,
+    loaded_fleet,
+    mixed_plans,
+    model_slots,
+    now_ms,
+    settle,
+    sleep_window,
+)
+from tamarack_bench.load import CallerPlan, Result
+from tamarack_bench.scenarios import Options, Reading, percentile, scenario
+
+RECOVERY_S = 5.0
+PAUSE_S = 4.0
+FLOOD_CALLERS = 60
+UNEVEN_S = 6.0
+
+
+def _run_policy(options: Options, policy: str) -> tuple[Account, Window]:
+    settings = {"TAMARACK_POLICY": policy}
+    plans = mixed_plans(DEPLOYMENTS[options.deployment], flood=20)
+    with loaded_fleet(options, plans, settings=settings) as loaded:
+        window = sleep_window(options.seconds)
+        return settle(loaded), window
+
+
+@scenario("fairness", "gap and utilisation against the baselines fcfs and local")
+def fairness(options: Options) -> Reading:
+    """Run the same load under each order of service."""
+    figures: dict[str, float] = {}
+    series = {}
+    for policy in ("fair", "fcfs", "local"):
+        account, window = _run_policy(options, policy)
+        gap = account.gap(window)
+        figures[f"gap_{policy}"] = gap.largest
+        figures[f"utilisation_{policy}"] = account.utilisation(window)
+        series[f"gap, {policy}"] = gap.points
+        if policy == "fair":
+            figures["largest_request"] = gap.largest_request
+    figures["gap_to_largest_request"] = figures["gap_fair"] / figures["largest_request"]
+    figures["gap_to_local"] = figures["gap_fair"] / max(1.0, figures["gap_local"])
+    figures["gap_to_fcfs"] = figures["gap_fair"] / max(1.0, figures["gap_fcfs"])
+    return Reading("fairness", figures, series)
+
+
+def _after(account: Account, event_ms: float, length_s: float) -> dict[str, float]:
+    """Figures of the time after a failure, and of the time after recovery from it."""
+    whole = Window(event_ms, event_ms + (RECOVERY_S + length_s) * 1000)
+    later = Window(event_ms + RECOVERY_S * 1000, whole.end_ms)
+    gap = account.gap(later)
+    return {
+        "utilisation": account.utilisation(whole),
+        "idle_ms_per_slot": account.idle_ms(whole),
+        "utilisation_after_recovery": account.utilisation(later),
+        "gap_through": account.gap(whole).largest,
+        "gap_after_recovery": gap.largest,
+        "gap_after_recovery_to_largest_request": gap.largest / max(1.0, gap.largest_request),
+        "unknown": float(sum(1 for r in account.results if r.outcome == "unknown")),
+        "cut_or_mixed": float(sum(1 for r in account.results if r.outcome in ("cut", "mixed"))),
+    }
+
+
+@scenario("kill-dispatcher", "a dispatcher is killed under load")
+def kill_dispatcher(options: Options) -> Reading:
+    """Kill the router that dispatches the model's shard."""
+    with loaded_fleet(options) as loaded:
+        loaded.fleet.processes.signal(loaded.dispatcher(), signal.SIGKILL)
+        event_ms = now_ms()
+        time.sleep(RECOVERY_S + options.seconds)
+        account = settle(loaded)
+    return Reading("kill-dispatcher", _after(account, event_ms, options.seconds))
+
+
+@scenario("pause-dispatcher", "a dispatcher is stopped past its term and resumed")
+def pause_dispatcher(options: Options) -> Reading:
+    """Stop the dispatcher's process for longer than every timeout, then let it go on."""
+    with loaded_fleet(options) as loaded:
+        name = loaded.dispatcher()
+        loaded.fleet.processes.signal(name, signal.SIGSTOP)
+        event_ms = now_ms()
+        time.sleep(PAUSE_S)
+        loaded.fleet.processes.signal(name, signal.SIGCONT)
+        time.sleep(max(0.0, RECOVERY_S + options.seconds - PAUSE_S))
+        account = settle(loaded)
+    return Reading("pause-dispatcher", _after(account, event_ms, options.seconds))
+
+
+def _waits(results: list[Result], workspace: str) -> list[float]:
+    return [
+        r.first_s - r.started_s
+        for r in results
+        if r.workspace == workspace and r.kind == "stream" and r.outcome == "answered"
+    ]
+
+
+@scenario("flood", "a small workspace's wait beside a flooding one, to its wait alone")
+def flood(options: Options) -> Reading:
+    """Measure a small workspace's streams alone, then beside a flood."""
+    deployment = DEPLOYMENTS[options.deployment]
+    small = deployment.workspaces[-1]
+    # Requests run for up to half a second here, so a slot comes free within that.
+    quiet = CallerPlan(small, 2, 0.1, stream_part=1.0)
+    others = [CallerPlan(n, 8) for n in backlogged_of(deployment)[1:]]
+    noisy = [quiet, *others, CallerPlan(deployment.workspaces[0], FLOOD_CALLERS)]
+    steady = [quiet, *others, CallerPlan(deployment.workspaces[0], 8)]
+    figures: dict[str, float] = {}
+    for name, plans in (("alone", [quiet]), ("contended", steady), ("flooded", noisy)):
+        with loaded_fleet(options, plans) as loaded:
+            sleep_window(options.seconds)
+            account = settle(loaded)
+        waits = _waits(account.results, small)
+        figures[f"p50_wait_{name}_ms"] = percentile(waits, 0.5) * 1000
+        figures[f"p95_wait_{name}_ms"] = percentile(waits, 0.95) * 1000
+    figures["p95_ratio_to_alone"] = figures["p95_wait_flooded_ms"] / figures["p95_wait_alone_ms"]
+    figures["p95_ratio_to_contended"] = (
+        figures["p95_wait_flooded_ms"] / figures["p95_wait_contended_ms"]
+    )
+    return Reading("flood", figures)
+
+
+@scenario("uneven", "all large workspaces on one router, to an even spread")
+def uneven(options: Options) -> Reading:
+    """Compare shares and utilisation of the two spreads."""
+    deployment = DEPLOYMENTS[options.deployment]
+    large = backlogged_of(deployment)
+    figures: dict[str, float] = {}
+    shares: dict[str, dict[str, float]] = {}
+    for spread, pinned in (
+        ("even", {name: [index] for index, name in enumerate(large)}),
+        ("uneven", {name: [0] for name in large}),
+    ):
+        with loaded_fleet(options, pinned=pinned) as loaded:
+            window = sleep_window(options.seconds)
+            account = settle(loaded)
+        figures[f"utilisation_{spread}"] = account.utilisation(window)
+        figures[f"gap_{spread}"] = account.gap(window).largest
+        served = served_in(account.runs, window)
+        total = sum(served[name] for name in large)
+        shares[spread] = {name: served[name] / total for name in large}
+    figures["utilisation_ratio"] = figures["utilisation_uneven"] / figures["utilisation_even"]
+    figures["largest_share_change"] = max(
+        abs(shares["uneven"][name] / shares["even"][name] - 1.0) for name in large
+    )
+    return Reading("uneven", figures)
+
+
+@scenario("shards", "several shards of a service, to one")
+def shards(options: Options) -> Reading:
+    """Run the same load with one shard and with shards of three endpoints."""
+    figures: dict[str, float] = {}
+    for name, size in (("one", 64), ("several", 3)):
+        settings = {"TAMARACK_SHARD_SIZE": str(size), "TAMARACK_EXCHANGE_MS": "500"}
+        with loaded_fleet(options, settings=settings) as loaded:
+            window = sleep_window(options.seconds)
+            account = settle(loaded)
+        figures[f"utilisation_{name}"] = account.utilisation(window)
+        figures[f"gap_{name}"] = account.gap(window).largest
+    figures["slots"] = float(model_slots(DEPLOYMENTS[options.deployment]))
+    return Reading("shards", figures)
--- /dev/null
+++ b/packages/bench/src/tamarack_bench/member_bench.py
@@ -0,0 +1,53 @@
+"""Membership of quiet fleets: cores that pass encoded messages, with no network between."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from tamarack_core.actions import Action, Send
+from tamarack_core.protocol import MemberUpdate, decode, encode
+from tamarack_core.router_core import RouterCore
+
+SETTLE_MS = 90_000.0
+MEASURE_MS = 20_000.0
+TICK_MS = 50.0
+
+
+def measure_membership(routers: int, *, seed: int = 1) -> float:
+    """Bytes that one router sends a second when nothing happens, after all have met."""
+    now_ms = 1_000.0
+    cores = {}
+    for number in range(routers):
+        name = f"r{number}"
+        me = MemberUpdate(name, 1_000, 0, f"127.0.0.1:{9000 + number}", f"127.0.0.1:{8000}", "a")
+        cores[name] = RouterCore(me, now_ms, seed=seed * 1_000 + number)
+    by_address = {f"127.0.0.1:{9000 + number}": f"r{number}" for number in range(routers)}
+    sent = 0
+
+    def deliver(sender: str, actions: list[Action]) -> int:
+        count = 0
+        pending = deque((sender, action) for action in actions)
+        while pending:
+            origin, action = pending.popleft()
+            if not isinstance(action, Send):
+                continue
+            data = encode(origin, 1_000, [action.message])
+            count += len(data)
+            target = action.router or by_address[action.address]
+            frame = decode(data)
+            if frame is not None and target in cores:
+                replies = cores[target].receive(frame, now_ms)
+                pending.extend((target, reply) for reply in replies)
+        return count
+
+    for name, core in cores.items():
+        deliver(name, core.join(["127.0.0.1:9000"]))
+    measured_from = now_ms + SETTLE_MS
+    end = measured_from + MEASURE_MS
+    while now_ms < end:
+        now_ms += TICK_MS
+        for name, core in cores.items():
+            count = deliver(name, core.tick(now_ms))
+            if now_ms > measured_from:
+                sent += count
+    return sent / routers / (MEASURE_MS / 1000)
--- a/packages/core/src/tamarack_core/dispatch_host.py
+++ b/packages/core/src/tamarack_core/dispatch_host.py
@@ -143,7 +143,8 @@
 
     def _begin(self, shard: ShardKey, now_ms: float) -> tuple[Dispatcher, list[Send]]:
         term = self._seen[shard] = self._seen[shard] + 1
-        others = self._membership.reachable
+        # Alone, a router neither asks for others' tickets nor takes their shards.
+        others = [] if self._order == LOCAL else self._membership.reachable
         dispatcher = Dispatcher(
             shard,
             term,
--- a/packages/router/src/tamarack_router/metrics_app.py
+++ b/packages/router/src/tamarack_router/metrics_app.py
@@ -35,6 +35,8 @@
         view = self._views.view
         if call.path == "/healthz":
             return json_reply({"status": "ok"})
+        if call.path == "/terms":
+            return json_reply({"router": view.token.router, "terms": view.terms})
         if call.path == "/readyz":
             return self._readiness()
         if call.path == "/metrics":
