Keep the relay alive when one round of events closes a socket that it names again

Cause: after a pause, one selector round held the end of an answer and its caller's close; the second event raised on the closed socket, the relay's thread ended, and the router went on taking requests that it never answered. Ruled out: two dispatchers at once (terms converged), lost grants. Change: an event of a closed follower is passed over; a router whose relay or control task ends stops with exit code 1; a router polls its dispatcher each second even under traffic, and quiet routers that hold few grants are probed too, so that a lost grant frees its slot.

--- a/packages/core/src/tamarack_core/dispatcher.py
+++ b/packages/core/src/tamarack_core/dispatcher.py
@@ -42,6 +42,7 @@
 
 GRANT_IN_FLIGHT_MS = 500
 PROBE_SHARE = 0.05
+FEW_PATIENCE = 5.0
 PREDICT_FROM = 8
 PASS_LIMIT = 8
 RATE_GAIN = 0.1
@@ -353,12 +354,13 @@
         many = max(1.0, self._pool.slots * PROBE_SHARE)
         for router, held in list(self._running_by_router.items()):
             silent_ms = now_ms - self._heard_ms.setdefault(router, now_ms)
-            if held < many or silent_ms < ROUTER_PROBE_MS:
+            patience = 1.0 if held >= many else FEW_PATIENCE
+            if held <= 0 or silent_ms < patience * ROUTER_PROBE_MS:
                 continue
-            if silent_ms >= ROUTER_SILENCE_MS:
+            if silent_ms >= patience * ROUTER_SILENCE_MS:
                 self._counts["router_silent"] += 1
                 self._drop_router(router, now_ms)
-            elif now_ms - self._probed_ms.get(router, float("-inf")) >= ROUTER_PROBE_MS:
+            elif now_ms - self._probed_ms.get(router, float("-inf")) >= ROUTER_PROBE_MS * patience:
                 self._probed_ms[router] = now_ms
                 sends.append(Send(router, Probe(self._shard, self._term)))
         return sends
--- a/packages/core/src/tamarack_core/request_table.py
+++ b/packages/core/src/tamarack_core/request_table.py
@@ -525,7 +525,10 @@
             link.pinned_until_ms = 0.0
             actions.extend(self._retarget(shard, link, now_ms))
         interval = POLL_INTERVAL_MS if link.waiting else IDLE_POLL_MS
-        if now_ms - max(link.heard_ms, link.polled_ms) >= interval:
+        quiet = now_ms - max(link.heard_ms, link.polled_ms) >= interval
+        # Also under steady traffic, or a grant that was lost on its way would hold its slot for
+        # ever: only a poll compares what both sides think is outstanding.
+        if quiet or now_ms - link.polled_ms >= IDLE_POLL_MS:
             link.polled_ms = now_ms
             if link.unanswered_ms is None:
                 link.unanswered_ms = now_ms
--- a/packages/router/src/tamarack_router/follower.py
+++ b/packages/router/src/tamarack_router/follower.py
@@ -67,6 +67,11 @@
         """Whether the caller has closed the connection."""
         return self._gone
 
+    @property
+    def closed(self) -> bool:
+        """Whether the socket was closed here."""
+        return self._sock.fileno() < 0
+
     @property
     def finished(self) -> bool:
         """Whether all was written, or nobody is there to read."""
--- a/packages/router/src/tamarack_router/main.py
+++ b/packages/router/src/tamarack_router/main.py
@@ -208,8 +208,8 @@
         with Router(settings, Clock()) as router:
             gc.freeze()
             while not signals.wait_first(0.2):
-                if router.control.failed:
-                    PartLog("main").error("The control task has ended.")
+                if router.control.failed or router.relay.failed:
+                    PartLog("main").error("A task has ended.")
                     return EXIT_FAILED
             router.drain(signals)
     except OSError as error:
--- a/packages/router/src/tamarack_router/relay.py
+++ b/packages/router/src/tamarack_router/relay.py
@@ -148,6 +148,11 @@
         """Events by name; read by other threads, written by this one."""
         return self._counts
 
+    @property
+    def failed(self) -> bool:
+        """Whether the task has ended though nobody asked it to."""
+        return not self._stopped and not self._thread.is_alive()
+
     @property
     def held(self) -> int:
         """Requests held."""
@@ -380,6 +385,9 @@
         self._followers.setdefault(follower.answer.request, []).append(follower)
 
         def ready(mask: int) -> None:
+            # An event earlier in the same round may have finished and closed this follower.
+            if follower.closed:
+                return
             follower.ready(mask)
             self._after_write(follower)
 
