--- a/packages/bench/src/tamarack_bench/__main__.py
+++ b/packages/bench/src/tamarack_bench/__main__.py
@@ -7,13 +7,19 @@
 import sys
 from pathlib import Path
 
-from tamarack_bench import core_scenarios, fair_scenarios
+from tamarack_bench import (
+    config_scenarios,
+    core_scenarios,
+    fair_scenarios,
+    path_scenarios,
+    soak,
+)
 from tamarack_bench.bounds import check, read_bounds
 from tamarack_bench.report import write_report
 from tamarack_bench.scenarios import SCENARIOS, Options, Reading
 
 BOUNDS = Path("bench/bounds.toml")
-MODULES = (core_scenarios, fair_scenarios)
+MODULES = (core_scenarios, fair_scenarios, path_scenarios, config_scenarios, soak)
 
 
 def main() -> int:
--- a/packages/bench/src/tamarack_bench/accounts.py
+++ b/packages/bench/src/tamarack_bench/accounts.py
@@ -5,11 +5,10 @@
 from collections import Counter
 from typing import NamedTuple
 
+from tamarack_bench.load import Result
 from tamarack_standins.fleet import Fleet
 from tamarack_standins.run_log import RunRecord
 
-from tamarack_bench.load import Result
-
 
 class Window(NamedTuple):
     """A span of time, in milliseconds since the Unix epoch."""
@@ -41,14 +40,8 @@
 
 
 def read_runs(fleet: Fleet, kind: str = "") -> list[RunRecord]:
-    """Runs of all endpoints that answer, of one kind or of both."""
-    runs: list[RunRecord] = []
-    for endpoint in fleet.endpoints:
-        if kind and endpoint["kind"] != kind:
-            continue
-        if fleet.processes.running(endpoint["endpoint"]):
-            runs.extend(fleet.get_json(endpoint["address"], "/standin/log")["runs"])
-    return runs
+    """Runs of all endpoints, of one kind or of both."""
+    return fleet.runs(kind)
 
 
 def served_in(runs: list[RunRecord], window: Window) -> Counter[str]:
@@ -89,21 +82,17 @@
 
 
 def judge(results: list[Result], runs: list[RunRecord]) -> Verdict:
-    """Hold what callers were told against what endpoints ran."""
-    runs_of = Counter(run["request"] for run in runs)
+    """Hold what callers were told against what endpoints ran, by the callers' own markers."""
+    runs_of = Counter(run["marker"] for run in runs if run["marker"])
     outcomes = Counter(result.outcome for result in results)
+    refused = [r for r in results if r.outcome == "not-run"]
     answered = [r for r in results if r.outcome == "answered"]
-    # A caller that was answered has one run; a caller that was refused has none.
-    doubled = sum(1 for count in runs_of.values() if count > 1)
-    finished = sum(1 for run in runs if run["state"] == "finished")
-    # Runs beyond those answered or unknown were refused as not run, or run under two ids.
-    surplus = max(0, finished - len(answered) - outcomes["unknown"])
     return Verdict(
         len(answered),
-        outcomes["not-run"],
+        len(refused),
         outcomes["unknown"],
-        outcomes["cut"],
-        doubled + surplus,
+        outcomes["cut"] + sum(1 for r in answered if not runs_of[r.marker]),
+        sum(count - 1 for count in runs_of.values() if count > 1),
         outcomes["mixed"],
-        0,
+        sum(1 for r in refused if runs_of[r.marker]),
     )
--- a/packages/bench/src/tamarack_bench/demo.py
+++ b/packages/bench/src/tamarack_bench/demo.py
@@ -10,8 +10,6 @@
 
 from rich.console import Console
 from rich.table import Table
-from tamarack_standins.deployments import DEPLOYMENTS, Deployment
-from tamarack_standins.fleet import Fleet
 
 from tamarack_bench.accounts import (
     Window,
@@ -22,6 +20,8 @@
     served_in,
 )
 from tamarack_bench.load import CallerPlan, Load
+from tamarack_standins.deployments import DEPLOYMENTS, Deployment
+from tamarack_standins.fleet import Fleet
 
 PHASE_S = 6.0
 SETTLE_S = 1.5
--- a/packages/bench/src/tamarack_bench/fair_scenarios.py
+++ b/packages/bench/src/tamarack_bench/fair_scenarios.py
@@ -5,8 +5,6 @@
 import signal
 import time
 
-from tamarack_standins.deployments import DEPLOYMENTS
-
 from tamarack_bench.accounts import Window, served_in
 from tamarack_bench.fleet_run import (
     Account,
@@ -20,6 +18,7 @@
 )
 from tamarack_bench.load import CallerPlan, Result
 from tamarack_bench.scenarios import Options, Reading, percentile, scenario
+from tamarack_standins.deployments import DEPLOYMENTS
 
 RECOVERY_S = 5.0
 PAUSE_S = 4.0
--- a/packages/bench/src/tamarack_bench/fleet_run.py
+++ b/packages/bench/src/tamarack_bench/fleet_run.py
@@ -7,14 +7,13 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from tamarack_standins.deployments import DEPLOYMENTS, Deployment
-from tamarack_standins.fleet import Fleet
-from tamarack_standins.run_log import RunRecord
-
 from tamarack_bench.accounts import Window, busy_slots, read_runs
 from tamarack_bench.gaps import Gap, gap_over_time
 from tamarack_bench.load import CallerPlan, Load, Result
 from tamarack_bench.scenarios import Options
+from tamarack_standins.deployments import DEPLOYMENTS, Deployment
+from tamarack_standins.fleet import Fleet
+from tamarack_standins.run_log import RunRecord
 
 SETTLE_S = 2.5
 LARGE = 4
@@ -69,7 +68,7 @@
         """Router that dispatches the model's first shard."""
         service = next(s.name for s in self.deployment.services if s.kind == "model")
         terms = [
-            self.fleet.get_json(router.metrics, "/terms")["terms"].get(f"{service}/0", "")
+            self.fleet.get_json(router.metrics, "/state")["terms"].get(f"{service}/0", "")
             for router in self.fleet.routers.values()
             if self.fleet.processes.running(router.router)
         ]
--- a/packages/bench/src/tamarack_bench/gaps.py
+++ b/packages/bench/src/tamarack_bench/gaps.py
@@ -4,9 +4,8 @@
 
 from typing import NamedTuple
 
-from tamarack_standins.run_log import RunRecord
-
 from tamarack_bench.accounts import Window
+from tamarack_standins.run_log import RunRecord
 
 STEP_MS = 100.0
 PROMPT_WEIGHT = 0.25
--- a/packages/bench/src/tamarack_bench/load.py
+++ b/packages/bench/src/tamarack_bench/load.py
@@ -61,6 +61,7 @@
     ended_s: float
     attempts: int
     tokens: int
+    marker: str
 
 
 class Load:
@@ -146,13 +147,17 @@
         prompt = f"{plan.workspace} asks {chance.randint(0, 20)} " + "please " * chance.randint(
             2, 40
         )
+        marker = f"{plan.workspace}/{id(chance):x}/{number}"
         body = {
+            "user": marker,
             "model": self._model,
             "prompt": prompt,
             "max_tokens": 1000,
             "standin_tokens": tokens,
         }
-        result = Result(plan.workspace, kind, "answered", "", "", started_s, 0.0, 0.0, 1, tokens)
+        result = Result(
+            plan.workspace, kind, "answered", "", "", started_s, 0.0, 0.0, 1, tokens, marker
+        )
         try:
             if kind == "stream":
                 return self._stream(client, body, result)
@@ -173,7 +178,9 @@
     def _whole(self, client: Client, kind: str, body: dict[str, Any], result: Result) -> Result:
         if kind == "plain":
             path = f"/services/{self._plain}/tank-orders"
-            answer = client.call("POST", path, {"n": 1}, deadline_s=self._deadline_s)
+            answer = client.call(
+                "POST", path, {"marker": body["user"]}, deadline_s=self._deadline_s
+            )
             whole = answer.json.get("service", "").startswith(self._plain)
         else:
             answer = client.call("POST", "/v1/completions", body, deadline_s=self._deadline_s)
--- a/packages/ctl/src/tamarack_ctl/main.py
+++ b/packages/ctl/src/tamarack_ctl/main.py
@@ -8,7 +8,6 @@
 import sys
 
 from tamarack_client import AdminClient, AdminError
-
 from tamarack_ctl import changing, reading
 from tamarack_ctl.commands import (
     COMMANDS,
--- a/packages/router/src/tamarack_router/admin_app.py
+++ b/packages/router/src/tamarack_router/admin_app.py
@@ -8,11 +8,11 @@
 from typing import Any, NamedTuple
 
 import msgspec
+
 from tamarack_core.clock import Clock
 from tamarack_core.configuration import ENTRY_TYPES, Change, Configuration, EntryName, EntryPut
 from tamarack_core.errors import ErrorCode, Refusal
 from tamarack_core.membership import STATE_NAMES
-
 from tamarack_router.body_reader import read_body
 from tamarack_router.config_store import ConfigStore
 from tamarack_router.fleet_view import ViewHolder
--- a/packages/router/src/tamarack_router/caller_app.py
+++ b/packages/router/src/tamarack_router/caller_app.py
@@ -9,7 +9,6 @@
 from tamarack_core.addresses import choose_addresses
 from tamarack_core.clock import Clock
 from tamarack_core.errors import ErrorCode, Outcome, Refusal
-
 from tamarack_router.body_reader import read_body
 from tamarack_router.classify import COMPLETIONS, SERVICES, classify
 from tamarack_router.fleet_view import FleetView, ViewHolder
--- a/packages/router/src/tamarack_router/classify.py
+++ b/packages/router/src/tamarack_router/classify.py
@@ -6,11 +6,11 @@
 
 import msgspec
 import xxhash
+
 from tamarack_core.configuration import Configuration, ServiceEntry
 from tamarack_core.errors import ErrorCode, Refusal
 from tamarack_core.key_token import MAX_KEY_BYTES
 from tamarack_core.request_table import RequestSpec
-
 from tamarack_router.http_listener import HttpCall
 from tamarack_router.messages import EndpointCall
 
--- a/packages/router/src/tamarack_router/control.py
+++ b/packages/router/src/tamarack_router/control.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import zmq
+
 from tamarack_core.actions import (
     Action,
     ClaimRow,
@@ -37,7 +38,6 @@
     decode,
 )
 from tamarack_core.router_core import RouterCore
-
 from tamarack_router.fleet_view import FleetView, ViewHolder
 from tamarack_router.load_task import LoadTask
 from tamarack_router.logs import PartLog
@@ -66,6 +66,7 @@
 TICK_MS = 25.0
 VIEW_MS = 100.0
 FRAMES_PER_ROUND = 200
+APPLIED_KEPT = 50
 STORE_DOWN_MS = 3_000.0
 
 Handler = Callable[["Control", Any], None]
@@ -120,6 +121,7 @@
         self._store_answered_ms = clock.now_ms
         self._store_up = False
         self._leaving = False
+        self._applied: dict[int, int] = {}
         self._stopped = False
         self._next_tick_ms = 0.0
         self._next_view_ms = 0.0
@@ -271,6 +273,8 @@
         if config.version != before:
             now_ms = self._clock.now_ms
             self._core.configure(config, now_ms)
+            self._applied[config.version] = self._clock.wall_ms
+            self._applied.pop(min(self._applied) if len(self._applied) > APPLIED_KEPT else -1, None)
             self._publish(now_ms)
             self._log.info("A configuration is in force.", version=config.version)
         if self._follower.ready and not was_ready:
@@ -314,6 +318,7 @@
                 gauges,
                 self._shares(),
                 {f"{s.service}/{s.number}": f"{t}:{n}" for s, (t, n) in self._terms().items()},
+                dict(self._applied),
             )
         )
 
--- a/packages/router/src/tamarack_router/fleet_view.py
+++ b/packages/router/src/tamarack_router/fleet_view.py
@@ -20,6 +20,8 @@
         Present values by name.
     shares
         Readings per shard dispatched here.
+    applied
+        When the newest versions came in force here, in milliseconds since the Unix epoch.
     """
 
     config: Configuration = Configuration()
@@ -33,6 +35,7 @@
     gauges: dict[str, float] = {}
     shares: dict[str, list[dict[str, Any]]] = {}
     terms: dict[str, str] = {}
+    applied: dict[int, int] = {}
 
 
 class ViewHolder:
--- a/packages/router/src/tamarack_router/follower.py
+++ b/packages/router/src/tamarack_router/follower.py
@@ -8,8 +8,8 @@
 import ssl
 
 import h11
-from tamarack_core.errors import Outcome
 
+from tamarack_core.errors import Outcome
 from tamarack_router.http_reply import error_body, json_bytes, refusal_reply
 from tamarack_router.kept_answer import AnswerState, KeptAnswer
 
--- a/packages/router/src/tamarack_router/http_listener.py
+++ b/packages/router/src/tamarack_router/http_listener.py
@@ -11,8 +11,8 @@
 from urllib.parse import parse_qsl
 
 from cheroot.server import Gateway, HTTPConnection, HTTPServer
-from tamarack_core.errors import ErrorCode, Outcome, Refusal
 
+from tamarack_core.errors import ErrorCode, Outcome, Refusal
 from tamarack_router.http_reply import Reply, refusal_reply
 from tamarack_router.logs import PartLog
 
@@ -64,7 +64,6 @@
     """
 
     threads: int
-    max_body_bytes: int
     send_ms: int
 
 
@@ -100,7 +99,8 @@
         )
         self._server.request_queue_size = BACKLOG
         self._server.max_request_header_size = MAX_HEADER_BYTES
-        self._server.max_request_body_size = limits.max_body_bytes
+        # The app bounds bodies itself: the library's own refusal does not say "not run".
+        self._server.max_request_body_size = 0
         self._server.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
         self._server.timeout = IDLE_TIMEOUT_S
         self._server.ConnectionClass = _connection_class(self._reaper)
--- a/packages/router/src/tamarack_router/http_reply.py
+++ b/packages/router/src/tamarack_router/http_reply.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 
 import msgspec
+
 from tamarack_core.errors import Refusal
 
 
--- a/packages/router/src/tamarack_router/load_task.py
+++ b/packages/router/src/tamarack_router/load_task.py
@@ -8,8 +8,8 @@
 from types import TracebackType
 
 import urllib3
-from tamarack_core.endpoint_pool import LoadReport
 
+from tamarack_core.endpoint_pool import LoadReport
 from tamarack_router.mailbox import Mailbox
 from tamarack_router.messages import LoadRead
 
--- a/packages/router/src/tamarack_router/main.py
+++ b/packages/router/src/tamarack_router/main.py
@@ -13,7 +13,6 @@
 from tamarack_core.membership import ALIVE
 from tamarack_core.protocol import MemberUpdate
 from tamarack_core.router_core import RouterCore
-
 from tamarack_router.admin_app import AdminApp
 from tamarack_router.caller_app import CallerApp, CallerLimits
 from tamarack_router.config_store import ConfigStore
@@ -38,7 +37,6 @@
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_SETTINGS = 2
-ADMIN_BODY_BYTES = 2_000_000
 DRAIN_POLL_S = 0.05
 LAST_GOSSIP_S = 0.3
 LOG_EVERY = 100
@@ -162,12 +160,11 @@
 
     def _listen(self, part: str, address: str, app: App, threads: int) -> HttpListener:
         settings = self._settings
-        body_bytes = settings.max_body_bytes if part == "callers" else ADMIN_BODY_BYTES
         listener = HttpListener(
             part,
             address,
             app,
-            ListenerLimits(threads, body_bytes, settings.send_ms),
+            ListenerLimits(threads, settings.send_ms),
             certificate=settings.tls_certificate if part != "metrics" else "",
             private_key=settings.tls_key if part != "metrics" else "",
         )
--- a/packages/router/src/tamarack_router/metrics_app.py
+++ b/packages/router/src/tamarack_router/metrics_app.py
@@ -5,6 +5,7 @@
 import resource
 import time
 from collections.abc import Callable
+from typing import Any
 
 import aioprometheus
 from aioprometheus.formats import text
@@ -35,14 +36,27 @@
         view = self._views.view
         if call.path == "/healthz":
             return json_reply({"status": "ok"})
-        if call.path == "/terms":
-            return json_reply({"router": view.token.router, "terms": view.terms})
+        if call.path == "/state":
+            return json_reply(self._state())
         if call.path == "/readyz":
             return self._readiness()
         if call.path == "/metrics":
             return Reply(200, self._render(), "text/plain; version=0.0.4; charset=utf-8")
         return json_reply({"error": "not found", "router": view.token.router}, 404)
 
+    def _state(self) -> dict[str, Any]:
+        """What tools read: the same as the metrics, as JSON."""
+        view = self._views.view
+        counts = {part: dict(source()) for part, source in self._sources.items()}
+        return {
+            "router": view.token.router,
+            "version": view.config.version,
+            "terms": view.terms,
+            "applied": view.applied,
+            "gauges": view.gauges,
+            "counts": {**counts, "control": view.counts},
+        }
+
     def _readiness(self) -> Reply:
         view = self._views.view
         reasons = []
--- a/packages/router/src/tamarack_router/peer_links.py
+++ b/packages/router/src/tamarack_router/peer_links.py
@@ -7,6 +7,7 @@
 from typing import Any, NamedTuple
 
 import zmq
+
 from tamarack_core.protocol import encode
 
 SEND_LIMIT = 10_000
--- a/packages/router/src/tamarack_router/relay.py
+++ b/packages/router/src/tamarack_router/relay.py
@@ -27,7 +27,6 @@
     AnswerQuery,
 )
 from tamarack_core.request_table import RequestSpec
-
 from tamarack_router.endpoint_connection import EndpointConnection
 from tamarack_router.follower import Follower
 from tamarack_router.kept_answer import AnswerState, AnswerStore, KeptAnswer
--- a/packages/router/src/tamarack_router/remote_answers.py
+++ b/packages/router/src/tamarack_router/remote_answers.py
@@ -6,7 +6,6 @@
 
 from tamarack_core.errors import ErrorCode, Outcome, Refusal
 from tamarack_core.protocol import AnswerPart, AnswerQuery
-
 from tamarack_router.kept_answer import AnswerState, KeptAnswer
 from tamarack_router.mailbox import Mailbox
 from tamarack_router.messages import PeerMessage
--- a/packages/router/src/tamarack_router/run.py
+++ b/packages/router/src/tamarack_router/run.py
@@ -6,8 +6,8 @@
 from typing import Any, NamedTuple
 
 import msgspec
-from tamarack_core.defaults import PROGRESS_STEP
 
+from tamarack_core.defaults import PROGRESS_STEP
 from tamarack_router.endpoint_connection import (
     Body,
     Broke,
--- a/packages/router/src/tamarack_router/settings.py
+++ b/packages/router/src/tamarack_router/settings.py
@@ -9,7 +9,6 @@
 from typing import Any, NamedTuple
 
 from tamarack_core.queue_policy import QUEUES
-
 from tamarack_router.admin_app import ROLES, AdminToken
 
 ENV_PREFIX = "TAMARACK_"
--- a/packages/standins/src/tamarack_standins/engine.py
+++ b/packages/standins/src/tamarack_standins/engine.py
@@ -41,6 +41,7 @@
     checks_fencing: bool
     can_resume: bool
     weights: str
+    run_log: str = ""
 
 
 class Generation:
@@ -79,7 +80,7 @@
     def __init__(self, options: EngineOptions, faults: Faults) -> None:
         self._options = options
         self._faults = faults
-        self._log = RunLog()
+        self._log = RunLog(options.run_log)
         self._cache = PrefixCache(options.cache_tokens, options.load_lag_ms)
         self._generations: dict[str, Generation] = {}
         self._queue: deque[Generation] = deque()
@@ -187,8 +188,9 @@
         request_id = request.headers.get("Tamarack-Request-Id", f"direct~{random.random()}")
         workspace = request.headers.get("Tamarack-Workspace", "")
         generation = Generation(request_id, workspace, body, "chat" in request.path)
-        generation.record = self._log.start(request_id, workspace, request.path)
-        generation.record["prompt_tokens"] = generation.prompt_tokens
+        generation.record = self._log.start(
+            request_id, workspace, request.path, str(body.get("user", "")), generation.prompt_tokens
+        )
         self._generations[request_id] = generation
         self._queue.append(generation)
         self._wake.set()
@@ -367,6 +369,7 @@
     parser.add_argument("--ignores-fencing", action="store_true")
     parser.add_argument("--no-resume", action="store_true")
     parser.add_argument("--weights", default="")
+    parser.add_argument("--run-log", default="")
     args = parser.parse_args()
     options = EngineOptions(
         args.name,
@@ -379,6 +382,7 @@
         not args.ignores_fencing,
         not args.no_resume,
         args.weights,
+        args.run_log,
     )
     asyncio.run(_serve(options, args.listen))
 
--- a/packages/standins/src/tamarack_standins/fleet.py
+++ b/packages/standins/src/tamarack_standins/fleet.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import sys
+import tempfile
 import threading
 import time
 from pathlib import Path
@@ -16,8 +17,8 @@
 from typing import Any, NamedTuple
 
 import urllib3
-from tamarack_client.admin import AdminClient
 
+from tamarack_client.admin import AdminClient
 from tamarack_standins.deployments import (
     ADMIN_TOKEN,
     DEPLOYMENTS,
@@ -26,6 +27,7 @@
     initial_entries,
 )
 from tamarack_standins.processes import Processes, read_line
+from tamarack_standins.run_log import RunRecord, read_log_file
 
 READY_TIMEOUT_S = 30.0
 HOST = "127.0.0.1"
@@ -77,8 +79,10 @@
         self.endpoints: list[dict[str, Any]] = []
         self.keys = {name: f"key-{name}-{secrets.token_hex(8)}" for name in deployment.workspaces}
         self.platform: dict[str, Any] = {}
+        self._run_dir = Path()
 
     def __enter__(self) -> Fleet:
+        self._run_dir = Path(self._stack.enter_context(tempfile.TemporaryDirectory()))
         self._stack.enter_context(self._processes)
         try:
             self._start()
@@ -159,6 +163,25 @@
         self.platform_call("PUT", f"/instances/{name}", entry)
         return router
 
+    def restart_endpoint(self, name: str) -> None:
+        """Start an endpoint that has ended again, at its old address and with an empty memory."""
+        endpoint = next(e for e in self.endpoints if e["endpoint"] == name)
+        arguments = [*endpoint["arguments"], "--listen", endpoint["address"]]
+        child = self._processes.start(
+            name, endpoint["module"], arguments, output=True, log=self._log(name)
+        )
+        read_line(child)
+        endpoint["pid"] = child.pid
+
+    def runs(self, kind: str = "") -> list[RunRecord]:
+        """What the endpoints ran, also those that have crashed since."""
+        records: list[RunRecord] = []
+        for endpoint in self.endpoints:
+            if not kind or endpoint["kind"] == kind:
+                path = self._run_dir / f"{endpoint['endpoint']}.jsonl"
+                records.extend(read_log_file(path) if path.exists() else [])
+        return records
+
     def get_json(self, address: str, path: str) -> Any:
         """Read JSON from one of the fleet's processes."""
         return json.loads(self._http.request("GET", f"http://{address}{path}").data)
@@ -224,9 +247,12 @@
             module = "tamarack_standins.plain_service"
             slots = service.slots
             arguments += ["--work-ms", str(service.step_ms)]
+        arguments += ["--run-log", str(self._run_dir / f"{name}.jsonl")]
         child = self._processes.start(name, module, arguments, output=True, log=self._log(name))
         endpoint = {
             "endpoint": name,
+            "module": module,
+            "arguments": arguments,
             "service": service.name,
             "kind": service.kind,
             "failure_domain": domains[index % len(domains)],
--- a/packages/standins/src/tamarack_standins/plain_service.py
+++ b/packages/standins/src/tamarack_standins/plain_service.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import json
 import time
 from typing import Any
 
@@ -17,11 +18,11 @@
 class PlainService:
     """Answers every path after its work time, and counts orders per request."""
 
-    def __init__(self, name: str, work_ms: float, faults: Faults) -> None:
+    def __init__(self, name: str, work_ms: float, faults: Faults, run_log: str = "") -> None:
         self._name = name
         self._work_ms = work_ms
         self._faults = faults
-        self._log = RunLog()
+        self._log = RunLog(run_log)
         self._in_flight = 0
         self._leaving = False
 
@@ -48,7 +49,8 @@
         body = await request.read()
         request_id = request.headers.get("Tamarack-Request-Id", "")
         workspace = request.headers.get("Tamarack-Workspace", "")
-        record = self._log.start(request_id, workspace, f"{request.method} {request.path}")
+        operation = f"{request.method} {request.path}"
+        record = self._log.start(request_id, workspace, operation, _marker_of(body))
         self._in_flight += 1
         try:
             await asyncio.sleep(self._work_ms / 1000)
@@ -65,14 +67,22 @@
         return web.json_response(answer)
 
 
+def _marker_of(body: bytes) -> str:
+    try:
+        return str(json.loads(body).get("marker", ""))
+    except (ValueError, AttributeError):
+        return ""
+
+
 def main() -> None:
     """Run one plain service."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--listen", default="127.0.0.1:0")
     parser.add_argument("--name", default="service")
     parser.add_argument("--work-ms", type=float, default=20.0)
+    parser.add_argument("--run-log", default="")
     args = parser.parse_args()
-    service = PlainService(args.name, args.work_ms, Faults())
+    service = PlainService(args.name, args.work_ms, Faults(), args.run_log)
     asyncio.run(serve(service.app(), args.listen))
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,7 @@
 from collections import deque
 
 import pytest
+
 from tamarack_core.actions import Action, Send
 from tamarack_core.clock import HeldClock
 from tamarack_core.configuration import Change, Configuration, EntryPut
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+
 from tamarack_core.defaults import AGING_MS
 from tamarack_core.dispatcher import merge_counters
 from tamarack_core.fair_queue import FairQueue, Waiting
