Leave out of the wire what the connection says; keep one live heap entry a workspace

Change: the sender is the connection's identity; ids lose the part that is the sender's or the receiver's own; claims are settled by request id; costs are whole numbers; stale entries are dropped, since each change enters the workspace anew.

--- a/packages/client/src/tamarack_client/client.py
+++ b/packages/client/src/tamarack_client/client.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import json
+import secrets
 import time
-import uuid
 from collections.abc import Iterator
 from types import TracebackType
 from typing import Any, NamedTuple
@@ -250,7 +250,7 @@
 
     def _request_headers(self, remaining_ms: int) -> dict[str, str]:
         if self._key is None:
-            self._key = f"{self._client.book.current().keeper_token}.{uuid.uuid4().hex}"
+            self._key = f"{self._client.book.current().keeper_token}.{secrets.token_hex(8)}"
         headers = {
             **self._headers,
             "Idempotency-Key": self._key,
--- a/packages/core/src/tamarack_core/dispatcher.py
+++ b/packages/core/src/tamarack_core/dispatcher.py
@@ -309,7 +309,9 @@
             grant = self._grant(waiting, endpoint, now_ms)
             grants.setdefault(waiting.router, []).append(grant)
             workspace = waiting.ticket.workspace
-            counters.setdefault(waiting.router, {})[workspace] = self._queue.counter(workspace)
+            counters.setdefault(waiting.router, {})[workspace] = round(
+                self._queue.counter(workspace)
+            )
         for waiting in passed_over:
             self._queue.push(waiting, now_ms)
         return [
@@ -405,7 +407,7 @@
 
     def _grant(self, waiting: Waiting, endpoint: str, now_ms: float) -> Grant:
         ticket = waiting.ticket
-        charged = self._estimator.estimate(ticket.workspace, ticket.hint)
+        charged = float(round(self._estimator.estimate(ticket.workspace, ticket.hint)))
         self._waiting_by_router[waiting.router] -= 1
         self._granted_ms[waiting.router] = now_ms
         self._note_interval(ticket.workspace, now_ms)
@@ -416,7 +418,7 @@
         )
         self._adopt(running, ticket.prefix)
         self._counts["grants"] += 1
-        return Grant(ticket.request, endpoint, charged)
+        return Grant(ticket.request, endpoint, round(charged))
 
     def _note_interval(self, workspace: str, now_ms: float) -> None:
         last_ms, mean_ms = self._intervals.get(workspace, (now_ms, 0.0))
--- a/packages/core/src/tamarack_core/fair_queue.py
+++ b/packages/core/src/tamarack_core/fair_queue.py
@@ -48,6 +48,7 @@
         self.factor = 1.0
         self.unit = 0.0
         self.place = 0
+        self.entered = 0.0
         self.idle_since_ms = float("-inf")
         self.heap: list[tuple[tuple[float, float, str], str]] = []
         self.waiting: dict[str, Waiting] = {}
@@ -263,10 +264,11 @@
         self._enter(workspace, flow)
 
     def _enter(self, workspace: str, flow: _Flow) -> None:
-        heapq.heappush(self._heap, (flow.order, workspace))
+        flow.entered = flow.order
+        heapq.heappush(self._heap, (flow.entered, workspace))
         # Each change of a counter leaves a stale entry behind; rebuild before they outgrow.
         if len(self._heap) > 64 + 8 * len(self._flows):
-            live = [(f.order, name) for name, f in self._flows.items() if f.waiting]
+            live = [(f.entered, name) for name, f in self._flows.items() if f.waiting]
             heapq.heapify(live)
             self._heap = live
 
@@ -277,8 +279,9 @@
             if flow is None or not flow.waiting:
                 heapq.heappop(self._heap)
                 continue
-            if order != flow.order:
-                heapq.heapreplace(self._heap, (flow.order, workspace))
+            if order != flow.entered:
+                # Every change enters the workspace anew; this entry is of before one.
+                heapq.heappop(self._heap)
                 continue
             heapq.heappop(self._heap)
             return workspace
--- a/packages/core/src/tamarack_core/keeper.py
+++ b/packages/core/src/tamarack_core/keeper.py
@@ -68,6 +68,7 @@
         self._memory = memory
         self._epochs_kept = max(1, int(lifetime_ms // EPOCH_MS))
         self._records: dict[tuple[str, str], _Record] = {}
+        self._by_request: dict[str, tuple[str, str]] = {}
         self._by_epoch: deque[tuple[int, set[tuple[str, str]]]] = deque()
         self._held: Counter[str] = Counter()
 
@@ -81,30 +82,25 @@
     def claim(self, claim: Claim, now_ms: float) -> ClaimAnswer:
         """Say whether a key may run, and if not, under which request it runs or ran."""
         state, record = self._decide(claim, now_ms)
-        return ClaimAnswer(
-            claim.key,
-            claim.workspace,
-            claim.request,
-            state,
-            record.request,
-            record.run,
-            record.endpoint,
-        )
+        if state == FRESH:
+            return ClaimAnswer(claim.request, state)
+        return ClaimAnswer(claim.request, state, record.request, record.run, record.endpoint)
 
     def running(self, message: ClaimRunning) -> None:
         """Record where a key runs."""
-        index = (message.workspace, message.key)
-        record = self._records.get(index)
-        if record is not None and record.request == message.request:
+        index = self._by_request.get(message.request)
+        if index is not None:
+            record = self._records[index]
             self._records[index] = record._replace(endpoint=message.endpoint, run=message.request)
 
     def done(self, done: ClaimDone) -> None:
         """Record how a run ended; `released` says that it never began."""
-        index = (done.workspace, done.key)
-        record = self._records.get(index)
-        if record is None or record.request != done.request:
+        index = self._by_request.get(done.request)
+        if index is None:
             return
-        self._records[index] = record._replace(state=done.state)
+        if done.state == RELEASED:
+            del self._by_request[done.request]
+        self._records[index] = self._records[index]._replace(state=done.state)
 
     def router_gone(self, prefix: str) -> None:
         """A router died: its runs may still be read at their endpoints, the rest is unknown."""
@@ -129,19 +125,28 @@
         if record.digest != claim.digest:
             return CONFLICT, nobody
         if record.state == RELEASED or record.request == claim.request:
-            fresh = self._records[index] = _Record(claim.digest, claim.request, RUNNING)
+            fresh = _Record(claim.digest, claim.request, RUNNING)
+            self._hold(index, fresh)
             return FRESH, fresh
         if record.state == ORPHAN:
             # The asker reads the run at its endpoint and holds the answer from now on.
-            self._records[index] = record._replace(request=claim.request, state=RUNNING)
+            self._hold(index, record._replace(request=claim.request, state=RUNNING))
         return record.state, record
 
+    def _hold(self, index: tuple[str, str], record: _Record) -> None:
+        old = self._records.get(index)
+        if old is not None:
+            self._by_request.pop(old.request, None)
+        self._records[index] = record
+        self._by_request[record.request] = index
+
     def _open(self, index: tuple[str, str], claim: Claim, epoch: int) -> tuple[str, _Record]:
         free = self._memory - len(self._records)
         # A flooding workspace may not use up the keys of all others.
         if self._held[claim.workspace] >= max(1, WORKSPACE_FRACTION * free):
             return FULL, _Record("", "", "")
-        record = self._records[index] = _Record(claim.digest, claim.request, RUNNING)
+        record = _Record(claim.digest, claim.request, RUNNING)
+        self._hold(index, record)
         self._held[claim.workspace] += 1
         for kept, indexes in self._by_epoch:
             if kept == epoch:
@@ -160,5 +165,5 @@
         for pair in expired:
             self._by_epoch.remove(pair)
             for index in pair[1]:
-                del self._records[index]
+                self._by_request.pop(self._records.pop(index).request, None)
                 self._held[index[0]] -= 1
--- a/packages/core/src/tamarack_core/protocol.py
+++ b/packages/core/src/tamarack_core/protocol.py
@@ -1,12 +1,15 @@
 """Typed messages between routers, and their encoding.
 
-A frame is msgpack: `[sender, incarnation, [[kind, body], ...]]`. Kinds are numbered by a
-registry that the `message` decorator fills; numbers are never given twice.
+A frame is msgpack: `[[kind, body], ...]`; who sent it is known from the connection. Kinds are
+numbered by a registry that the `message` decorator fills; numbers are never given twice. Request
+ids begin with the name and the start of the router that holds the request. That part is left out
+where it is the sender's or the receiver's own, which a message's `with_ids` makes possible.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from enum import Enum
 from typing import Any, NamedTuple, TypeVar
 
 import msgspec
@@ -30,6 +33,34 @@
     return register
 
 
+ChangeId = Callable[[str], str]
+
+
+class Owner(Enum):
+    """Whose requests a message speaks of."""
+
+    SENDER = 1
+    RECEIVER = 2
+
+
+_OWNERS: dict[type, Owner] = {}
+
+
+def speaks_of(owner: Owner) -> Callable[[T], T]:
+    """Say whose request ids a message with `with_ids` carries."""
+
+    def register(cls: T) -> T:
+        _OWNERS[cls] = owner
+        return cls
+
+    return register
+
+
+def request_prefix(router: str, boot: int) -> str:
+    """Beginning of the ids of all requests that a router holds in one life."""
+    return f"{router}~{boot}~"
+
+
 class ShardKey(NamedTuple):
     """One shard of a service's endpoints."""
 
@@ -138,6 +169,7 @@
     charged: float
 
 
+@speaks_of(Owner.SENDER)
 @message(10)
 class SubmitTickets(NamedTuple):
     """Tickets for a shard's dispatcher."""
@@ -146,7 +178,14 @@
     term: int
     tickets: list[Ticket]
 
+    def with_ids(self, change: ChangeId) -> SubmitTickets:
+        """Return the message with changed request ids."""
+        return self._replace(
+            tickets=[ticket._replace(request=change(ticket.request)) for ticket in self.tickets]
+        )
 
+
+@speaks_of(Owner.SENDER)
 @message(11)
 class CancelTickets(NamedTuple):
     """Requests that no longer wait."""
@@ -154,6 +193,10 @@
     shard: ShardKey
     requests: list[str]
 
+    def with_ids(self, change: ChangeId) -> CancelTickets:
+        """Return the message with changed request ids."""
+        return self._replace(requests=[change(request) for request in self.requests])
+
 
 class Grant(NamedTuple):
     """Permission to run one request at one endpoint."""
@@ -163,6 +206,7 @@
     charged: float
 
 
+@speaks_of(Owner.RECEIVER)
 @message(12)
 class Grants(NamedTuple):
     """Grants of one dispatcher's term, with counters of the workspaces granted."""
@@ -172,6 +216,10 @@
     grants: list[Grant]
     counters: dict[str, float]
 
+    def with_ids(self, change: ChangeId) -> Grants:
+        """Return the message with changed request ids."""
+        return self._replace(grants=[g._replace(request=change(g.request)) for g in self.grants])
+
 
 class TicketRefusal(NamedTuple):
     """A ticket that will not be granted."""
@@ -181,6 +229,7 @@
     retry_after_ms: int
 
 
+@speaks_of(Owner.RECEIVER)
 @message(13)
 class RefuseTickets(NamedTuple):
     """Tickets that a dispatcher gives back ungranted."""
@@ -189,6 +238,12 @@
     term: int
     refusals: list[TicketRefusal]
 
+    def with_ids(self, change: ChangeId) -> RefuseTickets:
+        """Return the message with changed request ids."""
+        return self._replace(
+            refusals=[r._replace(request=change(r.request)) for r in self.refusals]
+        )
+
 
 class Usage(NamedTuple):
     """Cost of one request so far.
@@ -213,6 +268,7 @@
 USAGE_UNREACHABLE = 4
 
 
+@speaks_of(Owner.SENDER)
 @message(14)
 class ReportUsage(NamedTuple):
     """Progress and settlement of grants."""
@@ -220,6 +276,10 @@
     shard: ShardKey
     usages: list[Usage]
 
+    def with_ids(self, change: ChangeId) -> ReportUsage:
+        """Return the message with changed request ids."""
+        return self._replace(usages=[u._replace(request=change(u.request)) for u in self.usages])
+
 
 @message(15)
 class Poll(NamedTuple):
@@ -248,6 +308,7 @@
     term: int
 
 
+@speaks_of(Owner.SENDER)
 @message(17)
 class Register(NamedTuple):
     """All that a router has outstanding at a shard; replaces what was known of it."""
@@ -258,6 +319,13 @@
     running: list[RunningGrant]
     counters: dict[str, float]
 
+    def with_ids(self, change: ChangeId) -> Register:
+        """Return the message with changed request ids."""
+        return self._replace(
+            tickets=[ticket._replace(request=change(ticket.request)) for ticket in self.tickets],
+            running=[r._replace(request=change(r.request)) for r in self.running],
+        )
+
 
 @message(18)
 class TermStart(NamedTuple):
@@ -280,6 +348,7 @@
 # At most once
 
 
+@speaks_of(Owner.SENDER)
 @message(30)
 class Claim(NamedTuple):
     """Ask a keeper whether a key may run."""
@@ -289,7 +358,12 @@
     digest: str
     request: str
 
+    def with_ids(self, change: ChangeId) -> Claim:
+        """Return the message with changed request ids."""
+        return self._replace(request=change(self.request))
+
 
+@speaks_of(Owner.RECEIVER)
 @message(31)
 class ClaimAnswer(NamedTuple):
     """A keeper's answer.
@@ -306,34 +380,42 @@
         Where it runs or ran, empty if that is not known.
     """
 
-    key: str
-    workspace: str
     request: str
     state: str
-    holder: str
+    holder: str = ""
     run: str = ""
     endpoint: str = ""
 
+    def with_ids(self, change: ChangeId) -> ClaimAnswer:
+        """Return the message with a changed id of the claiming request."""
+        return self._replace(request=change(self.request))
 
+
+@speaks_of(Owner.SENDER)
 @message(32)
 class ClaimDone(NamedTuple):
     """The router that ran a key tells the keeper how it ended."""
 
-    key: str
-    workspace: str
     request: str
     state: str
 
+    def with_ids(self, change: ChangeId) -> ClaimDone:
+        """Return the message with changed request ids."""
+        return self._replace(request=change(self.request))
+
 
+@speaks_of(Owner.SENDER)
 @message(35)
 class ClaimRunning(NamedTuple):
     """The router that runs a key tells the keeper where, so that others can find the run."""
 
-    key: str
-    workspace: str
     request: str
     endpoint: str
 
+    def with_ids(self, change: ChangeId) -> ClaimRunning:
+        """Return the message with changed request ids."""
+        return self._replace(request=change(self.request))
+
 
 @message(33)
 class AnswerQuery(NamedTuple):
@@ -398,28 +480,28 @@
     messages: list[Any]
 
 
-_decoder = msgspec.msgpack.Decoder(tuple[str, int, list[tuple[int, msgspec.Raw]]])
+_decoder = msgspec.msgpack.Decoder(list[tuple[int, msgspec.Raw]])
 _encoder = msgspec.msgpack.Encoder()
 _body_decoders: dict[int, msgspec.msgpack.Decoder[Any]] = {}
 
 
-def encode(sender: str, incarnation: int, messages: list[Any]) -> bytes:
+def encode(messages: list[Any]) -> bytes:
     """Write one frame."""
-    bodies = [(_KINDS[type(body)], body) for body in messages]
-    return _encoder.encode((sender, incarnation, bodies))
+    return _encoder.encode([(_KINDS[type(body)], _shorten(body)) for body in messages])
 
 
-def decode(data: bytes) -> Frame | None:
+def decode(data: bytes, sender: str, boot: int, receiver_prefix: str) -> Frame | None:
     """Read one frame; None if it is not one.
 
     Messages of unknown kinds are left out, so that a newer router may speak to an older one.
     """
     try:
-        sender, incarnation, bodies = _decoder.decode(data)
+        bodies = _decoder.decode(data)
         messages = [_decode_body(kind, raw) for kind, raw in bodies if kind in _TYPES]
     except (msgspec.DecodeError, msgspec.ValidationError):
         return None
-    return Frame(sender, incarnation, messages)
+    prefixes = {Owner.SENDER: request_prefix(sender, boot), Owner.RECEIVER: receiver_prefix}
+    return Frame(sender, boot, [_lengthen(message, prefixes) for message in messages])
 
 
 def _decode_body(kind: int, raw: msgspec.Raw) -> Any:
@@ -427,3 +509,17 @@
     if decoder is None:
         decoder = _body_decoders[kind] = msgspec.msgpack.Decoder(_TYPES[kind])
     return decoder.decode(raw)
+
+
+def _shorten(message: Any) -> Any:
+    if type(message) not in _OWNERS:
+        return message
+    return message.with_ids(lambda request: request.rpartition("~")[2])
+
+
+def _lengthen(message: Any, prefixes: dict[Owner, str]) -> Any:
+    owner = _OWNERS.get(type(message))
+    if owner is None:
+        return message
+    prefix = prefixes[owner]
+    return message.with_ids(lambda request: prefix + request)
--- a/packages/core/src/tamarack_core/request_table.py
+++ b/packages/core/src/tamarack_core/request_table.py
@@ -208,22 +208,34 @@
         claim = Claim(spec.key, spec.workspace, spec.digest, spec.request)
         return [Send(token.router, claim)]
 
-    def claim_answer(self, answer: ClaimAnswer, now_ms: float) -> list[Action]:
-        """Go on with a request as its keeper (or the table service) decided."""
+    def claim_answer(self, keeper: str, answer: ClaimAnswer, now_ms: float) -> list[Action]:
+        """Go on with a request as its keeper decided."""
         held = self._held.get(answer.request)
         if held is None or held.state != "claiming":
             # The caller has left; the claim that was opened for it must not bar a retry.
             self._counts["claim_unmatched"] += 1
             if answer.state == FRESH:
-                return self._release_key(answer.key, answer.workspace, answer.request)
+                return [Send(keeper, ClaimDone(answer.request, RELEASED))]
             return []
+        return self._claimed(held, answer, now_ms)
+
+    def row_answer(self, claim: ClaimRow, answer: ClaimAnswer, now_ms: float) -> list[Action]:
+        """Go on with a request as the table service decided."""
+        held = self._held.get(claim.request)
+        if held is None or held.state != "claiming":
+            self._counts["claim_unmatched"] += 1
+            if answer.state == FRESH:
+                return [RowDone(claim.key, claim.workspace, RELEASED)]
+            return []
+        return self._claimed(held, answer, now_ms)
+
+    def _claimed(self, held: _Held, answer: ClaimAnswer, now_ms: float) -> list[Action]:
         if answer.state == FRESH:
             return self._queue(held, now_ms)
         address = self._readable_at(answer, held.spec)
         if answer.state in (RUNNING, DONE):
             del self._held[answer.request]
-            follow = FollowRequest(answer.request, answer.holder, answer.run, address)
-            return [follow]
+            return [FollowRequest(answer.request, answer.holder, answer.run, address)]
         if answer.state == ORPHAN and address:
             held.state = "running"
             return [FollowRequest(answer.request, "", answer.run, address)]
@@ -236,7 +248,7 @@
             return []
         self._counts["cancelled"] += 1
         actions = self._withdraw(held, now_ms)
-        actions.extend(self._release_key(held.spec.key, held.spec.workspace, request))
+        actions.extend(self._tell_keeper(held.spec, RELEASED))
         del self._held[request]
         return actions
 
@@ -246,7 +258,7 @@
         if held is None or held.grant is None or cost <= held.told_cost:
             return []
         held.told_cost = cost * (1.0 + PROGRESS_STEP)
-        return self._report(held, Usage(request, cost, USAGE_RUNNING))
+        return self._report(held, Usage(request, round(cost), USAGE_RUNNING))
 
     def finished(
         self, request: str, cost: float, usage_state: int, key_state: str, now_ms: float
@@ -255,7 +267,7 @@
         held = self._held.pop(request, None)
         if held is None:
             return []
-        actions = self._settle(held, Usage(request, cost, usage_state))
+        actions = self._settle(held, Usage(request, round(cost), usage_state))
         actions.extend(self._tell_keeper(held.spec, key_state))
         return actions
 
@@ -440,23 +452,19 @@
         actions.append(RefuseRequest(held.spec.request, refusal))
         return actions
 
-    def _release_key(self, key: str, workspace: str, request: str) -> list[Action]:
-        spec = RequestSpec(request, workspace, "", key)
-        return self._tell_keeper(spec, RELEASED)
-
     def _tell_keeper(self, spec: RequestSpec, state: str) -> list[Action]:
         if not spec.key:
             return []
         token = parse_key(spec.key)
         if token is None:
             return [RowDone(spec.key, spec.workspace, state)]
-        return [Send(token.router, ClaimDone(spec.key, spec.workspace, spec.request, state))]
+        return [Send(token.router, ClaimDone(spec.request, state))]
 
     def _tell_where(self, spec: RequestSpec, endpoint: str) -> list[Action]:
         token = parse_key(spec.key) if spec.key else None
         if token is None:
             return []
-        message = ClaimRunning(spec.key, spec.workspace, spec.request, endpoint)
+        message = ClaimRunning(spec.request, endpoint)
         return [Send(token.router, message)]
 
     def _link(self, shard: ShardKey) -> _ShardLink:
--- a/packages/core/src/tamarack_core/router_core.py
+++ b/packages/core/src/tamarack_core/router_core.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from tamarack_core.actions import Action, Deliver, Send
+from tamarack_core.actions import Action, ClaimRow, Deliver, Send
 from tamarack_core.configuration import Configuration
 from tamarack_core.defaults import EXCHANGE_INTERVAL_MS, PAUSE_MS, SHARD_SIZE
 from tamarack_core.dispatch_host import DispatchHost
@@ -45,6 +45,7 @@
     SubmitTickets,
     TermStart,
     Usage,
+    request_prefix,
 )
 from tamarack_core.queue_policy import FAIR, LOCAL
 from tamarack_core.request_table import RequestSpec, RequestTable
@@ -171,9 +172,9 @@
         """Take a request."""
         return self._settle(self._requests.submit(spec, now_ms), now_ms)
 
-    def claim_answer(self, answer: ClaimAnswer, now_ms: float) -> list[Action]:
+    def row_answer(self, claim: ClaimRow, answer: ClaimAnswer, now_ms: float) -> list[Action]:
         """Take the table service's answer to a claim."""
-        return self._settle(self._requests.claim_answer(answer, now_ms), now_ms)
+        return self._settle(self._requests.row_answer(claim, answer, now_ms), now_ms)
 
     def cancel(self, request: str, now_ms: float) -> list[Action]:
         """The caller of a waiting request went away."""
@@ -264,7 +265,7 @@
     def _gone(self, router: str, boot: int, now_ms: float) -> None:
         self._counts["router_gone"] += 1
         self._host.router_gone(router, now_ms)
-        self._keeper.router_gone(f"{router}~{boot}~")
+        self._keeper.router_gone(request_prefix(router, boot))
 
     # Membership
 
@@ -361,7 +362,7 @@
 
     @handles(ClaimAnswer)
     def _on_claim_answer(self, sender: str, message: ClaimAnswer, now_ms: float) -> list[Action]:
-        return self._requests.claim_answer(message, now_ms)
+        return self._requests.claim_answer(sender, message, now_ms)
 
     @handles(ClaimRunning)
     def _on_claim_running(self, sender: str, message: ClaimRunning, now_ms: float) -> list[Action]:
--- a/packages/router/src/tamarack_router/caller_app.py
+++ b/packages/router/src/tamarack_router/caller_app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import secrets
 from collections import Counter
 from typing import NamedTuple
 
@@ -21,6 +22,7 @@
 
 BEARER = "bearer "
 REQUESTS = "/v1/requests/"
+FIRST_NUMBER_BELOW = 1 << 24
 RETRY_AFTER_MS = 1_000
 
 
@@ -60,7 +62,9 @@
         self._tracing = tracing
         self._limits = limits
         self._closed = False
-        self._numbers = itertools.count(1)
+        # Ids go over the wire without their router's life; numbers that begin elsewhere in each
+        # life keep a late message of an earlier one from meeting a request of this one.
+        self._numbers = itertools.count(secrets.randbelow(FIRST_NUMBER_BELOW))
         self._counts: Counter[str] = Counter()
 
     @property
@@ -151,6 +155,7 @@
     def _run(self, call: HttpCall, workspace: str, view: FleetView) -> Reply | None:
         call.slow.label(call.sock, workspace)
         body = read_body(call, self._limits.max_body_bytes)
+        call.slow.release(call.sock)
         if isinstance(body, Refusal):
             return self._refuse(body, close=True)
         now_ms = self._clock.now_ms
--- a/packages/router/src/tamarack_router/classify.py
+++ b/packages/router/src/tamarack_router/classify.py
@@ -147,7 +147,7 @@
     deadline_ms = now_ms + min(longest_ms, terms.deadline_ms or longest_ms)
     digest = ""
     if terms.key:
-        digest = xxhash.xxh3_128_hexdigest(f"{call.method} {call.path}\n".encode() + body)
+        digest = xxhash.xxh64_hexdigest(f"{call.method} {call.path}\n".encode() + body)
     return RequestSpec(
         request,
         workspace,
--- a/packages/router/src/tamarack_router/control.py
+++ b/packages/router/src/tamarack_router/control.py
@@ -36,6 +36,7 @@
     ChangesQuery,
     Usage,
     decode,
+    request_prefix,
 )
 from tamarack_core.router_core import RouterCore
 from tamarack_router.fleet_view import FleetView, ViewHolder
@@ -64,7 +65,7 @@
 from tamarack_router.platform_task import PlatformTask
 
 TICK_MS = 25.0
-VIEW_MS = 100.0
+VIEW_MS = 250.0
 FRAMES_PER_ROUND = 200
 APPLIED_KEPT = 50
 STORE_DOWN_MS = 3_000.0
@@ -121,6 +122,7 @@
         self._store_answered_ms = clock.now_ms
         self._store_up = False
         self._leaving = False
+        self._prefix = request_prefix(core.membership.me.router, core.boot)
         self._applied: dict[int, int] = {}
         self._stopped = False
         self._next_tick_ms = 0.0
@@ -175,10 +177,10 @@
 
     def _read_frames(self) -> None:
         for _ in range(FRAMES_PER_ROUND):
-            data = self._links.receive()
-            if data is None:
+            received = self._links.receive()
+            if received is None:
                 return
-            frame = decode(data)
+            frame = decode(received.data, received.sender, received.boot, self._prefix)
             if frame is None:
                 self._counts["frames_malformed"] += 1
                 continue
@@ -406,7 +408,7 @@
 
     @handles(RowClaimed)
     def _on_row_claimed(self, message: RowClaimed) -> None:
-        self._perform(self._core.claim_answer(message.answer, self._clock.now_ms))
+        self._perform(self._core.row_answer(message.claim, message.answer, self._clock.now_ms))
 
     @handles(SeedsRead)
     def _on_seeds(self, message: SeedsRead) -> None:
--- a/packages/router/src/tamarack_router/messages.py
+++ b/packages/router/src/tamarack_router/messages.py
@@ -5,6 +5,7 @@
 import socket
 from typing import Any, NamedTuple
 
+from tamarack_core.actions import ClaimRow
 from tamarack_core.configuration import Configuration
 from tamarack_core.endpoint_pool import LoadReport
 from tamarack_core.errors import Refusal
@@ -145,6 +146,7 @@
 class RowClaimed(NamedTuple):
     """Platform task to control: the answer to a claim by row."""
 
+    claim: ClaimRow
     answer: ClaimAnswer
 
 
--- a/packages/router/src/tamarack_router/peer_links.py
+++ b/packages/router/src/tamarack_router/peer_links.py
@@ -24,6 +24,14 @@
     secret: str
 
 
+class Received(NamedTuple):
+    """A frame and the router whose connection it came by."""
+
+    sender: str
+    boot: int
+    data: bytes
+
+
 class PeerLinks:
     """One bound socket for what comes in, and one connection per peer that is spoken to.
 
@@ -54,6 +62,7 @@
         else:
             self._inbound.bind(f"tcp://{listen}")
         self._address = f"{host}:{port}"
+        self._connections = 0
         self._peers: dict[str, tuple[str, zmq.Socket[bytes]]] = {}
         self._counts: Counter[str] = Counter()
         self._bytes_by_kind: Counter[str] = Counter()
@@ -94,7 +103,7 @@
         """Bytes sent by kind of message."""
         return self._bytes_by_kind
 
-    def receive(self) -> bytes | None:
+    def receive(self) -> Received | None:
         """Take one frame that waits, None if there is none."""
         try:
             parts = self._inbound.recv_multipart(zmq.NOBLOCK)
@@ -102,11 +111,15 @@
             return None
         self._counts["frames_in"] += 1
         self._counts["bytes_in"] += len(parts[-1])
-        return parts[-1]
+        names = parts[0].decode("latin-1").split("~")
+        if len(names) != 3 or not names[1].isdecimal():
+            self._counts["frames_malformed"] += 1
+            return Received("", 0, b"")
+        return Received(names[0], int(names[1]), parts[-1])
 
     def send(self, router: str, address: str, messages: list[Any]) -> None:
         """Send messages as one frame; a peer that takes nothing loses them, counted."""
-        data = encode(self._router, self._boot, messages)
+        data = encode(messages)
         self._counts["messages_out"] += len(messages)
         self._counts["bytes_out"] += len(data)
         self._counts["frames_out"] += 1
@@ -128,6 +141,11 @@
             return known[1]
         self.drop(router)
         sock: zmq.Socket[bytes] = self._context.socket(zmq.DEALER)
+        # The identity goes over once a connection, so that frames need not name their sender.
+        # Each connection has one of its own: two with the same would displace each other.
+        self._connections += 1
+        identity = f"{self._router}~{self._boot}~{self._connections}"
+        sock.setsockopt(zmq.ROUTING_ID, identity.encode())
         sock.setsockopt(zmq.SNDHWM, SEND_LIMIT)
         sock.setsockopt(zmq.LINGER, CLOSE_LINGER_MS)
         sock.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
--- a/packages/router/src/tamarack_router/platform_task.py
+++ b/packages/router/src/tamarack_router/platform_task.py
@@ -142,8 +142,8 @@
             state, holder = (FRESH, claim.request) if fresh else self._held(row_key, claim)
         except PlatformError as error:
             state, holder = self._after_error(error, row_key, claim)
-        answer = ClaimAnswer(claim.key, claim.workspace, claim.request, state, holder)
-        self._control.put(RowClaimed(answer))
+        answer = ClaimAnswer(claim.request, state, holder)
+        self._control.put(RowClaimed(claim, answer))
 
     def _held(self, row_key: str, claim: ClaimRow) -> tuple[str, str]:
         row = self._table.read(KEYS, row_key)
--- a/packages/router/src/tamarack_router/slow_callers.py
+++ b/packages/router/src/tamarack_router/slow_callers.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 CHECK_EVERY_S = 0.05
-SLOW_AFTER_S = 0.1
+SLOW_AFTER_S = 0.3
 
 
 class _Reading(NamedTuple):
@@ -70,6 +70,16 @@
         with self._lock:
             self._reading.pop(id(sock), None)
 
+    def forgive(self, seconds: float) -> None:
+        """Take time off every call's age.
+
+        While the process itself got no processor time no caller could be read; without this a
+        busy machine would end calls that had arrived long ago.
+        """
+        with self._lock:
+            for key, reading in self._reading.items():
+                self._reading[key] = reading._replace(since_s=reading.since_s + seconds)
+
     def overdue(self, now_s: float) -> list[socket.socket]:
         """Calls to end now; they are watched no longer."""
         with self._lock:
@@ -89,8 +99,14 @@
         return late
 
     def _run(self) -> None:
+        checked_s = time.monotonic()
         while not self._stop.wait(CHECK_EVERY_S):
-            for sock in self.overdue(time.monotonic()):
+            now_s = time.monotonic()
+            late_s = now_s - checked_s - CHECK_EVERY_S
+            checked_s = now_s
+            if late_s > CHECK_EVERY_S / 2:
+                self.forgive(late_s)
+            for sock in self.overdue(now_s):
                 try:
                     sock.shutdown(socket.SHUT_RD)
                 except OSError:
