Stop asking for every member at each tick and ticket

Cause: lists and hashes over all members were made per ticket and per tick; at 1,600 members that alone would exceed the budget. Change: the usable members and the ranking of a shard's dispatchers are kept until a member changes; versions are read when something was learned; ticks every 50 ms.

--- a/packages/core/src/tamarack_core/dispatch_host.py
+++ b/packages/core/src/tamarack_core/dispatch_host.py
@@ -131,7 +131,7 @@
         if now_ms >= self._next_exchange_ms:
             self._next_exchange_ms = now_ms + self._exchange_ms
             sends.extend(self._exchange())
-        self._drop_idle(now_ms)
+            self._drop_idle(now_ms)
         return sends
 
     def dispatch(self, now_ms: float) -> list[Send]:
--- a/packages/core/src/tamarack_core/membership.py
+++ b/packages/core/src/tamarack_core/membership.py
@@ -62,6 +62,9 @@
         self._sequence = 0
         self._next_probe_ms = 0.0
         self._changes = 0
+        self._updates = 0
+        self._usable: list[str] = []
+        self._usable_at = -1
 
     @property
     def me(self) -> MemberUpdate:
@@ -78,10 +81,20 @@
         """All members known, the router itself first."""
         return [self._me, *(known.update for known in self._known.values())]
 
+    @property
+    def updates(self) -> int:
+        """Rises whenever anything is learned of a member."""
+        return self._updates
+
     @property
     def usable(self) -> list[str]:
         """Members that may dispatch and take new requests: alive and not leaving."""
-        return [m.router for m in self.members if m.state == ALIVE]
+        # Asked for with each ticket; at 1,600 members a new list each time would cost more than
+        # all else that a ticket costs.
+        if self._usable_at != self._changes:
+            self._usable_at = self._changes
+            self._usable = [m.router for m in self.members if m.state == ALIVE]
+        return self._usable
 
     @property
     def reachable(self) -> list[str]:
@@ -255,6 +268,8 @@
         return Send(target, Ping(self._sequence, target, updates), known.update.peer_address)
 
     def _sample(self, count: int, exclude: str) -> list[str]:
+        if not count:
+            return []
         names = [n for n in self.reachable if n != exclude]
         return self._random.sample(names, min(count, len(names)))
 
@@ -265,6 +280,7 @@
                 self._set(known.update._replace(state=DEAD), now_ms)
             elif state == DEAD and not self._fresh(known, now_ms):
                 del self._known[name]
+                self._changes += 1
                 self._gossip.pop(name, None)
 
     def _take(self, updates: list[MemberUpdate], now_ms: float) -> None:
@@ -294,6 +310,7 @@
             self._set(update, now_ms)
 
     def _set(self, update: MemberUpdate, now_ms: float) -> None:
+        self._updates += 1
         old = self._known.get(update.router)
         heard_ms = old.heard_ms if old else now_ms
         same_state = old is not None and old.update.state == update.state
--- a/packages/core/src/tamarack_core/request_table.py
+++ b/packages/core/src/tamarack_core/request_table.py
@@ -6,8 +6,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from tamarack_core.actions import (
     Action,
@@ -132,11 +131,25 @@
         self.unanswered_ms: float | None = None
         self.pinned_until_ms = 0.0
         self.avoid: dict[str, float] = {}
+        self.ranked: list[str] = []
+        self.ranked_at = -1
         self.waiting: set[str] = set()
         self.running: set[str] = set()
         self.counters: dict[str, float] = {}
 
 
+class Candidates(Protocol):
+    """Names of the members that may dispatch, and a number that rises when they change."""
+
+    @property
+    def usable(self) -> list[str]:
+        """The names."""
+
+    @property
+    def changes(self) -> int:
+        """The number."""
+
+
 class RequestTable:
     """Requests held by one router.
 
@@ -144,15 +157,15 @@
     ----------
     router
         The router's own name.
-    usable
-        Gives the names of the members that may dispatch, the router itself included.
+    candidates
+        The members that may dispatch, the router itself included.
     """
 
     def __init__(
-        self, router: str, usable: Callable[[], list[str]], *, shard_size: int = SHARD_SIZE
+        self, router: str, candidates: Candidates, *, shard_size: int = SHARD_SIZE
     ) -> None:
         self._router = router
-        self._usable = usable
+        self._candidates = candidates
         self._shard_size = shard_size
         self._config = Configuration()
         self._held: dict[str, _Held] = {}
@@ -484,12 +497,16 @@
         return link
 
     def _preferred(self, shard: ShardKey, link: _ShardLink, now_ms: float) -> str:
-        usable = self._usable()
+        usable = self._candidates.usable
         if now_ms < link.pinned_until_ms and link.target in usable:
             return link.target
-        allowed = [name for name in usable if link.avoid.get(name, 0.0) <= now_ms]
-        order = ranked(f"{shard.service}/{shard.number}", allowed or usable or [self._router])
-        return order[0]
+        if link.ranked_at != self._candidates.changes:
+            link.ranked_at = self._candidates.changes
+            link.ranked = ranked(f"{shard.service}/{shard.number}", usable or [self._router])
+        for name in link.ranked:
+            if link.avoid.get(name, 0.0) <= now_ms:
+                return name
+        return link.ranked[0]
 
     def _retarget(self, shard: ShardKey, link: _ShardLink, now_ms: float) -> list[Action]:
         preferred = self._preferred(shard, link, now_ms)
--- a/packages/core/src/tamarack_core/router_core.py
+++ b/packages/core/src/tamarack_core/router_core.py
@@ -8,7 +8,7 @@
 
 from collections import Counter, deque
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 from tamarack_core.actions import Action, ClaimRow, Deliver, Send
 from tamarack_core.configuration import Configuration
@@ -48,7 +48,7 @@
     request_prefix,
 )
 from tamarack_core.queue_policy import FAIR, LOCAL
-from tamarack_core.request_table import RequestSpec, RequestTable
+from tamarack_core.request_table import Candidates, RequestSpec, RequestTable
 
 Handler = Callable[["RouterCore", str, Any, float], "list[Action]"]
 _HANDLERS: dict[type, Handler] = {}
@@ -65,6 +65,13 @@
     return register
 
 
+class _Alone(NamedTuple):
+    """A router that dispatches its own requests only."""
+
+    usable: list[str]
+    changes: int = 0
+
+
 class RouterCore:
     """One router's state and decisions.
 
@@ -89,9 +96,7 @@
         self._router = me.router
         self._boot = me.incarnation
         self._membership = Membership(me, seed=seed)
-        self._requests = RequestTable(
-            me.router, self._dispatchers_for(order), shard_size=shard_size
-        )
+        self._requests = RequestTable(me.router, self._candidates(order), shard_size=shard_size)
         self._host = DispatchHost(
             self._membership, shard_size=shard_size, exchange_ms=exchange_ms, order=order
         )
@@ -221,10 +226,8 @@
         actions.extend(self._requests.tick(now_ms))
         return self._settle(actions, now_ms)
 
-    def _dispatchers_for(self, order: str) -> Callable[[], list[str]]:
-        if order == LOCAL:
-            return lambda: [self._router]
-        return lambda: self._membership.usable
+    def _candidates(self, order: str) -> Candidates:
+        return _Alone([self._router]) if order == LOCAL else self._membership
 
     def _settle(self, actions: list[Action], now_ms: float) -> list[Action]:
         """Handle messages to this router itself until none are left."""
--- a/packages/router/src/tamarack_router/control.py
+++ b/packages/router/src/tamarack_router/control.py
@@ -64,7 +64,7 @@
 from tamarack_router.peer_links import PeerLinks
 from tamarack_router.platform_task import PlatformTask
 
-TICK_MS = 25.0
+TICK_MS = 50.0
 VIEW_MS = 250.0
 FRAMES_PER_ROUND = 200
 APPLIED_KEPT = 50
@@ -122,6 +122,7 @@
         self._store_answered_ms = clock.now_ms
         self._store_up = False
         self._leaving = False
+        self._read_updates = -1
         self._prefix = request_prefix(core.membership.me.router, core.boot)
         self._applied: dict[int, int] = {}
         self._stopped = False
@@ -195,8 +196,10 @@
     def _tick(self, now_ms: float) -> None:
         self._next_tick_ms = now_ms + TICK_MS
         self._perform(self._core.tick(now_ms))
-        for member in self._core.membership.members[1:]:
-            self._follower.peer_version(member.router, member.config_version)
+        if self._core.membership.updates != self._read_updates:
+            self._read_updates = self._core.membership.updates
+            for member in self._core.membership.members[1:]:
+                self._follower.peer_version(member.router, member.config_version)
         self._ask_for_changes(now_ms)
         if now_ms >= self._next_view_ms:
             self._next_view_ms = now_ms + VIEW_MS
--- a/packages/router/src/tamarack_router/metrics_app.py
+++ b/packages/router/src/tamarack_router/metrics_app.py
@@ -13,6 +13,7 @@
 from tamarack_router.fleet_view import ViewHolder
 from tamarack_router.http_listener import HttpCall
 from tamarack_router.http_reply import Reply, json_reply
+from tamarack_router.thread_times import thread_seconds
 
 PREFIX = "tamarack_"
 
@@ -54,6 +55,7 @@
             "terms": view.terms,
             "applied": view.applied,
             "gauges": view.gauges,
+            "thread_seconds": thread_seconds(),
             "counts": {**counts, "control": view.counts},
         }
 
@@ -91,6 +93,11 @@
             "resident_bytes": usage.ru_maxrss * 1024,
             "time_seconds": time.time(),
         }
+        threads = aioprometheus.Gauge(
+            f"{PREFIX}thread_cpu_seconds", "Processor time by thread.", registry=registry
+        )
+        for name, seconds in thread_seconds().items():
+            threads.set({**self._labels, "thread": name}, seconds)
         gauges: dict[str, aioprometheus.Gauge] = {}
         for name, value in values.items():
             base, _, shard = name.partition(":")
