Give orders to engines under a lease with a fencing number

Cause: presets say which models run where, and two routers must never order at once, also towards endpoints that check no number. Change: a lease row taken by whoever sees it unchanged for a lease and the longest order; the holder counts from before its write and asks its lease before each send; a planner that compares the wanted with the observed state, drains, loads and lets in, within max_unavailable; an engine belongs to the service whose model the preset has it load.

--- a/packages/bench/src/tamarack_bench/__main__.py
+++ b/packages/bench/src/tamarack_bench/__main__.py
@@ -11,6 +11,7 @@
     config_scenarios,
     core_scenarios,
     fair_scenarios,
+    order_scenarios,
     path_scenarios,
     soak,
 )
@@ -19,7 +20,7 @@
 from tamarack_bench.scenarios import SCENARIOS, Options, Reading
 
 BOUNDS = Path("bench/bounds.toml")
-MODULES = (core_scenarios, fair_scenarios, path_scenarios, config_scenarios, soak)
+MODULES = (core_scenarios, fair_scenarios, path_scenarios, config_scenarios, order_scenarios, soak)
 
 
 def main() -> int:
--- a/packages/core/src/tamarack_core/config_follower.py
+++ b/packages/core/src/tamarack_core/config_follower.py
@@ -45,6 +45,7 @@
         self._asked_ms = float("-inf")
         self._started_ms: float | None = None
         self._ready = False
+        self._asked_peer = ""
         self._log: dict[int, bytes] = {}
 
     @property
@@ -125,9 +126,10 @@
         if store_up and behind_store and (cold or not ahead):
             return AskStore(self._config.version)
         if ahead:
-            peer = max(ahead, key=lambda name: self._peers[name])
-            del self._peers[peer]
-            return AskPeer(peer, self._config.version)
+            # Another one than last time, for that one may be gone or no longer keep the changes.
+            others = [name for name in ahead if name != self._asked_peer] or ahead
+            self._asked_peer = max(others, key=lambda name: self._peers[name])
+            return AskPeer(self._asked_peer, self._config.version)
         return AskStore(self._config.version) if store_up else None
 
     def _settle(self) -> None:
--- a/packages/core/src/tamarack_core/configuration.py
+++ b/packages/core/src/tamarack_core/configuration.py
@@ -130,6 +130,12 @@
             for name, body in self._entries["workspace"].items()
             for digest in body["key_hashes"]
         }
+        self._models = {
+            body.get("model", name): name
+            for name, body in self._entries["service"].items()
+            if body["kind"] == "model"
+        }
+        loads = self._entries["preset"].get(preset, {}).get("loads", {})
         self._by_service: dict[str, list[EndpointSpec]] = {}
         for name in sorted(self._entries["endpoint"]):
             body = self._entries["endpoint"][name]
@@ -140,12 +146,10 @@
                 body.get("slots", 4),
                 body.get("drained", False),
             )
-            self._by_service.setdefault(body["service"], []).append(spec)
-        self._models = {
-            body.get("model", name): name
-            for name, body in self._entries["service"].items()
-            if body["kind"] == "model"
-        }
+            # An engine belongs to the service whose model the preset in force has it load.
+            service = self._models.get(loads.get(name, ""), body["service"])
+            model = self._entries["service"].get(service, {}).get("model", service)
+            self._by_service.setdefault(service, []).append(spec._replace(model=model))
 
     @property
     def version(self) -> int:
@@ -276,6 +280,10 @@
                 if endpoint not in self._entries["endpoint"]:
                     path = f"preset/{name}/loads/{endpoint}"
                     faults.append(Fault(path, "there is no such endpoint"))
+            for endpoint, model in body.get("loads", {}).items():
+                if model not in self._models:
+                    path = f"preset/{name}/loads/{endpoint}"
+                    faults.append(Fault(path, f"no service has the model {model}"))
         if self._preset and self._preset not in self._entries["preset"]:
             faults.append(Fault("preset", f"there is no preset {self._preset}"))
         return faults
--- a/packages/core/src/tamarack_core/endpoint_pool.py
+++ b/packages/core/src/tamarack_core/endpoint_pool.py
@@ -30,6 +30,7 @@
     failure_domain: str
     slots: int
     drained: bool = False
+    model: str = ""
 
 
 class LoadReport(NamedTuple):
@@ -50,6 +51,7 @@
     step_ms: float = 0.0
     idle_step_ms: float = 0.0
     leaving: bool = False
+    model: str = ""
 
 
 class _Endpoint:
@@ -162,7 +164,9 @@
         own = max(count for _, count in endpoint.history)
         endpoint.foreign = max(0, load.in_flight - own)
         endpoint.reported_ms = now_ms
-        endpoint.leaving = load.leaving
+        # An engine that has not loaded the service's model yet would refuse each request.
+        other_model = bool(load.model and endpoint.spec.model != load.model)
+        endpoint.leaving = load.leaving or other_model
         endpoint.step_ms = load.step_ms
         self._adapt(endpoint, load)
         self._update(endpoint, now_ms)
--- /dev/null
+++ b/packages/core/src/tamarack_core/order_planner.py
@@ -0,0 +1,98 @@
+"""Which orders bring engines to the state that the preset in force wants."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import NamedTuple
+
+from tamarack_core.configuration import Configuration
+
+DEFAULT_MAX_UNAVAILABLE = 1
+
+
+class Observed(NamedTuple):
+    """An engine as it last told of itself; `ok` is false where it did not answer."""
+
+    ok: bool
+    model: str = ""
+    accepting: bool = True
+    loading: bool = False
+    in_flight: int = 0
+
+
+class Order(NamedTuple):
+    """One order. It states a wanted state, so that a repeated one does no harm.
+
+    Attributes
+    ----------
+    accepting
+        Whether the engine is to take new requests.
+    model
+        Model to load; empty to leave it.
+    """
+
+    endpoint: str
+    accepting: bool
+    model: str = ""
+
+
+def wanted_models(config: Configuration) -> dict[str, str]:
+    """Model that each engine is to have loaded in the preset in force."""
+    wanted = {}
+    for service, entry in sorted(config.entries("service").items()):
+        if entry["kind"] != "model":
+            continue
+        for spec in config.endpoints_of(service):
+            wanted[spec.name] = entry.get("model", service)
+    return wanted
+
+
+def plan_orders(config: Configuration, observed: dict[str, Observed]) -> list[Order]:
+    """Orders to send now: drain, then load, then accept, few engines of a service at once.
+
+    Nothing is remembered between calls: the state is read back and compared each time, so a lost
+    answer, a new orderer and a restarted engine all come right.
+    """
+    wanted = wanted_models(config)
+    services = {
+        spec.name: service
+        for service in config.entries("service")
+        for spec in config.endpoints_of(service)
+    }
+    busy = _unavailable(wanted, observed, services)
+    orders = []
+    for endpoint, model in sorted(wanted.items()):
+        state = observed.get(endpoint)
+        if state is None or not state.ok or state.loading:
+            continue
+        if state.model == model:
+            if not state.accepting:
+                orders.append(Order(endpoint, True))
+            continue
+        if state.accepting:
+            # The engine still serves its old service; taking it out counts against that one,
+            # and against the new one, whose loads would otherwise all queue at the weight store.
+            involved = {services[endpoint], config.models.get(state.model, "")}
+            if any(busy[name] >= _limit(config, name) for name in involved if name):
+                continue
+            busy.update(name for name in involved if name)
+            orders.append(Order(endpoint, False))
+        elif state.in_flight == 0:
+            orders.append(Order(endpoint, False, model))
+    return orders
+
+
+def _limit(config: Configuration, service: str) -> int:
+    entry = config.service(service)
+    return entry.get("max_unavailable", DEFAULT_MAX_UNAVAILABLE) if entry else 1
+
+
+def _unavailable(
+    wanted: dict[str, str], observed: dict[str, Observed], services: dict[str, str]
+) -> Counter[str]:
+    busy: Counter[str] = Counter()
+    for endpoint in wanted:
+        state = observed.get(endpoint)
+        if state is None or not state.ok or state.loading or not state.accepting:
+            busy[services[endpoint]] += 1
+    return busy
--- a/packages/router/src/tamarack_router/load_task.py
+++ b/packages/router/src/tamarack_router/load_task.py
@@ -71,6 +71,7 @@
                 float(body.get("step_ms", 0.0)),
                 float(body.get("idle_step_ms", 0.0)),
                 bool(body.get("leaving", False)),
+                str(body.get("model", "")),
             )
         except (urllib3.exceptions.HTTPError, ValueError, AttributeError):
             load = LoadReport(False)
--- a/packages/router/src/tamarack_router/main.py
+++ b/packages/router/src/tamarack_router/main.py
@@ -25,6 +25,7 @@
 from tamarack_router.mailbox import Mailbox
 from tamarack_router.messages import Leave
 from tamarack_router.metrics_app import MetricsApp
+from tamarack_router.order_task import OrderTask
 from tamarack_router.peer_links import CurveKeys, PeerLinks
 from tamarack_router.platform import InstanceList, ObjectStore, TableService
 from tamarack_router.platform_task import PlatformTask
@@ -146,13 +147,19 @@
         stack.enter_context(platform)
         load = stack.enter_context(LoadTask(mailbox, settings.load_poll_ms))
         self.control.serve(platform, load)
+        orders = OrderTask(settings.router, self._clock, views, table, settings.order_interval_ms)
+        stack.enter_context(orders)
         admin = AdminApp(
             settings.router, self._clock, views, store, platform, settings.admin_tokens
         )
         metrics = MetricsApp(
             settings.router,
             views,
-            {"relay": lambda: self.relay.counts, "callers": lambda: self.caller_app.counts},
+            {
+                "relay": lambda: self.relay.counts,
+                "callers": lambda: self.caller_app.counts,
+                "orders": lambda: orders.counts,
+            },
         )
         self._listen("admin", settings.admin_listen, admin, settings.admin_threads)
         self._listen("metrics", settings.metrics_listen, metrics, settings.admin_threads)
--- /dev/null
+++ b/packages/router/src/tamarack_router/order_task.py
@@ -0,0 +1,152 @@
+"""Gives orders to engines while this router holds the orderer's lease."""
+
+from __future__ import annotations
+
+import json
+import threading
+from types import TracebackType
+
+import urllib3
+
+from tamarack_core.clock import Clock
+from tamarack_core.configuration import Configuration
+from tamarack_core.membership import ALIVE
+from tamarack_core.order_lease import LONGEST_ORDER_MS, LeaseRow, OrderLease
+from tamarack_core.order_planner import Observed, Order, plan_orders, wanted_models
+from tamarack_core.rendezvous import winner
+from tamarack_router.fleet_view import ViewHolder
+from tamarack_router.logs import PartLog
+from tamarack_router.platform import Condition, PlatformError, TableService, Write
+
+TABLE = "leases"
+ROW = "orderer"
+CONNECT_TIMEOUT_S = 0.3
+
+
+class OrderTask:
+    """Follows the lease, reads engines back and sends what the planner wants."""
+
+    def __init__(
+        self, router: str, clock: Clock, views: ViewHolder, table: TableService, interval_ms: int
+    ) -> None:
+        self._router = router
+        self._clock = clock
+        self._views = views
+        self._table = table
+        self._interval_s = interval_ms / 1000
+        self._lease = OrderLease(router)
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="orders", daemon=True)
+        self._counts = {"sent": 0, "refused": 0, "failed": 0, "leases": 0, "holds": 0}
+        self._log = PartLog("orders")
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=LONGEST_ORDER_MS / 1000 / 2)
+        self._http = urllib3.PoolManager(num_pools=256, retries=False, timeout=timeout)
+
+    def __enter__(self) -> OrderTask:
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._stop.set()
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Orders by what became of them."""
+        return self._counts
+
+    def _run(self) -> None:
+        while not self._stop.wait(self._interval_s):
+            view = self._views.view
+            usable = [m.router for m in view.members if m.state == ALIVE]
+            chosen = winner("orderer", usable) == self._router
+            if not view.ready or view.leaving or not chosen or not _has_loads(view.config):
+                self._lease.give_up()
+                self._counts["holds"] = 0
+                continue
+            try:
+                self._follow_lease()
+            except PlatformError:
+                self._log.debug("The lease could not be followed.")
+            self._counts["holds"] = int(self._lease.may_send(self._clock.now_ms))
+            if self._counts["holds"]:
+                self._give_orders(view.config)
+
+    def _follow_lease(self) -> None:
+        row = self._table.read(TABLE, ROW)
+        seen = LeaseRow(row.value["holder"], row.value["fence"], row.version) if row else None
+        self._lease.observe(seen, self._clock.now_ms)
+        sent_ms = self._clock.now_ms
+        step = self._lease.next_step(sent_ms)
+        if step is None:
+            return
+        value = {"holder": step.row.holder, "fence": step.row.fence}
+        try:
+            won = self._table.transact(
+                [Condition(TABLE, ROW, step.if_version)], [Write(TABLE, ROW, value)]
+            )
+        except PlatformError:
+            # The write may have taken effect. Holding on as if it had not is safe, since the
+            # lease then only ends early; holding on as if it had would not be.
+            raise
+        if not won:
+            self._lease.give_up()
+            return
+        if step.row.fence != self._lease.fence:
+            self._counts["leases"] += 1
+            self._log.info("The router holds the orderer's lease.", fence=step.row.fence)
+        self._lease.written(step, sent_ms)
+
+    def _give_orders(self, config: Configuration) -> None:
+        observed = {name: self._read(config, name) for name in wanted_models(config)}
+        for order in plan_orders(config, observed):
+            # A pause can come between any two sends; the lease is asked before each.
+            if not self._lease.may_send(self._clock.now_ms):
+                return
+            self._send(config, order)
+
+    def _read(self, config: Configuration, name: str) -> Observed:
+        endpoint = config.endpoint(name)
+        if endpoint is None:
+            return Observed(False)
+        try:
+            response = self._http.request("GET", f"http://{endpoint['address']}/load")
+            body = json.loads(response.data)
+            return Observed(
+                response.status == 200,
+                str(body.get("model", "")),
+                bool(body.get("accepting", True)),
+                bool(body.get("loading", False)),
+                int(body.get("in_flight_now", body.get("in_flight", 0))),
+            )
+        except (urllib3.exceptions.HTTPError, ValueError, AttributeError):
+            return Observed(False)
+
+    def _send(self, config: Configuration, order: Order) -> None:
+        endpoint = config.endpoint(order.endpoint)
+        if endpoint is None:
+            return
+        body: dict[str, object] = {"fence": self._lease.fence, "accepting": order.accepting}
+        if order.model:
+            body["model"] = order.model
+        headers = {"Content-Type": "application/json"}
+        url = f"http://{endpoint['address']}/orders"
+        try:
+            response = self._http.request(
+                "POST", url, body=json.dumps(body).encode(), headers=headers
+            )
+        except urllib3.exceptions.HTTPError:
+            # Whether it took effect shows when the engine is read back.
+            self._counts["failed"] += 1
+            return
+        self._counts["sent" if response.status == 200 else "refused"] += 1
+        self._log.info("An order was sent.", endpoint=order.endpoint, status=response.status)
+
+
+def _has_loads(config: Configuration) -> bool:
+    """Whether any preset says what engines are to load; else there is nothing to order."""
+    return any(preset.get("loads") for preset in config.entries("preset").values())
--- a/packages/router/src/tamarack_router/settings.py
+++ b/packages/router/src/tamarack_router/settings.py
@@ -41,6 +41,7 @@
     address_ttl_ms: int
     config_poll_ms: int
     load_poll_ms: int
+    order_interval_ms: int
     stream_silence_ms: int
     whole_silence_ms: int
     answer_memory_bytes: int
@@ -192,6 +193,9 @@
     Setting("address_ttl_ms", _integer(100, 600_000), "5000", "how long callers keep addresses"),
     Setting("config_poll_ms", _integer(50, 60_000), "1000", "how often the head is read"),
     Setting("load_poll_ms", _integer(50, 60_000), "500", "how often endpoints are asked for load"),
+    Setting(
+        "order_interval_ms", _integer(50, 60_000), "500", "how often the orderer compares engines"
+    ),
     Setting(
         "stream_silence_ms", _integer(50, 600_000), "1500", "silence after which a stream resumes"
     ),
--- a/packages/standins/src/tamarack_standins/engine.py
+++ b/packages/standins/src/tamarack_standins/engine.py
@@ -88,6 +88,7 @@
         self._model = options.model
         self._role = "serve"
         self._leaving = False
+        self._accepting = True
         self._fence = 0
         self._orders: list[dict[str, Any]] = []
         self._loading = False
@@ -180,7 +181,7 @@
     # Routes
 
     async def _on_completion(self, request: web.Request) -> web.StreamResponse:
-        if self._leaving or self._loading:
+        if self._leaving or self._loading or not self._accepting:
             return _not_run("leaving")
         body = await request.json()
         if body.get("model") != self._model:
@@ -223,7 +224,9 @@
             self._reports.popleft()
         report = dict(self._reports[0][1])
         # What follows an order is told at once; only the load lags.
-        report.update(leaving=self._leaving or self._loading, **self._observed())
+        leaving = self._leaving or self._loading or not self._accepting
+        in_flight = len(self._active) + len(self._queue)
+        report.update(leaving=leaving, in_flight_now=in_flight, **self._observed())
         return web.json_response(report)
 
     def _report(self) -> dict[str, Any]:
@@ -237,7 +240,13 @@
         }
 
     def _observed(self) -> dict[str, Any]:
-        return {"model": self._model, "role": self._role, "fence": self._fence}
+        return {
+            "model": self._model,
+            "role": self._role,
+            "fence": self._fence,
+            "accepting": self._accepting,
+            "loading": self._loading,
+        }
 
     async def _on_order(self, request: web.Request) -> web.Response:
         order = await request.json()
@@ -248,6 +257,8 @@
         self._fence = max(fence, self._fence)
         if "leaving" in order:
             self._leaving = bool(order["leaving"])
+        if "accepting" in order:
+            self._accepting = bool(order["accepting"])
         if "role" in order:
             self._role = str(order["role"])
         wanted = order.get("model")
