--- a/packages/router/src/tamarack_router/peer_links.py
+++ b/packages/router/src/tamarack_router/peer_links.py
@@ -158,12 +158,11 @@
 
     def _start_authenticator(self, curve: CurveKeys) -> Any:
         from zmq.auth.thread import ThreadAuthenticator
-        from zmq.utils import z85
 
         authenticator = ThreadAuthenticator(self._context)
         authenticator.start()
         # Only holders of the fleet's own key may join; without a list any key pair could.
-        authenticator.configure_curve_callback("*", _OnlyKey(z85.decode(curve.public)))
+        authenticator.configure_curve_callback("*", _OnlyKey(curve.public.encode()))
         return authenticator
 
     def _secure(self, sock: zmq.Socket[bytes], curve: CurveKeys, *, server: bool) -> None:
@@ -182,5 +181,5 @@
         self._public = public
 
     def callback(self, domain: str, key: bytes) -> bool:
-        """Whether a peer's key is the fleet's."""
+        """Whether a peer's key, in Z85, is the fleet's."""
         return key == self._public
--- a/packages/standins/src/tamarack_standins/fleet.py
+++ b/packages/standins/src/tamarack_standins/fleet.py
@@ -54,6 +54,8 @@
         Further settings of the routers, by environment variable.
     base_port
         First of the ports given out; 0 takes free ones.
+    ca_certs
+        Certificate of the routers' listeners, where the settings have them speak TLS.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         settings: dict[str, str] | None = None,
         log_dir: str = "",
         address_ttl_ms: int = 1_000,
+        ca_certs: str = "",
     ) -> None:
         self._deployment = deployment
         self._count = routers
@@ -72,6 +75,7 @@
         self._settings = settings or {}
         self._log_dir = log_dir
         self._address_ttl_ms = address_ttl_ms
+        self._ca_certs = ca_certs
         self._stack = contextlib.ExitStack()
         self._processes = Processes()
         self._http = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(2.0))
@@ -104,6 +108,11 @@
         """The deployment that is stood in for."""
         return self._deployment
 
+    @property
+    def log_dir(self) -> str:
+        """Folder of the processes' logs, empty if they are not kept."""
+        return self._log_dir
+
     @property
     def processes(self) -> Processes:
         """The fleet's processes."""
@@ -117,7 +126,14 @@
     def admin(self, operator: str = "fleet") -> AdminClient:
         """A client of the administration API."""
         addresses = [router.admin for router in self.routers.values()]
-        return AdminClient(addresses, ADMIN_TOKEN, operator=operator)
+        scheme = "https" if self._ca_certs else "http"
+        return AdminClient(
+            addresses,
+            ADMIN_TOKEN,
+            operator=operator,
+            scheme=scheme,
+            ca_certs=self._ca_certs or None,
+        )
 
     def describe(self) -> dict[str, Any]:
         """The line that tells of a fleet that is ready."""
