Hand on what is derived from the configuration as far as it stays true

Change: a version takes over keys, models, services and shards that the change did not touch. A property test holds them against a fresh build.

--- a/packages/bench/src/tamarack_bench/__main__.py
+++ b/packages/bench/src/tamarack_bench/__main__.py
@@ -13,6 +13,7 @@
     fair_scenarios,
     order_scenarios,
     path_scenarios,
+    slopes,
     soak,
 )
 from tamarack_bench.bounds import check, read_bounds
@@ -20,7 +21,15 @@
 from tamarack_bench.scenarios import SCENARIOS, Options, Reading
 
 BOUNDS = Path("bench/bounds.toml")
-MODULES = (core_scenarios, fair_scenarios, path_scenarios, config_scenarios, order_scenarios, soak)
+MODULES = (
+    core_scenarios,
+    fair_scenarios,
+    path_scenarios,
+    config_scenarios,
+    order_scenarios,
+    soak,
+    slopes,
+)
 
 
 def main() -> int:
--- a/packages/bench/src/tamarack_bench/member_bench.py
+++ b/packages/bench/src/tamarack_bench/member_bench.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections import deque
 
 from tamarack_core.actions import Action, Send
@@ -15,6 +16,15 @@
 
 def measure_membership(routers: int, *, seed: int = 1) -> float:
     """Bytes that one router sends a second when nothing happens, after all have met."""
+    return _run(routers, seed)[0]
+
+
+def measure_member_cpu(routers: int, *, seed: int = 1) -> float:
+    """Processor time of one router for this, in microseconds a second, encoding included."""
+    return _run(routers, seed)[1]
+
+
+def _run(routers: int, seed: int) -> tuple[float, float]:
     now_ms = 1_000.0
     cores = {}
     for number in range(routers):
@@ -23,6 +33,7 @@
         cores[name] = RouterCore(me, now_ms, seed=seed * 1_000 + number)
     by_address = {f"127.0.0.1:{9000 + number}": f"r{number}" for number in range(routers)}
     sent = 0
+    started = 0.0
 
     def deliver(sender: str, actions: list[Action]) -> int:
         count = 0
@@ -50,4 +61,7 @@
             count = deliver(name, core.tick(now_ms))
             if now_ms > measured_from:
                 sent += count
-    return sent / routers / (MEASURE_MS / 1000)
+        if now_ms <= measured_from:
+            started = time.perf_counter()
+    share = routers * MEASURE_MS / 1000
+    return sent / share, (time.perf_counter() - started) * 1e6 / share
--- a/packages/core/src/tamarack_core/configuration.py
+++ b/packages/core/src/tamarack_core/configuration.py
@@ -116,40 +116,37 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
+class _Parts(NamedTuple):
+    """What is derived from entries; handed on to the next version as far as it stays true.
+
+    A change to one entry of 19,000 would otherwise cost 100 ms on every router.
+    """
+
+    keys: dict[str, str]
+    models: dict[str, str]
+    by_service: dict[str, list[EndpointSpec]]
+    queue_limit: int
+
+
+Entries = dict[str, dict[str, Any]]
+
+
 class Configuration:
     """An immutable configuration at one version."""
 
     def __init__(
-        self, version: int = 0, preset: str = "", entries: dict[str, dict[str, Any]] | None = None
+        self,
+        version: int = 0,
+        preset: str = "",
+        entries: Entries | None = None,
+        *,
+        parts: _Parts | None = None,
     ) -> None:
         self._version = version
         self._preset = preset
         self._entries = entries or {kind: {} for kind in ENTRY_TYPES}
-        self._keys = {
-            digest: name
-            for name, body in self._entries["workspace"].items()
-            for digest in body["key_hashes"]
-        }
-        self._models = {
-            body.get("model", name): name
-            for name, body in self._entries["service"].items()
-            if body["kind"] == "model"
-        }
-        loads = self._entries["preset"].get(preset, {}).get("loads", {})
-        self._by_service: dict[str, list[EndpointSpec]] = {}
-        for name in sorted(self._entries["endpoint"]):
-            body = self._entries["endpoint"][name]
-            spec = EndpointSpec(
-                name,
-                body["address"],
-                body["failure_domain"],
-                body.get("slots", 4),
-                body.get("drained", False),
-            )
-            # An engine belongs to the service whose model the preset in force has it load.
-            service = self._models.get(loads.get(name, ""), body["service"])
-            model = self._entries["service"].get(service, {}).get("model", service)
-            self._by_service.setdefault(service, []).append(spec._replace(model=model))
+        self._parts = parts or _derive(self._entries, preset)
+        self._shards: dict[tuple[str, int], list[list[EndpointSpec]]] = {}
 
     @property
     def version(self) -> int:
@@ -164,7 +161,7 @@
     @property
     def models(self) -> dict[str, str]:
         """Service of each model."""
-        return self._models
+        return self._parts.models
 
     def entries(self, kind: str) -> dict[str, Any]:
         """All entries of a kind by name."""
@@ -172,7 +169,7 @@
 
     def workspace_of(self, key: str) -> str | None:
         """Workspace of a bearer key."""
-        return self._keys.get(hash_key(key))
+        return self._parts.keys.get(hash_key(key))
 
     def service(self, name: str) -> ServiceEntry | None:
         """Entry of a service."""
@@ -186,7 +183,7 @@
 
     def endpoints_of(self, service: str) -> list[EndpointSpec]:
         """Endpoints of a service."""
-        return self._by_service.get(service, [])
+        return self._parts.by_service.get(service, [])
 
     def deadline_ms(self, service: str) -> int:
         """Longest time that a request of the service may take."""
@@ -196,12 +193,11 @@
     def policy(self, service: str) -> DispatchPolicy:
         """Weights and limits that a dispatcher of the service follows."""
         preset = self._entries["preset"].get(self._preset, {})
-        limits = [b.get("queue_limit", QUEUE_LIMIT) for b in self._entries["workspace"].values()]
         entry = self.service(service)
         return DispatchPolicy(
             preset.get("weights", {}),
             preset.get("default_weight", 1.0),
-            max(limits, default=QUEUE_LIMIT),
+            self._parts.queue_limit,
             entry.get("default_cost", DEFAULT_COST) if entry else DEFAULT_COST,
         )
 
@@ -211,23 +207,57 @@
 
     def shard_endpoints(self, shard: ShardKey, shard_size: int = SHARD_SIZE) -> list[EndpointSpec]:
         """Endpoints of one shard; few of them move when the number of shards changes."""
-        specs = self.endpoints_of(shard.service)
-        count = self.shard_count(shard.service, shard_size)
+        index = (shard.service, shard_size)
+        if index not in self._shards:
+            self._shards[index] = self._divide(shard.service, shard_size)
+        shards = self._shards[index]
+        return shards[shard.number] if shard.number < len(shards) else []
+
+    def _divide(self, service: str, shard_size: int) -> list[list[EndpointSpec]]:
+        specs = self.endpoints_of(service)
+        count = self.shard_count(service, shard_size)
         if count == 1:
-            return specs
-        names = [str(index) for index in range(count)]
-        return [spec for spec in specs if winner(spec.name, names) == str(shard.number)]
+            return [specs]
+        names = [str(number) for number in range(count)]
+        shards: list[list[EndpointSpec]] = [[] for _ in names]
+        for spec in specs:
+            shards[int(winner(spec.name, names) or 0)].append(spec)
+        return shards
 
     def apply(self, change: Change) -> "Configuration":
         """Return the configuration after the change that follows this version."""
         if change.version != self._version + 1:
             raise ValueError(f"change {change.version} does not follow version {self._version}")
-        entries = {kind: dict(named) for kind, named in self._entries.items()}
+        touched = {entry.kind for entry in _touched(change)}
+        entries = {
+            kind: dict(named) if kind in touched else named for kind, named in self._entries.items()
+        }
         for name in change.deletes:
             entries[name.kind].pop(name.name, None)
         for put in change.puts:
             entries[put.kind][put.name] = put.body
-        return Configuration(change.version, change.preset, entries)
+        parts = self._next_parts(change, entries, touched)
+        after = Configuration(change.version, change.preset, entries, parts=parts)
+        for index, shards in self._shards.items():
+            service = index[0]
+            if after.endpoints_of(service) is self._parts.by_service.get(service):
+                after._shards[index] = shards
+        return after
+
+    def _next_parts(self, change: Change, entries: Entries, touched: set[str]) -> _Parts:
+        old = self._parts
+        loads = self._entries["preset"].get(self._preset, {}).get("loads", {})
+        new_loads = entries["preset"].get(change.preset, {}).get("loads", {})
+        if "service" in touched or loads != new_loads:
+            return _derive(entries, change.preset)
+        keys, queue_limit = old.keys, old.queue_limit
+        if "workspace" in touched:
+            keys = _changed_keys(keys, self._entries, entries, change)
+            queue_limit = _queue_limit(entries)
+        by_service = old.by_service
+        if "endpoint" in touched:
+            by_service = _changed_services(by_service, entries, change, old.models, new_loads)
+        return _Parts(keys, old.models, by_service, queue_limit)
 
     def snapshot(self) -> Snapshot:
         """The whole configuration as one value."""
@@ -281,7 +311,7 @@
                     path = f"preset/{name}/loads/{endpoint}"
                     faults.append(Fault(path, "there is no such endpoint"))
             for endpoint, model in body.get("loads", {}).items():
-                if model not in self._models:
+                if model not in self._parts.models:
                     path = f"preset/{name}/loads/{endpoint}"
                     faults.append(Fault(path, f"no service has the model {model}"))
         if self._preset and self._preset not in self._entries["preset"]:
@@ -289,6 +319,85 @@
         return faults
 
 
+def _touched(change: Change) -> list[EntryName]:
+    return [*change.deletes, *(EntryName(put.kind, put.name) for put in change.puts)]
+
+
+def _derive(entries: Entries, preset: str) -> _Parts:
+    keys = {
+        digest: name for name, body in entries["workspace"].items() for digest in body["key_hashes"]
+    }
+    models = {
+        body.get("model", name): name
+        for name, body in entries["service"].items()
+        if body["kind"] == "model"
+    }
+    loads = entries["preset"].get(preset, {}).get("loads", {})
+    by_service: dict[str, list[EndpointSpec]] = {}
+    for name in sorted(entries["endpoint"]):
+        service, spec = _spec_of(name, entries, models, loads)
+        by_service.setdefault(service, []).append(spec)
+    return _Parts(keys, models, by_service, _queue_limit(entries))
+
+
+def _spec_of(
+    name: str, entries: Entries, models: dict[str, str], loads: dict[str, str]
+) -> tuple[str, EndpointSpec]:
+    body = entries["endpoint"][name]
+    # An engine belongs to the service whose model the preset in force has it load.
+    service = models.get(loads.get(name, ""), body["service"])
+    spec = EndpointSpec(
+        name,
+        body["address"],
+        body["failure_domain"],
+        body.get("slots", 4),
+        body.get("drained", False),
+        entries["service"].get(service, {}).get("model", service),
+    )
+    return service, spec
+
+
+def _queue_limit(entries: Entries) -> int:
+    limits = (body.get("queue_limit", QUEUE_LIMIT) for body in entries["workspace"].values())
+    return max(limits, default=QUEUE_LIMIT)
+
+
+def _changed_keys(
+    keys: dict[str, str], before: Entries, after: Entries, change: Change
+) -> dict[str, str]:
+    changed = dict(keys)
+    names = [entry.name for entry in _touched(change) if entry.kind == "workspace"]
+    for name in names:
+        for digest in before["workspace"].get(name, {}).get("key_hashes", []):
+            changed.pop(digest, None)
+    for name in names:
+        for digest in after["workspace"].get(name, {}).get("key_hashes", []):
+            changed[digest] = name
+    return changed
+
+
+def _changed_services(
+    by_service: dict[str, list[EndpointSpec]],
+    entries: Entries,
+    change: Change,
+    models: dict[str, str],
+    loads: dict[str, str],
+) -> dict[str, list[EndpointSpec]]:
+    names = {entry.name for entry in _touched(change) if entry.kind == "endpoint"}
+    changed = {}
+    for service, specs in by_service.items():
+        kept = [spec for spec in specs if spec.name not in names]
+        changed[service] = specs if len(kept) == len(specs) else kept
+    grown = set()
+    for name in sorted(names & entries["endpoint"].keys()):
+        service, spec = _spec_of(name, entries, models, loads)
+        changed[service] = [*changed.get(service, []), spec]
+        grown.add(service)
+    for service in grown:
+        changed[service].sort(key=lambda spec: spec.name)
+    return changed
+
+
 def _check_entry(put: EntryPut) -> list[Fault]:
     base = f"{put.kind}/{put.name}"
     entry_type = ENTRY_TYPES.get(put.kind)
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,136 @@
+"""Configuration: changes, what is derived from them, versions that only rise."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tamarack_core.config_follower import AskPeer, AskStore, ConfigFollower, encode_change
+from tamarack_core.configuration import Change, Configuration, EntryName, EntryPut
+from tamarack_core.protocol import ShardKey
+
+names = st.sampled_from(["n0", "n1", "n2", "n3"])
+puts = st.one_of(
+    st.builds(
+        lambda name, keys: EntryPut("workspace", name, {"key_hashes": [k * 64 for k in keys]}),
+        names,
+        st.lists(st.sampled_from("ab"), max_size=2, unique=True),
+    ),
+    st.builds(
+        lambda name, model: EntryPut("service", name, {"kind": "model", "model": model}),
+        names,
+        st.sampled_from(["m0", "m1"]),
+    ),
+    st.builds(
+        lambda name, service, slots: EntryPut(
+            "endpoint",
+            name,
+            {"service": service, "address": "a:1", "failure_domain": "d", "slots": slots},
+        ),
+        names,
+        names,
+        st.integers(1, 3),
+    ),
+    st.builds(
+        lambda name, loads: EntryPut("preset", name, {"loads": loads}),
+        names,
+        st.dictionaries(names, st.sampled_from(["m0", "m1"])),
+    ),
+)
+deletes = st.builds(
+    EntryName, st.sampled_from(["workspace", "service", "endpoint", "preset"]), names
+)
+steps = st.tuples(st.lists(puts, max_size=3), st.lists(deletes, max_size=2), names)
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.lists(steps, max_size=12))
+def test_what_is_handed_on_equals_what_is_derived_anew(
+    history: list[tuple[list[EntryPut], list[EntryName], str]],
+) -> None:
+    config = Configuration()
+    for put, delete, preset in history:
+        change = Change(config.version + 1, "c", "t", 0, put, delete, preset)
+        for service in ("n0", "n1", "n2", "n3"):
+            config.shard_endpoints(ShardKey(service, 0), 1)
+        config = config.apply(change)
+        anew = Configuration.restore(config.snapshot())
+        assert config.models == anew.models
+        for service in ("n0", "n1", "n2", "n3"):
+            assert config.endpoints_of(service) == anew.endpoints_of(service)
+            for number in range(4):
+                shard = ShardKey(service, number)
+                assert config.shard_endpoints(shard, 1) == anew.shard_endpoints(shard, 1)
+            assert config.policy(service) == anew.policy(service)
+
+
+def change(version: int) -> bytes:
+    put = EntryPut("workspace", f"w{version}", {"key_hashes": []})
+    return encode_change(Change(version, f"c{version}", "t", 0, [put], [], ""))
+
+
+@given(st.lists(st.lists(st.integers(1, 12), max_size=6), max_size=20))
+def test_a_version_only_ever_rises_whatever_comes_in_whatever_order(
+    batches: list[list[int]],
+) -> None:
+    follower = ConfigFollower()
+    for batch in batches:
+        before = follower.config.version
+        follower.offer([change(number) for number in batch])
+        assert follower.config.version >= before
+        assert len(follower.config.entries("workspace")) == follower.config.version
+
+
+def test_a_cold_router_is_not_ready_from_an_old_snapshot_alone() -> None:
+    # Symptom: an accepted change is out of force on one router after its replacement.
+    # Sequence: the router starts cold, reads a snapshot, and the store goes down.
+    # Cause: a snapshot is old by nature; only the head of the store or of a peer tells how old.
+    source = ConfigFollower()
+    source.offer([change(number) for number in range(1, 6)])
+    cold = ConfigFollower()
+    cold.restore(source.config)
+    assert not cold.ready
+    cold.peer_version("r2", 7)
+    assert not cold.ready
+    assert cold.next_question(0.0, store_up=False) == AskPeer("r2", 5)
+    cold.offer([change(6), change(7)])
+    assert cold.ready
+
+
+def test_a_router_that_is_behind_asks_another_peer_when_one_does_not_answer() -> None:
+    follower = ConfigFollower()
+    follower.offer([change(1)])
+    follower.peer_version("r2", 3)
+    follower.peer_version("r3", 3)
+    first = follower.next_question(0.0, store_up=False)
+    second = follower.next_question(1_000.0, store_up=False)
+    assert isinstance(first, AskPeer) and isinstance(second, AskPeer)
+    assert first.router != second.router
+
+
+def test_a_cold_router_with_a_store_reads_it_first() -> None:
+    follower = ConfigFollower()
+    follower.store_head(4)
+    assert follower.next_question(0.0, store_up=True) == AskStore(0)
+
+
+def test_every_fault_of_a_change_is_found() -> None:
+    faults = Configuration().check(
+        [
+            EntryPut("workspace", "UPPER", {"key_hashes": ["short"], "extra": 1}),
+            EntryPut("service", "s", {"kind": "other", "deadline_ms": -1}),
+            EntryPut("nothing", "x", {}),
+            EntryPut("endpoint", "e", {"service": "s"}),
+        ],
+        [EntryName("preset", "gone")],
+    )
+    assert {fault.path for fault in faults} == {
+        "workspace/UPPER",
+        "workspace/UPPER/extra",
+        "service/s/kind",
+        "service/s/deadline_ms",
+        "nothing/x",
+        "endpoint/e/address",
+        "endpoint/e/failure_domain",
+        "preset/gone",
+    }
