--- a/packages/router/src/tamarack_router/admin_app.py
+++ b/packages/router/src/tamarack_router/admin_app.py
@@ -18,6 +18,7 @@
 from tamarack_router.fleet_view import ViewHolder
 from tamarack_router.http_listener import HttpCall
 from tamarack_router.http_reply import Reply, json_reply, refusal_reply
+from tamarack_router.openapi import document
 from tamarack_router.platform import PlatformError
 from tamarack_router.platform_task import PlatformTask
 
@@ -97,6 +98,8 @@
         match (call.method, parts):
             case ("GET", ["status"]):
                 return json_reply(self._status())
+            case ("GET", ["openapi.json"]):
+                return json_reply(document())
             case ("GET", ["shares"]):
                 view = self._views.view
                 return json_reply({"router": self._router, "shares": view.shares})
--- /dev/null
+++ b/tests/test_documents.py
@@ -0,0 +1,23 @@
+"""Documents that are made from the code stay true to it."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+from tamarack_router.openapi import OPERATIONS, document
+from tamarack_router.reference import reference
+
+ROOT = Path(__file__).parent.parent
+
+
+def test_the_openapi_document(snapshot: Any) -> None:
+    assert document() == snapshot
+
+
+def test_every_operation_states_its_role() -> None:
+    assert {operation.role for operation in OPERATIONS} == {"read", "operate", "configure"}
+
+
+def test_the_reference_page_is_what_the_code_says() -> None:
+    assert (ROOT / "docs" / "reference.md").read_text() == reference()
