--- a/packages/bench/src/tamarack_bench/accounts.py
+++ b/packages/bench/src/tamarack_bench/accounts.py
@@ -81,6 +81,13 @@
     return busy
 
 
+def doubled_runs(runs: list[RunRecord]) -> list[RunRecord]:
+    """Runs whose marker stands in the logs more than once, to find the cause."""
+    runs_of = Counter(run["marker"] for run in runs if run["marker"])
+    doubled = [run for run in runs if runs_of[run["marker"]] > 1]
+    return sorted(doubled, key=lambda run: (run["marker"], run["started"]))
+
+
 def judge(results: list[Result], runs: list[RunRecord]) -> Verdict:
     """Hold what callers were told against what endpoints ran, by the callers' own markers."""
     runs_of = Counter(run["marker"] for run in runs if run["marker"])
--- a/packages/bench/src/tamarack_bench/soak.py
+++ b/packages/bench/src/tamarack_bench/soak.py
@@ -9,7 +9,7 @@
 from collections import Counter
 from collections.abc import Callable
 
-from tamarack_bench.accounts import judge
+from tamarack_bench.accounts import doubled_runs, judge
 from tamarack_bench.fleet_run import LoadedFleet, loaded_fleet, settle
 from tamarack_bench.load import CallerPlan
 from tamarack_bench.scenarios import Options, Reading, scenario
@@ -175,6 +175,8 @@
         time.sleep(SETTLE_S)
         account = settle(loaded)
     verdict = judge(account.results, account.all_runs)
+    for run in doubled_runs(account.all_runs):
+        print(f"doubled: {run}", flush=True)
     for line in failed:
         print(f"fault not carried out: {line}", flush=True)
     total = len(account.results)
--- a/packages/core/src/tamarack_core/configuration.py
+++ b/packages/core/src/tamarack_core/configuration.py
@@ -11,7 +11,7 @@
 from tamarack_core.dispatcher import DispatchPolicy
 from tamarack_core.endpoint_pool import EndpointSpec
 from tamarack_core.protocol import ShardKey
-from tamarack_core.rendezvous import winner
+from tamarack_core.rendezvous import ranked
 
 MAX_NAME = 64
 MAX_BATCH = 500
@@ -220,8 +220,12 @@
             return [specs]
         names = [str(number) for number in range(count)]
         shards: list[list[EndpointSpec]] = [[] for _ in names]
+        # An even size for every shard: a small one would have few slots for as many tickets.
+        most = math.ceil(len(specs) / count)
         for spec in specs:
-            shards[int(winner(spec.name, names) or 0)].append(spec)
+            order = ranked(spec.name, names)
+            number = next(int(name) for name in order if len(shards[int(name)]) < most)
+            shards[number].append(spec)
         return shards
 
     def apply(self, change: Change) -> "Configuration":
--- a/packages/core/src/tamarack_core/dispatch_host.py
+++ b/packages/core/src/tamarack_core/dispatch_host.py
@@ -39,6 +39,7 @@
         self._shard_size = shard_size
         self._exchange_ms = exchange_ms
         self._order = order
+        self._leaving: frozenset[str] = frozenset()
         self._configured_at = 0
         self._config = Configuration()
         self._dispatchers: dict[ShardKey, Dispatcher] = {}
@@ -113,6 +114,12 @@
             if dispatcher.pool.knows(endpoint):
                 dispatcher.report(endpoint, load, now_ms)
 
+    def set_leaving(self, names: frozenset[str], now_ms: float) -> None:
+        """Take the platform's list of leaving endpoints."""
+        self._leaving = names
+        for dispatcher in self._dispatchers.values():
+            dispatcher.pool.set_leaving(names, now_ms)
+
     def merge(self, message: ShardCounters) -> None:
         """Take in another shard's counters."""
         for shard, dispatcher in self._dispatchers.items():
@@ -155,6 +162,7 @@
             registration_ms=REGISTRATION_WINDOW_MS if others else 0.0,
             order=self._order,
         )
+        dispatcher.pool.set_leaving(self._leaving, now_ms)
         self._dispatchers[shard] = dispatcher
         self._configure_one(shard, now_ms)
         self._counts["terms"] += 1
--- a/packages/core/src/tamarack_core/endpoint_pool.py
+++ b/packages/core/src/tamarack_core/endpoint_pool.py
@@ -64,6 +64,7 @@
         self.foreign = 0
         self.step_ms = 0.0
         self.leaving = False
+        self.listed_leaving = False
         self.failures = 0
         self.closed_until_ms = 0.0
         self.reported_ms = float("-inf")
@@ -76,7 +77,12 @@
             self.history.popleft()
 
     def free(self, now_ms: float) -> int:
-        if self.spec.drained or self.leaving or now_ms < self.closed_until_ms:
+        if (
+            self.spec.drained
+            or self.leaving
+            or self.listed_leaving
+            or now_ms < self.closed_until_ms
+        ):
             return 0
         foreign = self.foreign if now_ms - self.reported_ms < LOAD_STALE_MS else 0
         # One request probes an endpoint that has failed until it has finished one.
@@ -97,6 +103,7 @@
         self._endpoints: dict[str, _Endpoint] = {}
         self._random = random.Random(seed)
         self._free: dict[str, _Endpoint] = {}
+        self._leaving: frozenset[str] = frozenset()
 
     def __len__(self) -> int:
         return len(self._endpoints)
@@ -129,6 +136,7 @@
             endpoint = self._endpoints.get(spec.name)
             if endpoint is None:
                 endpoint = _Endpoint(spec)
+                endpoint.listed_leaving = spec.name in self._leaving
             elif endpoint.spec != spec:
                 endpoint.limit = min(endpoint.limit, spec.slots)
                 if spec.slots > endpoint.spec.slots:
@@ -138,6 +146,14 @@
         self._endpoints = kept
         self.refresh(now_ms)
 
+    def set_leaving(self, names: frozenset[str], now_ms: float) -> None:
+        """Take the platform's word on which endpoints are leaving; they get no new work."""
+        if names != self._leaving:
+            self._leaving = names
+            for endpoint in self._endpoints.values():
+                endpoint.listed_leaving = endpoint.spec.name in names
+            self.refresh(now_ms)
+
     def refresh(self, now_ms: float) -> None:
         """Find the free endpoints anew, since time alone can free some."""
         self._free = {n: e for n, e in self._endpoints.items() if e.free(now_ms) > 0}
--- a/packages/router/src/tamarack_router/control.py
+++ b/packages/router/src/tamarack_router/control.py
@@ -48,6 +48,7 @@
     ChangesRead,
     EndRequest,
     HeadRead,
+    InstancesRead,
     Leave,
     LoadRead,
     PeerAnswer,
@@ -57,7 +58,6 @@
     RunFailed,
     RunFinished,
     RunProgress,
-    SeedsRead,
     Stop,
     SubmitRequest,
 )
@@ -413,8 +413,9 @@
     def _on_row_claimed(self, message: RowClaimed) -> None:
         self._perform(self._core.row_answer(message.claim, message.answer, self._clock.now_ms))
 
-    @handles(SeedsRead)
-    def _on_seeds(self, message: SeedsRead) -> None:
+    @handles(InstancesRead)
+    def _on_instances(self, message: InstancesRead) -> None:
+        self._core.host.set_leaving(message.leaving, self._clock.now_ms)
         self._perform(self._core.join([*self._seeds, *message.addresses]))
 
     @handles(PeerMessage)
--- a/packages/router/src/tamarack_router/messages.py
+++ b/packages/router/src/tamarack_router/messages.py
@@ -150,10 +150,11 @@
     answer: ClaimAnswer
 
 
-class SeedsRead(NamedTuple):
-    """Platform task to control: peer addresses of routers in the instance list."""
+class InstancesRead(NamedTuple):
+    """Platform task to control: routers' peer addresses, and names of leaving endpoints."""
 
     addresses: list[str]
+    leaving: frozenset[str]
 
 
 class ConfigChanged(NamedTuple):
--- a/packages/router/src/tamarack_router/platform_task.py
+++ b/packages/router/src/tamarack_router/platform_task.py
@@ -13,7 +13,7 @@
 from tamarack_router.config_store import SNAPSHOT_EVERY, ConfigStore
 from tamarack_router.logs import PartLog
 from tamarack_router.mailbox import Mailbox
-from tamarack_router.messages import ChangesRead, HeadRead, RowClaimed, SeedsRead
+from tamarack_router.messages import ChangesRead, HeadRead, InstancesRead, RowClaimed
 from tamarack_router.platform import (
     Condition,
     InstanceList,
@@ -23,7 +23,7 @@
 )
 
 KEYS = "keys"
-INSTANCE_INTERVAL_S = 2.0
+INSTANCE_INTERVAL_S = 1.0
 WORKERS = 4
 
 
@@ -114,7 +114,12 @@
             try:
                 instances = self._instances.read()
                 seeds = [i["peer_address"] for i in instances if i["kind"] == "router"]
-                self._control.put(SeedsRead(seeds))
+                leaving = frozenset(
+                    i["name"]
+                    for i in instances
+                    if i["kind"] == "endpoint" and i["state"] == "leaving"
+                )
+                self._control.put(InstancesRead(seeds, leaving))
             except PlatformError:
                 self._log.debug("The instance list did not answer.")
             self._stop.wait(INSTANCE_INTERVAL_S)
--- a/packages/router/src/tamarack_router/relay.py
+++ b/packages/router/src/tamarack_router/relay.py
@@ -81,6 +81,8 @@
         self.answer = answer
         self.span = span
         self.run: Run | None = None
+        self.claimed_again = False
+        self.wait: Any = None
 
 
 class Relay:
@@ -238,7 +240,8 @@
         spec = message.spec
         answer = KeptAnswer(spec.request, spec.workspace, stream=message.call.stream)
         self._answers.add(answer)
-        self._held[spec.request] = _Held(spec, message.call, answer, message.span)
+        held = self._held[spec.request] = _Held(spec, message.call, answer, message.span)
+        held.wait = self._tracing.start("wait", parent=message.span)
         self._counts["held"] += 1
         self._attach(Follower(message.sock, answer))
         self._control.put(SubmitRequest(spec))
@@ -263,6 +266,7 @@
             if held is None:
                 self._control.put(RunFinished(message.request, 0.0, USAGE_RETURNED, RELEASED))
             return
+        held.wait.end()
         span = self._tracing.start("run", parent=held.span)
         span.set_attribute("tamarack.endpoint", message.endpoint)
         run = Run(
@@ -331,13 +335,37 @@
             self._pump(answer)
             return
         held, message = readable[0]
+        self._take_back(answer, held, waiting)
+        self._adopt(held, message)
+
+    def _claim_again(self, correlation: int) -> bool:
+        """Ask the keeper once more when the holder no longer has the request that is followed.
+
+        Its caller may have gone away before it ran, which withdraws it and frees the key; the
+        caller's retry, which followed it, would be told "unknown" though nothing ran.
+        """
+        answer = self._remote.find(correlation)
+        waiting = self._following.get(answer.request, []) if answer is not None else []
+        if answer is None or not waiting or waiting[0][0].claimed_again:
+            return False
+        held = waiting[0][0]
+        held.claimed_again = True
+        del self._following[answer.request]
+        self._counts["claimed_again"] += 1
+        self._take_back(answer, held, waiting)
+        self._control.put(SubmitRequest(held.spec._replace(first=False)))
+        return True
+
+    def _take_back(
+        self, answer: KeptAnswer, held: _Held, waiting: list[tuple[_Held, FollowRequest]]
+    ) -> None:
+        """Move the followers of a mirrored answer to a request that is held here."""
         for other, _ in waiting:
             if other is not held:
                 self._held.pop(other.spec.request, None)
                 self._guard.give_back(other.spec.workspace)
                 other.span.end()
         self._answers.add(held.answer)
-        self._adopt(held, message)
         self._remote.close(answer.request)
         self._move_followers(answer.request, held.answer)
 
@@ -374,6 +402,8 @@
 
     @handles(PeerAnswer)
     def _on_peer_answer(self, message: PeerAnswer) -> None:
+        if message.part.state == "gone" and self._claim_again(message.part.correlation):
+            return
         answer = self._remote.take(message.part, self._clock.now_ms)
         if answer is not None:
             self._pump(answer)
--- a/packages/router/src/tamarack_router/remote_answers.py
+++ b/packages/router/src/tamarack_router/remote_answers.py
@@ -66,6 +66,11 @@
                 self._ask(mirror)
         return lost
 
+    def find(self, correlation: int) -> KeptAnswer | None:
+        """The answer that is mirrored under a correlation number."""
+        mirror = self._by_correlation.get(correlation)
+        return mirror.answer if mirror is not None else None
+
     def lose(self, answer: KeptAnswer) -> None:
         """End an answer whose holder is silent, and that cannot be read elsewhere."""
         answer.refuse(Refusal(ErrorCode.KEY_UNKNOWN, LOST_MESSAGE, Outcome.UNKNOWN))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -17,7 +17,8 @@
 import pytest
 import urllib3
 
-from tamarack_bench.load import is_whole, read_stream
+from tamarack_bench.accounts import Verdict, judge
+from tamarack_bench.load import CallerPlan, Load, is_whole, read_stream
 from tamarack_client import AdminError, Client, OutcomeUnknownError, RefusedError
 from tamarack_standins.deployments import ADMIN_TOKEN, DEPLOYMENTS
 from tamarack_standins.fleet import Fleet
@@ -475,3 +476,34 @@
     status = fleet.get_json(fleet.routers["cold"].metrics, "/readyz")
     fleet.set_faults(fleet.platform["address"], [])
     assert status["ready"]
+
+
+def test_replacing_every_router_one_after_another_loses_nothing(fleet: Fleet) -> None:
+    # Symptom: a rolling replacement cuts answers or runs orders twice.
+    # Sequence: each router is stopped gracefully and started cold while callers go on.
+    names = [n for n in fleet.routers if fleet.processes.running(n)]
+    plans = [CallerPlan(w, 2, 0.05, 0.4, 0.3, (5, 40)) for w in fleet.deployment.workspaces[:4]]
+    load = Load(fleet.addresses, fleet.keys, plans, model=MODEL, plain="office-app", seed=3)
+    with load:
+        for name in names:
+            fleet.processes.signal(name, signal.SIGTERM)
+            assert fleet.processes.wait(name, 40.0) == 0
+            fleet.start_router(name, fleet.routers[name].failure_domain)
+            fleet.wait_ready([name])
+    markers = {result.marker for result in load.results}
+    runs = [run for run in fleet.runs() if run["marker"] in markers]
+    verdict = judge(load.results, runs)
+    assert verdict.answered > 0
+    assert verdict._replace(answered=0, refused=0) == Verdict(0, 0, 0, 0, 0, 0, 0)
+
+
+def test_all_routers_restarted_at_once_come_back_with_what_was_accepted(fleet: Fleet) -> None:
+    names = [n for n in fleet.routers if fleet.processes.running(n)]
+    version = fleet.admin().switch_preset("peak")
+    for name in names:
+        fleet.processes.signal(name, signal.SIGKILL)
+        fleet.processes.wait(name)
+    for name in names:
+        fleet.start_router(name, fleet.routers[name].failure_domain)
+    fleet.wait_ready(names)
+    assert fleet.admin().call("GET", "preset") == {"preset": "peak", "version": version}
--- a/tests/test_router_core.py
+++ b/tests/test_router_core.py
@@ -232,3 +232,63 @@
     submit(trio, "r2", 2, key=f"{token}.order", digest="d")
     (orphan,) = trio.take("r2", FollowRequest)
     assert (orphan.holder, orphan.run, orphan.address) == ("", first, start.address)
+
+
+def test_a_ticket_at_two_shards_runs_once_and_the_other_grant_goes_back() -> None:
+    cores = Cores(["r1", "r2", "r3"], make_config(engines=6), shard_size=2)
+    assert make_config(engines=6).shard_count("model", 2) == 3
+    requests = [submit(cores, name, n) for n in range(2) for name in cores.cores]
+    cores.run(600)
+    started = [a.request for name in cores.cores for a in cores.take(name, StartRun)]
+    assert sorted(started) == sorted(requests)
+    for name in cores.cores:
+        for request in [r for r in started if r.startswith(f"{name}~")]:
+            finish(cores, name, request)
+    cores.run(600)
+    for core in cores.cores.values():
+        for dispatcher in core.host.dispatchers.values():
+            assert (dispatcher.running, dispatcher.waiting) == (0, 0)
+
+
+def test_a_partition_over_admits_at_most_and_heals() -> None:
+    # Symptom: after a partition requests hang, or run twice.
+    # Sequence: r1 is cut off from r2 and r3 in both directions; both sides dispatch; they rejoin.
+    # Cause: two dispatchers at once are allowed; each request still has one router that runs it.
+    cores = Cores(["r1", "r2", "r3"], make_config())
+    finish(cores, "r2", submit(cores, "r2", 0))
+    cores.run(300)
+    cores.cut = {("r1", o) for o in ("r2", "r3")} | {(o, "r1") for o in ("r2", "r3")}
+    requests = {submit(cores, name, n) for n in range(1, 4) for name in cores.cores}
+    started: list[str] = []
+    for _ in range(200):
+        for name in cores.cores:
+            for action in cores.take(name, StartRun):
+                started.append(action.request)
+                finish(cores, name, action.request)
+        cores.run(25)
+    assert sorted(started) == sorted(requests)
+    assert len(cores.cores["r1"].membership.usable) == 1
+    cores.cut = set()
+    for name in cores.cores:
+        cores.perform(name, cores.cores[name].join(["peer-r1", "peer-r2", "peer-r3"]))
+    cores.run(6_000)
+    for core in cores.cores.values():
+        assert sorted(core.membership.usable) == ["r1", "r2", "r3"]
+    late = submit(cores, "r1", 50)
+    cores.run(1_000)
+    assert [a.request for a in cores.take("r1", StartRun)] == [late]
+    dispatcher_of(cores)
+
+
+def test_a_router_cut_off_from_all_others_counts_itself_cut_off(trio: Cores) -> None:
+    trio.frozen = {"r2", "r3"}
+    trio.run(6_000)
+    assert trio.cores["r1"].membership.cut_off(trio.clock.now_ms)
+
+
+def test_one_way_silence_does_not_kill_a_member_that_others_reach(trio: Cores) -> None:
+    # Sequence: r1's probes of r2 vanish; r3 still reaches r2 and says so.
+    trio.cut = {("r1", "r2")}
+    trio.run(8_000)
+    assert "r2" in trio.cores["r1"].membership.usable
+    assert "r2" in trio.cores["r3"].membership.usable
