Never send a request again once a byte of it may have left

An engine was killed; the connection that was to resume the answer was refused; what had been sent was asked of that last connection, which had sent nothing, so the request went to another engine as not sent. Ruled out: the keeper (both runs had one request id), the client, two dispatchers, the logs. Change: what was sent is remembered past the connection.

--- a/packages/router/src/tamarack_router/relay.py
+++ b/packages/router/src/tamarack_router/relay.py
@@ -18,7 +18,7 @@
 from tamarack_core.actions import FollowRequest, StartRun
 from tamarack_core.clock import Clock
 from tamarack_core.errors import ErrorCode, Outcome, Refusal
-from tamarack_core.keeper import DONE, RELEASED, UNKNOWN
+from tamarack_core.keeper import DONE, ORPHAN, RELEASED, UNKNOWN
 from tamarack_core.protocol import (
     USAGE_FAILED,
     USAGE_FINISHED,
@@ -297,6 +297,9 @@
     def _on_follow(self, message: FollowRequest) -> None:
         held = self._held.get(message.request)
         if held is None:
+            if not message.holder:
+                # The caller left before the run was read; whoever asks next can still read it.
+                self._control.put(RunFinished(message.request, 0.0, USAGE_RETURNED, ORPHAN))
             return
         self._counts["followed"] += 1
         if not message.holder:
--- a/packages/router/src/tamarack_router/run.py
+++ b/packages/router/src/tamarack_router/run.py
@@ -146,8 +146,9 @@
     def close(self) -> None:
         """Close the connection in use."""
         if self._connection is not None:
-            if not self._resuming:
-                self._maybe_sent = self._maybe_sent or self._connection.sent
+            # Remembered past the connection: once a byte may have left, the request is never sent
+            # again, however the attempts to resume it end.
+            self._maybe_sent = self._maybe_sent or self._connection.sent
             self._connection.close()
             self._connection = None
 
