--- a/packages/standins/src/tamarack_standins/fleet.py
+++ b/packages/standins/src/tamarack_standins/fleet.py
@@ -5,6 +5,7 @@
 import argparse
 import contextlib
 import json
+import random
 import secrets
 import signal
 import socket
@@ -31,6 +32,7 @@
 
 READY_TIMEOUT_S = 30.0
 HOST = "127.0.0.1"
+PORT_RANGE = (12_000, 32_000)
 
 
 class RouterProcess(NamedTuple):
@@ -320,14 +322,22 @@
 
 
 def free_port() -> int:
-    """A port that was free just now, and that was not given before."""
+    """A port that is free now, below those that the system gives to outgoing connections.
+
+    One of those could be taken by any connection before its router has bound it.
+    """
+    chance = random.SystemRandom()
     while True:
+        port = chance.randrange(*PORT_RANGE)
+        if port in _given:
+            continue
+        _given.add(port)
         with socket.socket() as sock:
-            sock.bind((HOST, 0))
-            port: int = sock.getsockname()[1]
-        if port not in _given:
-            _given.add(port)
-            return port
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        return port
 
 
 def main() -> int:
