--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -5,6 +5,9 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
+
+from tamarack_bench import capacity, measurements
 from tamarack_router.openapi import OPERATIONS, document
 from tamarack_router.reference import reference
 
@@ -21,3 +24,10 @@
 
 def test_the_reference_page_is_what_the_code_says() -> None:
     assert (ROOT / "docs" / "reference.md").read_text() == reference()
+
+
+def test_the_pages_of_figures_are_what_the_readings_say(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.chdir(ROOT)
+    docs = ROOT / "docs"
+    assert (docs / "CAPACITY.md").read_text() == capacity.page(capacity.read_lines())
+    assert (docs / "MEASUREMENTS.md").read_text() == measurements.page()
