Split the relay, the request table and the protocol by job

Change: wire (encoding) beside protocol (messages); shard_link (whom a router follows) and refusals out of the request table; caller_sockets and endpoint_cancel out of the relay; one class for handlers. A link keeps counters only of a bounded number of workspaces.

--- a/packages/bench/src/tamarack_bench/member_bench.py
+++ b/packages/bench/src/tamarack_bench/member_bench.py
@@ -6,8 +6,9 @@
 from collections import deque
 
 from tamarack_core.actions import Action, Send
-from tamarack_core.protocol import MemberUpdate, decode, encode, request_prefix
+from tamarack_core.protocol import MemberUpdate
 from tamarack_core.router_core import RouterCore
+from tamarack_core.wire import decode, encode, request_prefix
 
 SETTLE_MS = 90_000.0
 MEASURE_MS = 20_000.0
--- /dev/null
+++ b/packages/core/src/tamarack_core/refusals.py
@@ -0,0 +1,40 @@
+"""Refusals of requests before they run, in words for their callers."""
+
+from __future__ import annotations
+
+from tamarack_core.errors import ErrorCode, Outcome, Refusal
+from tamarack_core.keeper import CONFLICT, FULL, UNKNOWN
+
+RETRY_AFTER_MS = 1_000
+
+MESSAGES: dict[ErrorCode, str] = {
+    ErrorCode.QUEUE_FULL: "Too many requests of the workspace wait.",
+    ErrorCode.DEADLINE: "The request cannot be served before its deadline.",
+    ErrorCode.NO_ENDPOINT: "The service has no endpoint.",
+}
+
+
+def claim_refusal(state: str, *, first: bool) -> Refusal:
+    """The refusal that a keeper's (or the table service's) state of a key means.
+
+    Parameters
+    ----------
+    first
+        Whether the caller says that it never sent the key before.
+    """
+    if state == CONFLICT:
+        message = "The key was used for a request with other content."
+        return Refusal(ErrorCode.KEY_CONFLICT, message)
+    if state == FULL:
+        message = "Too many keys of the workspace are kept."
+        return Refusal(ErrorCode.OVER_SHARE, message, Outcome.NOT_RUN, RETRY_AFTER_MS)
+    if state == "store-down":
+        message = "The table service that keeps this key does not answer."
+        outcome = Outcome.NOT_RUN if first else Outcome.UNKNOWN
+        return Refusal(ErrorCode.STORE_DOWN, message, outcome, RETRY_AFTER_MS)
+    if first and state in ("silent", UNKNOWN):
+        # Nothing was ever sent under this key, so that a fresh one is safe.
+        message = "The keeper of the key is gone; send the request with a fresh key."
+        return Refusal(ErrorCode.KEEPER_GONE, message, Outcome.NOT_RUN, 1)
+    message = "Whether the request with this key ran is not known; it will not run again."
+    return Refusal(ErrorCode.KEY_UNKNOWN, message, Outcome.UNKNOWN)
--- a/packages/core/src/tamarack_core/request_table.py
+++ b/packages/core/src/tamarack_core/request_table.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from tamarack_core.actions import (
     Action,
@@ -19,15 +19,12 @@
 )
 from tamarack_core.configuration import Configuration
 from tamarack_core.defaults import (
-    AVOID_DISPATCHER_MS,
     CLAIM_TIMEOUT_MS,
-    DISPATCHER_SILENCE_MS,
-    POLL_INTERVAL_MS,
     PROGRESS_STEP,
     SHARD_SIZE,
 )
 from tamarack_core.errors import ErrorCode, Outcome, Refusal
-from tamarack_core.keeper import CONFLICT, DONE, FRESH, FULL, ORPHAN, RELEASED, RUNNING, UNKNOWN
+from tamarack_core.keeper import DONE, FRESH, ORPHAN, RELEASED, RUNNING
 from tamarack_core.key_token import parse_key
 from tamarack_core.protocol import (
     USAGE_RETURNED,
@@ -39,7 +36,6 @@
     ClaimRunning,
     Grant,
     Grants,
-    Poll,
     PollAck,
     Probe,
     RefuseTickets,
@@ -52,13 +48,13 @@
     Ticket,
     Usage,
 )
+from tamarack_core.refusals import MESSAGES, RETRY_AFTER_MS, claim_refusal
 from tamarack_core.rendezvous import ranked
 from tamarack_core.retry_budget import RetryBudget
+from tamarack_core.shard_link import Candidates, ShardLink
 
-IDLE_POLL_MS = 1_000
 TICKET_SHARDS = 2
 HELD_CHECK_MS = 100
-RETRY_AFTER_MS = 1_000
 
 
 class RequestSpec(NamedTuple):
@@ -121,36 +117,6 @@
         )
 
 
-class _ShardLink:
-    """What passes between this router and the dispatcher of one shard."""
-
-    def __init__(self) -> None:
-        self.target = ""
-        self.term = 0
-        self.heard_ms = 0.0
-        self.polled_ms = 0.0
-        self.unanswered_ms: float | None = None
-        self.pinned_until_ms = 0.0
-        self.avoid: dict[str, float] = {}
-        self.ranked: list[str] = []
-        self.ranked_at = -1
-        self.waiting: set[str] = set()
-        self.running: set[str] = set()
-        self.counters: dict[str, float] = {}
-
-
-class Candidates(Protocol):
-    """Names of the members that may dispatch, and a number that rises when they change."""
-
-    @property
-    def usable(self) -> list[str]:
-        """The names."""
-
-    @property
-    def changes(self) -> int:
-        """The number."""
-
-
 class RequestTable:
     """Requests held by one router.
 
@@ -170,7 +136,7 @@
         self._shard_size = shard_size
         self._config = Configuration()
         self._held: dict[str, _Held] = {}
-        self._links: dict[ShardKey, _ShardLink] = {}
+        self._links: dict[ShardKey, ShardLink] = {}
         self._budget = RetryBudget()
         self._next_check_ms = 0.0
         self._counts: Counter[str] = Counter()
@@ -254,7 +220,7 @@
         if answer.state == ORPHAN and address:
             held.state = "running"
             return [FollowRequest(answer.request, "", answer.run, address)]
-        return self._refuse(held, _claim_refusal(answer.state, held.spec), now_ms)
+        return self._refuse(held, claim_refusal(answer.state, first=held.spec.first), now_ms)
 
     def cancel(self, request: str, now_ms: float) -> list[Action]:
         """The caller of a request that does not run yet went away."""
@@ -314,7 +280,7 @@
         """Start granted requests; grants that are not needed go back."""
         link = self._heard(message.shard, sender, message.term, now_ms)
         if link is not None:
-            link.counters.update(message.counters)
+            link.remember(message.counters)
         actions: list[Action] = []
         for grant in message.grants:
             actions.extend(self._granted(sender, message.shard, grant, now_ms))
@@ -331,7 +297,7 @@
                 continue
             self._link(message.shard).waiting.discard(refusal.request)
             code = ErrorCode(refusal.code)
-            reason = Refusal(code, _REFUSED[code], Outcome.NOT_RUN, max(1, refusal.retry_after_ms))
+            reason = Refusal(code, MESSAGES[code], Outcome.NOT_RUN, max(1, refusal.retry_after_ms))
             actions.extend(self._refuse(held, reason, now_ms))
         return actions
 
@@ -347,22 +313,13 @@
         link = self._links.get(message.shard)
         if link is None or sender != link.target:
             return []
-        link.polled_ms = now_ms
-        waiting, running = len(link.waiting), len(link.running)
-        return [Send(sender, Poll(message.shard, link.term, waiting, running))]
+        return [Send(sender, link.poll(now_ms))]
 
     def term_start(self, sender: str, message: TermStart, now_ms: float) -> list[Action]:
         """Follow a dispatcher that has begun a higher term."""
         link = self._links.get(message.shard)
-        if link is None:
-            return []
-        if message.term <= link.term:
+        if link is None or not link.follow(sender, message.term, now_ms):
             return []
-        link.term = message.term
-        link.target = sender
-        link.pinned_until_ms = now_ms + AVOID_DISPATCHER_MS
-        link.heard_ms = now_ms
-        link.unanswered_ms = None
         return [self._registration(message.shard, link, now_ms)]
 
     def tick(self, now_ms: float) -> list[Action]:
@@ -397,8 +354,7 @@
             link = self._link(shard)
             actions.extend(self._retarget(shard, link, now_ms))
             link.waiting.add(held.spec.request)
-            if link.unanswered_ms is None:
-                link.unanswered_ms = now_ms
+            link.expect_answer(now_ms)
             actions.append(Send(link.target, SubmitTickets(shard, link.term, [ticket])))
         return actions
 
@@ -484,49 +440,26 @@
         message = ClaimRunning(spec.request, endpoint)
         return [Send(token.router, message)]
 
-    def _link(self, shard: ShardKey) -> _ShardLink:
+    def _link(self, shard: ShardKey) -> ShardLink:
         link = self._links.get(shard)
         if link is None:
-            link = self._links[shard] = _ShardLink()
+            link = self._links[shard] = ShardLink(shard, self._router)
         return link
 
-    def _heard(self, shard: ShardKey, sender: str, term: int, now_ms: float) -> _ShardLink | None:
+    def _heard(self, shard: ShardKey, sender: str, term: int, now_ms: float) -> ShardLink | None:
         link = self._links.get(shard)
-        if link is None or sender != link.target or term < link.term:
+        if link is None or not link.heard(sender, term, now_ms):
             self._counts["stale_term"] += 1
             return None
-        link.term = term
-        link.heard_ms = now_ms
-        link.unanswered_ms = None
         return link
 
-    def _preferred(self, shard: ShardKey, link: _ShardLink, now_ms: float) -> str:
-        usable = self._candidates.usable
-        if now_ms < link.pinned_until_ms and link.target in usable:
-            return link.target
-        if link.ranked_at != self._candidates.changes:
-            link.ranked_at = self._candidates.changes
-            link.ranked = ranked(f"{shard.service}/{shard.number}", usable or [self._router])
-        for name in link.ranked:
-            if link.avoid.get(name, 0.0) <= now_ms:
-                return name
-        return link.ranked[0]
-
-    def _retarget(self, shard: ShardKey, link: _ShardLink, now_ms: float) -> list[Action]:
-        preferred = self._preferred(shard, link, now_ms)
-        if preferred == link.target:
-            return []
-        first = not link.target
-        link.target = preferred
-        link.unanswered_ms = None
-        link.polled_ms = now_ms
-        if first:
+    def _retarget(self, shard: ShardKey, link: ShardLink, now_ms: float) -> list[Action]:
+        if not link.aim(self._candidates, now_ms):
             return []
         self._counts["retarget"] += 1
-        link.unanswered_ms = now_ms if link.waiting else None
         return [self._registration(shard, link, now_ms)]
 
-    def _registration(self, shard: ShardKey, link: _ShardLink, now_ms: float) -> Send:
+    def _registration(self, shard: ShardKey, link: ShardLink, now_ms: float) -> Send:
         tickets = [
             self._held[request].ticket(now_ms)
             for request in sorted(link.waiting)
@@ -540,28 +473,20 @@
                 running.append(
                     RunningGrant(request, held.spec.workspace, held.grant.endpoint, charged)
                 )
-        return Send(link.target, Register(shard, link.term, tickets, running, link.counters))
+        workspaces = {ticket.workspace for ticket in tickets}
+        workspaces |= {grant.workspace for grant in running}
+        counters = link.counters_of(workspaces)
+        return Send(link.target, Register(shard, link.term, tickets, running, counters))
 
-    def _check_link(self, shard: ShardKey, link: _ShardLink, now_ms: float) -> list[Action]:
-        if not link.waiting and not link.running:
+    def _check_link(self, shard: ShardKey, link: ShardLink, now_ms: float) -> list[Action]:
+        if link.idle:
             return []
         actions = self._retarget(shard, link, now_ms)
-        # The router itself cannot be silent towards itself.
-        silent_ms = now_ms - link.unanswered_ms if link.unanswered_ms is not None else 0.0
-        if link.waiting and silent_ms >= DISPATCHER_SILENCE_MS and link.target != self._router:
+        if link.give_up_if_silent(now_ms):
             self._counts["dispatcher_silent"] += 1
-            link.avoid[link.target] = now_ms + AVOID_DISPATCHER_MS
-            link.pinned_until_ms = 0.0
             actions.extend(self._retarget(shard, link, now_ms))
-        interval = POLL_INTERVAL_MS if link.waiting else IDLE_POLL_MS
-        quiet = now_ms - max(link.heard_ms, link.polled_ms) >= interval
-        # Also under steady traffic, or a grant that was lost on its way would hold its slot for
-        # ever: only a poll compares what both sides think is outstanding.
-        if quiet or now_ms - link.polled_ms >= IDLE_POLL_MS:
-            link.polled_ms = now_ms
-            if link.unanswered_ms is None:
-                link.unanswered_ms = now_ms
-            poll = Poll(shard, link.term, len(link.waiting), len(link.running))
+        poll = link.due_poll(now_ms)
+        if poll is not None:
             actions.append(Send(link.target, poll))
         return actions
 
@@ -569,39 +494,13 @@
         if held.state == "claiming" and held.claim_asked:
             if now_ms - held.claim_sent_ms >= CLAIM_TIMEOUT_MS:
                 self._counts["keeper_silent"] += 1
-                return self._refuse(held, _claim_refusal("silent", held.spec), now_ms)
+                return self._refuse(held, claim_refusal("silent", first=held.spec.first), now_ms)
         elif held.state == "waiting" and now_ms >= held.spec.deadline_ms:
             refusal = Refusal(
                 ErrorCode.DEADLINE,
-                _REFUSED[ErrorCode.DEADLINE],
+                MESSAGES[ErrorCode.DEADLINE],
                 Outcome.NOT_RUN,
                 RETRY_AFTER_MS,
             )
             return self._refuse(held, refusal, now_ms)
         return []
-
-
-_REFUSED: dict[ErrorCode, str] = {
-    ErrorCode.QUEUE_FULL: "Too many requests of the workspace wait.",
-    ErrorCode.DEADLINE: "The request cannot be served before its deadline.",
-    ErrorCode.NO_ENDPOINT: "The service has no endpoint.",
-}
-
-
-def _claim_refusal(state: str, spec: RequestSpec) -> Refusal:
-    if state == CONFLICT:
-        message = "The key was used for a request with other content."
-        return Refusal(ErrorCode.KEY_CONFLICT, message)
-    if state == FULL:
-        message = "Too many keys of the workspace are kept."
-        return Refusal(ErrorCode.OVER_SHARE, message, Outcome.NOT_RUN, RETRY_AFTER_MS)
-    if state == "store-down":
-        message = "The table service that keeps this key does not answer."
-        outcome = Outcome.NOT_RUN if spec.first else Outcome.UNKNOWN
-        return Refusal(ErrorCode.STORE_DOWN, message, outcome, RETRY_AFTER_MS)
-    if spec.first and state in ("silent", UNKNOWN):
-        # Nothing was ever sent under this key, so that a fresh one is safe.
-        message = "The keeper of the key is gone; send the request with a fresh key."
-        return Refusal(ErrorCode.KEEPER_GONE, message, Outcome.NOT_RUN, 1)
-    message = "Whether the request with this key ran is not known; it will not run again."
-    return Refusal(ErrorCode.KEY_UNKNOWN, message, Outcome.UNKNOWN)
--- a/packages/core/src/tamarack_core/router_core.py
+++ b/packages/core/src/tamarack_core/router_core.py
@@ -28,7 +28,6 @@
     ClaimAnswer,
     ClaimDone,
     ClaimRunning,
-    Frame,
     Grants,
     MemberUpdate,
     Ping,
@@ -45,10 +44,11 @@
     SubmitTickets,
     TermStart,
     Usage,
-    request_prefix,
 )
 from tamarack_core.queue_policy import FAIR, LOCAL
-from tamarack_core.request_table import Candidates, RequestSpec, RequestTable
+from tamarack_core.request_table import RequestSpec, RequestTable
+from tamarack_core.shard_link import Candidates
+from tamarack_core.wire import Frame, request_prefix
 
 Handler = Callable[["RouterCore", str, Any, float], "list[Action]"]
 _HANDLERS: dict[type, Handler] = {}
--- a/packages/router/src/tamarack_router/control.py
+++ b/packages/router/src/tamarack_router/control.py
@@ -35,11 +35,11 @@
     ChangesAnswer,
     ChangesQuery,
     Usage,
-    decode,
-    request_prefix,
 )
 from tamarack_core.router_core import RouterCore
+from tamarack_core.wire import decode, request_prefix
 from tamarack_router.fleet_view import FleetView, ViewHolder
+from tamarack_router.handlers import Handlers
 from tamarack_router.load_task import LoadTask
 from tamarack_router.logs import PartLog
 from tamarack_router.mailbox import Mailbox
@@ -70,18 +70,8 @@
 APPLIED_KEPT = 50
 STORE_DOWN_MS = 3_000.0
 
-Handler = Callable[["Control", Any], None]
-_HANDLERS: dict[type, Handler] = {}
-
-
-def handles(kind: type) -> Callable[[Handler], Handler]:
-    """Enter a method into the registry of handlers of the control task's mailbox."""
-
-    def register(handler: Handler) -> Handler:
-        _HANDLERS[kind] = handler
-        return handler
-
-    return register
+_HANDLERS = Handlers()
+handles = _HANDLERS.handles
 
 
 class Control:
@@ -188,10 +178,7 @@
             self._perform(self._core.receive(frame, self._clock.now_ms))
 
     def _read_mailbox(self) -> None:
-        for message in self._mailbox.drain():
-            handler = _HANDLERS.get(type(message))
-            if handler is not None:
-                handler(self, message)
+        _HANDLERS.dispatch(self, self._mailbox.drain())
 
     def _tick(self, now_ms: float) -> None:
         self._next_tick_ms = now_ms + TICK_MS
--- a/packages/router/src/tamarack_router/peer_links.py
+++ b/packages/router/src/tamarack_router/peer_links.py
@@ -8,7 +8,7 @@
 
 import zmq
 
-from tamarack_core.protocol import encode
+from tamarack_core.wire import encode
 
 SEND_LIMIT = 10_000
 HEARTBEAT_MS = 2_000
--- a/packages/router/src/tamarack_router/relay.py
+++ b/packages/router/src/tamarack_router/relay.py
@@ -23,12 +23,13 @@
     USAGE_FAILED,
     USAGE_FINISHED,
     USAGE_RETURNED,
-    AnswerPart,
-    AnswerQuery,
 )
 from tamarack_core.request_table import RequestSpec
+from tamarack_router.caller_sockets import CallerSockets
+from tamarack_router.endpoint_cancel import cancel_at_endpoint
 from tamarack_router.endpoint_connection import EndpointConnection
 from tamarack_router.follower import Follower
+from tamarack_router.handlers import Handlers
 from tamarack_router.kept_answer import AnswerState, AnswerStore, KeptAnswer
 from tamarack_router.logs import PartLog
 from tamarack_router.mailbox import Mailbox
@@ -47,27 +48,15 @@
     Stop,
     SubmitRequest,
 )
-from tamarack_router.remote_answers import RemoteAnswers
+from tamarack_router.remote_answers import RemoteAnswers, answer_part
 from tamarack_router.run import RESUME_PAUSE_MS, Run, RunLimits, Step
 from tamarack_router.share_guard import ShareGuard
 from tamarack_router.tracing import Tracing, traceparent_of
 
 CHECK_MS = 100.0
-PART_BYTES = 262_144
-SIDE_CALL_MS = 1_000.0
 
-Handler = Callable[["Relay", Any], None]
-_HANDLERS: dict[type, Handler] = {}
-
-
-def handles(kind: type) -> Callable[[Handler], Handler]:
-    """Enter a method into the registry of handlers of the relay's mailbox."""
-
-    def register(handler: Handler) -> Handler:
-        _HANDLERS[kind] = handler
-        return handler
-
-    return register
+_HANDLERS = Handlers()
+handles = _HANDLERS.handles
 
 
 class _Held:
@@ -114,7 +103,7 @@
         self._mailbox = Mailbox()
         self._selector = selectors.DefaultSelector()
         self._held: dict[str, _Held] = {}
-        self._followers: dict[str, list[Follower]] = {}
+        self._callers = CallerSockets(self._selector, self._nobody_follows)
         self._remote = RemoteAnswers(control)
         self._following: dict[str, list[tuple[_Held, FollowRequest]]] = {}
         self._timers: list[tuple[float, int, Callable[[], None]]] = []
@@ -162,7 +151,7 @@
     @property
     def followers(self) -> int:
         """Callers that wait for an answer or are being written one."""
-        return sum(len(group) for group in list(self._followers.values()))
+        return len(self._callers)
 
     @property
     def busy(self) -> int:
@@ -179,9 +168,7 @@
                 else:
                     key.data(mask)
             self._run_timers()
-        for group in self._followers.values():
-            for follower in group:
-                follower.close()
+        self._callers.close()
         self._selector.close()
 
     def _wait_s(self) -> float:
@@ -192,10 +179,7 @@
         return max(0.0, due_ms - now_ms) / 1000
 
     def _read_mailbox(self) -> None:
-        for message in self._mailbox.drain():
-            handler = _HANDLERS.get(type(message))
-            if handler is not None:
-                handler(self, message)
+        _HANDLERS.dispatch(self, self._mailbox.drain())
 
     def _run_timers(self) -> None:
         now_ms = self._clock.now_ms
@@ -243,7 +227,7 @@
         held = self._held[spec.request] = _Held(spec, message.call, answer, message.span)
         held.wait = self._tracing.start("wait", parent=message.span)
         self._counts["held"] += 1
-        self._attach(Follower(message.sock, answer))
+        self._callers.attach(Follower(message.sock, answer))
         self._control.put(SubmitRequest(spec))
 
     @handles(FollowAnswer)
@@ -254,9 +238,9 @@
             answer = self._remote.open(message.request, message.workspace, self._clock.now_ms)
         offset = max(0, message.offset)
         follower = Follower(message.sock, answer, offset=offset, state_only=state_only)
-        self._attach(follower)
+        self._callers.attach(follower)
         if not state_only or answer.status or answer.ended or message.request in self._held:
-            self._pump_one(follower)
+            self._callers.pump_one(follower)
 
     @handles(StartRun)
     def _on_start(self, message: StartRun) -> None:
@@ -315,14 +299,7 @@
             self._guard.give_back(workspace)
             held.span.end()
         self._answers.remove(message.request)
-        self._move_followers(message.request, target)
-
-    def _move_followers(self, request: str, target: KeptAnswer) -> None:
-        for follower in self._followers.pop(request, []):
-            self._selector.unregister(follower.sock)
-            follower.follow(target)
-            self._attach(follower)
-        self._pump(target)
+        self._callers.move(message.request, target)
 
     def _holder_silent(self, answer: KeptAnswer) -> None:
         """Read a run at its endpoint when the router that holds its answer is silent.
@@ -335,7 +312,7 @@
         if not readable:
             self._following[answer.request] = waiting
             self._remote.lose(answer)
-            self._pump(answer)
+            self._callers.pump(answer)
             return
         held, message = readable[0]
         self._take_back(answer, held, waiting)
@@ -370,7 +347,7 @@
                 other.span.end()
         self._answers.add(held.answer)
         self._remote.close(answer.request)
-        self._move_followers(answer.request, held.answer)
+        self._callers.move(answer.request, held.answer)
 
     def _adopt(self, held: _Held, message: FollowRequest) -> None:
         self._counts["adopted"] += 1
@@ -409,47 +386,15 @@
             return
         answer = self._remote.take(message.part, self._clock.now_ms)
         if answer is not None:
-            self._pump(answer)
+            self._callers.pump(answer)
 
     # Callers
 
-    def _attach(self, follower: Follower) -> None:
-        self._followers.setdefault(follower.answer.request, []).append(follower)
-
-        def ready(mask: int) -> None:
-            # An event earlier in the same round may have finished and closed this follower.
-            if follower.closed:
-                return
-            follower.ready(mask)
-            self._after_write(follower)
-
-        self._selector.register(follower.sock, follower.interest, ready)
-
-    def _pump(self, answer: KeptAnswer) -> None:
-        for follower in list(self._followers.get(answer.request, [])):
-            self._pump_one(follower)
-
-    def _pump_one(self, follower: Follower) -> None:
-        follower.pump()
-        self._after_write(follower)
-
-    def _after_write(self, follower: Follower) -> None:
-        if not follower.finished:
-            key = self._selector.get_key(follower.sock)
-            if key.events != follower.interest:
-                self._selector.modify(follower.sock, follower.interest, key.data)
-            return
-        self._selector.unregister(follower.sock)
-        follower.close()
-        request = follower.answer.request
-        group = self._followers[request]
-        group.remove(follower)
-        if not group:
-            del self._followers[request]
-            self._remote.close(request)
-            self._stop_following(request)
-            if follower.gone:
-                self._caller_gone(request)
+    def _nobody_follows(self, request: str, gone: bool) -> None:
+        self._remote.close(request)
+        self._stop_following(request)
+        if gone:
+            self._caller_gone(request)
 
     def _caller_gone(self, request: str) -> None:
         held = self._held.get(request)
@@ -498,7 +443,7 @@
         now_ms = self._clock.now_ms
         request = held.spec.request
         if step == Step.GREW:
-            self._pump(held.answer)
+            self._callers.pump(held.answer)
             self._report(held, run, now_ms)
         elif step == Step.FINISHED:
             cost = run.cost(now_ms)
@@ -538,7 +483,7 @@
         if run is not None:
             cost = run.cost(self._clock.now_ms)
             if run.call.kind == "model" and run.sent:
-                self._cancel_at_endpoint(run)
+                cancel_at_endpoint(run.address, run.run_id, self._selector, self._later)
         self._drop_run(held)
         self._counts[f"broken_{refusal.code}"] += 1
         state = USAGE_FAILED if refusal.code == ErrorCode.ENDPOINT_FAILED else USAGE_FINISHED
@@ -546,27 +491,6 @@
         held.answer.refuse(refusal)
         self._ended(held)
 
-    def _cancel_at_endpoint(self, run: Run) -> None:
-        path = f"/v1/streams/{run.run_id}"
-        connection = EndpointConnection(run.address, "DELETE", path, [], b"")
-        if connection.start():
-            connection.close()
-            return
-
-        def ready(mask: int) -> None:
-            if connection.ready(mask):
-                close()
-            elif self._selector.get_key(connection.sock).events != connection.interest:
-                self._selector.modify(connection.sock, connection.interest, ready)
-
-        def close() -> None:
-            if connection.sock.fileno() >= 0:
-                self._selector.unregister(connection.sock)
-                connection.close()
-
-        self._selector.register(connection.sock, connection.interest, ready)
-        self._later(SIDE_CALL_MS, close)
-
     def _unregister(self, run: Run) -> None:
         connection = run.connection
         if connection is not None and connection.sock in self._selector.get_map():
@@ -583,7 +507,7 @@
     def _ended(self, held: _Held) -> None:
         self._forget(held)
         self._answers.ended(held.answer, self._clock.now_ms)
-        self._pump(held.answer)
+        self._callers.pump(held.answer)
 
     def _forget(self, held: _Held) -> None:
         self._held.pop(held.spec.request, None)
@@ -591,26 +515,3 @@
         held.span.end()
         if held.answer.state == AnswerState.WAITING:
             self._answers.remove(held.spec.request)
-
-
-def answer_part(query: AnswerQuery, answer: KeptAnswer | None) -> AnswerPart:
-    """Make a peer's part of an answer kept here."""
-    if answer is None:
-        return AnswerPart(query.correlation, "gone", 0, "", query.offset, 0, b"")
-    data = bytes(answer.body[query.offset : query.offset + PART_BYTES])
-    part = AnswerPart(
-        query.correlation,
-        answer.state.value,
-        answer.status,
-        answer.content_type,
-        query.offset,
-        len(answer.body),
-        data,
-        answer.stream,
-    )
-    refusal = answer.refusal
-    if refusal is None:
-        return part
-    return part._replace(
-        code=refusal.code.value, outcome=refusal.outcome.value, explanation=refusal.message
-    )
--- a/packages/router/src/tamarack_router/remote_answers.py
+++ b/packages/router/src/tamarack_router/remote_answers.py
@@ -12,6 +12,7 @@
 
 ASK_EVERY_MS = 100.0
 SILENCE_MS = 700.0
+PART_BYTES = 262_144
 LOST_MESSAGE = "The router that held the request does not answer; it will not run again."
 GONE_MESSAGE = "The answer is no longer kept."
 
@@ -109,3 +110,26 @@
         answer = mirror.answer
         query = AnswerQuery(mirror.correlation, answer.workspace, answer.request, len(answer.body))
         self._control.put(PeerMessage(mirror.holder, query))
+
+
+def answer_part(query: AnswerQuery, answer: KeptAnswer | None) -> AnswerPart:
+    """Make a peer's part of an answer kept here."""
+    if answer is None:
+        return AnswerPart(query.correlation, "gone", 0, "", query.offset, 0, b"")
+    data = bytes(answer.body[query.offset : query.offset + PART_BYTES])
+    part = AnswerPart(
+        query.correlation,
+        answer.state.value,
+        answer.status,
+        answer.content_type,
+        query.offset,
+        len(answer.body),
+        data,
+        answer.stream,
+    )
+    refusal = answer.refusal
+    if refusal is None:
+        return part
+    return part._replace(
+        code=refusal.code.value, outcome=refusal.outcome.value, explanation=refusal.message
+    )
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,8 +9,9 @@
 from tamarack_core.actions import Action, Send
 from tamarack_core.clock import HeldClock
 from tamarack_core.configuration import Change, Configuration, EntryPut
-from tamarack_core.protocol import Frame, MemberUpdate, decode, encode, request_prefix
+from tamarack_core.protocol import MemberUpdate
 from tamarack_core.router_core import RouterCore
+from tamarack_core.wire import Frame, decode, encode, request_prefix
 
 
 def make_config(engines: int = 2, slots: int = 2, **preset: object) -> Configuration:
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -19,10 +19,8 @@
     SubmitTickets,
     Ticket,
     Usage,
-    decode,
-    encode,
-    request_prefix,
 )
+from tamarack_core.wire import decode, encode, request_prefix
 
 SHARD = ShardKey("model", 0)
 HOLDER = request_prefix("r1", 7)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -40,12 +40,12 @@
     relay = make_relay()
     near, far = socket.socketpair()
     answer = KeptAnswer("r1~1~1", "w", stream=False)
-    relay._attach(Follower(near, answer))
+    relay._callers.attach(Follower(near, answer))
     callback = relay._selector.get_key(near).data
     answer.begin(200, "text/plain")
     answer.body += b"whole"
     answer.finish()
-    relay._pump(answer)
+    relay._callers.pump(answer)
     assert near.fileno() < 0
     callback(selectors.EVENT_READ)
     assert relay.followers == 0
--- a/tests/test_security.py
+++ b/tests/test_security.py
@@ -12,7 +12,8 @@
 import zmq
 
 from tamarack_client import AdminClient, AdminError, Client
-from tamarack_core.protocol import MemberUpdate, Ping, decode, encode
+from tamarack_core.protocol import MemberUpdate, Ping
+from tamarack_core.wire import decode, encode
 from tamarack_ctl.key_files import new_certificate, new_fleet_keys
 from tamarack_router.peer_links import CurveKeys, PeerLinks, Received
 from tamarack_standins.deployments import ADMIN_TOKEN, DEPLOYMENTS
