--- a/packages/bench/src/tamarack_bench/soak.py
+++ b/packages/bench/src/tamarack_bench/soak.py
@@ -152,8 +152,8 @@
     ]
 
 
-def run_soak(options: Options, seconds: float) -> Reading:
-    """Disturb a loaded fleet for some seconds, then judge it."""
+def run_soak(options: Options, seconds: float, most_faults: int = 1_000_000) -> Reading:
+    """Disturb a loaded fleet for some seconds or a number of faults, then judge it."""
     print(f"soak seed {options.seed}", flush=True)
     chance = random.Random(options.seed)
     happened: Counter[str] = Counter()
@@ -162,7 +162,7 @@
     settings = {"TAMARACK_STREAM_SILENCE_MS": "600"}
     with loaded_fleet(options, plans, settings=settings, deadline_s=20.0) as loaded:
         end = time.monotonic() + seconds
-        while time.monotonic() < end:
+        while time.monotonic() < end and happened.total() < most_faults:
             name = chance.choice(sorted(FAULTS))
             happened[name] += 1
             try:
--- a/tests/test_security.py
+++ b/tests/test_security.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+import threading
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -20,6 +22,7 @@
 from tamarack_standins.fleet import Fleet
 
 WAIT_S = 5.0
+LOG_WAIT_S = 30.0
 READ_TOKEN = "read-token-0123456789"
 OPERATE_TOKEN = "operate-token-0123456789"
 
@@ -106,6 +109,8 @@
         "TAMARACK_CURVE_PUBLIC": fleet_keys.public,
         "TAMARACK_CURVE_SECRET": fleet_keys.secret,
         "TAMARACK_ADMIN_TOKENS": tokens,
+        "TAMARACK_TRACE": "stderr",
+        "TAMARACK_TRACE_SAMPLE": "1",
     }
     logs = str(tmp_path_factory.mktemp("logs"))
     deployment = DEPLOYMENTS["kitami"]
@@ -157,6 +162,27 @@
     assert refused.value.status == 403
 
 
+def test_a_callers_trace_goes_on_with_a_span_per_hop(secured: tuple[Fleet, str]) -> None:
+    fleet, certificate = secured
+    workspace = fleet.deployment.workspaces[0]
+    client = Client(fleet.addresses, fleet.keys[workspace], scheme="https", ca_certs=certificate)
+    trace = "4bf92f3577b34da6a3ce929d0e0e4736"
+    headers = {"traceparent": f"00-{trace}-00f067aa0ba902b7-01"}
+    body = {"model": fleet.deployment.model, "prompt": "x", "max_tokens": 2}
+    client.call("POST", "/v1/completions", body, headers=headers)
+    wanted = {"request", "wait", "run"}
+    deadline = time.monotonic() + LOG_WAIT_S
+    found: set[str] = set()
+    while found != wanted and time.monotonic() < deadline:
+        logs = [(Path(fleet.log_dir) / f"{r}.log").read_text() for r in fleet.routers]
+        spans = re.findall(
+            r'"name": "(\w+)",\s+"context": \{\s+"trace_id": "0x(\w+)"', "".join(logs)
+        )
+        found = {name for name, trace_id in spans if trace_id == trace}
+        threading.Event().wait(0.1)
+    assert found == wanted
+
+
 def test_no_secret_is_in_logs_or_metrics(secured: tuple[Fleet, str]) -> None:
     fleet, _ = secured
     secrets = [*fleet.keys.values(), ADMIN_TOKEN, READ_TOKEN, OPERATE_TOKEN]
