--- a/packages/bench/src/tamarack_bench/fleet_run.py
+++ b/packages/bench/src/tamarack_bench/fleet_run.py
@@ -114,6 +114,7 @@
     settings: dict[str, str] | None = None,
     pinned: dict[str, list[int]] | None = None,
     deadline_s: float = 20.0,
+    forward: bool = False,
 ) -> Iterator[LoadedFleet]:
     """Start a fleet and its load; both have ended when the context ends.
 
@@ -123,7 +124,9 @@
         Numbers of the routers that a workspace's callers use, in place of what they are told.
     """
     deployment = DEPLOYMENTS[options.deployment]
-    with Fleet(deployment, routers, settings=settings, log_dir=options.log_dir) as fleet:
+    with Fleet(
+        deployment, routers, settings=settings, log_dir=options.log_dir, forward=forward
+    ) as fleet:
         addresses = fleet.addresses
         load = Load(
             addresses,
--- a/packages/bench/src/tamarack_bench/soak.py
+++ b/packages/bench/src/tamarack_bench/soak.py
@@ -70,6 +70,25 @@
     loaded.fleet.processes.signal(name, signal.SIGCONT)
 
 
+@fault("routers cut")
+def cut_routers(loaded: LoadedFleet, chance: random.Random) -> None:
+    """Cut one router off from all others, and sometimes from the store too."""
+    name = _router(loaded, chance)
+    for other in loaded.fleet.routers:
+        if other != name:
+            loaded.fleet.cut_routers(name, other)
+    if chance.random() < 0.5:
+        loaded.fleet.cut_store(name)
+    time.sleep(chance.uniform(0.5, 5.0))
+    loaded.fleet.heal()
+
+
+@fault("peers silent")
+def silence_peers(loaded: LoadedFleet, chance: random.Random) -> None:
+    """Let every open connection between routers go silent for good."""
+    loaded.fleet.silence_peers()
+
+
 @fault("engine silent")
 def silence_engine(loaded: LoadedFleet, chance: random.Random) -> None:
     """Let some of an engine's connections go silent after some bytes."""
@@ -160,7 +179,7 @@
     failed: list[str] = []
     plans = soak_plans(DEPLOYMENTS[options.deployment])
     settings = {"TAMARACK_STREAM_SILENCE_MS": "600"}
-    with loaded_fleet(options, plans, settings=settings, deadline_s=20.0) as loaded:
+    with loaded_fleet(options, plans, settings=settings, deadline_s=20.0, forward=True) as loaded:
         end = time.monotonic() + seconds
         while time.monotonic() < end and happened.total() < most_faults:
             name = chance.choice(sorted(FAULTS))
--- a/packages/router/src/tamarack_router/main.py
+++ b/packages/router/src/tamarack_router/main.py
@@ -108,7 +108,7 @@
             settings.router,
             boot,
             ALIVE,
-            links.address,
+            settings.peer_advertise or links.address,
             callers.address,
             settings.failure_domain,
             0,
--- a/packages/router/src/tamarack_router/settings.py
+++ b/packages/router/src/tamarack_router/settings.py
@@ -30,6 +30,7 @@
     admin_listen: str
     metrics_listen: str
     peer_listen: str
+    peer_advertise: str
     peer: list[str]
     platform: str
     threads: int
@@ -112,6 +113,10 @@
     return text
 
 
+def _optional_address(text: str) -> str:
+    return _address(text) if text else ""
+
+
 def _addresses(text: str) -> list[str]:
     return [_address(part.strip()) for part in text.split(",") if part.strip()]
 
@@ -180,6 +185,12 @@
     Setting("admin_listen", _address, "127.0.0.1:8081", "address for operators"),
     Setting("metrics_listen", _address, "127.0.0.1:8082", "address for metrics and health"),
     Setting("peer_listen", _address, "127.0.0.1:8083", "address for other routers"),
+    Setting(
+        "peer_advertise",
+        _optional_address,
+        "",
+        "address that other routers are told, if it is not the one listened on",
+    ),
     Setting("peer", _addresses, "", "peer addresses of other routers, comma between"),
     Setting("platform", _url, None, "base URL of the platform's services"),
     Setting("threads", _integer(2, 512), "8", "threads that read callers' requests"),
--- a/packages/standins/src/tamarack_standins/fleet.py
+++ b/packages/standins/src/tamarack_standins/fleet.py
@@ -27,6 +27,7 @@
     ServiceShape,
     initial_entries,
 )
+from tamarack_standins.forwarder import Forwarder
 from tamarack_standins.processes import Processes, read_line
 from tamarack_standins.run_log import RunRecord, read_log_file
 
@@ -56,6 +57,8 @@
         Further settings of the routers, by environment variable.
     base_port
         First of the ports given out; 0 takes free ones.
+    forward
+        Whether routers reach each other and the platform through forwarders that can be cut.
     ca_certs
         Certificate of the routers' listeners, where the settings have them speak TLS.
     """
@@ -70,6 +73,7 @@
         log_dir: str = "",
         address_ttl_ms: int = 1_000,
         ca_certs: str = "",
+        forward: bool = False,
     ) -> None:
         self._deployment = deployment
         self._count = routers
@@ -78,6 +82,9 @@
         self._log_dir = log_dir
         self._address_ttl_ms = address_ttl_ms
         self._ca_certs = ca_certs
+        self._forward = forward
+        self._peer_forwarders: dict[str, Forwarder] = {}
+        self._store_forwarders: dict[str, Forwarder] = {}
         self._stack = contextlib.ExitStack()
         self._processes = Processes()
         self._http = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(2.0))
@@ -167,8 +174,11 @@
             "--admin-listen", admin,
             "--metrics-listen", metrics,
             "--peer-listen", peer,
-            "--platform", f"http://{self.platform['address']}",
+            "--platform", f"http://{self._platform_for(name)}",
         ]  # fmt: skip
+        if self._forward:
+            peer = self._stack.enter_context(self._forwarder(name, peer)).address
+            arguments += ["--peer-advertise", peer]
         seeds = [r.peer for r in self.routers.values()][:3]
         if seeds:
             arguments += ["--peer", ",".join(seeds)]
@@ -191,6 +201,25 @@
         read_line(child)
         endpoint["pid"] = child.pid
 
+    def cut_routers(self, one: str, other: str) -> None:
+        """Cut two routers off from each other, in both directions."""
+        self._peer_forwarders[one].cut(other)
+        self._peer_forwarders[other].cut(one)
+
+    def cut_store(self, router: str) -> None:
+        """Cut a router off from the platform."""
+        self._store_forwarders[router].cut()
+
+    def silence_peers(self) -> None:
+        """Let all open connections between routers go silent for good; new ones work."""
+        for forwarder in self._peer_forwarders.values():
+            forwarder.silence_open()
+
+    def heal(self) -> None:
+        """Undo all cuts."""
+        for forwarder in (*self._peer_forwarders.values(), *self._store_forwarders.values()):
+            forwarder.heal()
+
     def runs(self, kind: str = "") -> list[RunRecord]:
         """What the endpoints ran, also those that have crashed since."""
         records: list[RunRecord] = []
@@ -226,6 +255,17 @@
                 raise RuntimeError(f"not ready in time: {', '.join(waiting)}")
             time.sleep(0.05)
 
+    def _forwarder(self, name: str, target: str) -> Forwarder:
+        self._peer_forwarders[name] = Forwarder(target)
+        return self._peer_forwarders[name]
+
+    def _platform_for(self, name: str) -> str:
+        address: str = self.platform["address"]
+        if not self._forward:
+            return address
+        self._store_forwarders[name] = self._stack.enter_context(Forwarder(address))
+        return self._store_forwarders[name].address
+
     def _start(self) -> None:
         listen = f"{HOST}:{self._next_port and self._port()}"
         platform = self._processes.start(
--- /dev/null
+++ b/packages/standins/src/tamarack_standins/forwarder.py
@@ -0,0 +1,140 @@
+"""A TCP forwarder between processes that a test can cut, and let go silent for good."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import threading
+from types import TracebackType
+
+HOST = "127.0.0.1"
+READ_BYTES = 65_536
+LOOK_AGAIN_S = 0.02
+IDENTITY = b"Identity"
+ANYBODY = "*"
+
+
+class _Connection:
+    """One forwarded connection, and who opened it as far as its first bytes tell."""
+
+    def __init__(self) -> None:
+        self.source = ""
+        self.silent = False
+        self.head = b""
+
+    def look_at(self, data: bytes) -> None:
+        """Read the opener's name out of the connection's greeting."""
+        if self.source or len(self.head) > 1_000:
+            return
+        self.head += data
+        at = self.head.find(IDENTITY)
+        length_at = at + len(IDENTITY)
+        if at < 0 or len(self.head) < length_at + 4:
+            return
+        length = int.from_bytes(self.head[length_at : length_at + 4], "big")
+        identity = self.head[length_at + 4 : length_at + 4 + length]
+        if len(identity) == length:
+            self.source = identity.decode("latin-1").partition("~")[0]
+
+
+class Forwarder:
+    """Forwards connections to a target; bytes of cut ones wait and are never lost.
+
+    Parameters
+    ----------
+    target
+        `IP:PORT` to forward to.
+    """
+
+    def __init__(self, target: str) -> None:
+        self._target = target.rpartition(":")
+        self._cut: set[str] = set()
+        self._connections: set[_Connection] = set()
+        self._loop = asyncio.new_event_loop()
+        self._ready = threading.Event()
+        self._address = ""
+        self._thread = threading.Thread(target=self._run, name="forwarder", daemon=True)
+
+    def __enter__(self) -> Forwarder:
+        self._thread.start()
+        self._ready.wait()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(2.0)
+
+    @property
+    def address(self) -> str:
+        """Address to connect to in place of the target's."""
+        return self._address
+
+    def cut(self, source: str = ANYBODY) -> None:
+        """Hold back all that passes between the target and a source, old connections and new."""
+        self._cut.add(source)
+
+    def heal(self) -> None:
+        """Let everything pass again."""
+        self._cut.clear()
+
+    def silence_open(self) -> None:
+        """Let the connections that are open now go silent for good; new ones work."""
+        for connection in list(self._connections):
+            connection.silent = True
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        server = self._loop.run_until_complete(asyncio.start_server(self._serve, HOST, 0))
+        port = server.sockets[0].getsockname()[1]
+        self._address = f"{HOST}:{port}"
+        self._ready.set()
+        self._loop.run_forever()
+        server.close()
+        tasks = asyncio.all_tasks(self._loop)
+        for task in tasks:
+            task.cancel()
+        self._loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        self._loop.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        connection = _Connection()
+        self._connections.add(connection)
+        try:
+            host, _, port = self._target
+            there_reader, there_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.close()
+            self._connections.discard(connection)
+            return
+        await asyncio.gather(
+            self._pump(reader, there_writer, connection, opening=True),
+            self._pump(there_reader, writer, connection, opening=False),
+        )
+        self._connections.discard(connection)
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        connection: _Connection,
+        *,
+        opening: bool,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(READ_BYTES):
+                if opening:
+                    connection.look_at(data)
+                while self._held_back(connection):
+                    await asyncio.sleep(LOOK_AGAIN_S)
+                writer.write(data)
+                await writer.drain()
+        with contextlib.suppress(OSError):
+            writer.close()
+
+    def _held_back(self, connection: _Connection) -> bool:
+        return connection.silent or ANYBODY in self._cut or connection.source in self._cut
