--- a/packages/bench/src/tamarack_bench/path_scenarios.py
+++ b/packages/bench/src/tamarack_bench/path_scenarios.py
@@ -5,7 +5,7 @@
 import os
 import time
 from pathlib import Path
-from statistics import median
+from typing import NamedTuple
 
 from tamarack_bench.fleet_run import loaded_fleet, settle
 from tamarack_bench.load import CallerPlan
@@ -17,8 +17,9 @@
 
 STREAMS = 64
 BURST = 200
-TOKENS = 60
+TOKENS = 100
 STEP_MS = 27.0
+QUICK_STEP_MS = 1.0
 ROUNDS = 3
 REQUESTS_PER_S = 20.0
 CONTROL_ROUTERS = 6
@@ -50,49 +51,77 @@
     return [gap for t in times for gap in t.gaps_ms]
 
 
+class _Path(NamedTuple):
+    """One way to the engines: addresses, and the process that relays, if any."""
+
+    name: str
+    addresses: list[str]
+    pid: int
+
+
+def _paths(fleet: Fleet) -> list[_Path]:
+    engines = [e["address"] for e in fleet.endpoints if e["kind"] == "model"]
+    targets = [part for address in engines for part in ("--target", address)]
+    child = fleet.processes.start("naive", "tamarack_bench.naive_relay", targets, output=True)
+    router = next(iter(fleet.routers.values()))
+    return [
+        _Path("direct", engines, 0),
+        _Path("router", [router.address], router.pid),
+        _Path("naive", [read_line(child)["address"]], child.pid),
+    ]
+
+
+def _first_bytes(options: Options) -> dict[str, float]:
+    """Added time to the first byte; engines step each millisecond, so as not to round it up."""
+    quick = RELAY_DEPLOYMENT._replace(
+        services=[s._replace(step_ms=QUICK_STEP_MS) for s in RELAY_DEPLOYMENT.services]
+    )
+    firsts: dict[tuple[str, int], list[float]] = {}
+    with Fleet(quick, 1, log_dir=options.log_dir) as fleet:
+        key = fleet.keys["one"]
+        for path in _paths(fleet):
+            run_streams(path.addresses, key, "m", streams=4, tokens=3)
+            for streams in (1, STREAMS, BURST):
+                times = firsts.setdefault((path.name, streams), [])
+                for _ in range(BURST // streams if streams == 1 else ROUNDS):
+                    times += _first(
+                        run_streams(path.addresses, key, "m", streams=streams, tokens=2)
+                    )
+    figures = {}
+    for (name, streams), times in firsts.items():
+        if name == "direct":
+            continue
+        label = "" if name == "router" else "_naive"
+        for part, percent in ((0.5, "p50"), (0.95, "p95")):
+            direct = percentile(firsts[("direct", streams)], part)
+            figures[f"added_ttft{label}_ms_{percent}_of_{streams}"] = (
+                percentile(times, part) - direct
+            )
+    figures["added_ttft_ms"] = figures[f"added_ttft_ms_p50_of_{STREAMS}"]
+    return figures
+
+
 @scenario("direct-vs-router", "what a router adds to streams, beside a naive relay")
 def direct_vs_router(options: Options) -> Reading:
     """Read the same streams directly, through a router and through a thread for each stream."""
-    figures: dict[str, float] = {}
+    figures = _first_bytes(options)
+    gaps: dict[str, list[float]] = {}
+    cpu: dict[str, float] = {}
     with Fleet(RELAY_DEPLOYMENT, 1, log_dir=options.log_dir) as fleet:
-        engines = [e["address"] for e in fleet.endpoints if e["kind"] == "model"]
-        targets = [part for address in engines for part in ("--target", address)]
-        child = fleet.processes.start("naive", "tamarack_bench.naive_relay", targets, output=True)
-        naive = read_line(child)["address"]
-        router = next(iter(fleet.routers.values()))
         key = fleet.keys["one"]
-        run_streams([router.address], key, "m", streams=4, tokens=3)
-        firsts: dict[str, list[float]] = {"direct": [], "router": [], "naive": []}
-        gaps: dict[str, list[float]] = {"direct": [], "router": [], "naive": []}
-        cpu: dict[str, float] = {}
-        for name, addresses, pid in (
-            ("direct", engines, 0),
-            ("router", [router.address], router.pid),
-            ("naive", [naive], child.pid),
-        ):
-            before = cpu_seconds(pid) if pid else 0.0
+        for path in _paths(fleet):
+            run_streams(path.addresses, key, "m", streams=4, tokens=3)
+            before = cpu_seconds(path.pid) if path.pid else 0.0
             tokens = 0
             for _ in range(ROUNDS):
-                times = run_streams(addresses, key, "m", streams=STREAMS, tokens=TOKENS)
-                firsts[name] += _first(times)
-                gaps[name] += _gaps(times)
+                times = run_streams(path.addresses, key, "m", streams=STREAMS, tokens=TOKENS)
+                gaps.setdefault(path.name, []).extend(_gaps(times))
                 tokens += sum(t.tokens for t in times)
-            if pid:
-                cpu[name] = (cpu_seconds(pid) - before) / tokens * 1e6
-        burst = run_streams([router.address], key, "m", streams=BURST, tokens=20)
-        direct_burst = run_streams(engines, key, "m", streams=BURST, tokens=20)
-        naive_burst = run_streams([naive], key, "m", streams=BURST, tokens=20)
+            if path.pid:
+                cpu[path.name] = (cpu_seconds(path.pid) - before) / tokens * 1e6
     for part, name in ((0.5, "p50"), (0.95, "p95")):
-        direct = percentile(firsts["direct"], part)
-        figures[f"added_ttft_ms_{name}"] = percentile(firsts["router"], part) - direct
-        figures[f"added_ttft_naive_ms_{name}"] = percentile(firsts["naive"], part) - direct
-        figures[f"added_gap_ms_{name}"] = percentile(gaps["router"], part) - percentile(
-            gaps["direct"], part
-        )
-    figures["added_ttft_ms_p50_of_200"] = median(_first(burst)) - median(_first(direct_burst))
-    figures["added_ttft_naive_ms_p50_of_200"] = median(_first(naive_burst)) - median(
-        _first(direct_burst)
-    )
+        direct = percentile(gaps["direct"], part)
+        figures[f"added_gap_ms_{name}"] = percentile(gaps["router"], part) - direct
     figures["cpu_us_per_token"] = cpu["router"]
     figures["cpu_us_per_token_naive"] = cpu["naive"]
     figures["cpu_ratio_to_naive"] = cpu["router"] / cpu["naive"]
