Take out what nothing uses; bound an endpoint's head and what is kept of dead routers

Cause: a reading of the whole found code without callers, state of dead routers that stayed, and a head of an endpoint without a bound. Change: those; metrics of kept answers and held requests.

--- a/packages/bench/src/tamarack_bench/fair_scenarios.py
+++ b/packages/bench/src/tamarack_bench/fair_scenarios.py
@@ -24,7 +24,6 @@
 RECOVERY_S = 5.0
 PAUSE_S = 4.0
 FLOOD_CALLERS = 60
-UNEVEN_S = 6.0
 
 
 def _run_policy(options: Options, policy: str) -> tuple[Account, Window]:
--- a/packages/core/src/tamarack_core/addresses.py
+++ b/packages/core/src/tamarack_core/addresses.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
-
 from tamarack_core.membership import ALIVE
 from tamarack_core.protocol import MemberUpdate
 from tamarack_core.rendezvous import ranked
@@ -12,14 +10,6 @@
 ROOM_FLOOR = 8
 
 
-class AddressAnswer(NamedTuple):
-    """Addresses in order of preference, for `ttl_ms` milliseconds."""
-
-    addresses: list[str]
-    ttl_ms: int
-    keeper_token: str
-
-
 def choose_addresses(
     workspace: str, members: list[MemberUpdate], count: int = ADDRESS_COUNT
 ) -> list[str]:
--- a/packages/core/src/tamarack_core/config_follower.py
+++ b/packages/core/src/tamarack_core/config_follower.py
@@ -9,7 +9,6 @@
 from tamarack_core.configuration import Change, Configuration
 
 ASK_INTERVAL_MS = 200
-PEER_GRACE_MS = 1_000
 KEPT_CHANGES = 2_000
 
 _change_decoder = msgspec.msgpack.Decoder(Change)
@@ -145,8 +144,3 @@
 def encode_change(change: Change) -> bytes:
     """Write a change as it stands in the store and between routers."""
     return msgspec.msgpack.encode(change)
-
-
-def decode_change(data: bytes) -> Change:
-    """Read a change."""
-    return _change_decoder.decode(data)
--- a/packages/core/src/tamarack_core/dispatcher.py
+++ b/packages/core/src/tamarack_core/dispatcher.py
@@ -267,8 +267,12 @@
         return Send(router, PollAck(self._shard, self._term, resync))
 
     def router_gone(self, router: str, now_ms: float) -> None:
-        """Free what a dead router held."""
+        """Free what a dead router held, and forget it."""
         self._drop_router(router, now_ms)
+        for by_router in (self._heard_ms, self._probed_ms, self._granted_ms):
+            by_router.pop(router, None)
+        del self._waiting_by_router[router]
+        del self._running_by_router[router]
 
     def tick(self, now_ms: float) -> list[Send]:
         """Refuse tickets whose deadline has passed, and refresh the endpoints."""
--- a/packages/core/src/tamarack_core/errors.py
+++ b/packages/core/src/tamarack_core/errors.py
@@ -91,7 +91,3 @@
     def status(self) -> int:
         """The HTTP status that goes with the code."""
         return HTTP_STATUS.get(self.code, 503)
-
-
-class InvariantError(Exception):
-    """A state that the code rules out; it stops the process."""
--- a/packages/core/src/tamarack_core/fair_queue.py
+++ b/packages/core/src/tamarack_core/fair_queue.py
@@ -240,12 +240,6 @@
         for name, flow in self._flows.items():
             flow.weight = weights.get(name, default_weight)
 
-    def forget_idle(self, before_ms: float) -> None:
-        """Drop workspaces that have not waited since `before_ms`, to bound memory."""
-        idle = [n for n, f in self._flows.items() if not f.waiting and f.idle_since_ms < before_ms]
-        for name in idle:
-            del self._flows[name]
-
     def _flow(self, workspace: str) -> _Flow:
         flow = self._flows.get(workspace)
         if flow is None:
--- a/packages/core/src/tamarack_core/request_table.py
+++ b/packages/core/src/tamarack_core/request_table.py
@@ -163,11 +163,6 @@
         """Dispatcher and term followed for each shard in use."""
         return {shard: (link.target, link.term) for shard, link in self._links.items()}
 
-    def term_of(self, shard: ShardKey) -> int:
-        """Highest term seen of a shard."""
-        link = self._links.get(shard)
-        return link.term if link else 0
-
     def configure(self, config: Configuration) -> None:
         """Take the configuration in force."""
         self._config = config
--- a/packages/router/src/tamarack_router/admin_app.py
+++ b/packages/router/src/tamarack_router/admin_app.py
@@ -36,16 +36,6 @@
     secret: str
 
 
-class ChangeRequest(NamedTuple):
-    """A change as an operator asks for it."""
-
-    puts: list[EntryPut]
-    deletes: list[EntryName]
-    preset: str | None
-    dry_run: bool
-    if_match: int | None
-
-
 class AdminApp:
     """Serves operators from any router."""
 
--- a/packages/router/src/tamarack_router/endpoint_connection.py
+++ b/packages/router/src/tamarack_router/endpoint_connection.py
@@ -67,6 +67,7 @@
         self._ended = False
         self._events: list[ConnectionEvent] = []
         self._headers: dict[str, str] = {}
+        self._head_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
 
     @property
@@ -142,13 +143,17 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take one header."""
-        if len(self._headers) < 256:
+        self._head_bytes += len(name) + len(value)
+        # An endpoint that sends a head without end would otherwise fill the router's memory.
+        if self._head_bytes <= MAX_HEAD_BYTES:
             self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
         """Take the end of the head."""
         status = self._parser.get_status_code()
-        if status >= 200:
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._broke("the head is too large")
+        elif status >= 200:
             self._events.append(Head(status, self._headers))
         self._headers = {}
 
--- a/packages/router/src/tamarack_router/main.py
+++ b/packages/router/src/tamarack_router/main.py
@@ -160,6 +160,7 @@
                 "callers": lambda: self.caller_app.counts,
                 "orders": lambda: orders.counts,
             },
+            lambda: self.relay.gauges,
         )
         self._listen("admin", settings.admin_listen, admin, settings.admin_threads)
         self._listen("metrics", settings.metrics_listen, metrics, settings.admin_threads)
--- a/packages/router/src/tamarack_router/messages.py
+++ b/packages/router/src/tamarack_router/messages.py
@@ -157,12 +157,6 @@
     leaving: frozenset[str]
 
 
-class ConfigChanged(NamedTuple):
-    """Control to all tasks: the configuration in force."""
-
-    config: Configuration
-
-
 class Leave(NamedTuple):
     """Main to control: announce that this router is leaving."""
 
--- a/packages/router/src/tamarack_router/metrics_app.py
+++ b/packages/router/src/tamarack_router/metrics_app.py
@@ -26,11 +26,16 @@
     """
 
     def __init__(
-        self, router: str, views: ViewHolder, sources: dict[str, Callable[[], dict[str, int]]]
+        self,
+        router: str,
+        views: ViewHolder,
+        sources: dict[str, Callable[[], dict[str, int]]],
+        gauges: Callable[[], dict[str, float]],
     ) -> None:
         self._labels = {"router": router}
         self._views = views
         self._sources = sources
+        self._gauges = gauges
 
     def respond(self, call: HttpCall) -> Reply:
         """Answer a scrape or a probe."""
@@ -89,6 +94,7 @@
         usage = resource.getrusage(resource.RUSAGE_SELF)
         values = {
             **self._views.view.gauges,
+            **self._gauges(),
             "cpu_seconds": usage.ru_utime + usage.ru_stime,
             "resident_bytes": usage.ru_maxrss * 1024,
             "time_seconds": time.time(),
--- a/packages/router/src/tamarack_router/relay.py
+++ b/packages/router/src/tamarack_router/relay.py
@@ -138,6 +138,16 @@
         """Events by name; read by other threads, written by this one."""
         return self._counts
 
+    @property
+    def gauges(self) -> dict[str, float]:
+        """Present values for the metrics."""
+        return {
+            "requests_held": self.held,
+            "callers_connected": self.followers,
+            "answers_kept_bytes": self._answers.kept_bytes,
+            "answers_evicted": self._answers.evicted,
+        }
+
     @property
     def failed(self) -> bool:
         """Whether the task has ended though nobody asked it to."""
--- a/packages/router/src/tamarack_router/remote_answers.py
+++ b/packages/router/src/tamarack_router/remote_answers.py
@@ -10,7 +10,6 @@
 from tamarack_router.mailbox import Mailbox
 from tamarack_router.messages import PeerMessage
 
-ASK_EVERY_MS = 100.0
 SILENCE_MS = 700.0
 PART_BYTES = 262_144
 LOST_MESSAGE = "The router that held the request does not answer; it will not run again."
--- a/packages/router/src/tamarack_router/run.py
+++ b/packages/router/src/tamarack_router/run.py
@@ -29,7 +29,6 @@
 class Step(Enum):
     """What the relay has to do after a run has gone on."""
 
-    NOTHING = 0
     GREW = 1
     FINISHED = 2
     FAILED = 3
