--- a/packages/router/src/tamarack_router/classify.py
+++ b/packages/router/src/tamarack_router/classify.py
@@ -102,7 +102,7 @@
     prompt_tokens = len(prompt) / CHARACTERS_PER_TOKEN
     prompt_cost = prompt_tokens * entry.get("prompt_weight", DEFAULT_PROMPT_WEIGHT)
     prefix = xxhash.xxh32_intdigest(prompt[:PREFIX_CHARACTERS].encode())
-    hint = prompt_cost + limit if limit is not None else 0.0
+    hint = round(prompt_cost) + limit if limit is not None else 0
     spec = _spec(call, body, workspace, request, service, entry, config, now_ms, terms)
     endpoint_call = EndpointCall(
         "POST", call.path, _passed(call), body, "model", stream, prompt_cost
