--- a/packages/bench/src/tamarack_bench/slopes.py
+++ b/packages/bench/src/tamarack_bench/slopes.py
@@ -290,7 +290,8 @@
                 for a, b in changes
             )
             out = sum(
-                a["counts"]["control"]["peer_bytes_out"] - b["counts"]["control"]["peer_bytes_out"]
+                a["counts"]["control"].get("peer_bytes_out", 0)
+                - b["counts"]["control"].get("peer_bytes_out", 0)
                 for a, b in changes
             )
             control.append((rate, used / per_router * 100))
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -8,6 +8,7 @@
 from tamarack_core.dispatcher import Dispatcher, DispatchPolicy
 from tamarack_core.endpoint_pool import EndpointPool, EndpointSpec, LoadReport
 from tamarack_core.errors import ErrorCode
+from tamarack_core.estimator import Estimator
 from tamarack_core.protocol import (
     USAGE_FAILED,
     USAGE_FINISHED,
@@ -115,6 +116,20 @@
     assert [request for request, _ in grants_of(dispatcher, 3.0)] == ["h2"]
 
 
+def test_a_first_request_is_charged_like_others_whatever_its_hint_allows() -> None:
+    # Symptom: a small workspace's second request waits for two seconds beside a flood.
+    # Sequence: its first requests allow 1,000 tokens and need 30; others need 60.
+    # Cause: the whole allowance was charged until the first request had been settled.
+    estimator = Estimator(200.0)
+    for _ in range(300):
+        estimator.learn("busy", 60.0)
+    assert estimator.estimate("new", hint=1_000.0) < 70.0
+    assert estimator.estimate("new", hint=20.0) == 20.0
+    for _ in range(3):
+        estimator.learn("new", 500.0)
+    assert estimator.estimate("new", hint=20.0) > 100.0
+
+
 def test_a_queue_is_bounded_per_workspace() -> None:
     dispatcher = make(queue_limit=3)
     dispatcher.submit("r1", [Ticket(f"f{n}", "flood") for n in range(8)], 0.0)
