--- a/packages/bench/src/tamarack_bench/__main__.py
+++ b/packages/bench/src/tamarack_bench/__main__.py
@@ -4,6 +4,7 @@
 
 import argparse
 import json
+import signal
 import sys
 from pathlib import Path
 
@@ -20,6 +21,7 @@
 from tamarack_bench.report import write_report
 from tamarack_bench.scenarios import SCENARIOS, Options, Reading
 
+EXIT_TERMINATED = 143
 BOUNDS = Path("bench/bounds.toml")
 MODULES = (
     core_scenarios,
@@ -34,6 +36,8 @@
 
 def main() -> int:
     """Run one of the tool's commands."""
+    # Ended by SIGTERM, the fleet's processes are still ended with it.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_TERMINATED))
     parser = argparse.ArgumentParser(prog="tamarack_bench", description=__doc__)
     commands = parser.add_subparsers(dest="command", required=True)
     commands.add_parser("list", help="list the scenarios")
--- a/packages/bench/src/tamarack_bench/demo.py
+++ b/packages/bench/src/tamarack_bench/demo.py
@@ -23,6 +23,7 @@
 from tamarack_standins.deployments import DEPLOYMENTS, Deployment
 from tamarack_standins.fleet import Fleet
 
+EXIT_TERMINATED = 143
 PHASE_S = 6.0
 SETTLE_S = 1.5
 FLOODING_CALLERS = 30
@@ -131,6 +132,8 @@
 
 def main() -> int:
     """Run the demo from the command line."""
+    # Ended by SIGTERM, the fleet's processes are still ended with it.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_TERMINATED))
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--deployment", choices=sorted(DEPLOYMENTS), default="domandina")
     parser.add_argument("--routers", type=int, default=6)
