Pass a caller's path on as it was written, and refuse what cannot stand in a request

Cause: found on reading the change again: a decoded path, or a header that is not ASCII, raised in the relay's thread while the request to the endpoint was written, and one caller could end a router; a query that names a parameter twice lost the first, and the digest of a key left the query out. Change: the target goes on as written and into the digest; odd paths and headers are refused at the door, not run. Conclusion: the test ends a router without the change and passes with it.

--- a/packages/router/src/tamarack_router/classify.py
+++ b/packages/router/src/tamarack_router/classify.py
@@ -58,6 +58,9 @@
     deadline = headers.get("tamarack-deadline-ms")
     if deadline is not None and not (deadline.isdecimal() and 0 < int(deadline) <= 86_400_000):
         return _bad("Tamarack-Deadline-Ms is a number of milliseconds, at least 1.")
+    for name in PASSED_HEADERS:
+        if not headers.get(name, "").isprintable() or not headers.get(name, "").isascii():
+            return _bad(f"The header {name} has characters that are not printable ASCII.")
     priority = headers.get("tamarack-priority", str(DEFAULT_PRIORITY))
     if not (priority.isdecimal() and int(priority) <= MAX_PRIORITY):
         return _bad(f"Tamarack-Priority is 0 to {MAX_PRIORITY}, 0 the most urgent.")
@@ -119,17 +122,17 @@
     now_ms: float,
     terms: _Terms,
 ) -> Classified | Refusal:
-    service, _, rest = call.path.removeprefix(SERVICES).partition("/")
+    service, _, _ = call.path.removeprefix(SERVICES).partition("/")
     entry = config.service(service)
     if entry is None or entry["kind"] != "plain":
         return Refusal(ErrorCode.UNKNOWN_SERVICE, f"There is no service {service[:64]}.")
-    path = f"/{rest}"
-    if call.query:
-        from urllib.parse import urlencode
-
-        path = f"{path}?{urlencode(call.query)}"
+    target = call.target.removeprefix(f"{SERVICES}{service}")
+    if not target.startswith("/"):
+        target = f"/{target}"
+    if not _is_visible(target):
+        return _bad("The path has characters that a request line may not have.")
     spec = _spec(call, body, workspace, request, service, entry, config, now_ms, terms)
-    return Classified(spec, EndpointCall(call.method, path, _passed(call), body, "plain", False))
+    return Classified(spec, EndpointCall(call.method, target, _passed(call), body, "plain", False))
 
 
 def _spec(
@@ -147,7 +150,7 @@
     deadline_ms = now_ms + min(longest_ms, terms.deadline_ms or longest_ms)
     digest = ""
     if terms.key:
-        digest = xxhash.xxh64_hexdigest(f"{call.method} {call.path}\n".encode() + body)
+        digest = xxhash.xxh64_hexdigest(f"{call.method} {call.target}\n".encode() + body)
     return RequestSpec(
         request,
         workspace,
@@ -199,5 +202,10 @@
     return [(name, call.headers[name]) for name in PASSED_HEADERS if name in call.headers]
 
 
+def _is_visible(text: str) -> bool:
+    """Whether a text can stand in a request line; the relay must never meet one that cannot."""
+    return text.isascii() and text.isprintable() and " " not in text
+
+
 def _bad(message: str) -> Refusal:
     return Refusal(ErrorCode.BAD_REQUEST, message)
--- a/packages/router/src/tamarack_router/http_listener.py
+++ b/packages/router/src/tamarack_router/http_listener.py
@@ -28,6 +28,10 @@
 
     Attributes
     ----------
+    path
+        Decoded, to compare with.
+    target
+        Path and query as the caller wrote them, to pass on.
     headers
         Names in lower case.
     slow
@@ -36,6 +40,7 @@
 
     method: str
     path: str
+    target: str
     query: dict[str, str]
     headers: dict[str, str]
     sock: socket.socket
@@ -191,6 +196,7 @@
     return HttpCall(
         req.method.decode("latin-1"),
         req.path.decode("latin-1"),
+        req.uri.decode("latin-1"),
         query,
         headers,
         req.conn.socket,
--- a/packages/standins/src/tamarack_standins/plain_service.py
+++ b/packages/standins/src/tamarack_standins/plain_service.py
@@ -62,6 +62,7 @@
             "service": self._name,
             "operation": f"{request.method} {request.path}",
             "received": len(body),
+            "query": request.query_string,
             "at": time.time(),
         }
         return web.json_response(answer)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -162,6 +162,19 @@
     assert len(runs_of(fleet, "model")) == before
 
 
+def test_odd_paths_and_headers_reach_the_service_or_are_refused(fleet: Fleet) -> None:
+    # Symptom: a router ends after one caller's request.
+    # Sequence: a caller sends an escaped space in a path, or a header that is not ASCII.
+    # Cause: the path went on decoded, and the relay's thread ended on writing the request.
+    answer = json.loads(call(fleet, "GET", "/services/office-app/a%20b?x=1&x=2").data)
+    assert answer["operation"] == "GET /a b"
+    assert answer["query"] == "x=1&x=2"
+    for name in ("User-Agent", "Accept"):
+        odd = call(fleet, "GET", "/services/office-app/a", headers={name: "caf\xe9"})
+        assert (odd.status, odd.headers["Tamarack-Outcome"]) == (400, "not-run")
+    assert call(fleet, "GET", "/services/office-app/a").status == 200
+
+
 def test_a_body_that_comes_too_slowly_is_refused(fleet: Fleet, workspace: str) -> None:
     # Symptom: a few callers on bad lines hold all threads, and nobody else is served.
     # Sequence: a caller states a length, sends a byte, and sends no more.
