Begin a run and let a held request go in one place each

Cause: the relay made runs in two places and gave a request's room back in four; the wait's span ended on one of the ways only. Change: one method for each; a run no longer carries a name that nothing read. Conclusion: behaviour is as before, and the wait's span ends on every way.

--- a/packages/router/src/tamarack_router/relay.py
+++ b/packages/router/src/tamarack_router/relay.py
@@ -73,6 +73,12 @@
         self.claimed_again = False
         self.wait: Any = None
 
+    def end_wait(self) -> None:
+        """End the span of the wait, if it has not ended."""
+        if self.wait is not None:
+            self.wait.end()
+            self.wait = None
+
 
 class Relay:
     """The relay task of one router.
@@ -255,28 +261,34 @@
     @handles(StartRun)
     def _on_start(self, message: StartRun) -> None:
         held = self._held.get(message.request)
-        now_ms = self._clock.now_ms
         if held is None or held.run is not None:
             if held is None:
                 self._control.put(RunFinished(message.request, 0.0, USAGE_RETURNED, RELEASED))
             return
-        held.wait.end()
-        span = self._tracing.start("run", parent=held.span)
-        span.set_attribute("tamarack.endpoint", message.endpoint)
+        self._counts["runs"] += 1
+        run = self._run(held, "run", message.address, charged=message.charged)
+        run.span.set_attribute("tamarack.endpoint", message.endpoint)
+        self._open(held, run)
+
+    def _run(
+        self, held: _Held, name: str, address: str, *, charged: float = 0.0, adopted: str = ""
+    ) -> Run:
+        """Make the run of a held request, with a span of this name."""
+        held.end_wait()
+        span = self._tracing.start(name, parent=held.span)
         run = Run(
             held.call,
             held.answer,
-            message.endpoint,
-            message.address,
+            address,
             self._limits,
             traceparent_of(span),
-            now_ms,
-            charged=message.charged,
+            self._clock.now_ms,
+            charged=charged,
+            adopted=adopted,
         )
         run.span = span
         held.run = run
-        self._counts["runs"] += 1
-        self._open(held, run)
+        return run
 
     @handles(EndRequest)
     def _on_end(self, message: EndRequest) -> None:
@@ -305,9 +317,7 @@
             target = self._remote.open(message.holder, workspace, self._clock.now_ms)
             self._following.setdefault(message.holder, []).append((held, message))
         else:
-            self._held.pop(message.request)
-            self._guard.give_back(workspace)
-            held.span.end()
+            self._let_go(held)
         self._answers.remove(message.request)
         self._callers.move(message.request, target)
 
@@ -352,36 +362,18 @@
         """Move the followers of a mirrored answer to a request that is held here."""
         for other, _ in waiting:
             if other is not held:
-                self._held.pop(other.spec.request, None)
-                self._guard.give_back(other.spec.workspace)
-                other.span.end()
+                self._let_go(other)
         self._answers.add(held.answer)
         self._remote.close(answer.request)
         self._callers.move(answer.request, held.answer)
 
     def _adopt(self, held: _Held, message: FollowRequest) -> None:
         self._counts["adopted"] += 1
-        span = self._tracing.start("adopted run", parent=held.span)
-        now_ms = self._clock.now_ms
-        run = Run(
-            held.call,
-            held.answer,
-            "",
-            message.address,
-            self._limits,
-            traceparent_of(span),
-            now_ms,
-            adopted=message.run,
-        )
-        run.span = span
-        held.run = run
-        self._open(held, run)
+        self._open(held, self._run(held, "adopted run", message.address, adopted=message.run))
 
     def _stop_following(self, request: str) -> None:
         for held, _ in self._following.pop(request, []):
-            self._held.pop(held.spec.request, None)
-            self._guard.give_back(held.spec.workspace)
-            held.span.end()
+            self._let_go(held)
 
     @handles(PeerQuery)
     def _on_peer_query(self, message: PeerQuery) -> None:
@@ -520,8 +512,13 @@
         self._callers.pump(held.answer)
 
     def _forget(self, held: _Held) -> None:
+        self._let_go(held)
+        if held.answer.state == AnswerState.WAITING:
+            self._answers.remove(held.spec.request)
+
+    def _let_go(self, held: _Held) -> None:
+        """Hold a request no longer; its room and its span end with it."""
         self._held.pop(held.spec.request, None)
         self._guard.give_back(held.spec.workspace)
+        held.end_wait()
         held.span.end()
-        if held.answer.state == AnswerState.WAITING:
-            self._answers.remove(held.spec.request)
--- a/packages/router/src/tamarack_router/run.py
+++ b/packages/router/src/tamarack_router/run.py
@@ -60,7 +60,6 @@
         self,
         call: EndpointCall,
         answer: KeptAnswer,
-        endpoint: str,
         address: str,
         limits: RunLimits,
         traceparent: str,
@@ -71,7 +70,6 @@
     ) -> None:
         self.call = call
         self.answer = answer
-        self.endpoint = endpoint
         self.address = address
         self.started_ms = now_ms
         self.heard_ms = now_ms
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -17,7 +17,7 @@
 
 def make_run(address: str) -> Run:
     answer = KeptAnswer("r1~1~1", "w", stream=False)
-    return Run(CALL, answer, "e", address, RunLimits(1_000, 1_000), "", 0.0)
+    return Run(CALL, answer, address, RunLimits(1_000, 1_000), "", 0.0)
 
 
 def until_event(
