Assume that a shared part is kept at its home; refuse what comes after the linger

Change: a prompt's largest shared part counts as kept at its home engine; reading anew weighs threefold; after the linger a leaving router refuses new requests, not run.

--- a/packages/core/src/tamarack_core/engine_model.py
+++ b/packages/core/src/tamarack_core/engine_model.py
@@ -85,9 +85,13 @@
         """Time until the engine has read all that was sent there."""
         return max(0.0, self._free_ms - now_ms)
 
-    def reading_ms(self, prompt: Prompt) -> float:
+    def keeps(self, part: PromptPart) -> bool:
+        """Whether the engine is known to keep a part."""
+        return part.key in self._kept
+
+    def reading_ms(self, prompt: Prompt, assumed_kept: int = 0) -> float:
         """Time to read what the engine does not keep of a prompt, at the pace of a sound engine."""
-        unread = self.unread_tokens(prompt)
+        unread = max(0, self.unread_tokens(prompt) - assumed_kept)
         pairs = unread * (prompt.tokens_in - unread / 2)
         return unread / PROMPT_TOKENS_PER_MS + pairs / 1e6 * PAIR_MS_PER_MILLION
 
--- a/packages/core/src/tamarack_core/placement.py
+++ b/packages/core/src/tamarack_core/placement.py
@@ -7,7 +7,7 @@
 
 from tamarack_core.endpoint_book import Endpoint
 from tamarack_core.endpoint_record import EndpointRecord
-from tamarack_core.engine_model import EngineModel
+from tamarack_core.engine_model import FIRST_TOKEN_MS, EngineModel
 from tamarack_core.prompt import Prompt
 from tamarack_core.rendezvous import score
 
@@ -19,8 +19,11 @@
 """What counts against an engine that neither keeps a prompt's shared part nor is its home.
 Without it, routers would read a part that nobody keeps at several engines at once."""
 
-READING_WEIGHT = 2.0
-"""An engine that reads a part anew keeps others waiting as long as the request itself."""
+READING_WEIGHT = 3.0
+"""An engine that reads a part anew keeps others waiting as long as the request itself, and drops
+other parts that are then read anew, too. On the users' five heavy days a weight of 3 and the
+assumption below served 0.557 and 0.606 of what was asked, by worth and less what it cost; a weight
+of 2 without it 0.521 and 0.600."""
 
 FULL_SLOT_MS = 25.0
 """Time until a slot of a full engine is free, for each request beyond its slots."""
@@ -56,8 +59,11 @@
     best_cost = float("inf")
     for endpoint in endpoints:
         model = models[endpoint.name]
-        reading_ms = model.reading_ms(prompt) * model.pace(now_ms)
-        first_token_ms = model.first_token_ms(prompt, now_ms) + _full_ms(endpoint, model)
+        at_home = endpoint is home and anchor is not None
+        assumed = anchor.tokens if at_home and not model.keeps(anchor) else 0
+        reading_ms = model.reading_ms(prompt, assumed) * model.pace(now_ms)
+        first_token_ms = model.wait_ms(now_ms) + reading_ms + FIRST_TOKEN_MS
+        first_token_ms += _full_ms(endpoint, model)
         cost = first_token_ms + (READING_WEIGHT - 1.0) * reading_ms
         cost += FAILURE_PENALTY_MS * records[endpoint.name].failures(now_ms)
         unread = model.unread_tokens(prompt)
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -157,6 +157,10 @@
             caller.answer(400, [])
             return
         rules = state.rules
+        if self._past_linger:
+            # What begins now might not end before the process is killed; elsewhere it can.
+            self._refuse(caller, facts.attempt, "leaving", 20.0)
+            return
         if rules is None or not state.endpoints_known:
             self._refuse(caller, facts.attempt, "no configuration is known yet", 300.0)
             return
@@ -188,6 +192,10 @@
         finally:
             self._metrics.ended(route, self._clock.now_ms - request.arrived_ms)
 
+    @property
+    def _past_linger(self) -> bool:
+        return self._clock.now_ms - self._left_ms >= LINGER_MS
+
     DENY_AGE_MS = 3_600.0
     """Age of the configuration beyond which an unknown route or key is not denied: it may have
     been added since, and a caller does not come back after a denial."""
