--- a/packages/gateway/src/tamarack_gateway/store_client.py
+++ b/packages/gateway/src/tamarack_gateway/store_client.py
@@ -225,7 +225,10 @@
         if after is None:
             page = await self._client.read_all(self._table)
         else:
-            page = await self._client.watch(self._table, after, self._wait_ms)
+            # After an outage the answer comes at once: a call that waits for a change would tell
+            # of the store's return only with that change, and take the one for the other.
+            wait_ms = 0.0 if self._failures else self._wait_ms
+            page = await self._client.watch(self._table, after, wait_ms)
         self._found()
         until_ms = self._returned_ms + self.RETURN_MS
         self._took(TableChange(page.rows, after is None, asked_ms, until_ms))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -420,3 +420,27 @@
     written = capfd.readouterr().err
     assert '"message":"request: denied"' in written
     assert KEY not in written
+
+
+def test_an_endpoint_that_goes_seconds_after_an_outage_is_gone_at_once() -> None:
+    """Symptom: an endpoint that left gets new work for more than two seconds.
+
+    Sequence: the store turns a router away and serves it again; seconds later an entry is removed.
+    Cause: the first call after the outage waited for a change, so that the router took the time of
+    that change for the store's return, and the removal for a lapse in the outage.
+    """
+
+    async def story() -> None:
+        async with Fleet({"web": [PlatformWorker("w1"), PlatformWorker("w2")]}) as fleet:
+            feeds = fleet.gateway._feeds
+            follower = feeds._followers["servers"]
+            fleet.store.refusing = 503
+            follower.renew()
+            await until(lambda: follower._failures > 0)
+            fleet.store.refusing = 0
+            await until(lambda: follower._failures == 0)
+            follower.RETURN_MS = 0.0
+            await fleet.store.remove("servers", "w1")
+            await until(lambda: len(fleet.gateway.state.book) < 2)
+
+    play(story())
