--- a/packages/core/src/tamarack_core/admission.py
+++ b/packages/core/src/tamarack_core/admission.py
@@ -14,8 +14,13 @@
 serve more than the throughput that shares are counted by; what is over goes first to those who
 have had least beyond their share, and is never left unused."""
 
+RETURNED = 1.05
+"""Part of the aim that a request may be predicted to wait that has been refused before and came
+back as it was told: it goes before new work of equal standing."""
+
 RETRY_MIN_MS = 150.0
-"""Shortest time after which a refused caller should come back."""
+"""Shortest time after which a refused caller should come back. A first return after 600 ms, with
+returns let in up to 1.1 of the aim, served less on the users' heavy days (0.543 against 0.593)."""
 
 RETRY_SPREAD = 0.5
 """Part by which returns are spread, so that those refused together do not return together."""
@@ -37,6 +42,7 @@
     waited_ms: float,
     left_ms: float,
     standing: float,
+    returned: bool,
     draw: float,
 ) -> Admission:
     """Decide on a request.
@@ -55,10 +61,13 @@
         queues fill with the work of whoever asks most, and a workspace that asks for little more
         than its share is refused as often: it got a third of what it asked beside one that got
         four times as much.
+    returned
+        Whether the request was refused before and came back.
     draw
         A number from 0 up to 1 that spreads returns.
     """
-    part = max(BEYOND_SHARE_LEAST, WITHIN_SHARE / max(1.0, standing))
+    within = RETURNED if returned else WITHIN_SHARE
+    part = max(BEYOND_SHARE_LEAST, within / max(1.0, standing))
     bound_ms = max(0.0, part * aim_ms - waited_ms)
     queue_ms = max(0.0, first_token_ms - unavoidable_ms)
     late = queue_ms > bound_ms or first_token_ms >= left_ms
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -191,6 +191,7 @@
             waited_ms=now_ms - self._request.arrived_ms,
             left_ms=self._left_ms,
             standing=standing,
+            returned=state.returns.returned(self._route.name, self._facts.wait_ms),
             draw=state.random.random(),
         )
         if decision.admitted:
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -10,6 +10,7 @@
 from tamarack_core.engine_model import EngineModel
 from tamarack_core.key_freshness import KeyFreshness
 from tamarack_core.retry_allowance import RetryAllowance
+from tamarack_core.return_detector import ReturnDetector
 from tamarack_core.ruleset import CallerBounds, Ruleset
 from tamarack_core.workspace_shares import WorkspaceShares
 from tamarack_gateway.decision_log import DecisionLog
@@ -42,6 +43,7 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
         )
         self.shares = WorkspaceShares(bounds.share_window_ms)
+        self.returns = ReturnDetector()
         self.leaving = False
 
     @property
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -12,6 +12,7 @@
 from tamarack_core.placement import choose_engine, choose_plain
 from tamarack_core.prompt import Prompt, parts_of
 from tamarack_core.retry_allowance import RetryAllowance
+from tamarack_core.return_detector import ReturnDetector
 from tamarack_core.ruleset import RequestKind, Route, Ruleset, ServiceShare
 from tamarack_core.workspace_shares import WorkspaceShares
 from tamarack_gateway.event_splitter import BadStreamError, EventSplitter
@@ -201,6 +202,7 @@
         "waited_ms": 0.0,
         "left_ms": 8_000.0,
         "standing": 0.0,
+        "returned": False,
         "draw": 0.0,
     }
     return admit(**{**options, **changes}).admitted
@@ -212,6 +214,21 @@
     assert not decide(left_ms=400.0)
 
 
+def test_a_request_that_came_back_goes_before_new_work() -> None:
+    """Symptom: callers that come back when they are told to are refused again.
+
+    Sequence: queues are just too long for new work. Cause: a return is held to the same bound.
+    """
+    detector = ReturnDetector()
+    assert [detector.returned("r", wait_ms) for wait_ms in (8_000.0, 7_900.0, 7_000.0)] == [
+        False,
+        False,
+        True,
+    ]
+    assert not decide(first_token_ms=850.0)
+    assert decide(first_token_ms=850.0, returned=True)
+
+
 def test_a_long_prompt_is_not_refused_for_its_own_length() -> None:
     assert decide(first_token_ms=1_500.0, unavoidable_ms=1_300.0)
 
