Soak the platform's path with real processes and seeded faults

Change: a soak that kills, stops, pauses and restarts routers by signals, disturbs the store, spoils and replaces workers, and takes keys away; callers and workers check at most once, truthful refusals, whole answers, streams in order, lapsed keys and ends within the grace time.

--- /dev/null
+++ b/packages/bench/src/tamarack_bench/platform_soak.py
@@ -0,0 +1,402 @@
+"""A seeded soak of the platform's path: real routers as processes, faults from outside them.
+
+Routers are killed, stopped, paused and restarted by signals; the store falls silent, refuses, loses
+answers and forgets its history; workers fail in all their ways, leave and are replaced; keys are
+taken away. Callers and workers check the promises while it runs.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import yaml
+
+from tamarack_standins.platform_store import PlatformStore
+from tamarack_standins.platform_worker import Arrived, PlatformWorker, Script
+
+HOST = "soak.example"
+REVOKE_MS = 3_000.0
+GRACE_S = 6.0
+ROUTERS = 3
+CALLERS = 12
+FAULT_PAUSE_S = (0.2, 0.9)
+SPELL_S = (0.3, 2.5)
+ANSWER_S = 8.0
+KINDS = {"/page/": "non_idempotent", "/search/": "idempotent"}
+STREAMS = {"/rewrite/": False, "/draft/": True}
+PROMISES = (408, 421, 429, 503)
+
+
+class Sent(NamedTuple):
+    """A request as its caller sent it."""
+
+    path: str
+    key: str
+    sent_s: float
+
+
+class SoakWorker(PlatformWorker):
+    """A worker that fails part of its requests, and tells the soak of each run."""
+
+    def __init__(self, name: str, soak: Soak, stream: bool) -> None:
+        super().__init__(name)
+        self._soak = soak
+        self._streams = stream
+        self.bad_part = 0.0
+
+    def _next_script(self, arrived: Arrived) -> Script:
+        draw = self._soak.random
+        events = draw.randint(1, 8) if self._streams else None
+        good = Script(echo=True, events=events, pause_s=draw.random() * 0.02)
+        if draw.random() >= self.bad_part:
+            self._soak.ran(arrived, self._streams)
+            return good
+        bad = draw.choice(
+            (
+                good._replace(status=503, not_run=True, events=None),
+                good._replace(status=500, events=None),
+                good._replace(reset=True),
+                good._replace(silent=True),
+                good._replace(attempt="stray"),
+                good._replace(events=8, cut_after=2)
+                if self._streams
+                else good._replace(extra=b"x"),
+                good._replace(truncated=True, events=None),
+            )
+        )
+        if not bad.not_run:
+            self._soak.ran(arrived, self._streams)
+        return bad
+
+
+class Soak:
+    """One seeded run."""
+
+    def __init__(self, seed: int, seconds: float, folder: Path) -> None:
+        self.random = random.Random(seed)
+        self._seconds = seconds
+        self._folder = folder
+        self._port = 20_000 + (os.getpid() + seed * 7) % 5_000 * 2
+        self._store = PlatformStore()
+        self._stack = contextlib.AsyncExitStack()
+        self._processes: dict[int, asyncio.subprocess.Process] = {}
+        self._workers: list[tuple[str, SoakWorker]] = []
+        self._sent: dict[str, Sent] = {}
+        self._runs: Counter[str] = Counter()
+        self._promised: set[str] = set()
+        self._revoked: dict[str, float] = {}
+        self._version = 0
+        self._names = 0
+        self._key = "key-0"
+        self._stopping = False
+        self.counts: Counter[str] = Counter()
+        self.broken: list[str] = []
+
+    async def run(self) -> None:
+        """Play the seed; what was broken stands in `broken`."""
+        async with self._stack:
+            await self._stack.enter_async_context(self._store)
+            await self._configure()
+            for service in ("web", "web", "pool", "pool", "pool"):
+                await self._add_worker(service)
+            await asyncio.gather(*(self._start(number) for number in range(ROUTERS)))
+            callers = [asyncio.ensure_future(self._calls(n)) for n in range(CALLERS)]
+            faults = asyncio.ensure_future(self._faults())
+            await asyncio.sleep(self._seconds)
+            self._stopping = True
+            await asyncio.gather(*callers, faults)
+            self._check_promises()
+            await asyncio.gather(*(self._end(number) for number in list(self._processes)))
+
+    def ran(self, arrived: Arrived, stream: bool) -> None:
+        """Take in that a worker runs a request."""
+        attempt = arrived.headers.get("x-attempt-id", "")
+        self._runs[attempt] += 1
+        sent = self._sent.get(attempt)
+        if sent is None:
+            self.broken.append(f"{attempt} runs and no caller sent it")
+            return
+        once = sent.path in ("/page/", "/rewrite/")
+        if once and self._runs[attempt] > 1:
+            self.broken.append(f"{attempt} {sent.path} runs {self._runs[attempt]} times")
+        taken_s = self._revoked.get(sent.key) if stream else None
+        if taken_s is not None and sent.sent_s > taken_s + REVOKE_MS / 1000:
+            self.broken.append(f"{attempt} runs under a key that was taken away")
+        if not arrived.target.startswith(sent.path):
+            self.broken.append(f"{attempt} runs at {arrived.target}")
+
+    def _check_promises(self) -> None:
+        for attempt in self._promised:
+            if self._runs[attempt]:
+                self.broken.append(f"{attempt} was refused as not run and ran")
+        if not self.counts["200"]:
+            self.broken.append("no request was served")
+
+    # the fleet
+
+    async def _configure(self) -> None:
+        self._version += 1
+        plain = [
+            self._route(path, kind, "web", public=True, maxAttempts=2)
+            for path, kind in KINDS.items()
+        ]
+        streams = [
+            self._route(path, "streaming", "pool", maxAttempts=2, resumeStreams=resume)
+            for path, resume in STREAMS.items()
+        ]
+        value = {
+            "version": self._version,
+            "routes": plain + streams,
+            "services": [{"name": "web"}, {"name": "pool", "engine": {"slots": 64}}],
+            "limits": {"tokensPerS": 300_000},
+            "tenants": [{"name": "shop", "apiKeys": [self._key]}],
+        }
+        await self._store.put("op", "config", value)
+
+    def _route(self, path: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+        base = {"host": HOST, "prefix": path, "kind": kind, "service": service}
+        return {**base, "timeoutMs": 2_000, "targetLatencyMs": 500, **more}
+
+    async def _add_worker(self, service: str) -> None:
+        self._names += 1
+        worker = SoakWorker(f"i-{self._names}", self, service == "pool")
+        await self._stack.enter_async_context(worker)
+        self._workers.append((service, worker))
+        await self._store.put("servers", worker.name, worker.entry(service))
+
+    def _address(self, number: int, offset: int) -> str:
+        return f"127.0.{1 + self._port % 200}.{number + 2}:{self._port + offset}"
+
+    async def _start(self, number: int) -> None:
+        settings = {
+            "nodeName": f"router-{number}",
+            "ip": self._address(number, 0).partition(":")[0],
+            "zone": f"zone-{number}",
+            "listen": {
+                "front": self._address(number, 0),
+                "ready": self._address(number, 1),
+                "directory": self._address(number, 2),
+            },
+            "internalPorts": [self._port + 3, self._port + 9],
+            "bounds": {"revokeMs": REVOKE_MS, "graceS": GRACE_S},
+            "platform": {"address": self._store.address},
+        }
+        path = self._folder / f"router-{number}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        log = (self._folder / f"router-{number}.log").open("ab")
+        self._processes[number] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "tamarack_platform",
+            env={**os.environ, "TAMARACKTURN_CONFIG": str(path)},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    async def _end(self, number: int) -> None:
+        process = self._processes[number]
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        await process.wait()
+
+    # faults
+
+    async def _faults(self) -> None:
+        faults = (
+            self._kill,
+            self._terminate,
+            self._pause,
+            self._hang_up,
+            self._disturb_store,
+            self._forget,
+            self._spoil_worker,
+            self._replace_worker,
+            self._revoke,
+        )
+        running: list[asyncio.Future[None]] = []
+        while not self._stopping:
+            await asyncio.sleep(self.random.uniform(*FAULT_PAUSE_S))
+            fault = self.random.choice(faults)
+            self.counts[f"fault {fault.__name__.strip('_')}"] += 1
+            running.append(asyncio.ensure_future(fault()))
+        await asyncio.gather(*running)
+
+    async def _spell(self) -> None:
+        await asyncio.sleep(self.random.uniform(*SPELL_S))
+
+    def _living(self) -> list[int]:
+        return [n for n, process in self._processes.items() if process.returncode is None]
+
+    async def _kill(self) -> None:
+        number = self.random.choice(self._living() or [0])
+        process = self._processes[number]
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+            await self._start(number)
+
+    async def _terminate(self) -> None:
+        number = self.random.choice(self._living() or [0])
+        process = self._processes[number]
+        if process.returncode is not None:
+            return
+        process.terminate()
+        try:
+            async with asyncio.timeout(GRACE_S + 2):
+                code = await process.wait()
+        except TimeoutError:
+            self.broken.append(f"router-{number} did not end in its grace time")
+            process.kill()
+            await process.wait()
+            code = 0
+        if code not in (0, -signal.SIGKILL):
+            self.broken.append(f"router-{number} ended with {code}")
+        if self._processes[number] is process:
+            await self._start(number)
+
+    async def _pause(self) -> None:
+        process = self._processes[self.random.choice(self._living() or [0])]
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(signal.SIGSTOP)
+            await self._spell()
+            process.send_signal(signal.SIGCONT)
+
+    async def _hang_up(self) -> None:
+        process = self._processes[self.random.choice(self._living() or [0])]
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(signal.SIGHUP)
+
+    async def _disturb_store(self) -> None:
+        way = self.random.choice(("silent", "refusing", "losing_writes"))
+        setattr(self._store, way, 503 if way == "refusing" else True)
+        await self._spell()
+        setattr(self._store, way, 0 if way == "refusing" else False)
+
+    async def _forget(self) -> None:
+        await self._store.forget_history()
+
+    async def _spoil_worker(self) -> None:
+        worker = self.random.choice(self._workers)[1]
+        worker.bad_part = self.random.uniform(0.1, 0.8)
+        await self._spell()
+        worker.bad_part = 0.0
+
+    async def _replace_worker(self) -> None:
+        service, worker = self._workers.pop(self.random.randrange(len(self._workers)))
+        await self._add_worker(service)
+        if self.random.random() < 0.5:
+            await self._store.put("servers", worker.name, worker.entry(service, state="draining"))
+            await self._spell()
+        await self._store.remove("servers", worker.name)
+
+    async def _revoke(self) -> None:
+        old, self._key = self._key, f"key-{self._version}"
+        await self._configure()
+        self._revoked[old] = time.monotonic()
+
+    # callers
+
+    async def _calls(self, number: int) -> None:
+        keys = [self._key]
+        while not self._stopping:
+            if self._key != keys[-1]:
+                keys.append(self._key)
+            path = self.random.choice([*KINDS, *STREAMS])
+            # Some callers go on with a key long after it was taken away.
+            key = self.random.choice(keys[-3:])
+            router = self.random.randrange(ROUTERS)
+            with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
+                async with asyncio.timeout(ANSWER_S):
+                    await self._call(path, key, self._address(router, 0))
+                continue
+            self.counts["no answer"] += 1
+            await asyncio.sleep(0.05)
+
+    async def _call(self, path: str, key: str, address: str) -> None:
+        host, _, port = address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        attempt = f"a{len(self._sent)}"
+        self._sent[attempt] = Sent(path, key, time.monotonic())
+        lines = [f"POST {path}x HTTP/1.1", f"Host: {HOST}", f"X-Attempt-Id: {attempt}"]
+        lines += ["X-Deadline-Ms: 2500", "Content-Length: 2"]
+        if path in STREAMS:
+            lines += [f"Authorization: Token {key}", "X-Model: m", "X-Token-Usage: 300,40"]
+            lines.append(f"X-Prompt-Prefix: s{self.random.randrange(9)}:200,o{attempt}:100")
+        try:
+            writer.write("\r\n".join([*lines, "", "{}"]).encode())
+            await self._read(reader, attempt, path in STREAMS)
+        finally:
+            writer.close()
+
+    async def _read(self, reader: asyncio.StreamReader, attempt: str, stream: bool) -> None:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+        status = int(head.split(" ")[1])
+        self.counts[str(status)] += 1
+        if status in PROMISES:
+            self._promised.add(attempt)
+        if status != 200:
+            return
+        if "chunked" not in head:
+            length = int(head.split("content-length: ")[1].split("\r")[0])
+            body = await reader.readexactly(length)
+            if stream or body.decode() != attempt:
+                self.broken.append(f"{attempt} got {body!r}")
+            return
+        body = b""
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            body += (await reader.readexactly(size + 2))[:-2]
+        self._check_events(body, attempt)
+
+    def _check_events(self, body: bytes, attempt: str) -> None:
+        events = [event for event in body.decode().split("\n\n") if event]
+        expected = [f"id: {n}\ndata: {attempt}" for n in range(1, len(events) + 1)]
+        if events != expected:
+            self.broken.append(f"{attempt} got other events: {events}")
+
+
+def play(seed: int, seconds: float) -> Soak:
+    """Play one seed; returns it with its counts and what was broken."""
+    with tempfile.TemporaryDirectory() as folder:
+        soak = Soak(seed, seconds, Path(folder))
+        asyncio.run(soak.run())
+        if soak.broken:
+            kept = Path("bench/out") / f"soak-{seed}"
+            kept.mkdir(parents=True, exist_ok=True)
+            for log in Path(folder).glob("*.log"):
+                (kept / log.name).write_bytes(log.read_bytes())
+        return soak
+
+
+def main() -> int:
+    """Play seeds from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--first", type=int, default=1, help="first seed")
+    parser.add_argument("--seeds", type=int, default=10, help="number of seeds")
+    parser.add_argument("--seconds", type=float, default=12.0, help="length of each run")
+    parsed = parser.parse_args()
+    failed = 0
+    for seed in range(parsed.first, parsed.first + parsed.seeds):
+        soak = play(seed, parsed.seconds)
+        print(
+            json.dumps({"seed": seed, "broken": soak.broken[:5], **dict(soak.counts)}), flush=True
+        )
+        failed += bool(soak.broken)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/standins/src/tamarack_standins/platform_worker.py
+++ b/packages/standins/src/tamarack_standins/platform_worker.py
@@ -39,6 +39,8 @@
     events
         Events of a stream, None for a plain answer; `cut_after` ends it after so many, in the
         middle of the next.
+    echo
+        Whether the body, or each event's data, is the attempt's id.
     """
 
     status: int = 200
@@ -54,6 +56,7 @@
     events: int | None = None
     cut_after: int | None = None
     pause_s: float = 0.0
+    echo: bool = False
 
 
 class Arrived(NamedTuple):
@@ -140,7 +143,7 @@
             writer.write(b"HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n")
             return True
         self.arrived.append(arrived)
-        script = self._scripts.pop(0) if len(self._scripts) > 1 else self._scripts[0]
+        script = self._next_script(arrived)
         if script.silent:
             await self._until_closed(reader)
             return False
@@ -153,6 +156,10 @@
             return await self._stream(script, arrived, writer)
         return await self._answer(script, arrived, writer)
 
+    def _next_script(self, arrived: Arrived) -> Script:
+        """The way to answer a request; a subclass may choose by what arrived."""
+        return self._scripts.pop(0) if len(self._scripts) > 1 else self._scripts[0]
+
     async def _until_closed(self, reader: asyncio.StreamReader) -> None:
         with contextlib.suppress(OSError):
             await reader.read(1)
@@ -160,9 +167,10 @@
 
     async def _answer(self, script: Script, arrived: Arrived, writer: asyncio.StreamWriter) -> bool:
         lines = self._head(script, arrived)
+        body = _body(script, arrived)
         if not script.unframed:
-            lines.append(f"content-length: {len(script.body)}")
-        body = script.body[:-1] if script.truncated else script.body
+            lines.append(f"content-length: {len(body)}")
+        body = body[:-1] if script.truncated else body
         writer.write("\r\n".join([*lines, "", ""]).encode() + body + script.extra)
         await writer.drain()
         if script.truncated and script.unframed:
@@ -176,7 +184,7 @@
         writer.write("\r\n".join([*lines, "", ""]).encode())
         first = int(arrived.headers.get("last-event-id", "0")) + 1
         for number in range(first, (script.events or 0) + 1):
-            event = b"id: %d\ndata: %s\n\n" % (number, script.body)
+            event = b"id: %d\ndata: %s\n\n" % (number, _body(script, arrived))
             if script.cut_after is not None and number > script.cut_after:
                 writer.write(_chunk(event[:-5]))
                 await writer.drain()
@@ -211,6 +219,10 @@
     return Arrived(method, target, headers, body)
 
 
+def _body(script: Script, arrived: Arrived) -> bytes:
+    return arrived.headers.get("x-attempt-id", "").encode() if script.echo else script.body
+
+
 def _reset(writer: asyncio.StreamWriter) -> None:
     sock = writer.get_extra_info("socket")
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
