Send callers past routers that the store turns away

Cause: a router that the store turned away stayed in the answers to callers; its keys lapsed, and callers of its failure domain were refused for seconds beside routers with room. Change: routers tell whether they confirmed their configuration lately; callers are named others first.

--- a/packages/gateway/src/tamarack_gateway/fleet_members.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_members.py
@@ -33,6 +33,7 @@
     callers: str
     ready: bool
     heard_ms: float
+    fresh: bool = True
     stamp_ms: float = 0.0
 
 
@@ -92,10 +93,15 @@
         return me.router in readers
 
     def addresses(self, me: Member, failure_domain: str, now_ms: float) -> list[str]:
-        """Addresses for a caller: those of its own failure domain, others where these are few."""
+        """Addresses for a caller: those of its own failure domain, others where these are few.
+
+        A router that the store turns away soon refuses requests with keys. Callers are sent there
+        only when no other is better off, as when the store is away for all.
+        """
         live = self.live(now_ms)
         if me.ready:
             live.append(me)
+        live = [member for member in live if member.fresh] or live
         near = [m for m in live if m.failure_domain == failure_domain]
         far = {m.router: m for m in live if m.failure_domain != failure_domain}
         lacking = max(0, LEAST_ADDRESSES - len(near))
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -16,6 +16,10 @@
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.site import GatewaySettings
 
+FRESH_MS = 2_600.0
+"""Age of the confirmation up to which callers are sent here. Calls of a second each, one of them
+lost, keep it below; those who come later meet keys that lapse before they are served."""
+
 KEY_MARGIN_MS = 500.0
 """Time that a key lapses before its bound: a request that is sent on just before is still on its
 way to the endpoint then, and timers fire late."""
@@ -51,6 +55,11 @@
         """Whether callers should be sent here."""
         return self.rules is not None and self.endpoints_known and not self.leaving
 
+    @property
+    def fresh(self) -> bool:
+        """Whether keys will be trusted for a while yet."""
+        return self.freshness.age_ms(self.clock.now_ms) <= FRESH_MS
+
     @property
     def bounds(self) -> CallerBounds:
         """What callers may send."""
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -278,6 +278,7 @@
             self._callers,
             self._state.ready,
             self._clock.now_ms,
+            self._state.fresh,
         )
 
     def _follow(self, addresses: set[str]) -> None:
@@ -306,6 +307,7 @@
             summary.callers,
             summary.ready,
             now_ms,
+            summary.fresh,
             summary.stamp_ms,
         )
         if not self._members.heard(member):
@@ -331,6 +333,7 @@
             me.failure_domain,
             me.callers,
             me.ready,
+            me.fresh,
             state.leaving,
             version,
             self._clock.now_ms,
--- a/packages/gateway/src/tamarack_gateway/peer_summaries.py
+++ b/packages/gateway/src/tamarack_gateway/peer_summaries.py
@@ -33,8 +33,8 @@
         Names one life of the router; a later life has a higher one.
     callers
         Address for callers.
-    ready
-        Whether callers should be sent there.
+    ready, fresh
+        Whether callers should be sent there, and whether it has confirmed its configuration lately.
     rules_version
         Version of the configuration in force there.
     stamp_ms
@@ -48,6 +48,7 @@
     failure_domain: str
     callers: str
     ready: bool
+    fresh: bool
     leaving: bool
     rules_version: int
     stamp_ms: float
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -87,7 +87,7 @@
 
 def members_of(count: int) -> list[Member]:
     return [
-        Member(f"r{number}", 1, f"domain-{number % 4}", f"c{number}", True, 0.0, 0.0)
+        Member(f"r{number}", 1, f"domain-{number % 4}", f"c{number}", True, 0.0)
         for number in range(count)
     ]
 
@@ -110,6 +110,21 @@
             assert len({reader.failure_domain for reader in readers}) == READERS
 
 
+def test_callers_are_sent_past_a_router_that_the_store_turns_away() -> None:
+    """Symptom: callers of one failure domain are refused for seconds, beside routers with room.
+
+    Sequence: the store turns one router away; its keys lapse. Cause: its address stayed in the
+    answers to callers. When the store is away for all, all are named.
+    """
+    members = FleetMembers()
+    first, second, me = members_of(3)
+    members.heard(first)
+    members.heard(second._replace(fresh=False))
+    assert set(members.addresses(me, "domain-1", 100.0)) == {"c0", "c2"}
+    members.heard(first._replace(fresh=False))
+    assert len(members.addresses(me._replace(fresh=False), "domain-1", 100.0)) == 3
+
+
 def test_a_listening_router_learns_of_changes_and_stays_confirmed() -> None:
     """A second router that may not ask the store is told of a change by the first one."""
 
