Tell placements in short messages, and parts only when they may have yielded

Change: summaries are messages of their own, each 250 ms and 4 ms for each router; placements carry what changed; a part is told when nobody told it in the last 3 s; readers send stamps with the configuration's news only.

--- a/packages/core/src/tamarack_core/engine_model.py
+++ b/packages/core/src/tamarack_core/engine_model.py
@@ -34,6 +34,15 @@
 PACE_HALF_LIFE_MS = 4_000.0
 """Time after which a learned slowness counts half, so that a slow engine is tried again."""
 
+PART_TOLD_TOKENS = 256
+"""Prompt parts smaller than this are not told to other routers: reading them again costs a few
+milliseconds."""
+
+PART_TOLD_MS = 3_000.0
+"""Time after which a part that is used again is told again, so that others do not take it for
+one that yielded. Parts told with each request were most of 0.3 GB in a minute between the failure
+domains of 66 routers."""
+
 KEPT_PART_OF_MEMORY = 0.6
 """Part of an engine's memory that the model takes for kept prompt parts; running requests have
 the rest."""
@@ -67,6 +76,7 @@
         self._pace_ms = 0.0
         self._kept: OrderedDict[str, int] = OrderedDict()
         self._kept_tokens = 0
+        self._told_ms: dict[str, float] = {}
         self._room = memory_tokens * KEPT_PART_OF_MEMORY
         self.running = 0
         self.running_elsewhere = 0
@@ -142,13 +152,28 @@
             self._kept[part.key] = part.tokens
             self._kept.move_to_end(part.key)
         while self._kept_tokens > self._room and self._kept:
-            _, tokens = self._kept.popitem(last=False)
+            key, tokens = self._kept.popitem(last=False)
             self._kept_tokens -= tokens
+            self._told_ms.pop(key, None)
 
-    def keep_named(self, parts: list[tuple[str, int]]) -> None:
+    def keep_named(self, parts: list[tuple[str, int]], now_ms: float) -> None:
         """Take in parts that another router told of, by key and size."""
+        for key, _ in parts:
+            self._told_ms[key] = now_ms
         self.keep(tuple(PromptPart(key, tokens) for key, tokens in parts))
 
+    def parts_to_tell(self, prompt: Prompt, now_ms: float) -> list[PromptPart]:
+        """Shared parts of a prompt sent here that other routers do not know of."""
+        parts = [
+            part
+            for part in prompt.parts[:-1]
+            if part.tokens >= PART_TOLD_TOKENS
+            and now_ms - self._told_ms.get(part.key, float("-inf")) >= PART_TOLD_MS
+        ]
+        for part in parts:
+            self._told_ms[part.key] = now_ms
+        return parts
+
     def _add(self, reading_ms: float, now_ms: float) -> None:
         self._free_ms = max(now_ms, self._free_ms) + reading_ms
         self._added_ms += reading_ms
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -429,8 +429,9 @@
             return
         model = state.models.get(choice.endpoint.name)
         if model is not None:
+            parts = model.parts_to_tell(prompt, now_ms)
             reading_ms = model.sent(self._facts.attempt, prompt, now_ms)
-            self._outbox.placed(choice.endpoint.name, reading_ms, prompt)
+            self._outbox.placed(choice.endpoint.name, reading_ms, parts)
         if self._workspace is not None and self._sends == 1:
             state.shares.serve(self._workspace, prompt.charge, now_ms)
             self._outbox.served(self._workspace, prompt.charge)
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -16,7 +16,7 @@
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.gateway_metrics import GatewayMetrics
 from tamarack_gateway.http_messages import Headers, Request
-from tamarack_gateway.outbox import Outbox
+from tamarack_gateway.outbox import Outbox, Placements
 from tamarack_gateway.peer_summaries import PeerSummaries, Summary
 from tamarack_gateway.site import Site
 from tamarack_gateway.table_follower import TableNews
@@ -25,14 +25,16 @@
 """Connections that wait to be accepted; a full queue costs a caller seconds."""
 
 SUMMARY_MS = 250.0
-"""Time between two summaries of a router that has nothing to tell but that it is there."""
+SUMMARY_PER_ROUTER_MS = 4.0
+"""Time between two summaries, and what each router of the fleet adds to it: two of them may be
+lost before a router counts as silent, also at 66."""
 
-SUMMARY_GAP_MS = 20.0
-SUMMARY_GAP_PER_ROUTER_MS = 0.5
-"""Least time between two summaries, and what each router of the fleet adds to it. A summary follows
-each request that is placed as soon as this allows: at 66 routers, one each 400 ms and one each
-130 ms, told or not, served 0.438 and 0.623 of a calm day's worth, for routers that do not know of
-each other's work send it to the same engines and read shared parts at many."""
+PLACED_GAP_MS = 20.0
+PLACED_GAP_PER_ROUTER_MS = 0.5
+"""Least time between two messages of what was placed, and what each router of the fleet adds to
+it. A message follows each placement as soon as this allows: at 66 routers, one each 400 ms and one
+each 130 ms served 0.438 and 0.623 of a calm day's worth, and one after each placement 0.773, for
+routers that do not know of each other's work send it to the same engines and read parts at many."""
 
 SWEEP_MS = 500.0
 """Time between two looks at idle connections and endpoints that lapsed."""
@@ -92,6 +94,7 @@
             if address:
                 self._site_addresses.append(await self._listen(address, self._answer_site))
         self._tasks.append(asyncio.ensure_future(self._tell_peers()))
+        self._tasks.append(asyncio.ensure_future(self._tell_placements()))
         self._tasks.append(asyncio.ensure_future(self._sweep()))
         self._tasks.append(asyncio.ensure_future(self._flush()))
         self._log.event("started", callers=self._callers, peers=self._peers.address)
@@ -288,18 +291,22 @@
 
     def _tell_news(self, news: TableNews) -> None:
         if self._peers is not None and self._members.heard_within(5_000.0, self._clock.now_ms):
-            self._peers.tell(news._replace(stamps=self._members.stamps()))
+            if news.table == self._site.tables.configuration:
+                news = news._replace(stamps=self._members.stamps())
+            self._peers.tell(news)
 
-    def _took(self, told: Summary | TableNews) -> None:
+    def _took(self, told: Summary | Placements | TableNews) -> None:
         if isinstance(told, Summary):
             self._heard(told)
             return
-        stamp_ms = told.stamps.get(self._settings.router)
-        if stamp_ms is not None:
-            self._feeds.hear(told, stamp_ms)
+        if isinstance(told, Placements):
+            self._took_placements(told)
+            return
+        stamp_ms = told.stamps.get(self._settings.router, float("-inf"))
+        self._feeds.hear(told, stamp_ms)
 
     def _heard(self, summary: Summary) -> None:
-        state, now_ms = self._state, self._clock.now_ms
+        now_ms = self._clock.now_ms
         member = Member(
             summary.router,
             summary.boot,
@@ -310,14 +317,16 @@
             summary.fresh,
             summary.stamp_ms,
         )
-        if not self._members.heard(member):
-            return
-        for placed in summary.placed:
+        self._members.heard(member)
+
+    def _took_placements(self, told: Placements) -> None:
+        state, now_ms = self._state, self._clock.now_ms
+        for placed in told.placed:
             model = state.models.get(placed.endpoint)
             if model is not None:
                 model.sent_elsewhere(placed.reading_ms, now_ms)
-                model.keep_named(placed.parts)
-        for tokens in summary.tokens:
+                model.keep_named(placed.parts, now_ms)
+        for tokens in told.tokens:
             state.shares.ask(tokens.workspace, tokens.asked, now_ms)
             state.shares.serve(tokens.workspace, tokens.served, now_ms)
 
@@ -325,7 +334,6 @@
         if self._peers is None:
             return
         state, me = self._state, self._me
-        running = {name: model.running for name, model in state.models.items()}
         version = state.rules.version if state.rules else 0
         summary = Summary(
             me.router,
@@ -337,18 +345,23 @@
             state.leaving,
             version,
             self._clock.now_ms,
-            self._outbox.take_placed(running),
-            self._outbox.take_tokens(),
         )
         self._peers.tell(summary)
 
     async def _tell_peers(self) -> None:
         while True:
             others = self._members.heard_within(5_000.0, self._clock.now_ms)
-            await asyncio.sleep((SUMMARY_GAP_MS + others * SUMMARY_GAP_PER_ROUTER_MS) / 1000)
-            await self._outbox.news(SUMMARY_MS)
+            await asyncio.sleep((SUMMARY_MS + others * SUMMARY_PER_ROUTER_MS) / 1000)
             self._tell()
 
+    async def _tell_placements(self) -> None:
+        while True:
+            others = self._members.heard_within(5_000.0, self._clock.now_ms)
+            await asyncio.sleep((PLACED_GAP_MS + others * PLACED_GAP_PER_ROUTER_MS) / 1000)
+            await self._outbox.wait()
+            if self._peers is not None:
+                self._peers.tell(self._outbox.take())
+
     # housekeeping
 
     async def _sweep(self) -> None:
--- a/packages/gateway/src/tamarack_gateway/peer_summaries.py
+++ b/packages/gateway/src/tamarack_gateway/peer_summaries.py
@@ -10,7 +10,6 @@
 import zmq
 
 from tamarack_core.wire import decode, encode, message
-from tamarack_gateway.outbox import Placed, Tokens
 
 SEND_LIMIT = 200
 """Messages that wait for a slow peer; more would only be old."""
@@ -39,8 +38,6 @@
         Version of the configuration in force there.
     stamp_ms
         Its clock as it sent this.
-    placed, tokens
-        What it did since its last message.
     """
 
     router: str
@@ -52,8 +49,6 @@
     leaving: bool
     rules_version: int
     stamp_ms: float
-    placed: list[Placed]
-    tokens: list[Tokens]
 
 
 class PeerSummaries:
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -161,6 +161,16 @@
     assert model.unread_tokens(make_prompt("s", "b")) == 16_000
 
 
+def test_parts_are_told_once_until_they_may_have_yielded() -> None:
+    model = EngineModel()
+    prompt = make_prompt("s", "a")
+    assert [part.key for part in model.parts_to_tell(prompt, 0.0)] == ["m/s"]
+    assert model.parts_to_tell(prompt, 2_900.0) == []
+    model.keep_named([("m/s", 13_000)], 2_950.0)
+    assert model.parts_to_tell(prompt, 3_100.0) == []
+    assert len(model.parts_to_tell(prompt, 6_000.0)) == 1
+
+
 def test_requests_that_share_a_part_go_to_one_engine_until_its_queue_is_long() -> None:
     """Symptom: a third of all tokens that engines read are parts that another one keeps.
 
