--- a/packages/bench/src/tamarack_bench/platform_soak.py
+++ b/packages/bench/src/tamarack_bench/platform_soak.py
@@ -238,22 +238,29 @@
     async def _spell(self) -> None:
         await asyncio.sleep(self.random.uniform(*SPELL_S))
 
-    def _living(self) -> list[int]:
-        return [n for n, process in self._processes.items() if process.returncode is None]
+    def _pick(self) -> tuple[int, asyncio.subprocess.Process] | None:
+        living = [(n, p) for n, p in self._processes.items() if p.returncode is None]
+        return self.random.choice(living) if living else None
+
+    async def _restart(self, number: int, process: asyncio.subprocess.Process) -> None:
+        # Faults overlap: of those that ended the same process only one starts the next.
+        if self._processes.get(number) is process:
+            del self._processes[number]
+            await self._start(number)
 
     async def _kill(self) -> None:
-        number = self.random.choice(self._living() or [0])
-        process = self._processes[number]
-        if process.returncode is None:
+        picked = self._pick()
+        if picked is not None:
+            number, process = picked
             process.kill()
             await process.wait()
-            await self._start(number)
+            await self._restart(number, process)
 
     async def _terminate(self) -> None:
-        number = self.random.choice(self._living() or [0])
-        process = self._processes[number]
-        if process.returncode is not None:
+        picked = self._pick()
+        if picked is None:
             return
+        number, process = picked
         process.terminate()
         try:
             async with asyncio.timeout(GRACE_S + 2):
@@ -261,24 +268,25 @@
         except TimeoutError:
             self.broken.append(f"router-{number} did not end in its grace time")
             process.kill()
-            await process.wait()
-            code = 0
+            code = await process.wait()
         if code not in (0, -signal.SIGKILL):
             self.broken.append(f"router-{number} ended with {code}")
-        if self._processes[number] is process:
-            await self._start(number)
+        await self._restart(number, process)
 
     async def _pause(self) -> None:
-        process = self._processes[self.random.choice(self._living() or [0])]
+        picked = self._pick()
+        if picked is None:
+            return
         with contextlib.suppress(ProcessLookupError):
-            process.send_signal(signal.SIGSTOP)
+            picked[1].send_signal(signal.SIGSTOP)
             await self._spell()
-            process.send_signal(signal.SIGCONT)
+            picked[1].send_signal(signal.SIGCONT)
 
     async def _hang_up(self) -> None:
-        process = self._processes[self.random.choice(self._living() or [0])]
-        with contextlib.suppress(ProcessLookupError):
-            process.send_signal(signal.SIGHUP)
+        picked = self._pick()
+        if picked is not None:
+            with contextlib.suppress(ProcessLookupError):
+                picked[1].send_signal(signal.SIGHUP)
 
     async def _disturb_store(self) -> None:
         way = self.random.choice(("silent", "refusing", "losing_writes"))
--- a/packages/gateway/src/tamarack_gateway/main.py
+++ b/packages/gateway/src/tamarack_gateway/main.py
@@ -14,6 +14,8 @@
 from tamarack_gateway.gateway import Gateway
 from tamarack_gateway.site import Site
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 SETTINGS_CHECK_S = 1.0
 """Seconds between two looks at the settings file, which may change without a signal."""
 
@@ -45,6 +47,9 @@
         watch = asyncio.ensure_future(_watch_settings(gateway, settings_path))
         await stop.wait()
         await gateway.leave()
+        # The loop takes its handlers away as it closes; a second signal would then end the process
+        # by its default action, and a stop in good order would look like a crash.
+        signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
         watch.cancel()
 
 
