--- a/packages/bench/src/tamarack_bench/platform_soak.py
+++ b/packages/bench/src/tamarack_bench/platform_soak.py
@@ -216,17 +216,9 @@
     # faults
 
     async def _faults(self) -> None:
-        faults = (
-            self._kill,
-            self._terminate,
-            self._pause,
-            self._hang_up,
-            self._disturb_store,
-            self._forget,
-            self._spoil_worker,
-            self._replace_worker,
-            self._revoke,
-        )
+        routers = (self._kill, self._terminate, self._pause, self._hang_up)
+        store = (self._disturb_store, self._forget, self._revoke)
+        faults = (*routers, *store, self._spoil_worker, self._replace_worker)
         running: list[asyncio.Future[None]] = []
         while not self._stopping:
             await asyncio.sleep(self.random.uniform(*FAULT_PAUSE_S))
@@ -283,8 +275,7 @@
             picked[1].send_signal(signal.SIGCONT)
 
     async def _hang_up(self) -> None:
-        picked = self._pick()
-        if picked is not None:
+        if picked := self._pick():
             with contextlib.suppress(ProcessLookupError):
                 picked[1].send_signal(signal.SIGHUP)
 
@@ -371,8 +362,7 @@
 
     def _check_events(self, body: bytes, attempt: str) -> None:
         events = [event for event in body.decode().split("\n\n") if event]
-        expected = [f"id: {n}\ndata: {attempt}" for n in range(1, len(events) + 1)]
-        if events != expected:
+        if events != [f"id: {n}\ndata: {attempt}" for n in range(1, len(events) + 1)]:
             self.broken.append(f"{attempt} got other events: {events}")
 
 
@@ -395,10 +385,10 @@
     parser.add_argument("--first", type=int, default=1, help="first seed")
     parser.add_argument("--seeds", type=int, default=10, help="number of seeds")
     parser.add_argument("--seconds", type=float, default=12.0, help="length of each run")
-    parsed = parser.parse_args()
+    arguments = parser.parse_args()
     failed = 0
-    for seed in range(parsed.first, parsed.first + parsed.seeds):
-        soak = play(seed, parsed.seconds)
+    for seed in range(arguments.first, arguments.first + arguments.seeds):
+        soak = play(seed, arguments.seconds)
         print(
             json.dumps({"seed": seed, "broken": soak.broken[:5], **dict(soak.counts)}), flush=True
         )
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from enum import Enum
-from typing import NamedTuple
+from collections.abc import Awaitable
 
 from tamarack_core.admission import admit
-from tamarack_core.endpoint_book import Endpoint
 from tamarack_core.placement import Choice, choose_engine, choose_plain
 from tamarack_core.prompt import Prompt
 from tamarack_core.ruleset import Route
-from tamarack_gateway.caller_connection import CallerConnection, CallerGoneError
+from tamarack_gateway.caller_connection import CallerConnection
 from tamarack_gateway.connection_pool import ConnectionPool
 from tamarack_gateway.endpoint_connection import (
     BrokenAnswerError,
@@ -22,6 +20,8 @@
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.http_messages import AnswerHead, Request
 from tamarack_gateway.outbox import Outbox
+from tamarack_gateway.send_notes import UNREACHED_WEIGHT, SendNotes
+from tamarack_gateway.send_result import Result, Verdict
 from tamarack_gateway.site import RequestDialect, RequestFacts
 
 DEADLINE_MARGIN_MS = 15.0
@@ -48,25 +48,6 @@
 PLAIN_PATIENCE_MIN_MS = 250.0
 
 
-class Verdict(Enum):
-    """What came of one send."""
-
-    DONE = 1
-    NOT_RUN = 2
-    BROKEN = 3
-    TIME_UP = 4
-    FAILED = 5
-
-
-class Result(NamedTuple):
-    """What came of one send, and an answer that is kept in case nothing better follows."""
-
-    verdict: Verdict
-    reason: str = ""
-    head: AnswerHead | None = None
-    body: bytes = b""
-
-
 class Exchange:
     """Answers one request.
 
@@ -91,13 +72,13 @@
         self._state = state
         self._dialect = dialect
         self._pool = pool
-        self._outbox = outbox
         self._caller = caller
         self._request = request
         self._facts = facts
         self._route = route
         self._workspace = workspace
         self._service = route.service_for(state.random.random())
+        self._notes = SendNotes(state, outbox, facts.attempt, workspace, self._prompt)
         self._splitter = EventSplitter(facts.last_event)
         limit_ms = route.time_limit_ms
         if facts.wait_ms is not None:
@@ -105,16 +86,13 @@
         self._until_ms = request.arrived_ms + limit_ms
         self._sends = 0
         self._may_have_run = False
-        self._running = False
         self._tried: set[str] = set()
 
     async def run(self) -> None:
         """Answer the request."""
         state = self._state
         state.allowance.note_request(self._service, state.clock.now_ms)
-        if self._prompt is not None and self._workspace is not None:
-            state.shares.ask(self._workspace, self._prompt.charge, state.clock.now_ms)
-            self._outbox.asked(self._workspace, self._prompt.charge)
+        self._notes.asked()
         await self._attempts()
 
     @property
@@ -138,13 +116,14 @@
                 connection = await self._pool.take(choice.endpoint.address)
             except ConnectError as error:
                 connects += 1
-                self._note_failure(choice.endpoint, f"connect: {error}", weight=3.0)
+                self._pool.drop(choice.endpoint.address)
+                self._notes.failure(choice.endpoint, f"connect: {error}", weight=UNREACHED_WEIGHT)
                 self._tried.add(choice.endpoint.name)
                 if connects >= CONNECT_TRIES:
                     return self._give_up(last)
                 continue
             if self._left_ms < LEAST_LEFT_MS or not self._keys_hold():
-                self._pool_unused(choice.endpoint, connection)
+                connection.abort()
                 return self._give_up(last)
             last = await self._send(choice, connection)
             if last.verdict is Verdict.DONE:
@@ -152,9 +131,6 @@
             if not self._may_try_again(last):
                 return self._give_up(last)
 
-    def _pool_unused(self, endpoint: Endpoint, connection: EndpointConnection) -> None:
-        connection.abort()
-
     def _choose(self) -> Choice | None:
         state = self._state
         endpoints = state.usable(self._service)
@@ -219,13 +195,10 @@
 
     async def _send(self, choice: Choice, connection: EndpointConnection) -> Result:
         endpoint, state = choice.endpoint, self._state
-        record = state.records.get(endpoint.name)
         self._sends += 1
         self._tried.add(endpoint.name)
         self._log_placed(choice)
-        if record is not None:
-            record.outstanding += 1
-        self._note_sent(choice)
+        self._notes.sent(choice)
         sent_ms = state.clock.now_ms
         whole = False
         try:
@@ -237,16 +210,14 @@
         except (BrokenAnswerError, BadStreamError) as error:
             result = Result(Verdict.BROKEN, str(error))
         finally:
-            if record is not None:
-                record.outstanding -= 1
-            self._note_ended(choice)
+            self._notes.ended(choice)
             if whole:
                 self._pool.give_back(endpoint.address, connection)
             else:
                 # Closing tells the endpoint to stop; one that goes on would work for nobody.
                 connection.abort()
         took_ms = state.clock.now_ms - sent_ms
-        self._note_result(endpoint, result, took_ms)
+        self._notes.result(endpoint, result, took_ms)
         if result.verdict is Verdict.DONE:
             state.log.request(
                 "answered", self._facts.attempt, endpoint=endpoint.name, took_ms=round(took_ms)
@@ -302,13 +273,13 @@
         self._caller.answer(head.status, self._dialect.for_caller(head), body)
         return Result(Verdict.DONE)
 
-    async def _first(self, coroutine: object, choice: Choice) -> AnswerHead:
+    async def _first(self, head: Awaitable[AnswerHead], choice: Choice) -> AnswerHead:
         patience_ms = self._patience_ms(choice)
         if patience_ms is None:
-            return await coroutine  # type: ignore[misc]
+            return await head
         try:
             async with asyncio.timeout(patience_ms / 1000):
-                return await coroutine  # type: ignore[misc]
+                return await head
         except TimeoutError as error:
             if self._left_ms <= 1.0:
                 raise
@@ -335,7 +306,7 @@
             events = self._splitter.feed(piece)
             if events and first:
                 first = False
-                self._note_first_event(choice)
+                self._notes.first_event(choice)
             if events:
                 await self._pass_on(head, events)
         if self._splitter.rest:
@@ -420,70 +391,3 @@
 
     def _refuse(self, status: int, retry_after_ms: float | None) -> None:
         self._caller.answer(status, self._dialect.refusal(self._facts.attempt, retry_after_ms))
-
-    # what the models learn
-
-    def _note_sent(self, choice: Choice) -> None:
-        state, prompt, now_ms = self._state, self._prompt, self._state.clock.now_ms
-        if prompt is None:
-            return
-        model = state.models.get(choice.endpoint.name)
-        if model is not None:
-            parts = model.parts_to_tell(prompt, now_ms)
-            reading_ms = model.sent(self._facts.attempt, prompt, now_ms)
-            self._outbox.placed(choice.endpoint.name, reading_ms, parts)
-        if self._workspace is not None and self._sends == 1:
-            state.shares.serve(self._workspace, prompt.charge, now_ms)
-            self._outbox.served(self._workspace, prompt.charge)
-        self._running = False
-
-    def _note_first_event(self, choice: Choice) -> None:
-        model = self._state.models.get(choice.endpoint.name)
-        if model is not None and self._prompt is not None:
-            model.first_event(self._facts.attempt, self._state.clock.now_ms)
-            model.running += 1
-            self._running = True
-
-    def _note_ended(self, choice: Choice) -> None:
-        model = self._state.models.get(choice.endpoint.name)
-        if model is None or self._prompt is None:
-            return
-        model.dropped(self._facts.attempt)
-        if self._running:
-            model.running -= 1
-            self._running = False
-
-    def _note_result(self, endpoint: Endpoint, result: Result, took_ms: float) -> None:
-        record = self._state.records.get(endpoint.name)
-        if record is None:
-            return
-        now_ms = self._state.clock.now_ms
-        if result.verdict is Verdict.DONE:
-            record.succeeded(now_ms, took_ms)
-        elif result.verdict is Verdict.NOT_RUN:
-            self._note_failure(endpoint, result.reason, weight=0.5)
-        elif result.verdict is Verdict.FAILED:
-            ours = result.head is not None and result.head.status in (400, 404, 504)
-            if not ours:
-                self._note_failure(endpoint, result.reason)
-        else:
-            self._note_failure(endpoint, result.reason)
-
-    def _note_failure(self, endpoint: Endpoint, reason: str, *, weight: float = 1.0) -> None:
-        state = self._state
-        record = state.records.get(endpoint.name)
-        if record is None:
-            return
-        record.failed(state.clock.now_ms, weight)
-        if weight >= 3.0:
-            self._pool.drop(endpoint.address)
-        state.log.request(
-            "endpoint failed",
-            self._facts.attempt,
-            endpoint=endpoint.name,
-            reason=reason,
-            failures=round(record.failures(state.clock.now_ms), 1),
-        )
-
-
-__all__ = ["CallerGoneError", "Exchange"]
--- a/packages/gateway/src/tamarack_gateway/http_messages.py
+++ b/packages/gateway/src/tamarack_gateway/http_messages.py
@@ -25,6 +25,10 @@
 """Headers that concern one connection only, and those that frame a message on it."""
 
 
+def _first(headers: Headers, name: bytes) -> bytes | None:
+    return next((value for key, value in headers if key == name), None)
+
+
 class Request(NamedTuple):
     """A request that has been read whole.
 
@@ -44,10 +48,7 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Value of the first header of that name."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
+        return _first(self.headers, name)
 
 
 class AnswerHead(NamedTuple):
@@ -69,10 +70,7 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Value of the first header of that name."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
+        return _first(self.headers, name)
 
 
 def request_bytes(method: bytes, target: bytes, headers: Headers, body: bytes) -> bytes:
--- /dev/null
+++ b/packages/gateway/src/tamarack_gateway/send_notes.py
@@ -0,0 +1,121 @@
+"""What a router learns from its own sends, and tells the others of them."""
+
+from __future__ import annotations
+
+from tamarack_core.endpoint_book import Endpoint
+from tamarack_core.placement import Choice
+from tamarack_core.prompt import Prompt
+from tamarack_gateway.fleet_state import FleetState
+from tamarack_gateway.outbox import Outbox
+from tamarack_gateway.send_result import Result, Verdict
+
+REJECTED_WEIGHT = 0.5
+"""A rejection counts half of a failure: the endpoint is full, and said so at once."""
+
+UNREACHED_WEIGHT = 3.0
+"""An endpoint that takes no connection counts threefold: the next request would wait in vain."""
+
+CALLERS_FAULT = (400, 404, 504)
+"""Statuses that speak of the request or its deadline and not of the endpoint."""
+
+
+class SendNotes:
+    """Takes one request's sends into the models and records.
+
+    Parameters
+    ----------
+    attempt, workspace, prompt
+        Of the request; `prompt` is None for plain services.
+    """
+
+    def __init__(
+        self,
+        state: FleetState,
+        outbox: Outbox,
+        attempt: str,
+        workspace: str | None,
+        prompt: Prompt | None,
+    ) -> None:
+        self._state = state
+        self._outbox = outbox
+        self._attempt = attempt
+        self._workspace = workspace
+        self._prompt = prompt
+        self._running = False
+        self._served = False
+
+    def asked(self) -> None:
+        """Take in that the request came."""
+        if self._prompt is None or self._workspace is None:
+            return
+        charge = self._prompt.charge
+        self._state.shares.ask(self._workspace, charge, self._state.clock.now_ms)
+        self._outbox.asked(self._workspace, charge)
+
+    def sent(self, choice: Choice) -> None:
+        """Take in that it is sent to an endpoint."""
+        state, prompt, now_ms = self._state, self._prompt, self._state.clock.now_ms
+        record = state.records.get(choice.endpoint.name)
+        if record is not None:
+            record.outstanding += 1
+        model = state.models.get(choice.endpoint.name)
+        if prompt is None or model is None:
+            return
+        parts = model.parts_to_tell(prompt, now_ms)
+        reading_ms = model.sent(self._attempt, prompt, now_ms)
+        self._outbox.placed(choice.endpoint.name, reading_ms, parts)
+        if self._workspace is not None and not self._served:
+            self._served = True
+            state.shares.serve(self._workspace, prompt.charge, now_ms)
+            self._outbox.served(self._workspace, prompt.charge)
+
+    def first_event(self, choice: Choice) -> None:
+        """Take in that an engine begins to answer."""
+        model = self._state.models.get(choice.endpoint.name)
+        if model is not None and self._prompt is not None:
+            model.first_event(self._attempt, self._state.clock.now_ms)
+            model.running += 1
+            self._running = True
+
+    def ended(self, choice: Choice) -> None:
+        """Take in that a send has ended in whatever way; called once for each `sent`."""
+        record = self._state.records.get(choice.endpoint.name)
+        if record is not None:
+            record.outstanding = max(0, record.outstanding - 1)
+        model = self._state.models.get(choice.endpoint.name)
+        if model is None or self._prompt is None:
+            return
+        model.dropped(self._attempt)
+        if self._running:
+            model.running = max(0, model.running - 1)
+            self._running = False
+
+    def result(self, endpoint: Endpoint, result: Result, took_ms: float) -> None:
+        """Take in what came of a send."""
+        if result.verdict is Verdict.DONE:
+            record = self._state.records.get(endpoint.name)
+            if record is not None:
+                record.succeeded(self._state.clock.now_ms, took_ms)
+            return
+        if result.verdict is Verdict.FAILED and result.head is not None:
+            if result.head.status not in CALLERS_FAULT:
+                self.failure(endpoint, result.reason)
+            return
+        rejected = result.verdict is Verdict.NOT_RUN
+        self.failure(endpoint, result.reason, weight=REJECTED_WEIGHT if rejected else 1.0)
+
+    def failure(self, endpoint: Endpoint, reason: str, *, weight: float = 1.0) -> None:
+        """Take in that an endpoint failed a request."""
+        state = self._state
+        record = state.records.get(endpoint.name)
+        if record is None:
+            return
+        now_ms = state.clock.now_ms
+        record.failed(now_ms, weight)
+        state.log.request(
+            "endpoint failed",
+            self._attempt,
+            endpoint=endpoint.name,
+            reason=reason,
+            failures=round(record.failures(now_ms), 1),
+        )
