End the grace of lapsed entries to the moment, from the first sign of the store

Change: grace runs from the first task's answer, no entry is kept for more than 1.7 s, and it ends by a timer.

--- a/packages/core/src/tamarack_core/endpoint_book.py
+++ b/packages/core/src/tamarack_core/endpoint_book.py
@@ -30,6 +30,11 @@
     draining: bool
 
 
+KEPT_MS = 1_700.0
+"""Longest time that a missing entry is kept. An endpoint that left without notice may get new work
+for two seconds; the change is told and the work sent on within the rest."""
+
+
 class EndpointBook:
     """Endpoints that may get new work.
 
@@ -70,6 +75,11 @@
             self._keep(endpoint, now_ms, keep_until_ms)
         self._settle()
 
+    @property
+    def next_expiry_ms(self) -> float | None:
+        """When the next missing entry counts as gone; None if none is missing."""
+        return min((until_ms for _, until_ms in self._missing.values()), default=None)
+
     def expire(self, now_ms: float) -> list[str]:
         """Drop entries that did not come back in time; returns their names."""
         late = [name for name, (_, until_ms) in self._missing.items() if now_ms >= until_ms]
@@ -97,7 +107,7 @@
 
     def _keep(self, endpoint: Endpoint, now_ms: float, until_ms: float) -> None:
         if until_ms > now_ms and not endpoint.draining:
-            self._missing[endpoint.name] = (endpoint, until_ms)
+            self._missing[endpoint.name] = (endpoint, min(until_ms, now_ms + KEPT_MS))
 
     def _settle(self) -> None:
         for name in self._listed:
--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -179,6 +179,22 @@
         if change.rows or change.whole:
             state.settle_endpoints()
         state.endpoints_known = True
+        self._watch_expiry()
+
+    def _watch_expiry(self) -> None:
+        # To the moment: a look each half second would let work go for so long to an endpoint that
+        # has left.
+        next_ms = self._state.book.next_expiry_ms
+        if next_ms is not None:
+            wait_ms = max(0.0, next_ms - self._state.clock.now_ms)
+            asyncio.get_running_loop().call_later(wait_ms / 1000, self._expire)
+
+    def _expire(self) -> None:
+        gone = self._state.book.expire(self._state.clock.now_ms)
+        if gone:
+            self._state.settle_endpoints()
+            self._state.log.change("endpoints did not come back", endpoints=gone)
+        self._watch_expiry()
 
     def _take_row(self, row: Row, now_ms: float, keep_until_ms: float) -> None:
         book = self._state.book
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -37,7 +37,7 @@
 routers that do not know of each other's work send it to the same engines and read parts at many."""
 
 SWEEP_MS = 500.0
-"""Time between two looks at idle connections and endpoints that lapsed."""
+"""Time between two looks at idle connections and silent peers."""
 
 FLUSH_MS = 100.0
 """Time between two writes of the log."""
@@ -374,10 +374,6 @@
             lost, regained = self._members.turned(now_ms)
             if lost or regained:
                 self._log.event("peers changed", lost=lost, regained=regained)
-            gone = self._state.book.expire(now_ms)
-            if gone:
-                self._state.settle_endpoints()
-                self._log.change("endpoints did not come back", endpoints=gone)
 
     async def _flush(self) -> None:
         while True:
--- a/packages/gateway/src/tamarack_gateway/table_follower.py
+++ b/packages/gateway/src/tamarack_gateway/table_follower.py
@@ -99,7 +99,7 @@
         Called with what was learned by a call, for other routers.
     """
 
-    RETURN_MS = 2_300.0
+    RETURN_MS = 2_200.0
     """Time after the store's return for which rows that lapsed in the outage may be missing: they
     are back within about two seconds."""
 
@@ -132,6 +132,7 @@
         self._failures = 0
         self._renewing = False
         self._returned_ms = float("-inf")
+        self._return_told = False
         self._step_task: asyncio.Task[None] | None = None
 
     @property
@@ -151,14 +152,16 @@
             self._client.close()
 
     def renew(self) -> None:
-        """Make the call in progress anew.
+        """Take in that the store is back, and make the call in progress anew.
 
-        A call that waits for changes since before an outage may never be answered, and would only
-        be given up seconds after the store is back; one that another task has reached tells that.
+        The time of grace for rows that lapsed runs from here on, not from this table's own next
+        answer, which may be a pause between failed calls later. A call that waits for changes
+        since before an outage may never be answered, and would only be given up seconds later.
         """
+        self._returned_ms = self._clock.now_ms
+        self._return_told = True
         if self._step_task is not None and not self._step_task.done():
             self._renewing = True
-            self._returned_ms = self._clock.now_ms
             self._step_task.cancel()
 
     def hear(self, news: TableNews, stamp_ms: float) -> None:
@@ -239,10 +242,12 @@
     def _found(self) -> None:
         if self._failures:
             self._failures = 0
-            self._returned_ms = self._clock.now_ms
+            if not self._return_told:
+                self._returned_ms = self._clock.now_ms
             self._changed("regained", "")
 
     async def _lost(self, error: StoreError) -> None:
+        self._return_told = False
         if not self._failures:
             self._changed("lost", str(error))
         pause_ms = BACKOFF_MS[min(self._failures, len(BACKOFF_MS) - 1)]
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -97,10 +97,11 @@
     """
     book = EndpointBook()
     book.replace(endpoints("e1", "e2"), 0.0, keep_until_ms=-1.0)
-    book.replace(endpoints("e1"), 1_000.0, keep_until_ms=3_300.0)
+    book.replace(endpoints("e1"), 1_000.0, keep_until_ms=2_300.0)
     assert len(book.usable("pool")) == 2
-    assert book.expire(3_299.0) == []
-    assert book.expire(3_300.0) == ["e2"]
+    assert book.next_expiry_ms == 2_300.0
+    assert book.expire(2_299.0) == []
+    assert book.expire(2_300.0) == ["e2"]
     assert [endpoint.name for endpoint in book.usable("pool")] == ["e1"]
 
 
@@ -116,6 +117,11 @@
     book.remove("e1", returned_ms + 1_300.0, keep_until_ms=returned_ms + 2_300.0)
     assert len(book.usable("pool")) == 1
     assert book.expire(returned_ms + 2_300.0) == ["e1"]
+    book.replace(endpoints("e1"), 15_000.0, keep_until_ms=-1.0)
+    book.remove("e1", 15_100.0, keep_until_ms=99_000.0)
+    assert book.next_expiry_ms is not None
+    assert book.next_expiry_ms < 15_100.0 + 2_000.0
+    book.expire(99_000.0)
     book.replace(endpoints("e2"), 20_000.0, keep_until_ms=12_300.0)
     book.remove("e2", 21_000.0, keep_until_ms=12_300.0)
     assert book.usable("pool") == []
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -85,6 +85,21 @@
     assert not listener.follower._listening()
 
 
+def test_grace_for_lapsed_rows_runs_from_the_first_sign_of_the_store() -> None:
+    """Symptom: an endpoint that left gets new work for more than two seconds.
+
+    Sequence: the store is back; one task reaches it, another is in a pause between failed calls;
+    an endpoint leaves meanwhile. Cause: the time of grace ran from the second task's own answer.
+    """
+    listener = Listener()
+    follower = listener.follower
+    follower._failures = 3
+    follower.renew()
+    listener.clock.advance(900.0)
+    follower._found()
+    assert follower._returned_ms == 100_000.0
+
+
 def members_of(count: int) -> list[Member]:
     return [
         Member(f"r{number}", 1, f"domain-{number % 4}", f"c{number}", True, 0.0)
