--- a/packages/ctl/src/tamarack_ctl/explaining.py
+++ b/packages/ctl/src/tamarack_ctl/explaining.py
@@ -70,7 +70,7 @@
     parser.add_argument("logs", nargs="+", type=Path, metavar="LOG", help="collected logs")
 
 
-@command("explain", "Tell the story of one request from logs.", _configure, needs_fleet=False)
+@command("explain", "tell the story of one request from logs", _configure, needs_fleet=False)
 def explain(context: Context) -> Outcome:
     """Read logs and tell what happened to a request."""
     lines: list[LogLine] = []
