Move the soak to the stand-ins, and take out what nothing uses

Cause: the soak speaks the platform's names outside the stand-ins; a field, a count and two methods were left over. Change: the soak is a module of tamarack_standins; the left-overs are gone.

--- a/packages/core/src/tamarack_core/engine_model.py
+++ b/packages/core/src/tamarack_core/engine_model.py
@@ -79,7 +79,6 @@
         self._told_ms: dict[str, float] = {}
         self._room = memory_tokens * KEPT_PART_OF_MEMORY
         self.running = 0
-        self.running_elsewhere = 0
 
     @property
     def waiting(self) -> int:
@@ -114,11 +113,6 @@
             kept += part.tokens
         return max(0, prompt.tokens_in - kept)
 
-    def first_token_ms(self, prompt: Prompt, now_ms: float) -> float:
-        """Predicted time from sending a request to its first token."""
-        reading_ms = self.reading_ms(prompt) * self.pace(now_ms)
-        return self.wait_ms(now_ms) + reading_ms + FIRST_TOKEN_MS
-
     def sent(self, request: str, prompt: Prompt, now_ms: float) -> float:
         """Take in a request of this router; returns the reading time that others should add."""
         reading_ms = self.reading_ms(prompt) * self.pace(now_ms)
--- a/packages/core/src/tamarack_core/placement.py
+++ b/packages/core/src/tamarack_core/placement.py
@@ -99,5 +99,5 @@
 
 
 def _full_ms(endpoint: Endpoint, model: EngineModel) -> float:
-    busy = model.running + model.running_elsewhere + model.waiting
+    busy = model.running + model.waiting
     return FULL_SLOT_MS * max(0, busy + 1 - endpoint.slots)
--- a/packages/gateway/src/tamarack_gateway/connection_pool.py
+++ b/packages/gateway/src/tamarack_gateway/connection_pool.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from tamarack_core.clock import Clock
-from tamarack_gateway.endpoint_connection import ConnectError, EndpointConnection, open_connection
+from tamarack_gateway.endpoint_connection import EndpointConnection, open_connection
 
 CONNECT_MS = 600.0
 """Milliseconds for a new connection: some hundred round trips between failure domains, and well
@@ -72,6 +72,3 @@
         told = connection.keep_alive_ms
         limit_ms = KEPT_UNTOLD_MS if told is None else told * KEPT_PART
         return self._clock.now_ms - connection.idle_since_ms < limit_ms
-
-
-__all__ = ["ConnectError", "ConnectionPool"]
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -286,7 +286,7 @@
             raise BrokenAnswerError("silent for longer than predicted") from error
 
     def _patience_ms(self, choice: Choice) -> float | None:
-        if not self._could_repeat() or self._sends >= self._route.max_attempts:
+        if not self._route.repeatable or self._sends >= self._route.max_attempts:
             return None
         if self._route.streams:
             return choice.first_token_ms + FIRST_EVENT_SLACK_MS
@@ -319,7 +319,7 @@
     async def _next_piece(
         self, connection: EndpointConnection, choice: Choice, first: bool
     ) -> bytes | None:
-        if not self._could_repeat() or self._sends >= self._route.max_attempts:
+        if not self._route.repeatable or self._sends >= self._route.max_attempts:
             return await connection.piece()
         limit_ms = EVENT_SILENCE_MS
         if first:
@@ -341,13 +341,10 @@
 
     # what follows a send
 
-    def _could_repeat(self) -> bool:
-        return self._route.repeatable
-
     def _may_try_again(self, last: Result) -> bool:
         if last.verdict is Verdict.TIME_UP or self._caller.gone:
             return False
-        if last.verdict is not Verdict.NOT_RUN and not self._could_repeat():
+        if last.verdict is not Verdict.NOT_RUN and not self._route.repeatable:
             return False
         if last.head is not None and last.head.status == 504 and self._route.streams:
             return False
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -37,7 +37,6 @@
         self.log = log
         self.random = random.Random(seed)
         self.rules: Ruleset | None = None
-        self.rules_row = 0
         self.book = EndpointBook()
         self.endpoints_known = False
         self.models: dict[str, EngineModel] = {}
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tamarack_bench.platform_soak import play
+from tamarack_standins.platform_soak import play
 
 SECONDS = 4.0
 
