Test early answers, silent endpoints and silent streams

Cause: these ways of failing were kept by the path and played by no test of ours. Change: the worker's stand-in can answer before it has read a body; three tests. Nothing else changes.

--- a/packages/standins/src/tamarack_standins/platform_worker.py
+++ b/packages/standins/src/tamarack_standins/platform_worker.py
@@ -41,6 +41,8 @@
         middle of the next.
     echo
         Whether the body, or each event's data, is the attempt's id.
+    early
+        Whether the answer goes out before the request's body has been read.
     """
 
     status: int = 200
@@ -57,6 +59,7 @@
     cut_after: int | None = None
     pause_s: float = 0.0
     echo: bool = False
+    early: bool = False
 
 
 class Arrived(NamedTuple):
@@ -138,7 +141,15 @@
             head = await reader.readuntil(b"\r\n\r\n")
         except asyncio.IncompleteReadError:
             return False
-        arrived = await _request(head, reader)
+        arrived = _request(head)
+        early = self._scripts[0].early and len(self._scripts) == 1
+        if early:
+            await self._answer(self._scripts[0], arrived, writer)
+        length = int(arrived.headers.get("content-length", "0"))
+        arrived = arrived._replace(body=await reader.readexactly(length))
+        if early:
+            self.arrived.append(arrived)
+            return True
         if arrived.headers.get("x-target-instance") not in (None, self.name):
             writer.write(b"HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n")
             return True
@@ -207,7 +218,7 @@
         return lines
 
 
-async def _request(head: bytes, reader: asyncio.StreamReader) -> Arrived:
+def _request(head: bytes) -> Arrived:
     lines = head.decode("latin-1").split("\r\n")
     method, target, _ = lines[0].split(" ")
     headers = {}
@@ -215,8 +226,7 @@
         name, separator, value = line.partition(":")
         if separator:
             headers[name.lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return Arrived(method, target, headers, body)
+    return Arrived(method, target, headers, b"")
 
 
 def _body(script: Script, arrived: Arrived) -> bytes:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -191,6 +191,64 @@
     play(story())
 
 
+def test_an_early_answer_to_a_long_body_leaves_the_next_request_whole() -> None:
+    """Symptom: an endpoint reads a request's head where the rest of a body is due.
+
+    Sequence: an endpoint answers before it has read a long body, keeps the connection and reads on.
+    Cause: the next request was written before the rest of that body.
+    """
+
+    async def story() -> None:
+        web = PlatformWorker("w1", Script(early=True))
+        async with Fleet({"web": [web]}) as fleet:
+            bodies = [bytes([65 + number]) * 90_000 for number in range(4)]
+            for body in bodies:
+                assert (await fleet.ask("/page/1", body=body)).status == 200
+            await until(lambda: len(web.arrived) == len(bodies))
+            assert [arrived.body for arrived in web.arrived] == bodies
+
+    play(story())
+
+
+def test_an_idempotent_request_is_not_held_by_a_silent_endpoint() -> None:
+    """Symptom: a request that may be repeated waits until its deadline.
+
+    Sequence: an endpoint runs it and its answer is lost, or the connection is silent for good.
+    Cause: the router waited for that endpoint alone.
+    """
+
+    async def story() -> None:
+        silent = [PlatformWorker(name) for name in ("w1", "w2")]
+        silent[0]._scripts = silent[1]._scripts = [Script(silent=True), Script()]
+        async with Fleet({"web": silent}) as fleet:
+            answer = await fleet.ask("/search/1", method="GET", body=b"")
+            assert answer.status == 200
+            assert sum(len(worker.arrived) for worker in silent) == 2
+
+    play(story())
+
+
+def test_a_stream_that_falls_silent_goes_on_elsewhere(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Symptom: a caller gives up a stream although another engine could go on with it.
+
+    Sequence: an engine goes dark and its open connection stays silent. Cause: the router waited for
+    a reset that never comes.
+    """
+
+    async def story() -> None:
+        from tamarack_gateway import exchange
+
+        monkeypatch.setattr(exchange, "FIRST_EVENT_SLACK_MS", 100.0)
+        engines = [PlatformWorker(name) for name in ("e1", "e2")]
+        engines[0]._scripts = engines[1]._scripts = [Script(silent=True), STREAM]
+        async with Fleet({"pool": engines}) as fleet:
+            answer = await fleet.ask("/draft/1")
+            assert (answer.status, answer.whole) == (200, True)
+            await until(lambda: sum(engine.closed_early for engine in engines) == 1)
+
+    play(story())
+
+
 def test_a_broken_stream_goes_on_at_another_worker() -> None:
     """Symptom: a stream has a gap, a piece twice, or ends as if it were whole.
 
