--- a/packages/core/src/tamarack_core/placement.py
+++ b/packages/core/src/tamarack_core/placement.py
@@ -50,17 +50,22 @@
     records: Mapping[str, EndpointRecord],
     now_ms: float,
 ) -> Choice | None:
-    """Pick the engine that costs least: its queue, what it has to read, and its failures."""
+    """Pick the engine that costs least: its queue, what it has to read, and its failures.
+
+    A part that no engine is known to keep has a home, so that all routers read it at the same one.
+    Once it is kept anywhere, the home has no claim to it: an engine that has just come is the home
+    of a part of all, and would otherwise have them all read anew while others keep them.
+    """
     anchor = prompt.anchor
     home = None
-    if anchor is not None:
+    if anchor is not None and not any(models[e.name].keeps(anchor) for e in endpoints):
         home = max(endpoints, key=lambda e: score(anchor.key, e.name), default=None)
     best: Choice | None = None
     best_cost = float("inf")
     for endpoint in endpoints:
         model = models[endpoint.name]
         assumed = 0
-        if anchor is not None and endpoint is home and not model.keeps(anchor):
+        if anchor is not None and endpoint is home:
             assumed = anchor.tokens
         reading_ms = model.reading_ms(prompt, assumed) * model.pace(now_ms)
         first_token_ms = model.wait_ms(now_ms) + reading_ms + FIRST_TOKEN_MS
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -199,6 +199,26 @@
     assert spilled.endpoint.name != home
 
 
+def test_an_engine_that_has_just_come_takes_no_part_that_another_keeps() -> None:
+    """Symptom: after a crash or a release, engines read parts anew that others keep.
+
+    Sequence: an engine comes and is the home of a part that another one keeps. Cause: the home
+    counted as keeping the part, too, and requests went there.
+    """
+    old, new = endpoints("e1", "e2"), endpoints("e1", "e2", "e3", "e4", "e5", "e6")
+    records = {engine.name: EndpointRecord() for engine in new}
+    models = {engine.name: EngineModel() for engine in new}
+    for number in range(12):
+        prompt = make_prompt(f"s{number}", "a")
+        keeper = choose_engine(prompt, old, models, records, 0.0)
+        assert keeper is not None
+        models[keeper.endpoint.name].keep(prompt.parts[:-1])
+        models[keeper.endpoint.name].sent_elsewhere(20.0, 0.0)
+        again = choose_engine(prompt, new, models, records, 0.0)
+        assert again is not None
+        assert again.endpoint == keeper.endpoint
+
+
 def test_a_failing_endpoint_is_avoided_and_tried_again() -> None:
     plain = endpoints("w1", "w2")
     records = {endpoint.name: EndpointRecord() for endpoint in plain}
