Bound queues by the most urgent route, and hold patient work back

Cause: engines serve in order of arrival, so the route with the longest aim alone set how long their queues grew. Change: the bound of each route follows the shortest aim of the service and falls with its own; what would queue longer is held by the router for up to half its aim, and refused at once where that will not do.

--- a/packages/core/src/tamarack_core/admission.py
+++ b/packages/core/src/tamarack_core/admission.py
@@ -1,7 +1,13 @@
-"""Whether a generation is sent on now or refused."""
+"""Whether a generation is sent on now, held back by the router or refused.
+
+Engines serve in order of arrival: whatever is sent is ahead of all that comes later, however urgent
+that is. What may wait is therefore held back here, and an engine's queue is kept as short as the
+most urgent of its routes needs it.
+"""
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import NamedTuple
 
 WITHIN_SHARE = 0.85
@@ -30,12 +36,45 @@
 """Part by which returns are spread, so that those refused together do not return together."""
 
 
-class Admission(NamedTuple):
-    """What becomes of a request; `retry_after_ms` is set where it is refused."""
+YIELD = 1.0
+"""How fast the bound falls with the aim: a route with twice the aim of the most urgent one may find
+half its queue. With bounds that rose with the aims, queues grew as long as the most patient route
+bore, and the most urgent one was refused most: 28 in 100 against 14 and 5, though all engines had
+the same queue. Mean worth of two heavy days at a power of 0, 0.5, 1 and 2: 0.719, 0.744, 0.776 and
+0.778 (one run each; the first without what engines tell at the start). At 2 the most patient
+route was refused most."""
+
+HOLD_PART = 0.5
+"""Part of its aim that a request is held back at the most; it is refused at once if the queue will
+not have shrunk by then. Without holding, the four heaviest days of the users served 0.733 on the
+mean, with it 0.748 (one run each)."""
+
+HOLD_MIN_MS = 15.0
+"""Shortest time until a request that is held back is looked at again; a timer costs about as much
+as a message between routers."""
+
+
+class Admission(Enum):
+    """What becomes of a request; the value names it in logs."""
+
+    ADMITTED = "admitted"
+    HELD = "held"
+    REFUSED = "refused"
+
+
+class Decision(NamedTuple):
+    """What becomes of a request, and why.
+
+    Attributes
+    ----------
+    wait_ms
+        Milliseconds after which a held request is looked at again, or a refused caller should come
+        back.
+    """
 
-    admitted: bool
+    verdict: Admission
     reason: str
-    retry_after_ms: float = 0.0
+    wait_ms: float = 0.0
 
 
 def admit(
@@ -43,12 +82,13 @@
     first_token_ms: float,
     unavoidable_ms: float,
     aim_ms: float,
+    shortest_aim_ms: float,
     waited_ms: float,
     left_ms: float,
     standing: float,
     returned: bool,
     draw: float,
-) -> Admission:
+) -> Decision:
     """Decide on a request.
 
     Parameters
@@ -60,6 +100,8 @@
         on itself, and is not refused for that.
     aim_ms, waited_ms, left_ms
         Its aim, the time it has waited already and the time until its deadline.
+    shortest_aim_ms
+        The shortest aim of all routes to the same engines.
     standing
         How many times its share its workspace has been served lately. With one bound for all, the
         queues fill with the work of whoever asks most, and a workspace that asks for little more
@@ -72,11 +114,14 @@
     """
     within = RETURNED if returned else WITHIN_SHARE
     part = max(BEYOND_SHARE_LEAST, within / max(1.0, standing) ** STANDING_POWER)
-    bound_ms = max(0.0, part * aim_ms - waited_ms)
+    yielding_ms = shortest_aim_ms * (shortest_aim_ms / aim_ms) ** YIELD
+    bound_ms = max(0.0, min(part * aim_ms - waited_ms, part * yielding_ms))
     queue_ms = max(0.0, first_token_ms - unavoidable_ms)
-    late = queue_ms > bound_ms or first_token_ms >= left_ms
-    if not late:
-        return Admission(True, "in time")
+    if queue_ms <= bound_ms and first_token_ms < left_ms:
+        return Decision(Admission.ADMITTED, "in time")
+    over_ms = queue_ms - bound_ms
+    if standing <= 1.0 and over_ms <= HOLD_PART * aim_ms - waited_ms and first_token_ms < left_ms:
+        return Decision(Admission.HELD, "the queue will shrink", max(HOLD_MIN_MS, over_ms))
     reason = "beyond its share" if standing > 1.0 else "would wait too long"
     excess_ms = max(RETRY_MIN_MS, queue_ms - 0.5 * bound_ms)
-    return Admission(False, reason, excess_ms * (1.0 + RETRY_SPREAD * draw))
+    return Decision(Admission.REFUSED, reason, excess_ms * (1.0 + RETRY_SPREAD * draw))
--- a/packages/core/src/tamarack_core/ruleset.py
+++ b/packages/core/src/tamarack_core/ruleset.py
@@ -156,6 +156,11 @@
         self._workspace_by_key = workspace_by_key
         self._bounds = bounds or CallerBounds()
         self._tokens_per_s = tokens_per_s
+        self._shortest_aims: dict[str, float] = {}
+        for route in routes:
+            for share in route.shares if route.streams else ():
+                shortest = self._shortest_aims.get(share.service, float("inf"))
+                self._shortest_aims[share.service] = min(shortest, route.aim_ms)
         self._by_host: dict[str, list[Route]] = {}
         for route in sorted(routes, key=lambda route: -len(route.prefix)):
             self._by_host.setdefault(route.host, []).append(route)
@@ -187,6 +192,15 @@
                 return route
         return None
 
+    def shortest_aim_ms(self, service: str) -> float:
+        """Shortest aim of the routes whose streams a service makes."""
+        return self._shortest_aims.get(service, float("inf"))
+
+    @property
+    def services(self) -> list[Service]:
+        """All services."""
+        return list(self._services.values())
+
     def service(self, name: str) -> Service | None:
         """Service of that name."""
         return self._services.get(name)
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Awaitable
 
-from tamarack_core.admission import admit
+from tamarack_core.admission import Admission, Decision, admit
 from tamarack_core.placement import Choice, choose_engine, choose_plain
 from tamarack_core.prompt import Prompt
 from tamarack_core.ruleset import Route
@@ -111,8 +111,14 @@
             choice = self._choose()
             if choice is None or not self._keys_hold():
                 return self._give_up(last)
-            if self._sends == 0 and not self._admitted(choice):
-                return None
+            if self._sends == 0 and self._prompt is not None:
+                decision = self._admit(choice, self._prompt)
+                if decision.verdict is Admission.HELD:
+                    await asyncio.sleep(decision.wait_ms / 1000)
+                    continue
+                if decision.verdict is Admission.REFUSED:
+                    self._refuse(503, decision.wait_ms)
+                    return None
             try:
                 connection = await self._pool.take(choice.endpoint.address)
             except ConnectError as error:
@@ -155,36 +161,35 @@
             return False
         return state.rules.workspace_of(self._facts.key or "") == self._workspace
 
-    def _admitted(self, choice: Choice) -> bool:
-        if self._prompt is None:
-            return True
+    def _admit(self, choice: Choice, prompt: Prompt) -> Decision:
         state, now_ms = self._state, self._state.clock.now_ms
         standing = self._standing(now_ms)
         model = state.models[choice.endpoint.name]
+        aim_ms = self._route.aim_ms
         decision = admit(
             first_token_ms=choice.first_token_ms,
-            unavoidable_ms=model.reading_ms(self._prompt) * model.pace(now_ms),
-            aim_ms=self._route.aim_ms,
+            unavoidable_ms=model.reading_ms(prompt) * model.pace(now_ms),
+            aim_ms=aim_ms,
+            shortest_aim_ms=state.shortest_aim_ms(self._service, aim_ms),
             waited_ms=now_ms - self._request.arrived_ms,
             left_ms=self._left_ms,
             standing=standing,
             returned=state.returns.returned(self._route.name, self._facts.wait_ms),
             draw=state.random.random(),
         )
-        if decision.admitted:
-            return True
-        state.log.request(
-            "refused",
-            self._facts.attempt,
-            reason=decision.reason,
-            workspace=self._workspace,
-            endpoint=choice.endpoint.name,
-            first_token_ms=round(choice.first_token_ms),
-            aim_ms=self._route.aim_ms,
-            standing=round(standing, 2),
-        )
-        self._refuse(503, decision.retry_after_ms)
-        return False
+        if decision.verdict is not Admission.ADMITTED:
+            state.log.request(
+                decision.verdict.value,
+                self._facts.attempt,
+                reason=decision.reason,
+                workspace=self._workspace,
+                endpoint=choice.endpoint.name,
+                first_token_ms=round(choice.first_token_ms),
+                aim_ms=aim_ms,
+                standing=round(standing, 2),
+                wait_ms=round(decision.wait_ms),
+            )
+        return decision
 
     def _standing(self, now_ms: float) -> float:
         rules = self._state.rules
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -88,6 +88,18 @@
         """Endpoints of a service that may get new work."""
         return self.book.usable(service)
 
+    def shortest_aim_ms(self, service: str, aim_ms: float) -> float:
+        """Shortest aim of all routes that share a service's engines with one of `aim_ms`."""
+        return min(aim_ms, self.rules.shortest_aim_ms(service)) if self.rules else aim_ms
+
+    def engines(self) -> list[Endpoint]:
+        """Model engines among the endpoints that may get new work."""
+        rules = self.rules
+        if rules is None:
+            return []
+        names = [service.name for service in rules.services if service.engine is not None]
+        return [endpoint for name in names for endpoint in self.usable(name)]
+
     def _model(self, name: str) -> EngineModel:
         endpoint = self.book.find(name)
         service = self.rules.service(endpoint.service) if self.rules and endpoint else None
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tamarack_core.admission import admit
+from tamarack_core.admission import Admission, Decision, admit
 from tamarack_core.endpoint_book import Endpoint, EndpointBook
 from tamarack_core.endpoint_record import EndpointRecord
 from tamarack_core.engine_model import EngineModel
@@ -230,18 +230,54 @@
         assert choice.endpoint.name == expected
 
 
-def decide(**changes: float) -> bool:
+def decision(**changes: float) -> Decision:
     options = {
         "first_token_ms": 500.0,
         "unavoidable_ms": 60.0,
         "aim_ms": 800.0,
+        "shortest_aim_ms": 800.0,
         "waited_ms": 0.0,
         "left_ms": 8_000.0,
         "standing": 0.0,
         "returned": False,
         "draw": 0.0,
     }
-    return admit(**{**options, **changes}).admitted
+    return admit(**{**options, **changes})
+
+
+def decide(**changes: float) -> bool:
+    return decision(**changes).verdict is Admission.ADMITTED
+
+
+def test_urgent_work_is_not_refused_for_queues_of_patient_work() -> None:
+    """Symptom: the most urgent route is refused five times as often as the most patient one.
+
+    Sequence: more is asked than engines carry; each route fills their queues as far as its own aim
+    bears. Cause: engines serve in order of arrival, so that the most patient route alone sets how
+    long the queues are.
+    """
+    queue = {"first_token_ms": 560.0, "unavoidable_ms": 60.0}
+    assert decide(**queue, aim_ms=800.0)
+    assert not decide(**queue, aim_ms=1_600.0)
+    assert decide(first_token_ms=360.0, aim_ms=1_600.0)
+
+
+def test_patient_work_is_held_back_while_its_aim_leaves_time() -> None:
+    """Symptom: callers are refused and wait for their return while engines run out of work.
+
+    Sequence: a queue is somewhat longer than a request's bound. Cause: the router knew only sending
+    and refusing.
+    """
+    held = decision(first_token_ms=560.0, aim_ms=1_600.0)
+    assert held.verdict is Admission.HELD
+    assert held.wait_ms == pytest.approx(500.0 - 0.85 * 400.0)
+    assert decision(first_token_ms=560.0, aim_ms=1_600.0, waited_ms=700.0).verdict is (
+        Admission.REFUSED
+    )
+    assert decision(first_token_ms=1_900.0, aim_ms=1_600.0).verdict is Admission.REFUSED
+    assert decision(first_token_ms=560.0, aim_ms=1_600.0, standing=2.0).verdict is (
+        Admission.REFUSED
+    )
 
 
 def test_work_is_refused_that_would_queue_past_its_aim() -> None:
