Ask engines at a router's start what they keep

Cause: after a loss of all routers none knows which engine keeps which prompt part, and requests go to the homes of parts that have moved. A part's key no longer holds the parts before it: engines name parts singly, and what stands before is looked at part by part anyway.

--- a/packages/core/src/tamarack_core/engine_model.py
+++ b/packages/core/src/tamarack_core/engine_model.py
@@ -150,6 +150,17 @@
             self._kept_tokens -= tokens
             self._told_ms.pop(key, None)
 
+    def keep_older(self, parts: list[PromptPart]) -> None:
+        """Take in parts that the engine told of itself; those known here were used later.
+
+        The engine's own room is larger than the model's, which leaves out what other routers'
+        requests read for themselves. Of what does not fit, the smallest parts are left out: large
+        ones are the shared ones, and cost most to read anew.
+        """
+        known = list(self._kept.items())
+        self.keep(tuple(sorted(parts, key=lambda part: part.tokens)))
+        self.keep(tuple(PromptPart(key, tokens) for key, tokens in known))
+
     def keep_named(self, parts: list[tuple[str, int]], now_ms: float) -> None:
         """Take in parts that another router told of, by key and size."""
         for key, _ in parts:
--- a/packages/core/src/tamarack_core/prompt.py
+++ b/packages/core/src/tamarack_core/prompt.py
@@ -11,8 +11,8 @@
     Attributes
     ----------
     key
-        Names the part together with all parts before it and the model: an engine can only use a
-        kept part when it keeps what stands before it, too.
+        Names the part and the model. An engine can only use a kept part when it keeps all that
+        stands before it, too.
     tokens
         Its size.
     """
@@ -49,11 +49,11 @@
         return self.tokens_in + 2.0 * self.max_tokens_out
 
 
+def part_key(model: str, part: str) -> str:
+    """Name a part by the model that read it: what one model has read is of no use to another."""
+    return f"{model}/{part}"
+
+
 def parts_of(model: str, parts: list[tuple[str, int]]) -> tuple[PromptPart, ...]:
-    """Name each part by the model and all parts up to it."""
-    named = []
-    path = model
-    for part, tokens in parts:
-        path = f"{path}/{part}"
-        named.append(PromptPart(path, tokens))
-    return tuple(named)
+    """Parts of a prompt under their keys, in order."""
+    return tuple(PromptPart(part_key(model, part), tokens) for part, tokens in parts)
--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -101,6 +101,11 @@
         row = msgspec.json.encode(RouterRow(peers_address, boot)._asdict())
         self._tasks.append(asyncio.ensure_future(self._enter(row)))
 
+    @property
+    def routers(self) -> int:
+        """How many routers the store lists, as far as is known."""
+        return len(self._routers)
+
     def hear(self, news: TableNews, stamp_ms: float) -> None:
         """Take in what another router learned from the store."""
         follower = self._followers.get(news.table)
--- a/packages/gateway/src/tamarack_gateway/fleet_members.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_members.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from tamarack_core.rendezvous import ranked
+from tamarack_core.rendezvous import ranked, winner
 
 SILENCE_MS = 1_200.0
 """Time without a summary after which a router is not named to callers: a dozen summaries."""
@@ -75,6 +75,12 @@
         """The newest time that each router told, by its own clock."""
         return {name: member.stamp_ms for name, member in self._members.items()}
 
+    def asks(self, endpoint: str, me: Member, now_ms: float) -> bool:
+        """Whether this router asks an endpoint about itself; in a large fleet one does for all."""
+        recent = {m.router for m in self._members.values() if now_ms - m.heard_ms <= SILENCE_MS}
+        recent.add(me.router)
+        return len(recent) <= SMALL_FLEET or winner(endpoint, recent) == me.router
+
     def reads(self, table: str, me: Member, now_ms: float) -> bool:
         """Whether this router asks the store for a table, and does not hear of it from others."""
         recent = {m.router: m for m in self._members.values() if now_ms - m.heard_ms <= SILENCE_MS}
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -7,12 +7,13 @@
 from typing import Any
 
 from tamarack_core.clock import Clock
+from tamarack_gateway.cache_inventory import CacheInventory
 from tamarack_gateway.caller_connection import CallerConnection
 from tamarack_gateway.connection_pool import ConnectionPool
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.exchange import Exchange
 from tamarack_gateway.fleet_feeds import FleetFeeds
-from tamarack_gateway.fleet_members import FleetMembers, Member
+from tamarack_gateway.fleet_members import SMALL_FLEET, FleetMembers, Member
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.gateway_metrics import GatewayMetrics
 from tamarack_gateway.http_messages import Headers, Request
@@ -82,6 +83,14 @@
             reads=lambda table: self._members.reads(table, self._me, clock.now_ms),
             told=self._tell_news,
         )
+        self._inventory = CacheInventory(
+            self._state,
+            site.engines,
+            self._pool,
+            self._outbox,
+            settles=lambda: self._feeds.routers > SMALL_FLEET,
+            asks=lambda name: self._members.asks(name, self._me, clock.now_ms),
+        )
         self._left_ms = float("inf")
         self._callers = ""
         self._site_addresses: list[str] = []
@@ -96,6 +105,7 @@
                 self._site_addresses.append(await self._listen(address, self._answer_site))
         self._tasks.append(asyncio.ensure_future(self._tell_peers()))
         self._tasks.append(asyncio.ensure_future(self._tell_placements()))
+        self._tasks.append(asyncio.ensure_future(self._inventory.run()))
         self._tasks.append(asyncio.ensure_future(self._sweep()))
         self._tasks.append(asyncio.ensure_future(self._flush()))
         self._log.event("started", callers=self._callers, peers=self._peers.address)
--- a/packages/gateway/src/tamarack_gateway/site.py
+++ b/packages/gateway/src/tamarack_gateway/site.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple, Protocol
 
 from tamarack_core.endpoint_book import Endpoint
-from tamarack_core.prompt import Prompt
+from tamarack_core.prompt import Prompt, PromptPart
 from tamarack_core.ruleset import Ruleset
 from tamarack_gateway.http_messages import AnswerHead, Headers, Request
 
@@ -140,6 +140,16 @@
         """Headers of an answer of the router's own."""
 
 
+class EngineDialect(Protocol):
+    """Calls of a model engine that are no requests of callers."""
+
+    def inventory(self, engine: Endpoint) -> bytes:
+        """Ask an engine which prompt parts it keeps."""
+
+    def read_inventory(self, body: bytes) -> list[PromptPart]:
+        """Decode its answer; raises `ValueError`."""
+
+
 class Row(NamedTuple):
     """A row of the store; `value` is None where the row was removed."""
 
@@ -218,6 +228,7 @@
     name: str
     load_settings: Callable[[], GatewaySettings]
     requests: RequestDialect
+    engines: EngineDialect
     store: StoreDialect
     directory: DirectoryDialect
     tables: Tables
--- a/packages/standins/src/tamarack_standins/platform_worker.py
+++ b/packages/standins/src/tamarack_standins/platform_worker.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import json
 import socket
 import struct
 from types import TracebackType
@@ -80,6 +81,11 @@
         Its id; a request that names another one is answered 421.
     scripts
         Ways to answer, one for each request; the last one stays in use.
+
+    Attributes
+    ----------
+    kept
+        Prompt parts that it tells to keep, by id and size.
     """
 
     def __init__(self, name: str, *scripts: Script) -> None:
@@ -88,6 +94,7 @@
         self.arrived: list[Arrived] = []
         self.closed_early = 0
         self.connections = 0
+        self.kept: list[tuple[str, int]] = []
         self._scripts = list(scripts) or [Script()]
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -142,6 +149,9 @@
         except asyncio.IncompleteReadError:
             return False
         arrived = _request(head)
+        if arrived.target == "/api/kv-list":
+            self._tell_kept(writer)
+            return True
         early = self._scripts[0].early and len(self._scripts) == 1
         if early:
             await self._answer(self._scripts[0], arrived, writer)
@@ -167,6 +177,11 @@
             return await self._stream(script, arrived, writer)
         return await self._answer(script, arrived, writer)
 
+    def _tell_kept(self, writer: asyncio.StreamWriter) -> None:
+        held = [["", part, tokens, "m"] for part, tokens in self.kept]
+        body = json.dumps({"epoch": 1, "next": 1, "held": held}).encode()
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(body), body))
+
     def _next_script(self, arrived: Arrived) -> Script:
         """The way to answer a request; a subclass may choose by what arrived."""
         return self._scripts.pop(0) if len(self._scripts) > 1 else self._scripts[0]
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -130,12 +130,13 @@
             **{name.replace("_", "-"): value for name, value in more.items()},
         }
         if path.startswith(("/draft", "/rewrite")):
-            headers.setdefault("Authorization", f"Token {KEY}")
-            headers |= {
+            usual = {
+                "Authorization": f"Token {KEY}",
                 "X-Model": "m",
                 "X-Token-Usage": "300,50",
                 "X-Prompt-Prefix": "aa:200,b:100",
             }
+            headers = {**usual, **headers}
         lines = [f"{method} {path} HTTP/1.1", *(f"{n}: {v}" for n, v in headers.items())]
         return "\r\n".join([*lines, "", ""]).encode() + body
 
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -10,7 +10,7 @@
 from tamarack_core.engine_model import EngineModel
 from tamarack_core.key_freshness import KeyFreshness
 from tamarack_core.placement import choose_engine, choose_plain
-from tamarack_core.prompt import Prompt, parts_of
+from tamarack_core.prompt import Prompt, PromptPart, parts_of
 from tamarack_core.retry_allowance import RetryAllowance
 from tamarack_core.return_detector import ReturnDetector
 from tamarack_core.ruleset import RequestKind, Route, Ruleset, ServiceShare
@@ -167,6 +167,16 @@
     assert model.unread_tokens(make_prompt("s", "b")) == 16_000
 
 
+def test_what_an_engine_tells_does_not_put_out_what_was_used_since() -> None:
+    model = EngineModel(memory_tokens=50_000)
+    model.sent("r1", make_prompt("s", "a"), 0.0)
+    told = [PromptPart("m/t", 12_000), PromptPart("m/u", 2_000), PromptPart("m/v", 1_000)]
+    model.keep_older(told)
+    assert model.unread_tokens(make_prompt("s", "b")) == 3_000
+    assert model.keeps(told[0])
+    assert not model.keeps(told[2])
+
+
 def test_parts_are_told_once_until_they_may_have_yielded() -> None:
     model = EngineModel()
     prompt = make_prompt("s", "a")
