Let one router of each failure domain pass on what the others tell

Change: above twelve routers the first live one of each failure domain, by hashing, gathers reports and passes them on each 40 ms; others listen to six candidates. A relay that is silent for 0.7 s is replaced, and one that hears nobody falls silent. The decision stands in the core (relay_plan), sockets and messages apart (peer_sockets, peer_group).

--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -6,10 +6,11 @@
 import contextlib
 from collections.abc import Callable
 from functools import partial
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypedDict
 
 import msgspec
 
+from tamarack_core.relay_plan import Peer
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.site import Row, Site
 from tamarack_gateway.store_client import StoreClient, StoreError
@@ -38,11 +39,19 @@
 """Time that a leaving router waits for its row to be removed; the others hear of it anyway."""
 
 
+class RouterFields(TypedDict, total=False):
+    """A router's row as it is read; rows of earlier versions name no failure domain."""
+
+    peers: str
+    failure_domain: str
+
+
 class RouterRow(NamedTuple):
-    """A router's row: where peers subscribe, and which life it is."""
+    """A router's row: where peers subscribe, which life it is, and where it runs."""
 
     peers: str
     boot: int
+    failure_domain: str = ""
 
 
 class FleetFeeds:
@@ -51,7 +60,7 @@
     Parameters
     ----------
     follow
-        Called with the addresses of all routers when these change.
+        Called with all routers that the store lists when these change.
     reads
         Tells whether this router asks the store for a table itself.
     told
@@ -63,7 +72,7 @@
         site: Site,
         state: FleetState,
         *,
-        follow: Callable[[set[str]], None],
+        follow: Callable[[dict[str, Peer]], None],
         reads: Callable[[str], bool],
         told: Callable[[TableNews], None],
     ) -> None:
@@ -72,7 +81,7 @@
         self._follow = follow
         self._reads = reads
         self._told = told
-        self._routers: dict[str, str] = {}
+        self._routers: dict[str, Peer] = {}
         self._tasks: list[asyncio.Task[Any]] = []
         self._clients: list[StoreClient] = []
         self._followers: dict[str, TableFollower] = {}
@@ -98,7 +107,8 @@
             )
             self._followers[table] = follower
             self._tasks.append(asyncio.ensure_future(follower.run()))
-        row = msgspec.json.encode(RouterRow(peers_address, boot)._asdict())
+        domain = self._state.settings.failure_domain
+        row = msgspec.json.encode(RouterRow(peers_address, boot, domain)._asdict())
         self._tasks.append(asyncio.ensure_future(self._enter(row)))
 
     @property
@@ -232,9 +242,10 @@
             if row.value is None:
                 continue
             try:
-                self._routers[row.key] = msgspec.convert(
-                    msgspec.json.decode(row.value), type=dict[str, Any]
-                )["peers"]
+                listed = msgspec.json.decode(row.value, type=RouterFields)
+                self._routers[row.key] = Peer(
+                    row.key, listed["peers"], listed.get("failure_domain", "")
+                )
             except (msgspec.MsgspecError, KeyError, TypeError) as error:
                 self._state.log.event("a router's row cannot be read", reason=str(error))
-        self._follow(set(self._routers.values()))
+        self._follow(self._routers)
--- a/packages/gateway/src/tamarack_gateway/fleet_members.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_members.py
@@ -4,18 +4,20 @@
 
 from typing import NamedTuple
 
+from tamarack_core.relay_plan import SMALL_FLEET
 from tamarack_core.rendezvous import ranked, winner
 
 SILENCE_MS = 1_200.0
-"""Time without a summary after which a router is not named to callers: a dozen summaries."""
+"""Time without a summary after which a router is not named to callers: four summaries of a small
+fleet."""
+
+RELAYED_SILENCE_MS = 1_900.0
+"""The same in a large fleet, where summaries are fewer and come by a relay: one that fails is
+replaced within 0.8 s, and until then nobody is heard."""
 
 LEAST_ADDRESSES = 3
 """Addresses that a caller gets at least, if there are so many: one that fails leaves others."""
 
-SMALL_FLEET = 12
-"""Routers up to which each asks the store for itself: its calls cost less than what can go wrong
-between them."""
-
 READERS = 3
 """Routers of a large fleet that ask the store and tell the others, in different failure domains:
 any two may be lost. At 66 routers, calls of all for themselves were 0.11 of a calm day's worth."""
@@ -52,17 +54,18 @@
         self._members[member.router] = member
         return True
 
+    def _recent(self, now_ms: float) -> dict[str, Member]:
+        large = len(self._members) >= SMALL_FLEET
+        silence_ms = RELAYED_SILENCE_MS if large else SILENCE_MS
+        return {n: m for n, m in self._members.items() if now_ms - m.heard_ms <= silence_ms}
+
     def live(self, now_ms: float) -> list[Member]:
         """Routers that were heard lately and take callers."""
-        return [
-            member
-            for member in self._members.values()
-            if member.ready and now_ms - member.heard_ms <= SILENCE_MS
-        ]
+        return [member for member in self._recent(now_ms).values() if member.ready]
 
     def turned(self, now_ms: float) -> tuple[list[str], list[str]]:
         """Routers that fell silent and that were heard again since the last call."""
-        heard = {m.router for m in self._members.values() if now_ms - m.heard_ms <= SILENCE_MS}
+        heard = set(self._recent(now_ms))
         lost, regained = sorted(self._near - heard), sorted(heard - self._near)
         self._near = heard
         return lost, regained
@@ -77,14 +80,12 @@
 
     def asks(self, endpoint: str, me: Member, now_ms: float) -> bool:
         """Whether this router asks an endpoint about itself; in a large fleet one does for all."""
-        recent = {m.router for m in self._members.values() if now_ms - m.heard_ms <= SILENCE_MS}
-        recent.add(me.router)
+        recent = {*self._recent(now_ms), me.router}
         return len(recent) <= SMALL_FLEET or winner(endpoint, recent) == me.router
 
     def reads(self, table: str, me: Member, now_ms: float) -> bool:
         """Whether this router asks the store for a table, and does not hear of it from others."""
-        recent = {m.router: m for m in self._members.values() if now_ms - m.heard_ms <= SILENCE_MS}
-        recent[me.router] = me
+        recent = {**self._recent(now_ms), me.router: me}
         if len(recent) <= SMALL_FLEET:
             return True
         readers: list[str] = []
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -7,37 +7,26 @@
 from typing import Any
 
 from tamarack_core.clock import Clock
+from tamarack_core.relay_plan import Peer
 from tamarack_gateway.cache_inventory import CacheInventory
 from tamarack_gateway.caller_connection import CallerConnection
 from tamarack_gateway.connection_pool import ConnectionPool
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.exchange import Exchange
 from tamarack_gateway.fleet_feeds import FleetFeeds
-from tamarack_gateway.fleet_members import SMALL_FLEET, FleetMembers, Member
+from tamarack_gateway.fleet_members import FleetMembers, Member
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.gateway_metrics import GatewayMetrics
 from tamarack_gateway.http_messages import Headers, Request
 from tamarack_gateway.outbox import Outbox, Placements
-from tamarack_gateway.peer_summaries import PeerSummaries, Summary
+from tamarack_gateway.peer_group import PeerGroup
+from tamarack_gateway.peer_messages import Report, Summary
 from tamarack_gateway.site import Site
 from tamarack_gateway.table_follower import TableNews
 
 BACKLOG = 1_024
 """Connections that wait to be accepted; a full queue costs a caller seconds."""
 
-SUMMARY_MS = 250.0
-SUMMARY_PER_ROUTER_MS = 4.0
-"""Time between two summaries, and what each router of the fleet adds to it: two of them may be
-lost before a router counts as silent, also at 66."""
-
-PLACED_GAP_MS = 20.0
-PLACED_GAP_PER_ROUTER_MS = 0.5
-"""Least time between two messages of what was placed, and what each router of the fleet adds to
-it. A message follows each placement as soon as this allows: routers that do not know of each
-other's work send it to the same engines and read parts at many. At 66 routers, one each 400 ms and
-one each 130 ms served 0.438 and 0.623 of a calm day's worth; one after each placement, together
-with few readers of the store, 0.773. What each of the two gave there was not measured apart."""
-
 SWEEP_MS = 500.0
 """Time between two looks at idle connections and silent peers."""
 
@@ -74,8 +63,18 @@
         self._connections: set[CallerConnection] = set()
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[Any]] = []
-        self._stack = contextlib.ExitStack()
-        self._peers: PeerSummaries | None = None
+        self._stack = contextlib.AsyncExitStack()
+        self._peers = PeerGroup(
+            self._settings.router,
+            self._settings.failure_domain,
+            self._settings.peers,
+            clock=clock,
+            log=log,
+            outbox=self._outbox,
+            summary=self._summary,
+            others=lambda: self._members.heard_within(5_000.0, clock.now_ms),
+            took=self._took,
+        )
         self._feeds = FleetFeeds(
             site,
             self._state,
@@ -88,7 +87,7 @@
             site.engines,
             self._pool,
             self._outbox,
-            settles=lambda: self._feeds.routers > SMALL_FLEET,
+            settles=lambda: self._peers.large,
             asks=lambda name: self._members.asks(name, self._me, clock.now_ms),
         )
         self._left_ms = float("inf")
@@ -97,14 +96,12 @@
 
     async def __aenter__(self) -> Gateway:
         settings = self._settings
-        self._peers = self._stack.enter_context(PeerSummaries(settings.peers, self._took))
+        await self._stack.enter_async_context(self._peers)
         self._feeds.start(self._peers.address, self._boot)
         self._callers = await self._listen(settings.callers, self._answer_caller)
         for address in dict.fromkeys((settings.readiness, settings.directory, settings.metrics)):
             if address:
                 self._site_addresses.append(await self._listen(address, self._answer_site))
-        self._tasks.append(asyncio.ensure_future(self._tell_peers()))
-        self._tasks.append(asyncio.ensure_future(self._tell_placements()))
         self._tasks.append(asyncio.ensure_future(self._inventory.run()))
         self._tasks.append(asyncio.ensure_future(self._sweep()))
         self._tasks.append(asyncio.ensure_future(self._flush()))
@@ -122,7 +119,7 @@
             connection.cut()
         self._pool.close()
         await asyncio.sleep(0)
-        self._stack.close()
+        await self._stack.aclose()
         self._log.flush()
 
     @property
@@ -152,7 +149,7 @@
         self._left_ms = clock.now_ms
         self._state.leaving = True
         self._log.event("leaving", connections=len(self._connections))
-        self._tell()
+        self._peers.tell_summary()
         for connection in list(self._connections):
             connection.closing = True
         await self._feeds.leave()
@@ -295,26 +292,24 @@
             self._state.fresh,
         )
 
-    def _follow(self, addresses: set[str]) -> None:
-        if self._peers is not None:
-            self._peers.follow(addresses)
-        self._state.allowance.seen(len(addresses))
+    def _follow(self, peers: dict[str, Peer]) -> None:
+        self._peers.put(peers)
+        self._state.allowance.seen(len(peers))
 
     def _tell_news(self, news: TableNews) -> None:
-        if self._peers is not None and self._members.heard_within(5_000.0, self._clock.now_ms):
+        if self._members.heard_within(5_000.0, self._clock.now_ms):
             if news.table == self._site.tables.configuration:
                 news = news._replace(stamps=self._members.stamps())
-            self._peers.tell(news)
+            self._peers.tell_news(news)
 
-    def _took(self, told: Summary | Placements | TableNews) -> None:
-        if isinstance(told, Summary):
-            self._heard(told)
-            return
-        if isinstance(told, Placements):
-            self._took_placements(told)
-            return
-        stamp_ms = told.stamps.get(self._settings.router, float("-inf"))
-        self._feeds.hear(told, stamp_ms)
+    def _took(self, report: Report) -> None:
+        if report.summary is not None:
+            self._heard(report.summary)
+        if report.placements is not None:
+            self._took_placements(report.placements)
+        if report.news is not None:
+            stamp_ms = report.news.stamps.get(self._settings.router, float("-inf"))
+            self._feeds.hear(report.news, stamp_ms)
 
     def _heard(self, summary: Summary) -> None:
         now_ms = self._clock.now_ms
@@ -341,37 +336,17 @@
             state.shares.ask(tokens.workspace, tokens.asked, now_ms)
             state.shares.serve(tokens.workspace, tokens.served, now_ms)
 
-    def _tell(self) -> None:
-        if self._peers is None:
-            return
-        state, me = self._state, self._me
-        version = state.rules.version if state.rules else 0
-        summary = Summary(
+    def _summary(self) -> Summary:
+        me = self._me
+        return Summary(
             me.router,
             me.boot,
             me.failure_domain,
             me.callers,
             me.ready,
             me.fresh,
-            state.leaving,
-            version,
             self._clock.now_ms,
         )
-        self._peers.tell(summary)
-
-    async def _tell_peers(self) -> None:
-        while True:
-            others = self._members.heard_within(5_000.0, self._clock.now_ms)
-            await asyncio.sleep((SUMMARY_MS + others * SUMMARY_PER_ROUTER_MS) / 1000)
-            self._tell()
-
-    async def _tell_placements(self) -> None:
-        while True:
-            others = self._members.heard_within(5_000.0, self._clock.now_ms)
-            await asyncio.sleep((PLACED_GAP_MS + others * PLACED_GAP_PER_ROUTER_MS) / 1000)
-            await self._outbox.wait()
-            if self._peers is not None:
-                self._peers.tell(self._outbox.take())
 
     # housekeeping
 
--- a/packages/gateway/src/tamarack_gateway/outbox.py
+++ b/packages/gateway/src/tamarack_gateway/outbox.py
@@ -6,7 +6,6 @@
 from typing import NamedTuple
 
 from tamarack_core.prompt import PromptPart
-from tamarack_core.wire import message
 
 
 class Placed(NamedTuple):
@@ -33,7 +32,6 @@
     served: int
 
 
-@message(62)
 class Placements(NamedTuple):
     """What a router did since its last message; sent soon after each placement."""
 
@@ -72,8 +70,10 @@
         """Take in tokens of a request that was sent to an engine."""
         self._served[workspace] = self._served.get(workspace, 0.0) + tokens
 
-    def take(self) -> Placements:
-        """All that happened since the last call."""
+    def take(self) -> Placements | None:
+        """All that happened since the last call; None if nothing did."""
+        if not (self._reading or self._asked or self._served):
+            return None
         placed = [
             Placed(name, round(reading_ms, 1), list(self._parts.get(name, {}).items()))
             for name, reading_ms in self._reading.items()
--- /dev/null
+++ b/packages/gateway/src/tamarack_gateway/peer_group.py
@@ -0,0 +1,223 @@
+"""How routers tell each other what they do: directly, or by relays in a large fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from tamarack_core.clock import Clock
+from tamarack_core.relay_plan import Links, Peer, RelayPlan
+from tamarack_gateway.decision_log import DecisionLog
+from tamarack_gateway.outbox import Outbox
+from tamarack_gateway.peer_messages import Digest, Report, Summary
+from tamarack_gateway.peer_sockets import PeerSockets
+from tamarack_gateway.table_follower import TableNews
+
+SUMMARY_MS = 250.0
+SUMMARY_PER_ROUTER_MS = 4.0
+"""Time between two summaries, and what each router of the fleet adds to it: two of them may be
+lost before a router counts as silent, also at 66."""
+
+REPORT_GAP_MS = 20.0
+"""Least time between two reports. One follows each placement as soon as this allows: routers that
+do not know of each other's work send it to the same engines and read parts at many. At 66 routers,
+one each 400 ms and one each 130 ms served 0.438 and 0.623 of a calm day's worth."""
+
+RELAY_MS = 40.0
+"""Time between two messages of a relay."""
+
+RELAY_QUIET_MS = 100.0
+"""Longest time that a relay is quiet when it has nothing to pass on."""
+
+PLAN_MS = 100.0
+"""Time between two looks at who relays."""
+
+
+def _reports(domain: str) -> bytes:
+    return b"r/" + domain.encode() + b"/"
+
+
+def _across(domain: str) -> bytes:
+    return b"x/" + domain.encode() + b"/"
+
+
+def _within(domain: str) -> bytes:
+    return b"l/" + domain.encode() + b"/"
+
+
+class PeerGroup:
+    """The part of one router in what all tell each other.
+
+    Parameters
+    ----------
+    listen
+        Address at which others subscribe.
+    summary
+        Tells how this router is.
+    others
+        Tells how many other routers were heard lately.
+    took
+        Called with each report of another router.
+    """
+
+    def __init__(
+        self,
+        router: str,
+        failure_domain: str,
+        listen: str,
+        *,
+        clock: Clock,
+        log: DecisionLog,
+        outbox: Outbox,
+        summary: Callable[[], Summary],
+        others: Callable[[], int],
+        took: Callable[[Report], None],
+    ) -> None:
+        self._router = router
+        self._domain = failure_domain
+        self._listen = listen
+        self._clock = clock
+        self._log = log
+        self._outbox = outbox
+        self._summary = summary
+        self._others = others
+        self._took = took
+        self._plan = RelayPlan(router, failure_domain)
+        self._links = Links(frozenset(), None, False)
+        self._own: list[Report] = []
+        self._foreign: list[Report] = []
+        self._relayed_ms = float("-inf")
+        self._summary_ms = float("-inf")
+        self._stack = contextlib.ExitStack()
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._sockets: PeerSockets
+
+    async def __aenter__(self) -> PeerGroup:
+        self._sockets = self._stack.enter_context(PeerSockets(self._listen, self._hear))
+        self._follow()
+        for task in (self._report(), self._relay(), self._watch()):
+            self._tasks.append(asyncio.ensure_future(task))
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._stack.close()
+
+    @property
+    def address(self) -> str:
+        """Address at which others subscribe."""
+        return self._sockets.address
+
+    @property
+    def relays(self) -> bool:
+        """Whether this router passes on what others of its failure domain tell."""
+        return self._links.relays
+
+    @property
+    def large(self) -> bool:
+        """Whether the fleet is large: some of its routers do for all what each could do itself."""
+        return self._plan.large
+
+    def put(self, peers: Mapping[str, Peer]) -> None:
+        """Take in the routers that the store lists."""
+        self._plan.put(peers, self._clock.now_ms)
+        self._follow()
+
+    def tell_summary(self) -> None:
+        """Tell at once how this router is."""
+        self._tell(Report(self._router, summary=self._summary()))
+
+    def tell_news(self, news: TableNews) -> None:
+        """Tell at once what this router learned from the store."""
+        self._tell(Report(self._router, news=news))
+
+    def _tell(self, report: Report) -> None:
+        if self._links.relays:
+            self._own.append(report)
+            return
+        self._sockets.tell(_reports(self._domain), report)
+
+    def _hear(self, topic: bytes, told: Any) -> None:
+        now_ms = self._clock.now_ms
+        if isinstance(told, Report):
+            self._plan.report_heard(now_ms)
+            if self._links.relays:
+                self._own.append(told)
+            self._took(told)
+        elif isinstance(told, Digest) and topic == _within(self._domain):
+            self._plan.relay_heard(told.relay, now_ms)
+            if not self._links.relays:
+                self._take_all(told)
+        elif isinstance(told, Digest) and self._links.relays and topic != _across(self._domain):
+            self._foreign += told.reports
+            self._take_all(told)
+
+    def _take_all(self, digest: Digest) -> None:
+        for report in digest.reports:
+            if report.router != self._router:
+                self._took(report)
+
+    # what is told
+
+    async def _report(self) -> None:
+        while True:
+            await asyncio.sleep(REPORT_GAP_MS / 1000)
+            interval_ms = SUMMARY_MS + self._others() * SUMMARY_PER_ROUTER_MS
+            left_ms = self._summary_ms + interval_ms - self._clock.now_ms
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(max(0.0, left_ms) / 1000):
+                    await self._outbox.wait()
+            summary = None
+            if self._clock.now_ms - self._summary_ms >= interval_ms:
+                self._summary_ms = self._clock.now_ms
+                summary = self._summary()
+            placements = self._outbox.take()
+            if summary is not None or placements is not None:
+                self._tell(Report(self._router, summary, placements))
+
+    async def _relay(self) -> None:
+        while True:
+            await asyncio.sleep(RELAY_MS / 1000)
+            if not self._links.relays:
+                self._own.clear()
+                self._foreign.clear()
+                continue
+            now_ms = self._clock.now_ms
+            if self._plan.speaks(now_ms):
+                self._pass_on(now_ms)
+
+    def _pass_on(self, now_ms: float) -> None:
+        own, foreign = self._own, self._foreign
+        self._own, self._foreign = [], []
+        if own:
+            self._sockets.tell(_across(self._domain), Digest(self._router, own))
+        if own or foreign or now_ms - self._relayed_ms >= RELAY_QUIET_MS:
+            self._relayed_ms = now_ms
+            self._sockets.tell(_within(self._domain), Digest(self._router, own + foreign))
+
+    # who listens to whom
+
+    async def _watch(self) -> None:
+        while True:
+            await asyncio.sleep(PLAN_MS / 1000)
+            if self._plan.large:
+                self._follow()
+
+    def _follow(self) -> None:
+        links = self._plan.links(self._clock.now_ms)
+        if links.relays != self._links.relays:
+            self._log.event("relays" if links.relays else "relays no longer", domain=self._domain)
+        self._links = links
+        self._sockets.follow(links.addresses, self._topics(links))
+
+    def _topics(self, links: Links) -> frozenset[bytes]:
+        if links.domains is None:
+            return frozenset((b"r/",))
+        topics = {_within(self._domain)}
+        if links.relays:
+            topics |= {_reports(self._domain), b"x/"}
+        return frozenset(topics)
--- /dev/null
+++ b/packages/gateway/src/tamarack_gateway/peer_messages.py
@@ -0,0 +1,51 @@
+"""What routers tell each other."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from tamarack_core.wire import message
+from tamarack_gateway.outbox import Placements
+from tamarack_gateway.table_follower import TableNews
+
+
+class Summary(NamedTuple):
+    """How one router is.
+
+    Attributes
+    ----------
+    boot
+        Names one life of the router; a later life has a higher one.
+    callers
+        Address for callers.
+    ready, fresh
+        Whether callers should be sent there, and whether it has confirmed its configuration lately.
+    stamp_ms
+        Its clock as it sent this.
+    """
+
+    router: str
+    boot: int
+    failure_domain: str
+    callers: str
+    ready: bool
+    fresh: bool
+    stamp_ms: float
+
+
+@message(64)
+class Report(NamedTuple):
+    """What one router tells at one time."""
+
+    router: str
+    summary: Summary | None = None
+    placements: Placements | None = None
+    news: TableNews | None = None
+
+
+@message(65)
+class Digest(NamedTuple):
+    """Reports that a relay passes on together."""
+
+    relay: str
+    reports: list[Report]
--- a/packages/gateway/src/tamarack_gateway/peer_summaries.py
+++ b/packages/gateway/src/tamarack_gateway/peer_sockets.py
@@ -1,15 +1,15 @@
-"""Routers tell each other what they send where, and whether they take callers."""
+"""The sockets by which routers hear each other."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any
 
 import zmq
 
-from tamarack_core.wire import decode, encode, message
+from tamarack_core.wire import decode, encode
 
 SEND_LIMIT = 200
 """Messages that wait for a slow peer; more would only be old."""
@@ -22,62 +22,33 @@
 RECONNECT_MAX_MS = 2_000
 
 
-@message(61)
-class Summary(NamedTuple):
-    """What one router tells all others.
-
-    Attributes
-    ----------
-    boot
-        Names one life of the router; a later life has a higher one.
-    callers
-        Address for callers.
-    ready, fresh
-        Whether callers should be sent there, and whether it has confirmed its configuration lately.
-    rules_version
-        Version of the configuration in force there.
-    stamp_ms
-        Its clock as it sent this.
-    """
-
-    router: str
-    boot: int
-    failure_domain: str
-    callers: str
-    ready: bool
-    fresh: bool
-    leaving: bool
-    rules_version: int
-    stamp_ms: float
-
-
-class PeerSummaries:
-    """A publishing socket of this router's own and a subscription to all others.
+class PeerSockets:
+    """A publishing socket of this router's own and a subscription to others.
 
     Parameters
     ----------
     listen
         Address as `IP:PORT`; port 0 takes a free one.
     took
-        Called with each message that comes in.
+        Called with the topic and content of each message that comes in.
     """
 
-    def __init__(self, listen: str, took: Callable[[Any], None]) -> None:
+    def __init__(self, listen: str, took: Callable[[bytes, Any], None]) -> None:
         self._took = took
         self._context = zmq.Context()
         self._out = self._socket(zmq.PUB)
         self._in = self._socket(zmq.SUB)
-        self._in.setsockopt(zmq.SUBSCRIBE, b"")
         host, _, port = listen.rpartition(":")
         if port == "0":
             port = str(self._out.bind_to_random_port(f"tcp://{host}"))
         else:
             self._out.bind(f"tcp://{host}:{port}")
         self._address = f"{host}:{port}"
-        self._peers: set[str] = set()
+        self._peers: frozenset[str] = frozenset()
+        self._topics: frozenset[bytes] = frozenset()
         self.malformed = 0
 
-    def __enter__(self) -> PeerSummaries:
+    def __enter__(self) -> PeerSockets:
         asyncio.get_running_loop().add_reader(self._in.fileno(), self.drain)
         return self
 
@@ -92,35 +63,42 @@
         """Address at which peers subscribe."""
         return self._address
 
-    def follow(self, addresses: set[str]) -> None:
-        """Subscribe to just these peers."""
+    def follow(self, addresses: frozenset[str], topics: frozenset[bytes]) -> None:
+        """Subscribe to just these topics of just these peers."""
         wanted = addresses - {self._address}
+        for topic in topics - self._topics:
+            self._in.setsockopt(zmq.SUBSCRIBE, topic)
+        for topic in self._topics - topics:
+            self._in.setsockopt(zmq.UNSUBSCRIBE, topic)
         for address in wanted - self._peers:
             self._in.connect(f"tcp://{address}")
         for address in self._peers - wanted:
             self._in.disconnect(f"tcp://{address}")
-        self._peers = wanted
+        self._peers, self._topics = wanted, topics
 
-    def tell(self, told: Any) -> None:
+    def tell(self, topic: bytes, told: Any) -> None:
         """Send a message to all who listen; a slow listener loses some, and nobody waits for it."""
         with contextlib.suppress(zmq.Again):
-            self._out.send(encode([told]), zmq.NOBLOCK)
+            self._out.send_multipart([topic, encode([told])], zmq.NOBLOCK)
         # The descriptor tells of changes only once: what came in meanwhile is taken here.
         self.drain()
 
     def drain(self) -> None:
         """Take in all that waits."""
-        while True:
+        while int(self._in.getsockopt(zmq.EVENTS)) & zmq.POLLIN:
             try:
-                data = self._in.recv(zmq.NOBLOCK)
+                parts = self._in.recv_multipart(zmq.NOBLOCK)
             except zmq.Again:
                 return
-            frame = decode(data, "", 0, "")
-            if frame is None:
-                self.malformed += 1
-                continue
-            for told in frame.messages:
-                self._took(told)
+            self._take(parts)
+
+    def _take(self, parts: list[bytes]) -> None:
+        frame = decode(parts[-1], "", 0, "") if len(parts) == 2 else None
+        if frame is None:
+            self.malformed += 1
+            return
+        for told in frame.messages:
+            self._took(parts[0], told)
 
     def _socket(self, kind: int) -> zmq.Socket[bytes]:
         socket = self._context.socket(kind)
--- /dev/null
+++ b/tests/test_peer_group.py
@@ -0,0 +1,105 @@
+"""A fleet above the size at which relays begin, over real sockets on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from gateway_site import play, until
+
+from tamarack_core.clock import BootClock
+from tamarack_core.relay_plan import SMALL_FLEET, Peer
+from tamarack_gateway.decision_log import DecisionLog
+from tamarack_gateway.outbox import Outbox
+from tamarack_gateway.peer_group import PeerGroup
+from tamarack_gateway.peer_messages import Report, Summary
+
+DOMAINS = ("a", "b", "c")
+SIZE = SMALL_FLEET + 3
+
+
+class Member:
+    """One router's part, and what it heard: reading times by the router that told them."""
+
+    def __init__(self, name: str, domain: str) -> None:
+        self.name = name
+        self.domain = domain
+        self.outbox = Outbox()
+        self.heard: dict[str, list[float]] = {}
+        self.summaries: set[str] = set()
+        clock = BootClock()
+        self.group = PeerGroup(
+            name,
+            domain,
+            "127.0.0.1:0",
+            clock=clock,
+            log=DecisionLog(name, clock, output=2),
+            outbox=self.outbox,
+            summary=lambda: Summary(name, 1, domain, "", True, True, clock.now_ms),
+            others=lambda: len(self.summaries),
+            took=self.took,
+        )
+
+    def took(self, report: Report) -> None:
+        if report.summary is not None:
+            self.summaries.add(report.router)
+        if report.placements is not None:
+            readings = [placed.reading_ms for placed in report.placements.placed]
+            self.heard.setdefault(report.router, []).extend(readings)
+
+
+async def start(stack: contextlib.AsyncExitStack) -> list[Member]:
+    members = [Member(f"r{n}", DOMAINS[n % len(DOMAINS)]) for n in range(SIZE)]
+    for member in members:
+        await stack.enter_async_context(member.group)
+    peers = {m.name: Peer(m.name, m.group.address, m.domain) for m in members}
+    for member in members:
+        member.group.put(peers)
+    await until(lambda: all(len(m.summaries) == SIZE - 1 for m in members))
+    return members
+
+
+def relays(members: list[Member]) -> list[Member]:
+    return [member for member in members if member.group.relays]
+
+
+def test_what_one_router_places_reaches_all_others_once() -> None:
+    """Symptom: queues are over- or underestimated, and requests go to the wrong engines.
+
+    Sequence: routers of several failure domains place requests. Cause: a message is passed on
+    twice, back to its sender, or not to another failure domain.
+    """
+
+    async def story() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            members = await start(stack)
+            assert len(relays(members)) == len(DOMAINS)
+            for number, member in enumerate(members):
+                member.outbox.placed("engine", float(number), [])
+            await until(lambda: all(len(m.heard) == SIZE - 1 for m in members))
+            await asyncio.sleep(0.2)
+            for member in members:
+                expected = {m.name: [float(n)] for n, m in enumerate(members) if m is not member}
+                assert member.heard == expected
+
+    play(story())
+
+
+def test_another_router_takes_over_when_a_relay_ends() -> None:
+    """Symptom: after a kill a failure domain no longer hears what the others place.
+
+    Sequence: its relay ends without a word. Cause: nobody takes its place.
+    """
+
+    async def story() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            members = await start(stack)
+            ended = relays(members)[0]
+            await ended.group.__aexit__(None, None, None)
+            left = [member for member in members if member is not ended]
+            await until(lambda: len(relays(left)) == len(DOMAINS))
+            left[0].outbox.placed("engine", 7.0, [])
+            name = left[0].name
+            await until(lambda: all(name in m.heard for m in left[1:]))
+
+    play(story())
