Keep a router's row through late writes, and log callers that leave

Cause: a removal of the own row named no version. If its answer is lost the store may do it seconds later, after the restarted router has written its row; nobody that starts later hears it then. Found on reading. A caller that left early wrote no line, so a placed request had no end in the log. Change: only the row of this life is removed; a router whose row is gone writes it again; 'request: abandoned' is logged.

--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -82,6 +82,10 @@
         self._reads = reads
         self._told = told
         self._routers: dict[str, Peer] = {}
+        self._own_row = b""
+        self._own_version: int | None = None
+        self._entering = False
+        self._leaving = False
         self._tasks: list[asyncio.Task[Any]] = []
         self._clients: list[StoreClient] = []
         self._followers: dict[str, TableFollower] = {}
@@ -108,8 +112,8 @@
             self._followers[table] = follower
             self._tasks.append(asyncio.ensure_future(follower.run()))
         domain = self._state.settings.failure_domain
-        row = msgspec.json.encode(RouterRow(peers_address, boot, domain)._asdict())
-        self._tasks.append(asyncio.ensure_future(self._enter(row)))
+        self._own_row = msgspec.json.encode(RouterRow(peers_address, boot, domain)._asdict())
+        self._begin_entering()
 
     @property
     def routers(self) -> int:
@@ -123,8 +127,16 @@
             follower.hear(news, stamp_ms)
 
     async def leave(self) -> None:
-        """Take this router out of the list of routers."""
-        call = self._site.store.write(self._site.tables.routers, self._state.settings.router, None)
+        """Take this router out of the list of routers.
+
+        Only the row of this life: a write whose answer is lost may be done seconds later, and would
+        otherwise take out the row of the next life, which nobody would hear from then on.
+        """
+        self._leaving = True
+        if self._own_version is None:
+            return
+        tables, name = self._site.tables, self._state.settings.router
+        call = self._site.store.write(tables.routers, name, None, self._own_version)
         with contextlib.suppress(StoreError, TimeoutError):
             async with asyncio.timeout(LEAVE_WRITE_MS / 1000):
                 await self._client().call(call)
@@ -153,9 +165,14 @@
 
         return report
 
-    async def _enter(self, row: bytes) -> None:
+    def _begin_entering(self) -> None:
+        self._entering = True
+        self._tasks.append(asyncio.ensure_future(self._enter()))
+
+    async def _enter(self) -> None:
         client = self._client()
-        call = self._site.store.write(self._site.tables.routers, self._state.settings.router, row)
+        tables, name = self._site.tables, self._state.settings.router
+        call = self._site.store.write(tables.routers, name, self._own_row)
         for _ in range(WRITE_TRIES):
             try:
                 await client.call(call)
@@ -164,6 +181,19 @@
                 self._state.log.event("the own row was not written", reason=str(error))
                 await asyncio.sleep(0.3 + 0.3 * self._state.random.random())
         client.close()
+        self._entering = False
+
+    def _watch_own_row(self, rows: list[Row], *, whole: bool) -> None:
+        # Without its row a router is not heard by those that start later. It can be taken out by a
+        # late write of an earlier life, or of an operator.
+        own = [row for row in rows if row.key == self._state.settings.router]
+        if own:
+            self._own_version = own[-1].version if own[-1].value is not None else None
+        elif whole:
+            self._own_version = None
+        if (own or whole) and self._own_version is None and not (self._entering or self._leaving):
+            self._state.log.event("the own row is missing")
+            self._begin_entering()
 
     def _took_rules(self, change: TableChange) -> None:
         state = self._state
@@ -248,4 +278,5 @@
                 )
             except (msgspec.MsgspecError, KeyError, TypeError) as error:
                 self._state.log.event("a router's row cannot be read", reason=str(error))
+        self._watch_own_row(change.rows, whole=change.whole)
         self._follow(self._routers)
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -231,6 +231,10 @@
         except ConnectionError as error:
             self._log.request("caller gone", facts.attempt, reason=str(error))
             caller.cut()
+        except asyncio.CancelledError:
+            waited_ms = self._clock.now_ms - request.arrived_ms
+            self._log.request("abandoned", facts.attempt, waited_ms=round(waited_ms))
+            raise
         finally:
             self._metrics.ended(route, self._clock.now_ms - request.arrived_ms)
 
--- /dev/null
+++ b/packages/standins/src/tamarack_standins/fault_proxy.py
@@ -0,0 +1,131 @@
+"""A loopback proxy that delays, resets, silences or cuts what passes through it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from types import TracebackType
+
+READ_BYTES = 65_536
+LOOK_AGAIN_S = 0.02
+
+
+class _Pair:
+    """The two sides of one forwarded connection."""
+
+    def __init__(self, near: asyncio.StreamWriter, far: asyncio.StreamWriter) -> None:
+        self.near = near
+        self.far = far
+        self.silent = False
+
+
+class FaultProxy:
+    """Forwards connections to a target, on the loop that it was started on.
+
+    Parameters
+    ----------
+    target
+        `IP:PORT` to forward to.
+
+    Attributes
+    ----------
+    address
+        Where to connect in place of the target.
+    delay_s
+        Seconds that each piece is held up.
+    cut_there, cut_back
+        Whether bytes towards the target, or from it, are held back; they are never lost.
+    """
+
+    def __init__(self, target: str) -> None:
+        self._host, _, self._port = target.rpartition(":")
+        self._pairs: set[_Pair] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+        self.address = ""
+        self.delay_s = 0.0
+        self.cut_there = False
+        self.cut_back = False
+
+    async def __aenter__(self) -> FaultProxy:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def silence_open(self) -> None:
+        """Let the connections that are open now go silent for good; new ones work."""
+        for pair in self._pairs:
+            pair.silent = True
+
+    def reset_open(self) -> None:
+        """Reset the connections that are open now, at both ends."""
+        for pair in self._pairs:
+            _reset(pair.near)
+            _reset(pair.far)
+
+    def heal(self) -> None:
+        """Let everything pass at once again, but what went silent for good."""
+        self.delay_s, self.cut_there, self.cut_back = 0.0, False, False
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        if task is not None:
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        try:
+            far_reader, far_writer = await asyncio.open_connection(self._host, int(self._port))
+        except OSError:
+            _reset(writer)
+            return
+        pair = _Pair(writer, far_writer)
+        self._pairs.add(pair)
+        try:
+            await asyncio.gather(
+                self._pump(reader, far_writer, pair, there=True),
+                self._pump(far_reader, writer, pair, there=False),
+            )
+        finally:
+            self._pairs.discard(pair)
+            writer.close()
+            far_writer.close()
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        pair: _Pair,
+        *,
+        there: bool,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(READ_BYTES):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                while pair.silent or (self.cut_there if there else self.cut_back):
+                    await asyncio.sleep(LOOK_AGAIN_S)
+                writer.write(data)
+                await writer.drain()
+        with contextlib.suppress(OSError):
+            writer.close()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
--- a/packages/standins/src/tamarack_standins/platform_store.py
+++ b/packages/standins/src/tamarack_standins/platform_store.py
@@ -29,6 +29,8 @@
         Whether calls are taken and never answered.
     losing_writes
         Whether writes are done and not answered.
+    late_s
+        Seconds after which writes that are not answered are done, if their condition still holds.
     """
 
     def __init__(self) -> None:
@@ -41,6 +43,7 @@
         self.refusing = 0
         self.silent = False
         self.losing_writes = False
+        self.late_s = 0.0
         self.calls: list[str] = []
 
     async def __aenter__(self) -> PlatformStore:
@@ -138,19 +141,31 @@
         if failed is not None:
             return failed
         call = await request.json()
-        for condition in call.get("expectedRevision", []):
-            row = self._tables.get(condition["table"], {}).get(condition["key"])
-            held = row.version if row is not None and row.value is not None else 0
-            if held != condition["ver"]:
-                return web.json_response({"rows": [], "ver": self._version}, status=412)
+        if self.late_s:
+            await self._abandon(request, self.late_s)
+        if not self._holds(call):
+            return web.json_response({"rows": [], "ver": self._version}, status=412)
         for row in call.get("puts", []):
             await self._change(row["table"], row["key"], base64.b64decode(row["value"]))
         for row in call.get("remove", []):
             await self._change(row["table"], row["key"], None)
-        if self.losing_writes and request.transport is not None:
-            request.transport.abort()
+        if self.losing_writes:
+            await self._abandon(request, 0.0)
         return web.json_response({"ver": self._version, "nowMs": 0})
 
+    async def _abandon(self, request: web.Request, pause_s: float) -> None:
+        if request.transport is not None:
+            request.transport.abort()
+        await asyncio.sleep(pause_s)
+
+    def _holds(self, call: dict[str, Any]) -> bool:
+        for condition in call.get("expectedRevision", []):
+            row = self._tables.get(condition["table"], {}).get(condition["key"])
+            held = row.version if row is not None and row.value is not None else 0
+            if held != condition["ver"]:
+                return False
+        return True
+
     def _since(self, table: str, after: int) -> list[dict[str, Any]]:
         changed = [
             (row.version, self._row(table, key, row))
--- a/packages/standins/src/tamarack_standins/platform_worker.py
+++ b/packages/standins/src/tamarack_standins/platform_worker.py
@@ -138,6 +138,9 @@
                 pass
         except (OSError, asyncio.IncompleteReadError):
             self.closed_early += 1
+        except asyncio.CancelledError:
+            # The stand-in is closing; asyncio's streams would print a cancelled task as an error.
+            self.closed_early += 1
         finally:
             writer.close()
             if task is not None:
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -9,7 +9,7 @@
 from types import TracebackType
 from typing import Any, NamedTuple
 
-from tamarack_core.clock import BootClock
+from tamarack_core.clock import BootClock, Clock
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.gateway import Gateway
 from tamarack_gateway.site import FleetBounds, GatewaySettings
@@ -102,8 +102,8 @@
     ) -> None:
         await self._stack.aclose()
 
-    def router(self, name: str) -> Gateway:
-        """Another router of the same fleet."""
+    def router(self, name: str, *, clock: Clock | None = None, store: str = "") -> Gateway:
+        """Another router of the fleet, perhaps with a clock or a way to the store of its own."""
         settings = GatewaySettings(
             router=name,
             failure_domain="a",
@@ -112,11 +112,11 @@
             directory="127.0.0.1:0",
             peers="127.0.0.1:0",
             metrics="127.0.0.1:0",
-            store=self.store.address,
+            store=store or self.store.address,
             bounds=self._bounds,
         )
         site = platform_site()._replace(load_settings=lambda: settings)
-        clock = BootClock()
+        clock = clock or BootClock()
         return Gateway(site, clock, DecisionLog(name, clock, output=2), seed=1)
 
     def request(self, path: str, *, method: str = "POST", body: bytes = b"x", **more: str) -> bytes:
@@ -140,13 +140,13 @@
         lines = [f"{method} {path} HTTP/1.1", *(f"{n}: {v}" for n, v in headers.items())]
         return "\r\n".join([*lines, "", ""]).encode() + body
 
-    async def ask(self, path: str, **more: Any) -> Answer:
+    async def ask(self, path: str, *, at: Gateway | None = None, **more: Any) -> Answer:
         """Send one request on a connection of its own."""
-        return await self.send(self.request(path, **more))
+        return await self.send(self.request(path, **more), at=at)
 
-    async def send(self, data: bytes) -> Answer:
+    async def send(self, data: bytes, *, at: Gateway | None = None) -> Answer:
         """Send bytes on a connection of its own and read one answer."""
-        reader, writer = await connect(self.gateway.callers)
+        reader, writer = await connect((at or self.gateway).callers)
         try:
             writer.write(data)
             return await read_answer(reader)
