Soak the platform's path with proxies on its connections, rolling stops and kills of all

Cause: the soak brought no fault to connections; each router and worker was reached directly. Change: a loopback proxy before the store for each router and before each worker delays, resets, silences or cuts one way; all routers are killed at once or stopped in turn; the number of routers is a setting. Routers' processes have a module of their own.

--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -1,8 +1,9 @@
 """A seeded soak of the platform's path: real routers as processes, faults from outside them.
 
-Routers are killed, stopped, paused and restarted by signals; the store falls silent, refuses, loses
-answers and forgets its history; workers fail in all their ways, leave and are replaced; keys are
-taken away. Callers and workers check the promises while it runs.
+Routers are killed, stopped, paused and restarted by signals, singly, all at once and in turn; their
+connections to the store and to workers are delayed, reset, cut one way and silenced by proxies; the
+store falls silent, refuses, loses answers and forgets its history; workers fail in all their ways,
+leave and are replaced; keys are taken away. Callers and workers check the promises meanwhile.
 """
 
 from __future__ import annotations
@@ -13,7 +14,6 @@
 import json
 import os
 import random
-import signal
 import sys
 import tempfile
 import time
@@ -21,18 +21,15 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-import yaml
-
+from tamarack_standins.fault_proxy import FaultProxy
 from tamarack_standins.platform_store import PlatformStore
 from tamarack_standins.platform_worker import Arrived, PlatformWorker, Script
+from tamarack_standins.soak_routers import REVOKE_MS, SPELL_S, SoakRouters, disturb
 
 HOST = "soak.example"
-REVOKE_MS = 3_000.0
-GRACE_S = 6.0
 ROUTERS = 3
 CALLERS = 12
 FAULT_PAUSE_S = (0.2, 0.9)
-SPELL_S = (0.3, 2.5)
 ANSWER_S = 8.0
 KINDS = {"/page/": "non_idempotent", "/search/": "idempotent"}
 STREAMS = {"/rewrite/": False, "/draft/": True}
@@ -84,15 +81,16 @@
 class Soak:
     """One seeded run."""
 
-    def __init__(self, seed: int, seconds: float, folder: Path) -> None:
+    def __init__(self, seed: int, seconds: float, folder: Path, *, routers: int = ROUTERS) -> None:
         self.random = random.Random(seed)
         self._seconds = seconds
         self._folder = folder
         self._port = 20_000 + (os.getpid() + seed * 7) % 5_000 * 2
         self._store = PlatformStore()
         self._stack = contextlib.AsyncExitStack()
-        self._processes: dict[int, asyncio.subprocess.Process] = {}
-        self._workers: list[tuple[str, SoakWorker]] = []
+        self._count = routers
+        self._routers: SoakRouters
+        self._workers: list[tuple[str, SoakWorker, FaultProxy]] = []
         self._sent: dict[str, Sent] = {}
         self._runs: Counter[str] = Counter()
         self._promised: set[str] = set()
@@ -111,14 +109,22 @@
             await self._configure()
             for service in ("web", "web", "pool", "pool", "pool"):
                 await self._add_worker(service)
-            await asyncio.gather(*(self._start(number) for number in range(ROUTERS)))
+            self._routers = await self._stack.enter_async_context(
+                SoakRouters(
+                    self._count,
+                    self._folder,
+                    self._port,
+                    self._store.address,
+                    draws=self.random,
+                    broken=self.broken.append,
+                )
+            )
             callers = [asyncio.ensure_future(self._calls(n)) for n in range(CALLERS)]
             faults = asyncio.ensure_future(self._faults())
             await asyncio.sleep(self._seconds)
             self._stopping = True
             await asyncio.gather(*callers, faults)
             self._check_promises()
-            await asyncio.gather(*(self._end(number) for number in list(self._processes)))
 
     def ran(self, arrived: Arrived, stream: bool) -> None:
         """Take in that a worker runs a request."""
@@ -173,52 +179,24 @@
         self._names += 1
         worker = SoakWorker(f"i-{self._names}", self, service == "pool")
         await self._stack.enter_async_context(worker)
-        self._workers.append((service, worker))
-        await self._store.put("servers", worker.name, worker.entry(service))
-
-    def _address(self, number: int, offset: int) -> str:
-        return f"127.0.{1 + self._port % 200}.{number + 2}:{self._port + offset}"
-
-    async def _start(self, number: int) -> None:
-        settings = {
-            "nodeName": f"router-{number}",
-            "ip": self._address(number, 0).partition(":")[0],
-            "zone": f"zone-{number}",
-            "listen": {
-                "front": self._address(number, 0),
-                "ready": self._address(number, 1),
-                "directory": self._address(number, 2),
-            },
-            "internalPorts": [self._port + 3, self._port + 9],
-            "bounds": {"revokeMs": REVOKE_MS, "graceS": GRACE_S},
-            "platform": {"address": self._store.address},
-        }
-        path = self._folder / f"router-{number}.yaml"
-        path.write_text(yaml.safe_dump(settings))
-        log = (self._folder / f"router-{number}.log").open("ab")
-        self._processes[number] = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "tamarack_platform",
-            env={**os.environ, "TAMARACKTURN_CONFIG": str(path)},
-            stdout=log,
-            stderr=log,
-        )
-        log.close()
+        link = await self._stack.enter_async_context(FaultProxy(worker.address))
+        self._workers.append((service, worker, link))
+        await self._list(service, worker, link)
 
-    async def _end(self, number: int) -> None:
-        process = self._processes[number]
-        if process.returncode is None:
-            process.send_signal(signal.SIGCONT)
-            process.kill()
-        await process.wait()
+    async def _list(
+        self, service: str, worker: SoakWorker, link: FaultProxy, *, state: str = "ready"
+    ) -> None:
+        entry = {**worker.entry(service, state=state), "address": link.address}
+        await self._store.put("servers", worker.name, entry)
 
     # faults
 
     async def _faults(self) -> None:
-        routers = (self._kill, self._terminate, self._pause, self._hang_up)
+        fleet = self._routers
+        routers = (fleet.kill, fleet.kill_all, fleet.terminate, fleet.roll, fleet.pause)
+        links = (fleet.hang_up, fleet.disturb_link, self._disturb_worker)
         store = (self._disturb_store, self._forget, self._revoke)
-        faults = (*routers, *store, self._spoil_worker, self._replace_worker)
+        faults = (*routers, *links, *store, self._spoil_worker, self._replace_worker)
         running: list[asyncio.Future[None]] = []
         while not self._stopping:
             await asyncio.sleep(self.random.uniform(*FAULT_PAUSE_S))
@@ -230,55 +208,6 @@
     async def _spell(self) -> None:
         await asyncio.sleep(self.random.uniform(*SPELL_S))
 
-    def _pick(self) -> tuple[int, asyncio.subprocess.Process] | None:
-        living = [(n, p) for n, p in self._processes.items() if p.returncode is None]
-        return self.random.choice(living) if living else None
-
-    async def _restart(self, number: int, process: asyncio.subprocess.Process) -> None:
-        # Faults overlap: of those that ended the same process only one starts the next.
-        if self._processes.get(number) is process:
-            del self._processes[number]
-            await self._start(number)
-
-    async def _kill(self) -> None:
-        picked = self._pick()
-        if picked is not None:
-            number, process = picked
-            process.kill()
-            await process.wait()
-            await self._restart(number, process)
-
-    async def _terminate(self) -> None:
-        picked = self._pick()
-        if picked is None:
-            return
-        number, process = picked
-        process.terminate()
-        try:
-            async with asyncio.timeout(GRACE_S + 2):
-                code = await process.wait()
-        except TimeoutError:
-            self.broken.append(f"router-{number} did not end in its grace time")
-            process.kill()
-            code = await process.wait()
-        if code not in (0, -signal.SIGKILL):
-            self.broken.append(f"router-{number} ended with {code}")
-        await self._restart(number, process)
-
-    async def _pause(self) -> None:
-        picked = self._pick()
-        if picked is None:
-            return
-        with contextlib.suppress(ProcessLookupError):
-            picked[1].send_signal(signal.SIGSTOP)
-            await self._spell()
-            picked[1].send_signal(signal.SIGCONT)
-
-    async def _hang_up(self) -> None:
-        if picked := self._pick():
-            with contextlib.suppress(ProcessLookupError):
-                picked[1].send_signal(signal.SIGHUP)
-
     async def _disturb_store(self) -> None:
         way = self.random.choice(("silent", "refusing", "losing_writes"))
         setattr(self._store, way, 503 if way == "refusing" else True)
@@ -288,6 +217,9 @@
     async def _forget(self) -> None:
         await self._store.forget_history()
 
+    async def _disturb_worker(self) -> None:
+        await disturb(self.random.choice(self._workers)[2], self.random)
+
     async def _spoil_worker(self) -> None:
         worker = self.random.choice(self._workers)[1]
         worker.bad_part = self.random.uniform(0.1, 0.8)
@@ -295,10 +227,10 @@
         worker.bad_part = 0.0
 
     async def _replace_worker(self) -> None:
-        service, worker = self._workers.pop(self.random.randrange(len(self._workers)))
+        service, worker, link = self._workers.pop(self.random.randrange(len(self._workers)))
         await self._add_worker(service)
         if self.random.random() < 0.5:
-            await self._store.put("servers", worker.name, worker.entry(service, state="draining"))
+            await self._list(service, worker, link, state="draining")
             await self._spell()
         await self._store.remove("servers", worker.name)
 
@@ -317,10 +249,10 @@
             path = self.random.choice([*KINDS, *STREAMS])
             # Some callers go on with a key long after it was taken away.
             key = self.random.choice(keys[-3:])
-            router = self.random.randrange(ROUTERS)
+            router = self.random.randrange(self._count)
             with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
                 async with asyncio.timeout(ANSWER_S):
-                    await self._call(path, key, self._address(router, 0))
+                    await self._call(path, key, self._routers.address(router))
                 continue
             self.counts["no answer"] += 1
             await asyncio.sleep(0.05)
@@ -366,10 +298,10 @@
             self.broken.append(f"{attempt} got other events: {events}")
 
 
-def play(seed: int, seconds: float) -> Soak:
+def play(seed: int, seconds: float, *, routers: int = ROUTERS) -> Soak:
     """Play one seed; returns it with its counts and what was broken."""
     with tempfile.TemporaryDirectory() as folder:
-        soak = Soak(seed, seconds, Path(folder))
+        soak = Soak(seed, seconds, Path(folder), routers=routers)
         asyncio.run(soak.run())
         if soak.broken:
             kept = Path("bench/out") / f"soak-{seed}"
@@ -385,10 +317,11 @@
     parser.add_argument("--first", type=int, default=1, help="first seed")
     parser.add_argument("--seeds", type=int, default=10, help="number of seeds")
     parser.add_argument("--seconds", type=float, default=12.0, help="length of each run")
+    parser.add_argument("--routers", type=int, default=ROUTERS, help="number of routers")
     arguments = parser.parse_args()
     failed = 0
     for seed in range(arguments.first, arguments.first + arguments.seeds):
-        soak = play(seed, arguments.seconds)
+        soak = play(seed, arguments.seconds, routers=arguments.routers)
         print(
             json.dumps({"seed": seed, "broken": soak.broken[:5], **dict(soak.counts)}), flush=True
         )
--- /dev/null
+++ b/packages/standins/src/tamarack_standins/soak_routers.py
@@ -0,0 +1,204 @@
+"""The routers of a soak: real processes, and the faults that signals bring them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import random
+import signal
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+import yaml
+
+from tamarack_standins.fault_proxy import FaultProxy
+
+GRACE_S = 6.0
+REVOKE_MS = 3_000.0
+SPELL_S = (0.3, 2.5)
+"""Seconds that a pause or another lasting fault goes on."""
+
+STEP_S = (0.0, 1.0)
+"""Seconds between two routers of a rolling restart."""
+
+
+class SoakRouters:
+    """Starts, ends and disturbs the routers; each reaches the store by a proxy of its own.
+
+    Parameters
+    ----------
+    folder
+        For settings files and logs.
+    port
+        First of ten ports; routers have addresses of their own.
+    store
+        Address of the store.
+    broken
+        Called with each promise that a router broke.
+    """
+
+    def __init__(
+        self,
+        count: int,
+        folder: Path,
+        port: int,
+        store: str,
+        *,
+        draws: random.Random,
+        broken: Callable[[str], None],
+    ) -> None:
+        self._count = count
+        self._folder = folder
+        self._port = port
+        self._random = draws
+        self._broken = broken
+        self._processes: dict[int, asyncio.subprocess.Process] = {}
+        self._stack = contextlib.AsyncExitStack()
+        self.links = [FaultProxy(store) for _ in range(count)]
+
+    async def __aenter__(self) -> SoakRouters:
+        for link in self.links:
+            await self._stack.enter_async_context(link)
+        await asyncio.gather(*(self._start(number) for number in range(self._count)))
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await asyncio.gather(*(self._end(number) for number in list(self._processes)))
+        await self._stack.aclose()
+
+    def address(self, number: int, offset: int = 0) -> str:
+        """Address of a router; offset 0 is the one for callers."""
+        return f"127.0.{1 + self._port % 200}.{number + 2}:{self._port + offset}"
+
+    async def kill(self) -> None:
+        """Kill one router and start it again."""
+        picked = self._pick()
+        if picked is not None:
+            number, process = picked
+            process.kill()
+            await process.wait()
+            await self._restart(number, process)
+
+    async def kill_all(self) -> None:
+        """Kill all routers at once and start them again."""
+        living = [(n, p) for n, p in self._processes.items() if p.returncode is None]
+        for _, process in living:
+            process.kill()
+        for number, process in living:
+            await process.wait()
+            await self._restart(number, process)
+
+    async def terminate(self) -> None:
+        """Ask one router to stop, and start it again."""
+        picked = self._pick()
+        if picked is not None:
+            await self._stop(*picked)
+
+    async def roll(self) -> None:
+        """Ask all routers to stop, one soon after the other."""
+        stops = []
+        for number, process in list(self._processes.items()):
+            if process.returncode is None:
+                stops.append(asyncio.ensure_future(self._stop(number, process)))
+                await asyncio.sleep(self._random.uniform(*STEP_S))
+        await asyncio.gather(*stops)
+
+    async def pause(self) -> None:
+        """Stop one router in its tracks for a while."""
+        picked = self._pick()
+        if picked is None:
+            return
+        with contextlib.suppress(ProcessLookupError):
+            picked[1].send_signal(signal.SIGSTOP)
+            await self._spell()
+            picked[1].send_signal(signal.SIGCONT)
+
+    async def hang_up(self) -> None:
+        """Tell one router that its settings changed."""
+        if picked := self._pick():
+            with contextlib.suppress(ProcessLookupError):
+                picked[1].send_signal(signal.SIGHUP)
+
+    async def disturb_link(self) -> None:
+        """Delay, reset, silence or cut one way one router's path to the store."""
+        await disturb(self._random.choice(self.links), self._random)
+
+    async def _start(self, number: int) -> None:
+        settings = {
+            "nodeName": f"router-{number}",
+            "ip": self.address(number).partition(":")[0],
+            "zone": f"zone-{number % 3}",
+            "listen": {
+                "front": self.address(number),
+                "ready": self.address(number, 1),
+                "directory": self.address(number, 2),
+            },
+            "internalPorts": [self._port + 3, self._port + 9],
+            "bounds": {"revokeMs": REVOKE_MS, "graceS": GRACE_S},
+            "platform": {"address": self.links[number].address},
+        }
+        path = self._folder / f"router-{number}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        log = (self._folder / f"router-{number}.log").open("ab")
+        self._processes[number] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "tamarack_platform",
+            env={**os.environ, "TAMARACKTURN_CONFIG": str(path)},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    async def _stop(self, number: int, process: asyncio.subprocess.Process) -> None:
+        with contextlib.suppress(ProcessLookupError):
+            process.terminate()
+        try:
+            async with asyncio.timeout(GRACE_S + 2):
+                code = await process.wait()
+        except TimeoutError:
+            self._broken(f"router-{number} did not end in its grace time")
+            process.kill()
+            code = await process.wait()
+        if code not in (0, -signal.SIGKILL):
+            self._broken(f"router-{number} ended with {code}")
+        await self._restart(number, process)
+
+    async def _end(self, number: int) -> None:
+        process = self._processes[number]
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        await process.wait()
+
+    async def _restart(self, number: int, process: asyncio.subprocess.Process) -> None:
+        # Faults overlap: of those that ended the same process only one starts the next.
+        if self._processes.get(number) is process:
+            del self._processes[number]
+            await self._start(number)
+
+    def _pick(self) -> tuple[int, asyncio.subprocess.Process] | None:
+        living = [(n, p) for n, p in self._processes.items() if p.returncode is None]
+        return self._random.choice(living) if living else None
+
+    async def _spell(self) -> None:
+        await asyncio.sleep(self._random.uniform(*SPELL_S))
+
+
+async def disturb(link: FaultProxy, draws: random.Random) -> None:
+    """Bring one of its faults to a link, and heal it after a while."""
+    way = draws.choice(("delay", "reset", "silence", "cut there", "cut back"))
+    if way == "delay":
+        link.delay_s = draws.uniform(0.02, 0.4)
+    elif way == "reset":
+        link.reset_open()
+    elif way == "silence":
+        link.silence_open()
+    elif way == "cut there":
+        link.cut_there = True
+    else:
+        link.cut_back = True
+    await asyncio.sleep(draws.uniform(*SPELL_S))
+    link.heal()
