Show what one router of the platform believes: tamarackctl router

Cause: on-call engineers had only logs and metrics of a router of the platform; tamarackctl knew none but by 'explain'. Change: the metrics address serves /status (members, endpoints, shares, configuration and its age), tamarackctl prints it. Metrics and status no longer stand on the address at which callers ask for addresses; the test of that failed before.

--- a/packages/core/src/tamarack_core/workspace_shares.py
+++ b/packages/core/src/tamarack_core/workspace_shares.py
@@ -58,6 +58,10 @@
         share = self.share(tokens_per_s, now_ms)
         return self._served.get(workspace, 0.0) / max(1.0, share)
 
+    def standings(self, tokens_per_s: float, now_ms: float) -> dict[str, float]:
+        """Standing of each workspace that asked for anything in this window."""
+        return {name: self.standing(name, tokens_per_s, now_ms) for name in list(self._asked)}
+
     def _slice(self, now_ms: float) -> tuple[float, dict[str, float], dict[str, float]]:
         while self._slices and self._slices[0][0] < now_ms - self._window_ms:
             _, asked, served = self._slices.popleft()
--- /dev/null
+++ b/packages/ctl/src/tamarack_ctl/router_view.py
@@ -0,0 +1,56 @@
+"""The command that shows what one router of the platform believes."""
+
+from __future__ import annotations
+
+import argparse
+import json
+from typing import Any
+
+import urllib3
+
+from tamarack_ctl.commands import EXIT_UNREACHABLE, Context, Outcome, command
+
+TIMEOUT_S = 3.0
+"""Seconds for a router's answer, which takes milliseconds."""
+
+
+def _configure(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("address", metavar="IP:PORT", help="the router's address for metrics")
+
+
+@command("router", "show what one router of the platform believes", _configure, needs_fleet=False)
+def show_router(context: Context) -> Outcome:
+    """Ask one router for its status."""
+    address = context.arguments.address
+    try:
+        answer = urllib3.request(
+            "GET", f"http://{address}/status", timeout=TIMEOUT_S, retries=False
+        )
+        status = json.loads(answer.data)
+        return Outcome(_lines(status), status)
+    except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError) as error:
+        reason = f"{address} does not answer as a router: {error}"
+        return Outcome([reason], {"error": reason}, EXIT_UNREACHABLE)
+
+
+def _lines(status: dict[str, Any]) -> list[str]:
+    words = [word for word in ("ready", "leaving", "relays") if status[word]]
+    lines = [f"{status['router']}: {', '.join(words) or 'not ready'}"]
+    lines.append(
+        f"configuration {status['version']}, confirmed {status['confirmed_ms_ago']} ms ago"
+    )
+    for title in ("members", "endpoints", "workspaces"):
+        lines += _table(title, status[title])
+    return lines
+
+
+def _table(title: str, entries: list[dict[str, Any]]) -> list[str]:
+    lines = [f"{title} ({len(entries)})"]
+    if not entries:
+        return lines
+    rows = [list(entries[0]), *([str(value) for value in entry.values()] for entry in entries)]
+    widths = [max(len(row[column]) for row in rows) for column in range(len(rows[0]))]
+    for row in rows:
+        cells = (cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        lines.append("  " + "  ".join(cells).rstrip())
+    return lines
--- a/packages/gateway/src/tamarack_gateway/fleet_members.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_members.py
@@ -54,6 +54,10 @@
         self._members[member.router] = member
         return True
 
+    def known(self) -> list[Member]:
+        """All routers ever heard, by name."""
+        return sorted(self._members.values())
+
     def _recent(self, now_ms: float) -> dict[str, Member]:
         large = len(self._members) >= SMALL_FLEET
         silence_ms = RELAYED_SILENCE_MS if large else SILENCE_MS
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -6,6 +6,8 @@
 import contextlib
 from typing import Any
 
+import msgspec
+
 from tamarack_core.clock import Clock
 from tamarack_core.relay_plan import Peer
 from tamarack_gateway.cache_inventory import CacheInventory
@@ -17,10 +19,11 @@
 from tamarack_gateway.fleet_members import FleetMembers, Member
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.gateway_metrics import GatewayMetrics
-from tamarack_gateway.http_messages import Headers, Request
+from tamarack_gateway.http_messages import Request
 from tamarack_gateway.outbox import Outbox, Placements
 from tamarack_gateway.peer_group import PeerGroup
 from tamarack_gateway.peer_messages import Report, Summary
+from tamarack_gateway.router_status import router_status
 from tamarack_gateway.site import Site
 from tamarack_gateway.table_follower import TableNews
 
@@ -99,15 +102,17 @@
         self._left_ms = float("inf")
         self._callers = ""
         self._site_addresses: list[str] = []
+        self._metrics_address = ""
 
     async def __aenter__(self) -> Gateway:
         settings = self._settings
         await self._stack.enter_async_context(self._peers)
         self._feeds.start(self._peers.address, self._boot)
         self._callers = await self._listen(settings.callers, self._answer_caller)
-        for address in dict.fromkeys((settings.readiness, settings.directory, settings.metrics)):
+        for address in dict.fromkeys((settings.readiness, settings.directory)):
             if address:
                 self._site_addresses.append(await self._listen(address, self._answer_site))
+        self._metrics_address = await self._listen(settings.metrics, self._answer_operator)
         self._tasks.append(asyncio.ensure_future(self._inventory.run()))
         self._tasks.append(asyncio.ensure_future(self._sweep()))
         self._tasks.append(asyncio.ensure_future(self._flush()))
@@ -140,9 +145,14 @@
 
     @property
     def site_addresses(self) -> list[str]:
-        """Addresses at which readiness, addresses and metrics are served."""
+        """Addresses at which readiness and addresses for callers are served."""
         return self._site_addresses
 
+    @property
+    def metrics_address(self) -> str:
+        """Address at which metrics and the status are served, for operators only."""
+        return self._metrics_address
+
     def reload(self) -> None:
         """Read the settings anew; addresses of listeners stay as they were at the start."""
         self._settings = self._site.load_settings()
@@ -280,13 +290,20 @@
             headers, body = directory.addresses(addresses, ttl_s)
             caller.answer(200, headers, body)
             return
-        if request.target.split(b"?")[0] == b"/metrics":
-            content, kind = self._metrics.render()
-            headers_out: Headers = [(b"content-type", kind.encode())]
-            caller.answer(200, headers_out, content)
-            return
         caller.answer(404, [])
 
+    async def _answer_operator(self, request: Request, caller: CallerConnection) -> None:
+        path = request.target.partition(b"?")[0]
+        if path == b"/metrics":
+            content, kind = self._metrics.render()
+            caller.answer(200, [(b"content-type", kind.encode())], content)
+        elif path == b"/status":
+            status = router_status(self._state, self._members, relays=self._peers.relays)
+            json = [(b"content-type", b"application/json")]
+            caller.answer(200, json, msgspec.json.encode(status))
+        else:
+            caller.answer(404, [])
+
     # peers
 
     @property
--- /dev/null
+++ b/tests/test_router_view.py
@@ -0,0 +1,58 @@
+"""What operators see of one router of the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+from gateway_site import Fleet, connect, play, read_answer, until
+
+from tamarack_ctl.main import main
+from tamarack_standins.platform_worker import PlatformWorker, Script
+
+STREAM = Script(events=2)
+
+
+def test_a_router_tells_what_it_believes(capsys: pytest.CaptureFixture[str]) -> None:
+    async def story() -> None:
+        workers = {"pool": [PlatformWorker("e1", STREAM)], "web": [PlatformWorker("w1")]}
+        async with Fleet(workers) as fleet, fleet.router("router-2") as other:
+            await until(lambda: bool(fleet.gateway._members.known()) and other.state.ready)
+            assert (await fleet.ask("/draft/1")).status == 200
+            address = fleet.gateway.metrics_address
+            assert await asyncio.to_thread(main, ["router", address]) == 0
+            assert await asyncio.to_thread(main, ["router", address, "--json"]) == 0
+
+    play(story())
+    *lines, machine = capsys.readouterr().out.splitlines()
+    assert lines[0] == "router-1: ready"
+    assert lines[1].startswith("configuration 1, confirmed ")
+    status = json.loads(machine)
+    assert [member["router"] for member in status["members"]] == ["router-2"]
+    assert {e["endpoint"]: e["service"] for e in status["endpoints"]} == {"e1": "pool", "w1": "web"}
+    assert [entry["workspace"] for entry in status["workspaces"]] == ["shop"]
+
+
+def test_an_address_without_a_router_is_said_so(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["router", "127.0.0.1:9"]) == 3
+    assert "does not answer" in capsys.readouterr().out
+
+
+def test_callers_see_neither_metrics_nor_status() -> None:
+    """Symptom: a caller reads which workspaces there are and what they ask for.
+
+    Sequence: it asks the address for callers' addresses for the status. Cause: all of a router's
+    own pages were served at each of its addresses.
+    """
+
+    async def story() -> None:
+        async with Fleet({"web": [PlatformWorker("w1")]}) as fleet:
+            for address in fleet.gateway.site_addresses:
+                for path in ("/status", "/metrics"):
+                    reader, writer = await connect(address)
+                    writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+                    assert (await read_answer(reader)).status == 404
+                    writer.close()
+
+    play(story())
