Count decisions by their reasons, store calls and retries in the metrics

Cause: the metrics page told requests and waits, and neither why requests were refused nor what the store and retries cost. Change: each decision is counted by reason where it is logged, dropped lines included, at most 60 reasons; gauges for store calls, retries, routers, and pace and failures of endpoints. The test failed before.

--- a/packages/core/src/tamarack_core/retry_allowance.py
+++ b/packages/core/src/tamarack_core/retry_allowance.py
@@ -31,6 +31,12 @@
         self._routers = 1
         self._requests: dict[str, deque[float]] = {}
         self._retries: dict[str, deque[float]] = {}
+        self.taken = 0
+
+    @property
+    def routers(self) -> int:
+        """The most routers that were seen."""
+        return self._routers
 
     def seen(self, routers: int) -> None:
         """Note how many routers there are; the largest number counts."""
@@ -52,6 +58,7 @@
         if len(retries) + 1 > allowed:
             return False
         retries.append(now_ms)
+        self.taken += 1
         return True
 
     def _forget(self, times: deque[float], now_ms: float) -> None:
--- a/packages/gateway/src/tamarack_gateway/decision_log.py
+++ b/packages/gateway/src/tamarack_gateway/decision_log.py
@@ -26,6 +26,10 @@
 another kind than what goes well, so that much of one never costs the other its lines."""
 
 
+MOST_REASONS = 60
+"""Reasons that are counted apart; some hold an endpoint's own words, of which there is no end."""
+
+
 class DecisionLog:
     """Writes decisions to a file descriptor.
 
@@ -35,6 +39,11 @@
         Name of the router, part of each line.
     output
         File descriptor, standard output by default.
+
+    Attributes
+    ----------
+    decisions
+        How often each decision was taken, by its reason; dropped lines are counted, too.
     """
 
     def __init__(self, router: str, clock: Clock, *, output: int = 1) -> None:
@@ -49,10 +58,15 @@
         self._counts: Counter[str] = Counter()
         self._encoder = msgspec.json.Encoder()
         self.dropped: Counter[str] = Counter()
+        self.decisions: Counter[tuple[str, str]] = Counter()
         self.written = 0
 
     def request(self, decision: str, attempt: str, **facts: Any) -> None:
-        """Log a decision about a request, with what it was decided by."""
+        """Log and count a decision about a request, with what it was decided by."""
+        kind = (decision, str(facts.get("reason", "")))
+        if kind not in self.decisions and len(self.decisions) >= MOST_REASONS:
+            kind = (decision, "other")
+        self.decisions[kind] += 1
         self._line(decision, f"request: {decision}", {"request": attempt, **facts})
 
     def change(self, belief: str, **facts: Any) -> None:
--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -116,9 +116,9 @@
         self._begin_entering()
 
     @property
-    def routers(self) -> int:
-        """How many routers the store lists, as far as is known."""
-        return len(self._routers)
+    def calls(self) -> int:
+        """Calls of the store that were made."""
+        return sum(client.calls for client in self._clients)
 
     def hear(self, news: TableNews, stamp_ms: float) -> None:
         """Take in what another router learned from the store."""
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -67,7 +67,9 @@
         self._pool = ConnectionPool(clock)
         self._outbox = Outbox()
         self._members = FleetMembers()
-        self._metrics = GatewayMetrics(self._state, self._pool)
+        self._metrics = GatewayMetrics(
+            self._state, self._pool, store_calls=lambda: self._feeds.calls
+        )
         self._connections: set[CallerConnection] = set()
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[Any]] = []
--- a/packages/gateway/src/tamarack_gateway/gateway_metrics.py
+++ b/packages/gateway/src/tamarack_gateway/gateway_metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from tamarack_core.ruleset import Route
@@ -14,11 +16,20 @@
 
 
 class GatewayMetrics:
-    """What a router counts; gauges are read when they are asked for."""
+    """What a router counts; gauges are read when they are asked for.
+
+    Parameters
+    ----------
+    store_calls
+        Tells how many calls of the store were made.
+    """
 
-    def __init__(self, state: FleetState, pool: ConnectionPool) -> None:
+    def __init__(
+        self, state: FleetState, pool: ConnectionPool, *, store_calls: Callable[[], int]
+    ) -> None:
         self._state = state
         self._pool = pool
+        self._store_calls = store_calls
         self._registry = Registry()
         self._requests = Counter(
             "requests_total", "Requests that were placed", registry=self._registry
@@ -29,6 +40,9 @@
             buckets=LATENCY_MS,
             registry=self._registry,
         )
+        self._decisions = Gauge(
+            "decisions", "Decisions about requests by their reason", registry=self._registry
+        )
         self._gauges = Gauge("state", "What the router believes", registry=self._registry)
 
     def began(self, route: Route) -> None:
@@ -49,11 +63,19 @@
             "connections_opened": self._pool.opened,
             "connections_reused": self._pool.reused,
             "log_lines": state.log.written,
+            "store_calls": self._store_calls(),
+            "retries": state.allowance.taken,
+            "routers": state.allowance.routers,
             "ready": int(state.ready),
         }
         for name, value in readings.items():
             self._gauges.set({"name": name}, float(value))
         for name, model in state.models.items():
             self._gauges.set({"name": "wait_ms", "endpoint": name}, model.wait_ms(now_ms))
+            self._gauges.set({"name": "pace", "endpoint": name}, model.pace(now_ms))
+        for name, record in state.records.items():
+            self._gauges.set({"name": "failures", "endpoint": name}, record.failures(now_ms))
+        for (decision, reason), count in state.log.decisions.items():
+            self._decisions.set({"decision": decision, "reason": reason}, count)
         content, headers = render(self._registry, ["text/plain"])
         return content, headers.get("Content-Type", "text/plain")
--- a/packages/gateway/src/tamarack_gateway/store_client.py
+++ b/packages/gateway/src/tamarack_gateway/store_client.py
@@ -47,9 +47,11 @@
         self._dialect = dialect
         self._clock = clock
         self._connection: EndpointConnection | None = None
+        self.calls = 0
 
     async def call(self, call: StoreCall, *, wait_ms: float = 0.0) -> bytes:
         """Make a call and return the body of its answer; raises `StoreError`."""
+        self.calls += 1
         try:
             async with asyncio.timeout((CALL_MS + wait_ms) / 1000):
                 return await self._ask(call)
--- a/tests/test_router_view.py
+++ b/tests/test_router_view.py
@@ -34,6 +34,31 @@
     assert [entry["workspace"] for entry in status["workspaces"]] == ["shop"]
 
 
+def test_metrics_count_decisions_by_their_reasons() -> None:
+    """Symptom: on-call engineers see that requests are refused, and not why.
+
+    Sequence: requests are refused while keys are not confirmed. Cause: refusals were not counted.
+    """
+
+    async def story() -> None:
+        workers = {"pool": [PlatformWorker("e1", STREAM)]}
+        async with Fleet(workers, revoke_ms=900.0) as fleet:
+            assert (await fleet.ask("/draft/1")).status == 200
+            fleet.store.silent = True
+            state = fleet.gateway.state
+            await until(lambda: not state.freshness.trusted(state.clock.now_ms))
+            assert (await fleet.ask("/draft/1")).status == 503
+            reader, writer = await connect(fleet.gateway.metrics_address)
+            writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+            text = (await read_answer(reader)).body.decode()
+            writer.close()
+        assert 'decisions{decision="refused",reason="keys are not confirmed"} 1' in text
+        assert 'decisions{decision="answered",reason=""} 1' in text
+        assert 'state{name="store_calls"}' in text
+
+    play(story())
+
+
 def test_an_address_without_a_router_is_said_so(capsys: pytest.CaptureFixture[str]) -> None:
     assert main(["router", "127.0.0.1:9"]) == 3
     assert "does not answer" in capsys.readouterr().out
