--- a/packages/core/src/tamarack_core/relay_plan.py
+++ b/packages/core/src/tamarack_core/relay_plan.py
@@ -101,13 +101,13 @@
             return Links(frozenset(p.address for p in self._peers.values()), None, False)
         relays = self._relays(now_ms)
         own = self._failure_domain
-        addresses = {peer.address for peer in self._candidates(own)}
+        addresses = {peer.address for peer in self.candidates(own)}
         if relays:
             for peer in self._peers.values():
                 if peer.failure_domain == own:
                     addresses.add(peer.address)
             for domain in {peer.failure_domain for peer in self._peers.values()}:
-                addresses.update(peer.address for peer in self._candidates(domain))
+                addresses.update(peer.address for peer in self.candidates(domain))
         return Links(frozenset(addresses), frozenset((own,)) if relays else frozenset(), relays)
 
     def speaks(self, now_ms: float) -> bool:
@@ -127,7 +127,8 @@
         silence_ms = SILENCE_MS + STAGGER_MS * max(0, len(ahead) - 1)
         return all(now_ms - self._since_ms[name] > silence_ms for name in ahead)
 
-    def _candidates(self, domain: str) -> list[Peer]:
+    def candidates(self, domain: str) -> list[Peer]:
+        """Other routers that may relay for a failure domain, in order."""
         order = [name for name in self._order(domain) if name != self._router]
         return [self._peers[name] for name in order[:CANDIDATES]]
 
