Give the pages that a router answers itself a module of their own

Change: readiness, addresses, metrics and status stand in own_pages. No behaviour changes; the tests are as before.

--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -6,8 +6,6 @@
 import contextlib
 from typing import Any
 
-import msgspec
-
 from tamarack_core.clock import Clock
 from tamarack_core.relay_plan import Peer
 from tamarack_gateway.cache_inventory import CacheInventory
@@ -21,9 +19,9 @@
 from tamarack_gateway.gateway_metrics import GatewayMetrics
 from tamarack_gateway.http_messages import Request
 from tamarack_gateway.outbox import Outbox, Placements
+from tamarack_gateway.own_pages import OwnPages
 from tamarack_gateway.peer_group import PeerGroup
 from tamarack_gateway.peer_messages import Report, Summary
-from tamarack_gateway.router_status import router_status
 from tamarack_gateway.site import Site
 from tamarack_gateway.table_follower import TableNews
 
@@ -41,13 +39,9 @@
 FLUSH_MS = 100.0
 """Time between two writes of the log."""
 
-ADDRESS_TTL_S = 1.0
-"""Seconds for which callers may use an answer with addresses; some use it three times as long. A
-router that stops serves them for that time."""
-
 LINGER_MS = 3_300.0
 """Time after the request to stop for which all new requests are served: three times the time to
-live above, and some for the way."""
+live of addresses, and some for the way."""
 
 LAST_EXIT_PART = 0.93
 """Part of the grace time after which the router ends whatever still runs; at its end it would be
@@ -70,6 +64,14 @@
         self._metrics = GatewayMetrics(
             self._state, self._pool, store_calls=lambda: self._feeds.calls
         )
+        self._pages = OwnPages(
+            self._state,
+            self._members,
+            self._metrics,
+            site.directory,
+            me=lambda: self._me,
+            relays=lambda: self._peers.relays,
+        )
         self._connections: set[CallerConnection] = set()
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[Any]] = []
@@ -113,8 +115,8 @@
         self._callers = await self._listen(settings.callers, self._answer_caller)
         for address in dict.fromkeys((settings.readiness, settings.directory)):
             if address:
-                self._site_addresses.append(await self._listen(address, self._answer_site))
-        self._metrics_address = await self._listen(settings.metrics, self._answer_operator)
+                self._site_addresses.append(await self._listen(address, self._pages.answer_site))
+        self._metrics_address = await self._listen(settings.metrics, self._pages.answer_operator)
         self._tasks.append(asyncio.ensure_future(self._inventory.run()))
         self._tasks.append(asyncio.ensure_future(self._sweep()))
         self._tasks.append(asyncio.ensure_future(self._flush()))
@@ -275,37 +277,6 @@
         spread_ms = retry_after_ms * (1.0 + self._state.random.random())
         caller.answer(503, self._site.requests.refusal(attempt, spread_ms))
 
-    # the platform and operators
-
-    async def _answer_site(self, request: Request, caller: CallerConnection) -> None:
-        directory = self._site.directory
-        if directory.is_readiness(request):
-            caller.answer(200 if self._state.ready else 503, [])
-            return
-        place = directory.place(request)
-        if place is not None:
-            addresses = self._members.addresses(self._me, place.failure_domain, self._clock.now_ms)
-            if not addresses:
-                caller.answer(503, [])
-                return
-            ttl_s = min(ADDRESS_TTL_S, self._settings.bounds.address_ttl_ms / 1000)
-            headers, body = directory.addresses(addresses, ttl_s)
-            caller.answer(200, headers, body)
-            return
-        caller.answer(404, [])
-
-    async def _answer_operator(self, request: Request, caller: CallerConnection) -> None:
-        path = request.target.partition(b"?")[0]
-        if path == b"/metrics":
-            content, kind = self._metrics.render()
-            caller.answer(200, [(b"content-type", kind.encode())], content)
-        elif path == b"/status":
-            status = router_status(self._state, self._members, relays=self._peers.relays)
-            json = [(b"content-type", b"application/json")]
-            caller.answer(200, json, msgspec.json.encode(status))
-        else:
-            caller.answer(404, [])
-
     # peers
 
     @property
