Split the entries of the configuration from its versions

Change: entry types, changes and the checks of one entry stand in configuration_entries. No behaviour changes.

--- a/packages/core/src/tamarack_core/config_follower.py
+++ b/packages/core/src/tamarack_core/config_follower.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from tamarack_core.configuration import Change, Configuration
+from tamarack_core.configuration import Configuration
+from tamarack_core.configuration_entries import Change
 
 ASK_INTERVAL_MS = 200
 KEPT_CHANGES = 2_000
--- a/packages/core/src/tamarack_core/configuration.py
+++ b/packages/core/src/tamarack_core/configuration.py
@@ -1,119 +1,29 @@
-"""The configuration in force: entries, their checks, changes and versions."""
+"""The configuration in force: changes applied to entries, and versions."""
 
-# TypedDict reads NotRequired from evaluated annotations only, so they are not deferred here.
-import hashlib
-import math
-from typing import Any, NamedTuple, NotRequired, TypedDict, get_type_hints
-
-import msgspec
+from __future__ import annotations
 
+import math
+from typing import Any, NamedTuple
+
+from tamarack_core.configuration_entries import (
+    ENTRY_TYPES,
+    Change,
+    EndpointEntry,
+    EntryName,
+    EntryPut,
+    Fault,
+    ServiceEntry,
+    Snapshot,
+    check_entry,
+    hash_key,
+)
 from tamarack_core.defaults import DEADLINE_MS, DEFAULT_COST, QUEUE_LIMIT, SHARD_SIZE
 from tamarack_core.dispatcher import DispatchPolicy
 from tamarack_core.endpoint_pool import EndpointSpec
 from tamarack_core.protocol import ShardKey
 from tamarack_core.rendezvous import ranked
 
-MAX_NAME = 64
 MAX_BATCH = 500
-NAME_ALPHABET = frozenset("abcdefghijklmnopqrstuvwxyz0123456789-._")
-
-
-class WorkspaceEntry(TypedDict):
-    """A workspace: hashes of its keys, and how many of its requests may wait."""
-
-    key_hashes: list[str]
-    queue_limit: NotRequired[int]
-
-
-class ServiceEntry(TypedDict):
-    """A service: `kind` is `model` or `plain`.
-
-    `repeatable` lists operations that may run more than once, as `METHOD /path`. A model is
-    called by `model`, the service's name if not set. Costs of models are tokens, prompt tokens
-    counted `prompt_weight` times; costs of plain services are milliseconds.
-    """
-
-    kind: str
-    model: NotRequired[str]
-    repeatable: NotRequired[list[str]]
-    prompt_weight: NotRequired[float]
-    default_cost: NotRequired[float]
-    deadline_ms: NotRequired[int]
-    max_unavailable: NotRequired[int]
-
-
-class PresetEntry(TypedDict):
-    """A preset: weights per workspace, and what engines are to load (endpoint to model)."""
-
-    weights: NotRequired[dict[str, float]]
-    default_weight: NotRequired[float]
-    loads: NotRequired[dict[str, str]]
-
-
-class EndpointEntry(TypedDict):
-    """An endpoint of a service, with the slots that it starts from."""
-
-    service: str
-    address: str
-    failure_domain: str
-    slots: NotRequired[int]
-    drained: NotRequired[bool]
-    checks_fencing: NotRequired[bool]
-
-
-ENTRY_TYPES: dict[str, type] = {
-    "workspace": WorkspaceEntry,
-    "service": ServiceEntry,
-    "preset": PresetEntry,
-    "endpoint": EndpointEntry,
-}
-
-
-class EntryPut(NamedTuple):
-    """An entry to write whole."""
-
-    kind: str
-    name: str
-    body: dict[str, Any]
-
-
-class EntryName(NamedTuple):
-    """An entry to delete."""
-
-    kind: str
-    name: str
-
-
-class Change(NamedTuple):
-    """One accepted change; `preset` is the one in force after it."""
-
-    version: int
-    id: str
-    author: str
-    at_ms: int
-    puts: list[EntryPut]
-    deletes: list[EntryName]
-    preset: str
-
-
-class Fault(NamedTuple):
-    """What is wrong with a change, and where."""
-
-    path: str
-    message: str
-
-
-class Snapshot(NamedTuple):
-    """The whole configuration at one version."""
-
-    version: int
-    preset: str
-    entries: list[EntryPut]
-
-
-def hash_key(key: str) -> str:
-    """Digest under which a workspace's key is stored."""
-    return hashlib.sha256(key.encode()).hexdigest()
 
 
 class _Parts(NamedTuple):
@@ -228,7 +138,7 @@
             shards[number].append(spec)
         return shards
 
-    def apply(self, change: Change) -> "Configuration":
+    def apply(self, change: Change) -> Configuration:
         """Return the configuration after the change that follows this version."""
         if change.version != self._version + 1:
             raise ValueError(f"change {change.version} does not follow version {self._version}")
@@ -273,7 +183,7 @@
         return Snapshot(self._version, self._preset, entries)
 
     @classmethod
-    def restore(cls, snapshot: Snapshot) -> "Configuration":
+    def restore(cls, snapshot: Snapshot) -> Configuration:
         """Build a configuration from a snapshot."""
         entries: dict[str, dict[str, Any]] = {kind: {} for kind in ENTRY_TYPES}
         for put in snapshot.entries:
@@ -288,7 +198,7 @@
         if len(puts) + len(deletes) > MAX_BATCH:
             faults.append(Fault("", f"a change holds at most {MAX_BATCH} entries"))
         for put in puts:
-            faults.extend(_check_entry(put))
+            faults.extend(check_entry(put))
         for name in deletes:
             if name.name not in self._entries.get(name.kind, {}):
                 faults.append(Fault(f"{name.kind}/{name.name}", "there is no such entry"))
@@ -400,51 +310,3 @@
     for service in grown:
         changed[service].sort(key=lambda spec: spec.name)
     return changed
-
-
-def _check_entry(put: EntryPut) -> list[Fault]:
-    base = f"{put.kind}/{put.name}"
-    entry_type = ENTRY_TYPES.get(put.kind)
-    if entry_type is None:
-        return [Fault(base, f"kind is one of {', '.join(ENTRY_TYPES)}")]
-    faults = []
-    if not put.name or len(put.name) > MAX_NAME or not NAME_ALPHABET.issuperset(put.name):
-        faults.append(Fault(base, "a name has 1 to 64 of a-z 0-9 - . _"))
-    if not isinstance(put.body, dict):
-        return [*faults, Fault(base, "an entry is a table of fields")]
-    hints = get_type_hints(entry_type, include_extras=False)
-    for field in entry_type.__required_keys__ - put.body.keys():  # type: ignore[attr-defined]
-        faults.append(Fault(f"{base}/{field}", "the field is missing"))
-    for field, value in put.body.items():
-        if field not in hints:
-            faults.append(Fault(f"{base}/{field}", "the field is unknown"))
-            continue
-        try:
-            msgspec.convert(value, hints[field])
-        except msgspec.ValidationError as error:
-            faults.append(Fault(f"{base}/{field}", str(error)))
-    if not faults:
-        faults.extend(_check_values(put, base))
-    return sorted(faults)
-
-
-def _check_values(put: EntryPut, base: str) -> list[Fault]:
-    body = put.body
-    faults = []
-    if put.kind == "service" and body["kind"] not in ("model", "plain"):
-        faults.append(Fault(f"{base}/kind", "kind is model or plain"))
-    if put.kind == "endpoint" and not 1 <= body.get("slots", 1) <= 4096:
-        faults.append(Fault(f"{base}/slots", "slots are 1 to 4096"))
-    if put.kind == "preset":
-        weights = {**body.get("weights", {}), "default_weight": body.get("default_weight", 1.0)}
-        for name, weight in weights.items():
-            if not 0 < weight <= 1e6:
-                faults.append(Fault(f"{base}/weights/{name}", "a weight is over 0, up to 1e6"))
-    if put.kind == "workspace":
-        for digest in body["key_hashes"]:
-            if len(digest) != 64:
-                faults.append(Fault(f"{base}/key_hashes", "a hash has 64 hexadecimal digits"))
-    for field in ("deadline_ms", "queue_limit", "default_cost", "max_unavailable"):
-        if body.get(field, 1) <= 0:
-            faults.append(Fault(f"{base}/{field}", "the value is over 0"))
-    return faults
--- a/packages/router/src/tamarack_router/admin_app.py
+++ b/packages/router/src/tamarack_router/admin_app.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from tamarack_core.clock import Clock
-from tamarack_core.configuration import ENTRY_TYPES, Change, Configuration, EntryName, EntryPut
+from tamarack_core.configuration import Configuration
+from tamarack_core.configuration_entries import ENTRY_TYPES, Change, EntryName, EntryPut
 from tamarack_core.errors import ErrorCode, Refusal
 from tamarack_core.membership import STATE_NAMES
 from tamarack_router.body_reader import read_body
--- a/packages/router/src/tamarack_router/classify.py
+++ b/packages/router/src/tamarack_router/classify.py
@@ -7,7 +7,8 @@
 import msgspec
 import xxhash
 
-from tamarack_core.configuration import Configuration, ServiceEntry
+from tamarack_core.configuration import Configuration
+from tamarack_core.configuration_entries import ServiceEntry
 from tamarack_core.errors import ErrorCode, Refusal
 from tamarack_core.key_token import MAX_KEY_BYTES
 from tamarack_core.request_table import RequestSpec
--- a/packages/router/src/tamarack_router/config_store.py
+++ b/packages/router/src/tamarack_router/config_store.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from tamarack_core.config_follower import encode_change
-from tamarack_core.configuration import Change, Configuration, Snapshot
+from tamarack_core.configuration import Configuration
+from tamarack_core.configuration_entries import Change, Snapshot
 from tamarack_router.platform import Condition, ObjectStore, PlatformError, TableService, Write
 
 TABLE = "config"
--- a/packages/router/src/tamarack_router/openapi.py
+++ b/packages/router/src/tamarack_router/openapi.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from tamarack_core.configuration import ENTRY_TYPES
+from tamarack_core.configuration_entries import ENTRY_TYPES
 
 VERSION = "1"
 
--- a/packages/router/src/tamarack_router/reference.py
+++ b/packages/router/src/tamarack_router/reference.py
@@ -5,7 +5,7 @@
 import inspect
 from typing import get_type_hints
 
-from tamarack_core.configuration import ENTRY_TYPES
+from tamarack_core.configuration_entries import ENTRY_TYPES
 from tamarack_core.errors import ErrorCode, Refusal
 from tamarack_router.settings import SETTINGS
 
--- a/packages/standins/src/tamarack_standins/deployments.py
+++ b/packages/standins/src/tamarack_standins/deployments.py
@@ -90,7 +90,7 @@
     deployment: Deployment, endpoints: list[dict[str, Any]], keys: dict[str, str]
 ) -> list[dict[str, Any]]:
     """Entries of a deployment's first configuration; at peaks the largest weighs double."""
-    from tamarack_core.configuration import hash_key
+    from tamarack_core.configuration_entries import hash_key
 
     puts: list[dict[str, Any]] = []
     for name, key in keys.items():
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,7 +8,8 @@
 
 from tamarack_core.actions import Action, Send
 from tamarack_core.clock import HeldClock
-from tamarack_core.configuration import Change, Configuration, EntryPut
+from tamarack_core.configuration import Configuration
+from tamarack_core.configuration_entries import Change, EntryPut
 from tamarack_core.protocol import MemberUpdate
 from tamarack_core.router_core import RouterCore
 from tamarack_core.wire import Frame, decode, encode, request_prefix
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -6,7 +6,8 @@
 from hypothesis import strategies as st
 
 from tamarack_core.config_follower import AskPeer, AskStore, ConfigFollower, encode_change
-from tamarack_core.configuration import Change, Configuration, EntryName, EntryPut
+from tamarack_core.configuration import Configuration
+from tamarack_core.configuration_entries import Change, EntryName, EntryPut
 from tamarack_core.protocol import ShardKey
 
 names = st.sampled_from(["n0", "n1", "n2", "n3"])
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -5,7 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tamarack_core.configuration import Change, Configuration, EntryPut
+from tamarack_core.configuration import Configuration
+from tamarack_core.configuration_entries import Change, EntryPut
 from tamarack_core.order_lease import LeaseRow, OrderLease
 from tamarack_core.order_planner import Observed, Order, plan_orders
 
