Keep descriptors for endpoints and the store

Cause: callers' connections were not bounded. Change: beyond 0.6 of the descriptors that the settings allow a caller is turned away before anything is read, so that it can go elsewhere; each is logged within the log's bounds. The test failed before (it was served, on a router of 10 descriptors).

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -312,3 +312,10 @@
         self._discarded += received
         if self._discarded > DRAIN_BYTES and self._transport is not None:
             self._transport.close()
+
+
+class TurnedAway(asyncio.Protocol):
+    """A connection beyond those that the router can hold: closed before anything is read."""
+
+    def connection_made(self, transport: Any) -> None:
+        transport.abort()
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -9,7 +9,7 @@
 from tamarack_core.clock import Clock
 from tamarack_core.relay_plan import Peer
 from tamarack_gateway.cache_inventory import CacheInventory
-from tamarack_gateway.caller_connection import CallerConnection
+from tamarack_gateway.caller_connection import CallerConnection, TurnedAway
 from tamarack_gateway.connection_pool import ConnectionPool
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.exchange import Exchange
@@ -33,6 +33,11 @@
 the others to go on: it has not heard who they are, and would take itself for a reader. Of 66
 routers that start together each made three calls more, a quarter of a short day's calls."""
 
+CALLERS_PART = 0.6
+"""Part of the descriptors that callers' connections may take; the rest is for endpoints, the store
+and other routers. A router without one left can neither accept nor connect, and requests that it
+has read are lost; callers that are turned away at once go to another router."""
+
 SWEEP_MS = 500.0
 """Time between two looks at idle connections and silent peers."""
 
@@ -192,7 +197,10 @@
         loop = asyncio.get_running_loop()
         state = self._state
 
-        def accept() -> CallerConnection:
+        def accept() -> asyncio.Protocol:
+            if len(self._connections) >= CALLERS_PART * self._settings.descriptors:
+                self._log.event("a caller was turned away", connections=len(self._connections))
+                return TurnedAway()
             connection = CallerConnection(
                 handler, self._clock, lambda: state.bounds, self._connections
             )
--- a/packages/gateway/src/tamarack_gateway/site.py
+++ b/packages/gateway/src/tamarack_gateway/site.py
@@ -53,6 +53,8 @@
         Addresses for other routers and for metrics.
     store
         Address of the platform's store.
+    descriptors
+        Sockets that the process may have open at once.
     """
 
     router: str
@@ -64,6 +66,7 @@
     metrics: str
     store: str
     bounds: FleetBounds
+    descriptors: int = 1_024
 
 
 class RequestFacts(NamedTuple):
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -102,7 +102,14 @@
     ) -> None:
         await self._stack.aclose()
 
-    def router(self, name: str, *, clock: Clock | None = None, store: str = "") -> Gateway:
+    def router(
+        self,
+        name: str,
+        *,
+        clock: Clock | None = None,
+        store: str = "",
+        descriptors: int = 1_024,
+    ) -> Gateway:
         """Another router of the fleet, perhaps with a clock or a way to the store of its own."""
         settings = GatewaySettings(
             router=name,
@@ -114,6 +121,7 @@
             metrics="127.0.0.1:0",
             store=store or self.store.address,
             bounds=self._bounds,
+            descriptors=descriptors,
         )
         site = platform_site()._replace(load_settings=lambda: settings)
         clock = clock or BootClock()
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -1,12 +1,13 @@
-"""Silent connections, suspension, late writes and callers that leave, on the platform's path."""
+"""Silence, suspension, late writes, and callers that leave or are too many."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 
 import pytest
-from gateway_site import Fleet, configuration, connect, play, until
+from gateway_site import Fleet, configuration, connect, play, read_answer, until
 
 from tamarack_core.clock import BootClock
 from tamarack_gateway import store_client
@@ -186,3 +187,33 @@
     left = [line for line in lines if line["message"] == "request: abandoned"]
     assert len(left) == 1
     assert left[0]["waited_ms"] >= 0
+
+
+def test_callers_beyond_a_routers_descriptors_are_turned_away_at_once() -> None:
+    """Symptom: requests that a router has read are never sent on, and it accepts nobody.
+
+    Sequence: callers open connections until no descriptor is left. Cause: nothing kept descriptors
+    for endpoints and the store.
+    """
+
+    async def story() -> None:
+        worker = PlatformWorker("w1")
+        async with (
+            Fleet({"web": [worker]}) as fleet,
+            fleet.router("router-2", descriptors=10) as router,
+        ):
+            await until(lambda: router.state.ready)
+            kept = [await connect(router.callers) for _ in range(6)]
+            await until(lambda: len(router._connections) == 6)
+            reader, writer = await connect(router.callers)
+            with contextlib.suppress(ConnectionError):
+                assert await reader.read(1) == b""
+            writer.close()
+            kept[0][1].write(fleet.request("/page/1"))
+            assert (await read_answer(kept[0][0])).status == 200
+            for _, kept_writer in kept:
+                kept_writer.close()
+            await until(lambda: not router._connections)
+            assert (await fleet.ask("/page/2", at=router)).status == 200
+
+    play(story())
