--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 	@$(PY) -m tamarack_standins.fleet $(ARGS)
 
 test: lint
+	@test ! -s KNOWN-RED.txt || { echo "known red:"; cat KNOWN-RED.txt; }
 	$(PY) -m pytest $(ARGS)
 
 lint: $(STAMP)
