Bear a settings file that is half written

Symptom: a changed settings file is never taken in. Cause, found on reading: it may be looked at while it is being written; the error ended the task that looks at it, and no later change took hold. Change: such a file is logged and changes nothing. The test failed before.

--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -163,8 +163,16 @@
         return self._metrics_address
 
     def reload(self) -> None:
-        """Read the settings anew; addresses of listeners stay as they were at the start."""
-        self._settings = self._site.load_settings()
+        """Read the settings anew; addresses of listeners stay as they were at the start.
+
+        A file that cannot be used changes nothing: it may be looked at while it is being written,
+        and an error here would end the task that looks, so that no later change took hold.
+        """
+        try:
+            self._settings = self._site.load_settings()
+        except (OSError, ValueError) as error:
+            self._log.event("new settings cannot be used", reason=str(error))
+            return
         self._state.settings = self._settings
         self._log.event("settings were read anew", store=self._settings.store)
 
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -5,12 +5,14 @@
 import asyncio
 import contextlib
 import json
+from pathlib import Path
 
 import pytest
 from gateway_site import Fleet, configuration, connect, play, read_answer, until
 
 from tamarack_core.clock import BootClock
-from tamarack_gateway import store_client
+from tamarack_gateway import main, store_client
+from tamarack_gateway.site import GatewaySettings
 from tamarack_standins.fault_proxy import FaultProxy
 from tamarack_standins.platform_worker import PlatformWorker, Script
 
@@ -217,3 +219,43 @@
             assert (await fleet.ask("/page/2", at=router)).status == 200
 
     play(story())
+
+
+def test_settings_that_cannot_be_used_change_nothing_and_later_ones_take_hold(
+    tmp_path: Path,
+) -> None:
+    """Symptom: a changed settings file is never taken in.
+
+    Sequence: the file changes without a signal and is looked at half written; it is completed
+    later. Cause: the error of the first reading ended the task that looks at the file.
+    """
+
+    async def story() -> None:
+        path = tmp_path / "settings"
+        path.write_text("first")
+        async with Fleet({"web": [PlatformWorker("w1")]}) as fleet:
+            good = fleet.gateway.state.settings
+
+            def load() -> GatewaySettings:
+                text = path.read_text()
+                if text == "half":
+                    raise ValueError("half written")
+                return good._replace(store=text)
+
+            fleet.gateway._site = fleet.gateway._site._replace(load_settings=load)
+            fleet.gateway.reload()
+            assert fleet.gateway.state.settings.store == "first"
+            watch = asyncio.ensure_future(main._watch_settings(fleet.gateway, str(path)))
+            await asyncio.sleep(0)
+            path.write_text("half")
+            fleet.gateway.reload()
+            assert fleet.gateway.state.settings.store == "first"
+            await asyncio.sleep(0.05)
+            path.write_text("complete")
+            await until(lambda: fleet.gateway.state.settings.store == "complete")
+            assert not watch.done()
+            watch.cancel()
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(main, "SETTINGS_CHECK_S", 0.02)
+        play(story())
