Give the test of stops an address of its own

Cause: the test's router served its metrics, whose port is fixed, at the same address in both. Change: the address follows from the process id; what is asserted is as before.

--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -106,9 +106,11 @@
     Cause: the event loop takes its signal handlers away before the process is gone.
     """
     ports = [free_port() for _ in range(4)]
+    # The metrics port is fixed; an address of this process alone leaves other test runs theirs.
+    address = f"127.77.{os.getpid() >> 8 & 255}.{os.getpid() & 255}"
     path = tmp_path / "local.yaml"
     path.write_text(
-        f"nodeName: a\nip: 127.0.0.77\nzone: z\ninternalPorts: [{ports[3]}]\nbounds: {{}}\n"
+        f"nodeName: a\nip: {address}\nzone: z\ninternalPorts: [{ports[3]}]\nbounds: {{}}\n"
         f"listen: {{front: '127.0.0.1:{ports[0]}', ready: '127.0.0.1:{ports[1]}',"
         f" directory: '127.0.0.1:{ports[2]}'}}\nplatform: {{address: '127.0.0.1:1'}}\n"
     )
