Say what two relays at once cost

Cause: the module said that two relays lose nothing, while STAGGER_MS in it says that their messages are counted several times, which is what happens. Only the comment changes; format, lint, types of the core and the tests of relays, peers and decisions passed.

--- a/packages/core/src/tamarack_core/relay_plan.py
+++ b/packages/core/src/tamarack_core/relay_plan.py
@@ -6,7 +6,8 @@
 the others of it tell, and passes it on at short intervals to its own and to the other relays.
 
 Nobody is elected: all rank the routers of a failure domain alike, by hashing, and the first one
-that is not silent relays. While views differ two may relay, which costs messages and loses none.
+that is not silent relays. While views differ two may relay, and what both pass on is counted twice
+for that time; the next first events of engines set it right.
 """
 
 from __future__ import annotations
