Begin a soak's faults when its routers take callers

Sequence, from the routers' logs: the processes were told to start, the seconds of the soak began, the store refused for 2.2 s; the routers had loaded their libraries by then and met it refusing, became ready 2.2 s later, and two of three were told to stop within 0.9 s. Cause: the soak's time runs from the start of the processes, so that on a busy machine most of four seconds can pass before anyone can be served.

--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -119,6 +119,7 @@
                     broken=self.broken.append,
                 )
             )
+            await self._routers.until_ready()
             callers = [asyncio.ensure_future(self._calls(n)) for n in range(CALLERS)]
             faults = asyncio.ensure_future(self._faults())
             await asyncio.sleep(self._seconds)
--- a/packages/standins/src/tamarack_standins/soak_routers.py
+++ b/packages/standins/src/tamarack_standins/soak_routers.py
@@ -23,6 +23,11 @@
 STEP_S = (0.0, 1.0)
 """Seconds between two routers of a rolling restart."""
 
+BEGIN_S = 30.0
+"""Seconds for all routers to become ready before faults begin; on a free machine it takes one. A
+fault that strikes while they load their libraries is one that no caller can see, and a run that
+ends before they are ready shows nothing."""
+
 
 class SoakRouters:
     """Starts, ends and disturbs the routers; each reaches the store by a proxy of its own.
@@ -73,6 +78,13 @@
         """Address of a router; offset 0 is the one for callers."""
         return f"127.0.{1 + self._port % 200}.{number + 2}:{self._port + offset}"
 
+    async def until_ready(self) -> None:
+        """Wait until all routers take callers; raises `TimeoutError` if one does not."""
+        async with asyncio.timeout(BEGIN_S):
+            for number in range(self._count):
+                while not await self._is_ready(number):
+                    await asyncio.sleep(0.05)
+
     async def kill(self) -> None:
         """Kill one router and start it again."""
         picked = self._pick()
@@ -126,6 +138,20 @@
         """Delay, reset, silence or cut one way one router's path to the store."""
         await disturb(self._random.choice(self.links), self._random)
 
+    async def _is_ready(self, number: int) -> bool:
+        host, _, port = self.address(number, 1).partition(":")
+        try:
+            reader, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            return False
+        try:
+            writer.write(f"GET /api/ready HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+            return b" 200 " in await reader.readline()
+        except OSError:
+            return False
+        finally:
+            writer.close()
+
     async def _start(self, number: int) -> None:
         settings = {
             "nodeName": f"router-{number}",
