Log each request that a router ends because it ends itself

Cause: a request still running at a router's last exit was logged as abandoned by its caller, or not at all, so that an incident could not be told from an endpoint's failure or a caller that left.

One test patches LINGER_MS where it now stands; nothing of what it asserts changes.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -27,6 +27,10 @@
 WRITE_HIGH_BYTES = 256 * 1024
 """Bytes waiting for a slow caller before its answer is read no further."""
 
+STOP_MS = 200.0
+"""Longest wait for a handler that is cancelled; it has nothing to wait for, and one that waited
+nonetheless would hold the router up until it is killed. An estimate."""
+
 Handler = Callable[[Request, "CallerConnection"], Awaitable[None]]
 
 
@@ -219,6 +223,14 @@
         if self._transport is not None:
             self._transport.close()
 
+    async def stop(self) -> None:
+        """End a request in progress and close; the handler is cancelled and waited for."""
+        task = self._task
+        if task is not None:
+            task.cancel()
+            await asyncio.wait([task], timeout=STOP_MS / 1000)
+        self.cut()
+
     def close_if_idle(self, now_ms: float) -> None:
         """Close a connection that has been idle, or slow to send a head, for too long."""
         if self.gone or self._task is not None:
--- /dev/null
+++ b/packages/gateway/src/tamarack_gateway/caller_handler.py
@@ -0,0 +1,135 @@
+"""What becomes of a caller's request: denied, refused, or handed to an exchange."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tamarack_gateway.caller_connection import CallerConnection
+from tamarack_gateway.connection_pool import ConnectionPool
+from tamarack_gateway.exchange import Exchange
+from tamarack_gateway.fleet_state import FleetState
+from tamarack_gateway.gateway_metrics import GatewayMetrics
+from tamarack_gateway.http_messages import Request
+from tamarack_gateway.outbox import Outbox
+from tamarack_gateway.site import RequestDialect
+
+LINGER_MS = 3_300.0
+"""Time after the request to stop for which all new requests are served: three times the time to
+live of addresses, and some for the way."""
+
+DENY_AGE_MS = 3_600.0
+"""Age of the configuration beyond which an unknown route or key is not denied: it may have been
+added since, and a caller does not come back after a denial."""
+
+ROUTER_ENDS = "the router ends"
+"""Why a request is cut that still runs at the router's last exit, in logs and metrics."""
+
+
+class CallerHandler:
+    """Answers the requests of all callers' connections.
+
+    Attributes
+    ----------
+    left_ms
+        When the router was told to stop; infinite before.
+    ending
+        Whether the router ends whatever still runs.
+    """
+
+    def __init__(
+        self,
+        state: FleetState,
+        dialect: RequestDialect,
+        pool: ConnectionPool,
+        outbox: Outbox,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self._state = state
+        self._dialect = dialect
+        self._pool = pool
+        self._outbox = outbox
+        self._metrics = metrics
+        self._clock = state.clock
+        self._log = state.log
+        self.left_ms = float("inf")
+        self.ending = False
+
+    async def answer(self, request: Request, caller: CallerConnection) -> None:
+        """Answer one request, in whatever way."""
+        state, dialect = self._state, self._dialect
+        facts = dialect.read(request)
+        if facts is None:
+            caller.answer(400, [])
+            return
+        rules = state.rules
+        if self._past_linger:
+            # What begins now might not end before the process is killed; elsewhere it can.
+            self._refuse(caller, facts.attempt, "leaving", 20.0)
+            return
+        if rules is None or not state.endpoints_known:
+            self._refuse(caller, facts.attempt, "no configuration is known yet", 300.0)
+            return
+        route = rules.route_for(facts.host, facts.path)
+        if route is None:
+            self._deny(caller, facts.attempt, 404)
+            return
+        workspace = None
+        if facts.key is not None:
+            workspace = rules.workspace_of(facts.key)
+        if rules.needs_keys and not route.public:
+            if not state.freshness.trusted(self._clock.now_ms):
+                self._refuse(caller, facts.attempt, "keys are not confirmed", 400.0)
+                return
+            if workspace is None:
+                self._deny(caller, facts.attempt, 401)
+                return
+        elif not state.freshness.trusted(self._clock.now_ms):
+            workspace = None
+        self._metrics.began(route)
+        exchange = Exchange(
+            state, dialect, self._pool, self._outbox, caller, request, facts, route, workspace
+        )
+        try:
+            await exchange.run()
+        except ConnectionError as error:
+            self._log.request("caller gone", facts.attempt, reason=str(error))
+            caller.cut()
+        except asyncio.CancelledError:
+            self._log_cancelled(request, facts.attempt)
+            raise
+        finally:
+            self._metrics.ended(route, self._clock.now_ms - request.arrived_ms)
+
+    def _log_cancelled(self, request: Request, attempt: str) -> None:
+        # A request that the router ends itself must not look as if its caller had left, or its
+        # endpoint failed: the time since the request to stop tells which it was.
+        now_ms = self._clock.now_ms
+        ran_ms = round(now_ms - request.arrived_ms)
+        if not self.ending:
+            self._log.request("abandoned", attempt, waited_ms=ran_ms)
+            return
+        stopping_ms = round(now_ms - min(now_ms, self.left_ms))
+        self._log.request(
+            "cut", attempt, reason=ROUTER_ENDS, stopping_ms=stopping_ms, ran_ms=ran_ms
+        )
+
+    @property
+    def _past_linger(self) -> bool:
+        return self._clock.now_ms - self.left_ms >= LINGER_MS
+
+    def _deny(self, caller: CallerConnection, attempt: str, status: int) -> None:
+        age_ms = self._state.freshness.age_ms(self._clock.now_ms)
+        if age_ms > DENY_AGE_MS:
+            self._refuse(caller, attempt, "the configuration is not confirmed", 400.0)
+            return
+        rules = self._state.rules
+        version = rules.version if rules else 0
+        self._log.request("denied", attempt, status=status, version=version, age_ms=round(age_ms))
+        caller.answer(status, self._dialect.refusal(attempt, None))
+
+    def _refuse(
+        self, caller: CallerConnection, attempt: str, reason: str, retry_after_ms: float
+    ) -> None:
+        self._log.request("refused", attempt, reason=reason)
+        spread_ms = retry_after_ms * (1.0 + self._state.random.random())
+        caller.answer(503, self._dialect.refusal(attempt, spread_ms))
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -10,14 +10,13 @@
 from tamarack_core.relay_plan import Peer
 from tamarack_gateway.cache_inventory import CacheInventory
 from tamarack_gateway.caller_connection import CallerConnection, TurnedAway
+from tamarack_gateway.caller_handler import LINGER_MS, CallerHandler
 from tamarack_gateway.connection_pool import ConnectionPool
 from tamarack_gateway.decision_log import DecisionLog
-from tamarack_gateway.exchange import Exchange
 from tamarack_gateway.fleet_feeds import FleetFeeds
 from tamarack_gateway.fleet_members import FleetMembers, Member
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.gateway_metrics import GatewayMetrics
-from tamarack_gateway.http_messages import Request
 from tamarack_gateway.outbox import Outbox, Placements
 from tamarack_gateway.own_pages import OwnPages
 from tamarack_gateway.peer_group import PeerGroup
@@ -44,10 +43,6 @@
 FLUSH_MS = 100.0
 """Time between two writes of the log."""
 
-LINGER_MS = 3_300.0
-"""Time after the request to stop for which all new requests are served: three times the time to
-live of addresses, and some for the way."""
-
 LAST_EXIT_PART = 0.93
 """Part of the grace time after which the router ends whatever still runs; at its end it would be
 killed in the middle of a write."""
@@ -77,6 +72,9 @@
             me=lambda: self._me,
             relays=lambda: self._peers.relays,
         )
+        self._handler = CallerHandler(
+            self._state, site.requests, self._pool, self._outbox, self._metrics
+        )
         self._connections: set[CallerConnection] = set()
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[Any]] = []
@@ -108,7 +106,6 @@
             asks=lambda name: self._members.asks(name, self._me, clock.now_ms),
         )
         self._started_ms = clock.now_ms
-        self._left_ms = float("inf")
         self._callers = ""
         self._site_addresses: list[str] = []
         self._metrics_address = ""
@@ -117,7 +114,7 @@
         settings = self._settings
         await self._stack.enter_async_context(self._peers)
         self._feeds.start(self._peers.address, self._boot)
-        self._callers = await self._listen(settings.callers, self._answer_caller)
+        self._callers = await self._listen(settings.callers, self._handler.answer)
         for address in dict.fromkeys((settings.readiness, settings.directory)):
             if address:
                 self._site_addresses.append(await self._listen(address, self._pages.answer_site))
@@ -135,8 +132,8 @@
         await self._feeds.close()
         for server in self._servers:
             server.close()
-        for connection in list(self._connections):
-            connection.cut()
+        self._handler.ending = True
+        await asyncio.gather(*(connection.stop() for connection in list(self._connections)))
         self._pool.close()
         await asyncio.sleep(0)
         await self._stack.aclose()
@@ -179,16 +176,16 @@
     async def leave(self) -> None:
         """Stop in order: callers go elsewhere first, and what runs is finished."""
         clock, bounds = self._clock, self._settings.bounds
-        self._left_ms = clock.now_ms
+        self._handler.left_ms = clock.now_ms
         self._state.leaving = True
         self._log.event("leaving", connections=len(self._connections))
         self._peers.tell_summary()
         for connection in list(self._connections):
             connection.closing = True
         await self._feeds.leave()
-        last_ms = self._left_ms + bounds.grace_ms * LAST_EXIT_PART
+        last_ms = self._handler.left_ms + bounds.grace_ms * LAST_EXIT_PART
         while clock.now_ms < last_ms:
-            past_ms = clock.now_ms - self._left_ms
+            past_ms = clock.now_ms - self._handler.left_ms
             busy = any(connection.busy for connection in self._connections)
             if past_ms >= LINGER_MS:
                 for connection in list(self._connections):
@@ -222,77 +219,6 @@
         bound = server.sockets[0].getsockname()
         return f"{bound[0]}:{bound[1]}"
 
-    async def _answer_caller(self, request: Request, caller: CallerConnection) -> None:
-        state, dialect = self._state, self._site.requests
-        facts = dialect.read(request)
-        if facts is None:
-            caller.answer(400, [])
-            return
-        rules = state.rules
-        if self._past_linger:
-            # What begins now might not end before the process is killed; elsewhere it can.
-            self._refuse(caller, facts.attempt, "leaving", 20.0)
-            return
-        if rules is None or not state.endpoints_known:
-            self._refuse(caller, facts.attempt, "no configuration is known yet", 300.0)
-            return
-        route = rules.route_for(facts.host, facts.path)
-        if route is None:
-            self._deny(caller, facts.attempt, 404)
-            return
-        workspace = None
-        if facts.key is not None:
-            workspace = rules.workspace_of(facts.key)
-        if rules.needs_keys and not route.public:
-            if not state.freshness.trusted(self._clock.now_ms):
-                self._refuse(caller, facts.attempt, "keys are not confirmed", 400.0)
-                return
-            if workspace is None:
-                self._deny(caller, facts.attempt, 401)
-                return
-        elif not state.freshness.trusted(self._clock.now_ms):
-            workspace = None
-        self._metrics.began(route)
-        exchange = Exchange(
-            state, dialect, self._pool, self._outbox, caller, request, facts, route, workspace
-        )
-        try:
-            await exchange.run()
-        except ConnectionError as error:
-            self._log.request("caller gone", facts.attempt, reason=str(error))
-            caller.cut()
-        except asyncio.CancelledError:
-            waited_ms = self._clock.now_ms - request.arrived_ms
-            self._log.request("abandoned", facts.attempt, waited_ms=round(waited_ms))
-            raise
-        finally:
-            self._metrics.ended(route, self._clock.now_ms - request.arrived_ms)
-
-    @property
-    def _past_linger(self) -> bool:
-        return self._clock.now_ms - self._left_ms >= LINGER_MS
-
-    DENY_AGE_MS = 3_600.0
-    """Age of the configuration beyond which an unknown route or key is not denied: it may have
-    been added since, and a caller does not come back after a denial."""
-
-    def _deny(self, caller: CallerConnection, attempt: str, status: int) -> None:
-        age_ms = self._state.freshness.age_ms(self._clock.now_ms)
-        if age_ms > self.DENY_AGE_MS:
-            self._refuse(caller, attempt, "the configuration is not confirmed", 400.0)
-            return
-        rules = self._state.rules
-        version = rules.version if rules else 0
-        self._log.request("denied", attempt, status=status, version=version, age_ms=round(age_ms))
-        caller.answer(status, self._site.requests.refusal(attempt, None))
-
-    def _refuse(
-        self, caller: CallerConnection, attempt: str, reason: str, retry_after_ms: float
-    ) -> None:
-        self._log.request("refused", attempt, reason=reason)
-        spread_ms = retry_after_ms * (1.0 + self._state.random.random())
-        caller.answer(503, self._site.requests.refusal(attempt, spread_ms))
-
     # peers
 
     @property
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -401,7 +401,7 @@
     """
 
     async def story() -> None:
-        from tamarack_gateway import gateway as module
+        from tamarack_gateway import caller_handler as module
 
         workers = {
             "web": [PlatformWorker("w1")],
