Reproduce a stream that a stopping router takes and cuts

Cause: what a router takes after the request to stop is never compared with the time that it has left.

Change: the workers' stand-in pauses between events if told to.

--- a/packages/standins/src/tamarack_standins/platform_worker.py
+++ b/packages/standins/src/tamarack_standins/platform_worker.py
@@ -40,6 +40,8 @@
     events
         Events of a stream, None for a plain answer; `cut_after` ends it after so many, in the
         middle of the next.
+    pause_s, event_pause_s
+        Seconds before the answer begins, and before each event of a stream.
     echo
         Whether the body, or each event's data, is the attempt's id.
     early
@@ -59,6 +61,7 @@
     events: int | None = None
     cut_after: int | None = None
     pause_s: float = 0.0
+    event_pause_s: float = 0.0
     echo: bool = False
     early: bool = False
 
@@ -213,6 +216,8 @@
         writer.write("\r\n".join([*lines, "", ""]).encode())
         first = int(arrived.headers.get("last-event-id", "0")) + 1
         for number in range(first, (script.events or 0) + 1):
+            if script.event_pause_s:
+                await asyncio.sleep(script.event_pause_s)
             event = b"id: %d\ndata: %s\n\n" % (number, _body(script, arrived))
             if script.cut_after is not None and number > script.cut_after:
                 writer.write(_chunk(event[:-5]))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,7 @@
 from collections import deque
 
 import pytest
+from known_red import pytest_collection_modifyitems as pytest_collection_modifyitems
 
 from tamarack_core.actions import Action, Send
 from tamarack_core.clock import HeldClock
