Take at a stop only what ends before the router's last exit

Cause: a router that is told to stop took every request for 3.3 s and ended whatever ran at 0.93 of the grace time; how long a request runs was compared with neither. The class: work is accepted without asking whether it can end before the one who accepts it does.

Change: tamarack_core.leaving plans a stop from the settings (addresses' time to live, grace time) and decides whether a request may finish; service_times learns how long streams take for each token expected of them, and plain answers. A request is asked when it is chosen for an endpoint and again after each wait (held, connecting, before another send). What may outlast the router is refused at once: 503, not run, back in 20 to 40 ms, connection closed, logged with its expected length and the time left. What its own limit ends in time is always taken. Whatever still runs at the last exit is cut if its answer has begun, and otherwise answered 502, or 503 where it has not run, in place of a bare close.

Tests: what is taken after a stop ends before the last exit or is refused (property); the regression; estimates that are exceeded; asked again after a wait; what the router ends itself is answered truthfully.

--- a/packages/gateway/src/tamarack_gateway/caller_handler.py
+++ b/packages/gateway/src/tamarack_gateway/caller_handler.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from tamarack_core.leaving import ELSEWHERE_MS
 from tamarack_gateway.caller_connection import CallerConnection
 from tamarack_gateway.connection_pool import ConnectionPool
 from tamarack_gateway.exchange import Exchange
@@ -13,16 +14,12 @@
 from tamarack_gateway.outbox import Outbox
 from tamarack_gateway.site import RequestDialect
 
-LINGER_MS = 3_300.0
-"""Time after the request to stop for which all new requests are served: three times the time to
-live of addresses, and some for the way."""
-
 DENY_AGE_MS = 3_600.0
 """Age of the configuration beyond which an unknown route or key is not denied: it may have been
 added since, and a caller does not come back after a denial."""
 
 ROUTER_ENDS = "the router ends"
-"""Why a request is cut that still runs at the router's last exit, in logs and metrics."""
+"""Why a request is ended that still runs at the router's last exit, in logs and metrics."""
 
 
 class CallerHandler:
@@ -30,8 +27,6 @@
 
     Attributes
     ----------
-    left_ms
-        When the router was told to stop; infinite before.
     ending
         Whether the router ends whatever still runs.
     """
@@ -51,7 +46,6 @@
         self._metrics = metrics
         self._clock = state.clock
         self._log = state.log
-        self.left_ms = float("inf")
         self.ending = False
 
     async def answer(self, request: Request, caller: CallerConnection) -> None:
@@ -62,9 +56,9 @@
             caller.answer(400, [])
             return
         rules = state.rules
-        if self._past_linger:
-            # What begins now might not end before the process is killed; elsewhere it can.
-            self._refuse(caller, facts.attempt, "leaving", 20.0)
+        if state.leaving is not None and not state.leaving.lingers(self._clock.now_ms):
+            # Nobody has this address by a valid answer any more; the router ends with what runs.
+            self._refuse(caller, facts.attempt, "leaving", ELSEWHERE_MS)
             return
         if rules is None or not state.endpoints_known:
             self._refuse(caller, facts.attempt, "no configuration is known yet", 300.0)
@@ -95,28 +89,25 @@
             self._log.request("caller gone", facts.attempt, reason=str(error))
             caller.cut()
         except asyncio.CancelledError:
-            self._log_cancelled(request, facts.attempt)
+            self._cancelled(exchange, request, facts.attempt)
             raise
         finally:
             self._metrics.ended(route, self._clock.now_ms - request.arrived_ms)
 
-    def _log_cancelled(self, request: Request, attempt: str) -> None:
+    def _cancelled(self, exchange: Exchange, request: Request, attempt: str) -> None:
         # A request that the router ends itself must not look as if its caller had left, or its
         # endpoint failed: the time since the request to stop tells which it was.
-        now_ms = self._clock.now_ms
+        now_ms, plan = self._clock.now_ms, self._state.leaving
         ran_ms = round(now_ms - request.arrived_ms)
         if not self.ending:
             self._log.request("abandoned", attempt, waited_ms=ran_ms)
             return
-        stopping_ms = round(now_ms - min(now_ms, self.left_ms))
+        stopping_ms = None if plan is None else round(now_ms - plan.asked_ms)
+        became = exchange.end()
         self._log.request(
-            "cut", attempt, reason=ROUTER_ENDS, stopping_ms=stopping_ms, ran_ms=ran_ms
+            became, attempt, reason=ROUTER_ENDS, stopping_ms=stopping_ms, ran_ms=ran_ms
         )
 
-    @property
-    def _past_linger(self) -> bool:
-        return self._clock.now_ms - self.left_ms >= LINGER_MS
-
     def _deny(self, caller: CallerConnection, attempt: str, status: int) -> None:
         age_ms = self._state.freshness.age_ms(self._clock.now_ms)
         if age_ms > DENY_AGE_MS:
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -5,10 +5,12 @@
 import asyncio
 from collections.abc import Awaitable
 
-from tamarack_core.admission import Admission, Decision, admit
+from tamarack_core.admission import Admission
 from tamarack_core.placement import Choice, choose_engine, choose_plain
 from tamarack_core.prompt import Prompt
 from tamarack_core.ruleset import Route
+from tamarack_gateway.admission_check import AdmissionCheck
+from tamarack_gateway.caller_answer import CallerAnswer
 from tamarack_gateway.caller_connection import CallerConnection
 from tamarack_gateway.connection_pool import ConnectionPool
 from tamarack_gateway.endpoint_connection import (
@@ -16,13 +18,14 @@
     ConnectError,
     EndpointConnection,
 )
-from tamarack_gateway.event_splitter import BadStreamError, Event, EventSplitter
+from tamarack_gateway.event_splitter import BadStreamError, EventSplitter
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.http_messages import AnswerHead, Request
 from tamarack_gateway.outbox import Outbox
 from tamarack_gateway.send_notes import UNREACHED_WEIGHT, SendNotes
 from tamarack_gateway.send_result import Result, Verdict
 from tamarack_gateway.site import RequestDialect, RequestFacts
+from tamarack_gateway.time_to_end import TimeToEnd
 
 DEADLINE_MARGIN_MS = 15.0
 """What an endpoint is told less than what is left: the way back takes a few milliseconds."""
@@ -80,7 +83,12 @@
         self._workspace = workspace
         self._service = route.service_for(state.random.random())
         self._notes = SendNotes(state, outbox, facts.attempt, workspace, self._prompt)
+        self._answer = CallerAnswer(caller, dialect, facts.attempt)
         self._splitter = EventSplitter(facts.last_event)
+        self._admission = AdmissionCheck(
+            state, facts, route, self._service, workspace, arrived_ms=request.arrived_ms
+        )
+        self._time_to_end = TimeToEnd(state, route, self._service, self._prompt)
         limit_ms = route.time_limit_ms
         if facts.wait_ms is not None:
             limit_ms = min(limit_ms, facts.wait_ms)
@@ -96,6 +104,20 @@
         self._notes.asked()
         await self._attempts()
 
+    def end(self) -> str:
+        """Answer as well as the router's own end allows; returns what became of the request.
+
+        A caller that gets an answer at once comes back elsewhere, or knows that it may have run.
+        """
+        if self._caller.begun:
+            self._caller.cut()
+            return "cut"
+        if self._may_have_run:
+            self._answer.refuse(502, None)
+            return "failed"
+        self._answer.refuse_for_now(self._state.random.random())
+        return "refused"
+
     @property
     def _prompt(self) -> Prompt | None:
         return self._facts.prompt if self._route.streams else None
@@ -111,13 +133,15 @@
             choice = self._choose()
             if choice is None or not self._keys_hold():
                 return self._give_up(last)
+            if not self._may_finish(choice):
+                return self._leave_to_others(choice, last)
             if self._sends == 0 and self._prompt is not None:
-                decision = self._admit(choice, self._prompt)
+                decision = self._admission.decide(choice, self._prompt, self._left_ms)
                 if decision.verdict is Admission.HELD:
                     await asyncio.sleep(decision.wait_ms / 1000)
                     continue
                 if decision.verdict is Admission.REFUSED:
-                    self._refuse(503, decision.wait_ms)
+                    self._answer.refuse(503, decision.wait_ms)
                     return None
             try:
                 connection = await self._pool.take(choice.endpoint.address)
@@ -132,6 +156,9 @@
             if self._left_ms < LEAST_LEFT_MS or not self._keys_hold():
                 connection.abort()
                 return self._give_up(last)
+            if not self._may_finish(choice):
+                connection.abort()
+                return self._leave_to_others(choice, last)
             last = await self._send(choice, connection)
             if last.verdict is Verdict.DONE:
                 return None
@@ -161,48 +188,29 @@
             return False
         return state.rules.workspace_of(self._facts.key or "") == self._workspace
 
-    def _admit(self, choice: Choice, prompt: Prompt) -> Decision:
-        state, now_ms = self._state, self._state.clock.now_ms
-        standing = self._standing(now_ms)
-        model = state.models[choice.endpoint.name]
-        aim_ms = self._route.aim_ms
-        decision = admit(
-            first_token_ms=choice.first_token_ms,
-            unavoidable_ms=model.reading_ms(prompt) * model.pace(now_ms),
-            aim_ms=aim_ms,
-            shortest_aim_ms=state.shortest_aim_ms(self._service, aim_ms),
-            waited_ms=now_ms - self._request.arrived_ms,
-            left_ms=self._left_ms,
-            standing=standing,
-            lead=self._lead(now_ms),
-            returned=state.returns.returned(self._route.name, self._facts.wait_ms),
-            draw=state.random.random(),
+    def _may_finish(self, choice: Choice) -> bool:
+        # Asked again after each wait, as the keys are. An answer that has begun breaks off without
+        # another send in any case.
+        return self._caller.begun or self._time_to_end.fits(
+            choice, self._left_ms, self._splitter.last
         )
-        if decision.verdict is not Admission.ADMITTED:
-            state.log.request(
-                decision.verdict.value,
-                self._facts.attempt,
-                reason=decision.reason,
-                workspace=self._workspace,
-                endpoint=choice.endpoint.name,
-                first_token_ms=round(choice.first_token_ms),
-                aim_ms=aim_ms,
-                standing=round(standing, 2),
-                wait_ms=round(decision.wait_ms),
-            )
-        return decision
 
-    def _standing(self, now_ms: float) -> float:
-        rules = self._state.rules
-        if rules is None or self._workspace is None:
-            return 0.0
-        return self._state.shares.standing(self._workspace, rules.tokens_per_s, now_ms)
+    def _longest_ms(self, choice: Choice) -> float:
+        return self._time_to_end.longest_ms(choice, self._left_ms, self._splitter.last)
 
-    def _lead(self, now_ms: float) -> float:
-        rules = self._state.rules
-        if rules is None or self._workspace is None:
-            return 1.0
-        return self._state.shares.lead(self._workspace, rules.tokens_per_s, now_ms)
+    def _leave_to_others(self, choice: Choice, last: Result) -> None:
+        state, plan = self._state, self._state.leaving
+        if plan is None or self._may_have_run:
+            return self._give_up(last)
+        state.log.request(
+            "refused",
+            self._facts.attempt,
+            reason="would outlast the router",
+            endpoint=choice.endpoint.name,
+            longest_ms=round(self._longest_ms(choice)),
+            router_left_ms=round(plan.left_ms(state.clock.now_ms)),
+        )
+        return self._answer.refuse_for_now(state.random.random())
 
     # one send
 
@@ -263,6 +271,7 @@
             last_event=self._splitter.last,
         )
         # From the first byte on the request may run, whatever is heard of it afterwards.
+        sent_ms = self._state.clock.now_ms
         ran_before, self._may_have_run = self._may_have_run, True
         connection.send(data)
         head = await self._first(connection.head(), choice)
@@ -283,6 +292,7 @@
         body = await connection.body()
         if head.length is not None and len(body) != head.length:
             raise BrokenAnswerError("the body is not whole")
+        self._time_to_end.answered(self._state.clock.now_ms - sent_ms)
         self._caller.answer(head.status, self._dialect.for_caller(head), body)
         return Result(Verdict.DONE)
 
@@ -311,22 +321,26 @@
         self, choice: Choice, connection: EndpointConnection, head: AnswerHead
     ) -> Result:
         self._splitter.restart()
-        first = True
+        clock, resumed_after = self._state.clock, self._splitter.last
+        begun, first_ms = False, 0.0
         while True:
-            piece = await self._next_piece(connection, choice, first)
+            piece = await self._next_piece(connection, choice, not begun)
             if piece is None:
                 break
             events = self._splitter.feed(piece)
-            if events and first:
-                first = False
+            if events and not begun:
+                begun = True
+                first_ms = clock.now_ms
                 self._notes.first_event(choice)
             if events:
-                await self._pass_on(head, events)
+                await self._answer.pass_on(head, events)
         if self._splitter.rest:
             raise BrokenAnswerError("the stream ends inside an event")
         if not self._caller.begun:
-            self._caller.begin(head.status, self._dialect.for_caller(head), b"")
+            await self._answer.pass_on(head, [])
         self._caller.end()
+        if begun:
+            self._time_to_end.streamed(clock.now_ms - first_ms, resumed_after)
         return Result(Verdict.DONE)
 
     async def _next_piece(
@@ -345,13 +359,6 @@
                 raise
             raise BrokenAnswerError("silent for too long") from error
 
-    async def _pass_on(self, head: AnswerHead, events: list[Event]) -> None:
-        data = b"".join(event.data for event in events)
-        if self._caller.begun:
-            await self._caller.send(data)
-        else:
-            self._caller.begin(head.status, self._dialect.for_caller(head), data)
-
     # what follows a send
 
     def _may_try_again(self, last: Result) -> bool:
@@ -381,23 +388,13 @@
             self._caller.cut()
             return
         if last.verdict is Verdict.FAILED and last.head is not None:
-            self._pass_failure(last.head, last.body)
+            self._answer.pass_failure(last.head, last.body)
             return
         if not self._may_have_run:
             reason = last.reason if self._keys_hold() else "keys are not confirmed"
             state.log.request("refused", self._facts.attempt, reason=reason, sends=self._sends)
-            self._refuse(503, 200.0 + 300.0 * state.random.random())
+            self._answer.refuse(503, 200.0 + 300.0 * state.random.random())
             return
         status = 504 if last.verdict is Verdict.TIME_UP else 502
         state.log.request("failed", self._facts.attempt, reason=last.reason, status=status)
-        self._refuse(status, None)
-
-    def _pass_failure(self, head: AnswerHead, body: bytes) -> None:
-        if head.status in (408, 421, 429, 503):
-            # These promise that the request has not run; this endpoint has not said so.
-            self._refuse(502, None)
-            return
-        self._caller.answer(head.status, self._dialect.for_caller(head), body)
-
-    def _refuse(self, status: int, retry_after_ms: float | None) -> None:
-        self._caller.answer(status, self._dialect.refusal(self._facts.attempt, retry_after_ms))
+        self._answer.refuse(status, None)
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -9,9 +9,11 @@
 from tamarack_core.endpoint_record import EndpointRecord
 from tamarack_core.engine_model import EngineModel
 from tamarack_core.key_freshness import KeyFreshness
+from tamarack_core.leaving import LeavingPlan
 from tamarack_core.retry_allowance import RetryAllowance
 from tamarack_core.return_detector import ReturnDetector
 from tamarack_core.ruleset import CallerBounds, Ruleset
+from tamarack_core.service_times import ServiceTimes
 from tamarack_core.workspace_shares import WorkspaceShares
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.site import GatewaySettings
@@ -21,6 +23,10 @@
 lost, keep it below, also where another router makes them and tells; those who come later meet keys
 that lapse before they are served."""
 
+ADDRESS_TTL_MS = 1_000.0
+"""Time for which callers may use an answer with addresses; some use it three times as long. A
+router that stops serves them for that time."""
+
 KEY_MARGIN_MS = 500.0
 """Time that a key lapses before its bound: a request that is sent on just before is still on its
 way to the endpoint then, and timers fire late."""
@@ -48,18 +54,24 @@
         )
         self.shares = WorkspaceShares(bounds.share_window_ms)
         self.returns = ReturnDetector()
-        self.leaving = False
+        self.leaving: LeavingPlan | None = None
+        self._times: dict[str, ServiceTimes] = {}
 
     @property
     def ready(self) -> bool:
         """Whether callers should be sent here."""
-        return self.rules is not None and self.endpoints_known and not self.leaving
+        return self.rules is not None and self.endpoints_known and self.leaving is None
 
     @property
     def fresh(self) -> bool:
         """Whether keys will be trusted for a while yet."""
         return self.freshness.age_ms(self.clock.now_ms) <= FRESH_MS
 
+    @property
+    def address_ttl_ms(self) -> float:
+        """Time to live of the answers with addresses that callers are given."""
+        return min(ADDRESS_TTL_MS, self.settings.bounds.address_ttl_ms)
+
     @property
     def bounds(self) -> CallerBounds:
         """What callers may send."""
@@ -85,6 +97,19 @@
             del self.records[name]
             del self.models[name]
 
+    def times(self, service: str) -> ServiceTimes:
+        """How long requests of a service take; kept for as many services as there are."""
+        if service not in self._times:
+            known = {known.name for known in self.rules.services} if self.rules else set()
+            self._times = {name: times for name, times in self._times.items() if name in known}
+            self._times[service] = ServiceTimes()
+        return self._times[service]
+
+    def tokens_per_event(self, service: str) -> int | None:
+        """Tokens that one event of a service's streams holds; None for a plain service."""
+        known = self.rules.service(service) if self.rules else None
+        return known.engine.tokens_per_event if known is not None and known.engine else None
+
     def usable(self, service: str) -> list[Endpoint]:
         """Endpoints of a service that may get new work."""
         return self.book.usable(service)
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -7,10 +7,11 @@
 from typing import Any
 
 from tamarack_core.clock import Clock
+from tamarack_core.leaving import plan_leaving
 from tamarack_core.relay_plan import Peer
 from tamarack_gateway.cache_inventory import CacheInventory
 from tamarack_gateway.caller_connection import CallerConnection, TurnedAway
-from tamarack_gateway.caller_handler import LINGER_MS, CallerHandler
+from tamarack_gateway.caller_handler import CallerHandler
 from tamarack_gateway.connection_pool import ConnectionPool
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.fleet_feeds import FleetFeeds
@@ -40,13 +41,12 @@
 SWEEP_MS = 500.0
 """Time between two looks at idle connections and silent peers."""
 
+LEAVE_STEP_MS = 50.0
+"""Time between two looks of a leaving router at what still runs."""
+
 FLUSH_MS = 100.0
 """Time between two writes of the log."""
 
-LAST_EXIT_PART = 0.93
-"""Part of the grace time after which the router ends whatever still runs; at its end it would be
-killed in the middle of a write."""
-
 
 class Gateway:
     """All of one router; use it as an asynchronous context manager."""
@@ -175,24 +175,27 @@
 
     async def leave(self) -> None:
         """Stop in order: callers go elsewhere first, and what runs is finished."""
-        clock, bounds = self._clock, self._settings.bounds
-        self._handler.left_ms = clock.now_ms
-        self._state.leaving = True
+        clock, state = self._clock, self._state
+        plan = plan_leaving(
+            clock.now_ms,
+            grace_ms=self._settings.bounds.grace_ms,
+            address_ttl_ms=state.address_ttl_ms,
+        )
+        state.leaving = plan
         self._log.event("leaving", connections=len(self._connections))
         self._peers.tell_summary()
         for connection in list(self._connections):
             connection.closing = True
-        await self._feeds.leave()
-        last_ms = self._handler.left_ms + bounds.grace_ms * LAST_EXIT_PART
-        while clock.now_ms < last_ms:
-            past_ms = clock.now_ms - self._handler.left_ms
-            busy = any(connection.busy for connection in self._connections)
-            if past_ms >= LINGER_MS:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(plan.left_ms(clock.now_ms) / 1000):
+                await self._feeds.leave()
+        while plan.left_ms(clock.now_ms) > 0.0:
+            if not plan.lingers(clock.now_ms):
                 for connection in list(self._connections):
                     connection.close_when_idle()
-                if not busy:
+                if not any(connection.busy for connection in self._connections):
                     break
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(LEAVE_STEP_MS / 1000)
         self._log.event("left", connections=len(self._connections))
 
     # callers
@@ -209,7 +212,7 @@
             connection = CallerConnection(
                 handler, self._clock, lambda: state.bounds, self._connections
             )
-            connection.closing = state.leaving
+            connection.closing = state.leaving is not None
             return connection
 
         server = await loop.create_server(
--- a/packages/gateway/src/tamarack_gateway/own_pages.py
+++ b/packages/gateway/src/tamarack_gateway/own_pages.py
@@ -14,10 +14,6 @@
 from tamarack_gateway.router_status import router_status
 from tamarack_gateway.site import DirectoryDialect
 
-ADDRESS_TTL_S = 1.0
-"""Seconds for which callers may use an answer with addresses; some use it three times as long. A
-router that stops serves them for that time."""
-
 
 class OwnPages:
     """Answers the platform's checks, callers that ask where to connect, and operators.
@@ -62,8 +58,7 @@
         if not addresses:
             caller.answer(503, [])
             return
-        ttl_s = min(ADDRESS_TTL_S, state.settings.bounds.address_ttl_ms / 1000)
-        headers, body = directory.addresses(addresses, ttl_s)
+        headers, body = directory.addresses(addresses, state.address_ttl_ms / 1000)
         caller.answer(200, headers, body)
 
     async def answer_operator(self, request: Request, caller: CallerConnection) -> None:
--- a/packages/gateway/src/tamarack_gateway/router_status.py
+++ b/packages/gateway/src/tamarack_gateway/router_status.py
@@ -62,7 +62,7 @@
     return {
         "router": state.settings.router,
         "ready": state.ready,
-        "leaving": state.leaving,
+        "leaving": state.leaving is not None,
         "relays": relays,
         "version": state.rules.version if state.rules else 0,
         "confirmed_ms_ago": None if age_ms == float("inf") else round(age_ms),
--- /dev/null
+++ b/packages/gateway/src/tamarack_gateway/time_to_end.py
@@ -0,0 +1,76 @@
+"""How long a request may take, learned from others, and whether a stopping router has that time."""
+
+from __future__ import annotations
+
+from tamarack_core.placement import Choice
+from tamarack_core.prompt import Prompt
+from tamarack_core.ruleset import Route
+from tamarack_gateway.fleet_state import FleetState
+
+
+class TimeToEnd:
+    """Bounds the time of one request's sends.
+
+    Parameters
+    ----------
+    prompt
+        Of a generation; None for other requests.
+    """
+
+    def __init__(
+        self, state: FleetState, route: Route, service: str, prompt: Prompt | None
+    ) -> None:
+        self._state = state
+        self._route = route
+        self._service = service
+        self._prompt = prompt
+
+    def longest_ms(self, choice: Choice, left_ms: float, last_event: int | None) -> float:
+        """Longest time that a send is expected to take from now on.
+
+        Parameters
+        ----------
+        left_ms
+            Time that the request has left by its own limit, at which it ends in any case.
+        last_event
+            Id of the last event that the caller has of a stream; the rest is generated.
+        """
+        now_ms = self._state.clock.now_ms
+        times = self._state.times(self._service)
+        if not self._route.streams:
+            return times.longest_answer_ms(left_ms, now_ms)
+        expected = self._expected_tokens(last_event)
+        if expected is None:
+            return left_ms
+        return times.longest_stream_ms(choice.first_token_ms, expected, left_ms, now_ms)
+
+    def fits(self, choice: Choice, left_ms: float, last_event: int | None) -> bool:
+        """Whether a send that begins now ends before the router does."""
+        plan = self._state.leaving
+        if plan is None:
+            return True
+        longest_ms = self.longest_ms(choice, left_ms, last_event)
+        return plan.may_finish(longest_ms, self._state.clock.now_ms)
+
+    def answered(self, took_ms: float) -> None:
+        """Take in how long a whole plain answer took."""
+        self._state.times(self._service).answered(took_ms, self._state.clock.now_ms)
+
+    def streamed(self, took_ms: float, resumed_after: int | None) -> None:
+        """Take in how long a whole stream took from its first event on.
+
+        Parameters
+        ----------
+        resumed_after
+            Id of the event after which this send went on; None where it began anew.
+        """
+        expected = self._expected_tokens(resumed_after)
+        if expected is not None:
+            times = self._state.times(self._service)
+            times.streamed(took_ms, expected, self._state.clock.now_ms)
+
+    def _expected_tokens(self, last_event: int | None) -> int | None:
+        tokens_per_event = self._state.tokens_per_event(self._service)
+        if self._prompt is None or tokens_per_event is None:
+            return None
+        return max(0, self._prompt.max_tokens_out - (last_event or 0) * tokens_per_event)
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,121 @@
+"""What a stopping router may take: the decision alone, on a held clock."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tamarack_core.leaving import plan_leaving
+from tamarack_core.service_times import LEAST_TOKENS, MARGIN, WINDOW_MS, ServiceTimes
+
+TIMES = st.floats(0.0, 40_000.0)
+PARTS = st.floats(0.0, 1.0)
+ROUNDING_MS = 1e-6
+
+
+class Stop(NamedTuple):
+    """A request to stop, and what the settings say of it."""
+
+    at_ms: float
+    grace_ms: float
+    ttl_ms: float
+
+
+class Stream(NamedTuple):
+    """A stream as it is asked for, and the part of its bound that it truly takes."""
+
+    asked_ms: float
+    limit_ms: float
+    first_token_ms: float
+    tokens: int
+    part: float
+
+
+STOPS = st.builds(Stop, TIMES, st.floats(100.0, 30_000.0), st.floats(0.0, 10_000.0))
+STREAMS = st.builds(
+    Stream, TIMES, st.floats(0.0, 20_000.0), st.floats(0.0, 3_000.0), st.integers(0, 2_000), PARTS
+)
+READINGS = st.lists(st.tuples(TIMES, st.floats(0.0, 30_000.0), st.integers(1, 2_000)), max_size=12)
+
+
+@given(STOPS, STREAMS, READINGS)
+def test_what_is_taken_ends_before_the_last_exit_and_nothing_else_is_refused(
+    stop: Stop, stream: Stream, readings: list[tuple[float, float, int]]
+) -> None:
+    """Symptom: a stream breaks off at its router's end, or is refused though it had the time.
+
+    Sequence: any stop, any limits, any lengths seen before, and a stream that takes no longer than
+    these let expect. Cause: the time left and the stream's length were not compared.
+    """
+    times = ServiceTimes()
+    for at_ms, took_ms, tokens in sorted(readings):
+        if at_ms <= stream.asked_ms:
+            times.streamed(took_ms, tokens, at_ms)
+    longest_ms = times.longest_stream_ms(
+        stream.first_token_ms, stream.tokens, stream.limit_ms, stream.asked_ms
+    )
+    plan = plan_leaving(stop.at_ms, grace_ms=stop.grace_ms, address_ttl_ms=stop.ttl_ms)
+    taken = plan.may_finish(longest_ms, stream.asked_ms)
+    sure_ms = stream.asked_ms + expected_ms(stream, readings)
+    if taken:
+        took_ms = longest_ms * stream.part
+        assert stream.asked_ms + took_ms <= max(plan.last_exit_ms, stream.asked_ms) + ROUNDING_MS
+        assert sure_ms <= max(plan.last_exit_ms, stream.asked_ms) + ROUNDING_MS
+    else:
+        assert sure_ms > plan.last_exit_ms - ROUNDING_MS
+        assert stream.asked_ms + stream.limit_ms > plan.last_exit_ms - ROUNDING_MS
+
+
+def expected_ms(stream: Stream, readings: list[tuple[float, float, int]]) -> float:
+    """What a stream is expected to take at the most, said again: few readings, so the largest."""
+    recent = [
+        took_ms / max(LEAST_TOKENS, tokens)
+        for at_ms, took_ms, tokens in readings
+        if stream.asked_ms - WINDOW_MS <= at_ms <= stream.asked_ms
+    ]
+    if not recent:
+        return stream.limit_ms
+    generating_ms = max(recent) * max(LEAST_TOKENS, stream.tokens)
+    return min(stream.limit_ms, MARGIN * (stream.first_token_ms + generating_ms))
+
+
+@given(STOPS)
+def test_a_router_lingers_no_longer_than_it_lives(stop: Stop) -> None:
+    plan = plan_leaving(stop.at_ms, grace_ms=stop.grace_ms, address_ttl_ms=stop.ttl_ms)
+    assert plan.asked_ms <= plan.linger_until_ms <= plan.last_exit_ms
+    assert plan.last_exit_ms < stop.at_ms + stop.grace_ms
+    assert plan.lingers(stop.at_ms)
+    assert not plan.lingers(plan.linger_until_ms)
+
+
+def test_readings_are_forgotten() -> None:
+    times = ServiceTimes()
+    times.streamed(10_000.0, 100, 1_000.0)
+    last_ms = 1_000.0 + WINDOW_MS
+    assert times.longest_stream_ms(0.0, 100, 1e6, last_ms) == MARGIN * 10_000.0
+    assert times.longest_stream_ms(0.0, 100, 1e6, last_ms + 1.0) == 1e6
+
+
+def test_a_short_stream_says_little_of_long_ones() -> None:
+    times = ServiceTimes()
+    times.streamed(300.0, 3, 0.0)
+    assert times.longest_stream_ms(0.0, 500, 1e6, 0.0) == MARGIN * 300.0 / LEAST_TOKENS * 500
+
+
+def test_one_stream_in_many_that_was_stuck_does_not_count() -> None:
+    times = ServiceTimes()
+    times.streamed(50_000.0, 100, 0.0)
+    for _ in range(40):
+        times.streamed(1_000.0, 100, 1.0)
+    assert times.longest_stream_ms(0.0, 100, 1e6, 2.0) == MARGIN * 1_000.0
+
+
+def test_a_plain_answer_is_bounded_by_the_slowest_lately() -> None:
+    times = ServiceTimes()
+    assert times.longest_answer_ms(1_200.0, 0.0) == 1_200.0
+    times.answered(200.0, 0.0)
+    times.answered(40.0, 1.0)
+    assert times.longest_answer_ms(1_200.0, 2.0) == MARGIN * 200.0
+    assert times.longest_answer_ms(100.0, 2.0) == 100.0
