Show how late a router's event loop is, and when it is overloaded

Cause: a router whose loop fell seconds behind looked like slow engines: nothing told how late the loop was, and a request that ended because its caller had left did not say whether it had been sent.

Change: a timer each 50 ms gives the loop's lag; tamarack_core.loop_lag judges it, with hysteresis and so that one suspension counts for nothing. The metrics and `tamarackctl router` tell lag, connections and requests in progress; a router writes one line when it becomes overloaded and one when it has recovered. `request: abandoned` says whether the request had been sent. Nothing is decided by it yet.

--- /dev/null
+++ b/packages/core/src/tamarack_core/loop_lag.py
@@ -0,0 +1,68 @@
+"""How late an event loop runs its callbacks, and whether it takes more than its processor bears."""
+
+from __future__ import annotations
+
+SAMPLE_MS = 50.0
+"""Time between two samples: several within the bound, at 20 short callbacks a second."""
+
+LATE_MS = 120.0
+"""Lateness of a sample that counts as late. A connection is accepted, read and sent on in about six
+rounds of the loop, 0.7 s with such rounds, and callers want to be read within one second. It is
+above the tenth of a second for which a processor's quota may hold the process."""
+
+CALM_MS = 40.0
+"""Lateness of a sample that counts as calm; a third of the bound, so that the state is steady."""
+
+LATE_SAMPLES = 2
+"""Late samples in a row that make an overload: a single one is a suspension or a long callback,
+and what lay unread meanwhile may be done in the next round."""
+
+CALM_SAMPLES = 8
+"""Calm samples in a row that end it, 0.4 s: callers that went elsewhere do not all come back."""
+
+PEAK_KEPT = 0.95
+"""Part of the shown lag that remains after each sample: readers come seldom, and it halves in
+0.7 s."""
+
+
+class LoopLag:
+    """Judges one loop by how late its timers fire.
+
+    Attributes
+    ----------
+    lag_ms
+        Lateness lately: its peak, which fades.
+    most_ms
+        Greatest lateness of all.
+    overloads
+        How often an overload began.
+    """
+
+    def __init__(self) -> None:
+        self._late = 0
+        self._calm = 0
+        self._overloaded = False
+        self.lag_ms = 0.0
+        self.most_ms = 0.0
+        self.overloads = 0
+
+    @property
+    def overloaded(self) -> bool:
+        """Whether the loop is behind for longer than a moment."""
+        return self._overloaded
+
+    def woke(self, late_ms: float) -> bool:
+        """Take in how late a timer fired; returns whether an overload began or ended."""
+        late_ms = max(0.0, late_ms)
+        self.lag_ms = max(late_ms, self.lag_ms * PEAK_KEPT)
+        self.most_ms = max(late_ms, self.most_ms)
+        self._late = self._late + 1 if late_ms > LATE_MS else 0
+        self._calm = self._calm + 1 if late_ms < CALM_MS else 0
+        if not self._overloaded and self._late >= LATE_SAMPLES:
+            self._overloaded = True
+            self.overloads += 1
+            return True
+        if self._overloaded and self._calm >= CALM_SAMPLES:
+            self._overloaded = False
+            return True
+        return False
--- a/packages/ctl/src/tamarack_ctl/router_view.py
+++ b/packages/ctl/src/tamarack_ctl/router_view.py
@@ -39,6 +39,13 @@
     lines.append(
         f"configuration {status['version']}, confirmed {status['confirmed_ms_ago']} ms ago"
     )
+    loop = status["loop"]
+    state = "overloaded" if loop["overloaded"] else "not overloaded"
+    lines.append(
+        f"loop {loop['lag_ms']} ms late lately, {loop['most_lag_ms']} ms at most; {state}, "
+        f"{loop['overloads']} times so far; {loop['connections']} connections, "
+        f"{loop['requests']} requests in progress"
+    )
     for title in ("members", "endpoints", "workspaces"):
         lines += _table(title, status[title])
     return lines
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -89,12 +89,10 @@
         self._may_have_run = False
         self._tried: set[str] = set()
 
-    async def run(self) -> None:
-        """Answer the request."""
-        state = self._state
-        state.allowance.note_request(self._service, state.clock.now_ms)
-        self._notes.asked()
-        await self._attempts()
+    @property
+    def sends(self) -> int:
+        """How often the request was sent to an endpoint."""
+        return self._sends
 
     @property
     def _prompt(self) -> Prompt | None:
@@ -104,6 +102,13 @@
     def _left_ms(self) -> float:
         return self._until_ms - self._state.clock.now_ms
 
+    async def run(self) -> None:
+        """Answer the request."""
+        state = self._state
+        state.allowance.note_request(self._service, state.clock.now_ms)
+        self._notes.asked()
+        await self._attempts()
+
     async def _attempts(self) -> None:
         connects = 0
         last = Result(Verdict.NOT_RUN, "no endpoint")
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -18,6 +18,7 @@
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.gateway_metrics import GatewayMetrics
 from tamarack_gateway.http_messages import Request
+from tamarack_gateway.loop_watch import LoopWatch
 from tamarack_gateway.outbox import Outbox, Placements
 from tamarack_gateway.own_pages import OwnPages
 from tamarack_gateway.peer_group import PeerGroup
@@ -66,8 +67,13 @@
         self._pool = ConnectionPool(clock)
         self._outbox = Outbox()
         self._members = FleetMembers()
+        self._connections: set[CallerConnection] = set()
+        self._watch = LoopWatch(clock, log, self._connections, changed=lambda: None)
         self._metrics = GatewayMetrics(
-            self._state, self._pool, store_calls=lambda: self._feeds.calls
+            self._state,
+            self._pool,
+            store_calls=lambda: self._feeds.calls,
+            loop=self._watch.status,
         )
         self._pages = OwnPages(
             self._state,
@@ -76,8 +82,8 @@
             site.directory,
             me=lambda: self._me,
             relays=lambda: self._peers.relays,
+            loop=self._watch.status,
         )
-        self._connections: set[CallerConnection] = set()
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[Any]] = []
         self._stack = contextlib.AsyncExitStack()
@@ -115,6 +121,7 @@
 
     async def __aenter__(self) -> Gateway:
         settings = self._settings
+        self._stack.enter_context(self._watch)
         await self._stack.enter_async_context(self._peers)
         self._feeds.start(self._peers.address, self._boot)
         self._callers = await self._listen(settings.callers, self._answer_caller)
@@ -263,7 +270,12 @@
             caller.cut()
         except asyncio.CancelledError:
             waited_ms = self._clock.now_ms - request.arrived_ms
-            self._log.request("abandoned", facts.attempt, waited_ms=round(waited_ms))
+            self._log.request(
+                "abandoned",
+                facts.attempt,
+                reason="after it was sent" if exchange.sends else "before it was sent",
+                waited_ms=round(waited_ms),
+            )
             raise
         finally:
             self._metrics.ended(route, self._clock.now_ms - request.arrived_ms)
--- a/packages/gateway/src/tamarack_gateway/gateway_metrics.py
+++ b/packages/gateway/src/tamarack_gateway/gateway_metrics.py
@@ -9,6 +9,7 @@
 from tamarack_core.ruleset import Route
 from tamarack_gateway.connection_pool import ConnectionPool
 from tamarack_gateway.fleet_state import FleetState
+from tamarack_gateway.loop_watch import LoopStatus
 
 LATENCY_MS = [5.0, 10.0, 25.0, 50.0, 100.0, 250.0, 500.0, 1_000.0, 2_500.0, 5_000.0, 10_000.0]
 """Upper bounds of the latency histogram in milliseconds, from an answer of a plain service to the
@@ -22,14 +23,22 @@
     ----------
     store_calls
         Tells how many calls of the store were made.
+    loop
+        Tells how busy the event loop is.
     """
 
     def __init__(
-        self, state: FleetState, pool: ConnectionPool, *, store_calls: Callable[[], int]
+        self,
+        state: FleetState,
+        pool: ConnectionPool,
+        *,
+        store_calls: Callable[[], int],
+        loop: Callable[[], LoopStatus],
     ) -> None:
         self._state = state
         self._pool = pool
         self._store_calls = store_calls
+        self._loop = loop
         self._registry = Registry()
         self._requests = Counter(
             "requests_total", "Requests that were placed", registry=self._registry
@@ -56,6 +65,7 @@
     def render(self) -> tuple[bytes, str]:
         """Text of all metrics and its content type."""
         state, now_ms = self._state, self._state.clock.now_ms
+        loop = self._loop()
         readings = {
             "configuration_version": state.rules.version if state.rules else 0,
             "configuration_age_ms": min(1e9, state.freshness.age_ms(now_ms)),
@@ -67,6 +77,12 @@
             "retries": state.allowance.taken,
             "routers": state.allowance.routers,
             "ready": int(state.ready),
+            "loop_lag_ms": loop["lag_ms"],
+            "loop_lag_most_ms": loop["most_lag_ms"],
+            "overloaded": int(loop["overloaded"]),
+            "overloads": loop["overloads"],
+            "connections": loop["connections"],
+            "requests_in_progress": loop["requests"],
         }
         for name, value in readings.items():
             self._gauges.set({"name": name}, float(value))
--- /dev/null
+++ b/packages/gateway/src/tamarack_gateway/loop_watch.py
@@ -0,0 +1,94 @@
+"""Samples how late the event loop is, and tells when the router becomes overloaded or recovers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Collection
+from types import TracebackType
+from typing import TypedDict
+
+from tamarack_core.clock import Clock
+from tamarack_core.loop_lag import SAMPLE_MS, LoopLag
+from tamarack_gateway.caller_connection import CallerConnection
+from tamarack_gateway.decision_log import DecisionLog
+
+
+class LoopStatus(TypedDict):
+    """How busy a router's loop is; times in milliseconds."""
+
+    lag_ms: int
+    most_lag_ms: int
+    overloaded: bool
+    overloads: int
+    connections: int
+    requests: int
+
+
+class LoopWatch:
+    """Watches the running loop; use it as a context manager.
+
+    Parameters
+    ----------
+    connections
+        Open connections of callers.
+    changed
+        Called when an overload begins or ends.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        log: DecisionLog,
+        connections: Collection[CallerConnection],
+        *,
+        changed: Callable[[], None],
+    ) -> None:
+        self._clock = clock
+        self._log = log
+        self._connections = connections
+        self._changed = changed
+        self._lag = LoopLag()
+        self._timer: asyncio.TimerHandle | None = None
+
+    def __enter__(self) -> LoopWatch:
+        self._arm()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+
+    @property
+    def overloaded(self) -> bool:
+        """Whether the loop is behind for longer than a moment."""
+        return self._lag.overloaded
+
+    def status(self) -> LoopStatus:
+        """How busy the loop is."""
+        lag = self._lag
+        return {
+            "lag_ms": round(lag.lag_ms),
+            "most_lag_ms": round(lag.most_ms),
+            "overloaded": lag.overloaded,
+            "overloads": lag.overloads,
+            "connections": len(self._connections),
+            "requests": sum(connection.busy for connection in self._connections),
+        }
+
+    def _arm(self) -> None:
+        due_ms = self._clock.now_ms + SAMPLE_MS
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(SAMPLE_MS / 1000, self._woke, due_ms)
+
+    def _woke(self, due_ms: float) -> None:
+        turned = self._lag.woke(self._clock.now_ms - due_ms)
+        self._arm()
+        if turned:
+            sentence = "overloaded" if self._lag.overloaded else "no longer overloaded"
+            self._log.event(sentence, **self.status())
+            self._changed()
--- a/packages/gateway/src/tamarack_gateway/own_pages.py
+++ b/packages/gateway/src/tamarack_gateway/own_pages.py
@@ -11,6 +11,7 @@
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.gateway_metrics import GatewayMetrics
 from tamarack_gateway.http_messages import Request
+from tamarack_gateway.loop_watch import LoopStatus
 from tamarack_gateway.router_status import router_status
 from tamarack_gateway.site import DirectoryDialect
 
@@ -28,6 +29,8 @@
         Tells how this router is.
     relays
         Tells whether it relays for its failure domain.
+    loop
+        Tells how busy its event loop is.
     """
 
     def __init__(
@@ -39,6 +42,7 @@
         *,
         me: Callable[[], Member],
         relays: Callable[[], bool],
+        loop: Callable[[], LoopStatus],
     ) -> None:
         self._state = state
         self._members = members
@@ -46,6 +50,7 @@
         self._directory = directory
         self._me = me
         self._relays = relays
+        self._loop = loop
 
     async def answer_site(self, request: Request, caller: CallerConnection) -> None:
         """Answer the platform or a caller that asks for addresses."""
@@ -73,7 +78,8 @@
             content, kind = self._metrics.render()
             caller.answer(200, [(b"content-type", kind.encode())], content)
         elif path == b"/status":
-            status = router_status(self._state, self._members, relays=self._relays())
+            loop = self._loop()
+            status = router_status(self._state, self._members, loop, relays=self._relays())
             json = [(b"content-type", b"application/json")]
             caller.answer(200, json, msgspec.json.encode(status))
         else:
--- a/packages/gateway/src/tamarack_gateway/router_status.py
+++ b/packages/gateway/src/tamarack_gateway/router_status.py
@@ -6,6 +6,7 @@
 
 from tamarack_gateway.fleet_members import FleetMembers
 from tamarack_gateway.fleet_state import FleetState
+from tamarack_gateway.loop_watch import LoopStatus
 
 
 class MemberStatus(TypedDict):
@@ -51,12 +52,15 @@
     relays: bool
     version: int
     confirmed_ms_ago: int | None
+    loop: LoopStatus
     members: list[MemberStatus]
     endpoints: list[EndpointStatus]
     workspaces: list[WorkspaceStatus]
 
 
-def router_status(state: FleetState, members: FleetMembers, *, relays: bool) -> RouterStatus:
+def router_status(
+    state: FleetState, members: FleetMembers, loop: LoopStatus, *, relays: bool
+) -> RouterStatus:
     """Status of a router from what it holds; takes some microseconds for each entry."""
     age_ms = state.freshness.age_ms(state.clock.now_ms)
     return {
@@ -66,6 +70,7 @@
         "relays": relays,
         "version": state.rules.version if state.rules else 0,
         "confirmed_ms_ago": None if age_ms == float("inf") else round(age_ms),
+        "loop": loop,
         "members": _members(state, members),
         "endpoints": _endpoints(state),
         "workspaces": _workspaces(state),
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -189,6 +189,7 @@
     left = [line for line in lines if line["message"] == "request: abandoned"]
     assert len(left) == 1
     assert left[0]["waited_ms"] >= 0
+    assert left[0]["reason"] == "after it was sent"
 
 
 def test_callers_beyond_a_routers_descriptors_are_turned_away_at_once() -> None:
--- a/tests/test_router_view.py
+++ b/tests/test_router_view.py
@@ -28,7 +28,10 @@
     *lines, machine = capsys.readouterr().out.splitlines()
     assert lines[0] == "router-1: ready"
     assert lines[1].startswith("configuration 1, confirmed ")
+    assert lines[2].startswith("loop ")
     status = json.loads(machine)
+    assert status["loop"]["overloaded"] is False
+    assert status["loop"]["requests"] >= 0
     assert [member["router"] for member in status["members"]] == ["router-2"]
     assert {e["endpoint"]: e["service"] for e in status["endpoints"]} == {"e1": "pool", "w1": "web"}
     assert [entry["workspace"] for entry in status["workspaces"]] == ["shop"]
@@ -55,6 +58,8 @@
         assert 'decisions{decision="refused",reason="keys are not confirmed"} 1' in text
         assert 'decisions{decision="answered",reason=""} 1' in text
         assert 'state{name="store_calls"}' in text
+        assert 'state{name="loop_lag_ms"}' in text
+        assert 'state{name="overloaded"}' in text
 
     play(story())
 
