Play two ways in which engines work for callers who had left, both red

A caller sends a whole request and closes before the loop's next round; an idle connection to an endpoint is kept. The endpoint gets the request: the loop runs tasks that are ready before it reads sockets, so the request is sent one round before its caller's close is read. Six callers in one round, one of them on a kept connection; the loop is blocked by hand, so the order is the same each time.

A router that finds its loop far behind is named to callers as before, takes new connections, and reads what comes on the kept ones.

--- /dev/null
+++ b/tests/test_callers_who_left.py
@@ -0,0 +1,128 @@
+"""Requests whose callers have left before they were sent on, and routers that fall behind."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import time
+
+import pytest
+from gateway_site import Fleet, addresses_in, connect, play, read_answer, until
+
+from tamarack_core import loop_lag
+from tamarack_core.loop_lag import LATE_MS, LATE_SAMPLES
+from tamarack_gateway.gateway import Gateway
+from tamarack_standins.platform_worker import PlatformWorker
+
+DELIVERED_S = 0.02
+"""Seconds in which loopback has delivered what was written."""
+
+
+async def dial(router: Gateway) -> socket.socket:
+    """A caller whose calls block the loop: what it does is done before the loop's next round."""
+    host, _, port = router.callers.rpartition(":")
+    known = set(router._connections)
+    caller = socket.create_connection((host, int(port)))
+    await until(lambda: bool(router._connections - known))
+    return caller
+
+
+def send_and_leave(callers: list[tuple[socket.socket, bytes]]) -> None:
+    """Have callers send a whole request and close, all before the loop's next round."""
+    for caller, request in callers:
+        caller.sendall(request)
+        caller.close()
+    time.sleep(DELIVERED_S)
+
+
+async def all_left(router: Gateway) -> None:
+    """Wait until the router has noticed that its callers left."""
+    await until(lambda: not router._connections)
+
+
+def test_a_request_whose_caller_has_left_is_not_sent() -> None:
+    """Symptom: endpoints get requests over half a second after their callers have left.
+
+    Sequence: a router's loop is behind for a second. A caller sends a whole request, waits for a
+    second to be read, and closes. The loop goes on: it reads the request, and sends it on an idle
+    connection to an endpoint before it reads the close, which lay in the same buffer.
+
+    Cause: the loop runs tasks that are ready before it reads sockets in each round. The task that
+    the request began was ready one round after the request had been read; the close was read later
+    in that same round. Evidence: the router that broke the rule had a full processor and 3,576
+    connections; no load is needed, as here, but the order of the two.
+    """
+
+    async def story() -> None:
+        web = PlatformWorker("w1")
+        async with Fleet({"web": [web]}) as fleet:
+            router = fleet.gateway
+            kept = await dial(router)
+            kept.sendall(fleet.request("/page/kept"))
+            await until(lambda: len(web.arrived) == 1 and not next(iter(router._connections)).busy)
+            callers = [kept, *[await dial(router) for _ in range(5)]]
+            send_and_leave([(caller, fleet.request("/page/left")) for caller in callers])
+            await all_left(router)
+            assert (await fleet.ask("/page/stays")).status == 200
+            assert [a.target for a in web.arrived] == ["/page/kept", "/page/stays"]
+
+    play(story())
+
+
+def overload(router: Gateway, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have a router find its loop far behind, and not recover."""
+    monkeypatch.setattr(loop_lag, "CALM_SAMPLES", 1_000_000)
+    for _ in range(LATE_SAMPLES):
+        assert router._watch._timer is not None
+        router._watch._timer.cancel()
+        router._watch._woke(router.state.clock.now_ms - 10 * LATE_MS)
+    assert router._watch.overloaded
+
+
+async def addresses_told(router: Gateway) -> list[str]:
+    """What a caller that asks for addresses is told."""
+    reader, writer = await connect(router.site_addresses[-1])
+    writer.write(b"GET /api/resolve?name=x&region=r&zone=a HTTP/1.1\r\nHost: x\r\n\r\n")
+    answer = await read_answer(reader)
+    writer.close()
+    return addresses_in(answer)
+
+
+def test_an_overloaded_router_sends_callers_elsewhere(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Symptom: callers wait for a second to be read at one router, while the others are idle.
+
+    Sequence: a caller with hundreds of requests a second keeps to one router, which is small. Its
+    processor is full and its loop falls seconds behind; all its callers give up, unread. Cause: it
+    read all that came, and was named to callers as before. Evidence: the one router took 962 new
+    connections in the second in which the others took 8 each, and held 3,576.
+    """
+
+    async def story() -> None:
+        web = PlatformWorker("w1")
+        async with Fleet({"web": [web]}) as fleet, fleet.router("router-2") as router:
+            other = fleet.gateway
+            await until(
+                lambda: router.state.ready and router.callers in str(other._members.known())
+            )
+            kept_reader, kept_writer = await connect(router.callers)
+            await until(lambda: len(router._connections) == 1)
+            overload(router, monkeypatch)
+            told = [await addresses_told(other)]
+            while len(told) < 100 and told[-1] != [other.callers]:
+                await asyncio.sleep(0.01)
+                told.append(await addresses_told(other))
+            assert told[-1] == [other.callers]
+            assert await addresses_told(router) == [other.callers]
+            reader, writer = await connect(router.callers)
+            with contextlib.suppress(ConnectionError):
+                assert await reader.read(1) == b""
+            writer.close()
+            kept_writer.write(fleet.request("/page/1"))
+            answer = await read_answer(kept_reader)
+            assert (answer.status, answer.headers["connection"]) == (503, "close")
+            assert 0 < float(answer.headers["retry-after"]) < 0.5
+            assert not web.arrived
+            kept_writer.close()
+
+    play(story())
