Send a request only while its caller is still there

Cause: the loop polls its sockets, runs the tasks that were ready before, and then reads what the poll found. The task of a request, woken by its arrival, by the end of its holding or by the failure of its first endpoint, ran before its caller's close was read, and sent the request on an idle connection. With a loop that was seconds behind, endpoints got requests seconds after their callers had left.

Change: right before each send the loop has two rounds; then every close that had come by the time of the call has been read. Two and not one: a task's next step still runs before the reading of the round that it starts in. If the caller has gone nothing is sent, the connection is kept, and 'request: caller gone' with 'left before the request was sent' is logged and counted. A kept connection that the endpoint closed meanwhile is seen by the same rounds and replaced. A request whose caller has gone is no longer reported as one that was not answered.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -243,7 +243,7 @@
                 self._keep = keep
                 self._begun = False
                 await self._handler(request, self)
-                if not self._begun:
+                if not self._begun and not self.gone:
                     raise RuntimeError("a request was not answered")
                 if not (self._keep and not self.closing):
                     self._finish()
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -22,6 +22,7 @@
 from tamarack_gateway.outbox import Outbox
 from tamarack_gateway.send_notes import UNREACHED_WEIGHT, SendNotes
 from tamarack_gateway.send_result import Result, Verdict
+from tamarack_gateway.sending_connection import sending_connection
 from tamarack_gateway.site import RequestDialect, RequestFacts
 
 DEADLINE_MARGIN_MS = 15.0
@@ -125,10 +126,11 @@
                     self._refuse(503, decision.wait_ms)
                     return None
             try:
-                connection = await self._pool.take(choice.endpoint.address)
+                address = choice.endpoint.address
+                connection = await sending_connection(self._pool, address, self._caller)
             except ConnectError as error:
                 connects += 1
-                self._pool.drop(choice.endpoint.address)
+                self._pool.drop(address)
                 self._notes.failure(choice.endpoint, f"connect: {error}", weight=UNREACHED_WEIGHT)
                 self._tried.add(choice.endpoint.name)
                 if connects >= CONNECT_TRIES:
--- a/tests/test_callers_who_left.py
+++ b/tests/test_callers_who_left.py
@@ -6,15 +6,20 @@
 import contextlib
 import socket
 import time
+from typing import Any
 
 import pytest
 from gateway_site import Fleet, addresses_in, connect, play, read_answer, until
 
 from tamarack_core import loop_lag
+from tamarack_core.admission import Admission, Decision
 from tamarack_core.loop_lag import LATE_MS, LATE_SAMPLES
+from tamarack_gateway import exchange
 from tamarack_gateway.gateway import Gateway
-from tamarack_standins.platform_worker import PlatformWorker
+from tamarack_gateway.send_notes import SendNotes
+from tamarack_standins.platform_worker import PlatformWorker, Script
 
+STREAM = Script(events=2)
 DELIVERED_S = 0.02
 """Seconds in which loopback has delivered what was written."""
 
@@ -70,6 +75,73 @@
     play(story())
 
 
+def test_a_held_request_whose_caller_has_left_is_not_sent(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Symptom: the same, of requests that were held back for an engine's queue.
+
+    Sequence: the loop falls behind while a request is held; in the round in which the holding ends
+    its caller closes. Cause: the held task was ready before the close was read.
+    """
+
+    async def story() -> None:
+        engine = PlatformWorker("e1", STREAM)
+        async with Fleet({"pool": [engine]}) as fleet:
+            assert (await fleet.ask("/draft/1")).status == 200
+            loop, admit = asyncio.get_running_loop(), exchange.admit
+            caller = await dial(fleet.gateway)
+
+            def hold_once(**facts: Any) -> Decision:
+                monkeypatch.setattr(exchange, "admit", admit)
+                loop.call_later(0.031, caller.close)
+                loop.call_soon(time.sleep, 0.06)
+                return Decision(Admission.HELD, "the queue will shrink", 30.0)
+
+            monkeypatch.setattr(exchange, "admit", hold_once)
+            caller.sendall(fleet.request("/draft/2"))
+            await all_left(fleet.gateway)
+            assert (await fleet.ask("/draft/3")).status == 200
+            assert [a.target for a in engine.arrived] == ["/draft/1", "/draft/3"]
+
+    play(story())
+
+
+def test_a_request_is_not_sent_again_for_a_caller_that_has_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Symptom: a second endpoint gets a request after its caller has left.
+
+    Sequence: the first endpoint fails a request that may be repeated; its caller closes just before
+    the router reads that. Cause: the request was sent again before the close was read.
+    """
+
+    async def story() -> None:
+        workers = [PlatformWorker(name) for name in ("w1", "w2")]
+        async with Fleet({"web": workers}) as fleet:
+            records = fleet.gateway.state.records
+            while not all(worker.arrived for worker in workers):
+                assert (await fleet.ask("/page/1")).status == 200
+                for worker in workers:
+                    slow_ms = 10_000.0 * len(worker.arrived)
+                    records[worker.name].succeeded(0.0, slow_ms)
+            for worker in workers:
+                worker.arrived.clear()
+                worker._scripts = [Script(status=500)]
+            caller = await dial(fleet.gateway)
+            failure = SendNotes.failure
+
+            def leave_and_fail(notes: SendNotes, *facts: Any, **more: Any) -> None:
+                caller.close()
+                time.sleep(DELIVERED_S)
+                failure(notes, *facts, **more)
+
+            monkeypatch.setattr(SendNotes, "failure", leave_and_fail)
+            caller.sendall(fleet.request("/search/1"))
+            await all_left(fleet.gateway)
+            await asyncio.sleep(DELIVERED_S)
+            assert sum(len(worker.arrived) for worker in workers) == 1
+
+    play(story())
+
+
 def overload(router: Gateway, monkeypatch: pytest.MonkeyPatch) -> None:
     """Have a router find its loop far behind, and not recover."""
     monkeypatch.setattr(loop_lag, "CALM_SAMPLES", 1_000_000)
