Send callers elsewhere while a router's loop is behind

Cause: nothing bounded what a router read, and nobody was told that it was full. A caller with much traffic keeps to one address; at a small instance a thousand connections came in one round of the loop, each with a request, and the rounds lasted two seconds. Requests lay unread until their callers gave up, and were worked on then.

Change: while the loop is behind (120 ms twice in a row; over after eight samples below 40 ms) new connections of callers are closed before anything is read, and requests on kept ones are refused first thing with 503, a short Retry-After and `connection: close`, for 350 of each 400 ms, so that nobody is shut out for good where all are behind. Summaries say that a router is overloaded, at once when that changes; it is not named to callers unless more than half would be left out. Readiness is as before. At most 32 connections are accepted in one round, in place of 1,024. What listens is a module of its own; the log line of a placed request moved to SendNotes, whose facts it tells.

--- a/packages/core/src/tamarack_core/loop_lag.py
+++ b/packages/core/src/tamarack_core/loop_lag.py
@@ -20,6 +20,12 @@
 CALM_SAMPLES = 8
 """Calm samples in a row that end it, 0.4 s: callers that went elsewhere do not all come back."""
 
+SHED_MS = 350.0
+TAKE_MS = 50.0
+"""Milliseconds in which all that comes to an overloaded router is refused, and after these in which
+it is taken, in turn. Were all refused without end, nobody would be served where all routers are
+behind, or where the lag has another cause than their callers."""
+
 PEAK_KEPT = 0.95
 """Part of the shown lag that remains after each sample: readers come seldom, and it halves in
 0.7 s."""
@@ -42,6 +48,7 @@
         self._late = 0
         self._calm = 0
         self._overloaded = False
+        self._since_ms = 0.0
         self.lag_ms = 0.0
         self.most_ms = 0.0
         self.overloads = 0
@@ -51,7 +58,11 @@
         """Whether the loop is behind for longer than a moment."""
         return self._overloaded
 
-    def woke(self, late_ms: float) -> bool:
+    def sheds(self, now_ms: float) -> bool:
+        """Whether what comes at this time is refused."""
+        return self._overloaded and (now_ms - self._since_ms) % (SHED_MS + TAKE_MS) < SHED_MS
+
+    def woke(self, late_ms: float, now_ms: float) -> bool:
         """Take in how late a timer fired; returns whether an overload began or ended."""
         late_ms = max(0.0, late_ms)
         self.lag_ms = max(late_ms, self.lag_ms * PEAK_KEPT)
@@ -60,6 +71,7 @@
         self._calm = self._calm + 1 if late_ms < CALM_MS else 0
         if not self._overloaded and self._late >= LATE_SAMPLES:
             self._overloaded = True
+            self._since_ms = now_ms
             self.overloads += 1
             return True
         if self._overloaded and self._calm >= CALM_SAMPLES:
--- a/packages/ctl/src/tamarack_ctl/router_view.py
+++ b/packages/ctl/src/tamarack_ctl/router_view.py
@@ -43,7 +43,8 @@
     state = "overloaded" if loop["overloaded"] else "not overloaded"
     lines.append(
         f"loop {loop['lag_ms']} ms late lately, {loop['most_lag_ms']} ms at most; {state}, "
-        f"{loop['overloads']} times so far; {loop['connections']} connections, "
+        f"{loop['overloads']} times so far, {loop['turned_away']} connections turned away; "
+        f"{loop['connections']} connections, "
         f"{loop['requests']} requests in progress"
     )
     for title in ("members", "endpoints", "workspaces"):
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -217,7 +217,7 @@
         endpoint, state = choice.endpoint, self._state
         self._sends += 1
         self._tried.add(endpoint.name)
-        self._log_placed(choice)
+        self._notes.placed(choice, self._route, self._service, self._sends, self._left_ms)
         self._notes.sent(choice)
         sent_ms = state.clock.now_ms
         whole = False
@@ -244,23 +244,6 @@
             )
         return result
 
-    def _log_placed(self, choice: Choice) -> None:
-        state = self._state
-        age_ms = state.freshness.age_ms(state.clock.now_ms)
-        state.log.request(
-            "placed",
-            self._facts.attempt,
-            route=self._route.name,
-            service=self._service,
-            endpoint=choice.endpoint.name,
-            send=self._sends,
-            first_token_ms=round(choice.first_token_ms),
-            unread_tokens=choice.unread_tokens,
-            left_ms=round(self._left_ms),
-            version=state.rules.version if state.rules else 0,
-            confirmed_ms_ago=round(min(age_ms, 1e9)),
-        )
-
     async def _ask(self, choice: Choice, connection: EndpointConnection) -> Result:
         data = self._dialect.for_endpoint(
             self._request,
--- a/packages/gateway/src/tamarack_gateway/fleet_members.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_members.py
@@ -37,6 +37,7 @@
     heard_ms: float
     fresh: bool = True
     stamp_ms: float = 0.0
+    overloaded: bool = False
 
 
 class FleetMembers:
@@ -114,13 +115,14 @@
 
         A router that the store turns away soon refuses requests with keys, and callers are sent to
         others. Where most are in that state, it says nothing of one of them, and the few that are
-        not would be overrun: all are named then, and at least half as many as the domain has.
+        not would be overrun: all are named then, and at least half as many as the domain has. The
+        same holds of routers whose event loops are behind.
         """
         live = self.live(now_ms)
         if me.ready:
             live.append(me)
-        fresh = [member for member in live if member.fresh]
-        usable = fresh if 2 * len(fresh) >= len(live) else live
+        usable = _most([member for member in live if member.fresh], live)
+        usable = _most([member for member in usable if not member.overloaded], usable)
         near = [m for m in usable if m.failure_domain == failure_domain]
         near_live = sum(m.failure_domain == failure_domain for m in live)
         least = max(LEAST_ADDRESSES, (near_live + 1) // 2)
@@ -128,3 +130,7 @@
         lacking = max(0, least - len(near))
         chosen = near + [far[name] for name in ranked(failure_domain, far)[:lacking]]
         return [member.callers for member in chosen[:MOST_ADDRESSES]]
+
+
+def _most(chosen: list[Member], members: list[Member]) -> list[Member]:
+    return chosen if 2 * len(chosen) >= len(members) else members
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -9,7 +9,7 @@
 from tamarack_core.clock import Clock
 from tamarack_core.relay_plan import Peer
 from tamarack_gateway.cache_inventory import CacheInventory
-from tamarack_gateway.caller_connection import CallerConnection, TurnedAway
+from tamarack_gateway.caller_connection import CallerConnection
 from tamarack_gateway.connection_pool import ConnectionPool
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.exchange import Exchange
@@ -18,6 +18,7 @@
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.gateway_metrics import GatewayMetrics
 from tamarack_gateway.http_messages import Request
+from tamarack_gateway.listeners import Listeners
 from tamarack_gateway.loop_watch import LoopWatch
 from tamarack_gateway.outbox import Outbox, Placements
 from tamarack_gateway.own_pages import OwnPages
@@ -26,18 +27,14 @@
 from tamarack_gateway.site import Site
 from tamarack_gateway.table_follower import TableNews
 
-BACKLOG = 1_024
-"""Connections that wait to be accepted; a full queue costs a caller seconds."""
-
 READERS_SETTLE_MS = 1_000.0
 """Time after its start in which a router of a large fleet, having read the store once, leaves it to
 the others to go on: it has not heard who they are, and would take itself for a reader. Of 66
 routers that start together each made three calls more, a quarter of a short day's calls."""
 
-CALLERS_PART = 0.6
-"""Part of the descriptors that callers' connections may take; the rest is for endpoints, the store
-and other routers. A router without one left can neither accept nor connect, and requests that it
-has read are lost; callers that are turned away at once go to another router."""
+OVERLOAD_RETRY_MS = 100.0
+"""Least time after which a caller of an overloaded router may come back, on a new connection and so
+most likely elsewhere; it is spread up to twice that."""
 
 SWEEP_MS = 500.0
 """Time between two looks at idle connections and silent peers."""
@@ -68,7 +65,9 @@
         self._outbox = Outbox()
         self._members = FleetMembers()
         self._connections: set[CallerConnection] = set()
-        self._watch = LoopWatch(clock, log, self._connections, changed=lambda: None)
+        self._watch = LoopWatch(
+            clock, log, self._connections, changed=lambda: self._peers.tell_summary()
+        )
         self._metrics = GatewayMetrics(
             self._state,
             self._pool,
@@ -84,7 +83,7 @@
             relays=lambda: self._peers.relays,
             loop=self._watch.status,
         )
-        self._servers: list[asyncio.Server] = []
+        self._listeners = Listeners(self._state, clock, self._watch, self._connections)
         self._tasks: list[asyncio.Task[Any]] = []
         self._stack = contextlib.AsyncExitStack()
         self._peers = PeerGroup(
@@ -121,14 +120,15 @@
 
     async def __aenter__(self) -> Gateway:
         settings = self._settings
-        self._stack.enter_context(self._watch)
         await self._stack.enter_async_context(self._peers)
+        self._stack.enter_context(self._watch)
         self._feeds.start(self._peers.address, self._boot)
-        self._callers = await self._listen(settings.callers, self._answer_caller)
+        listen = self._listeners.listen
+        self._callers = await listen(settings.callers, self._answer_caller, for_callers=True)
         for address in dict.fromkeys((settings.readiness, settings.directory)):
             if address:
-                self._site_addresses.append(await self._listen(address, self._pages.answer_site))
-        self._metrics_address = await self._listen(settings.metrics, self._pages.answer_operator)
+                self._site_addresses.append(await listen(address, self._pages.answer_site))
+        self._metrics_address = await listen(settings.metrics, self._pages.answer_operator)
         self._tasks.append(asyncio.ensure_future(self._inventory.run()))
         self._tasks.append(asyncio.ensure_future(self._sweep()))
         self._tasks.append(asyncio.ensure_future(self._flush()))
@@ -140,8 +140,7 @@
         for task in self._tasks:
             task.cancel()
         await self._feeds.close()
-        for server in self._servers:
-            server.close()
+        self._listeners.close()
         for connection in list(self._connections):
             connection.cut()
         self._pool.close()
@@ -207,34 +206,17 @@
 
     # callers
 
-    async def _listen(self, address: str, handler: Any) -> str:
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        state = self._state
-
-        def accept() -> asyncio.Protocol:
-            if len(self._connections) >= CALLERS_PART * self._settings.descriptors:
-                self._log.event("a caller was turned away", connections=len(self._connections))
-                return TurnedAway()
-            connection = CallerConnection(
-                handler, self._clock, lambda: state.bounds, self._connections
-            )
-            connection.closing = state.leaving
-            return connection
-
-        server = await loop.create_server(
-            accept, host, int(port), backlog=BACKLOG, reuse_address=True
-        )
-        self._servers.append(server)
-        bound = server.sockets[0].getsockname()
-        return f"{bound[0]}:{bound[1]}"
-
     async def _answer_caller(self, request: Request, caller: CallerConnection) -> None:
         state, dialect = self._state, self._site.requests
         facts = dialect.read(request)
         if facts is None:
             caller.answer(400, [])
             return
+        if self._watch.sheds:
+            # Before any other work: it has no time for more, and elsewhere there is some.
+            caller.closing = True
+            self._refuse(caller, facts.attempt, "overloaded", OVERLOAD_RETRY_MS)
+            return
         rules = state.rules
         if self._past_linger:
             # What begins now might not end before the process is killed; elsewhere it can.
@@ -318,6 +300,7 @@
             self._state.ready,
             self._clock.now_ms,
             self._state.fresh,
+            overloaded=self._watch.overloaded,
         )
 
     def _follow(self, peers: dict[str, Peer]) -> None:
@@ -357,6 +340,7 @@
             now_ms,
             summary.fresh,
             stamp_ms,
+            summary.overloaded,
         )
         self._members.heard(member)
 
@@ -384,6 +368,7 @@
             me.callers,
             me.ready,
             me.fresh,
+            me.overloaded,
         )
 
     # housekeeping
--- a/packages/gateway/src/tamarack_gateway/gateway_metrics.py
+++ b/packages/gateway/src/tamarack_gateway/gateway_metrics.py
@@ -81,6 +81,7 @@
             "loop_lag_most_ms": loop["most_lag_ms"],
             "overloaded": int(loop["overloaded"]),
             "overloads": loop["overloads"],
+            "connections_turned_away": loop["turned_away"],
             "connections": loop["connections"],
             "requests_in_progress": loop["requests"],
         }
--- /dev/null
+++ b/packages/gateway/src/tamarack_gateway/listeners.py
@@ -0,0 +1,94 @@
+"""The addresses that a router serves, and which connections it takes there."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from tamarack_core.clock import Clock
+from tamarack_gateway.caller_connection import CallerConnection, Handler, TurnedAway
+from tamarack_gateway.fleet_state import FleetState
+from tamarack_gateway.loop_watch import LoopWatch
+
+BACKLOG = 1_024
+"""Connections that wait to be accepted; a full queue costs a caller seconds."""
+
+ACCEPTS = 32
+"""Connections that are accepted in one round of the loop. The event loop's own bound is the length
+of the queue: with 1,024 new ones, each with a request, a round of a small instance lasted over two
+seconds, in which nothing else was read and no overload was noticed. At 1.5 ms for a request that is
+refused there, the rounds stay at 50 ms."""
+
+CALLERS_PART = 0.6
+"""Part of the descriptors that callers' connections may take; the rest is for endpoints, the store
+and other routers. A router without one left can neither accept nor connect, and requests that it
+has read are lost; callers that are turned away at once go to another router."""
+
+
+class Listeners:
+    """Listens until closed.
+
+    Parameters
+    ----------
+    connections
+        The set that each connection enters itself into.
+    """
+
+    def __init__(
+        self,
+        state: FleetState,
+        clock: Clock,
+        watch: LoopWatch,
+        connections: set[CallerConnection],
+    ) -> None:
+        self._state = state
+        self._clock = clock
+        self._watch = watch
+        self._connections = connections
+        self._servers: list[asyncio.Server] = []
+
+    async def listen(self, address: str, handler: Handler, *, for_callers: bool = False) -> str:
+        """Serve an address; returns the one that was bound. Callers are turned away in overload."""
+        loop = asyncio.get_running_loop()
+
+        def accept() -> asyncio.Protocol:
+            if self._full() or (for_callers and self._watch.turn_away()):
+                return TurnedAway()
+            return self._connection(handler)
+
+        listener = _bind(address)
+        self._servers.append(await loop.create_server(accept, sock=listener, backlog=ACCEPTS))
+        # The server has set the queue's length to what it accepts in one round.
+        listener.listen(BACKLOG)
+        host, port = listener.getsockname()[:2]
+        return f"{host}:{port}"
+
+    def close(self) -> None:
+        """Take no more connections."""
+        for server in self._servers:
+            server.close()
+
+    def _full(self) -> bool:
+        if len(self._connections) < CALLERS_PART * self._state.settings.descriptors:
+            return False
+        self._state.log.event("a caller was turned away", connections=len(self._connections))
+        return True
+
+    def _connection(self, handler: Handler) -> CallerConnection:
+        state = self._state
+        connection = CallerConnection(handler, self._clock, lambda: state.bounds, self._connections)
+        connection.closing = state.leaving
+        return connection
+
+
+def _bind(address: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, int(port)))
+        listener.setblocking(False)
+    except OSError:
+        listener.close()
+        raise
+    return listener
--- a/packages/gateway/src/tamarack_gateway/loop_watch.py
+++ b/packages/gateway/src/tamarack_gateway/loop_watch.py
@@ -20,6 +20,7 @@
     most_lag_ms: int
     overloaded: bool
     overloads: int
+    turned_away: int
     connections: int
     requests: int
 
@@ -48,6 +49,7 @@
         self._connections = connections
         self._changed = changed
         self._lag = LoopLag()
+        self._turned_away = 0
         self._timer: asyncio.TimerHandle | None = None
 
     def __enter__(self) -> LoopWatch:
@@ -68,6 +70,17 @@
         """Whether the loop is behind for longer than a moment."""
         return self._lag.overloaded
 
+    @property
+    def sheds(self) -> bool:
+        """Whether what comes now is refused at once."""
+        return self._lag.sheds(self._clock.now_ms)
+
+    def turn_away(self) -> bool:
+        """Whether a new connection is closed at once; those that are get counted."""
+        sheds = self.sheds
+        self._turned_away += sheds
+        return sheds
+
     def status(self) -> LoopStatus:
         """How busy the loop is."""
         lag = self._lag
@@ -76,6 +89,7 @@
             "most_lag_ms": round(lag.most_ms),
             "overloaded": lag.overloaded,
             "overloads": lag.overloads,
+            "turned_away": self._turned_away,
             "connections": len(self._connections),
             "requests": sum(connection.busy for connection in self._connections),
         }
@@ -86,7 +100,8 @@
         self._timer = loop.call_later(SAMPLE_MS / 1000, self._woke, due_ms)
 
     def _woke(self, due_ms: float) -> None:
-        turned = self._lag.woke(self._clock.now_ms - due_ms)
+        now_ms = self._clock.now_ms
+        turned = self._lag.woke(now_ms - due_ms, now_ms)
         self._arm()
         if turned:
             sentence = "overloaded" if self._lag.overloaded else "no longer overloaded"
--- a/packages/gateway/src/tamarack_gateway/peer_messages.py
+++ b/packages/gateway/src/tamarack_gateway/peer_messages.py
@@ -20,6 +20,8 @@
         Address for callers.
     ready, fresh
         Whether callers should be sent there, and whether it has confirmed its configuration lately.
+    overloaded
+        Whether its event loop is behind, so that callers should be sent elsewhere.
     """
 
     router: str
@@ -28,6 +30,7 @@
     callers: str
     ready: bool
     fresh: bool
+    overloaded: bool = False
 
 
 @message(64)
--- a/packages/gateway/src/tamarack_gateway/router_status.py
+++ b/packages/gateway/src/tamarack_gateway/router_status.py
@@ -16,6 +16,7 @@
     failure_domain: str
     ready: bool
     fresh: bool
+    overloaded: bool
     heard_ms_ago: int
 
 
@@ -85,6 +86,7 @@
             "failure_domain": member.failure_domain,
             "ready": member.ready,
             "fresh": member.fresh,
+            "overloaded": member.overloaded,
             "heard_ms_ago": round(now_ms - member.heard_ms),
         }
         for member in members.known()
--- a/packages/gateway/src/tamarack_gateway/send_notes.py
+++ b/packages/gateway/src/tamarack_gateway/send_notes.py
@@ -5,6 +5,7 @@
 from tamarack_core.endpoint_book import Endpoint
 from tamarack_core.placement import Choice
 from tamarack_core.prompt import Prompt
+from tamarack_core.ruleset import Route
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.outbox import Outbox
 from tamarack_gateway.send_result import Result, Verdict
@@ -52,6 +53,24 @@
         self._state.shares.ask(self._workspace, charge, self._state.clock.now_ms)
         self._outbox.asked(self._workspace, charge)
 
+    def placed(self, choice: Choice, route: Route, service: str, send: int, left_ms: float) -> None:
+        """Log where the request's next send goes, and by what this was decided."""
+        state = self._state
+        age_ms = state.freshness.age_ms(state.clock.now_ms)
+        state.log.request(
+            "placed",
+            self._attempt,
+            route=route.name,
+            service=service,
+            endpoint=choice.endpoint.name,
+            send=send,
+            first_token_ms=round(choice.first_token_ms),
+            unread_tokens=choice.unread_tokens,
+            left_ms=round(left_ms),
+            version=state.rules.version if state.rules else 0,
+            confirmed_ms_ago=round(min(age_ms, 1e9)),
+        )
+
     def sent(self, choice: Choice) -> None:
         """Take in that it is sent to an endpoint."""
         state, prompt, now_ms = self._state, self._prompt, self._state.clock.now_ms
--- a/tests/test_callers_who_left.py
+++ b/tests/test_callers_who_left.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import socket
 import time
 from typing import Any
@@ -15,7 +16,9 @@
 from tamarack_core.admission import Admission, Decision
 from tamarack_core.loop_lag import LATE_MS, LATE_SAMPLES
 from tamarack_gateway import exchange
+from tamarack_gateway.fleet_members import FleetMembers, Member
 from tamarack_gateway.gateway import Gateway
+from tamarack_gateway.listeners import ACCEPTS
 from tamarack_gateway.send_notes import SendNotes
 from tamarack_standins.platform_worker import PlatformWorker, Script
 
@@ -198,3 +201,41 @@
             kept_writer.close()
 
     play(story())
+
+
+def test_where_most_routers_are_overloaded_all_are_named() -> None:
+    """Symptom: callers are told no address, or those of a few routers that are then overrun.
+
+    Sequence: so much is asked that most loops fall behind. Cause: whoever was behind was left out.
+    """
+    members = FleetMembers()
+    for number in range(5):
+        members.heard(Member(f"r{number}", 1, "a", f"c{number}", True, 0.0, overloaded=number > 1))
+    me = Member("me", 1, "a", "c-me", True, 0.0, overloaded=True)
+    assert len(members.addresses(me, "a", 0.0)) == 6
+    members.heard(Member("r2", 1, "a", "c2", True, 0.0))
+    assert sorted(members.addresses(me, "a", 0.0)) == ["c0", "c1", "c2"]
+
+
+def test_few_connections_are_accepted_in_one_round() -> None:
+    """Symptom: a router notices seconds later that it is overloaded, and reads nothing meanwhile.
+
+    Sequence: a thousand callers connect at once. Cause: the loop accepts as many connections in one
+    round as may wait, and each brings work that is done before the next reading.
+    """
+
+    async def story() -> None:
+        async with Fleet({"web": [PlatformWorker("w1")]}) as fleet:
+            host, _, port = fleet.gateway.callers.rpartition(":")
+            waiting = 3 * ACCEPTS
+            callers = [socket.create_connection((host, int(port))) for _ in range(waiting)]
+            counts = [0]
+            async with asyncio.timeout(5):
+                while counts[-1] < waiting:
+                    await asyncio.sleep(0)
+                    counts.append(len(fleet.gateway._connections))
+            assert max(b - a for a, b in itertools.pairwise(counts)) <= ACCEPTS
+            for caller in callers:
+                caller.close()
+
+    play(story())
