--- a/packages/gateway/src/tamarack_gateway/caller_handler.py
+++ b/packages/gateway/src/tamarack_gateway/caller_handler.py
@@ -11,6 +11,7 @@
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.gateway_metrics import GatewayMetrics
 from tamarack_gateway.http_messages import Request
+from tamarack_gateway.loop_watch import LoopWatch
 from tamarack_gateway.outbox import Outbox
 from tamarack_gateway.site import RequestDialect
 
@@ -18,6 +19,10 @@
 """Age of the configuration beyond which an unknown route or key is not denied: it may have been
 added since, and a caller does not come back after a denial."""
 
+OVERLOAD_RETRY_MS = 100.0
+"""Least time after which a caller of an overloaded router may come back, on a new connection and so
+most likely elsewhere; it is spread up to twice that."""
+
 ROUTER_ENDS = "the router ends"
 """Why a request is ended that still runs at the router's last exit, in logs and metrics."""
 
@@ -38,12 +43,14 @@
         pool: ConnectionPool,
         outbox: Outbox,
         metrics: GatewayMetrics,
+        watch: LoopWatch,
     ) -> None:
         self._state = state
         self._dialect = dialect
         self._pool = pool
         self._outbox = outbox
         self._metrics = metrics
+        self._watch = watch
         self._clock = state.clock
         self._log = state.log
         self.ending = False
@@ -55,6 +62,11 @@
         if facts is None:
             caller.answer(400, [])
             return
+        if self._watch.sheds:
+            # Before any other work: it has no time for more, and elsewhere there is some.
+            caller.closing = True
+            self._refuse(caller, facts.attempt, "overloaded", OVERLOAD_RETRY_MS)
+            return
         rules = state.rules
         if state.leaving is not None and not state.leaving.lingers(self._clock.now_ms):
             # Nobody has this address by a valid answer any more; the router ends with what runs.
@@ -100,7 +112,8 @@
         now_ms, plan = self._clock.now_ms, self._state.leaving
         ran_ms = round(now_ms - request.arrived_ms)
         if not self.ending:
-            self._log.request("abandoned", attempt, waited_ms=ran_ms)
+            sent = "after it was sent" if exchange.sends else "before it was sent"
+            self._log.request("abandoned", attempt, reason=sent, waited_ms=ran_ms)
             return
         stopping_ms = None if plan is None else round(now_ms - plan.asked_ms)
         became = exchange.end()
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -24,6 +24,7 @@
 from tamarack_gateway.outbox import Outbox
 from tamarack_gateway.send_notes import UNREACHED_WEIGHT, SendNotes
 from tamarack_gateway.send_result import Result, Verdict
+from tamarack_gateway.sending_connection import sending_connection
 from tamarack_gateway.site import RequestDialect, RequestFacts
 from tamarack_gateway.time_to_end import TimeToEnd
 
@@ -97,12 +98,10 @@
         self._may_have_run = False
         self._tried: set[str] = set()
 
-    async def run(self) -> None:
-        """Answer the request."""
-        state = self._state
-        state.allowance.note_request(self._service, state.clock.now_ms)
-        self._notes.asked()
-        await self._attempts()
+    @property
+    def sends(self) -> int:
+        """How often the request was sent to an endpoint."""
+        return self._sends
 
     def end(self) -> str:
         """Answer as well as the router's own end allows; returns what became of the request.
@@ -126,6 +125,13 @@
     def _left_ms(self) -> float:
         return self._until_ms - self._state.clock.now_ms
 
+    async def run(self) -> None:
+        """Answer the request."""
+        state = self._state
+        state.allowance.note_request(self._service, state.clock.now_ms)
+        self._notes.asked()
+        await self._attempts()
+
     async def _attempts(self) -> None:
         connects = 0
         last = Result(Verdict.NOT_RUN, "no endpoint")
@@ -144,10 +150,11 @@
                     self._answer.refuse(503, decision.wait_ms)
                     return None
             try:
-                connection = await self._pool.take(choice.endpoint.address)
+                address = choice.endpoint.address
+                connection = await sending_connection(self._pool, address, self._caller)
             except ConnectError as error:
                 connects += 1
-                self._pool.drop(choice.endpoint.address)
+                self._pool.drop(address)
                 self._notes.failure(choice.endpoint, f"connect: {error}", weight=UNREACHED_WEIGHT)
                 self._tried.add(choice.endpoint.name)
                 if connects >= CONNECT_TRIES:
@@ -218,7 +225,7 @@
         endpoint, state = choice.endpoint, self._state
         self._sends += 1
         self._tried.add(endpoint.name)
-        self._log_placed(choice)
+        self._notes.placed(choice, self._route, self._service, self._sends, self._left_ms)
         self._notes.sent(choice)
         sent_ms = state.clock.now_ms
         whole = False
@@ -245,23 +252,6 @@
             )
         return result
 
-    def _log_placed(self, choice: Choice) -> None:
-        state = self._state
-        age_ms = state.freshness.age_ms(state.clock.now_ms)
-        state.log.request(
-            "placed",
-            self._facts.attempt,
-            route=self._route.name,
-            service=self._service,
-            endpoint=choice.endpoint.name,
-            send=self._sends,
-            first_token_ms=round(choice.first_token_ms),
-            unread_tokens=choice.unread_tokens,
-            left_ms=round(self._left_ms),
-            version=state.rules.version if state.rules else 0,
-            confirmed_ms_ago=round(min(age_ms, 1e9)),
-        )
-
     async def _ask(self, choice: Choice, connection: EndpointConnection) -> Result:
         data = self._dialect.for_endpoint(
             self._request,
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -10,7 +10,7 @@
 from tamarack_core.leaving import plan_leaving
 from tamarack_core.relay_plan import Peer
 from tamarack_gateway.cache_inventory import CacheInventory
-from tamarack_gateway.caller_connection import CallerConnection, TurnedAway
+from tamarack_gateway.caller_connection import CallerConnection
 from tamarack_gateway.caller_handler import CallerHandler
 from tamarack_gateway.connection_pool import ConnectionPool
 from tamarack_gateway.decision_log import DecisionLog
@@ -18,6 +18,8 @@
 from tamarack_gateway.fleet_members import FleetMembers, Member
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.gateway_metrics import GatewayMetrics
+from tamarack_gateway.listeners import Listeners
+from tamarack_gateway.loop_watch import LoopWatch
 from tamarack_gateway.outbox import Outbox, Placements
 from tamarack_gateway.own_pages import OwnPages
 from tamarack_gateway.peer_group import PeerGroup
@@ -25,19 +27,11 @@
 from tamarack_gateway.site import Site
 from tamarack_gateway.table_follower import TableNews
 
-BACKLOG = 1_024
-"""Connections that wait to be accepted; a full queue costs a caller seconds."""
-
 READERS_SETTLE_MS = 1_000.0
 """Time after its start in which a router of a large fleet, having read the store once, leaves it to
 the others to go on: it has not heard who they are, and would take itself for a reader. Of 66
 routers that start together each made three calls more, a quarter of a short day's calls."""
 
-CALLERS_PART = 0.6
-"""Part of the descriptors that callers' connections may take; the rest is for endpoints, the store
-and other routers. A router without one left can neither accept nor connect, and requests that it
-has read are lost; callers that are turned away at once go to another router."""
-
 SWEEP_MS = 500.0
 """Time between two looks at idle connections and silent peers."""
 
@@ -61,8 +55,15 @@
         self._pool = ConnectionPool(clock)
         self._outbox = Outbox()
         self._members = FleetMembers()
+        self._connections: set[CallerConnection] = set()
+        self._watch = LoopWatch(
+            clock, log, self._connections, changed=lambda: self._peers.tell_summary()
+        )
         self._metrics = GatewayMetrics(
-            self._state, self._pool, store_calls=lambda: self._feeds.calls
+            self._state,
+            self._pool,
+            store_calls=lambda: self._feeds.calls,
+            loop=self._watch.status,
         )
         self._pages = OwnPages(
             self._state,
@@ -71,12 +72,12 @@
             site.directory,
             me=lambda: self._me,
             relays=lambda: self._peers.relays,
+            loop=self._watch.status,
         )
         self._handler = CallerHandler(
-            self._state, site.requests, self._pool, self._outbox, self._metrics
+            self._state, site.requests, self._pool, self._outbox, self._metrics, self._watch
         )
-        self._connections: set[CallerConnection] = set()
-        self._servers: list[asyncio.Server] = []
+        self._listeners = Listeners(self._state, clock, self._watch, self._connections)
         self._tasks: list[asyncio.Task[Any]] = []
         self._stack = contextlib.AsyncExitStack()
         self._peers = PeerGroup(
@@ -113,12 +114,14 @@
     async def __aenter__(self) -> Gateway:
         settings = self._settings
         await self._stack.enter_async_context(self._peers)
+        self._stack.enter_context(self._watch)
         self._feeds.start(self._peers.address, self._boot)
-        self._callers = await self._listen(settings.callers, self._handler.answer)
+        listen = self._listeners.listen
+        self._callers = await listen(settings.callers, self._handler.answer, for_callers=True)
         for address in dict.fromkeys((settings.readiness, settings.directory)):
             if address:
-                self._site_addresses.append(await self._listen(address, self._pages.answer_site))
-        self._metrics_address = await self._listen(settings.metrics, self._pages.answer_operator)
+                self._site_addresses.append(await listen(address, self._pages.answer_site))
+        self._metrics_address = await listen(settings.metrics, self._pages.answer_operator)
         self._tasks.append(asyncio.ensure_future(self._inventory.run()))
         self._tasks.append(asyncio.ensure_future(self._sweep()))
         self._tasks.append(asyncio.ensure_future(self._flush()))
@@ -130,8 +133,7 @@
         for task in self._tasks:
             task.cancel()
         await self._feeds.close()
-        for server in self._servers:
-            server.close()
+        self._listeners.close()
         self._handler.ending = True
         await asyncio.gather(*(connection.stop() for connection in list(self._connections)))
         self._pool.close()
@@ -200,28 +202,6 @@
 
     # callers
 
-    async def _listen(self, address: str, handler: Any) -> str:
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        state = self._state
-
-        def accept() -> asyncio.Protocol:
-            if len(self._connections) >= CALLERS_PART * self._settings.descriptors:
-                self._log.event("a caller was turned away", connections=len(self._connections))
-                return TurnedAway()
-            connection = CallerConnection(
-                handler, self._clock, lambda: state.bounds, self._connections
-            )
-            connection.closing = state.leaving is not None
-            return connection
-
-        server = await loop.create_server(
-            accept, host, int(port), backlog=BACKLOG, reuse_address=True
-        )
-        self._servers.append(server)
-        bound = server.sockets[0].getsockname()
-        return f"{bound[0]}:{bound[1]}"
-
     # peers
 
     @property
@@ -235,6 +215,7 @@
             self._state.ready,
             self._clock.now_ms,
             self._state.fresh,
+            overloaded=self._watch.overloaded,
         )
 
     def _follow(self, peers: dict[str, Peer]) -> None:
@@ -274,6 +255,7 @@
             now_ms,
             summary.fresh,
             stamp_ms,
+            summary.overloaded,
         )
         self._members.heard(member)
 
@@ -301,6 +283,7 @@
             me.callers,
             me.ready,
             me.fresh,
+            me.overloaded,
         )
 
     # housekeeping
--- a/packages/gateway/src/tamarack_gateway/router_status.py
+++ b/packages/gateway/src/tamarack_gateway/router_status.py
@@ -6,6 +6,7 @@
 
 from tamarack_gateway.fleet_members import FleetMembers
 from tamarack_gateway.fleet_state import FleetState
+from tamarack_gateway.loop_watch import LoopStatus
 
 
 class MemberStatus(TypedDict):
@@ -15,6 +16,7 @@
     failure_domain: str
     ready: bool
     fresh: bool
+    overloaded: bool
     heard_ms_ago: int
 
 
@@ -51,12 +53,15 @@
     relays: bool
     version: int
     confirmed_ms_ago: int | None
+    loop: LoopStatus
     members: list[MemberStatus]
     endpoints: list[EndpointStatus]
     workspaces: list[WorkspaceStatus]
 
 
-def router_status(state: FleetState, members: FleetMembers, *, relays: bool) -> RouterStatus:
+def router_status(
+    state: FleetState, members: FleetMembers, loop: LoopStatus, *, relays: bool
+) -> RouterStatus:
     """Status of a router from what it holds; takes some microseconds for each entry."""
     age_ms = state.freshness.age_ms(state.clock.now_ms)
     return {
@@ -66,6 +71,7 @@
         "relays": relays,
         "version": state.rules.version if state.rules else 0,
         "confirmed_ms_ago": None if age_ms == float("inf") else round(age_ms),
+        "loop": loop,
         "members": _members(state, members),
         "endpoints": _endpoints(state),
         "workspaces": _workspaces(state),
@@ -80,6 +86,7 @@
             "failure_domain": member.failure_domain,
             "ready": member.ready,
             "fresh": member.fresh,
+            "overloaded": member.overloaded,
             "heard_ms_ago": round(now_ms - member.heard_ms),
         }
         for member in members.known()
