Tell what a request was refused by, and what the largest workspaces get

Cause: lines of refused and held requests named the standing alone, and metrics counted reasons over all workspaces. Of three causes that an unequal service may have, none could be told from the others afterwards. Change: the decision keeps the queue and the bound that it was made by; the lines tell both, the lead, what was unread, and the shortest wait at any engine of the service. Metrics and status tell tokens asked and served, standing and lead of the twenty workspaces that ask for most. No decision changes.

Tests: a refusal tells the queue and the bound; the workspaces that ask most are told of; metrics tell what they ask for and get.

--- a/packages/core/src/tamarack_core/admission.py
+++ b/packages/core/src/tamarack_core/admission.py
@@ -81,11 +81,15 @@
     wait_ms
         Milliseconds after which a held request is looked at again, or a refused caller should come
         back.
+    queue_ms, bound_ms
+        Predicted wait behind the work of others, and the longest that it might have been.
     """
 
     verdict: Admission
     reason: str
     wait_ms: float = 0.0
+    queue_ms: float = 0.0
+    bound_ms: float = 0.0
 
 
 def admit(
@@ -133,10 +137,12 @@
     bound_ms = max(0.0, min(part * aim_ms - waited_ms, part * yielding_ms))
     queue_ms = max(0.0, first_token_ms - unavoidable_ms)
     if queue_ms <= bound_ms and first_token_ms < left_ms:
-        return Decision(Admission.ADMITTED, "in time")
+        return Decision(Admission.ADMITTED, "in time", 0.0, queue_ms, bound_ms)
     over_ms = queue_ms - bound_ms
     if standing <= 1.0 and over_ms <= HOLD_PART * aim_ms - waited_ms and first_token_ms < left_ms:
-        return Decision(Admission.HELD, "the queue will shrink", max(HOLD_MIN_MS, over_ms))
+        held_ms = max(HOLD_MIN_MS, over_ms)
+        return Decision(Admission.HELD, "the queue will shrink", held_ms, queue_ms, bound_ms)
     reason = "beyond its share" if standing > 1.0 else "would wait too long"
     excess_ms = max(RETRY_MIN_MS, queue_ms - 0.5 * bound_ms)
-    return Decision(Admission.REFUSED, reason, excess_ms * (1.0 + RETRY_SPREAD * draw))
+    back_ms = excess_ms * (1.0 + RETRY_SPREAD * draw)
+    return Decision(Admission.REFUSED, reason, back_ms, queue_ms, bound_ms)
--- a/packages/core/src/tamarack_core/workspace_shares.py
+++ b/packages/core/src/tamarack_core/workspace_shares.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import NamedTuple
 
 SLICE_MS = 250.0
 """Width of the slices in which tokens are counted; a window has some sixteen of them."""
@@ -12,6 +13,26 @@
 requests that come back are asked twice."""
 
 
+class WorkspaceReading(NamedTuple):
+    """What one workspace asked for and got in the window.
+
+    Attributes
+    ----------
+    asked, served
+        Tokens; of requests that were refused and came back, `asked` counts each coming.
+    standing
+        How many times its share it was served.
+    lead
+        How many times as much it was served as the backlogged workspace with least.
+    """
+
+    workspace: str
+    asked: float
+    served: float
+    standing: float
+    lead: float
+
+
 class WorkspaceShares:
     """Counts what workspaces ask for and get, over all routers, in a sliding window.
 
@@ -79,9 +100,20 @@
         ]
         return max(1.0, own / min(backlogged, default=own))
 
-    def standings(self, tokens_per_s: float, now_ms: float) -> dict[str, float]:
-        """Standing of each workspace that asked for anything in this window."""
-        return {name: self.standing(name, tokens_per_s, now_ms) for name in list(self._asked)}
+    def largest(self, count: int, tokens_per_s: float, now_ms: float) -> list[WorkspaceReading]:
+        """Readings of the workspaces that asked for most in this window, largest first."""
+        self._slice(now_ms)
+        names = sorted(self._asked, key=lambda name: -self._asked[name])[:count]
+        return [self._reading(name, tokens_per_s, now_ms) for name in names]
+
+    def _reading(self, workspace: str, tokens_per_s: float, now_ms: float) -> WorkspaceReading:
+        return WorkspaceReading(
+            workspace,
+            self._asked.get(workspace, 0.0),
+            self._served.get(workspace, 0.0),
+            self.standing(workspace, tokens_per_s, now_ms),
+            self.lead(workspace, tokens_per_s, now_ms),
+        )
 
     def _slice(self, now_ms: float) -> tuple[float, dict[str, float], dict[str, float]]:
         while self._slices and self._slices[0][0] < now_ms - self._window_ms:
--- /dev/null
+++ b/packages/gateway/src/tamarack_gateway/engine_gate.py
@@ -0,0 +1,94 @@
+"""Whether one request may go to an engine now, and the log of why not."""
+
+from __future__ import annotations
+
+from tamarack_core.admission import Admission, Decision, admit
+from tamarack_core.placement import Choice
+from tamarack_core.prompt import Prompt
+from tamarack_core.ruleset import Route
+from tamarack_gateway.fleet_state import FleetState
+from tamarack_gateway.http_messages import Request
+from tamarack_gateway.site import RequestFacts
+
+
+class EngineGate:
+    """Decides for one request whether it is sent, held back or refused.
+
+    Parameters
+    ----------
+    workspace
+        Workspace of the caller's key; None for a request without one.
+    """
+
+    def __init__(
+        self,
+        state: FleetState,
+        service: str,
+        request: Request,
+        facts: RequestFacts,
+        route: Route,
+        workspace: str | None,
+    ) -> None:
+        self._state = state
+        self._service = service
+        self._arrived_ms = request.arrived_ms
+        self._facts = facts
+        self._route = route
+        self._workspace = workspace
+
+    def decide(self, choice: Choice, prompt: Prompt, left_ms: float) -> Decision:
+        """Decide on sending the request to the engine chosen, with `left_ms` to its deadline."""
+        state, now_ms = self._state, self._state.clock.now_ms
+        model = state.models[choice.endpoint.name]
+        aim_ms = self._route.aim_ms
+        standing, lead = self._position(now_ms)
+        decision = admit(
+            first_token_ms=choice.first_token_ms,
+            unavoidable_ms=model.reading_ms(prompt) * model.pace(now_ms),
+            aim_ms=aim_ms,
+            shortest_aim_ms=state.shortest_aim_ms(self._service, aim_ms),
+            waited_ms=now_ms - self._arrived_ms,
+            left_ms=left_ms,
+            standing=standing,
+            lead=lead,
+            returned=state.returns.returned(self._route.name, self._facts.wait_ms),
+            draw=state.random.random(),
+        )
+        if decision.verdict is not Admission.ADMITTED:
+            self._log(choice, decision, standing, lead)
+        return decision
+
+    def _position(self, now_ms: float) -> tuple[float, float]:
+        state, rules = self._state, self._state.rules
+        if rules is None or self._workspace is None:
+            return 0.0, 1.0
+        rate = rules.tokens_per_s
+        standing = state.shares.standing(self._workspace, rate, now_ms)
+        return standing, state.shares.lead(self._workspace, rate, now_ms)
+
+    def _log(self, choice: Choice, decision: Decision, standing: float, lead: float) -> None:
+        # The shortest wait anywhere tells a full service from one whose free engines do not keep
+        # this prompt's parts; the bound and the lead tell whose work the queue was kept free for.
+        state = self._state
+        state.log.request(
+            decision.verdict.value,
+            self._facts.attempt,
+            reason=decision.reason,
+            workspace=self._workspace,
+            endpoint=choice.endpoint.name,
+            first_token_ms=round(choice.first_token_ms),
+            queue_ms=round(decision.queue_ms),
+            bound_ms=round(decision.bound_ms),
+            least_wait_ms=round(self._least_wait_ms()),
+            unread_tokens=choice.unread_tokens,
+            aim_ms=self._route.aim_ms,
+            standing=round(standing, 2),
+            lead=round(lead, 2),
+            wait_ms=round(decision.wait_ms),
+        )
+
+    def _least_wait_ms(self) -> float:
+        state = self._state
+        now_ms = state.clock.now_ms
+        names = [endpoint.name for endpoint in state.usable(self._service)]
+        return min((state.models[name].wait_ms(now_ms) for name in names), default=0.0)
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Awaitable
 
-from tamarack_core.admission import Admission, Decision, admit
+from tamarack_core.admission import Admission
 from tamarack_core.placement import Choice, choose_engine, choose_plain
 from tamarack_core.prompt import Prompt
 from tamarack_core.ruleset import Route
@@ -16,6 +16,7 @@
     ConnectError,
     EndpointConnection,
 )
+from tamarack_gateway.engine_gate import EngineGate
 from tamarack_gateway.event_splitter import BadStreamError, Event, EventSplitter
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.http_messages import AnswerHead, Request
@@ -80,6 +81,7 @@
         self._workspace = workspace
         self._service = route.service_for(state.random.random())
         self._notes = SendNotes(state, outbox, facts.attempt, workspace, self._prompt)
+        self._gate = EngineGate(state, self._service, request, facts, route, workspace)
         self._splitter = EventSplitter(facts.last_event)
         limit_ms = route.time_limit_ms
         if facts.wait_ms is not None:
@@ -112,7 +114,7 @@
             if choice is None or not self._keys_hold():
                 return self._give_up(last)
             if self._sends == 0 and self._prompt is not None:
-                decision = self._admit(choice, self._prompt)
+                decision = self._gate.decide(choice, self._prompt, self._left_ms)
                 if decision.verdict is Admission.HELD:
                     await asyncio.sleep(decision.wait_ms / 1000)
                     continue
@@ -161,49 +163,6 @@
             return False
         return state.rules.workspace_of(self._facts.key or "") == self._workspace
 
-    def _admit(self, choice: Choice, prompt: Prompt) -> Decision:
-        state, now_ms = self._state, self._state.clock.now_ms
-        standing = self._standing(now_ms)
-        model = state.models[choice.endpoint.name]
-        aim_ms = self._route.aim_ms
-        decision = admit(
-            first_token_ms=choice.first_token_ms,
-            unavoidable_ms=model.reading_ms(prompt) * model.pace(now_ms),
-            aim_ms=aim_ms,
-            shortest_aim_ms=state.shortest_aim_ms(self._service, aim_ms),
-            waited_ms=now_ms - self._request.arrived_ms,
-            left_ms=self._left_ms,
-            standing=standing,
-            lead=self._lead(now_ms),
-            returned=state.returns.returned(self._route.name, self._facts.wait_ms),
-            draw=state.random.random(),
-        )
-        if decision.verdict is not Admission.ADMITTED:
-            state.log.request(
-                decision.verdict.value,
-                self._facts.attempt,
-                reason=decision.reason,
-                workspace=self._workspace,
-                endpoint=choice.endpoint.name,
-                first_token_ms=round(choice.first_token_ms),
-                aim_ms=aim_ms,
-                standing=round(standing, 2),
-                wait_ms=round(decision.wait_ms),
-            )
-        return decision
-
-    def _standing(self, now_ms: float) -> float:
-        rules = self._state.rules
-        if rules is None or self._workspace is None:
-            return 0.0
-        return self._state.shares.standing(self._workspace, rules.tokens_per_s, now_ms)
-
-    def _lead(self, now_ms: float) -> float:
-        rules = self._state.rules
-        if rules is None or self._workspace is None:
-            return 1.0
-        return self._state.shares.lead(self._workspace, rules.tokens_per_s, now_ms)
-
     # one send
 
     async def _send(self, choice: Choice, connection: EndpointConnection) -> Result:
--- a/packages/gateway/src/tamarack_gateway/gateway_metrics.py
+++ b/packages/gateway/src/tamarack_gateway/gateway_metrics.py
@@ -9,6 +9,7 @@
 from tamarack_core.ruleset import Route
 from tamarack_gateway.connection_pool import ConnectionPool
 from tamarack_gateway.fleet_state import FleetState
+from tamarack_gateway.router_status import workspace_statuses
 
 LATENCY_MS = [5.0, 10.0, 25.0, 50.0, 100.0, 250.0, 500.0, 1_000.0, 2_500.0, 5_000.0, 10_000.0]
 """Upper bounds of the latency histogram in milliseconds, from an answer of a plain service to the
@@ -43,6 +44,11 @@
         self._decisions = Gauge(
             "decisions", "Decisions about requests by their reason", registry=self._registry
         )
+        self._workspaces = Gauge(
+            "workspaces",
+            "What the largest workspaces asked for and got in the window",
+            registry=self._registry,
+        )
         self._gauges = Gauge("state", "What the router believes", registry=self._registry)
 
     def began(self, route: Route) -> None:
@@ -77,5 +83,21 @@
             self._gauges.set({"name": "failures", "endpoint": name}, record.failures(now_ms))
         for (decision, reason), count in state.log.decisions.items():
             self._decisions.set({"decision": decision, "reason": reason}, count)
+        self._read_workspaces()
         content, headers = render(self._registry, ["text/plain"])
         return content, headers.get("Content-Type", "text/plain")
+
+    def _read_workspaces(self) -> None:
+        # Those that are no longer among the largest are left out: their last reading would stand
+        # for ever, and the page would grow by each workspace that was ever large.
+        self._workspaces.values.clear()
+        for row in workspace_statuses(self._state):
+            readings = {
+                "asked_tokens": row["asked"],
+                "served_tokens": row["served"],
+                "standing": row["standing"],
+                "lead": row["lead"],
+            }
+            for name, value in readings.items():
+                labels = {"name": name, "workspace": row["workspace"]}
+                self._workspaces.set(labels, float(value))
--- a/packages/gateway/src/tamarack_gateway/router_status.py
+++ b/packages/gateway/src/tamarack_gateway/router_status.py
@@ -7,6 +7,10 @@
 from tamarack_gateway.fleet_members import FleetMembers
 from tamarack_gateway.fleet_state import FleetState
 
+LARGEST_WORKSPACES = 20
+"""Workspaces that are told of, by what they ask; a site may have thousands, and those that ask for
+little are neither refused nor in the way of others."""
+
 
 class MemberStatus(TypedDict):
     """Another router as it was heard last."""
@@ -36,10 +40,17 @@
 
 
 class WorkspaceStatus(TypedDict):
-    """A workspace that asked for work lately; `standing` is what it was served, in shares."""
+    """One of the workspaces that asked for most lately, over all routers.
+
+    `asked` and `served` are tokens in the window; `standing` is what it was served in shares,
+    `lead` as a multiple of what the backlogged workspace with least was served.
+    """
 
     workspace: str
+    asked: int
+    served: int
     standing: float
+    lead: float
 
 
 class RouterStatus(TypedDict):
@@ -68,7 +79,7 @@
         "confirmed_ms_ago": None if age_ms == float("inf") else round(age_ms),
         "members": _members(state, members),
         "endpoints": _endpoints(state),
-        "workspaces": _workspaces(state),
+        "workspaces": workspace_statuses(state),
     }
 
 
@@ -110,10 +121,19 @@
     return found
 
 
-def _workspaces(state: FleetState) -> list[WorkspaceStatus]:
+def workspace_statuses(state: FleetState) -> list[WorkspaceStatus]:
+    """Rows of the workspaces that asked for most in the window."""
     rules, now_ms = state.rules, state.clock.now_ms
     if rules is None:
         return []
-    standings = state.shares.standings(rules.tokens_per_s, now_ms)
-    ranked = sorted(standings.items(), key=lambda entry: -entry[1])
-    return [{"workspace": name, "standing": round(value, 2)} for name, value in ranked]
+    readings = state.shares.largest(LARGEST_WORKSPACES, rules.tokens_per_s, now_ms)
+    return [
+        {
+            "workspace": reading.workspace,
+            "asked": round(reading.asked),
+            "served": round(reading.served),
+            "standing": round(reading.standing, 2),
+            "lead": round(reading.lead, 2),
+        }
+        for reading in readings
+    ]
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -366,6 +366,34 @@
     assert decide(first_token_ms=40.0, unavoidable_ms=20.0, standing=7.0, lead=2.8)
 
 
+def test_a_refusal_tells_the_queue_and_the_bound_that_it_was_decided_by() -> None:
+    """Symptom: a workspace is refused for seconds, and nobody can tell afterwards what for.
+
+    Sequence: many refusals `beyond its share`, each with the standing alone. Cause: neither the
+    bound that followed from standing and lead nor the queue it was held against was told.
+    """
+    refused = decision(first_token_ms=200.0, standing=3.0, lead=2.0)
+    assert refused.verdict is Admission.REFUSED
+    assert refused.queue_ms == pytest.approx(140.0)
+    assert 0.0 < refused.bound_ms < refused.queue_ms
+    held = decision(first_token_ms=560.0, aim_ms=1_600.0)
+    assert (held.queue_ms, held.bound_ms) == (pytest.approx(500.0), pytest.approx(340.0))
+    assert decision(first_token_ms=90.0).queue_ms == pytest.approx(30.0)
+
+
+def test_the_workspaces_that_ask_most_are_told_of() -> None:
+    shares = WorkspaceShares(4_000.0)
+    for number in range(30):
+        shares.ask(f"w{number}", 1_000.0 * number, 0.0)
+        shares.serve(f"w{number}", 500.0 * number, 0.0)
+    rows = shares.largest(3, 10_000.0, 0.0)
+    assert [row.workspace for row in rows] == ["w29", "w28", "w27"]
+    assert (rows[0].asked, rows[0].served) == (29_000.0, 14_500.0)
+    assert rows[0].standing == pytest.approx(shares.standing("w29", 10_000.0, 0.0))
+    assert rows[0].lead == pytest.approx(shares.lead("w29", 10_000.0, 0.0))
+    assert shares.largest(3, 10_000.0, 9_000.0) == []
+
+
 def test_shares_are_even_for_those_who_ask_for_more() -> None:
     shares = WorkspaceShares(4_000.0)
     for workspace, tokens in (("small", 1_000.0), ("large", 9_000.0), ("larger", 30_000.0)):
--- a/tests/test_router_view.py
+++ b/tests/test_router_view.py
@@ -9,6 +9,7 @@
 from gateway_site import Fleet, connect, play, read_answer, until
 
 from tamarack_ctl.main import main
+from tamarack_gateway.router_status import LARGEST_WORKSPACES
 from tamarack_standins.platform_worker import PlatformWorker, Script
 
 STREAM = Script(events=2)
@@ -59,6 +60,30 @@
     play(story())
 
 
+def test_metrics_tell_what_the_largest_workspaces_ask_for_and_get() -> None:
+    """Symptom: operators cannot tell a workspace that floods from one that is kept from its share.
+
+    Sequence: several workspaces are refused. Cause: counts were kept over all workspaces, and the
+    page told none of them. A page that told all would grow with each workspace there is.
+    """
+
+    async def story() -> None:
+        async with Fleet({"pool": [PlatformWorker("e1", STREAM)]}) as fleet:
+            assert (await fleet.ask("/draft/1")).status == 200
+            shares, clock = fleet.gateway.state.shares, fleet.gateway.state.clock
+            for number in range(40):
+                shares.ask(f"other-{number}", 1e6 + number, clock.now_ms)
+            reader, writer = await connect(fleet.gateway.metrics_address)
+            writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+            text = (await read_answer(reader)).body.decode()
+            writer.close()
+        assert 'workspaces{name="asked_tokens",workspace="other-39"} 1000039' in text
+        assert 'workspaces{name="served_tokens",workspace="other-39"} 0' in text
+        assert text.count('name="asked_tokens"') == LARGEST_WORKSPACES
+
+    play(story())
+
+
 def test_an_address_without_a_router_is_said_so(capsys: pytest.CaptureFixture[str]) -> None:
     assert main(["router", "127.0.0.1:9"]) == 3
     assert "does not answer" in capsys.readouterr().out
