Place a generation and decide on it in one pure function

Cause: choosing an engine and admitting to it met only in the exchange, among sockets, so that no test could play both on a held clock. Change: `place_admitted` in the core does both; the gateway's gate hands it what the router believes. No decision changes.

--- a/packages/core/src/tamarack_core/workspace_shares.py
+++ b/packages/core/src/tamarack_core/workspace_shares.py
@@ -13,24 +13,34 @@
 requests that come back are asked twice."""
 
 
-class WorkspaceReading(NamedTuple):
-    """What one workspace asked for and got in the window.
+class Position(NamedTuple):
+    """Where a workspace is beside its share and beside the others.
 
     Attributes
     ----------
-    asked, served
-        Tokens; of requests that were refused and came back, `asked` counts each coming.
     standing
         How many times its share it was served.
     lead
         How many times as much it was served as the backlogged workspace with least.
     """
 
+    standing: float = 0.0
+    lead: float = 1.0
+
+
+class WorkspaceReading(NamedTuple):
+    """What one workspace asked for and got in the window.
+
+    Attributes
+    ----------
+    asked, served
+        Tokens; of requests that were refused and came back, `asked` counts each coming.
+    """
+
     workspace: str
     asked: float
     served: float
-    standing: float
-    lead: float
+    position: Position
 
 
 class WorkspaceShares:
@@ -100,6 +110,11 @@
         ]
         return max(1.0, own / min(backlogged, default=own))
 
+    def position(self, workspace: str, tokens_per_s: float, now_ms: float) -> Position:
+        """Standing and lead of a workspace."""
+        standing = self.standing(workspace, tokens_per_s, now_ms)
+        return Position(standing, self.lead(workspace, tokens_per_s, now_ms))
+
     def largest(self, count: int, tokens_per_s: float, now_ms: float) -> list[WorkspaceReading]:
         """Readings of the workspaces that asked for most in this window, largest first."""
         self._slice(now_ms)
@@ -111,8 +126,7 @@
             workspace,
             self._asked.get(workspace, 0.0),
             self._served.get(workspace, 0.0),
-            self.standing(workspace, tokens_per_s, now_ms),
-            self.lead(workspace, tokens_per_s, now_ms),
+            self.position(workspace, tokens_per_s, now_ms),
         )
 
     def _slice(self, now_ms: float) -> tuple[float, dict[str, float], dict[str, float]]:
--- a/packages/gateway/src/tamarack_gateway/engine_gate.py
+++ b/packages/gateway/src/tamarack_gateway/engine_gate.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
-from tamarack_core.admission import Admission, Decision, admit
+from collections.abc import Sequence
+
+from tamarack_core.admission import Admission, Decision
+from tamarack_core.admitted_placement import AdmittedPlacement, Engines, Terms, place_admitted
+from tamarack_core.endpoint_book import Endpoint
 from tamarack_core.placement import Choice
 from tamarack_core.prompt import Prompt
 from tamarack_core.ruleset import Route
+from tamarack_core.workspace_shares import Position
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.http_messages import Request
 from tamarack_gateway.site import RequestFacts
@@ -36,37 +41,34 @@
         self._route = route
         self._workspace = workspace
 
-    def decide(self, choice: Choice, prompt: Prompt, left_ms: float) -> Decision:
-        """Decide on sending the request to the engine chosen, with `left_ms` to its deadline."""
+    def place(
+        self, endpoints: Sequence[Endpoint], prompt: Prompt, left_ms: float
+    ) -> AdmittedPlacement | None:
+        """Pick an engine and decide on sending there, with `left_ms` to the deadline."""
         state, now_ms = self._state, self._state.clock.now_ms
-        model = state.models[choice.endpoint.name]
         aim_ms = self._route.aim_ms
-        standing, lead = self._position(now_ms)
-        decision = admit(
-            first_token_ms=choice.first_token_ms,
-            unavoidable_ms=model.reading_ms(prompt) * model.pace(now_ms),
+        terms = Terms(
             aim_ms=aim_ms,
             shortest_aim_ms=state.shortest_aim_ms(self._service, aim_ms),
             waited_ms=now_ms - self._arrived_ms,
             left_ms=left_ms,
-            standing=standing,
-            lead=lead,
             returned=state.returns.returned(self._route.name, self._facts.wait_ms),
             draw=state.random.random(),
         )
-        if decision.verdict is not Admission.ADMITTED:
-            self._log(choice, decision, standing, lead)
-        return decision
+        position = self._position(now_ms)
+        engines = Engines(endpoints, state.models, state.records)
+        placement = place_admitted(prompt, engines, position, terms, now_ms)
+        if placement is not None and placement.decision.verdict is not Admission.ADMITTED:
+            self._log(placement.choice, placement.decision, position)
+        return placement
 
-    def _position(self, now_ms: float) -> tuple[float, float]:
+    def _position(self, now_ms: float) -> Position:
         state, rules = self._state, self._state.rules
         if rules is None or self._workspace is None:
-            return 0.0, 1.0
-        rate = rules.tokens_per_s
-        standing = state.shares.standing(self._workspace, rate, now_ms)
-        return standing, state.shares.lead(self._workspace, rate, now_ms)
+            return Position()
+        return state.shares.position(self._workspace, rules.tokens_per_s, now_ms)
 
-    def _log(self, choice: Choice, decision: Decision, standing: float, lead: float) -> None:
+    def _log(self, choice: Choice, decision: Decision, position: Position) -> None:
         # The shortest wait anywhere tells a full service from one whose free engines do not keep
         # this prompt's parts; the bound and the lead tell whose work the queue was kept free for.
         state = self._state
@@ -82,8 +84,8 @@
             least_wait_ms=round(self._least_wait_ms()),
             unread_tokens=choice.unread_tokens,
             aim_ms=self._route.aim_ms,
-            standing=round(standing, 2),
-            lead=round(lead, 2),
+            standing=round(position.standing, 2),
+            lead=round(position.lead, 2),
             wait_ms=round(decision.wait_ms),
         )
 
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Sequence
 
-from tamarack_core.admission import Admission
+from tamarack_core.admission import Admission, Decision
+from tamarack_core.admitted_placement import AdmittedPlacement
+from tamarack_core.endpoint_book import Endpoint
 from tamarack_core.placement import Choice, choose_engine, choose_plain
 from tamarack_core.prompt import Prompt
 from tamarack_core.ruleset import Route
@@ -49,6 +51,9 @@
 PLAIN_PATIENCE_MIN_MS = 250.0
 """Least such time: an estimate, above the longest answers of some 220 ms."""
 
+UNBOUNDED = Decision(Admission.ADMITTED, "not decided on")
+"""For plain services, whose endpoints refuse themselves, and for what was sent before."""
+
 
 class Exchange:
     """Answers one request.
@@ -110,17 +115,16 @@
         connects = 0
         last = Result(Verdict.NOT_RUN, "no endpoint")
         while True:
-            choice = self._choose()
-            if choice is None or not self._keys_hold():
+            placement = self._place() if self._keys_hold() else None
+            if placement is None:
                 return self._give_up(last)
-            if self._sends == 0 and self._prompt is not None:
-                decision = self._gate.decide(choice, self._prompt, self._left_ms)
-                if decision.verdict is Admission.HELD:
-                    await asyncio.sleep(decision.wait_ms / 1000)
-                    continue
-                if decision.verdict is Admission.REFUSED:
-                    self._refuse(503, decision.wait_ms)
-                    return None
+            choice, decision = placement
+            if decision.verdict is Admission.HELD:
+                await asyncio.sleep(decision.wait_ms / 1000)
+                continue
+            if decision.verdict is Admission.REFUSED:
+                self._refuse(503, decision.wait_ms)
+                return None
             try:
                 connection = await self._pool.take(choice.endpoint.address)
             except ConnectError as error:
@@ -140,7 +144,7 @@
             if not self._may_try_again(last):
                 return self._give_up(last)
 
-    def _choose(self) -> Choice | None:
+    def _place(self) -> AdmittedPlacement | None:
         state = self._state
         endpoints = state.usable(self._service)
         fresh = [e for e in endpoints if e.name not in self._tried]
@@ -148,10 +152,16 @@
             fresh = endpoints
         if not fresh:
             return None
-        now_ms = state.clock.now_ms
+        if self._sends == 0 and self._prompt is not None:
+            return self._gate.place(fresh, self._prompt, self._left_ms)
+        choice = self._choose(fresh)
+        return AdmittedPlacement(choice, UNBOUNDED) if choice is not None else None
+
+    def _choose(self, endpoints: Sequence[Endpoint]) -> Choice | None:
+        state, now_ms = self._state, self._state.clock.now_ms
         if self._prompt is not None:
-            return choose_engine(self._prompt, fresh, state.models, state.records, now_ms)
-        return choose_plain(fresh, state.records, state.settings.failure_domain, now_ms)
+            return choose_engine(self._prompt, endpoints, state.models, state.records, now_ms)
+        return choose_plain(endpoints, state.records, state.settings.failure_domain, now_ms)
 
     def _keys_hold(self) -> bool:
         # Asked again after each wait: a key may have been taken away meanwhile, or the router may
--- a/packages/gateway/src/tamarack_gateway/router_status.py
+++ b/packages/gateway/src/tamarack_gateway/router_status.py
@@ -132,8 +132,8 @@
             "workspace": reading.workspace,
             "asked": round(reading.asked),
             "served": round(reading.served),
-            "standing": round(reading.standing, 2),
-            "lead": round(reading.lead, 2),
+            "standing": round(reading.position.standing, 2),
+            "lead": round(reading.position.lead, 2),
         }
         for reading in readings
     ]
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -389,8 +389,9 @@
     rows = shares.largest(3, 10_000.0, 0.0)
     assert [row.workspace for row in rows] == ["w29", "w28", "w27"]
     assert (rows[0].asked, rows[0].served) == (29_000.0, 14_500.0)
-    assert rows[0].standing == pytest.approx(shares.standing("w29", 10_000.0, 0.0))
-    assert rows[0].lead == pytest.approx(shares.lead("w29", 10_000.0, 0.0))
+    standing, lead = rows[0].position
+    assert standing == pytest.approx(shares.standing("w29", 10_000.0, 0.0))
+    assert lead == pytest.approx(shares.lead("w29", 10_000.0, 0.0))
     assert shares.largest(3, 10_000.0, 9_000.0) == []
 
 
