--- /dev/null
+++ b/tests/share_simulation.py
@@ -0,0 +1,300 @@
+"""Many routers and engines on a held clock, to see what workspaces get that all ask too much.
+
+Routers decide as in production: each with its own counts of shares and models of engines, told to
+the others with a delay. Engines read prompts in order of arrival and keep parts.
+"""
+
+from __future__ import annotations
+
+import copy
+import heapq
+import itertools
+import random
+from collections import defaultdict
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from tamarack_core.admission import Admission
+from tamarack_core.admitted_placement import Engines, Terms, place_admitted
+from tamarack_core.endpoint_book import Endpoint
+from tamarack_core.endpoint_record import EndpointRecord
+from tamarack_core.engine_model import FIRST_TOKEN_MS, EngineModel
+from tamarack_core.prompt import Prompt, PromptPart
+from tamarack_core.workspace_shares import WorkspaceShares
+
+WINDOW_MS = 4_000.0
+TELL_MS = 20.0
+AIM_MS, DEADLINE_MS = 1_000.0, 10_000.0
+ENGINE_TOKENS = 1_500_000
+"""Memory of an engine: large enough that parts are read again only where requests are sent on to
+an engine without them."""
+
+RETURNS = 2
+"""Times that a refused caller comes back."""
+
+
+class Asks(NamedTuple):
+    """What a workspace asks for.
+
+    Attributes
+    ----------
+    rate
+        Tokens a second, a token generated counted twice.
+    parts
+        Shared parts that its requests begin with.
+    """
+
+    rate: float
+    parts: int = 30
+
+
+class Scenario(NamedTuple):
+    """What is played.
+
+    Attributes
+    ----------
+    tokens_per_s
+        The throughput that the configuration names.
+    restarted
+        Routers that start anew at `restart_ms` and know nothing then.
+    scattered
+        Whether parts lie at the engines that read them; otherwise all engines keep all.
+    """
+
+    workspaces: dict[str, Asks]
+    tokens_per_s: float
+    engines: int = 20
+    routers: int = 10
+    restarted: int = 0
+    restart_ms: float = 6_000.0
+    scattered: bool = True
+    length_ms: float = 12_000.0
+    seed: int = 1
+
+
+class Outcome(NamedTuple):
+    """Tokens by workspace from one second on, and how the engines were used.
+
+    `served` are tokens of requests whose first token came before their deadline, `late` those of
+    them that came past the aim.
+    """
+
+    asked: dict[str, float]
+    served: dict[str, float]
+    late: dict[str, float]
+    read: float
+    busy: float
+
+    def fairness(self, workspaces: list[str]) -> float:
+        """Least part that one of these got of what it asked, or the best got if that is less."""
+        best = max(self.served.values())
+        return min(self.served.get(name, 0.0) / min(self.asked[name], best) for name in workspaces)
+
+
+class _Engine:
+    """A real engine: what it keeps is a model's, driven by what it reads."""
+
+    def __init__(self) -> None:
+        self.keeps = EngineModel(memory_tokens=ENGINE_TOKENS)
+        self.free_ms = 0.0
+        self.busy_ms = 0.0
+        self.read = 0.0
+
+    def take(self, prompt: Prompt, now_ms: float) -> float:
+        """Read a prompt; returns when its first token comes."""
+        reading_ms = self.keeps.reading_ms(prompt)
+        self.read += self.keeps.unread_tokens(prompt)
+        self.keeps.keep(prompt.parts)
+        self.busy_ms += reading_ms
+        self.free_ms = max(now_ms, self.free_ms) + reading_ms
+        return self.free_ms + FIRST_TOKEN_MS
+
+
+class _Router:
+    """One router's beliefs and what it has to tell."""
+
+    def __init__(self, names: list[str], now_ms: float) -> None:
+        self.shares = WorkspaceShares(WINDOW_MS)
+        self.models = {name: EngineModel() for name in names}
+        self.records = {name: EndpointRecord() for name in names}
+        self.news: list[Callable[[_Router, float], None]] = []
+
+    def tell(self, news: Callable[[_Router, float], None]) -> None:
+        self.news.append(news)
+
+
+class _Request(NamedTuple):
+    name: str
+    workspace: str
+    prompt: Prompt
+    arrived_ms: float
+    returns: int = 0
+
+
+class Simulation:
+    """Plays one scenario; seconds before `from_ms` only warm it up."""
+
+    def __init__(self, scenario: Scenario, *, from_ms: float, until_ms: float) -> None:
+        self._scenario = scenario
+        self._random = random.Random(scenario.seed)
+        self._from_ms, self._until_ms = from_ms, until_ms
+        self._names = [f"e{number}" for number in range(scenario.engines)]
+        self._endpoints = [Endpoint(n, "pool", f"{n}:1", "a", 64, False) for n in self._names]
+        self._engines = {name: _Engine() for name in self._names}
+        self._routers = [_Router(self._names, 0.0) for _ in range(scenario.routers)]
+        self._parts = {name: self._make_parts(name) for name in scenario.workspaces}
+        self._events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._order = itertools.count()
+        self._asked: dict[str, float] = defaultdict(float)
+        self._served: dict[str, float] = defaultdict(float)
+        self._late: dict[str, float] = defaultdict(float)
+        self._now_ms = 0.0
+
+    def play(self) -> Outcome:
+        """Play to the end."""
+        scenario = self._scenario
+        self._keep_parts()
+        for name in scenario.workspaces:
+            self._at(0.0, self._arrive, name)
+        for number in range(scenario.routers):
+            self._at(self._random.uniform(0.0, TELL_MS), self._tell, number)
+        self._at(scenario.restart_ms, self._restart)
+        while self._events and self._events[0][0] < scenario.length_ms:
+            self._now_ms, _, act, arguments = heapq.heappop(self._events)
+            act(*arguments)
+        engines = self._engines.values()
+        busy_ms = sum(min(engine.busy_ms, scenario.length_ms) for engine in engines)
+        busy = busy_ms / len(self._engines) / scenario.length_ms
+        read = sum(engine.read for engine in engines)
+        return Outcome(dict(self._asked), dict(self._served), dict(self._late), read, busy)
+
+    def _at(self, when_ms: float, act: Callable[..., None], *arguments: Any) -> None:
+        heapq.heappush(self._events, (when_ms, next(self._order), act, arguments))
+
+    def _counted(self, at_ms: float) -> bool:
+        return self._from_ms <= at_ms < self._until_ms
+
+    # prompts
+
+    def _make_parts(self, workspace: str) -> list[PromptPart]:
+        sizes = (
+            min(39_900, int(self._random.lognormvariate(9.25, 0.7)))
+            for _ in range(self._scenario.workspaces[workspace].parts)
+        )
+        return [PromptPart(f"{workspace}/{number}", size) for number, size in enumerate(sizes)]
+
+    def _keep_parts(self) -> None:
+        """Each part lies at one engine when the play begins, or at all; all routers know."""
+        for parts in self._parts.values():
+            for number, part in enumerate(parts):
+                kept = [self._random.choice(self._names)] if self._scenario.scattered else []
+                for name in kept or self._names:
+                    told = PromptPart(part.key, part.tokens if self._scenario.scattered else 1)
+                    parts[number] = told
+                    self._engines[name].keeps.keep((told,))
+                    for router in self._routers:
+                        router.models[name].keep((told,))
+
+    def _prompt(self, workspace: str, name: str) -> Prompt:
+        parts = self._parts[workspace]
+        # Some parts are asked for more often: the first ones about twice as often as the last.
+        shared = parts[int(len(parts) * self._random.random() ** 1.4)]
+        own = min(30_000, int(self._random.lognormvariate(7.6, 1.1)))
+        tokens_in = shared.tokens + own
+        return Prompt(tokens_in, 60, (shared, PromptPart(name, own)))
+
+    # callers
+
+    def _arrive(self, workspace: str) -> None:
+        now_ms = self._now_ms
+        name = f"{workspace}-{next(self._order)}"
+        prompt = self._prompt(workspace, name)
+        if self._counted(now_ms):
+            self._asked[workspace] += prompt.charge
+        self._ask(_Request(name, workspace, prompt, now_ms))
+        gap_ms = prompt.charge / self._scenario.workspaces[workspace].rate * 1000
+        self._at(now_ms + self._random.expovariate(1.0 / gap_ms), self._arrive, workspace)
+
+    def _ask(self, request: _Request) -> None:
+        router = self._random.choice(self._routers)
+        charge, workspace = request.prompt.charge, request.workspace
+        router.shares.ask(workspace, charge, self._now_ms)
+        router.tell(lambda other, now_ms: other.shares.ask(workspace, charge, now_ms))
+        self._decide(router, request, self._now_ms)
+
+    def _decide(self, router: _Router, request: _Request, came_ms: float) -> None:
+        now_ms = self._now_ms
+        left_ms = request.arrived_ms + DEADLINE_MS - now_ms
+        draw = self._random.random()
+        returned = request.returns > 0
+        terms = Terms(AIM_MS, AIM_MS, now_ms - came_ms, left_ms, returned, draw)
+        rate = self._scenario.tokens_per_s
+        position = router.shares.position(request.workspace, rate, now_ms)
+        engines = Engines(self._endpoints, router.models, router.records)
+        placement = place_admitted(request.prompt, engines, position, terms, now_ms)
+        assert placement is not None
+        decision = placement.decision
+        if decision.verdict is Admission.ADMITTED:
+            self._send(router, request, placement.choice.endpoint.name)
+        elif decision.verdict is Admission.HELD:
+            self._at(now_ms + decision.wait_ms, self._decide, router, request, came_ms)
+        elif request.returns < RETURNS:
+            again = request._replace(returns=request.returns + 1)
+            self._at(now_ms + decision.wait_ms, self._ask, again)
+
+    # sends
+
+    def _send(self, router: _Router, request: _Request, engine: str) -> None:
+        now_ms, prompt = self._now_ms, request.prompt
+        model = router.models[engine]
+        parts = [(part.key, part.tokens) for part in model.parts_to_tell(prompt, now_ms)]
+        reading_ms = model.sent(request.name, prompt, now_ms)
+        router.shares.serve(request.workspace, prompt.charge, now_ms)
+
+        def hear(other: _Router, at_ms: float) -> None:
+            other.models[engine].sent_elsewhere(reading_ms, at_ms)
+            other.models[engine].keep_named(parts, at_ms)
+            other.shares.serve(request.workspace, prompt.charge, at_ms)
+
+        router.tell(hear)
+        begins_ms = self._engines[engine].take(prompt, now_ms)
+        self._at(begins_ms, self._begin, router, request, engine)
+
+    def _begin(self, router: _Router, request: _Request, engine: str) -> None:
+        now_ms, model = self._now_ms, router.models[engine]
+        model.first_event(request.name, now_ms)
+        wait_ms, pace = model.wait_ms(now_ms), model.pace(now_ms)
+
+        def hear(other: _Router, at_ms: float) -> None:
+            other.models[engine].seen_elsewhere(wait_ms, pace, at_ms)
+
+        router.tell(hear)
+        took_ms = now_ms - request.arrived_ms
+        if self._counted(now_ms) and took_ms <= DEADLINE_MS:
+            self._served[request.workspace] += request.prompt.charge
+            if took_ms > AIM_MS:
+                self._late[request.workspace] += request.prompt.charge
+
+    # routers
+
+    def _tell(self, number: int) -> None:
+        router = self._routers[number]
+        news, router.news = router.news, []
+        for other in range(len(self._routers)):
+            if news and other != number:
+                delay_ms = self._random.uniform(20.0, 100.0)
+                self._at(self._now_ms + delay_ms, self._hear, other, news)
+        self._at(self._now_ms + TELL_MS, self._tell, number)
+
+    def _hear(self, number: int, news: list[Callable[[_Router, float], None]]) -> None:
+        for hear in news:
+            hear(self._routers[number], self._now_ms)
+
+    def _restart(self) -> None:
+        for number in range(self._scenario.restarted):
+            old = self._routers[number]
+            fresh = _Router(self._names, self._now_ms)
+            # What engines keep is asked of them as a router starts; so others' models will do.
+            fresh.models = copy.deepcopy(old.models)
+            self._routers[number] = fresh
+            fresh.news = old.news
