--- /dev/null
+++ b/packages/gateway/src/tamarack_gateway/engine_gate.py
@@ -0,0 +1,97 @@
+"""Whether one request may go to an engine now, and the log of why not."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from tamarack_core.admission import Admission, Decision
+from tamarack_core.admitted_placement import AdmittedPlacement, Engines, Terms, place_admitted
+from tamarack_core.endpoint_book import Endpoint
+from tamarack_core.placement import Choice
+from tamarack_core.prompt import Prompt
+from tamarack_core.ruleset import Route
+from tamarack_core.workspace_shares import Position
+from tamarack_gateway.fleet_state import FleetState
+from tamarack_gateway.http_messages import Request
+from tamarack_gateway.site import RequestFacts
+
+
+class EngineGate:
+    """Decides for one request whether it is sent, held back or refused.
+
+    Parameters
+    ----------
+    workspace
+        Workspace of the caller's key; None for a request without one.
+    """
+
+    def __init__(
+        self,
+        state: FleetState,
+        service: str,
+        request: Request,
+        facts: RequestFacts,
+        route: Route,
+        workspace: str | None,
+    ) -> None:
+        self._state = state
+        self._service = service
+        self._arrived_ms = request.arrived_ms
+        self._facts = facts
+        self._route = route
+        self._workspace = workspace
+
+    def place(
+        self, endpoints: Sequence[Endpoint], prompt: Prompt, left_ms: float
+    ) -> AdmittedPlacement | None:
+        """Pick an engine and decide on sending there, with `left_ms` to the deadline."""
+        state, now_ms = self._state, self._state.clock.now_ms
+        aim_ms = self._route.aim_ms
+        terms = Terms(
+            aim_ms=aim_ms,
+            shortest_aim_ms=state.shortest_aim_ms(self._service, aim_ms),
+            waited_ms=now_ms - self._arrived_ms,
+            left_ms=left_ms,
+            returned=state.returns.returned(self._route.name, self._facts.wait_ms),
+            draw=state.random.random(),
+        )
+        position = self._position(now_ms)
+        engines = Engines(endpoints, state.models, state.records)
+        placement = place_admitted(prompt, engines, position, terms, now_ms)
+        if placement is not None and placement.decision.verdict is not Admission.ADMITTED:
+            self._log(placement.choice, placement.decision, position)
+        return placement
+
+    def _position(self, now_ms: float) -> Position:
+        state, rules = self._state, self._state.rules
+        if rules is None or self._workspace is None:
+            return Position()
+        return state.shares.position(self._workspace, rules.tokens_per_s, now_ms)
+
+    def _log(self, choice: Choice, decision: Decision, position: Position) -> None:
+        # The shortest wait anywhere tells a full service from one whose free engines do not keep
+        # this prompt's parts; the bound and the lead tell whose work the queue was kept free for.
+        state = self._state
+        state.log.request(
+            decision.verdict.value,
+            self._facts.attempt,
+            reason=decision.reason,
+            workspace=self._workspace,
+            endpoint=choice.endpoint.name,
+            first_token_ms=round(choice.first_token_ms),
+            queue_ms=round(decision.queue_ms),
+            bound_ms=round(decision.bound_ms),
+            least_wait_ms=round(self._least_wait_ms()),
+            unread_tokens=choice.unread_tokens,
+            aim_ms=self._route.aim_ms,
+            standing=round(position.standing, 2),
+            lead=round(position.lead, 2),
+            filled=round(position.filled, 2),
+            wait_ms=round(decision.wait_ms),
+        )
+
+    def _least_wait_ms(self) -> float:
+        state = self._state
+        now_ms = state.clock.now_ms
+        names = [endpoint.name for endpoint in state.usable(self._service)]
+        return min((state.models[name].wait_ms(now_ms) for name in names), default=0.0)
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Sequence
 
-from tamarack_core.admission import Admission
+from tamarack_core.admission import Admission, Decision
+from tamarack_core.admitted_placement import AdmittedPlacement
+from tamarack_core.endpoint_book import Endpoint
 from tamarack_core.placement import Choice, choose_engine, choose_plain
 from tamarack_core.prompt import Prompt
 from tamarack_core.ruleset import Route
-from tamarack_gateway.admission_check import AdmissionCheck
 from tamarack_gateway.caller_answer import CallerAnswer
 from tamarack_gateway.caller_connection import CallerConnection
 from tamarack_gateway.connection_pool import ConnectionPool
@@ -18,6 +19,7 @@
     ConnectError,
     EndpointConnection,
 )
+from tamarack_gateway.engine_gate import EngineGate
 from tamarack_gateway.event_splitter import BadStreamError, EventSplitter
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.http_messages import AnswerHead, Request
@@ -52,6 +54,9 @@
 PLAIN_PATIENCE_MIN_MS = 250.0
 """Least such time: an estimate, above the longest answers of some 220 ms."""
 
+UNBOUNDED = Decision(Admission.ADMITTED, "not decided on")
+"""For plain services, whose endpoints refuse themselves, and for what was sent before."""
+
 
 class Exchange:
     """Answers one request.
@@ -85,10 +90,8 @@
         self._service = route.service_for(state.random.random())
         self._notes = SendNotes(state, outbox, facts.attempt, workspace, self._prompt)
         self._answer = CallerAnswer(caller, dialect, facts.attempt)
+        self._gate = EngineGate(state, self._service, request, facts, route, workspace)
         self._splitter = EventSplitter(facts.last_event)
-        self._admission = AdmissionCheck(
-            state, facts, route, self._service, workspace, arrived_ms=request.arrived_ms
-        )
         self._time_to_end = TimeToEnd(state, route, self._service, self._prompt)
         limit_ms = route.time_limit_ms
         if facts.wait_ms is not None:
@@ -136,19 +139,18 @@
         connects = 0
         last = Result(Verdict.NOT_RUN, "no endpoint")
         while True:
-            choice = self._choose()
-            if choice is None or not self._keys_hold():
+            placement = self._place() if self._keys_hold() else None
+            if placement is None:
                 return self._give_up(last)
+            choice, decision = placement
+            if decision.verdict is Admission.REFUSED:
+                self._answer.refuse(503, decision.wait_ms)
+                return None
             if not self._may_finish(choice):
                 return self._leave_to_others(choice, last)
-            if self._sends == 0 and self._prompt is not None:
-                decision = self._admission.decide(choice, self._prompt, self._left_ms)
-                if decision.verdict is Admission.HELD:
-                    await asyncio.sleep(decision.wait_ms / 1000)
-                    continue
-                if decision.verdict is Admission.REFUSED:
-                    self._answer.refuse(503, decision.wait_ms)
-                    return None
+            if decision.verdict is Admission.HELD:
+                await asyncio.sleep(decision.wait_ms / 1000)
+                continue
             try:
                 address = choice.endpoint.address
                 connection = await sending_connection(self._pool, address, self._caller)
@@ -172,7 +174,7 @@
             if not self._may_try_again(last):
                 return self._give_up(last)
 
-    def _choose(self) -> Choice | None:
+    def _place(self) -> AdmittedPlacement | None:
         state = self._state
         endpoints = state.usable(self._service)
         fresh = [e for e in endpoints if e.name not in self._tried]
@@ -180,10 +182,16 @@
             fresh = endpoints
         if not fresh:
             return None
-        now_ms = state.clock.now_ms
+        if self._sends == 0 and self._prompt is not None:
+            return self._gate.place(fresh, self._prompt, self._left_ms)
+        choice = self._choose(fresh)
+        return AdmittedPlacement(choice, UNBOUNDED) if choice is not None else None
+
+    def _choose(self, endpoints: Sequence[Endpoint]) -> Choice | None:
+        state, now_ms = self._state, self._state.clock.now_ms
         if self._prompt is not None:
-            return choose_engine(self._prompt, fresh, state.models, state.records, now_ms)
-        return choose_plain(fresh, state.records, state.settings.failure_domain, now_ms)
+            return choose_engine(self._prompt, endpoints, state.models, state.records, now_ms)
+        return choose_plain(endpoints, state.records, state.settings.failure_domain, now_ms)
 
     def _keys_hold(self) -> bool:
         # Asked again after each wait: a key may have been taken away meanwhile, or the router may
--- a/packages/gateway/src/tamarack_gateway/router_status.py
+++ b/packages/gateway/src/tamarack_gateway/router_status.py
@@ -8,6 +8,10 @@
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.loop_watch import LoopStatus
 
+LARGEST_WORKSPACES = 20
+"""Workspaces that are told of, by what they ask; a site may have thousands, and those that ask for
+little are neither refused nor in the way of others."""
+
 
 class MemberStatus(TypedDict):
     """Another router as it was heard last."""
@@ -38,10 +42,19 @@
 
 
 class WorkspaceStatus(TypedDict):
-    """A workspace that asked for work lately; `standing` is what it was served, in shares."""
+    """One of the workspaces that asked for most lately, over all routers.
+
+    `asked` and `served` are tokens in the window; `standing` is what it was served in shares,
+    `lead` as a multiple of what the backlogged workspace with least was served, and `filled` in
+    even parts of what is really served.
+    """
 
     workspace: str
+    asked: int
+    served: int
     standing: float
+    lead: float
+    filled: float
 
 
 class RouterStatus(TypedDict):
@@ -74,7 +87,7 @@
         "loop": loop,
         "members": _members(state, members),
         "endpoints": _endpoints(state),
-        "workspaces": _workspaces(state),
+        "workspaces": workspace_statuses(state),
     }
 
 
@@ -117,10 +130,20 @@
     return found
 
 
-def _workspaces(state: FleetState) -> list[WorkspaceStatus]:
+def workspace_statuses(state: FleetState) -> list[WorkspaceStatus]:
+    """Rows of the workspaces that asked for most in the window."""
     rules, now_ms = state.rules, state.clock.now_ms
     if rules is None:
         return []
-    standings = state.shares.standings(rules.tokens_per_s, now_ms)
-    ranked = sorted(standings.items(), key=lambda entry: -entry[1])
-    return [{"workspace": name, "standing": round(value, 2)} for name, value in ranked]
+    readings = state.shares.largest(LARGEST_WORKSPACES, rules.tokens_per_s, now_ms)
+    return [
+        {
+            "workspace": reading.workspace,
+            "asked": round(reading.asked),
+            "served": round(reading.served),
+            "standing": round(reading.position.standing, 2),
+            "lead": round(reading.position.lead, 2),
+            "filled": round(reading.position.filled, 2),
+        }
+        for reading in readings
+    ]
--- a/tests/test_callers_who_left.py
+++ b/tests/test_callers_who_left.py
@@ -12,10 +12,9 @@
 import pytest
 from gateway_site import Fleet, addresses_in, connect, play, read_answer, until
 
-from tamarack_core import loop_lag
+from tamarack_core import admitted_placement, loop_lag
 from tamarack_core.admission import Admission, Decision
 from tamarack_core.loop_lag import LATE_MS, LATE_SAMPLES
-from tamarack_gateway import admission_check
 from tamarack_gateway.fleet_members import FleetMembers, Member
 from tamarack_gateway.gateway import Gateway
 from tamarack_gateway.listeners import ACCEPTS
@@ -89,16 +88,16 @@
         engine = PlatformWorker("e1", STREAM)
         async with Fleet({"pool": [engine]}) as fleet:
             assert (await fleet.ask("/draft/1")).status == 200
-            loop, admit = asyncio.get_running_loop(), admission_check.admit
+            loop, admit = asyncio.get_running_loop(), admitted_placement.admit
             caller = await dial(fleet.gateway)
 
             def hold_once(**facts: Any) -> Decision:
-                monkeypatch.setattr(admission_check, "admit", admit)
+                monkeypatch.setattr(admitted_placement, "admit", admit)
                 loop.call_later(0.031, caller.close)
                 loop.call_soon(time.sleep, 0.06)
                 return Decision(Admission.HELD, "the queue will shrink", 30.0)
 
-            monkeypatch.setattr(admission_check, "admit", hold_once)
+            monkeypatch.setattr(admitted_placement, "admit", hold_once)
             caller.sendall(fleet.request("/draft/2"))
             await all_left(fleet.gateway)
             assert (await fleet.ask("/draft/3")).status == 200
