Keep the idle time of a connection that was taken and not used

Cause: a connection to an endpoint that was taken for a caller who had left was given back like one whose answer had been read, and its idle time began anew. The endpoint counts from its last answer; a request sent as it closes the connection may have run or not, and one that must not be repeated would be answered 502.

Change: the pool takes back an unused connection as it was. Test: fails with the connection given back as before.

--- a/packages/gateway/src/tamarack_gateway/connection_pool.py
+++ b/packages/gateway/src/tamarack_gateway/connection_pool.py
@@ -46,6 +46,17 @@
         if connection.finish(self._clock.now_ms):
             self._idle.setdefault(address, []).append(connection)
 
+    def put_back(self, address: str, connection: EndpointConnection) -> None:
+        """Keep a connection that was taken and not used.
+
+        Its idle time runs on: the endpoint counts it from the last answer, and a request that is
+        sent as the endpoint closes may have run or not.
+        """
+        if connection.usable:
+            self._idle.setdefault(address, []).append(connection)
+        else:
+            connection.abort()
+
     def sweep(self) -> None:
         """Close connections that have been idle for too long."""
         for address, idle in list(self._idle.items()):
--- a/packages/gateway/src/tamarack_gateway/sending_connection.py
+++ b/packages/gateway/src/tamarack_gateway/sending_connection.py
@@ -44,7 +44,7 @@
             usable = connection.usable and not caller.gone
         finally:
             if not usable:
-                pool.give_back(address, connection)
+                pool.put_back(address, connection)
         if caller.gone:
             raise CallerGoneError("left before the request was sent")
         if usable:
--- a/tests/test_callers_who_left.py
+++ b/tests/test_callers_who_left.py
@@ -145,6 +145,29 @@
     play(story())
 
 
+def test_a_connection_that_was_not_used_is_as_old_as_before() -> None:
+    """Symptom: a request that must not be repeated is answered 502, and may have run.
+
+    Sequence: a connection to an endpoint is taken for a caller that turns out to have left, and is
+    kept; the next request is sent on it while the endpoint closes it for its age. Cause: its idle
+    time began anew, though the endpoint's had not.
+    """
+
+    async def story() -> None:
+        web = PlatformWorker("w1")
+        async with Fleet({"web": [web]}) as fleet:
+            assert (await fleet.ask("/page/1")).status == 200
+            pool = fleet.gateway._pool
+            idle = pool._idle[web.address][-1]
+            idle_since_ms = idle.idle_since_ms
+            send_and_leave([(await dial(fleet.gateway), fleet.request("/page/left"))])
+            await all_left(fleet.gateway)
+            assert pool._idle[web.address] == [idle]
+            assert idle.idle_since_ms == idle_since_ms
+
+    play(story())
+
+
 def overload(router: Gateway, monkeypatch: pytest.MonkeyPatch) -> None:
     """Have a router find its loop far behind, and not recover."""
     monkeypatch.setattr(loop_lag, "CALM_SAMPLES", 1_000_000)
