Leave an overloaded router out of addresses for longer than callers use an answer

Cause: overloads of the small router last 0.5 to 1.5 s and some callers use an answer with addresses for three seconds: whoever asked just before and just after never saw the router left out.

Change: it is left out until 3.3 s after an overload.

A line for each answer about addresses showed that the callers of the busy workspace stay at the router even after they were told addresses without it (21 of 76 requests sampled there came after that): leaving it out moves the others only.

--- a/packages/core/src/tamarack_core/loop_lag.py
+++ b/packages/core/src/tamarack_core/loop_lag.py
@@ -26,6 +26,11 @@
 it is taken, in turn. Were all refused without end, nobody would be served where all routers are
 behind, or where the lag has another cause than their callers."""
 
+AVOID_MS = 3_300.0
+"""Milliseconds after an overload for which callers are still sent elsewhere. Some use an answer
+with addresses for three times its time to live of a second: a shorter sign is not seen by the
+caller of much traffic that brought the overload about, and it stays."""
+
 PEAK_KEPT = 0.95
 """Part of the shown lag that remains after each sample: readers come seldom, and it halves in
 0.7 s."""
@@ -49,6 +54,7 @@
         self._calm = 0
         self._overloaded = False
         self._since_ms = 0.0
+        self._ended_ms = float("-inf")
         self.lag_ms = 0.0
         self.most_ms = 0.0
         self.overloads = 0
@@ -58,6 +64,10 @@
         """Whether the loop is behind for longer than a moment."""
         return self._overloaded
 
+    def avoid(self, now_ms: float) -> bool:
+        """Whether callers should be sent elsewhere: it is overloaded, or was a moment ago."""
+        return self._overloaded or now_ms - self._ended_ms < AVOID_MS
+
     def sheds(self, now_ms: float) -> bool:
         """Whether what comes at this time is refused."""
         return self._overloaded and (now_ms - self._since_ms) % (SHED_MS + TAKE_MS) < SHED_MS
@@ -76,5 +86,6 @@
             return True
         if self._overloaded and self._calm >= CALM_SAMPLES:
             self._overloaded = False
+            self._ended_ms = now_ms
             return True
         return False
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -300,7 +300,7 @@
             self._state.ready,
             self._clock.now_ms,
             self._state.fresh,
-            overloaded=self._watch.overloaded,
+            overloaded=self._watch.avoid,
         )
 
     def _follow(self, peers: dict[str, Peer]) -> None:
--- a/packages/gateway/src/tamarack_gateway/loop_watch.py
+++ b/packages/gateway/src/tamarack_gateway/loop_watch.py
@@ -70,6 +70,11 @@
         """Whether the loop is behind for longer than a moment."""
         return self._lag.overloaded
 
+    @property
+    def avoid(self) -> bool:
+        """Whether callers should be sent elsewhere."""
+        return self._lag.avoid(self._clock.now_ms)
+
     @property
     def sheds(self) -> bool:
         """Whether what comes now is refused at once."""
--- a/packages/gateway/src/tamarack_gateway/peer_messages.py
+++ b/packages/gateway/src/tamarack_gateway/peer_messages.py
@@ -21,7 +21,7 @@
     ready, fresh
         Whether callers should be sent there, and whether it has confirmed its configuration lately.
     overloaded
-        Whether its event loop is behind, so that callers should be sent elsewhere.
+        Whether its event loop is behind, or was, so that callers should be sent elsewhere.
     """
 
     router: str
--- a/tests/test_loop_lag.py
+++ b/tests/test_loop_lag.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from tamarack_core.loop_lag import (
+    AVOID_MS,
     CALM_MS,
     CALM_SAMPLES,
     LATE_MS,
@@ -71,3 +72,20 @@
         assert lag.sheds(begin_ms + SHED_MS - 1.0)
         assert not lag.sheds(begin_ms + SHED_MS)
         assert not lag.sheds(begin_ms + SHED_MS + TAKE_MS - 1.0)
+
+
+def test_callers_are_sent_elsewhere_for_longer_than_they_use_an_answer() -> None:
+    """Symptom: a caller of much traffic stays at the router that it overloads, again and again.
+
+    Sequence: an overload lasts half a second; the caller asks for addresses before and after it.
+    Cause: the router was left out of answers for no longer than it was overloaded.
+    """
+    lag = LoopLag()
+    assert not lag.avoid(0.0)
+    for _ in range(LATE_SAMPLES):
+        lag.woke(BEHIND_MS, 1_000.0)
+    assert lag.avoid(1_000.0)
+    for _ in range(CALM_SAMPLES):
+        lag.woke(0.0, 1_500.0)
+    assert lag.avoid(1_500.0 + AVOID_MS - 1.0)
+    assert not lag.avoid(1_500.0 + AVOID_MS)
