Give messages about dispatch and claims modules of their own

Those by which slots are handed out stand in `dispatch_messages` now, those about idempotency keys and answers held elsewhere in `claim_messages`; members and configuration stay. Kinds' numbers and fields are as they were; importers name the module that has the message.

test_protocol, test_dispatcher, test_router_core, test_configuration, test_fair_queue, test_documents and test_relay pass.

--- a/packages/bench/src/tamarack_bench/core_bench.py
+++ b/packages/bench/src/tamarack_bench/core_bench.py
@@ -7,9 +7,7 @@
 import time
 from typing import NamedTuple
 
-from tamarack_core.dispatcher import Dispatcher, DispatchPolicy
-from tamarack_core.endpoint_pool import EndpointSpec
-from tamarack_core.protocol import (
+from tamarack_core.dispatch_messages import (
     USAGE_FINISHED,
     USAGE_RUNNING,
     Grants,
@@ -17,6 +15,8 @@
     Ticket,
     Usage,
 )
+from tamarack_core.dispatcher import Dispatcher, DispatchPolicy
+from tamarack_core.endpoint_pool import EndpointSpec
 
 ROUTER = "r1"
 TOKENS_PER_MS = 0.1
--- a/packages/bench/src/tamarack_bench/slopes.py
+++ b/packages/bench/src/tamarack_bench/slopes.py
@@ -19,11 +19,12 @@
 from tamarack_bench.path_scenarios import RELAY_DEPLOYMENT, cpu_seconds
 from tamarack_bench.scenarios import Options, Reading, scenario
 from tamarack_bench.stream_client import run_streams
+from tamarack_core.claim_messages import Claim
 from tamarack_core.configuration import Configuration
 from tamarack_core.configuration_entries import Change, EntryPut, hash_key
+from tamarack_core.dispatch_messages import ShardKey, Ticket
 from tamarack_core.dispatcher import Dispatcher, DispatchPolicy
 from tamarack_core.keeper import Keeper
-from tamarack_core.protocol import Claim, ShardKey, Ticket
 from tamarack_standins.deployments import Deployment
 from tamarack_standins.fleet import Fleet
 
--- a/packages/core/src/tamarack_core/actions.py
+++ b/packages/core/src/tamarack_core/actions.py
@@ -4,8 +4,9 @@
 
 from typing import Any, NamedTuple
 
+from tamarack_core.claim_messages import AnswerPart, AnswerQuery
 from tamarack_core.errors import Refusal
-from tamarack_core.protocol import AnswerPart, AnswerQuery, ChangesAnswer, ChangesQuery
+from tamarack_core.protocol import ChangesAnswer, ChangesQuery
 
 
 class Send(NamedTuple):
--- a/packages/core/src/tamarack_core/configuration.py
+++ b/packages/core/src/tamarack_core/configuration.py
@@ -18,9 +18,9 @@
     hash_key,
 )
 from tamarack_core.defaults import DEADLINE_MS, DEFAULT_COST, QUEUE_LIMIT, SHARD_SIZE
+from tamarack_core.dispatch_messages import ShardKey
 from tamarack_core.dispatcher import DispatchPolicy
 from tamarack_core.endpoint_pool import EndpointSpec
-from tamarack_core.protocol import ShardKey
 from tamarack_core.rendezvous import ranked
 
 MAX_BATCH = 500
--- a/packages/core/src/tamarack_core/dispatch_host.py
+++ b/packages/core/src/tamarack_core/dispatch_host.py
@@ -12,10 +12,10 @@
     REGISTRATION_WINDOW_MS,
     SHARD_SIZE,
 )
+from tamarack_core.dispatch_messages import ShardCounters, ShardKey, TermStart
 from tamarack_core.dispatcher import Dispatcher
 from tamarack_core.endpoint_pool import EndpointSpec, LoadReport
 from tamarack_core.membership import Membership
-from tamarack_core.protocol import ShardCounters, ShardKey, TermStart
 from tamarack_core.queue_policy import FAIR, LOCAL, slots_of
 from tamarack_core.rendezvous import winner
 
--- a/packages/core/src/tamarack_core/dispatcher.py
+++ b/packages/core/src/tamarack_core/dispatcher.py
@@ -15,11 +15,7 @@
     ROUTER_PROBE_MS,
     ROUTER_SILENCE_MS,
 )
-from tamarack_core.endpoint_pool import EndpointPool, EndpointSpec, LoadReport
-from tamarack_core.errors import ErrorCode
-from tamarack_core.estimator import Estimator
-from tamarack_core.fair_queue import FairQueue, Waiting
-from tamarack_core.protocol import (
+from tamarack_core.dispatch_messages import (
     USAGE_FAILED,
     USAGE_FINISHED,
     USAGE_RETURNED,
@@ -38,6 +34,10 @@
     TicketRefusal,
     Usage,
 )
+from tamarack_core.endpoint_pool import EndpointPool, EndpointSpec, LoadReport
+from tamarack_core.errors import ErrorCode
+from tamarack_core.estimator import Estimator
+from tamarack_core.fair_queue import FairQueue, Waiting
 from tamarack_core.queue_policy import FAIR, QUEUES
 
 GRANT_IN_FLIGHT_MS = 500
--- a/packages/core/src/tamarack_core/fair_queue.py
+++ b/packages/core/src/tamarack_core/fair_queue.py
@@ -13,7 +13,7 @@
 import xxhash
 
 from tamarack_core.defaults import AGING_MS
-from tamarack_core.protocol import Ticket
+from tamarack_core.dispatch_messages import Ticket
 
 
 class Waiting(NamedTuple):
--- a/packages/core/src/tamarack_core/keeper.py
+++ b/packages/core/src/tamarack_core/keeper.py
@@ -5,9 +5,9 @@
 from collections import Counter, deque
 from typing import NamedTuple
 
+from tamarack_core.claim_messages import Claim, ClaimAnswer, ClaimDone, ClaimRunning
 from tamarack_core.defaults import KEY_LIFETIME_MS, KEY_MEMORY
 from tamarack_core.key_token import EPOCH_MS, KeyToken, parse_key
-from tamarack_core.protocol import Claim, ClaimAnswer, ClaimDone, ClaimRunning
 
 FRESH, RUNNING, DONE, ORPHAN, CONFLICT, UNKNOWN, FULL, RELEASED = (
     "fresh",
--- a/packages/core/src/tamarack_core/request_table.py
+++ b/packages/core/src/tamarack_core/request_table.py
@@ -17,23 +17,17 @@
     Send,
     StartRun,
 )
+from tamarack_core.claim_messages import Claim, ClaimAnswer, ClaimDone, ClaimRunning
 from tamarack_core.configuration import Configuration
 from tamarack_core.defaults import (
     CLAIM_TIMEOUT_MS,
     PROGRESS_STEP,
     SHARD_SIZE,
 )
-from tamarack_core.errors import ErrorCode, Outcome, Refusal
-from tamarack_core.keeper import DONE, FRESH, ORPHAN, RELEASED, RUNNING
-from tamarack_core.key_token import parse_key
-from tamarack_core.protocol import (
+from tamarack_core.dispatch_messages import (
     USAGE_RETURNED,
     USAGE_RUNNING,
     CancelTickets,
-    Claim,
-    ClaimAnswer,
-    ClaimDone,
-    ClaimRunning,
     Grant,
     Grants,
     PollAck,
@@ -48,6 +42,9 @@
     Ticket,
     Usage,
 )
+from tamarack_core.errors import ErrorCode, Outcome, Refusal
+from tamarack_core.keeper import DONE, FRESH, ORPHAN, RELEASED, RUNNING
+from tamarack_core.key_token import parse_key
 from tamarack_core.refusals import MESSAGES, RETRY_AFTER_MS, claim_refusal
 from tamarack_core.rendezvous import ranked
 from tamarack_core.retry_budget import RetryBudget
--- a/packages/core/src/tamarack_core/router_core.py
+++ b/packages/core/src/tamarack_core/router_core.py
@@ -11,29 +11,20 @@
 from typing import Any, NamedTuple
 
 from tamarack_core.actions import Action, ClaimRow, Deliver, Send
-from tamarack_core.configuration import Configuration
-from tamarack_core.defaults import EXCHANGE_INTERVAL_MS, PAUSE_MS, SHARD_SIZE
-from tamarack_core.dispatch_host import DispatchHost
-from tamarack_core.endpoint_pool import LoadReport
-from tamarack_core.keeper import Keeper
-from tamarack_core.key_token import KeyToken
-from tamarack_core.membership import DEAD, Membership
-from tamarack_core.protocol import (
+from tamarack_core.claim_messages import (
     AnswerPart,
     AnswerQuery,
-    CancelTickets,
-    ChangesAnswer,
-    ChangesQuery,
     Claim,
     ClaimAnswer,
     ClaimDone,
     ClaimRunning,
+)
+from tamarack_core.configuration import Configuration
+from tamarack_core.defaults import EXCHANGE_INTERVAL_MS, PAUSE_MS, SHARD_SIZE
+from tamarack_core.dispatch_host import DispatchHost
+from tamarack_core.dispatch_messages import (
+    CancelTickets,
     Grants,
-    MemberUpdate,
-    Ping,
-    PingAck,
-    PingRelayed,
-    PingRequest,
     Poll,
     PollAck,
     Probe,
@@ -45,6 +36,19 @@
     TermStart,
     Usage,
 )
+from tamarack_core.endpoint_pool import LoadReport
+from tamarack_core.keeper import Keeper
+from tamarack_core.key_token import KeyToken
+from tamarack_core.membership import DEAD, Membership
+from tamarack_core.protocol import (
+    ChangesAnswer,
+    ChangesQuery,
+    MemberUpdate,
+    Ping,
+    PingAck,
+    PingRelayed,
+    PingRequest,
+)
 from tamarack_core.queue_policy import FAIR, LOCAL
 from tamarack_core.request_table import RequestSpec, RequestTable
 from tamarack_core.shard_link import Candidates
--- a/packages/core/src/tamarack_core/shard_link.py
+++ b/packages/core/src/tamarack_core/shard_link.py
@@ -9,7 +9,7 @@
     DISPATCHER_SILENCE_MS,
     POLL_INTERVAL_MS,
 )
-from tamarack_core.protocol import Poll, ShardKey
+from tamarack_core.dispatch_messages import Poll, ShardKey
 from tamarack_core.rendezvous import ranked
 
 IDLE_POLL_MS = 1_000
--- a/packages/router/src/tamarack_router/control.py
+++ b/packages/router/src/tamarack_router/control.py
@@ -21,21 +21,15 @@
     Send,
     StartRun,
 )
+from tamarack_core.claim_messages import AnswerPart, AnswerQuery
 from tamarack_core.clock import Clock
 from tamarack_core.config_follower import AskPeer, AskStore, ConfigFollower
 from tamarack_core.configuration import Configuration
+from tamarack_core.dispatch_messages import USAGE_FAILED, USAGE_UNREACHABLE, Usage
 from tamarack_core.errors import ErrorCode, Outcome, Refusal
 from tamarack_core.keeper import RELEASED, UNKNOWN
 from tamarack_core.membership import STATE_NAMES
-from tamarack_core.protocol import (
-    USAGE_FAILED,
-    USAGE_UNREACHABLE,
-    AnswerPart,
-    AnswerQuery,
-    ChangesAnswer,
-    ChangesQuery,
-    Usage,
-)
+from tamarack_core.protocol import ChangesAnswer, ChangesQuery
 from tamarack_core.router_core import RouterCore
 from tamarack_core.wire import decode, request_prefix
 from tamarack_router.fleet_view import FleetView, ViewHolder
--- a/packages/router/src/tamarack_router/messages.py
+++ b/packages/router/src/tamarack_router/messages.py
@@ -6,10 +6,10 @@
 from typing import Any, NamedTuple
 
 from tamarack_core.actions import ClaimRow
+from tamarack_core.claim_messages import AnswerPart, AnswerQuery, ClaimAnswer
 from tamarack_core.configuration import Configuration
 from tamarack_core.endpoint_pool import LoadReport
 from tamarack_core.errors import Refusal
-from tamarack_core.protocol import AnswerPart, AnswerQuery, ClaimAnswer
 from tamarack_core.request_table import RequestSpec
 
 
--- a/packages/router/src/tamarack_router/platform_task.py
+++ b/packages/router/src/tamarack_router/platform_task.py
@@ -7,10 +7,10 @@
 from types import TracebackType
 
 from tamarack_core.actions import ClaimRow, RowDone
+from tamarack_core.claim_messages import ClaimAnswer
 from tamarack_core.configuration import Configuration
 from tamarack_core.configuration_entries import Change
 from tamarack_core.keeper import CONFLICT, FRESH, RELEASED, RUNNING
-from tamarack_core.protocol import ClaimAnswer
 from tamarack_router.config_store import SNAPSHOT_EVERY, ConfigStore
 from tamarack_router.logs import PartLog
 from tamarack_router.mailbox import Mailbox
--- a/packages/router/src/tamarack_router/relay.py
+++ b/packages/router/src/tamarack_router/relay.py
@@ -17,13 +17,9 @@
 
 from tamarack_core.actions import FollowRequest, StartRun
 from tamarack_core.clock import Clock
+from tamarack_core.dispatch_messages import USAGE_FAILED, USAGE_FINISHED, USAGE_RETURNED
 from tamarack_core.errors import ErrorCode, Outcome, Refusal
 from tamarack_core.keeper import DONE, ORPHAN, RELEASED, UNKNOWN
-from tamarack_core.protocol import (
-    USAGE_FAILED,
-    USAGE_FINISHED,
-    USAGE_RETURNED,
-)
 from tamarack_core.request_table import RequestSpec
 from tamarack_router.caller_sockets import CallerSockets
 from tamarack_router.endpoint_cancel import cancel_at_endpoint
--- a/packages/router/src/tamarack_router/remote_answers.py
+++ b/packages/router/src/tamarack_router/remote_answers.py
@@ -4,8 +4,8 @@
 
 import itertools
 
+from tamarack_core.claim_messages import AnswerPart, AnswerQuery
 from tamarack_core.errors import ErrorCode, Outcome, Refusal
-from tamarack_core.protocol import AnswerPart, AnswerQuery
 from tamarack_router.kept_answer import AnswerState, KeptAnswer
 from tamarack_router.mailbox import Mailbox
 from tamarack_router.messages import PeerMessage
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -8,7 +8,7 @@
 from tamarack_core.config_follower import AskPeer, AskStore, ConfigFollower, encode_change
 from tamarack_core.configuration import Configuration
 from tamarack_core.configuration_entries import Change, EntryName, EntryPut
-from tamarack_core.protocol import ShardKey
+from tamarack_core.dispatch_messages import ShardKey
 
 names = st.sampled_from(["n0", "n1", "n2", "n3"])
 puts = st.one_of(
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -5,11 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tamarack_core.dispatcher import Dispatcher, DispatchPolicy
-from tamarack_core.endpoint_pool import EndpointPool, EndpointSpec, LoadReport
-from tamarack_core.errors import ErrorCode
-from tamarack_core.estimator import Estimator
-from tamarack_core.protocol import (
+from tamarack_core.dispatch_messages import (
     USAGE_FAILED,
     USAGE_FINISHED,
     USAGE_RUNNING,
@@ -24,6 +20,10 @@
     Ticket,
     Usage,
 )
+from tamarack_core.dispatcher import Dispatcher, DispatchPolicy
+from tamarack_core.endpoint_pool import EndpointPool, EndpointSpec, LoadReport
+from tamarack_core.errors import ErrorCode
+from tamarack_core.estimator import Estimator
 
 SHARD = ShardKey("model", 0)
 
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -6,13 +6,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tamarack_core.key_token import KeyToken, parse_key
-from tamarack_core.protocol import (
-    Claim,
-    ClaimAnswer,
+from tamarack_core.claim_messages import Claim, ClaimAnswer
+from tamarack_core.dispatch_messages import (
     Grant,
     Grants,
-    Ping,
     PollAck,
     ReportUsage,
     ShardKey,
@@ -20,6 +17,8 @@
     Ticket,
     Usage,
 )
+from tamarack_core.key_token import KeyToken, parse_key
+from tamarack_core.protocol import Ping
 from tamarack_core.wire import decode, encode, request_prefix
 
 SHARD = ShardKey("model", 0)
--- a/tests/test_router_core.py
+++ b/tests/test_router_core.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from tamarack_core.actions import FollowRequest, RefuseRequest, StartRun
+from tamarack_core.dispatch_messages import USAGE_FINISHED, USAGE_UNREACHABLE, ShardKey, Usage
 from tamarack_core.errors import ErrorCode, Outcome
 from tamarack_core.keeper import DONE
-from tamarack_core.protocol import USAGE_FINISHED, USAGE_UNREACHABLE, ShardKey, Usage
 from tamarack_core.request_table import RequestSpec
 
 from .conftest import Cores, make_config
