Start and end the router's tasks in one place

Control, relay, load, orders and platform each wrote out how their threads are started, told to end and waited for. `Task` owns a task's threads from entry to exit, and `MailboxTask` one thread that `Stop` ends; what is waited for, and for how long, is as it was. The relay watches its mailbox from its own thread.

--- a/packages/router/src/tamarack_router/control.py
+++ b/packages/router/src/tamarack_router/control.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-import threading
 from collections import Counter
 from collections.abc import Callable
-from types import TracebackType
 from typing import Any
 
 import zmq
@@ -37,6 +35,7 @@
 from tamarack_router.load_task import LoadTask
 from tamarack_router.logs import PartLog
 from tamarack_router.mailbox import Mailbox
+from tamarack_router.mailbox_task import MailboxTask
 from tamarack_router.messages import (
     CancelRequest,
     ChangesRead,
@@ -68,7 +67,7 @@
 handles = _HANDLERS.handles
 
 
-class Control:
+class Control(MailboxTask):
     """The control task of one router.
 
     Parameters
@@ -90,10 +89,10 @@
         room: Callable[[], int],
         seeds: list[str],
     ) -> None:
+        super().__init__("control", self._loop, mailbox)
         self._clock = clock
         self._core = core
         self._links = links
-        self._mailbox = mailbox
         self._relay = relay
         self._views = views
         self._room = room
@@ -109,34 +108,9 @@
         self._read_updates = -1
         self._prefix = request_prefix(core.membership.me.router, core.boot)
         self._applied: dict[int, int] = {}
-        self._stopped = False
         self._next_tick_ms = 0.0
         self._next_view_ms = 0.0
         self._log = PartLog("control")
-        self._thread = threading.Thread(target=self._loop, name="control", daemon=True)
-
-    def __enter__(self) -> Control:
-        self._thread.start()
-        return self
-
-    def __exit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        self._mailbox.put(Stop())
-        self._thread.join(2.0)
-
-    @property
-    def mailbox(self) -> Mailbox:
-        """Where other tasks put messages for this one."""
-        return self._mailbox
-
-    @property
-    def failed(self) -> bool:
-        """Whether the task has ended though nobody asked it to."""
-        return not self._stopped and not self._thread.is_alive()
 
     def serve(self, platform: PlatformTask, load: LoadTask) -> None:
         """Name the tasks that make blocking calls for this one; before it starts."""
--- a/packages/router/src/tamarack_router/load_task.py
+++ b/packages/router/src/tamarack_router/load_task.py
@@ -3,30 +3,28 @@
 from __future__ import annotations
 
 import json
-import threading
 from concurrent.futures import ThreadPoolExecutor
-from types import TracebackType
 
 import urllib3
 
 from tamarack_core.endpoint_pool import LoadReport
 from tamarack_router.mailbox import Mailbox
 from tamarack_router.messages import LoadRead
+from tamarack_router.task import Task
 
 CONNECT_TIMEOUT_S = 0.3
 READ_TIMEOUT_S = 0.5
 WORKERS = 4
 
 
-class LoadTask:
+class LoadTask(Task):
     """Polls `GET /load` of the watched endpoints and tells the control task."""
 
     def __init__(self, control: Mailbox, interval_ms: int) -> None:
+        super().__init__({"load": self._run})
         self._control = control
         self._interval_s = interval_ms / 1000
         self._watched: dict[str, str] = {}
-        self._stop = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="load", daemon=True)
         self._pool = ThreadPoolExecutor(WORKERS, thread_name_prefix="load")
         self._http = urllib3.PoolManager(
             num_pools=256,
@@ -35,17 +33,8 @@
             timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S),
         )
 
-    def __enter__(self) -> LoadTask:
-        self._thread.start()
-        return self
-
-    def __exit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        self._stop.set()
+    def _ask_to_end(self) -> None:
+        super()._ask_to_end()
         self._pool.shutdown(wait=False, cancel_futures=True)
 
     def watch(self, addresses: dict[str, str]) -> None:
@@ -53,7 +42,7 @@
         self._watched = addresses
 
     def _run(self) -> None:
-        while not self._stop.wait(self._interval_s):
+        while not self._ending.wait(self._interval_s):
             watched = self._watched
             try:
                 list(self._pool.map(self._read, watched.items()))
--- a/packages/router/src/tamarack_router/order_task.py
+++ b/packages/router/src/tamarack_router/order_task.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import json
-import threading
-from types import TracebackType
 
 import urllib3
 
@@ -17,50 +15,38 @@
 from tamarack_router.fleet_view import ViewHolder
 from tamarack_router.logs import PartLog
 from tamarack_router.platform import Condition, PlatformError, TableService, Write
+from tamarack_router.task import Task
 
 TABLE = "leases"
 ROW = "orderer"
 CONNECT_TIMEOUT_S = 0.3
 
 
-class OrderTask:
+class OrderTask(Task):
     """Follows the lease, reads engines back and sends what the planner wants."""
 
     def __init__(
         self, router: str, clock: Clock, views: ViewHolder, table: TableService, interval_ms: int
     ) -> None:
+        super().__init__({"orders": self._run})
         self._router = router
         self._clock = clock
         self._views = views
         self._table = table
         self._interval_s = interval_ms / 1000
         self._lease = OrderLease(router)
-        self._stop = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="orders", daemon=True)
         self._counts = {"sent": 0, "refused": 0, "failed": 0, "leases": 0, "holds": 0}
         self._log = PartLog("orders")
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=LONGEST_ORDER_MS / 1000 / 2)
         self._http = urllib3.PoolManager(num_pools=256, retries=False, timeout=timeout)
 
-    def __enter__(self) -> OrderTask:
-        self._thread.start()
-        return self
-
-    def __exit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        self._stop.set()
-
     @property
     def counts(self) -> dict[str, int]:
         """Orders by what became of them."""
         return self._counts
 
     def _run(self) -> None:
-        while not self._stop.wait(self._interval_s):
+        while not self._ending.wait(self._interval_s):
             view = self._views.view
             usable = [m.router for m in view.members if m.state == ALIVE]
             chosen = winner("orderer", usable) == self._router
--- a/packages/router/src/tamarack_router/platform_task.py
+++ b/packages/router/src/tamarack_router/platform_task.py
@@ -4,7 +4,6 @@
 
 import threading
 from concurrent.futures import ThreadPoolExecutor
-from types import TracebackType
 
 from tamarack_core.actions import ClaimRow, RowDone
 from tamarack_core.claim_messages import ClaimAnswer
@@ -22,13 +21,14 @@
     TableService,
     Write,
 )
+from tamarack_router.task import Task
 
 KEYS = "keys"
 INSTANCE_INTERVAL_S = 1.0
 WORKERS = 4
 
 
-class PlatformTask:
+class PlatformTask(Task):
     """Polls the head and the instance list, and carries out single calls.
 
     Results go to the control task's mailbox.
@@ -42,33 +42,19 @@
         control: Mailbox,
         poll_ms: int,
     ) -> None:
+        super().__init__({"platform-head": self._poll_head, "platform-list": self._poll_instances})
         self._store = store
         self._table = table
         self._instances = instances
         self._control = control
         self._poll_s = poll_ms / 1000
-        self._stop = threading.Event()
         self._wake = threading.Event()
         self._pool = ThreadPoolExecutor(WORKERS, thread_name_prefix="platform")
-        self._threads = [
-            threading.Thread(target=self._poll_head, name="platform-head", daemon=True),
-            threading.Thread(target=self._poll_instances, name="platform-list", daemon=True),
-        ]
         self._log = PartLog("platform")
         self._up: bool | None = None
 
-    def __enter__(self) -> PlatformTask:
-        for thread in self._threads:
-            thread.start()
-        return self
-
-    def __exit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        self._stop.set()
+    def _ask_to_end(self) -> None:
+        super()._ask_to_end()
         self._wake.set()
         self._pool.shutdown(wait=False, cancel_futures=True)
 
@@ -100,7 +86,7 @@
             self._log.warning("A snapshot could not be stored.", version=config.version)
 
     def _poll_head(self) -> None:
-        while not self._stop.is_set():
+        while not self._ending.is_set():
             try:
                 self._note(True)
                 self._control.put(HeadRead(self._store.head().version, True))
@@ -111,7 +97,7 @@
             self._wake.clear()
 
     def _poll_instances(self) -> None:
-        while not self._stop.is_set():
+        while not self._ending.is_set():
             try:
                 instances = self._instances.read()
                 seeds = [i["peer_address"] for i in instances if i["kind"] == "router"]
@@ -123,7 +109,7 @@
                 self._control.put(InstancesRead(seeds, leaving))
             except PlatformError:
                 self._log.debug("The instance list did not answer.")
-            self._stop.wait(INSTANCE_INTERVAL_S)
+            self._ending.wait(INSTANCE_INTERVAL_S)
 
     def _note(self, up: bool) -> None:
         if self._up is not None and up != self._up:
--- a/packages/router/src/tamarack_router/relay.py
+++ b/packages/router/src/tamarack_router/relay.py
@@ -9,10 +9,8 @@
 import heapq
 import itertools
 import selectors
-import threading
 from collections import Counter
 from collections.abc import Callable
-from types import TracebackType
 from typing import Any
 
 from tamarack_core.actions import FollowRequest, StartRun
@@ -29,6 +27,7 @@
 from tamarack_router.kept_answer import AnswerState, AnswerStore, KeptAnswer
 from tamarack_router.logs import PartLog
 from tamarack_router.mailbox import Mailbox
+from tamarack_router.mailbox_task import MailboxTask
 from tamarack_router.messages import (
     CancelRequest,
     EndpointCall,
@@ -76,7 +75,7 @@
             self.wait = None
 
 
-class Relay:
+class Relay(MailboxTask):
     """The relay task of one router.
 
     Parameters
@@ -96,13 +95,13 @@
         tracing: Tracing,
         limits: RunLimits,
     ) -> None:
+        super().__init__("relay", self._loop, Mailbox())
         self._clock = clock
         self._control = control
         self._answers = answers
         self._guard = guard
         self._tracing = tracing
         self._limits = limits
-        self._mailbox = Mailbox()
         self._selector = selectors.DefaultSelector()
         self._held: dict[str, _Held] = {}
         self._callers = CallerSockets(self._selector, self._nobody_follows)
@@ -112,28 +111,7 @@
         self._sequence = itertools.count()
         self._counts: Counter[str] = Counter()
         self._next_check_ms = 0.0
-        self._stopped = False
         self._log = PartLog("relay")
-        self._thread = threading.Thread(target=self._loop, name="relay", daemon=True)
-
-    def __enter__(self) -> Relay:
-        self._selector.register(self._mailbox, selectors.EVENT_READ, None)
-        self._thread.start()
-        return self
-
-    def __exit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        self._mailbox.put(Stop())
-        self._thread.join(2.0)
-
-    @property
-    def mailbox(self) -> Mailbox:
-        """Where other tasks put messages for the relay."""
-        return self._mailbox
 
     @property
     def counts(self) -> Counter[str]:
@@ -150,11 +128,6 @@
             "answers_evicted": self._answers.evicted,
         }
 
-    @property
-    def failed(self) -> bool:
-        """Whether the task has ended though nobody asked it to."""
-        return not self._stopped and not self._thread.is_alive()
-
     @property
     def held(self) -> int:
         """Requests held."""
@@ -173,6 +146,7 @@
     # The loop
 
     def _loop(self) -> None:
+        self._selector.register(self._mailbox, selectors.EVENT_READ, None)
         while not self._stopped:
             for key, mask in self._selector.select(self._wait_s()):
                 if key.data is None:
