--- a/packages/router/src/tamarack_router/control.py
+++ b/packages/router/src/tamarack_router/control.py
@@ -26,11 +26,10 @@
 from tamarack_core.dispatch_messages import USAGE_FAILED, USAGE_UNREACHABLE, Usage
 from tamarack_core.errors import ErrorCode, Outcome, Refusal
 from tamarack_core.keeper import RELEASED, UNKNOWN
-from tamarack_core.membership import STATE_NAMES
 from tamarack_core.protocol import ChangesAnswer, ChangesQuery
 from tamarack_core.router_core import RouterCore
 from tamarack_core.wire import decode, request_prefix
-from tamarack_router.fleet_view import FleetView, ViewHolder
+from tamarack_router.fleet_view import ViewHolder
 from tamarack_router.handlers import Handlers
 from tamarack_router.load_task import LoadTask
 from tamarack_router.logs import PartLog
@@ -56,11 +55,11 @@
 )
 from tamarack_router.peer_links import PeerLinks
 from tamarack_router.platform_task import PlatformTask
+from tamarack_router.view_publisher import ViewPublisher
 
 TICK_MS = 50.0
 VIEW_MS = 250.0
 FRAMES_PER_ROUND = 200
-APPLIED_KEPT = 50
 STORE_DOWN_MS = 3_000.0
 
 _HANDLERS = Handlers()
@@ -94,7 +93,6 @@
         self._core = core
         self._links = links
         self._relay = relay
-        self._views = views
         self._room = room
         self._seeds = seeds
         self._follower = ConfigFollower()
@@ -102,12 +100,12 @@
         self._load: LoadTask | None = None
         self._outbox: dict[tuple[str, str], list[Any]] = {}
         self._counts: Counter[str] = Counter()
+        self._view = ViewPublisher(core, links, self._follower, self._counts, views)
         self._store_answered_ms = clock.now_ms
         self._store_up = False
         self._leaving = False
         self._read_updates = -1
         self._prefix = request_prefix(core.membership.me.router, core.boot)
-        self._applied: dict[int, int] = {}
         self._next_tick_ms = 0.0
         self._next_view_ms = 0.0
         self._log = PartLog("control")
@@ -234,63 +232,14 @@
         if config.version != before:
             now_ms = self._clock.now_ms
             self._core.configure(config, now_ms)
-            self._applied[config.version] = self._clock.wall_ms
-            self._applied.pop(min(self._applied) if len(self._applied) > APPLIED_KEPT else -1, None)
+            self._view.note_applied(config.version, self._clock.wall_ms)
             self._publish(now_ms)
             self._log.info("A configuration is in force.", version=config.version)
         if self._follower.ready and not was_ready:
             self._log.info("The router is ready.", version=config.version)
 
     def _publish(self, now_ms: float) -> None:
-        membership = self._core.membership
-        host = self._core.host
-        isolated = not self._store_up and membership.cut_off(now_ms)
-        counts = self._core.counts
-        counts.update(self._counts)
-        counts.update({f"peer_{name}": n for name, n in self._links.counts.items()})
-        counts.update({f"sent_{kind}": n for kind, n in self._links.bytes_by_kind.items()})
-        gauges: dict[str, float] = {
-            "requests_waiting": self._core.requests.waiting,
-            "requests_running": self._core.requests.running,
-            "keys_kept": len(self._core.keeper),
-            "config_version": self._follower.config.version,
-            "config_head": self._follower.head,
-            "store_up": float(self._store_up),
-            "isolated": float(isolated),
-            "shards_dispatched": len(host.dispatchers),
-        }
-        for state, name in enumerate(STATE_NAMES):
-            gauges[f"members_{name}"] = sum(1 for m in membership.members if m.state == state)
-        for shard, dispatcher in host.dispatchers.items():
-            label = f"{shard.service}/{shard.number}"
-            gauges[f"slots:{label}"] = dispatcher.pool.slots
-            gauges[f"slots_granted:{label}"] = dispatcher.pool.in_flight
-            gauges[f"tickets_waiting:{label}"] = dispatcher.waiting
-        self._views.publish(
-            FleetView(
-                self._follower.config,
-                self._follower.ready,
-                isolated,
-                self._leaving,
-                self._store_up,
-                membership.members,
-                self._core.token(now_ms),
-                dict(counts),
-                gauges,
-                self._shares(),
-                {f"{s.service}/{s.number}": f"{t}:{n}" for s, (t, n) in self._terms().items()},
-                dict(self._applied),
-            )
-        )
-
-    def _terms(self) -> dict[Any, tuple[str, int]]:
-        return self._core.requests.terms()
-
-    def _shares(self) -> dict[str, list[dict[str, Any]]]:
-        return {
-            f"{shard.service}/{shard.number}": [reading._asdict() for reading in d.shares()]
-            for shard, d in self._core.host.dispatchers.items()
-        }
+        self._view.publish(now_ms, leaving=self._leaving, store_up=self._store_up)
 
     # Messages
 
