Split the relay by what it owns

Endpoints' sockets stand in `RunSockets` as callers' stand in `CallerSockets`, requests that follow a run elsewhere in `FollowedRequests`, and what is due later in `Timers`; a request held is a `HeldRequest`. The relay keeps the messages and the steps of a run.

test_relay, test_run and test_documents pass.

--- /dev/null
+++ b/packages/router/src/tamarack_router/held_request.py
@@ -0,0 +1,41 @@
+"""A request that the relay holds from its admission until it is answered."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from tamarack_core.request_table import RequestSpec
+from tamarack_router.kept_answer import KeptAnswer
+from tamarack_router.messages import EndpointCall
+from tamarack_router.run import Run
+
+
+class HeldRequest:
+    """State of one request in the relay.
+
+    Attributes
+    ----------
+    span, wait
+        Spans of the whole request and of its wait for a slot.
+    run
+        The run in progress; None while the request waits.
+    claimed_again
+        Whether its key was claimed a second time, which is done once.
+    """
+
+    def __init__(
+        self, spec: RequestSpec, call: EndpointCall, answer: KeptAnswer, span: Any
+    ) -> None:
+        self.spec = spec
+        self.call = call
+        self.answer = answer
+        self.span = span
+        self.run: Run | None = None
+        self.claimed_again = False
+        self.wait: Any = None
+
+    def end_wait(self) -> None:
+        """End the span of the wait, if it has not ended."""
+        if self.wait is not None:
+            self.wait.end()
+            self.wait = None
--- a/packages/router/src/tamarack_router/relay.py
+++ b/packages/router/src/tamarack_router/relay.py
@@ -6,31 +6,26 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
 import selectors
 from collections import Counter
-from collections.abc import Callable
-from typing import Any
 
 from tamarack_core.actions import FollowRequest, StartRun
 from tamarack_core.clock import Clock
 from tamarack_core.dispatch_messages import USAGE_FAILED, USAGE_FINISHED, USAGE_RETURNED
 from tamarack_core.errors import ErrorCode, Outcome, Refusal
 from tamarack_core.keeper import DONE, ORPHAN, RELEASED, UNKNOWN
-from tamarack_core.request_table import RequestSpec
 from tamarack_router.caller_sockets import CallerSockets
 from tamarack_router.endpoint_cancel import cancel_at_endpoint
-from tamarack_router.endpoint_connection import EndpointConnection
+from tamarack_router.followed_requests import FollowedRequests
 from tamarack_router.follower import Follower
 from tamarack_router.handlers import Handlers
+from tamarack_router.held_request import HeldRequest
 from tamarack_router.kept_answer import AnswerState, AnswerStore, KeptAnswer
 from tamarack_router.logs import PartLog
 from tamarack_router.mailbox import Mailbox
 from tamarack_router.mailbox_task import MailboxTask
 from tamarack_router.messages import (
     CancelRequest,
-    EndpointCall,
     EndRequest,
     FollowAnswer,
     HoldRequest,
@@ -45,7 +40,9 @@
 )
 from tamarack_router.remote_answers import RemoteAnswers, answer_part
 from tamarack_router.run import RESUME_PAUSE_MS, Run, RunLimits, Step
+from tamarack_router.run_sockets import RunSockets
 from tamarack_router.share_guard import ShareGuard
+from tamarack_router.timers import Timers
 from tamarack_router.tracing import Tracing, traceparent_of
 
 CHECK_MS = 100.0
@@ -54,27 +51,6 @@
 handles = _HANDLERS.handles
 
 
-class _Held:
-    """A request in the relay."""
-
-    def __init__(
-        self, spec: RequestSpec, call: EndpointCall, answer: KeptAnswer, span: Any
-    ) -> None:
-        self.spec = spec
-        self.call = call
-        self.answer = answer
-        self.span = span
-        self.run: Run | None = None
-        self.claimed_again = False
-        self.wait: Any = None
-
-    def end_wait(self) -> None:
-        """End the span of the wait, if it has not ended."""
-        if self.wait is not None:
-            self.wait.end()
-            self.wait = None
-
-
 class Relay(MailboxTask):
     """The relay task of one router.
 
@@ -103,12 +79,12 @@
         self._tracing = tracing
         self._limits = limits
         self._selector = selectors.DefaultSelector()
-        self._held: dict[str, _Held] = {}
+        self._held: dict[str, HeldRequest] = {}
         self._callers = CallerSockets(self._selector, self._nobody_follows)
         self._remote = RemoteAnswers(control)
-        self._following: dict[str, list[tuple[_Held, FollowRequest]]] = {}
-        self._timers: list[tuple[float, int, Callable[[], None]]] = []
-        self._sequence = itertools.count()
+        self._followed = FollowedRequests(answers, self._remote, self._callers, self._let_go)
+        self._runs = RunSockets(clock, self._selector, self._step)
+        self._timers = Timers(clock)
         self._counts: Counter[str] = Counter()
         self._next_check_ms = 0.0
         self._log = PartLog("relay")
@@ -158,27 +134,19 @@
         self._selector.close()
 
     def _wait_s(self) -> float:
-        now_ms = self._clock.now_ms
-        due_ms = self._next_check_ms
-        if self._timers:
-            due_ms = min(due_ms, self._timers[0][0])
-        return max(0.0, due_ms - now_ms) / 1000
+        due_ms = min(self._next_check_ms, self._timers.next_ms)
+        return max(0.0, due_ms - self._clock.now_ms) / 1000
 
     def _read_mailbox(self) -> None:
         _HANDLERS.dispatch(self, self._mailbox.drain())
 
     def _run_timers(self) -> None:
+        self._timers.run()
         now_ms = self._clock.now_ms
-        while self._timers and self._timers[0][0] <= now_ms:
-            heapq.heappop(self._timers)[2]()
         if now_ms >= self._next_check_ms:
             self._next_check_ms = now_ms + CHECK_MS
             self._check(now_ms)
 
-    def _later(self, delay_ms: float, action: Callable[[], None]) -> None:
-        due_ms = self._clock.now_ms + delay_ms
-        heapq.heappush(self._timers, (due_ms, next(self._sequence), action))
-
     def _check(self, now_ms: float) -> None:
         for held in list(self._held.values()):
             if held.run is not None:
@@ -187,7 +155,7 @@
             self._holder_silent(answer)
         self._answers.expire(now_ms)
 
-    def _check_run(self, held: _Held, run: Run, now_ms: float) -> None:
+    def _check_run(self, held: HeldRequest, run: Run, now_ms: float) -> None:
         if now_ms >= held.spec.deadline_ms:
             self._counts["deadline_while_running"] += 1
             message = "The deadline passed while the request was running."
@@ -210,7 +178,7 @@
         spec = message.spec
         answer = KeptAnswer(spec.request, spec.workspace, stream=message.call.stream)
         self._answers.add(answer)
-        held = self._held[spec.request] = _Held(spec, message.call, answer, message.span)
+        held = self._held[spec.request] = HeldRequest(spec, message.call, answer, message.span)
         held.wait = self._tracing.start("wait", parent=message.span)
         self._counts["held"] += 1
         self._callers.attach(Follower(message.sock, answer))
@@ -238,10 +206,10 @@
         self._counts["runs"] += 1
         run = self._run(held, "run", message.address, charged=message.charged)
         run.span.set_attribute("tamarack.endpoint", message.endpoint)
-        self._open(held, run)
+        self._runs.open(held, run)
 
     def _run(
-        self, held: _Held, name: str, address: str, *, charged: float = 0.0, adopted: str = ""
+        self, held: HeldRequest, name: str, address: str, *, charged: float = 0.0, adopted: str = ""
     ) -> Run:
         """Make the run of a held request, with a span of this name."""
         held.end_wait()
@@ -285,65 +253,33 @@
         target = self._answers.find(message.holder, workspace)
         if target is None:
             target = self._remote.open(message.holder, workspace, self._clock.now_ms)
-            self._following.setdefault(message.holder, []).append((held, message))
+            self._followed.add(held, message)
         else:
             self._let_go(held)
         self._answers.remove(message.request)
         self._callers.move(message.request, target)
 
     def _holder_silent(self, answer: KeptAnswer) -> None:
-        """Read a run at its endpoint when the router that holds its answer is silent.
-
-        Without this a caller whose router died would be told that its outcome is unknown, though
-        the engine goes on with the run and can give its stream again.
-        """
-        waiting = self._following.pop(answer.request, [])
-        readable = [pair for pair in waiting if pair[1].address]
-        if not readable:
-            self._following[answer.request] = waiting
+        """Read a run at its endpoint when the router that holds its answer is silent."""
+        followed = self._followed.take_readable(answer)
+        if followed is None:
             self._remote.lose(answer)
             self._callers.pump(answer)
             return
-        held, message = readable[0]
-        self._take_back(answer, held, waiting)
-        self._adopt(held, message)
+        self._adopt(followed.held, followed.message)
 
     def _claim_again(self, correlation: int) -> bool:
-        """Ask the keeper once more when the holder no longer has the request that is followed.
-
-        Its caller may have gone away before it ran, which withdraws it and frees the key; the
-        caller's retry, which followed it, would be told "unknown" though nothing ran.
-        """
-        answer = self._remote.find(correlation)
-        waiting = self._following.get(answer.request, []) if answer is not None else []
-        if answer is None or not waiting or waiting[0][0].claimed_again:
+        """Ask the keeper once more when the holder no longer has the request that is followed."""
+        held = self._followed.take_unclaimed(correlation)
+        if held is None:
             return False
-        held = waiting[0][0]
-        held.claimed_again = True
-        del self._following[answer.request]
         self._counts["claimed_again"] += 1
-        self._take_back(answer, held, waiting)
         self._control.put(SubmitRequest(held.spec._replace(first=False)))
         return True
 
-    def _take_back(
-        self, answer: KeptAnswer, held: _Held, waiting: list[tuple[_Held, FollowRequest]]
-    ) -> None:
-        """Move the followers of a mirrored answer to a request that is held here."""
-        for other, _ in waiting:
-            if other is not held:
-                self._let_go(other)
-        self._answers.add(held.answer)
-        self._remote.close(answer.request)
-        self._callers.move(answer.request, held.answer)
-
-    def _adopt(self, held: _Held, message: FollowRequest) -> None:
+    def _adopt(self, held: HeldRequest, message: FollowRequest) -> None:
         self._counts["adopted"] += 1
-        self._open(held, self._run(held, "adopted run", message.address, adopted=message.run))
-
-    def _stop_following(self, request: str) -> None:
-        for held, _ in self._following.pop(request, []):
-            self._let_go(held)
+        self._runs.open(held, self._run(held, "adopted run", message.address, adopted=message.run))
 
     @handles(PeerQuery)
     def _on_peer_query(self, message: PeerQuery) -> None:
@@ -364,7 +300,7 @@
 
     def _nobody_follows(self, request: str, gone: bool) -> None:
         self._remote.close(request)
-        self._stop_following(request)
+        self._followed.stop(request)
         if gone:
             self._caller_gone(request)
 
@@ -383,35 +319,7 @@
 
     # Runs
 
-    def _open(self, held: _Held, run: Run) -> None:
-        connection, events = run.open(self._clock.now_ms)
-        if events:
-            self._events(held, run, events)
-            return
-
-        def ready(mask: int) -> None:
-            if run.connection is connection and held.run is run:
-                self._events(held, run, connection.ready(mask))
-                self._select_again(run, connection)
-
-        self._selector.register(connection.sock, connection.interest, ready)
-
-    def _select_again(self, run: Run, connection: EndpointConnection) -> None:
-        if run.connection is not connection:
-            return
-        key = self._selector.get_key(connection.sock)
-        if key.events != connection.interest:
-            self._selector.modify(connection.sock, connection.interest, key.data)
-
-    def _events(self, held: _Held, run: Run, events: list[Any]) -> None:
-        now_ms = self._clock.now_ms
-        steps = {run.take(event, now_ms) for event in events}
-        for step in (Step.RESUME, Step.FAILED, Step.BROKEN, Step.FINISHED, Step.GREW):
-            if step in steps:
-                self._step(held, run, step)
-                return
-
-    def _step(self, held: _Held, run: Run, step: Step) -> None:
+    def _step(self, held: HeldRequest, run: Run, step: Step) -> None:
         now_ms = self._clock.now_ms
         request = held.spec.request
         if step == Step.GREW:
@@ -425,9 +333,8 @@
             self._ended(held)
         elif step == Step.RESUME:
             self._counts["resumes"] += 1
-            self._unregister(run)
-            run.close()
-            self._later(RESUME_PAUSE_MS, lambda: self._resume(held, run))
+            self._runs.close(run)
+            self._timers.later(RESUME_PAUSE_MS, lambda: self._resume(held, run))
         elif step == Step.FAILED:
             cost = run.cost(now_ms)
             sent = run.sent
@@ -439,23 +346,23 @@
             message = "The endpoint failed while the answer was coming."
             self._break(held, Refusal(ErrorCode.ENDPOINT_FAILED, message, Outcome.UNKNOWN))
 
-    def _report(self, held: _Held, run: Run, now_ms: float) -> None:
+    def _report(self, held: HeldRequest, run: Run, now_ms: float) -> None:
         cost = run.passed_charge(now_ms)
         if cost:
             self._control.put(RunProgress(held.spec.request, cost))
 
-    def _resume(self, held: _Held, run: Run) -> None:
+    def _resume(self, held: HeldRequest, run: Run) -> None:
         if held.run is run and self._held.get(held.spec.request) is held:
-            self._open(held, run)
+            self._runs.open(held, run)
 
-    def _break(self, held: _Held, refusal: Refusal) -> None:
+    def _break(self, held: HeldRequest, refusal: Refusal) -> None:
         """End a run that has begun, and say that its outcome is unknown."""
         run = held.run
         cost = 0.0
         if run is not None:
             cost = run.cost(self._clock.now_ms)
             if run.call.kind == "model" and run.sent:
-                cancel_at_endpoint(run.address, run.run_id, self._selector, self._later)
+                cancel_at_endpoint(run.address, run.run_id, self._selector, self._timers.later)
         self._drop_run(held)
         self._counts[f"broken_{refusal.code}"] += 1
         state = USAGE_FAILED if refusal.code == ErrorCode.ENDPOINT_FAILED else USAGE_FINISHED
@@ -463,30 +370,24 @@
         held.answer.refuse(refusal)
         self._ended(held)
 
-    def _unregister(self, run: Run) -> None:
-        connection = run.connection
-        if connection is not None and connection.sock in self._selector.get_map():
-            self._selector.unregister(connection.sock)
-
-    def _drop_run(self, held: _Held) -> None:
+    def _drop_run(self, held: HeldRequest) -> None:
         run = held.run
         held.run = None
         if run is not None:
-            self._unregister(run)
-            run.close()
+            self._runs.close(run)
             run.span.end()
 
-    def _ended(self, held: _Held) -> None:
+    def _ended(self, held: HeldRequest) -> None:
         self._forget(held)
         self._answers.ended(held.answer, self._clock.now_ms)
         self._callers.pump(held.answer)
 
-    def _forget(self, held: _Held) -> None:
+    def _forget(self, held: HeldRequest) -> None:
         self._let_go(held)
         if held.answer.state == AnswerState.WAITING:
             self._answers.remove(held.spec.request)
 
-    def _let_go(self, held: _Held) -> None:
+    def _let_go(self, held: HeldRequest) -> None:
         """Hold a request no longer; its room and its span end with it."""
         self._held.pop(held.spec.request, None)
         self._guard.give_back(held.spec.workspace)
--- /dev/null
+++ b/packages/router/src/tamarack_router/run_sockets.py
@@ -0,0 +1,68 @@
+"""The endpoints' sockets of the relay: connections of the runs in progress."""
+
+from __future__ import annotations
+
+import selectors
+from collections.abc import Callable
+
+from tamarack_core.clock import Clock
+from tamarack_router.endpoint_connection import ConnectionEvent, EndpointConnection
+from tamarack_router.held_request import HeldRequest
+from tamarack_router.run import Run, Step
+
+WentOn = Callable[[HeldRequest, Run, Step], None]
+
+# Of the steps that one reading brings, only the first in this order is taken: a run that has
+# ended or failed has nothing to pump.
+STEP_ORDER = (Step.RESUME, Step.FAILED, Step.BROKEN, Step.FINISHED, Step.GREW)
+
+
+class RunSockets:
+    """Runs' connections, watched by the relay's selector.
+
+    Parameters
+    ----------
+    went_on
+        Called with a held request, its run and the step to take.
+    """
+
+    def __init__(self, clock: Clock, selector: selectors.BaseSelector, went_on: WentOn) -> None:
+        self._clock = clock
+        self._selector = selector
+        self._went_on = went_on
+
+    def open(self, held: HeldRequest, run: Run) -> None:
+        """Connect a run to its endpoint and watch the connection."""
+        connection, events = run.open(self._clock.now_ms)
+        if events:
+            self._take(held, run, events)
+            return
+
+        def ready(mask: int) -> None:
+            if run.connection is connection and held.run is run:
+                self._take(held, run, connection.ready(mask))
+                self._select_again(run, connection)
+
+        self._selector.register(connection.sock, connection.interest, ready)
+
+    def close(self, run: Run) -> None:
+        """Close a run's connection, if it has one."""
+        connection = run.connection
+        if connection is not None and connection.sock in self._selector.get_map():
+            self._selector.unregister(connection.sock)
+        run.close()
+
+    def _select_again(self, run: Run, connection: EndpointConnection) -> None:
+        if run.connection is not connection:
+            return
+        key = self._selector.get_key(connection.sock)
+        if key.events != connection.interest:
+            self._selector.modify(connection.sock, connection.interest, key.data)
+
+    def _take(self, held: HeldRequest, run: Run, events: list[ConnectionEvent]) -> None:
+        now_ms = self._clock.now_ms
+        steps = {run.take(event, now_ms) for event in events}
+        for step in STEP_ORDER:
+            if step in steps:
+                self._went_on(held, run, step)
+                return
