Split the dispatcher by what it keeps

What is kept of each router stands in `RouterAccounts`, grants in use and their slots in `RunningGrants`, other shards' totals in `RemoteShards`, the time between grants in `GrantIntervals`, and what it needs of the configuration in `dispatch_policy`, which the configuration no longer imports from the dispatcher. The order of service and its numbers are as they were.

--- a/packages/bench/src/tamarack_bench/core_bench.py
+++ b/packages/bench/src/tamarack_bench/core_bench.py
@@ -15,7 +15,8 @@
     Ticket,
     Usage,
 )
-from tamarack_core.dispatcher import Dispatcher, DispatchPolicy
+from tamarack_core.dispatch_policy import DispatchPolicy
+from tamarack_core.dispatcher import Dispatcher
 from tamarack_core.endpoint_pool import EndpointSpec
 
 ROUTER = "r1"
--- a/packages/bench/src/tamarack_bench/slopes.py
+++ b/packages/bench/src/tamarack_bench/slopes.py
@@ -23,7 +23,8 @@
 from tamarack_core.configuration import Configuration
 from tamarack_core.configuration_entries import Change, EntryPut, hash_key
 from tamarack_core.dispatch_messages import ShardKey, Ticket
-from tamarack_core.dispatcher import Dispatcher, DispatchPolicy
+from tamarack_core.dispatch_policy import DispatchPolicy
+from tamarack_core.dispatcher import Dispatcher
 from tamarack_core.keeper import Keeper
 from tamarack_standins.deployments import Deployment
 from tamarack_standins.fleet import Fleet
--- a/packages/core/src/tamarack_core/configuration.py
+++ b/packages/core/src/tamarack_core/configuration.py
@@ -19,7 +19,7 @@
 )
 from tamarack_core.defaults import DEADLINE_MS, DEFAULT_COST, QUEUE_LIMIT, SHARD_SIZE
 from tamarack_core.dispatch_messages import ShardKey
-from tamarack_core.dispatcher import DispatchPolicy
+from tamarack_core.dispatch_policy import DispatchPolicy
 from tamarack_core.endpoint_pool import EndpointSpec
 from tamarack_core.rendezvous import ranked
 
--- a/packages/core/src/tamarack_core/dispatcher.py
+++ b/packages/core/src/tamarack_core/dispatcher.py
@@ -8,12 +8,8 @@
 
 from tamarack_core.actions import Send
 from tamarack_core.defaults import (
-    DEFAULT_COST,
     PROGRESS_STEP,
-    QUEUE_LIMIT,
     REGISTRATION_WINDOW_MS,
-    ROUTER_PROBE_MS,
-    ROUTER_SILENCE_MS,
 )
 from tamarack_core.dispatch_messages import (
     USAGE_FAILED,
@@ -34,38 +30,19 @@
     TicketRefusal,
     Usage,
 )
+from tamarack_core.dispatch_policy import DispatchPolicy
 from tamarack_core.endpoint_pool import EndpointPool, EndpointSpec, LoadReport
 from tamarack_core.errors import ErrorCode
 from tamarack_core.estimator import Estimator
 from tamarack_core.fair_queue import FairQueue, Waiting
+from tamarack_core.grant_intervals import GrantIntervals
 from tamarack_core.queue_policy import FAIR, QUEUES
+from tamarack_core.remote_shards import RemoteShards
+from tamarack_core.router_accounts import GRANT_IN_FLIGHT_MS, RouterAccounts
+from tamarack_core.running_grants import Running, RunningGrants
 
-GRANT_IN_FLIGHT_MS = 500
-PROBE_SHARE = 0.05
-FEW_PATIENCE = 5.0
 PREDICT_FROM = 8
 PASS_LIMIT = 8
-RATE_GAIN = 0.1
-
-
-class DispatchPolicy(NamedTuple):
-    """What the configuration in force says of one service."""
-
-    weights: dict[str, float] = {}
-    default_weight: float = 1.0
-    queue_limit: int = QUEUE_LIMIT
-    default_cost: float = DEFAULT_COST
-
-
-class Running(NamedTuple):
-    """A grant in use."""
-
-    request: str
-    router: str
-    workspace: str
-    endpoint: str
-    charged: float
-    granted_ms: float
 
 
 class ShareReading(NamedTuple):
@@ -119,19 +96,12 @@
             unit=policy.default_cost,
         )
         self._estimator = Estimator(policy.default_cost)
-        self._running: dict[str, Running] = {}
-        self._held: Counter[str] = Counter()
         self._deadlines: list[tuple[float, str]] = []
         self._served: Counter[str] = Counter()
-        self._waiting_by_router: Counter[str] = Counter()
-        self._running_by_router: Counter[str] = Counter()
-        self._granted_ms: dict[str, float] = {}
-        self._mismatched: set[str] = set()
-        self._heard_ms: dict[str, float] = {}
-        self._probed_ms: dict[str, float] = {}
-        self._intervals: dict[str, float] = {}
-        self._last_grant_ms: dict[str, float] = {}
-        self._remote: dict[int, ShardCounters] = {}
+        self._routers = RouterAccounts()
+        self._running = RunningGrants(self._pool, self._routers)
+        self._intervals = GrantIntervals()
+        self._remote = RemoteShards()
         self._domains: dict[str, str] = {}
         self._counts: Counter[str] = Counter()
 
@@ -158,7 +128,7 @@
     @property
     def idle(self) -> bool:
         """Whether nothing waits and nothing runs."""
-        return not self._running and not len(self._queue)
+        return not len(self._running) and not len(self._queue)
 
     @property
     def pool(self) -> EndpointPool:
@@ -178,7 +148,7 @@
                 name,
                 self._queue.counter(name),
                 self._queue.waiting_of(name),
-                self._held[name],
+                self._running.of_workspace(name),
                 self._served[name],
             )
             for name in names
@@ -203,7 +173,7 @@
 
     def submit(self, router: str, tickets: list[Ticket], now_ms: float) -> list[Send]:
         """Queue tickets of a router; those that cannot be served are refused at once."""
-        self._heard_ms[router] = now_ms
+        self._routers.heard(router, now_ms)
         refusals = []
         for ticket in tickets:
             refusal = self._admit(router, ticket, now_ms)
@@ -220,13 +190,13 @@
             waiting = self._queue.find(request)
             if waiting is not None and waiting.router == router:
                 self._queue.remove(request, now_ms)
-                self._waiting_by_router[router] -= 1
+                self._routers.waiting[router] -= 1
 
     def usage(self, router: str, usages: list[Usage], now_ms: float) -> None:
         """Take in progress and settlements."""
-        self._heard_ms[router] = now_ms
+        self._routers.heard(router, now_ms)
         for usage in usages:
-            running = self._running.get(usage.request)
+            running = self._running.find(usage.request)
             if running is None or running.router != router:
                 self._counts["usage_unmatched"] += 1
                 continue
@@ -246,23 +216,14 @@
             running = Running(
                 grant.request, router, grant.workspace, grant.endpoint, grant.charged, now_ms
             )
-            self._adopt(running)
+            self._running.take(running)
         tickets = [t for t in message.tickets if t.request not in told]
         return self.submit(router, tickets, now_ms)
 
     def poll(self, router: str, message: Poll, now_ms: float) -> Send:
         """Answer a router's check; ask for all it has when the counts differ twice running."""
-        self._heard_ms[router] = now_ms
-        waiting = self._waiting_by_router[router]
-        running = self._running_by_router[router]
-        differs = waiting + running != message.waiting + message.running
-        if now_ms - self._granted_ms.get(router, float("-inf")) > GRANT_IN_FLIGHT_MS:
-            differs = differs or waiting != message.waiting
-        resync = differs and router in self._mismatched
-        if differs and not resync:
-            self._mismatched.add(router)
-        else:
-            self._mismatched.discard(router)
+        self._routers.heard(router, now_ms)
+        resync = self._routers.differs_again(router, message, now_ms)
         if resync:
             self._counts["resync"] += 1
         return Send(router, PollAck(self._shard, self._term, resync))
@@ -270,10 +231,7 @@
     def router_gone(self, router: str, now_ms: float) -> None:
         """Free what a dead router held, and forget it."""
         self._drop_router(router, now_ms)
-        for by_router in (self._heard_ms, self._probed_ms, self._granted_ms):
-            by_router.pop(router, None)
-        del self._waiting_by_router[router]
-        del self._running_by_router[router]
+        self._routers.forget(router)
 
     def tick(self, now_ms: float) -> list[Send]:
         """Refuse tickets whose deadline has passed, and refresh the endpoints."""
@@ -285,7 +243,7 @@
             if waiting is None or waiting.deadline_ms > now_ms:
                 continue
             self._queue.remove(request, now_ms)
-            self._waiting_by_router[waiting.router] -= 1
+            self._routers.waiting[waiting.router] -= 1
             late.setdefault(waiting.router, []).append(
                 TicketRefusal(request, ErrorCode.DEADLINE, 1_000)
             )
@@ -326,7 +284,7 @@
 
     def exchange(self) -> ShardCounters:
         """Totals for the other shards: of backlogged workspaces and those that run."""
-        live = set(self._queue.backlogged) | {r.workspace for r in self._running.values()}
+        live = set(self._queue.backlogged) | self._running.workspaces
         charged = {}
         refunded = {}
         for name, plus, minus in self._queue.totals():
@@ -337,19 +295,8 @@
 
     def merge(self, message: ShardCounters) -> None:
         """Take in another shard's totals; older ones of the same term change nothing."""
-        index = message.shard.number
-        known = self._remote.get(index)
-        if known is not None:
-            message = merge_counters(known, message)
-        self._remote[index] = message
-        remote: Counter[str] = Counter()
-        serving: Counter[str] = Counter()
-        for counters in self._remote.values():
-            for name, charged in counters.charged.items():
-                remote[name] += charged - counters.refunded.get(name, 0.0)  # type: ignore[assignment]
-                serving[name] += 1
-        for name, total in remote.items():
-            self._queue.exchange(name, float(total), min(self._shards, 1 + serving[name]))
+        for name, charged, serving in self._remote.merge(message):
+            self._queue.exchange(name, charged, min(self._shards, 1 + serving))
 
     def _check_routers(self, now_ms: float) -> list[Send]:
         """Free the slots of routers that hold many and have gone silent.
@@ -357,20 +304,11 @@
         The members' own probing takes seconds to call a router dead; until then its slots would
         stand idle while work waits. A router that was only cut off registers its runs again.
         """
-        sends = []
-        many = max(1.0, self._pool.slots * PROBE_SHARE)
-        for router, held in list(self._running_by_router.items()):
-            silent_ms = now_ms - self._heard_ms.setdefault(router, now_ms)
-            patience = 1.0 if held >= many else FEW_PATIENCE
-            if held <= 0 or silent_ms < patience * ROUTER_PROBE_MS:
-                continue
-            if silent_ms >= patience * ROUTER_SILENCE_MS:
-                self._counts["router_silent"] += 1
-                self._drop_router(router, now_ms)
-            elif now_ms - self._probed_ms.get(router, float("-inf")) >= ROUTER_PROBE_MS * patience:
-                self._probed_ms[router] = now_ms
-                sends.append(Send(router, Probe(self._shard, self._term)))
-        return sends
+        silent = self._routers.silent(self._pool.slots, now_ms)
+        for router in silent.lost:
+            self._counts["router_silent"] += 1
+            self._drop_router(router, now_ms)
+        return [Send(router, Probe(self._shard, self._term)) for router in silent.due]
 
     def _endpoint_for(self, waiting: Waiting, now_ms: float) -> str | None:
         ticket = waiting.ticket
@@ -382,12 +320,13 @@
         )
 
     def _admit(self, router: str, ticket: Ticket, now_ms: float) -> TicketRefusal | None:
-        if ticket.request in self._running:
-            granted_ms = self._running[ticket.request].granted_ms
-            if now_ms - granted_ms < GRANT_IN_FLIGHT_MS:
+        running = self._running.find(ticket.request)
+        if running is not None:
+            if now_ms - running.granted_ms < GRANT_IN_FLIGHT_MS:
                 return None
             # The grant was lost on its way; otherwise the ticket would wait for ever.
-            self._release(self._running[ticket.request], now_ms, refund=True)
+            self._running.release(running, now_ms)
+            self._queue.charge(running.workspace, -running.charged)
         workspace = ticket.workspace
         if self._queue.waiting_of(workspace) >= self._policy.queue_limit:
             return TicketRefusal(ticket.request, ErrorCode.QUEUE_FULL, 1_000)
@@ -400,7 +339,7 @@
             self._counts["ticket_duplicate"] += 1
             return None
         self._counts["tickets"] += 1
-        self._waiting_by_router[router] += 1
+        self._routers.waiting[router] += 1
         heapq.heappush(self._deadlines, (deadline_ms, ticket.request))
         return None
 
@@ -408,47 +347,30 @@
         waiting = self._queue.waiting_of(workspace)
         if waiting < PREDICT_FROM or self._pool.has_free:
             return 0.0
-        return waiting * self._intervals.get(workspace, 0.0)
+        return waiting * self._intervals.mean_ms(workspace)
 
     def _grant(self, waiting: Waiting, endpoint: str, now_ms: float) -> Grant:
         ticket = waiting.ticket
         charged = float(round(self._estimator.estimate(ticket.workspace, ticket.hint)))
-        self._waiting_by_router[waiting.router] -= 1
-        self._granted_ms[waiting.router] = now_ms
-        self._note_interval(ticket.workspace, now_ms)
+        self._routers.granted(waiting.router, now_ms)
+        backlogged = self._queue.waiting_of(ticket.workspace) > 0
+        self._intervals.granted(ticket.workspace, now_ms, backlogged=backlogged)
         self._queue.charge(ticket.workspace, charged)
         self._queue.set_unit(ticket.workspace, charged)
         running = Running(
             ticket.request, waiting.router, ticket.workspace, endpoint, charged, now_ms
         )
-        self._adopt(running, ticket.prefix)
+        self._running.take(running, ticket.prefix)
         self._counts["grants"] += 1
         return Grant(ticket.request, endpoint, round(charged))
 
-    def _note_interval(self, workspace: str, now_ms: float) -> None:
-        # Time in which nothing waited tells nothing of how fast the workspace is served.
-        last_ms = self._last_grant_ms.pop(workspace, None)
-        if last_ms is not None:
-            mean_ms = self._intervals.get(workspace, 0.0)
-            self._intervals[workspace] = mean_ms + (now_ms - last_ms - mean_ms) * RATE_GAIN
-        if self._queue.waiting_of(workspace):
-            self._last_grant_ms[workspace] = now_ms
-
-    def _adopt(self, running: Running, prefix: int = 0) -> None:
-        if running.request in self._running:
-            self._release(self._running[running.request], running.granted_ms)
-        self._running[running.request] = running
-        self._held[running.workspace] += 1
-        self._running_by_router[running.router] += 1
-        self._pool.take(running.endpoint, running.granted_ms, prefix=prefix)
-
     def _progress(self, running: Running, cost: float) -> None:
         if cost <= running.charged:
             return
         # Charged past what has run, so that a long run is felt before its next report.
         charged = cost * (1.0 + PROGRESS_STEP)
         self._queue.charge(running.workspace, charged - running.charged)
-        self._running[running.request] = running._replace(charged=charged)
+        self._running.charge(running, charged)
 
     def _settle(self, running: Running, usage: Usage, now_ms: float) -> None:
         cost = usage.cost if usage.state in (USAGE_FINISHED, USAGE_FAILED) else 0.0
@@ -460,43 +382,19 @@
         self._counts["failed" if failed else "settled"] += 1
         if usage.state == USAGE_RETURNED:
             self._counts["returned"] += 1
-        self._release(running, now_ms, failed=failed)
-
-    def _release(
-        self, running: Running, now_ms: float, *, failed: bool = False, refund: bool = False
-    ) -> None:
-        del self._running[running.request]
-        self._held[running.workspace] -= 1
-        self._running_by_router[running.router] -= 1
-        self._pool.release(running.endpoint, now_ms, failed=failed)
-        if refund:
-            self._queue.charge(running.workspace, -running.charged)
+        self._running.release(running, now_ms, failed=failed)
 
     def _drop_router(self, router: str, now_ms: float, keep: set[str] = frozenset()) -> None:  # type: ignore[assignment]
         for waiting in [w for w in self._queue.entries() if w.router == router]:
             self._queue.remove(waiting.ticket.request, now_ms)
-        self._waiting_by_router[router] = 0
-        for running in [r for r in self._running.values() if r.router == router]:
+        for running in self._running.of_router(router):
             fresh = now_ms - running.granted_ms < GRANT_IN_FLIGHT_MS
             if not (fresh and running.request in keep):
-                self._release(running, now_ms)
-        self._mismatched.discard(router)
+                self._running.release(running, now_ms)
+        self._routers.cleared(router)
 
     def _refuse(self, router: str, refusals: list[TicketRefusal]) -> list[Send]:
         if not refusals:
             return []
         self._counts["refused"] += len(refusals)
         return [Send(router, RefuseTickets(self._shard, self._term, refusals))]
-
-
-def merge_counters(one: ShardCounters, other: ShardCounters) -> ShardCounters:
-    """Merge two readings of one shard: the newer term, or the maximum of each counter."""
-    if one.term != other.term:
-        return one if one.term > other.term else other
-    charged = dict(one.charged)
-    for name, value in other.charged.items():
-        charged[name] = max(value, charged.get(name, 0.0))
-    refunded = dict(one.refunded)
-    for name, value in other.refunded.items():
-        refunded[name] = max(value, refunded.get(name, 0.0))
-    return ShardCounters(one.shard, one.term, charged, refunded)
--- /dev/null
+++ b/packages/core/src/tamarack_core/remote_shards.py
@@ -0,0 +1,51 @@
+"""Totals that the dispatchers of a service's other shards told."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import NamedTuple
+
+from tamarack_core.dispatch_messages import ShardCounters
+
+
+class RemoteTotal(NamedTuple):
+    """What other shards charged one workspace, and how many of them serve it."""
+
+    workspace: str
+    charged: float
+    shards: int
+
+
+class RemoteShards:
+    """The newest totals of each other shard."""
+
+    def __init__(self) -> None:
+        self._counters: dict[int, ShardCounters] = {}
+
+    def merge(self, message: ShardCounters) -> list[RemoteTotal]:
+        """Take in a shard's totals and sum over all; older ones of a term change nothing."""
+        index = message.shard.number
+        known = self._counters.get(index)
+        if known is not None:
+            message = merge_counters(known, message)
+        self._counters[index] = message
+        charged: Counter[str] = Counter()
+        serving: Counter[str] = Counter()
+        for counters in self._counters.values():
+            for name, plus in counters.charged.items():
+                charged[name] += plus - counters.refunded.get(name, 0.0)  # type: ignore[assignment]
+                serving[name] += 1
+        return [RemoteTotal(name, float(total), serving[name]) for name, total in charged.items()]
+
+
+def merge_counters(one: ShardCounters, other: ShardCounters) -> ShardCounters:
+    """Merge two readings of one shard: the newer term, or the maximum of each counter."""
+    if one.term != other.term:
+        return one if one.term > other.term else other
+    charged = dict(one.charged)
+    for name, value in other.charged.items():
+        charged[name] = max(value, charged.get(name, 0.0))
+    refunded = dict(one.refunded)
+    for name, value in other.refunded.items():
+        refunded[name] = max(value, refunded.get(name, 0.0))
+    return ShardCounters(one.shard, one.term, charged, refunded)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -20,7 +20,8 @@
     Ticket,
     Usage,
 )
-from tamarack_core.dispatcher import Dispatcher, DispatchPolicy
+from tamarack_core.dispatch_policy import DispatchPolicy
+from tamarack_core.dispatcher import Dispatcher
 from tamarack_core.endpoint_pool import EndpointPool, EndpointSpec, LoadReport
 from tamarack_core.errors import ErrorCode
 from tamarack_core.estimator import Estimator
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -7,8 +7,8 @@
 
 from tamarack_core.defaults import AGING_MS
 from tamarack_core.dispatch_messages import ShardCounters, ShardKey, Ticket
-from tamarack_core.dispatcher import merge_counters
 from tamarack_core.fair_queue import FairQueue, Waiting
+from tamarack_core.remote_shards import merge_counters
 
 
 def waiting(workspace: str, number: int, arrived_ms: float = 0.0, priority: int = 1) -> Waiting:
