Give the engine's generations a module of their own

One request and the bytes of its answer stand in `generation`; the engine keeps the batch, its routes and its orders.

test_orders and test_partition pass, which run engines.

--- a/packages/standins/src/tamarack_standins/engine.py
+++ b/packages/standins/src/tamarack_standins/engine.py
@@ -7,8 +7,6 @@
 
 import argparse
 import asyncio
-import hashlib
-import json
 import random
 import time
 from collections import deque
@@ -17,15 +15,14 @@
 from aiohttp import ClientSession, web
 
 from tamarack_standins.faults import Faults
+from tamarack_standins.generation import Generation, event_bytes, last_bytes
 from tamarack_standins.prefix_cache import PrefixCache
-from tamarack_standins.run_log import RunLog, RunRecord
+from tamarack_standins.run_log import RunLog
 from tamarack_standins.server import make_app, serve
 
 KEPT_GENERATIONS = 2_000
 PREFILL_TOKENS_PER_STEP = 512
 PREFIX_CHARACTERS = 256
-LONGEST_ANSWER = 400
-SHORTEST_ANSWER = 5
 
 
 class EngineOptions(NamedTuple):
@@ -44,36 +41,6 @@
     run_log: str = ""
 
 
-class Generation:
-    """One request in the engine."""
-
-    def __init__(self, request: str, workspace: str, body: dict[str, Any], chat: bool) -> None:
-        self.request = request
-        self.stream = bool(body.get("stream"))
-        self.model = str(body.get("model"))
-        self.chat = chat
-        self.prompt = _prompt_of(body)
-        self.prompt_tokens = max(1, len(self.prompt) // 4)
-        self.wanted = _answer_tokens(body, self.prompt)
-        self.produced = 0
-        self.prefill_steps = 0
-        self.out = bytearray()
-        self.text: list[str] = []
-        self.done = False
-        self.cancelled = False
-        self.changed = asyncio.Event()
-        self.record: RunRecord | None = None
-
-    def token(self) -> str:
-        """Text of the next token."""
-        return f"{self.request}#{self.produced} "
-
-    def notify(self) -> None:
-        """Wake whoever writes this generation."""
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-
 class Engine:
     """A batch of generations that step together."""
 
@@ -160,14 +127,14 @@
         if generation.record is not None:
             generation.record["tokens"] = generation.produced
         if generation.stream:
-            generation.out += _event(generation, text)
+            generation.out += event_bytes(generation, text)
 
     def _finish(self, generation: Generation, state: str) -> None:
         generation.done = True
         if generation.record is not None:
             self._log.finish(generation.record, state)
         if state == "finished":
-            generation.out += _last_bytes(generation)
+            generation.out += last_bytes(generation)
         generation.notify()
         self._forget_old()
 
@@ -310,58 +277,6 @@
                 await changed.wait()
 
 
-def _prompt_of(body: dict[str, Any]) -> str:
-    if "messages" in body:
-        return "\n".join(str(message.get("content", "")) for message in body["messages"])
-    return str(body.get("prompt", ""))
-
-
-def _answer_tokens(body: dict[str, Any], prompt: str) -> int:
-    limit = int(body.get("max_tokens") or LONGEST_ANSWER)
-    seed = int.from_bytes(hashlib.sha256(prompt.encode()).digest()[:8], "big")
-    drawn = random.Random(seed).randint(SHORTEST_ANSWER, LONGEST_ANSWER)
-    exact = body.get("standin_tokens")
-    return int(exact) if exact else max(1, min(limit, drawn))
-
-
-def _event(generation: Generation, text: str) -> bytes:
-    if generation.chat:
-        choice: dict[str, Any] = {"index": 0, "delta": {"content": text}, "finish_reason": None}
-    else:
-        choice = {"index": 0, "text": text, "finish_reason": None}
-    return b"data: " + json.dumps(_chunk(generation, choice)).encode() + b"\n\n"
-
-
-def _chunk(generation: Generation, choice: dict[str, Any]) -> dict[str, Any]:
-    kind = "chat.completion" if generation.chat else "text_completion"
-    if generation.chat and generation.stream:
-        kind = "chat.completion.chunk"
-    return {
-        "id": generation.request,
-        "object": kind,
-        "created": 0,
-        "model": generation.model,
-        "choices": [choice],
-    }
-
-
-def _last_bytes(generation: Generation) -> bytes:
-    if generation.stream:
-        return b"data: [DONE]\n\n"
-    text = "".join(generation.text)
-    choice: dict[str, Any] = {"index": 0, "finish_reason": "stop"}
-    if generation.chat:
-        choice["message"] = {"role": "assistant", "content": text}
-    else:
-        choice["text"] = text
-    usage = {
-        "prompt_tokens": generation.prompt_tokens,
-        "completion_tokens": generation.produced,
-        "total_tokens": generation.prompt_tokens + generation.produced,
-    }
-    return json.dumps({**_chunk(generation, choice), "usage": usage}).encode()
-
-
 def _not_run(reason: str) -> web.Response:
     return web.json_response({"error": reason}, status=503, headers={"Endpoint-Outcome": "not-run"})
 
