--- a/packages/standins/src/tamarack_standins/fleet.py
+++ b/packages/standins/src/tamarack_standins/fleet.py
@@ -5,10 +5,9 @@
 import argparse
 import contextlib
 import json
-import random
 import secrets
 import signal
-import socket
+import subprocess
 import sys
 import tempfile
 import threading
@@ -28,12 +27,11 @@
     initial_entries,
 )
 from tamarack_standins.forwarder import Forwarder
+from tamarack_standins.ports import HOST, Ports
 from tamarack_standins.processes import Processes, read_line
 from tamarack_standins.run_log import RunRecord, read_log_file
 
 READY_TIMEOUT_S = 30.0
-HOST = "127.0.0.1"
-PORT_RANGE = (12_000, 32_000)
 
 
 class RouterProcess(NamedTuple):
@@ -77,7 +75,7 @@
     ) -> None:
         self._deployment = deployment
         self._count = routers
-        self._next_port = base_port
+        self._ports = Ports(base_port)
         self._settings = settings or {}
         self._log_dir = log_dir
         self._address_ttl_ms = address_ttl_ms
@@ -159,7 +157,7 @@
 
     def start_router(self, name: str, failure_domain: str) -> RouterProcess:
         """Start one router; a name that was used before is a cold restart on new ports."""
-        ports = [self._port() for _ in range(4)]
+        ports = [self._ports.take() for _ in range(4)]
         listen, admin, metrics, peer = (f"{HOST}:{port}" for port in ports)
         environment = {
             "TAMARACK_ADMIN_TOKENS": f"configure:{ADMIN_TOKEN}",
@@ -267,7 +265,7 @@
         return self._store_forwarders[name].address
 
     def _start(self) -> None:
-        listen = f"{HOST}:{self._next_port and self._port()}"
+        listen = f"{HOST}:{self._ports.take_fixed()}"
         platform = self._processes.start(
             "platform", "tamarack_standins.platform_server", ["--listen", listen], output=True
         )
@@ -293,7 +291,7 @@
         domains = self._deployment.failure_domains
         name = f"{service.name}-{index + 1}"
         old = index < service.old
-        listen = f"{HOST}:{self._next_port and self._port()}"
+        listen = f"{HOST}:{self._ports.take_fixed()}"
         arguments = ["--listen", listen, "--name", name]
         if service.kind == "model":
             module = "tamarack_standins.engine"
@@ -343,42 +341,11 @@
 
     def _log(self, name: str) -> Any:
         if not self._log_dir:
-            import subprocess
-
             return subprocess.DEVNULL
         path = Path(self._log_dir)
         path.mkdir(parents=True, exist_ok=True)
         return self._stack.enter_context(open(path / f"{name}.log", "ab"))
 
-    def _port(self) -> int:
-        if self._next_port:
-            port = self._next_port
-            self._next_port += 1
-            return port
-        return free_port()
-
-
-_given: set[int] = set()
-
-
-def free_port() -> int:
-    """A port that is free now, below those that the system gives to outgoing connections.
-
-    One of those could be taken by any connection before its router has bound it.
-    """
-    chance = random.SystemRandom()
-    while True:
-        port = chance.randrange(*PORT_RANGE)
-        if port in _given:
-            continue
-        _given.add(port)
-        with socket.socket() as sock:
-            try:
-                sock.bind((HOST, port))
-            except OSError:
-                continue
-        return port
-
 
 def main() -> int:
     """Run a fleet in the foreground until SIGTERM or SIGINT."""
