--- a/packages/bench/src/tamarack_bench/demo.py
+++ b/packages/bench/src/tamarack_bench/demo.py
@@ -12,6 +12,7 @@
 from rich.table import Table
 
 from tamarack_bench.accounts import (
+    Verdict,
     Window,
     busy_slots,
     fair_shares,
@@ -93,6 +94,11 @@
         part = busy_slots(model_runs, window) / (slots * window.length_ms)
         console.print(f"Utilisation, {title}: {part:.3f}")
     verdict = judge(load.results, runs)
+    _print_verdict(console, verdict, graceful=graceful)
+    return kept and graceful and not verdict.broken and not lagging.routers
+
+
+def _print_verdict(console: Console, verdict: Verdict, *, graceful: bool) -> None:
     console.print(
         f"Requests: answered {verdict.answered}, refused as not run {verdict.refused}, "
         f"outcome unknown {verdict.unknown}."
@@ -101,7 +107,6 @@
         f"[b]lost {verdict.lost}, doubled {verdict.doubled}, mixed {verdict.mixed}[/b]; "
         f"graceful stop {'clean' if graceful else 'FAILED'}."
     )
-    return kept and graceful and not verdict.broken and not lagging.routers
 
 
 def _phase(console: Console, title: str) -> Window:
--- a/packages/bench/src/tamarack_bench/order_scenarios.py
+++ b/packages/bench/src/tamarack_bench/order_scenarios.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import time
+from typing import Any
 
 from tamarack_bench.fleet_run import loaded_fleet, now_ms, settle
 from tamarack_bench.load import CallerPlan
 from tamarack_bench.scenarios import Options, Reading, scenario
+from tamarack_client.admin import AdminClient
 from tamarack_standins.deployments import DEPLOYMENTS
+from tamarack_standins.fleet import Fleet
 
 RELOAD_TIMEOUT_S = 60.0
 OTHER_MODEL = "other-model"
@@ -23,28 +26,10 @@
         engines = [e for e in fleet.endpoints if e["kind"] == "model"]
         moved = engines[::3]
         admin = fleet.admin()
-        loads = {e["endpoint"]: OTHER_MODEL for e in moved}
-        service = {"kind": "model", "model": OTHER_MODEL, "max_unavailable": 1}
-        admin.change(
-            [
-                {"kind": "service", "name": "other", "body": service},
-                {"kind": "preset", "name": "moved", "body": {"loads": loads}},
-            ]
-        )
+        _add_preset(admin, moved)
         start_ms = now_ms()
         admin.switch_preset("moved")
-        deadline = time.monotonic() + RELOAD_TIMEOUT_S
-        least = len(engines)
-        while time.monotonic() < deadline:
-            states = [fleet.get_json(e["address"], "/load") for e in engines]
-            least = min(least, sum(1 for state in states if not state["leaving"]))
-            if all(
-                state["model"] == OTHER_MODEL and state["accepting"]
-                for state, engine in zip(states, engines, strict=True)
-                if engine in moved
-            ):
-                break
-            time.sleep(0.05)
+        least = _watch_reload(fleet, engines, moved)
         took_ms = now_ms() - start_ms
         orders = [
             order
@@ -67,3 +52,32 @@
         "unknown": float(sum(1 for r in account.results if r.outcome == "unknown")),
     }
     return Reading("reload", figures)
+
+
+def _add_preset(admin: AdminClient, moved: list[dict[str, Any]]) -> None:
+    """Add the other model and the preset that has some engines load it."""
+    loads = {e["endpoint"]: OTHER_MODEL for e in moved}
+    service = {"kind": "model", "model": OTHER_MODEL, "max_unavailable": 1}
+    admin.change(
+        [
+            {"kind": "service", "name": "other", "body": service},
+            {"kind": "preset", "name": "moved", "body": {"loads": loads}},
+        ]
+    )
+
+
+def _watch_reload(fleet: Fleet, engines: list[dict[str, Any]], moved: list[dict[str, Any]]) -> int:
+    """Wait until the engines have loaded the other model; give the fewest that took work."""
+    deadline = time.monotonic() + RELOAD_TIMEOUT_S
+    least = len(engines)
+    while time.monotonic() < deadline:
+        states = [fleet.get_json(e["address"], "/load") for e in engines]
+        least = min(least, sum(1 for state in states if not state["leaving"]))
+        if all(
+            state["model"] == OTHER_MODEL and state["accepting"]
+            for state, engine in zip(states, engines, strict=True)
+            if engine in moved
+        ):
+            break
+        time.sleep(0.05)
+    return least
--- a/packages/router/src/tamarack_router/main.py
+++ b/packages/router/src/tamarack_router/main.py
@@ -78,12 +78,7 @@
     def __enter__(self) -> Router:
         settings, clock, stack = self._settings, self._clock, self._stack
         boot = clock.wall_ms
-        curve = None
-        if settings.curve_secret:
-            curve = CurveKeys(settings.curve_public, settings.curve_secret)
-        links = stack.enter_context(
-            PeerLinks(settings.router, boot, settings.peer_listen, curve=curve)
-        )
+        links = stack.enter_context(self._peer_links(boot))
         tracing = stack.enter_context(
             Tracing(settings.router, settings.trace, settings.trace_address, settings.trace_sample)
         )
@@ -104,24 +99,7 @@
             CallerLimits(settings.max_body_bytes, settings.address_ttl_ms),
         )
         callers = self._listen("callers", settings.listen, self.caller_app, settings.threads)
-        me = MemberUpdate(
-            settings.router,
-            boot,
-            ALIVE,
-            settings.peer_advertise or links.address,
-            callers.address,
-            settings.failure_domain,
-            0,
-            settings.max_held,
-        )
-        core = RouterCore(
-            me,
-            clock.now_ms,
-            shard_size=settings.shard_size,
-            exchange_ms=settings.exchange_ms,
-            seed=boot,
-            order=settings.policy,
-        )
+        core = self._core(boot, links.address, callers.address)
         self.control = Control(
             clock, core, links, mailbox, self.relay.mailbox, views, lambda: held.free, settings.peer
         )
@@ -138,6 +116,34 @@
     def __exit__(self, *exc: Any) -> None:
         self._stack.close()
 
+    def _peer_links(self, boot: int) -> PeerLinks:
+        settings = self._settings
+        curve = None
+        if settings.curve_secret:
+            curve = CurveKeys(settings.curve_public, settings.curve_secret)
+        return PeerLinks(settings.router, boot, settings.peer_listen, curve=curve)
+
+    def _core(self, boot: int, peer_address: str, caller_address: str) -> RouterCore:
+        settings = self._settings
+        me = MemberUpdate(
+            settings.router,
+            boot,
+            ALIVE,
+            settings.peer_advertise or peer_address,
+            caller_address,
+            settings.failure_domain,
+            0,
+            settings.max_held,
+        )
+        return RouterCore(
+            me,
+            self._clock.now_ms,
+            shard_size=settings.shard_size,
+            exchange_ms=settings.exchange_ms,
+            seed=boot,
+            order=settings.policy,
+        )
+
     def _start_outer_tasks(self, views: ViewHolder, mailbox: Mailbox) -> None:
         settings, stack = self._settings, self._stack
         table = TableService(settings.platform)
