Say once what a call's options and an arriving request are

The client wrote a call's options out for whole answers and for streams, and `classify` handed the same seven values to each kind of request. `CallOptions` and `_Arrival` hold them; what callers may pass, with its defaults, is as it was, and `complete` and `stream` check its names and types now too.

--- a/packages/client/src/tamarack_client/client.py
+++ b/packages/client/src/tamarack_client/client.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Iterator
 from types import TracebackType
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypedDict, Unpack
 
 import urllib3
 from urllib3.response import BaseHTTPResponse
@@ -23,6 +23,24 @@
 READ_BYTES = 16_384
 
 
+class CallOptions(TypedDict, total=False):
+    """How a request is made.
+
+    Attributes
+    ----------
+    deadline_s
+        Longest time for the whole call, `DEADLINE_S` unless given.
+    key
+        Idempotency key; the client makes one unless it is given.
+    headers
+        Further headers.
+    """
+
+    deadline_s: float
+    key: str | None
+    headers: dict[str, str] | None
+
+
 class _Attempt(NamedTuple):
     """What came of sending a request once.
 
@@ -81,12 +99,14 @@
     ) -> None:
         self._http.clear()
 
-    def complete(self, model: str, prompt: str, *, max_tokens: int = 256, **options: Any) -> Answer:
+    def complete(
+        self, model: str, prompt: str, *, max_tokens: int = 256, **options: Unpack[CallOptions]
+    ) -> Answer:
         """Ask a model to go on with a prompt; gives the whole answer."""
         return self.call("POST", "/v1/completions", _body(model, prompt, max_tokens), **options)
 
     def stream(
-        self, model: str, prompt: str, *, max_tokens: int = 256, **options: Any
+        self, model: str, prompt: str, *, max_tokens: int = 256, **options: Unpack[CallOptions]
     ) -> Iterator[bytes]:
         """The same as a stream of server-sent events; a cut connection is resumed."""
         body = {**_body(model, prompt, max_tokens), "stream": True}
@@ -97,10 +117,7 @@
         method: str,
         path: str,
         body: Any = None,
-        *,
-        deadline_s: float = DEADLINE_S,
-        key: str | None = None,
-        headers: dict[str, str] | None = None,
+        **options: Unpack[CallOptions],
     ) -> Answer:
         """Make a request and give its whole answer.
 
@@ -113,7 +130,7 @@
         OutcomeUnknownError
             Whether it ran is not known.
         """
-        exchange = _Exchange(self, method, path, body, deadline_s, key, headers or {})
+        exchange = _Exchange(self, method, path, body, **options)
         while True:
             response = exchange.open()
             try:
@@ -131,13 +148,10 @@
         method: str,
         path: str,
         body: Any = None,
-        *,
-        deadline_s: float = DEADLINE_S,
-        key: str | None = None,
-        headers: dict[str, str] | None = None,
+        **options: Unpack[CallOptions],
     ) -> Iterator[bytes]:
         """Make a request and give the body as it comes."""
-        exchange = _Exchange(self, method, path, body, deadline_s, key, headers or {})
+        exchange = _Exchange(self, method, path, body, **options)
         response = exchange.open()
         received = 0
         while True:
@@ -195,15 +209,16 @@
         method: str,
         path: str,
         body: Any,
-        deadline_s: float,
-        key: str | None,
-        headers: dict[str, str],
+        *,
+        deadline_s: float = DEADLINE_S,
+        key: str | None = None,
+        headers: dict[str, str] | None = None,
     ) -> None:
         self._client = client
         self._method = method
         self._path = path
         self._data = None if body is None else json.dumps(body).encode()
-        self._headers = headers
+        self._headers = headers or {}
         self._given_key = key
         self._key = key
         self._maybe_received = False
--- a/packages/router/src/tamarack_router/classify.py
+++ b/packages/router/src/tamarack_router/classify.py
@@ -39,9 +39,10 @@
     terms = _read_terms(call)
     if isinstance(terms, Refusal):
         return terms
+    arrival = _Arrival(call, body, workspace, request, config, now_ms, terms)
     if call.path in COMPLETIONS:
-        return _classify_model(call, body, workspace, request, config, now_ms, terms)
-    return _classify_plain(call, body, workspace, request, config, now_ms, terms)
+        return _classify_model(arrival)
+    return _classify_plain(arrival)
 
 
 class _Terms(NamedTuple):
@@ -51,6 +52,18 @@
     priority: int
 
 
+class _Arrival(NamedTuple):
+    """A request as it came, with what its headers ask for."""
+
+    call: HttpCall
+    body: bytes
+    workspace: str
+    request: str
+    config: Configuration
+    now_ms: float
+    terms: _Terms
+
+
 def _read_terms(call: HttpCall) -> _Terms | Refusal:
     headers = call.headers
     key = headers.get("idempotency-key", "")
@@ -73,15 +86,8 @@
     )
 
 
-def _classify_model(
-    call: HttpCall,
-    body: bytes,
-    workspace: str,
-    request: str,
-    config: Configuration,
-    now_ms: float,
-    terms: _Terms,
-) -> Classified | Refusal:
+def _classify_model(arrival: _Arrival) -> Classified | Refusal:
+    call, body, config = arrival.call, arrival.body, arrival.config
     if call.method != "POST":
         return _bad("Completions are asked for by POST.")
     parsed = _read_json(body)
@@ -107,22 +113,15 @@
     prompt_cost = prompt_tokens * entry.get("prompt_weight", DEFAULT_PROMPT_WEIGHT)
     prefix = xxhash.xxh32_intdigest(prompt[:PREFIX_CHARACTERS].encode())
     hint = round(prompt_cost) + limit if limit is not None else 0
-    spec = _spec(call, body, workspace, request, service, entry, config, now_ms, terms)
+    spec = _spec(arrival, service, entry)
     endpoint_call = EndpointCall(
         "POST", call.path, _passed(call), body, "model", stream, prompt_cost
     )
     return Classified(spec._replace(hint=hint, prefix=prefix), endpoint_call)
 
 
-def _classify_plain(
-    call: HttpCall,
-    body: bytes,
-    workspace: str,
-    request: str,
-    config: Configuration,
-    now_ms: float,
-    terms: _Terms,
-) -> Classified | Refusal:
+def _classify_plain(arrival: _Arrival) -> Classified | Refusal:
+    call, config = arrival.call, arrival.config
     service, _, _ = call.path.removeprefix(SERVICES).partition("/")
     entry = config.service(service)
     if entry is None or entry["kind"] != "plain":
@@ -132,29 +131,22 @@
         target = f"/{target}"
     if not _is_visible(target):
         return _bad("The path has characters that a request line may not have.")
-    spec = _spec(call, body, workspace, request, service, entry, config, now_ms, terms)
-    return Classified(spec, EndpointCall(call.method, target, _passed(call), body, "plain", False))
-
-
-def _spec(
-    call: HttpCall,
-    body: bytes,
-    workspace: str,
-    request: str,
-    service: str,
-    entry: ServiceEntry,
-    config: Configuration,
-    now_ms: float,
-    terms: _Terms,
-) -> RequestSpec:
-    longest_ms = config.deadline_ms(service)
-    deadline_ms = now_ms + min(longest_ms, terms.deadline_ms or longest_ms)
+    spec = _spec(arrival, service, entry)
+    return Classified(
+        spec, EndpointCall(call.method, target, _passed(call), arrival.body, "plain", False)
+    )
+
+
+def _spec(arrival: _Arrival, service: str, entry: ServiceEntry) -> RequestSpec:
+    call, terms = arrival.call, arrival.terms
+    longest_ms = arrival.config.deadline_ms(service)
+    deadline_ms = arrival.now_ms + min(longest_ms, terms.deadline_ms or longest_ms)
     digest = ""
     if terms.key:
-        digest = xxhash.xxh64_hexdigest(f"{call.method} {call.target}\n".encode() + body)
+        digest = xxhash.xxh64_hexdigest(f"{call.method} {call.target}\n".encode() + arrival.body)
     return RequestSpec(
-        request,
-        workspace,
+        arrival.request,
+        arrival.workspace,
         service,
         terms.key,
         terms.first,
