Let a caller read why its over-long body is refused

Cause: with a body of more than four times the limit, or one in chunks, the router answered 413 and closed with a part unread; the system then reset the connection and threw the answer away. The call stays watched meanwhile, so that a slow rest holds a thread no longer than before.

The new test sends eight times the limit, with a length and in chunks, before it reads: both cases broke the pipe before, both read the 413 now.

--- a/packages/router/src/tamarack_router/admin_app.py
+++ b/packages/router/src/tamarack_router/admin_app.py
@@ -225,7 +225,7 @@
     def _with_body(self, call: HttpCall, action: Any) -> Reply:
         body = read_body(call, MAX_BODY_BYTES)
         if isinstance(body, Refusal):
-            return refusal_reply(body)
+            return refusal_reply(body)._replace(close=True)
         try:
             parsed = msgspec.json.decode(body)
         except msgspec.DecodeError:
--- a/packages/router/src/tamarack_router/caller_app.py
+++ b/packages/router/src/tamarack_router/caller_app.py
@@ -155,9 +155,10 @@
     def _run(self, call: HttpCall, workspace: str, view: FleetView) -> Reply | None:
         call.slow.label(call.sock, workspace)
         body = read_body(call, self._limits.max_body_bytes)
-        call.slow.release(call.sock)
         if isinstance(body, Refusal):
+            # Watched on: the rest of the body is read after the answer.
             return self._refuse(body, close=True)
+        call.slow.release(call.sock)
         now_ms = self._clock.now_ms
         request = f"{self._router}~{self._boot}~{next(self._numbers)}"
         classified = classify(call, body, workspace, request, view.config, now_ms)
@@ -174,11 +175,7 @@
 
     def _refuse(self, refusal: Refusal, *, close: bool = False) -> Reply:
         self._counts[f"refused_{refusal.code}"] += 1
-        reply = refusal_reply(refusal)
-        if close:
-            # What is left of the body would be read as the next request.
-            reply.headers.append(("Connection", "close"))
-        return reply
+        return refusal_reply(refusal)._replace(close=close)
 
 
 def _over_share() -> Refusal:
--- a/packages/router/src/tamarack_router/http_listener.py
+++ b/packages/router/src/tamarack_router/http_listener.py
@@ -12,6 +12,7 @@
 from cheroot.server import Gateway, HTTPConnection, HTTPServer
 
 from tamarack_core.errors import ErrorCode, Outcome, Refusal
+from tamarack_router.drain import drain
 from tamarack_router.http_reply import Reply, refusal_reply
 from tamarack_router.logs import PartLog
 from tamarack_router.slow_callers import SlowCallers
@@ -174,6 +175,8 @@
                 reply = refusal_reply(refusal)
             if reply is not None:
                 _write(req, reply)
+                if reply.close:
+                    drain(req.conn.socket)
                 return
             # The socket now belongs to another task; cheroot must neither answer nor close.
             req.sent_headers = True
@@ -212,6 +215,8 @@
         (b"Content-Length", str(len(reply.body)).encode()),
         *((name.encode(), value.encode("latin-1", "replace")) for name, value in reply.headers),
     ]
+    # The library adds the header, and does not read the rest of the body before the answer.
+    req.close_connection = req.close_connection or reply.close
     req.ensure_headers_sent()
     if req.method != b"HEAD":
         req.write(reply.body)
--- a/packages/router/src/tamarack_router/http_reply.py
+++ b/packages/router/src/tamarack_router/http_reply.py
@@ -10,12 +10,20 @@
 
 
 class Reply(NamedTuple):
-    """A whole HTTP answer."""
+    """A whole HTTP answer.
+
+    Attributes
+    ----------
+    close
+        Whether the connection ends with it: what is left of the request would be read as the
+        next one.
+    """
 
     status: int
     body: bytes
     content_type: str = "application/json"
     headers: list[tuple[str, str]] = []
+    close: bool = False
 
 
 def json_bytes(value: Any) -> bytes:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -162,6 +162,51 @@
     assert len(runs_of(fleet, "model")) == before
 
 
+def framed(body: bytes, *, chunked: bool) -> bytes:
+    """What tells a body's length, the end of the head, and the body."""
+    if not chunked:
+        return b"Content-Length: %d\r\n\r\n" % len(body) + body
+    parts = [body[at : at + 65_536] for at in range(0, len(body), 65_536)]
+    chunks = b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts)
+    return b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
+
+
+def answer_after_all_is_sent(address: str, line: str, key: str, rest: bytes) -> bytes:
+    """What a caller reads that first sends the whole of its request."""
+    host, port = address.split(":")
+    head = f"{line} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {key}\r\n"
+    answer = b""
+    with socket.create_connection((host, int(port)), timeout=10) as sock:
+        sock.sendall(head.encode() + rest)
+        while part := sock.recv(65_536):
+            answer += part
+    return answer
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+def test_the_refusal_of_a_body_far_over_the_limit_can_be_read(
+    fleet: Fleet, workspace: str, chunked: bool
+) -> None:
+    """A caller that sends a body many times too long can read why it is refused.
+
+    Symptom: in place of the 413 the caller gets a broken pipe or a reset connection, takes it
+    for a failure of the router, and sends the body again elsewhere.
+    Sequence: it sends all of a body of eight times the limit, then reads the answer.
+    Cause: the router closed while a part of the body was unread, which has the system reset the
+    connection and throw the answer away.
+    """
+    router = next(iter(fleet.routers.values()))
+    rest = framed(b"x" * 8_000_000, chunked=chunked)
+    listeners = [
+        (router.address, "POST /v1/completions", fleet.keys[workspace]),
+        (router.admin, "POST /admin/v1/batches", ADMIN_TOKEN),
+    ]
+    for address, line, key in listeners:
+        answer = answer_after_all_is_sent(address, line, key, rest)
+        assert answer.startswith(b"HTTP/1.1 413")
+        assert b"not-run" in answer and b"body_too_large" in answer
+
+
 def test_odd_paths_and_headers_reach_the_service_or_are_refused(fleet: Fleet) -> None:
     # Symptom: a router ends after one caller's request.
     # Sequence: a caller sends an escaped space in a path, or a header that is not ASCII.
