Stop naming a killed router once its streams are read elsewhere

Cause: a member was probed only in its turn, one each 500 ms, and others heard of a suspicion with the probes that followed. Streams of a killed router were read at their engines meanwhile, and callers were still told its address.

--- a/packages/core/src/tamarack_core/membership.py
+++ b/packages/core/src/tamarack_core/membership.py
@@ -58,7 +58,7 @@
         self._known: dict[str, _Known] = {}
         self._gossip: dict[str, int] = {}
         self._order: list[str] = []
-        self._probe: _Probe | None = None
+        self._probes: dict[str, _Probe] = {}
         self._relayed: dict[int, tuple[str, int]] = {}
         self._sequence = 0
         self._next_probe_ms = 0.0
@@ -151,7 +151,9 @@
 
     def tick(self, now_ms: float) -> list[Send | Reconnect]:
         """Probe the next member, and move silent ones on to suspect and dead."""
-        sends = self._check_probe(now_ms)
+        sends: list[Send | Reconnect] = []
+        for probe in list(self._probes.values()):
+            sends.extend(self._check_probe(probe, now_ms))
         if now_ms >= self._next_expiry_ms:
             self._next_expiry_ms = now_ms + EXPIRY_CHECK_MS
             self._expire(now_ms)
@@ -160,6 +162,17 @@
             sends.extend(self._start_probe(now_ms))
         return sends
 
+    def doubt(self, router: str, now_ms: float) -> list[Send]:
+        """Probe a member out of its turn, since something shows that it may not answer.
+
+        In turn a member is probed once in as many intervals as there are members. Until then
+        callers are sent to a router that is gone, and meet refused connections there.
+        """
+        known = self._known.get(router)
+        if known is None or known.update.state not in (ALIVE, LEAVING) or router in self._probes:
+            return []
+        return [self._begin_probe(router, now_ms)]
+
     def heard(self, router: str, now_ms: float) -> None:
         """Note that a message of a member came in."""
         known = self._known.get(router)
@@ -212,26 +225,21 @@
 
     def _answered(self, router: str, sequence: int, now_ms: float) -> None:
         self.heard(router, now_ms)
-        if self._probe is not None and self._probe.sequence == sequence:
-            self._probe = None
+        probe = self._probes.get(router)
+        if probe is not None and probe.sequence == sequence:
+            del self._probes[router]
         known = self._known.get(router)
         if known is not None and known.update.state == SUSPECT:
             self._set(known.update._replace(state=ALIVE), now_ms)
 
-    def _check_probe(self, now_ms: float) -> list[Send | Reconnect]:
-        probe = self._probe
-        if probe is None:
-            return []
+    def _check_probe(self, probe: _Probe, now_ms: float) -> list[Send | Reconnect]:
         waited_ms = now_ms - probe.sent_ms
         if waited_ms >= PROBE_INTERVAL_MS:
-            self._probe = None
-            known = self._known.get(probe.target)
-            if known is not None and known.update.state in (ALIVE, LEAVING):
-                self._set(known.update._replace(state=SUSPECT), now_ms)
-            return []
+            del self._probes[probe.target]
+            return list(self._suspect(probe.target, now_ms))
         if waited_ms < PROBE_TIMEOUT_MS or probe.asked_helpers:
             return []
-        self._probe = probe._replace(asked_helpers=True)
+        self._probes[probe.target] = probe._replace(asked_helpers=True)
         known = self._known.get(probe.target)
         if known is None:
             return []
@@ -245,6 +253,18 @@
             *(Send(name, request) for name in helpers),
         ]
 
+    def _suspect(self, router: str, now_ms: float) -> list[Send]:
+        """Suspect a member that did not answer, and tell a few others at once.
+
+        They name its address to callers until they hear of it; told only with the next probes,
+        some would for seconds.
+        """
+        known = self._known.get(router)
+        if known is None or known.update.state not in (ALIVE, LEAVING):
+            return []
+        self._set(known.update._replace(state=SUSPECT), now_ms)
+        return [self._ping(name) for name in self._sample(SYNC_MEMBERS, exclude=router)]
+
     def _start_probe(self, now_ms: float) -> list[Send]:
         while self._order:
             target = self._order.pop()
@@ -256,11 +276,14 @@
             if not self._order:
                 return []
             target = self._order.pop()
-        if self._probe is not None:
+        if target in self._probes:
             return []
+        return [self._begin_probe(target, now_ms)]
+
+    def _begin_probe(self, target: str, now_ms: float) -> Send:
         send = self._ping(target)
-        self._probe = _Probe(self._sequence, target, now_ms, False)
-        return [send]
+        self._probes[target] = _Probe(self._sequence, target, now_ms, False)
+        return send
 
     def _ping(self, target: str) -> Send:
         self._sequence += 1
--- a/packages/core/src/tamarack_core/router_core.py
+++ b/packages/core/src/tamarack_core/router_core.py
@@ -162,6 +162,10 @@
         """Look for members at these addresses."""
         return list(self._membership.join(addresses))
 
+    def doubt(self, router: str, now_ms: float) -> list[Action]:
+        """Find out at once whether a member still answers."""
+        return list(self._membership.doubt(router, now_ms))
+
     def leave(self) -> list[Action]:
         """Announce that this router takes no new work, and hand its shards over."""
         sends = self._membership.leave()
--- a/packages/router/src/tamarack_router/control.py
+++ b/packages/router/src/tamarack_router/control.py
@@ -38,6 +38,7 @@
 from tamarack_router.messages import (
     CancelRequest,
     ChangesRead,
+    DoubtRouter,
     EndRequest,
     HeadRead,
     InstancesRead,
@@ -105,6 +106,7 @@
         self._store_up = False
         self._leaving = False
         self._read_updates = -1
+        self._shown_changes = -1
         self._prefix = request_prefix(core.membership.me.router, core.boot)
         self._next_tick_ms = 0.0
         self._next_view_ms = 0.0
@@ -161,6 +163,9 @@
             if self._load is not None:
                 self._load.watch(self._core.host.watched())
             self._publish(now_ms)
+        elif self._core.membership.changes != self._shown_changes:
+            # Shown at once: callers are sent to a suspect until the listeners know of it.
+            self._publish(now_ms)
 
     def _ask_for_changes(self, now_ms: float) -> None:
         question = self._follower.next_question(now_ms, store_up=self._store_up)
@@ -239,6 +244,7 @@
             self._log.info("The router is ready.", version=config.version)
 
     def _publish(self, now_ms: float) -> None:
+        self._shown_changes = self._core.membership.changes
         self._view.publish(now_ms, leaving=self._leaving, store_up=self._store_up)
 
     # Messages
@@ -263,6 +269,10 @@
     def _on_cancel(self, message: CancelRequest) -> None:
         self._perform(self._core.cancel(message.request, self._clock.now_ms))
 
+    @handles(DoubtRouter)
+    def _on_doubt(self, message: DoubtRouter) -> None:
+        self._perform(self._core.doubt(message.router, self._clock.now_ms))
+
     @handles(RunProgress)
     def _on_progress(self, message: RunProgress) -> None:
         now_ms = self._clock.now_ms
--- a/packages/router/src/tamarack_router/messages.py
+++ b/packages/router/src/tamarack_router/messages.py
@@ -109,6 +109,12 @@
     message: Any
 
 
+class DoubtRouter(NamedTuple):
+    """Relay to control: find out at once whether a router still answers."""
+
+    router: str
+
+
 class PeerQuery(NamedTuple):
     """Control to relay: a peer asks for an answer kept here."""
 
--- a/packages/router/src/tamarack_router/remote_answers.py
+++ b/packages/router/src/tamarack_router/remote_answers.py
@@ -8,9 +8,11 @@
 from tamarack_core.errors import ErrorCode, Outcome, Refusal
 from tamarack_router.kept_answer import AnswerState, KeptAnswer
 from tamarack_router.mailbox import Mailbox
-from tamarack_router.messages import PeerMessage
+from tamarack_router.messages import DoubtRouter, PeerMessage
 
 SILENCE_MS = 700.0
+# A holder that lives answers each query within milliseconds, and is asked every 100 ms.
+DOUBT_MS = 150.0
 PART_BYTES = 262_144
 LOST_MESSAGE = "The router that held the request does not answer; it will not run again."
 GONE_MESSAGE = "The answer is no longer kept."
@@ -45,6 +47,8 @@
         mirror = _Mirror(answer, holder, next(self._numbers), now_ms)
         self._mirrors[request] = mirror
         self._by_correlation[mirror.correlation] = mirror
+        # A caller that comes here for another router's answer may have lost that router.
+        self._control.put(DoubtRouter(holder))
         self._ask(mirror)
         return answer
 
@@ -60,10 +64,13 @@
         for mirror in self._mirrors.values():
             if mirror.answer.ended:
                 continue
-            if now_ms - mirror.heard_ms >= SILENCE_MS:
+            silent_ms = now_ms - mirror.heard_ms
+            if silent_ms >= SILENCE_MS:
                 lost.append(mirror.answer)
-            else:
-                self._ask(mirror)
+                continue
+            if silent_ms >= DOUBT_MS:
+                self._control.put(DoubtRouter(mirror.holder))
+            self._ask(mirror)
         return lost
 
     def find(self, correlation: int) -> KeptAnswer | None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -88,6 +88,16 @@
     return http.request(method, url, headers=headers, **options)
 
 
+def addresses_at(fleet: Fleet, address: str) -> set[str]:
+    """Addresses that a router names to any workspace."""
+    named: set[str] = set()
+    for key in fleet.keys.values():
+        headers = {"Authorization": f"Bearer {key}"}
+        response = http.request("GET", f"http://{address}/v1/addresses", headers=headers)
+        named.update(json.loads(response.data)["addresses"])
+    return named
+
+
 def completion(**fields: Any) -> bytes:
     body = {"model": MODEL, "prompt": "replan the round", "max_tokens": 5, **fields}
     return json.dumps(body).encode()
@@ -523,6 +533,9 @@
     text, request_id, ended = read_stream(data)
     assert ended and is_whole(text, request_id, 300)
     assert len([r for r in runs_of(fleet, "model") if r["request"] == request_id]) == 1
+    # Nobody is sent to the killed router any more.
+    for address in others:
+        wait_for(lambda a=address: fleet.routers["victim"].address not in addresses_at(fleet, a))
 
 
 def test_a_cold_router_serves_in_a_store_outage_from_its_peers(fleet: Fleet) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -11,7 +11,9 @@
 from tamarack_router.follower import Follower
 from tamarack_router.kept_answer import AnswerStore, KeptAnswer
 from tamarack_router.mailbox import Mailbox
+from tamarack_router.messages import DoubtRouter
 from tamarack_router.relay import Relay
+from tamarack_router.remote_answers import RemoteAnswers
 from tamarack_router.run import RunLimits
 from tamarack_router.share_guard import ShareGuard
 from tamarack_router.slow_callers import SlowCallers
@@ -104,6 +106,23 @@
     assert len(store) == 0
 
 
+def test_a_router_that_is_asked_for_an_answer_is_probed() -> None:
+    """The control task is told to probe a holder when it is first asked, and when it is silent.
+
+    Symptom: a killed router stands among the callers' addresses after its streams have ended.
+    Sequence: a caller of it asks here for its stream; the holder does not answer.
+    Cause: the unanswered queries told nobody that the router may be gone.
+    """
+    control = Mailbox()
+    remote = RemoteAnswers(control)
+    remote.open("r2~1~1", "w", 0.0)
+    assert DoubtRouter("r2") in control.drain()
+    remote.check(100.0)
+    assert DoubtRouter("r2") not in control.drain()
+    remote.check(200.0)
+    assert DoubtRouter("r2") in control.drain()
+
+
 def test_slow_calls_of_one_workspace_leave_threads_for_others() -> None:
     # Symptom: small shops get no answer while one workspace's callers hang on bad lines.
     # Sequence: nine slow calls of one workspace, one of another, ten threads.
--- a/tests/test_router_core.py
+++ b/tests/test_router_core.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import pytest
+
 from tamarack_core.actions import FollowRequest, RefuseRequest, StartRun
+from tamarack_core.addresses import choose_addresses
 from tamarack_core.dispatch_messages import USAGE_FINISHED, USAGE_UNREACHABLE, ShardKey, Usage
 from tamarack_core.errors import ErrorCode, Outcome
 from tamarack_core.keeper import DONE
 from tamarack_core.request_spec import RequestSpec
+from tamarack_router.remote_answers import SILENCE_MS
 
 from .conftest import Cores, make_config
 
@@ -280,6 +284,39 @@
     dispatcher_of(cores)
 
 
+@pytest.mark.parametrize("killed", [f"r{number}" for number in range(2, 9)])
+def test_a_killed_router_is_named_by_nobody_once_its_streams_are_read_elsewhere(
+    killed: str,
+) -> None:
+    """No router gives out the address of a killed one after its streams have ended elsewhere.
+
+    Symptom: callers are told the address of a router that is gone, and meet refused connections.
+    Sequence: a router of eight is killed; a caller of it comes to r1 for its stream; r1 asks the
+    killed router for the answer in vain, and reads it at the engine after 700 ms.
+    Cause: a member was probed only in its turn, and others were told of the suspicion with the
+    probes that followed, which together took seconds.
+    """
+    names = [f"r{number}" for number in range(1, 9)]
+    cores = Cores(names, make_config())
+    cores.run(3_000)
+    for core in cores.cores.values():
+        assert sorted(core.membership.usable) == names
+    cores.frozen = {killed}
+    cores.perform("r1", cores.cores["r1"].doubt(killed, cores.clock.now_ms))
+    cores.run(SILENCE_MS)
+    for name in set(names) - cores.frozen:
+        members = cores.cores[name].membership.members
+        assert f"caller-{killed}" not in choose_addresses("large", members, count=len(names))
+
+
+def test_a_router_that_answers_is_not_suspected_for_a_doubt(trio: Cores) -> None:
+    changes = trio.cores["r1"].membership.changes
+    for _ in range(40):
+        trio.perform("r1", trio.cores["r1"].doubt("r2", trio.clock.now_ms))
+        trio.run(50)
+    assert trio.cores["r1"].membership.changes == changes
+
+
 def test_a_router_cut_off_from_all_others_counts_itself_cut_off(trio: Cores) -> None:
     trio.frozen = {"r2", "r3"}
     trio.run(6_000)
