Begin a higher term where a shard's term has been passed elsewhere

Cause: after a partition two routers dispatch one shard. One that prefers the dispatcher with the lower term takes its answers for stale, gives it up as silent, turns to the other, and comes back: both stay in use while both are busy, which showed as a failure now and then of test_one_dispatcher_is_left_after_a_partition. Change: a dispatcher that hears of a higher term than its own begins a higher one still; the other steps down.

--- a/packages/core/src/tamarack_core/dispatch_host.py
+++ b/packages/core/src/tamarack_core/dispatch_host.py
@@ -78,10 +78,14 @@
     def ensure(
         self, shard: ShardKey, term: int, now_ms: float
     ) -> tuple[Dispatcher | None, list[Send]]:
-        """Give the shard's dispatcher, and begin a term if there is none."""
+        """Give the shard's dispatcher; begin a term if there is none, or a higher one was heard.
+
+        A router that heard the higher term takes answers in a lower one for stale; it would turn
+        away, come back when it stops avoiding this one, and so on for good.
+        """
         self._seen[shard] = max(term, self._seen.get(shard, 0))
         dispatcher = self._dispatchers.get(shard)
-        if dispatcher is not None:
+        if dispatcher is not None and dispatcher.term >= term:
             return dispatcher, []
         if not self._config.version:
             return None, []
--- a/tests/test_router_core.py
+++ b/tests/test_router_core.py
@@ -4,9 +4,15 @@
 
 import pytest
 
-from tamarack_core.actions import FollowRequest, RefuseRequest, StartRun
+from tamarack_core.actions import FollowRequest, RefuseRequest, Send, StartRun
 from tamarack_core.addresses import choose_addresses
-from tamarack_core.dispatch_messages import USAGE_FINISHED, USAGE_UNREACHABLE, ShardKey, Usage
+from tamarack_core.dispatch_messages import (
+    USAGE_FINISHED,
+    USAGE_UNREACHABLE,
+    ShardKey,
+    TermStart,
+    Usage,
+)
 from tamarack_core.errors import ErrorCode, Outcome
 from tamarack_core.keeper import DONE
 from tamarack_core.request_spec import RequestSpec
@@ -317,6 +323,35 @@
     assert trio.cores["r1"].membership.changes == changes
 
 
+def test_a_dispatcher_whose_term_has_been_passed_begins_a_higher_one() -> None:
+    """One dispatcher is left though the preferred one's term is lower than one begun elsewhere.
+
+    Symptom: after a partition two dispatchers grant the same slots for as long as both are busy,
+    and a router's tickets wait 300 ms in vain each time that it turns to the preferred one.
+    Sequence: r1 and r3 are cut off from each other and both dispatch; r2 hears r1 begin the
+    higher term; after the heal r2 prefers r3, whose term is the lower one.
+    Cause: r3 went on in its old term, r2 took all that it said for stale, gave it up as silent,
+    turned to r1 for a while, and began again.
+    """
+    cores = Cores(["r1", "r2", "r3"], make_config())
+    finish(cores, "r2", submit(cores, "r2", 0))
+    cores.run(300)
+    assert dispatcher_of(cores) == "r3"
+    cores.cut = {("r1", "r3"), ("r3", "r1")}
+    cores.cores["r1"].host.ensure(SHARD, 5, cores.clock.now_ms)
+    cores.perform("r1", [Send("r2", TermStart(SHARD, 6))])
+    for name in cores.cores:
+        submit(cores, name, 1)
+    cores.run(200)
+    cores.cut = set()
+    for number in range(2, 42):
+        submit(cores, "r2", number)
+        for action in cores.take("r2", StartRun):
+            finish(cores, "r2", action.request)
+        cores.run(100)
+    assert dispatcher_of(cores) == "r3"
+
+
 def test_a_router_cut_off_from_all_others_counts_itself_cut_off(trio: Cores) -> None:
     trio.frozen = {"r2", "r3"}
     trio.run(6_000)
