--- a/packages/router/src/tamarack_router/messages.py
+++ b/packages/router/src/tamarack_router/messages.py
@@ -6,11 +6,11 @@
 from typing import Any, NamedTuple
 
 from tamarack_core.actions import ClaimRow
+from tamarack_core.claim_messages import AnswerPart, AnswerQuery, ClaimAnswer
 from tamarack_core.configuration import Configuration
 from tamarack_core.endpoint_pool import LoadReport
 from tamarack_core.errors import Refusal
-from tamarack_core.protocol import AnswerPart, AnswerQuery, ClaimAnswer
-from tamarack_core.request_table import RequestSpec
+from tamarack_core.request_spec import RequestSpec
 
 
 class EndpointCall(NamedTuple):
@@ -109,6 +109,12 @@
     message: Any
 
 
+class DoubtRouter(NamedTuple):
+    """Relay to control: find out at once whether a router still answers."""
+
+    router: str
+
+
 class PeerQuery(NamedTuple):
     """Control to relay: a peer asks for an answer kept here."""
 
