Let beliefs last as long as the fleet's bounds say

Cause: three times were constants fitted to two deployments: the age up to which addresses name a router (3 s), the length of a held call for the configuration (1 s), and the longest time that a missing entry is kept (1.7 s). Change: they are parts of the revocation bound and of the time for which an endpoint that leaves may get work; at 5 s and 2 s they are what they were. Tests: the first failed for bounds of 2, 3 and 30 s before; the others name a setting that did not exist.

--- a/packages/core/src/tamarack_core/endpoint_book.py
+++ b/packages/core/src/tamarack_core/endpoint_book.py
@@ -30,11 +30,6 @@
     draining: bool
 
 
-KEPT_MS = 1_700.0
-"""Longest time that a missing entry is kept. An endpoint that left without notice may get new work
-for two seconds; the change is told and the work sent on within the rest."""
-
-
 class EndpointBook:
     """Endpoints that may get new work.
 
@@ -43,9 +38,16 @@
     until some time after the list is back, and count as gone if they are not in it by then. That
     time runs from the list's return and not from when an entry is missed: one that leaves soon
     after the return would otherwise get new work for seconds more.
+
+    Parameters
+    ----------
+    kept_ms
+        Longest time in milliseconds that a missing entry is kept: an endpoint that left without
+        notice may get new work only for a bounded time.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, kept_ms: float) -> None:
+        self._kept_ms = kept_ms
         self._listed: dict[str, Endpoint] = {}
         self._missing: dict[str, tuple[Endpoint, float]] = {}
         self._by_service: dict[str, list[Endpoint]] = {}
@@ -107,7 +109,7 @@
 
     def _keep(self, endpoint: Endpoint, now_ms: float, until_ms: float) -> None:
         if until_ms > now_ms and not endpoint.draining:
-            self._missing[endpoint.name] = (endpoint, min(until_ms, now_ms + KEPT_MS))
+            self._missing[endpoint.name] = (endpoint, min(until_ms, now_ms + self._kept_ms))
 
     def _settle(self) -> None:
         for name in self._listed:
--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -16,10 +16,11 @@
 from tamarack_gateway.store_client import StoreClient, StoreError
 from tamarack_gateway.table_follower import TableChange, TableFollower, TableNews
 
-RULES_WAIT_MS = 1_000.0
-"""How long the store holds a call for the configuration. Each answer confirms the keys as of when
-its call was sent, so the confirmation is up to twice this old, and three times where another
-router tells of it; keys lapse after 4.5 s."""
+RULES_WAIT_PART = 0.2
+"""Part of the revocation bound for which the store holds a call for the configuration: 1 s of 5.
+Each answer confirms the keys as of when its call was sent, so the confirmation is up to twice this
+old, and three times where another router tells of it; keys lapse half a second before the bound.
+A fixed second would let keys lapse between two calls where the bound is 3 s."""
 
 RULES_PAUSE_MS = 250.0
 """Least time between two calls for the configuration; a change may take 2 s to be in force."""
@@ -93,8 +94,9 @@
     def start(self, peers_address: str, boot: int) -> None:
         """Start to follow all tables, and enter this router into the list of routers."""
         tables = self._site.tables
+        rules_wait_ms = self._state.settings.bounds.revoke_ms * RULES_WAIT_PART
         for table, wait_ms, pause_ms, took in (
-            (tables.configuration, RULES_WAIT_MS, RULES_PAUSE_MS, self._took_rules),
+            (tables.configuration, rules_wait_ms, RULES_PAUSE_MS, self._took_rules),
             (tables.endpoints, ENDPOINTS_WAIT_MS, ENDPOINTS_PAUSE_MS, self._took_endpoints),
             (tables.routers, ROUTERS_WAIT_MS, ROUTERS_PAUSE_MS, self._took_routers),
         ):
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -16,10 +16,14 @@
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.site import GatewaySettings
 
-FRESH_MS = 3_000.0
-"""Age of the confirmation up to which callers are sent here. Calls of a second each, one of them
-lost, keep it below, also where another router makes them and tells; those who come later meet keys
-that lapse before they are served."""
+FRESH_PART = 0.6
+"""Part of the revocation bound up to which a confirmation may be old where callers are sent: 3 s of
+5. Calls of a fifth of the bound, one of them lost, keep it below, also where another router makes
+them and tells; those who come later meet keys that lapse before they are served."""
+
+KEPT_PART = 0.85
+"""Part of the time for which an endpoint that leaves may get new work that a missing entry is kept
+at the longest: 1.7 s of 2. In the rest the change is told and the work sent on."""
 
 KEY_MARGIN_MS = 500.0
 """Time that a key lapses before its bound: a request that is sent on just before is still on its
@@ -38,7 +42,7 @@
         self.log = log
         self.random = random.Random(seed)
         self.rules: Ruleset | None = None
-        self.book = EndpointBook()
+        self.book = EndpointBook(kept_ms=bounds.drain_ms * KEPT_PART)
         self.endpoints_known = False
         self.models: dict[str, EngineModel] = {}
         self.records: dict[str, EndpointRecord] = {}
@@ -58,7 +62,8 @@
     @property
     def fresh(self) -> bool:
         """Whether keys will be trusted for a while yet."""
-        return self.freshness.age_ms(self.clock.now_ms) <= FRESH_MS
+        fresh_ms = self.settings.bounds.revoke_ms * FRESH_PART
+        return self.freshness.age_ms(self.clock.now_ms) <= fresh_ms
 
     @property
     def bounds(self) -> CallerBounds:
--- a/packages/gateway/src/tamarack_gateway/site.py
+++ b/packages/gateway/src/tamarack_gateway/site.py
@@ -22,6 +22,8 @@
     ----------
     revoke_ms
         Milliseconds after which a key that was taken away must open nothing.
+    drain_ms
+        Milliseconds for which an endpoint that leaves may still get new work.
     grace_ms
         Milliseconds from the request to stop until the process is killed.
     address_ttl_ms
@@ -33,6 +35,7 @@
     """
 
     revoke_ms: float = 5_000.0
+    drain_ms: float = 2_000.0
     grace_ms: float = 8_000.0
     address_ttl_ms: float = 5_000.0
     retry_ratio: float = 0.2
--- /dev/null
+++ b/tests/test_gateway_bounds.py
@@ -0,0 +1,72 @@
+"""What a router believes lasts as long as the fleet's bounds say, whatever these are."""
+
+from __future__ import annotations
+
+import pytest
+
+from tamarack_core.clock import HeldClock
+from tamarack_core.endpoint_book import Endpoint
+from tamarack_gateway.decision_log import DecisionLog
+from tamarack_gateway.fleet_state import FleetState
+from tamarack_gateway.site import FleetBounds, GatewaySettings
+from tamarack_platform.settings import settings_from
+
+ADDRESS = "127.0.0.1:1"
+
+
+def state_with(clock: HeldClock, **bounds: float) -> FleetState:
+    settings = GatewaySettings(
+        router="router-1",
+        failure_domain="a",
+        callers=ADDRESS,
+        readiness=ADDRESS,
+        directory=ADDRESS,
+        peers=ADDRESS,
+        metrics=ADDRESS,
+        store=ADDRESS,
+        bounds=FleetBounds()._replace(**bounds),
+    )
+    return FleetState(settings, clock, DecisionLog("router-1", clock, output=2), seed=1)
+
+
+@pytest.mark.parametrize("revoke_ms", [2_000.0, 3_000.0, 5_000.0, 30_000.0])
+def test_callers_are_not_sent_where_keys_have_lapsed(revoke_ms: float) -> None:
+    """Symptom: callers with good keys are refused for seconds, though other routers serve them.
+
+    Sequence: a router has no touch with the store, on a deployment that revokes keys within 3 s;
+    its keys lapse after 2.5 s, and addresses name it until 3 s. Cause: the age up to which callers
+    were sent to it was a constant, fitted to a bound of 5 s.
+    """
+    clock = HeldClock()
+    state = state_with(clock, revoke_ms=revoke_ms)
+    state.freshness.confirm(clock.now_ms)
+    while state.fresh:
+        assert state.freshness.trusted(clock.now_ms)
+        clock.advance(50.0)
+    assert clock.now_ms >= 0.5 * revoke_ms
+
+
+@pytest.mark.parametrize("drain_ms", [1_000.0, 2_000.0, 4_000.0])
+def test_a_missing_endpoint_is_kept_no_longer_than_it_may_get_work(drain_ms: float) -> None:
+    clock = HeldClock()
+    state = state_with(clock, drain_ms=drain_ms)
+    state.book.put(Endpoint("e1", "pool", ADDRESS, "a", 4, False))
+    state.book.remove("e1", clock.now_ms, keep_until_ms=99_000.0)
+    assert state.book.next_expiry_ms is not None
+    assert 0.5 * drain_ms < state.book.next_expiry_ms < drain_ms
+
+
+def test_the_settings_file_tells_the_bounds() -> None:
+    listen = {"front": ADDRESS, "ready": ADDRESS, "directory": ADDRESS}
+    settings = settings_from(
+        {
+            "nodeName": "n",
+            "ip": "127.0.0.1",
+            "zone": "a",
+            "listen": listen,
+            "internalPorts": [1, 2],
+            "bounds": {"revokeMs": 3_000, "drainMs": 4_000},
+            "platform": {"address": ADDRESS},
+        }
+    )
+    assert (settings.bounds.revoke_ms, settings.bounds.drain_ms) == (3_000.0, 4_000.0)
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -95,7 +95,7 @@
     Sequence: entries lapse while endpoints cannot write their heartbeats. Cause: what the list
     lacked was taken as gone at once.
     """
-    book = EndpointBook()
+    book = EndpointBook(kept_ms=1_700.0)
     book.replace(endpoints("e1", "e2"), 0.0, keep_until_ms=-1.0)
     book.replace(endpoints("e1"), 1_000.0, keep_until_ms=2_300.0)
     assert len(book.usable("pool")) == 2
@@ -111,7 +111,7 @@
     Sequence: a router regains the store; an endpoint leaves 1.3 s later, without notice. Cause: its
     entry was kept for the whole time of grace from then on, not from the store's return.
     """
-    book = EndpointBook()
+    book = EndpointBook(kept_ms=1_700.0)
     book.replace(endpoints("e1"), 0.0, keep_until_ms=-1.0)
     returned_ms = 10_000.0
     book.remove("e1", returned_ms + 1_300.0, keep_until_ms=returned_ms + 2_300.0)
@@ -128,7 +128,7 @@
 
 
 def test_an_entry_that_drains_is_not_kept() -> None:
-    book = EndpointBook()
+    book = EndpointBook(kept_ms=1_700.0)
     draining = [endpoint._replace(draining=True) for endpoint in endpoints("e1")]
     book.replace(draining, 0.0, keep_until_ms=-1.0)
     book.remove("e1", 0.0, keep_until_ms=5_000.0)
