--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -18,10 +18,14 @@
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.site import GatewaySettings
 
-FRESH_MS = 3_000.0
-"""Age of the confirmation up to which callers are sent here. Calls of a second each, one of them
-lost, keep it below, also where another router makes them and tells; those who come later meet keys
-that lapse before they are served."""
+FRESH_PART = 0.6
+"""Part of the revocation bound up to which a confirmation may be old where callers are sent: 3 s of
+5. Calls of a fifth of the bound, one of them lost, keep it below, also where another router makes
+them and tells; those who come later meet keys that lapse before they are served."""
+
+KEPT_PART = 0.85
+"""Part of the time for which an endpoint that leaves may get new work that a missing entry is kept
+at the longest: 1.7 s of 2. In the rest the change is told and the work sent on."""
 
 ADDRESS_TTL_MS = 1_000.0
 """Time for which callers may use an answer with addresses; some use it three times as long. A
@@ -44,7 +48,7 @@
         self.log = log
         self.random = random.Random(seed)
         self.rules: Ruleset | None = None
-        self.book = EndpointBook()
+        self.book = EndpointBook(kept_ms=bounds.drain_ms * KEPT_PART)
         self.endpoints_known = False
         self.models: dict[str, EngineModel] = {}
         self.records: dict[str, EndpointRecord] = {}
@@ -65,7 +69,8 @@
     @property
     def fresh(self) -> bool:
         """Whether keys will be trusted for a while yet."""
-        return self.freshness.age_ms(self.clock.now_ms) <= FRESH_MS
+        fresh_ms = self.settings.bounds.revoke_ms * FRESH_PART
+        return self.freshness.age_ms(self.clock.now_ms) <= fresh_ms
 
     @property
     def address_ttl_ms(self) -> float:
