Let routers that the store turns away have large changes from the others

Symptom: 22 of 66 routers had not confirmed their keys for 8.4 s and refused all callers with keys, while three readers told the others each second. Change: such a router asks the others for the whole table; a reader (in a small fleet one router that confirms its keys) tells it, at most each 400 ms and once for all who ask. A listener that hears news in order listens again. Test: a router with its way to the store cut takes in a large change and goes on confirming; timed out before.

--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -14,7 +14,7 @@
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.site import Row, Site
 from tamarack_gateway.store_client import StoreClient, StoreError
-from tamarack_gateway.table_follower import TableChange, TableFollower, TableNews
+from tamarack_gateway.table_follower import CopyWanted, TableChange, TableFollower, TableNews
 
 RULES_WAIT_MS = 1_000.0
 """How long the store holds a call for the configuration. Each answer confirms the keys as of when
@@ -65,6 +65,8 @@
         Tells whether this router asks the store for a table itself.
     told
         Called with what this router learned from the store, for the others.
+    wanted
+        Called when the others should tell a whole table.
     """
 
     def __init__(
@@ -75,12 +77,14 @@
         follow: Callable[[dict[str, Peer]], None],
         reads: Callable[[str], bool],
         told: Callable[[TableNews], None],
+        wanted: Callable[[CopyWanted], None],
     ) -> None:
         self._site = site
         self._state = state
         self._follow = follow
         self._reads = reads
         self._told = told
+        self._wanted = wanted
         self._routers: dict[str, Peer] = {}
         self._own_row = b""
         self._own_version: int | None = None
@@ -108,6 +112,7 @@
                 changed=self._reporter(table),
                 reads=partial(self._reads, table),
                 told=self._told,
+                wanted=self._wanted,
             )
             self._followers[table] = follower
             self._tasks.append(asyncio.ensure_future(follower.run()))
@@ -126,6 +131,11 @@
         if follower is not None:
             follower.hear(news, stamp_ms)
 
+    def copy(self, wanted: CopyWanted) -> TableNews | None:
+        """The table that another router wants, if this one can tell it."""
+        follower = self._followers.get(wanted.table)
+        return None if follower is None else follower.copy(wanted.after)
+
     async def leave(self) -> None:
         """Take this router out of the list of routers.
 
--- a/packages/gateway/src/tamarack_gateway/fleet_members.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_members.py
@@ -93,6 +93,17 @@
         recent = {*self._recent(now_ms), me.router}
         return len(recent) <= SMALL_FLEET or winner(endpoint, recent) == me.router
 
+    def gives(self, matter: str, me: Member, now_ms: float) -> bool:
+        """Whether this router tells others a whole table: one of those that confirm what it says.
+
+        In a large fleet only its readers have asked the store themselves.
+        """
+        recent = {**self._recent(now_ms), me.router: me}
+        able = {n for n, member in recent.items() if member.fresh and member.ready}
+        if len(recent) > SMALL_FLEET:
+            return me.router in able
+        return bool(able) and winner(matter, able) == me.router
+
     def reads(self, table: str, me: Member, now_ms: float) -> bool:
         """Whether this router asks the store for a table, and does not hear of it from others."""
         recent = {**self._recent(now_ms), me.router: me}
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -23,7 +23,7 @@
 from tamarack_gateway.peer_group import PeerGroup
 from tamarack_gateway.peer_messages import Report, Summary
 from tamarack_gateway.site import Site
-from tamarack_gateway.table_follower import TableNews
+from tamarack_gateway.table_follower import CopyWanted, TableNews
 
 BACKLOG = 1_024
 """Connections that wait to be accepted; a full queue costs a caller seconds."""
@@ -96,6 +96,7 @@
             follow=self._follow,
             reads=self._reads,
             told=self._tell_news,
+            wanted=self._peers.tell_wanted,
         )
         self._inventory = CacheInventory(
             self._state,
@@ -263,6 +264,15 @@
             stamp_ms = report.news.stamps.get(self._settings.router, float("-inf"))
             self._feeds.hear(report.news, stamp_ms)
 
+        if report.wanted is not None:
+            self._give_copy(report.wanted)
+
+    def _give_copy(self, wanted: CopyWanted) -> None:
+        if self._members.gives(f"{wanted.table}/{wanted.tries}", self._me, self._clock.now_ms):
+            news = self._feeds.copy(wanted)
+            if news is not None:
+                self._tell_news(news)
+
     def _heard(self, summary: Summary, stamp_ms: float) -> None:
         now_ms = self._clock.now_ms
         member = Member(
--- a/packages/gateway/src/tamarack_gateway/peer_group.py
+++ b/packages/gateway/src/tamarack_gateway/peer_group.py
@@ -13,7 +13,7 @@
 from tamarack_gateway.outbox import Outbox, Placements
 from tamarack_gateway.peer_messages import Digest, Report, Summary
 from tamarack_gateway.peer_sockets import PeerSockets
-from tamarack_gateway.table_follower import TableNews
+from tamarack_gateway.table_follower import CopyWanted, TableNews
 
 SUMMARY_MS = 250.0
 SUMMARY_PER_ROUTER_MS = 4.0
@@ -135,14 +135,19 @@
         """Tell at once what this router learned from the store."""
         self._tell(news=news)
 
+    def tell_wanted(self, wanted: CopyWanted) -> None:
+        """Ask the others for a whole table."""
+        self._tell(wanted=wanted)
+
     def _tell(
         self,
         *,
         summary: Summary | None = None,
         placements: Placements | None = None,
         news: TableNews | None = None,
+        wanted: CopyWanted | None = None,
     ) -> None:
-        report = Report(self._router, self._clock.now_ms, summary, placements, news)
+        report = Report(self._router, self._clock.now_ms, summary, placements, news, wanted)
         if self._links.relays:
             self._own.append(report)
             return
--- a/packages/gateway/src/tamarack_gateway/peer_messages.py
+++ b/packages/gateway/src/tamarack_gateway/peer_messages.py
@@ -6,7 +6,7 @@
 
 from tamarack_core.wire import message
 from tamarack_gateway.outbox import Placements
-from tamarack_gateway.table_follower import TableNews
+from tamarack_gateway.table_follower import CopyWanted, TableNews
 
 
 class Summary(NamedTuple):
@@ -39,6 +39,7 @@
     summary: Summary | None = None
     placements: Placements | None = None
     news: TableNews | None = None
+    wanted: CopyWanted | None = None
 
 
 @message(65)
--- a/packages/gateway/src/tamarack_gateway/table_follower.py
+++ b/packages/gateway/src/tamarack_gateway/table_follower.py
@@ -20,6 +20,9 @@
 """Bytes of changed rows that readers pass on. Listeners ask the store for more than that: a large
 configuration told by three readers to sixty routers costs more than sixty calls."""
 
+COPY_GAP_MS = 400.0
+"""Least time between two copies of a table that readers tell to all: one serves all who ask."""
+
 SILENCE_WAITS = 2.2
 """Waits without news after which a listener asks the store itself; one lost message is borne."""
 
@@ -70,6 +73,8 @@
     stamps
         The newest time that each router told this reader, by that router's own clock. With it a
         listener knows that this message was sent after that time, however long it was on its way.
+    whole
+        Whether `rows` are all rows of the table at `version`.
     """
 
     table: str
@@ -78,6 +83,24 @@
     age_ms: float
     rows: list[RowNews] | None
     stamps: dict[str, float]
+    whole: bool = False
+
+
+@message(61)
+class CopyWanted(NamedTuple):
+    """Told by a router that has missed changes of a table and that the store turns away.
+
+    Attributes
+    ----------
+    after
+        Version up to which it knows all changes.
+    tries
+        Calls of the store that have failed in a row; another reader answers each time.
+    """
+
+    table: str
+    after: int
+    tries: int
 
 
 class TableFollower:
@@ -97,6 +120,8 @@
         Tells whether this router asks the store itself.
     told
         Called with what was learned by a call, for other routers.
+    wanted
+        Called when other routers should tell this one the whole table.
     """
 
     RETURN_MS = 2_200.0
@@ -115,6 +140,7 @@
         changed: Callable[[str, str], None],
         reads: Callable[[], bool] = lambda: True,
         told: Callable[[TableNews], None] = lambda news: None,
+        wanted: Callable[[CopyWanted], None] = lambda wanted: None,
     ) -> None:
         self._client = client
         self._clock = clock
@@ -125,6 +151,10 @@
         self._changed = changed
         self._reads = reads
         self._told = told
+        self._wanted = wanted
+        self._rows: dict[str, Row] = {}
+        self._asked_ms = float("-inf")
+        self._copied_ms = float("-inf")
         self._after: int | None = None
         self._behind = False
         self._heard_ms = float("-inf")
@@ -167,6 +197,9 @@
     def hear(self, news: TableNews, stamp_ms: float) -> None:
         """Take in what a reader told; `stamp_ms` is this router's own time that it had heard."""
         self._heard_ms = self._clock.now_ms
+        if news.whole:
+            self._hear_copy(news, stamp_ms)
+            return
         if self._after is None:
             return
         if news.after > self._after or (news.rows is None and news.version > self._after):
@@ -180,8 +213,43 @@
             if row.version > self._after
         ]
         self._after = max(self._after, news.version)
+        self._learn(rows, False, stamp_ms - news.age_ms)
+
+    def copy(self, after: int) -> TableNews | None:
+        """The whole table for a router that knows it up to a version; None if there is no need."""
+        now_ms = self._clock.now_ms
+        if self._after is None or self._after <= after or self._behind or self._failures:
+            return None
+        if not self._reads() or now_ms - self._copied_ms < COPY_GAP_MS:
+            return None
+        self._copied_ms = now_ms
+        rows = [RowNews(row.key, row.value, row.version) for row in self._rows.values()]
+        age_ms = now_ms - self._asked_ms
+        return TableNews(self._table, after, self._after, age_ms, rows, {}, whole=True)
+
+    def _hear_copy(self, news: TableNews, stamp_ms: float) -> None:
+        self._copied_ms = self._clock.now_ms
+        if not self._behind or self._after is None or news.version < self._after:
+            return
+        self._behind = False
+        self._after = news.version
+        rows = [Row(self._table, row.key, row.value, row.version) for row in news.rows or []]
+        self._learn(rows, True, stamp_ms - news.age_ms)
+
+    def _learn(self, rows: list[Row], whole: bool, asked_ms: float) -> None:
+        if self._failures and not self._reads():
+            # Readers are served: what they tell will do, and calls that are refused cost as much
+            # as others. What lapsed in an outage of all has its time of grace from here on.
+            self._found()
+        if whole:
+            self._rows = {}
+        for row in rows:
+            if row.value is None:
+                self._rows.pop(row.key, None)
+            else:
+                self._rows[row.key] = row
         until_ms = self._returned_ms + self.RETURN_MS
-        self._took(TableChange(rows, False, stamp_ms - news.age_ms, until_ms))
+        self._took(TableChange(rows, whole, asked_ms, until_ms))
 
     def _listening(self) -> bool:
         if self._after is None or self._behind or self._failures or self._reads():
@@ -230,8 +298,8 @@
         self._found()
         self._behind = False
         self._after = page.version
-        until_ms = self._returned_ms + self.RETURN_MS
-        self._took(TableChange(page.rows, after is None, asked_ms, until_ms))
+        self._asked_ms = asked_ms
+        self._learn(page.rows, after is None, asked_ms)
         if after is not None:
             self._tell(after, page.version, page.rows, asked_ms)
 
@@ -255,4 +323,8 @@
             self._changed("lost", str(error))
         pause_ms = BACKOFF_MS[min(self._failures, len(BACKOFF_MS) - 1)]
         self._failures += 1
+        if self._behind and self._after is not None:
+            # The store may serve others and turn just this router away: it would not hear of a
+            # large change until it is let in again, and refuse whatever needs a fresh one.
+            self._wanted(CopyWanted(self._table, self._after, self._failures))
         await asyncio.sleep(pause_ms / 1000)
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -12,6 +12,7 @@
 from tamarack_gateway.fleet_members import READERS, FleetMembers, Member
 from tamarack_gateway.site import RowsPage
 from tamarack_gateway.table_follower import RowNews, TableChange, TableFollower, TableNews
+from tamarack_standins.fault_proxy import FaultProxy
 from tamarack_standins.platform_worker import PlatformWorker, Script
 
 
@@ -199,3 +200,50 @@
     assert len(found) >= len(near) // 2
     stale = {m.callers for n, m in enumerate(everyone[1:], 1) if n % 4 == 0 and n >= 12}
     assert not stale & set(found)
+
+
+def test_a_router_that_the_store_turns_away_gets_a_large_change_from_the_others() -> None:
+    """Symptom: a third of the routers refuse all callers with keys for seconds; the others serve.
+
+    Sequence: the store turns just these routers away; a change of the configuration is larger than
+    what routers tell each other of by themselves. Cause: the router was to read it from the store,
+    and news that came after it were of no use without it. Evidence: 22 of 66 routers had confirmed
+    their keys 8.4 s before, with three readers telling the others each second.
+    """
+
+    async def story() -> None:
+        async with (
+            Fleet({"web": [PlatformWorker("w1")]}) as fleet,
+            FaultProxy(fleet.store.address) as link,
+            fleet.router("router-2", store=link.address) as second,
+        ):
+            state = second.state
+            await until(lambda: state.ready)
+            await until(lambda: bool(fleet.gateway._members.known() and second._members.known()))
+            link.cut_back = True
+            link.reset_open()
+            others = [{"name": f"w{n}", "apiKeys": [f"{n:0>200}"]} for n in range(80)]
+            tenants = [{"name": "shop", "apiKeys": ["key-two"]}, *others]
+            await fleet.store.put("op", "config", configuration(2, tenants=tenants))
+            await until(lambda: state.rules is not None and state.rules.version == 2)
+            seen_ms = state.clock.now_ms
+            await until(lambda: state.freshness.age_ms(seen_ms) < 0.0)
+
+    play(story())
+
+
+def test_one_copy_serves_all_who_ask() -> None:
+    listener = Listener()
+    listener.hear(10, 12, [RowNews("a", b"1", 12)])
+    reader = listener.follower
+    reader._reads = lambda: True
+    assert reader.copy(12) is None
+    copy = reader.copy(11)
+    assert copy is not None
+    assert (copy.whole, copy.version, [row.key for row in copy.rows or []]) == (True, 12, ["a"])
+    assert reader.copy(10) is None
+    behind = Listener()
+    behind.hear(11, 12, [])
+    behind.follower.hear(copy, behind.clock.now_ms)
+    assert behind.follower.version == 12
+    assert [change.whole for change in behind.changes] == [True]
