Count nobody as backlogged who no longer asks

The backlogged one with least was a third one that had asked for much until 11 s: what it asks and is served in the window falls, and all who still ask are ahead of it. Change: a workspace counts only if it asks for an even part of what is served in the last second, too. The test fails without it (lead 3.3 in place of 1.0).

--- a/packages/core/src/tamarack_core/workspace_shares.py
+++ b/packages/core/src/tamarack_core/workspace_shares.py
@@ -12,6 +12,9 @@
 """Part of what it was served that a workspace must have asked to count as backlogged; refused
 requests that come back are asked twice."""
 
+RECENT_MS = 1_000.0
+"""Time in which a workspace must have asked for work to count as backlogged: four slices."""
+
 COUNTED_LEAST_MS = 500.0
 """Time for which counts are taken to stand at the least. In less than that a single request is
 beyond a share, and reports of other routers are missing that are up to 100 ms old."""
@@ -120,8 +123,11 @@
 
         1 for a workspace within its share, and where nobody is backlogged: what is over then is
         taken from nobody. Only those count that ask for an even part of what is really served, or
-        more. One that asks for less is let in by its standing; if it counted, a few of its
-        requests that wait would hold back all who ask for more, and engines would run out of work.
+        more, and still do. If one that asks for less counted, a few of its requests that wait would
+        hold back all who ask for more, and engines would run out of work; it is let in for its
+        filling. One that has asked for much and no longer does is served less and less in the
+        window: if it counted, all who still ask would be far ahead of it, and those with least of
+        them be let in no sooner than the one with most.
         """
         share = self.share(tokens_per_s, now_ms)
         own = self._served.get(workspace, 0.0)
@@ -131,7 +137,9 @@
         backlogged = [
             max(share, self._served.get(name, 0.0))
             for name, asked in self._asked.items()
-            if asked >= level and asked > BACKLOGGED * self._served.get(name, 0.0)
+            if asked >= level
+            and asked > BACKLOGGED * self._served.get(name, 0.0)
+            and self._asks_now(name, now_ms) >= level
         ]
         return max(1.0, own / min(backlogged, default=own))
 
@@ -157,6 +165,15 @@
             self.position(workspace, tokens_per_s, now_ms),
         )
 
+    def _asks_now(self, workspace: str, now_ms: float) -> float:
+        """Tokens in a window that it would ask for if it went on as in the last second."""
+        recent = 0.0
+        for since_ms, asked, _ in reversed(self._slices):
+            if since_ms < now_ms - RECENT_MS:
+                break
+            recent += asked.get(workspace, 0.0)
+        return recent * max(1.0, self._counted_ms(now_ms) / RECENT_MS)
+
     def _counted_ms(self, now_ms: float) -> float:
         return min(self._window_ms, max(COUNTED_LEAST_MS, now_ms - self._started_ms))
 
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -416,6 +416,25 @@
     assert not decide(**queue, **shares.position("b", rate, 0.0)._asdict())
 
 
+def test_one_that_no_longer_asks_holds_back_nobody() -> None:
+    """Symptom: a workspace gets a third of what it asks for; another one gets three times as much.
+
+    Sequence: both ask for more than is served; a third one has, and stopped two seconds ago.
+    Cause: it still counted as backlogged and had least by now, so that the one with little was as
+    far ahead of it as the one with much was, and both were held to the least bound.
+    """
+    shares = WorkspaceShares(4_000.0)
+    for now_ms in range(0, 4_000, 200):
+        stopped = now_ms >= 2_000
+        shares.ask("past", 0.0 if stopped else 600_000.0, now_ms)
+        shares.serve("past", 0.0 if stopped else 60_000.0, now_ms)
+        for name, served in (("little", 100_000.0), ("much", 250_000.0)):
+            shares.ask(name, 800_000.0, now_ms)
+            shares.serve(name, served, now_ms)
+    assert shares.lead("little", 100_000.0, 3_900.0) == 1.0
+    assert shares.lead("much", 100_000.0, 3_900.0) == pytest.approx(2.5)
+
+
 def test_the_workspaces_that_ask_most_are_told_of() -> None:
     shares = WorkspaceShares(4_000.0)
     for number in range(30):
