Tell one life of an endpoint from the next

Cause: an endpoint may start again under the name that it had, and then holds and knows nothing of before. Records, models, idle connections and what routers tell each other went by the name, so that the next life was believed to keep the parts, the queue and the failures of the one before.

Change: `Endpoint.life` is decoded from the entry. A new life begins with an empty model and record; connections are kept for a life and not for an address; messages between routers and a cache's inventory count only for the life that they speak of, and are dropped where another is known, an older or a newer one; a send is noted in the model and record that it began with. An entry of an older life than the known one is doubted for four seconds: a late write is set right by the next heartbeat, and an endpoint whose clock was set back is believed after that. What may have run in the former life is not run again unless it may be repeated; then the next life counts as another endpoint, within the same bounds. An engine's model takes its size from the configuration in force, also where this names its service later.

--- a/packages/core/src/tamarack_core/endpoint_book.py
+++ b/packages/core/src/tamarack_core/endpoint_book.py
@@ -5,13 +5,20 @@
 from typing import NamedTuple
 
 
+class EndpointLife(NamedTuple):
+    """One start of an endpoint; `life` is None where its entry tells of none."""
+
+    name: str
+    life: int | None
+
+
 class Endpoint(NamedTuple):
     """One entry of the list.
 
     Attributes
     ----------
     name
-        Names one start of one endpoint; a restart has another name.
+        Names an endpoint, for all of its lives.
     address
         IP address and port. After an endpoint has ended, another service may get its address.
     failure_domain
@@ -20,6 +27,10 @@
         Requests that it works on at once.
     draining
         Whether it is about to leave and takes no new work.
+    life
+        Tells one start of the endpoint from the next, which knows nothing of what the one before
+        kept, queued or counted. It is the endpoint's own clock at its start in milliseconds, so
+        that only lives of one endpoint can be compared. None where an entry tells of none.
     """
 
     name: str
@@ -28,12 +39,28 @@
     failure_domain: str
     slots: int
     draining: bool
+    life: int | None = None
+
+    @property
+    def key(self) -> EndpointLife:
+        """Names this life of the endpoint; what is believed of it holds for no other."""
+        return EndpointLife(self.name, self.life)
+
+    def older_than(self, other: Endpoint) -> bool:
+        """Whether this is an earlier life of the same endpoint."""
+        return self.life is not None and other.life is not None and self.life < other.life
 
 
 KEPT_MS = 1_700.0
 """Longest time that a missing entry is kept. An endpoint that left without notice may get new work
 for two seconds; the change is told and the work sent on within the rest."""
 
+DOUBTED_MS = 4_000.0
+"""Time for which an entry of an older life than the known one is not believed. A write of the
+former life that is done late is set right by the present life's next heartbeat, some 1.2 s later,
+and three missed heartbeats take an entry out. One that still stands after that is the present
+life, whose clock was set back: without it, a later notice that it drains would never count."""
+
 
 class EndpointBook:
     """Endpoints that may get new work.
@@ -43,11 +70,14 @@
     until some time after the list is back, and count as gone if they are not in it by then. That
     time runs from the list's return and not from when an entry is missed: one that leaves soon
     after the return would otherwise get new work for seconds more.
+
+    An entry of an older life than the known one is doubted for a while, and the known one holds.
     """
 
     def __init__(self) -> None:
         self._listed: dict[str, Endpoint] = {}
         self._missing: dict[str, tuple[Endpoint, float]] = {}
+        self._doubted: dict[str, tuple[Endpoint, float]] = {}
         self._by_service: dict[str, list[Endpoint]] = {}
         self._away = False
 
@@ -56,37 +86,46 @@
 
     def replace(self, endpoints: list[Endpoint], now_ms: float, *, keep_until_ms: float) -> None:
         """Take in the whole list; entries that lack are kept until a time, if it is to come."""
-        listed = {endpoint.name: endpoint for endpoint in endpoints}
+        listed = {endpoint.name: self._believed(endpoint, now_ms) for endpoint in endpoints}
+        self._doubted = {name: kept for name, kept in self._doubted.items() if name in listed}
         for endpoint in self._listed.values():
             if endpoint.name not in listed:
                 self._keep(endpoint, now_ms, keep_until_ms)
         self._listed = listed
         self._settle()
 
-    def put(self, endpoint: Endpoint) -> None:
+    def put(self, endpoint: Endpoint, now_ms: float) -> None:
         """Take in a new or changed entry."""
-        self._listed[endpoint.name] = endpoint
+        self._listed[endpoint.name] = self._believed(endpoint, now_ms)
         self._settle()
 
     def remove(self, name: str, now_ms: float, *, keep_until_ms: float) -> None:
         """Take in that an entry is gone; it is kept until a time, if that is to come."""
         endpoint = self._listed.pop(name, None)
+        self._doubted.pop(name, None)
         if endpoint is not None:
             self._keep(endpoint, now_ms, keep_until_ms)
         self._settle()
 
     @property
     def next_expiry_ms(self) -> float | None:
-        """When the next missing entry counts as gone; None if none is missing."""
-        return min((until_ms for _, until_ms in self._missing.values()), default=None)
+        """When the next entry is missing or doubted for too long; None if none is."""
+        waiting = (*self._missing.values(), *self._doubted.values())
+        return min((until_ms for _, until_ms in waiting), default=None)
 
     def expire(self, now_ms: float) -> list[str]:
-        """Drop entries that did not come back in time; returns their names."""
+        """Drop entries that did not come back in time, and believe those doubted for long enough.
+
+        Returns the names of those that were dropped.
+        """
         late = [name for name, (_, until_ms) in self._missing.items() if now_ms >= until_ms]
         for name in late:
             del self._missing[name]
-        if late:
-            self._settle()
+        for name, (endpoint, until_ms) in list(self._doubted.items()):
+            if now_ms >= until_ms:
+                del self._doubted[name]
+                self._listed[name] = endpoint
+        self._settle()
         return late
 
     def usable(self, service: str) -> list[Endpoint]:
@@ -105,6 +144,15 @@
         """Names of all endpoints that are there."""
         return self._listed.keys() | self._missing.keys()
 
+    def _believed(self, endpoint: Endpoint, now_ms: float) -> Endpoint:
+        known = self.find(endpoint.name)
+        if known is None or not endpoint.older_than(known):
+            self._doubted.pop(endpoint.name, None)
+            return endpoint
+        _, until_ms = self._doubted.get(endpoint.name, (endpoint, now_ms + DOUBTED_MS))
+        self._doubted[endpoint.name] = (endpoint, until_ms)
+        return known
+
     def _keep(self, endpoint: Endpoint, now_ms: float, until_ms: float) -> None:
         if until_ms > now_ms and not endpoint.draining:
             self._missing[endpoint.name] = (endpoint, min(until_ms, now_ms + KEPT_MS))
--- a/packages/core/src/tamarack_core/engine_model.py
+++ b/packages/core/src/tamarack_core/engine_model.py
@@ -81,14 +81,20 @@
         self._kept: OrderedDict[str, int] = OrderedDict()
         self._kept_tokens = 0
         self._told_ms: dict[str, float] = {}
-        self._room = memory_tokens * KEPT_PART_OF_MEMORY
+        self._room = 0.0
         self.running = 0
+        self.resize(memory_tokens)
 
     @property
     def waiting(self) -> int:
         """Own requests without a first event."""
         return len(self._sent)
 
+    def resize(self, memory_tokens: int) -> None:
+        """Take in how much the engine's memory holds, where that becomes known later or changes."""
+        self._room = memory_tokens * KEPT_PART_OF_MEMORY
+        self._make_room()
+
     def pace(self, now_ms: float) -> float:
         """How many times longer than predicted the engine takes."""
         past = max(0.0, now_ms - self._pace_ms)
@@ -161,6 +167,9 @@
                 self._kept_tokens += part.tokens
             self._kept[part.key] = part.tokens
             self._kept.move_to_end(part.key)
+        self._make_room()
+
+    def _make_room(self) -> None:
         while self._kept_tokens > self._room and self._kept:
             key, tokens = self._kept.popitem(last=False)
             self._kept_tokens -= tokens
--- a/packages/gateway/src/tamarack_gateway/cache_inventory.py
+++ b/packages/gateway/src/tamarack_gateway/cache_inventory.py
@@ -11,7 +11,7 @@
 from tamarack_gateway.endpoint_connection import BrokenAnswerError, ConnectError
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.outbox import Outbox
-from tamarack_gateway.site import EngineDialect
+from tamarack_gateway.site import EngineDialect, Inventory
 
 LOOK_MS = 20.0
 """Time between two looks whether the configuration and the endpoints are known."""
@@ -56,6 +56,12 @@
         self._outbox = outbox
         self._settles = settles
         self._asks = asks
+        self._done = False
+
+    @property
+    def done(self) -> bool:
+        """Whether all engines have answered, or did not in time."""
+        return self._done
 
     async def run(self) -> None:
         """Wait for the endpoints, then ask the engines among them."""
@@ -66,26 +72,29 @@
         engines = [engine for engine in self._state.engines() if self._asks(engine.name)]
         found = await asyncio.gather(*(self._ask(engine) for engine in engines))
         self._state.log.event("caches were asked", engines=len(engines), parts=sum(found))
+        self._done = True
 
     async def _ask(self, engine: Endpoint) -> int:
         try:
             async with asyncio.timeout(ASK_MS / 1000):
                 body = await self._fetch(engine)
-            parts = self._dialect.read_inventory(body)
+            inventory = self._dialect.read_inventory(body)
         except (TimeoutError, ConnectError, BrokenAnswerError, ValueError) as error:
             reason = str(error) or "no answer"
             self._state.log.event("a cache was not told", endpoint=engine.name, reason=reason)
             return 0
-        model = self._state.models.get(engine.name)
-        if model is None:
+        model = self._state.model(engine.key)
+        if model is None or not _of_life(inventory, engine):
+            life = {"life": engine.life, "told": inventory.life}
+            self._state.log.event("a cache of another life was told", endpoint=engine.name, **life)
             return 0
-        model.keep_older(parts)
-        large = [part for part in parts if part.tokens >= PART_TOLD_TOKENS]
-        self._outbox.placed(engine.name, 0.0, large)
-        return len(parts)
+        model.keep_older(inventory.parts)
+        large = [part for part in inventory.parts if part.tokens >= PART_TOLD_TOKENS]
+        self._outbox.placed(engine.name, 0.0, large, engine.life)
+        return len(inventory.parts)
 
     async def _fetch(self, engine: Endpoint) -> bytes:
-        connection = await self._pool.take(engine.address)
+        connection = await self._pool.take(engine)
         whole = False
         try:
             connection.send(self._dialect.inventory(engine))
@@ -95,7 +104,13 @@
         finally:
             if not whole:
                 connection.abort()
-        self._pool.give_back(engine.address, connection)
+        self._pool.give_back(engine, connection)
         if head.status != 200:
             raise BrokenAnswerError(f"status {head.status}")
         return body
+
+
+def _of_life(inventory: Inventory, engine: Endpoint) -> bool:
+    # The engine may have ended between its entry and the question, with its next life at the same
+    # address; or the answer of the life before comes after the entry of the next.
+    return inventory.life is None or engine.life is None or inventory.life == engine.life
--- a/packages/gateway/src/tamarack_gateway/connection_pool.py
+++ b/packages/gateway/src/tamarack_gateway/connection_pool.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import NamedTuple
+
 from tamarack_core.clock import Clock
+from tamarack_core.endpoint_book import Endpoint, EndpointLife
 from tamarack_gateway.endpoint_connection import EndpointConnection, open_connection
 
 CONNECT_MS = 600.0
@@ -19,56 +23,79 @@
 """The same where the endpoint tells no time; times under a second are not told."""
 
 
+class _Target(NamedTuple):
+    """Where a connection leads: which life of an endpoint, and at which address."""
+
+    key: EndpointLife
+    address: str
+
+
 class ConnectionPool:
-    """Connections by address; the one used last is used first, so that the others can lapse."""
+    """Kept connections; the one used last is used first, so that the others can lapse.
+
+    They are kept for one life of one endpoint, not for an address. The next life, or an endpoint
+    of another service, may have the same address: a connection to a process that is gone breaks
+    only when a request is sent on it, and leaves it unknown whether that ran.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._idle: dict[str, list[EndpointConnection]] = {}
+        self._idle: dict[_Target, list[EndpointConnection]] = {}
         self.opened = 0
         self.reused = 0
 
-    async def take(self, address: str) -> EndpointConnection:
+    def idle(self, key: EndpointLife) -> int:
+        """Connections that are kept for one life of an endpoint."""
+        return sum(len(idle) for target, idle in self._idle.items() if target.key == key)
+
+    async def take(self, endpoint: Endpoint) -> EndpointConnection:
         """A connection that is fresh enough, or a new one; raises `ConnectError`."""
-        idle = self._idle.get(address, [])
+        idle = self._idle.get(_target(endpoint), [])
         while idle:
             connection = idle.pop()
             if connection.usable and self._fresh(connection):
                 self.reused += 1
                 return connection
             connection.abort()
-        connection = await open_connection(address, CONNECT_MS)
+        connection = await open_connection(endpoint.address, CONNECT_MS)
         self.opened += 1
         return connection
 
-    def give_back(self, address: str, connection: EndpointConnection) -> None:
+    def give_back(self, endpoint: Endpoint, connection: EndpointConnection) -> None:
         """Keep a connection whose answer has been read, if it may be used again."""
         if connection.finish(self._clock.now_ms):
-            self._idle.setdefault(address, []).append(connection)
+            self._idle.setdefault(_target(endpoint), []).append(connection)
 
-    def sweep(self) -> None:
-        """Close connections that have been idle for too long."""
-        for address, idle in list(self._idle.items()):
-            fresh = [c for c in idle if c.usable and self._fresh(c)]
+    def sweep(self, lives: Callable[[EndpointLife], bool]) -> None:
+        """Close what has been idle for too long, and what leads to a life that is over."""
+        for target, idle in list(self._idle.items()):
+            there = lives(target.key)
+            fresh = [c for c in idle if there and c.usable and self._fresh(c)]
             for connection in idle:
                 if connection not in fresh:
                     connection.abort()
             if fresh:
-                self._idle[address] = fresh
+                self._idle[target] = fresh
             else:
-                del self._idle[address]
+                del self._idle[target]
 
-    def drop(self, address: str) -> None:
-        """Close the idle connections to an address that has failed."""
-        for connection in self._idle.pop(address, []):
+    def drop(self, endpoint: Endpoint) -> None:
+        """Close the idle connections to an endpoint that has failed."""
+        for connection in self._idle.pop(_target(endpoint), []):
             connection.abort()
 
     def close(self) -> None:
         """Close all idle connections."""
-        for address in list(self._idle):
-            self.drop(address)
+        for idle in self._idle.values():
+            for connection in idle:
+                connection.abort()
+        self._idle.clear()
 
     def _fresh(self, connection: EndpointConnection) -> bool:
         told = connection.keep_alive_ms
         limit_ms = KEPT_UNTOLD_MS if told is None else told * KEPT_PART
         return self._clock.now_ms - connection.idle_since_ms < limit_ms
+
+
+def _target(endpoint: Endpoint) -> _Target:
+    return _Target(endpoint.key, endpoint.address)
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable
 
 from tamarack_core.admission import Admission, Decision, admit
+from tamarack_core.endpoint_book import EndpointLife
 from tamarack_core.placement import Choice, choose_engine, choose_plain
 from tamarack_core.prompt import Prompt
 from tamarack_core.ruleset import Route
@@ -87,7 +88,7 @@
         self._until_ms = request.arrived_ms + limit_ms
         self._sends = 0
         self._may_have_run = False
-        self._tried: set[str] = set()
+        self._tried: set[EndpointLife] = set()
 
     async def run(self) -> None:
         """Answer the request."""
@@ -120,12 +121,12 @@
                     self._refuse(503, decision.wait_ms)
                     return None
             try:
-                connection = await self._pool.take(choice.endpoint.address)
+                connection = await self._pool.take(choice.endpoint)
             except ConnectError as error:
                 connects += 1
-                self._pool.drop(choice.endpoint.address)
+                self._pool.drop(choice.endpoint)
                 self._notes.failure(choice.endpoint, f"connect: {error}", weight=UNREACHED_WEIGHT)
-                self._tried.add(choice.endpoint.name)
+                self._tried.add(choice.endpoint.key)
                 if connects >= CONNECT_TRIES:
                     return self._give_up(last)
                 continue
@@ -141,7 +142,7 @@
     def _choose(self) -> Choice | None:
         state = self._state
         endpoints = state.usable(self._service)
-        fresh = [e for e in endpoints if e.name not in self._tried]
+        fresh = [e for e in endpoints if e.key not in self._tried]
         if self._sends == 0 and not fresh:
             fresh = endpoints
         if not fresh:
@@ -209,7 +210,7 @@
     async def _send(self, choice: Choice, connection: EndpointConnection) -> Result:
         endpoint, state = choice.endpoint, self._state
         self._sends += 1
-        self._tried.add(endpoint.name)
+        self._tried.add(endpoint.key)
         self._log_placed(choice)
         self._notes.sent(choice)
         sent_ms = state.clock.now_ms
@@ -223,9 +224,9 @@
         except (BrokenAnswerError, BadStreamError) as error:
             result = Result(Verdict.BROKEN, str(error))
         finally:
-            self._notes.ended(choice)
+            self._notes.ended()
             if whole:
-                self._pool.give_back(endpoint.address, connection)
+                self._pool.give_back(endpoint, connection)
             else:
                 # Closing tells the endpoint to stop; one that goes on would work for nobody.
                 connection.abort()
@@ -303,7 +304,7 @@
             return None
         if self._route.streams:
             return choice.first_token_ms + FIRST_EVENT_SLACK_MS
-        record = self._state.records.get(choice.endpoint.name)
+        record = self._state.record(choice.endpoint.key)
         usual_ms = record.latency_ms if record is not None else 0.0
         return max(PLAIN_PATIENCE_MIN_MS, PLAIN_PATIENCE * usual_ms)
 
--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -236,8 +236,8 @@
 
     def _expire(self) -> None:
         gone = self._state.book.expire(self._state.clock.now_ms)
+        self._state.settle_endpoints()
         if gone:
-            self._state.settle_endpoints()
             self._state.log.change("endpoints did not come back", endpoints=gone)
         self._watch_expiry()
 
@@ -255,7 +255,7 @@
         if known is None or known.draining != endpoint.draining:
             word = "endpoint draining" if endpoint.draining else "endpoint there"
             self._state.log.change(word, endpoint=endpoint.name, address=endpoint.address)
-        book.put(endpoint)
+        book.put(endpoint, now_ms)
 
     def _endpoint(self, row: Row) -> Any:
         try:
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -5,7 +5,7 @@
 import random
 
 from tamarack_core.clock import Clock
-from tamarack_core.endpoint_book import Endpoint, EndpointBook
+from tamarack_core.endpoint_book import Endpoint, EndpointBook, EndpointLife
 from tamarack_core.endpoint_record import EndpointRecord
 from tamarack_core.engine_model import EngineModel
 from tamarack_core.key_freshness import KeyFreshness
@@ -42,6 +42,7 @@
         self.endpoints_known = False
         self.models: dict[str, EngineModel] = {}
         self.records: dict[str, EndpointRecord] = {}
+        self._lives: dict[str, int | None] = {}
         self.freshness = KeyFreshness(bounds.revoke_ms - KEY_MARGIN_MS)
         self.allowance = RetryAllowance(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
@@ -72,18 +73,34 @@
         if self.rules is None or rules.version != self.rules.version:
             self.log.change("configuration", version=rules.version)
         self.rules = rules
+        self._fit_models()
         return True
 
     def settle_endpoints(self) -> None:
-        """Keep models and records for just the endpoints that there are."""
-        names = self.book.names
-        for name in names:
-            if name not in self.records:
-                self.records[name] = EndpointRecord()
-                self.models[name] = self._model(name)
-        for name in [name for name in self.records if name not in names]:
-            del self.records[name]
-            del self.models[name]
+        """Keep models and records for just the present lives of the endpoints that there are."""
+        found = {name: self.book.find(name) for name in self.book.names}
+        for endpoint in found.values():
+            if endpoint is not None and not self.knows(endpoint.key):
+                self._begin(endpoint)
+        for name in [name for name in self.records if name not in found]:
+            del self.records[name], self.models[name], self._lives[name]
+        self._fit_models()
+
+    def knows(self, key: EndpointLife) -> bool:
+        """Whether this is the present life of an endpoint that is there."""
+        return key.name in self._lives and self._lives[key.name] == key.life
+
+    def model(self, key: EndpointLife) -> EngineModel | None:
+        """What is believed of an engine; None where it is not there, or has another life now.
+
+        Word of one life must not change what is believed of the next: a router's message that
+        tells late of kept parts would draw requests to an engine that keeps nothing.
+        """
+        return self.models.get(key.name) if self.knows(key) else None
+
+    def record(self, key: EndpointLife) -> EndpointRecord | None:
+        """How an endpoint has answered; None where it is not there, or has another life now."""
+        return self.records.get(key.name) if self.knows(key) else None
 
     def usable(self, service: str) -> list[Endpoint]:
         """Endpoints of a service that may get new work."""
@@ -101,9 +118,21 @@
         names = [service.name for service in rules.services if service.engine is not None]
         return [endpoint for name in names for endpoint in self.usable(name)]
 
-    def _model(self, name: str) -> EngineModel:
-        endpoint = self.book.find(name)
-        service = self.rules.service(endpoint.service) if self.rules and endpoint else None
-        if service is None or service.engine is None:
-            return EngineModel()
-        return EngineModel(memory_tokens=service.engine.memory_tokens)
+    def _begin(self, endpoint: Endpoint) -> None:
+        name = endpoint.name
+        if name in self._lives:
+            lives = {"life": endpoint.life, "life_before": self._lives[name]}
+            self.log.change("endpoint started again", endpoint=name, **lives)
+        self._lives[name] = endpoint.life
+        self.records[name] = EndpointRecord()
+        self.models[name] = EngineModel()
+
+    def _fit_models(self) -> None:
+        # An endpoint may be listed before the configuration names its service, and a later version
+        # may change what its engines hold: a model of the wrong size would take parts for kept
+        # that have yielded.
+        for name, model in self.models.items():
+            endpoint = self.book.find(name)
+            service = self.rules.service(endpoint.service) if self.rules and endpoint else None
+            if service is not None and service.engine is not None:
+                model.resize(service.engine.memory_tokens)
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -351,12 +351,12 @@
     def _took_placements(self, told: Placements) -> None:
         state, now_ms = self._state, self._clock.now_ms
         for placed in told.placed:
-            model = state.models.get(placed.endpoint)
+            model = state.model(placed.key)
             if model is not None:
                 model.sent_elsewhere(placed.reading_ms, now_ms)
                 model.keep_named(placed.parts, now_ms)
         for seen in told.seen:
-            model = state.models.get(seen.endpoint)
+            model = state.model(seen.key)
             if model is not None:
                 model.seen_elsewhere(seen.wait_ms, seen.pace, now_ms)
         for tokens in told.tokens:
@@ -382,7 +382,7 @@
             now_ms = self._clock.now_ms
             for connection in list(self._connections):
                 connection.close_if_idle(now_ms)
-            self._pool.sweep()
+            self._pool.sweep(self._state.knows)
             lost, regained = self._members.turned(now_ms)
             if lost or regained:
                 self._log.event("peers changed", lost=lost, regained=regained)
--- a/packages/gateway/src/tamarack_gateway/outbox.py
+++ b/packages/gateway/src/tamarack_gateway/outbox.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import NamedTuple
 
+from tamarack_core.endpoint_book import EndpointLife
 from tamarack_core.prompt import PromptPart
 
 
@@ -17,11 +18,19 @@
         Predicted time in milliseconds that the endpoint reads prompts for it.
     parts
         Keys and sizes of shared prompt parts that it now keeps.
+    life
+        Life of the endpoint that this tells of; see `Endpoint.life`.
     """
 
     endpoint: str
     reading_ms: float
     parts: list[tuple[str, int]]
+    life: int | None = None
+
+    @property
+    def key(self) -> EndpointLife:
+        """The life of the endpoint that this tells of."""
+        return EndpointLife(self.endpoint, self.life)
 
 
 class Tokens(NamedTuple):
@@ -33,11 +42,17 @@
 
 
 class Seen(NamedTuple):
-    """An engine's queue in milliseconds and its pace, as a first event showed them."""
+    """An engine's queue in milliseconds and its pace, as a first event in one life showed them."""
 
     endpoint: str
     wait_ms: float
     pace: float
+    life: int | None = None
+
+    @property
+    def key(self) -> EndpointLife:
+        """The life of the endpoint that this tells of."""
+        return EndpointLife(self.endpoint, self.life)
 
 
 class Placements(NamedTuple):
@@ -52,11 +67,11 @@
     """Collects what happened since the last message to the other routers."""
 
     def __init__(self) -> None:
-        self._reading: dict[str, float] = {}
-        self._parts: dict[str, dict[str, int]] = {}
+        self._reading: dict[EndpointLife, float] = {}
+        self._parts: dict[EndpointLife, dict[str, int]] = {}
         self._asked: dict[str, float] = {}
         self._served: dict[str, float] = {}
-        self._seen: dict[str, Seen] = {}
+        self._seen: dict[EndpointLife, Seen] = {}
         self._news = asyncio.Event()
 
     async def wait(self) -> None:
@@ -64,11 +79,14 @@
         await self._news.wait()
         self._news.clear()
 
-    def placed(self, endpoint: str, reading_ms: float, parts: list[PromptPart]) -> None:
+    def placed(
+        self, endpoint: str, reading_ms: float, parts: list[PromptPart], life: int | None = None
+    ) -> None:
         """Take in a request that was sent to an engine."""
         self._news.set()
-        self._reading[endpoint] = self._reading.get(endpoint, 0.0) + reading_ms
-        told = self._parts.setdefault(endpoint, {})
+        key = EndpointLife(endpoint, life)
+        self._reading[key] = self._reading.get(key, 0.0) + reading_ms
+        told = self._parts.setdefault(key, {})
         told.update((part.key, part.tokens) for part in parts)
 
     def asked(self, workspace: str, tokens: float) -> None:
@@ -80,17 +98,17 @@
         """Take in tokens of a request that was sent to an engine."""
         self._served[workspace] = self._served.get(workspace, 0.0) + tokens
 
-    def seen(self, endpoint: str, wait_ms: float, pace: float) -> None:
+    def seen(self, key: EndpointLife, wait_ms: float, pace: float) -> None:
         """Take in what a first event showed; of several the last one is told."""
-        self._seen[endpoint] = Seen(endpoint, round(wait_ms, 1), round(pace, 2))
+        self._seen[key] = Seen(key.name, round(wait_ms, 1), round(pace, 2), key.life)
 
     def take(self) -> Placements | None:
         """All that happened since the last call; None if nothing did."""
         if not (self._reading or self._asked or self._served or self._seen):
             return None
         placed = [
-            Placed(name, round(reading_ms, 1), list(self._parts.get(name, {}).items()))
-            for name, reading_ms in self._reading.items()
+            Placed(key.name, round(reading_ms, 1), list(self._parts.get(key, {}).items()), key.life)
+            for key, reading_ms in self._reading.items()
         ]
         names = self._asked.keys() | self._served.keys()
         tokens = [
--- a/packages/gateway/src/tamarack_gateway/send_notes.py
+++ b/packages/gateway/src/tamarack_gateway/send_notes.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from tamarack_core.endpoint_book import Endpoint
+from tamarack_core.endpoint_record import EndpointRecord
+from tamarack_core.engine_model import EngineModel
 from tamarack_core.placement import Choice
 from tamarack_core.prompt import Prompt
 from tamarack_gateway.fleet_state import FleetState
@@ -22,6 +24,9 @@
 class SendNotes:
     """Takes one request's sends into the models and records.
 
+    A send is noted in those of the life that it went to, also where the endpoint has another life
+    when it ends: the next life's counts would otherwise lack a request that runs there.
+
     Parameters
     ----------
     attempt, workspace, prompt
@@ -41,6 +46,8 @@
         self._attempt = attempt
         self._workspace = workspace
         self._prompt = prompt
+        self._record: EndpointRecord | None = None
+        self._model: EngineModel | None = None
         self._running = False
         self._served = False
 
@@ -55,15 +62,16 @@
     def sent(self, choice: Choice) -> None:
         """Take in that it is sent to an endpoint."""
         state, prompt, now_ms = self._state, self._prompt, self._state.clock.now_ms
-        record = state.records.get(choice.endpoint.name)
-        if record is not None:
-            record.outstanding += 1
-        model = state.models.get(choice.endpoint.name)
+        name, life = choice.endpoint.key
+        self._record = state.record(choice.endpoint.key)
+        if self._record is not None:
+            self._record.outstanding += 1
+        self._model = model = state.model(choice.endpoint.key)
         if prompt is None or model is None:
             return
         parts = model.parts_to_tell(prompt, now_ms)
         reading_ms = model.sent(self._attempt, prompt, now_ms)
-        self._outbox.placed(choice.endpoint.name, reading_ms, parts)
+        self._outbox.placed(name, reading_ms, parts, life)
         if self._workspace is not None and not self._served:
             self._served = True
             state.shares.serve(self._workspace, prompt.charge, now_ms)
@@ -71,20 +79,20 @@
 
     def first_event(self, choice: Choice) -> None:
         """Take in that an engine begins to answer."""
-        model = self._state.models.get(choice.endpoint.name)
+        model, key = self._model, choice.endpoint.key
         if model is not None and self._prompt is not None:
             now_ms = self._state.clock.now_ms
             model.first_event(self._attempt, now_ms)
-            self._outbox.seen(choice.endpoint.name, model.wait_ms(now_ms), model.pace(now_ms))
+            if self._state.knows(key):
+                self._outbox.seen(key, model.wait_ms(now_ms), model.pace(now_ms))
             model.running += 1
             self._running = True
 
-    def ended(self, choice: Choice) -> None:
+    def ended(self) -> None:
         """Take in that a send has ended in whatever way; called once for each `sent`."""
-        record = self._state.records.get(choice.endpoint.name)
-        if record is not None:
-            record.outstanding = max(0, record.outstanding - 1)
-        model = self._state.models.get(choice.endpoint.name)
+        if self._record is not None:
+            self._record.outstanding = max(0, self._record.outstanding - 1)
+        model = self._model
         if model is None or self._prompt is None:
             return
         model.dropped(self._attempt)
@@ -95,7 +103,7 @@
     def result(self, endpoint: Endpoint, result: Result, took_ms: float) -> None:
         """Take in what came of a send."""
         if result.verdict is Verdict.DONE:
-            record = self._state.records.get(endpoint.name)
+            record = self._state.record(endpoint.key)
             if record is not None:
                 record.succeeded(self._state.clock.now_ms, took_ms)
             return
@@ -109,7 +117,7 @@
     def failure(self, endpoint: Endpoint, reason: str, *, weight: float = 1.0) -> None:
         """Take in that an endpoint failed a request."""
         state = self._state
-        record = state.records.get(endpoint.name)
+        record = state.record(endpoint.key)
         if record is None:
             return
         now_ms = state.clock.now_ms
--- a/packages/gateway/src/tamarack_gateway/site.py
+++ b/packages/gateway/src/tamarack_gateway/site.py
@@ -143,13 +143,20 @@
         """Headers of an answer of the router's own."""
 
 
+class Inventory(NamedTuple):
+    """Prompt parts that an engine keeps, and in which life; None where it does not tell."""
+
+    parts: list[PromptPart]
+    life: int | None
+
+
 class EngineDialect(Protocol):
     """Calls of a model engine that are no requests of callers."""
 
     def inventory(self, engine: Endpoint) -> bytes:
         """Ask an engine which prompt parts it keeps."""
 
-    def read_inventory(self, body: bytes) -> list[PromptPart]:
+    def read_inventory(self, body: bytes) -> Inventory:
         """Decode its answer; raises `ValueError`."""
 
 
--- a/packages/standins/src/tamarack_standins/platform_worker.py
+++ b/packages/standins/src/tamarack_standins/platform_worker.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 
 SIGNATURE = "3e1b.07.5a2"
+BORN_MS = 1_764_000_000_000
 
 
 class Script(NamedTuple):
@@ -81,26 +82,38 @@
         Its id; a request that names another one is answered 421.
     scripts
         Ways to answer, one for each request; the last one stays in use.
+    port
+        Port to listen on; zero takes a free one.
 
     Attributes
     ----------
     kept
         Prompt parts that it tells to keep, by id and size.
+    born
+        Start of its life; another one under the same name is another life. None to tell none.
+    answering
+        Cleared to hold requests that have arrived until it is set again.
     """
 
-    def __init__(self, name: str, *scripts: Script) -> None:
+    def __init__(
+        self, name: str, *scripts: Script, born: int | None = BORN_MS, port: int = 0
+    ) -> None:
         self.name = name
         self.address = ""
+        self.born = born
+        self._port = port
         self.arrived: list[Arrived] = []
         self.closed_early = 0
         self.connections = 0
         self.kept: list[tuple[str, int]] = []
+        self.answering = asyncio.Event()
+        self.answering.set()
         self._scripts = list(scripts) or [Script()]
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def __aenter__(self) -> PlatformWorker:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
         return self
@@ -119,14 +132,17 @@
 
     def entry(self, service: str, *, state: str = "ready", slots: int = 4) -> dict[str, object]:
         """Its entry in the list of workers."""
-        return {
+        entry: dict[str, object] = {
             "service": service,
             "address": self.address,
             "zone": "a",
+            "version": "v1",
             "slots": slots,
             "state": state,
+            "coldRemainingMs": 0,
             "sequence": 1,
         }
+        return entry if self.born is None else {**entry, "born": self.born}
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
@@ -168,6 +184,7 @@
             return True
         self.arrived.append(arrived)
         script = self._next_script(arrived)
+        await self.answering.wait()
         if script.silent:
             await self._until_closed(reader)
             return False
@@ -182,7 +199,8 @@
 
     def _tell_kept(self, writer: asyncio.StreamWriter) -> None:
         held = [["", part, tokens, "m"] for part, tokens in self.kept]
-        body = json.dumps({"epoch": 1, "next": 1, "held": held}).encode()
+        told = {"epoch": 1, "next": 1, "held": held, "born": self.born}
+        body = json.dumps(told).encode()
         writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(body), body))
 
     def _next_script(self, arrived: Arrived) -> Script:
