Use no endpoint that an unreadable entry names, and bear rows of other writers

Cause: an entry that became unreadable left the earlier one in use; decoders took "5" for 5, any text for an address, no slots, and any state for draining; one value that was no base64 cost the whole page; rows that nest too deeply raised an error that ended the task which follows the table, and so did a router's row with an address at which nobody can subscribe. An id or a workspace with a line end went into a header as it was. A configuration that could not be read stood in one log line only.

Change: entries have all their fields with their types, or name no endpoint, at once and also where the store was away; each row of a page is decoded by itself; addresses are checked; all decoders raise ValueError only. An entry without a life is used unless most others tell one.

--- a/packages/core/src/tamarack_core/endpoint_book.py
+++ b/packages/core/src/tamarack_core/endpoint_book.py
@@ -72,6 +72,9 @@
     after the return would otherwise get new work for seconds more.
 
     An entry of an older life than the known one is doubted for a while, and the known one holds.
+    Where most entries tell a life, one that tells none was written by something else than an
+    endpoint, and names none to use. One such entry among few is not enough to judge by, and a
+    deployment whose endpoints tell no life is served all the same.
     """
 
     def __init__(self) -> None:
@@ -79,7 +82,7 @@
         self._missing: dict[str, tuple[Endpoint, float]] = {}
         self._doubted: dict[str, tuple[Endpoint, float]] = {}
         self._by_service: dict[str, list[Endpoint]] = {}
-        self._away = False
+        self._lifeless: list[str] = []
 
     def __len__(self) -> int:
         return len(self._listed) + len(self._missing)
@@ -107,6 +110,17 @@
             self._keep(endpoint, now_ms, keep_until_ms)
         self._settle()
 
+    def drop(self, name: str) -> None:
+        """Take in that an entry names no endpoint to use any more; it is not kept."""
+        for entries in (self._listed, self._missing, self._doubted):
+            entries.pop(name, None)
+        self._settle()
+
+    @property
+    def lifeless(self) -> list[str]:
+        """Entries that are not used since they tell no life where most do."""
+        return self._lifeless
+
     @property
     def next_expiry_ms(self) -> float | None:
         """When the next entry is missing or doubted for too long; None if none is."""
@@ -162,7 +176,10 @@
             self._missing.pop(name, None)
         by_service: dict[str, list[Endpoint]] = {}
         kept = [endpoint for endpoint, _ in self._missing.values()]
-        for endpoint in [*self._listed.values(), *kept]:
-            if not endpoint.draining:
+        there = [*self._listed.values(), *kept]
+        lifeless = {endpoint.name for endpoint in there if endpoint.life is None}
+        self._lifeless = sorted(lifeless) if 2 * len(lifeless) < len(there) else []
+        for endpoint in there:
+            if not endpoint.draining and endpoint.name not in self._lifeless:
                 by_service.setdefault(endpoint.service, []).append(endpoint)
         self._by_service = by_service
--- a/packages/ctl/src/tamarack_ctl/router_view.py
+++ b/packages/ctl/src/tamarack_ctl/router_view.py
@@ -39,11 +39,23 @@
     lines.append(
         f"configuration {status['version']}, confirmed {status['confirmed_ms_ago']} ms ago"
     )
+    lines += _unreadable(status["unreadable"])
     for title in ("members", "endpoints", "workspaces"):
         lines += _table(title, status[title])
     return lines
 
 
+def _unreadable(unreadable: dict[str, Any]) -> list[str]:
+    lines = []
+    reason = unreadable.pop("newest_configuration")
+    if reason is not None:
+        lines.append(f"the newest configuration cannot be read, an older one is in force: {reason}")
+    if any(unreadable.values()):
+        counts = ", ".join(f"{kind} {count}" for kind, count in unreadable.items())
+        lines.append(f"versions of rows that could not be used: {counts}")
+    return lines
+
+
 def _table(title: str, entries: list[dict[str, Any]]) -> list[str]:
     lines = [f"{title} ({len(entries)})"]
     if not entries:
--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -10,11 +10,14 @@
 
 import msgspec
 
+from tamarack_core.endpoint_book import Endpoint
+from tamarack_core.json_input import decode_json, is_ip_port
 from tamarack_core.relay_plan import Peer
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.site import Row, Site
 from tamarack_gateway.store_client import StoreClient, StoreError
 from tamarack_gateway.table_follower import TableChange, TableFollower, TableNews
+from tamarack_gateway.unreadable_rows import RowKind
 
 RULES_WAIT_MS = 1_000.0
 """How long the store holds a call for the configuration. Each answer confirms the keys as of when
@@ -46,6 +49,9 @@
     failure_domain: str
 
 
+_router_decoder = msgspec.json.Decoder(RouterFields)
+
+
 class RouterRow(NamedTuple):
     """A router's row: where peers subscribe, which life it is, and where it runs."""
 
@@ -199,30 +205,39 @@
         state = self._state
         for row in change.rows:
             if row.key == self._site.tables.configuration_key and row.value is not None:
-                self._put_rules(row)
+                self._put_rules(row, row.value)
+        # Also where the newest version cannot be read: the last good one stays in force, with its
+        # keys. Callers would otherwise lose all service for a mistake in one field.
         if state.rules is not None:
             state.freshness.confirm(change.asked_ms)
 
-    def _put_rules(self, row: Row) -> None:
+    def _put_rules(self, row: Row, value: bytes) -> None:
+        state = self._state
         try:
-            rules = self._site.read_rules(row.value or b"")
+            rules = self._site.read_rules(value)
         except ValueError as error:
-            self._state.log.event("a configuration cannot be read", reason=str(error))
+            state.unreadable.note(RowKind.CONFIGURATION, row.key, row.version, str(error))
+            state.unreadable_rules = str(error)
             return
-        self._state.put_rules(rules)
+        state.unreadable_rules = None
+        state.put_rules(rules)
 
     def _took_endpoints(self, change: TableChange) -> None:
         state, now_ms = self._state, self._state.clock.now_ms
         rows = {row.key: row for row in change.rows}
         if change.whole:
-            entries = [self._endpoint(row) for row in rows.values() if row.value is not None]
-            found = [entry for entry in entries if entry is not None]
+            read = {row.key: self._endpoint(row) for row in rows.values() if row.value is not None}
+            found = [endpoint for endpoint in read.values() if endpoint is not None]
             state.book.replace(found, now_ms, keep_until_ms=change.lapsed_until_ms)
+            for name in [name for name, endpoint in read.items() if endpoint is None]:
+                state.book.drop(name)
         else:
             for row in rows.values():
                 self._take_row(row, now_ms, change.lapsed_until_ms)
         if change.rows or change.whole:
             state.settle_endpoints()
+            for name in state.book.lifeless:
+                state.unreadable.note(RowKind.ENDPOINT, name, 0, "tells no life, as the others do")
         state.endpoints_known = True
         self._watch_expiry()
 
@@ -246,37 +261,51 @@
         if row.value is None:
             kept_ms = max(0.0, keep_until_ms - now_ms)
             self._state.log.change("endpoint gone", endpoint=row.key, kept_ms=round(kept_ms))
+            self._state.unreadable.forget(RowKind.ENDPOINT, row.key)
             book.remove(row.key, now_ms, keep_until_ms=keep_until_ms)
             return
         endpoint = self._endpoint(row)
         if endpoint is None:
+            book.drop(row.key)
             return
         known = book.find(endpoint.name)
-        if known is None or known.draining != endpoint.draining:
-            word = "endpoint draining" if endpoint.draining else "endpoint there"
-            self._state.log.change(word, endpoint=endpoint.name, address=endpoint.address)
         book.put(endpoint, now_ms)
+        believed = book.find(endpoint.name) or endpoint
+        if known is None or known.draining != believed.draining:
+            word = "endpoint draining" if believed.draining else "endpoint there"
+            self._state.log.change(word, endpoint=believed.name, address=believed.address)
 
-    def _endpoint(self, row: Row) -> Any:
+    def _endpoint(self, row: Row) -> Endpoint | None:
+        unreadable = self._state.unreadable
         try:
-            return self._site.read_endpoint(row.key, row.value or b"")
+            endpoint = self._site.read_endpoint(row.key, row.value or b"")
         except ValueError as error:
-            self._state.log.event("an endpoint cannot be read", row=row.key, reason=str(error))
+            unreadable.note(RowKind.ENDPOINT, row.key, row.version, str(error))
             return None
+        if endpoint.life is not None:
+            unreadable.forget(RowKind.ENDPOINT, row.key)
+        return endpoint
 
     def _took_routers(self, change: TableChange) -> None:
         if change.whole:
             self._routers = {}
         for row in change.rows:
             self._routers.pop(row.key, None)
-            if row.value is None:
-                continue
-            try:
-                listed = msgspec.json.decode(row.value, type=RouterFields)
-                self._routers[row.key] = Peer(
-                    row.key, listed["peers"], listed.get("failure_domain", "")
-                )
-            except (msgspec.MsgspecError, KeyError, TypeError) as error:
-                self._state.log.event("a router's row cannot be read", reason=str(error))
+            peer = self._peer(row, row.value) if row.value is not None else None
+            if peer is not None:
+                self._routers[row.key] = peer
         self._watch_own_row(change.rows, whole=change.whole)
         self._follow(self._routers)
+
+    def _peer(self, row: Row, value: bytes) -> Peer | None:
+        try:
+            listed = decode_json(_router_decoder, value)
+            address = listed.get("peers", "")
+            if not is_ip_port(address):
+                # A socket that is told to subscribe there raises an error, which would end the
+                # task that follows the table.
+                raise ValueError(f"{address!r} is not an address")
+        except ValueError as error:
+            self._state.unreadable.note(RowKind.ROUTER, row.key, row.version, str(error))
+            return None
+        return Peer(row.key, address, listed.get("failure_domain", ""))
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -15,6 +15,7 @@
 from tamarack_core.workspace_shares import WorkspaceShares
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.site import GatewaySettings
+from tamarack_gateway.unreadable_rows import UnreadableRows
 
 FRESH_MS = 3_000.0
 """Age of the confirmation up to which callers are sent here. Calls of a second each, one of them
@@ -50,6 +51,8 @@
         self.shares = WorkspaceShares(bounds.share_window_ms)
         self.returns = ReturnDetector()
         self.leaving = False
+        self.unreadable = UnreadableRows(log, clock)
+        self.unreadable_rules: str | None = None
 
     @property
     def ready(self) -> bool:
--- a/packages/gateway/src/tamarack_gateway/gateway_metrics.py
+++ b/packages/gateway/src/tamarack_gateway/gateway_metrics.py
@@ -9,6 +9,7 @@
 from tamarack_core.ruleset import Route
 from tamarack_gateway.connection_pool import ConnectionPool
 from tamarack_gateway.fleet_state import FleetState
+from tamarack_gateway.unreadable_rows import RowKind
 
 LATENCY_MS = [5.0, 10.0, 25.0, 50.0, 100.0, 250.0, 500.0, 1_000.0, 2_500.0, 5_000.0, 10_000.0]
 """Upper bounds of the latency histogram in milliseconds, from an answer of a plain service to the
@@ -68,6 +69,9 @@
             "routers": state.allowance.routers,
             "ready": int(state.ready),
         }
+        readings["newest_configuration_unreadable"] = int(state.unreadable_rules is not None)
+        for kind in RowKind:
+            readings[f"unreadable_{kind}_rows"] = state.unreadable.counts[kind]
         for name, value in readings.items():
             self._gauges.set({"name": name}, float(value))
         for name, model in state.models.items():
--- a/packages/gateway/src/tamarack_gateway/router_status.py
+++ b/packages/gateway/src/tamarack_gateway/router_status.py
@@ -6,6 +6,7 @@
 
 from tamarack_gateway.fleet_members import FleetMembers
 from tamarack_gateway.fleet_state import FleetState
+from tamarack_gateway.unreadable_rows import RowKind
 
 
 class MemberStatus(TypedDict):
@@ -27,6 +28,7 @@
     endpoint: str
     service: str
     failure_domain: str
+    life: int | None
     draining: bool
     wait_ms: int
     pace: float
@@ -42,6 +44,19 @@
     standing: float
 
 
+class UnreadableStatus(TypedDict):
+    """Versions of rows that could not be used since the start.
+
+    `newest_configuration` is the reason where the newest configuration is such a one, so that an
+    older one is in force.
+    """
+
+    configuration: int
+    endpoint: int
+    router: int
+    newest_configuration: str | None
+
+
 class RouterStatus(TypedDict):
     """All that one router tells."""
 
@@ -51,6 +66,7 @@
     relays: bool
     version: int
     confirmed_ms_ago: int | None
+    unreadable: UnreadableStatus
     members: list[MemberStatus]
     endpoints: list[EndpointStatus]
     workspaces: list[WorkspaceStatus]
@@ -66,12 +82,23 @@
         "relays": relays,
         "version": state.rules.version if state.rules else 0,
         "confirmed_ms_ago": None if age_ms == float("inf") else round(age_ms),
+        "unreadable": _unreadable(state),
         "members": _members(state, members),
         "endpoints": _endpoints(state),
         "workspaces": _workspaces(state),
     }
 
 
+def _unreadable(state: FleetState) -> UnreadableStatus:
+    counts = state.unreadable.counts
+    return {
+        "configuration": counts[RowKind.CONFIGURATION],
+        "endpoint": counts[RowKind.ENDPOINT],
+        "router": counts[RowKind.ROUTER],
+        "newest_configuration": state.unreadable_rules,
+    }
+
+
 def _members(state: FleetState, members: FleetMembers) -> list[MemberStatus]:
     now_ms = state.clock.now_ms
     return [
@@ -99,6 +126,7 @@
                 "endpoint": name,
                 "service": endpoint.service,
                 "failure_domain": endpoint.failure_domain,
+                "life": endpoint.life,
                 "draining": endpoint.draining,
                 "wait_ms": round(model.wait_ms(now_ms)),
                 "pace": round(model.pace(now_ms), 2),
--- a/packages/gateway/src/tamarack_gateway/site.py
+++ b/packages/gateway/src/tamarack_gateway/site.py
@@ -161,7 +161,13 @@
 
 
 class Row(NamedTuple):
-    """A row of the store; `value` is None where the row was removed."""
+    """A row of the store.
+
+    Attributes
+    ----------
+    value
+        None where the row was removed; empty where its bytes cannot be read.
+    """
 
     table: str
     key: str
@@ -170,11 +176,20 @@
 
 
 class RowsPage(NamedTuple):
-    """An answer about rows; `version` is the store's newest."""
+    """An answer about rows.
+
+    Attributes
+    ----------
+    version
+        The store's newest.
+    nameless
+        Rows that were left out since not even their keys can be read.
+    """
 
     rows: list[Row]
     version: int
     more: bool
+    nameless: int = 0
 
 
 class StoreCall(NamedTuple):
--- a/packages/gateway/src/tamarack_gateway/store_client.py
+++ b/packages/gateway/src/tamarack_gateway/store_client.py
@@ -61,12 +61,13 @@
     async def read_all(self, table: str) -> RowsPage:
         """Read all rows of a table."""
         rows: list[Row] = []
-        start = ""
+        start, nameless = "", 0
         while True:
             page = self._page(await self.call(self._dialect.read(table, start)))
             rows.extend(page.rows)
+            nameless += page.nameless
             if not page.more or not page.rows:
-                return RowsPage(rows, page.version, False)
+                return RowsPage(rows, page.version, False, nameless)
             start = page.rows[-1].key + "\0"
 
     async def watch(self, table: str, after: int, wait_ms: float) -> RowsPage:
--- a/packages/gateway/src/tamarack_gateway/table_follower.py
+++ b/packages/gateway/src/tamarack_gateway/table_follower.py
@@ -228,6 +228,8 @@
             at_once = self._failures or self._behind
             page = await self._client.watch(self._table, after, 0.0 if at_once else self._wait_ms)
         self._found()
+        if page.nameless:
+            self._changed("told rows without a key", f"{page.nameless} rows")
         self._behind = False
         self._after = page.version
         until_ms = self._returned_ms + self.RETURN_MS
--- /dev/null
+++ b/tests/test_foreign_rows.py
@@ -0,0 +1,308 @@
+"""Rows that something else than an endpoint, a router or the operator wrote."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from typing import Any
+
+import pytest
+from gateway_site import Fleet, configuration, connect, play, read_answer, until
+
+from tamarack_core.clock import HeldClock
+from tamarack_core.endpoint_book import Endpoint, EndpointBook
+from tamarack_ctl.main import main
+from tamarack_gateway.decision_log import DecisionLog
+from tamarack_gateway.unreadable_rows import LINES_PER_S, RowKind, UnreadableRows
+from tamarack_platform.configuration import read_endpoint, read_rules
+from tamarack_platform.engines import PlatformEngines
+from tamarack_platform.store import PlatformStore as StoreDialect
+from tamarack_standins.platform_worker import BORN_MS, PlatformWorker, Script
+
+STREAM = Script(events=5)
+NESTED = b'{"x":' * 30_000
+
+GOOD: dict[str, Any] = {
+    "service": "web",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "sequence": 1,
+    "born": BORN_MS,
+}
+
+WRONG: list[tuple[str, Any]] = [
+    *[(field, None) for field in GOOD],
+    ("service", ""),
+    ("address", "10.0.0.1"),
+    ("address", "10.0.0.1:0"),
+    ("address", "10.0.0.1:65536"),
+    ("address", "10.0.0.1:8_0"),
+    ("address", "10.0.0.1:²"),
+    ("address", "0.0.0.0:80"),
+    ("address", "224.0.0.1:80"),
+    ("address", "somewhere:80"),
+    ("address", ["10.0.0.1:80"]),
+    ("zone", 7),
+    ("version", 1),
+    ("slots", 0),
+    ("slots", -4),
+    ("slots", 4.0),
+    ("slots", "4"),
+    ("slots", True),
+    ("state", "asleep"),
+    ("state", "Ready"),
+    ("coldRemainingMs", "0"),
+    ("sequence", "1"),
+    ("born", str(BORN_MS)),
+    ("born", float(BORN_MS)),
+    ("born", True),
+    ("born", 0),
+    ("born", -BORN_MS),
+    ("born", 2**70),
+    ("models", {}),
+]
+
+
+def encoded(value: Any) -> bytes:
+    return json.dumps(value).encode()
+
+
+def usable(fleet: Fleet, service: str) -> list[str]:
+    return [endpoint.name for endpoint in fleet.gateway.state.usable(service)]
+
+
+@pytest.mark.parametrize(("field", "value"), WRONG)
+def test_a_field_of_another_kind_makes_an_entry_unreadable(field: str, value: Any) -> None:
+    read_endpoint("w1", encoded(GOOD))
+    with pytest.raises(ValueError):
+        read_endpoint("w1", encoded({**GOOD, field: value}))
+
+
+@pytest.mark.parametrize("field", [field for field in GOOD if field != "born"])
+def test_a_missing_field_makes_an_entry_unreadable(field: str) -> None:
+    with pytest.raises(ValueError):
+        read_endpoint("w1", encoded({name: v for name, v in GOOD.items() if name != field}))
+
+
+@pytest.mark.parametrize("name", ["", "w 1", "w1\r\nX-Tenant: other", "wł"])
+def test_an_id_that_cannot_be_sent_names_no_endpoint(name: str) -> None:
+    """Symptom: an endpoint gets a header that nobody meant, or the router fails at a request.
+
+    Sequence: an entry's key holds a line end or a letter that headers cannot hold, and a request is
+    placed there. Cause: the key was written into the header as it was.
+    """
+    with pytest.raises(ValueError):
+        read_endpoint(name, encoded(GOOD))
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff\xfe", b"[]", b"null", NESTED, encoded(GOOD)[:-1]])
+def test_bytes_that_cannot_be_read_are_an_error_of_one_kind(data: bytes) -> None:
+    """Symptom: a router never hears of a change of the table again.
+
+    Sequence: a row nests too deeply. Cause: the decoder raised an error of another kind than the
+    one that was caught, and the task that follows the table ended.
+    """
+    for read in (
+        lambda: read_endpoint("w1", data),
+        lambda: read_rules(data),
+        lambda: StoreDialect().page(data),
+        lambda: PlatformEngines().read_inventory(data),
+    ):
+        with pytest.raises(ValueError):
+            read()
+
+
+def test_an_entry_that_becomes_unreadable_names_no_endpoint_and_the_others_hold() -> None:
+    """Symptom: requests go to an endpoint whose entry no longer names one.
+
+    Sequence: another writer overwrites its entry. Cause: a change that could not be read was left
+    out, so that the earlier entry stayed in use; a whole reading of the table dropped it.
+    """
+
+    async def story() -> None:
+        workers = [PlatformWorker("w1"), PlatformWorker("w2")]
+        async with Fleet({"web": workers}) as fleet:
+            state = fleet.gateway.state
+            for entry in (b"\x00", {**workers[0].entry("web"), "state": "asleep"}):
+                await fleet.store.put("servers", "w1", workers[0].entry("web"))
+                await until(lambda: len(usable(fleet, "web")) == 2)
+                await fleet.store.put("servers", "w1", entry)
+                await until(lambda: usable(fleet, "web") == ["w2"])
+            assert state.unreadable.counts[RowKind.ENDPOINT] == 2
+            await fleet.store.forget_history()
+            calls = fleet.store.calls.count("/api/rows-get")
+            await until(lambda: fleet.store.calls.count("/api/rows-get") > calls)
+            assert (await fleet.ask("/page/1")).status == 200
+            assert usable(fleet, "web") == ["w2"]
+            assert state.unreadable.counts[RowKind.ENDPOINT] == 2
+            await fleet.store.put("servers", "w1", workers[0].entry("web"))
+            await until(lambda: len(usable(fleet, "web")) == 2)
+
+    play(story())
+
+
+def test_an_entry_that_cannot_be_read_after_an_outage_is_not_kept() -> None:
+    book = EndpointBook()
+    endpoint = read_endpoint("w1", encoded(GOOD))
+    book.replace([endpoint], 0.0, keep_until_ms=-1.0)
+    book.replace([], 100.0, keep_until_ms=2_000.0)
+    assert book.usable("web") == [endpoint]
+    book.drop("w1")
+    assert book.usable("web") == []
+    assert book.next_expiry_ms is None
+
+
+def test_an_entry_without_a_life_among_those_that_tell_one_is_not_used() -> None:
+    """Symptom: requests go to what another writer entered.
+
+    Sequence: an entry has all fields but the one that tells its life; all others have it. Cause:
+    the field was taken for one that may be missing, as where no endpoint tells a life.
+    """
+    told = [Endpoint(f"w{n}", "web", f"10.0.0.{n}:80", "a", 4, False, BORN_MS) for n in range(3)]
+    foreign = Endpoint("w9", "web", "10.0.0.9:80", "a", 4, False, None)
+    book = EndpointBook()
+    book.replace([*told, foreign], 0.0, keep_until_ms=-1.0)
+    assert book.usable("web") == told
+    assert book.lifeless == ["w9"]
+    untold = [endpoint._replace(life=None) for endpoint in told]
+    book.replace([*untold, foreign._replace(life=BORN_MS)], 0.0, keep_until_ms=-1.0)
+    assert len(book.usable("web")) == 4
+    assert book.lifeless == []
+
+
+def test_a_row_that_is_no_base64_leaves_the_others_of_its_page() -> None:
+    """Symptom: after a start a router serves nobody.
+
+    Sequence: the value of one row cannot be read. Cause: the whole page counted as unreadable, and
+    was asked for again and again.
+    """
+    value = base64.b64encode(encoded(GOOD)).decode()
+    good = {"table": "servers", "key": "w2", "ver": 5, "value": value}
+    rows = [
+        {"table": "servers", "key": "w1", "ver": 4, "value": "%%%"},
+        {"table": "servers", "key": "w3", "ver": 4, "value": 7},
+        {"table": "servers", "key": "w4", "ver": 4, "value": "ł"},
+        {"table": "servers", "ver": 4},
+        7,
+        good,
+        {"table": "servers", "key": "w5", "ver": 6, "removed": True},
+    ]
+    page = StoreDialect().page(encoded({"rows": rows, "ver": 9}))
+    assert [(row.key, row.value) for row in page.rows] == [
+        ("w1", b""),
+        ("w3", b""),
+        ("w4", b""),
+        ("w2", encoded(GOOD)),
+        ("w5", None),
+    ]
+    assert (page.version, page.nameless) == (9, 2)
+
+
+def test_an_answer_that_tells_no_version_is_not_one_about_rows() -> None:
+    """Symptom: a router reads all changes of a table since the first one.
+
+    Sequence: the store's answer lacks its version. Cause: it counted as version 0.
+    """
+    with pytest.raises(ValueError):
+        StoreDialect().page(b'{"rows":[]}')
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"{",
+        NESTED,
+        {**configuration(2), "version": "2"},
+        {**configuration(2), "limits": {"tokensPerS": "nan"}},
+        {**configuration(2), "limits": {"idleTimeoutMs": -1}},
+        {**configuration(2), "tenants": [{"name": "shop\r\nX: y", "apiKeys": []}]},
+        {**configuration(2), "routes": [{"host": "h", "prefix": "/", "kind": 3}]},
+    ],
+)
+def test_the_last_good_configuration_stays_in_force(
+    bad: Any, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Symptom: a mistake in a new configuration is noticed by nobody, or ends all service.
+
+    Sequence: a version cannot be read. Cause: it stood in one log line only.
+    """
+
+    async def story() -> None:
+        workers = {"web": [PlatformWorker("w1")], "pool": [PlatformWorker("e1", STREAM)]}
+        async with Fleet(workers) as fleet:
+            state, address = fleet.gateway.state, fleet.gateway.metrics_address
+            await fleet.store.put("op", "config", bad)
+            await until(lambda: state.unreadable_rules is not None)
+            assert (await fleet.ask("/page/1")).status == 200
+            assert (await fleet.ask("/draft/1")).status == 200
+            reader, writer = await connect(address)
+            writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+            metrics = (await read_answer(reader)).body.decode()
+            writer.close()
+            assert 'state{name="newest_configuration_unreadable"} 1' in metrics
+            assert 'state{name="unreadable_configuration_rows"} 1' in metrics
+            assert await asyncio.to_thread(main, ["router", address]) == 0
+            await fleet.store.put("op", "config", configuration(3))
+            await until(lambda: state.rules is not None and state.rules.version == 3)
+            assert state.unreadable_rules is None
+            assert await asyncio.to_thread(main, ["router", address]) == 0
+
+    play(story())
+    told = "the newest configuration cannot be read, an older one is in force"
+    lines = capsys.readouterr().out.splitlines()
+    assert [line.startswith(told) for line in lines].count(True) == 1
+    assert "versions of rows that could not be used: configuration 1, endpoint 0, router 0" in lines
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        b"\xff",
+        NESTED,
+        {},
+        {"peers": 7},
+        {"peers": "nowhere"},
+        {"peers": "127.0.0.1:99999"},
+        {"peers": "*:*"},
+        [],
+    ],
+)
+def test_a_router_row_that_cannot_be_used_costs_the_others_nothing(row: Any) -> None:
+    """Symptom: routers no longer hear of those that start later.
+
+    Sequence: a row names an address at which nobody can subscribe. Cause: the socket's error ended
+    the task that follows the table.
+    """
+
+    async def story() -> None:
+        async with Fleet({"web": [PlatformWorker("w1")]}) as fleet:
+            unreadable = fleet.gateway.state.unreadable
+            await fleet.store.put("routers", "r-bad", row)
+            await until(lambda: unreadable.counts[RowKind.ROUTER] == 1)
+            async with fleet.router("router-2"):
+                await until(lambda: len(fleet.gateway._members.known()) == 1)
+
+    play(story())
+
+
+def test_a_bad_row_is_told_once_for_each_version_and_not_without_bound() -> None:
+    """Symptom: the lines of a start or a lost store are missing in the log.
+
+    Sequence: another writer changes a bad row many times a second, or it is read again and again.
+    Cause: each reading was told.
+    """
+    clock = HeldClock(10_000.0)
+    log = DecisionLog("r", clock, output=2)
+    unreadable = UnreadableRows(log, clock)
+    for _ in range(5):
+        unreadable.note(RowKind.ENDPOINT, "w1", 7, "x" * 10_000)
+    assert log.written == 1
+    for version in range(100, 400):
+        unreadable.note(RowKind.ENDPOINT, "w1", version, "no JSON")
+    assert log.written == LINES_PER_S
+    assert unreadable.counts[RowKind.ENDPOINT] == 301
