Let the keys of a configuration count that cannot be read as a whole

Cause: where the newest configuration cannot be read the last good one stays in force; each answer of the store confirmed its keys, so that a key that the unreadable one takes away would open something for as long as it stands.

Change: the keys alone are decoded; where they can be, the version in force goes on with the newest keys, and where they cannot, keys lapse as they do when the store is away. Routes without a key are served on in both cases. An unknown route or key is refused and not denied meanwhile, for the unreadable version may hold it. An unreadable reading that is older than a version that could be read changes nothing.

--- a/packages/core/src/tamarack_core/ruleset.py
+++ b/packages/core/src/tamarack_core/ruleset.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import copy
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -165,6 +166,12 @@
         for route in sorted(routes, key=lambda route: -len(route.prefix)):
             self._by_host.setdefault(route.host, []).append(route)
 
+    def with_keys(self, workspace_by_key: dict[str, str]) -> Ruleset:
+        """The same version with other keys, where only these are known of a newer one."""
+        changed = copy.copy(self)
+        changed._workspace_by_key = workspace_by_key
+        return changed
+
     @property
     def version(self) -> int:
         """Number of the version; versions only rise."""
--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -90,6 +90,7 @@
         self._routers: dict[str, Peer] = {}
         self._own_row = b""
         self._own_version: int | None = None
+        self._rules_version = 0
         self._entering = False
         self._leaving = False
         self._tasks: list[asyncio.Task[Any]] = []
@@ -206,9 +207,7 @@
         for row in change.rows:
             if row.key == self._site.tables.configuration_key and row.value is not None:
                 self._put_rules(row, row.value)
-        # Also where the newest version cannot be read: the last good one stays in force, with its
-        # keys. Callers would otherwise lose all service for a mistake in one field.
-        if state.rules is not None:
+        if state.rules is not None and state.keys_known:
             state.freshness.confirm(change.asked_ms)
 
     def _put_rules(self, row: Row, value: bytes) -> None:
@@ -216,12 +215,22 @@
         try:
             rules = self._site.read_rules(value)
         except ValueError as error:
+            if row.version < self._rules_version:
+                # A reading that is seconds behind; a newer version could be read.
+                return
             state.unreadable.note(RowKind.CONFIGURATION, row.key, row.version, str(error))
-            state.unreadable_rules = str(error)
+            state.put_unreadable_rules(str(error), self._keys(value))
             return
-        state.unreadable_rules = None
+        self._rules_version = max(self._rules_version, row.version)
         state.put_rules(rules)
 
+    def _keys(self, value: bytes) -> dict[str, str] | None:
+        try:
+            return self._site.read_keys(value)
+        except ValueError as error:
+            self._state.log.event("keys cannot be read and lapse", reason=str(error))
+            return None
+
     def _took_endpoints(self, change: TableChange) -> None:
         state, now_ms = self._state, self._state.clock.now_ms
         rows = {row.key: row for row in change.rows}
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -53,6 +53,7 @@
         self.leaving = False
         self.unreadable = UnreadableRows(log, clock)
         self.unreadable_rules: str | None = None
+        self.keys_known = True
 
     @property
     def ready(self) -> bool:
@@ -76,9 +77,22 @@
         if self.rules is None or rules.version != self.rules.version:
             self.log.change("configuration", version=rules.version)
         self.rules = rules
+        self.unreadable_rules, self.keys_known = None, True
         self._fit_models()
         return True
 
+    def put_unreadable_rules(self, reason: str, keys: dict[str, str] | None) -> None:
+        """Take in that the newest version cannot be read, but for its keys where these are told.
+
+        The last good version stays in force. Keys that were taken away must open nothing all the
+        same: those of the newest version count, and where these cannot be read either, keys lapse
+        as they do when the store is away.
+        """
+        self.unreadable_rules = reason
+        self.keys_known = keys is not None
+        if self.rules is not None and keys is not None:
+            self.rules = self.rules.with_keys(keys)
+
     def settle_endpoints(self) -> None:
         """Keep models and records for just the present lives of the endpoints that there are."""
         found = {name: self.book.find(name) for name in self.book.names}
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -273,12 +273,13 @@
         return self._clock.now_ms - self._left_ms >= LINGER_MS
 
     DENY_AGE_MS = 3_600.0
-    """Age of the configuration beyond which an unknown route or key is not denied: it may have
-    been added since, and a caller does not come back after a denial."""
+    """Age of the configuration beyond which an unknown route or key is not denied, as where the
+    newest one cannot be read: it may have been added since, and a caller does not come back after
+    a denial."""
 
     def _deny(self, caller: CallerConnection, attempt: str, status: int) -> None:
         age_ms = self._state.freshness.age_ms(self._clock.now_ms)
-        if age_ms > self.DENY_AGE_MS:
+        if age_ms > self.DENY_AGE_MS or self._state.unreadable_rules is not None:
             self._refuse(caller, attempt, "the configuration is not confirmed", 400.0)
             return
         rules = self._state.rules
--- a/packages/gateway/src/tamarack_gateway/site.py
+++ b/packages/gateway/src/tamarack_gateway/site.py
@@ -248,7 +248,14 @@
 
 
 class Site(NamedTuple):
-    """All that an adapter gives."""
+    """All that an adapter gives.
+
+    Attributes
+    ----------
+    read_rules, read_keys, read_endpoint
+        Decode a configuration, only the keys of one that cannot be read as a whole with their
+        workspaces, and an endpoint's entry by its key; all raise `ValueError`.
+    """
 
     name: str
     load_settings: Callable[[], GatewaySettings]
@@ -258,4 +265,5 @@
     directory: DirectoryDialect
     tables: Tables
     read_rules: Callable[[bytes], Ruleset]
+    read_keys: Callable[[bytes], dict[str, str]]
     read_endpoint: Callable[[str, bytes], Endpoint]
--- a/tests/test_foreign_rows.py
+++ b/tests/test_foreign_rows.py
@@ -259,6 +259,36 @@
     assert "versions of rows that could not be used: configuration 1, endpoint 0, router 0" in lines
 
 
+def test_a_key_that_an_unreadable_configuration_takes_away_opens_nothing() -> None:
+    """Symptom: a key opens something long after it was taken away.
+
+    Sequence: a new configuration takes it away, and another part of it cannot be read. Cause: the
+    last good version stayed in force with its keys, and was confirmed by each answer.
+    """
+
+    async def story() -> None:
+        workers = {"web": [PlatformWorker("w1")], "pool": [PlatformWorker("e1", STREAM)]}
+        async with Fleet(workers, revoke_ms=900.0) as fleet:
+            state = fleet.gateway.state
+            good = configuration(2)
+            gone = [{"name": "shop", "apiKeys": ["key-two"]}]
+            await fleet.store.put("op", "config", {**good, "limits": 0, "tenants": gone})
+            await until(lambda: state.unreadable_rules is not None)
+            assert (await fleet.ask("/draft/1")).status == 503
+            assert (await fleet.ask("/draft/1", Authorization="Token key-two")).status == 200
+            assert (await fleet.ask("/nowhere/1")).status == 503
+            await fleet.store.put("op", "config", {**good, "limits": 0, "tenants": 0})
+            await until(lambda: not state.keys_known)
+            await until(lambda: not state.freshness.trusted(state.clock.now_ms))
+            assert (await fleet.ask("/draft/1", Authorization="Token key-two")).status == 503
+            assert (await fleet.ask("/page/1")).status == 200
+            await fleet.store.put("op", "config", configuration(3))
+            await until(lambda: state.freshness.trusted(state.clock.now_ms))
+            assert (await fleet.ask("/draft/1")).status == 200
+
+    play(story())
+
+
 @pytest.mark.parametrize(
     "row",
     [
--- a/tests/test_foreign_rows_fuzz.py
+++ b/tests/test_foreign_rows_fuzz.py
@@ -26,7 +26,7 @@
 from tamarack_gateway.http_messages import Request
 from tamarack_gateway.site import FleetBounds, GatewaySettings, Row
 from tamarack_gateway.table_follower import TableChange
-from tamarack_platform.configuration import read_endpoint, read_rules
+from tamarack_platform.configuration import read_endpoint, read_keys, read_rules
 from tamarack_platform.engines import PlatformEngines
 from tamarack_platform.platform_site import platform_site
 from tamarack_platform.requests import PlatformRequests
@@ -180,6 +180,8 @@
 @given(spoiled(configuration()))
 @example(written(configuration()))
 def test_a_configuration_can_be_put_in_force_or_is_unreadable(data: bytes) -> None:
+    with suppress(ValueError):
+        assert all("\n" not in workspace for workspace in read_keys(data).values())
     try:
         rules = read_rules(data)
     except ValueError:
