Let the soak restart workers under their names and overwrite rows

Cause: its workers came back under new names only, and all rows were sound.

Change: a worker ends and starts again under its name and at its address; an entry is overwritten or entered with bytes, missing fields or other types, and the configuration in a third of these cases; the stand-in of a worker can be ended as a killed process is.

--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -3,7 +3,8 @@
 Routers are killed, stopped, paused and restarted by signals, singly, all at once and in turn; their
 connections to the store and to workers are delayed, reset, cut one way and silenced by proxies; the
 store falls silent, refuses, loses answers and forgets its history; workers fail in all their ways,
-leave and are replaced; keys are taken away. Callers and workers check the promises meanwhile.
+leave, are replaced and start again under their names; keys are taken away; rows are overwritten
+with what cannot be read. Callers and workers check the promises meanwhile.
 """
 
 from __future__ import annotations
@@ -23,7 +24,7 @@
 
 from tamarack_standins.fault_proxy import FaultProxy
 from tamarack_standins.platform_store import PlatformStore
-from tamarack_standins.platform_worker import Arrived, PlatformWorker, Script
+from tamarack_standins.platform_worker import BORN_MS, Arrived, PlatformWorker, Script
 from tamarack_standins.soak_routers import REVOKE_MS, SPELL_S, SoakRouters, disturb
 
 HOST = "soak.example"
@@ -47,8 +48,11 @@
 class SoakWorker(PlatformWorker):
     """A worker that fails part of its requests, and tells the soak of each run."""
 
-    def __init__(self, name: str, soak: Soak, stream: bool) -> None:
-        super().__init__(name)
+    def __init__(
+        self, name: str, soak: Soak, stream: bool, *, life: int = BORN_MS, port: int = 0
+    ) -> None:
+        super().__init__(name, born=life, port=port)
+        self.life = life
         self._soak = soak
         self._streams = stream
         self.bad_part = 0.0
@@ -196,7 +200,8 @@
         routers = (fleet.kill, fleet.kill_all, fleet.terminate, fleet.roll, fleet.pause)
         links = (fleet.hang_up, fleet.disturb_link, self._disturb_worker)
         store = (self._disturb_store, self._forget, self._revoke)
-        faults = (*routers, *links, *store, self._spoil_worker, self._replace_worker)
+        workers = (self._spoil_worker, self._replace_worker, self._restart_worker)
+        faults = (*routers, *links, *store, *workers, self._write_badly)
         running: list[asyncio.Future[None]] = []
         while not self._stopping:
             await asyncio.sleep(self.random.uniform(*FAULT_PAUSE_S))
@@ -234,6 +239,38 @@
             await self._spell()
         await self._store.remove("servers", worker.name)
 
+    async def _restart_worker(self) -> None:
+        """End a worker, and start it again under its name and at its address."""
+        service, old, link = self._workers.pop(self.random.randrange(len(self._workers)))
+        await old.end()
+        await asyncio.sleep(self.random.uniform(0.0, 0.3))
+        port = int(old.address.rpartition(":")[2])
+        worker = SoakWorker(old.name, self, service == "pool", life=old.life + 1_000, port=port)
+        await self._stack.enter_async_context(worker)
+        self._workers.append((service, worker, link))
+        await self._list(service, worker, link)
+
+    async def _write_badly(self) -> None:
+        """Have another writer overwrite an entry, enter one, or spoil the configuration."""
+        service, worker, link = self.random.choice(self._workers)
+        entry = {**worker.entry(service), "address": link.address}
+        bad: tuple[Any, ...] = (
+            b"\xff",
+            {},
+            {**entry, "slots": "4"},
+            {**entry, "born": 1.5},
+            {"born": 1},
+        )
+        name = self.random.choice((worker.name, "i-foreign"))
+        await self._store.put("servers", name, self.random.choice(bad))
+        if self.random.random() < 0.3:
+            await self._store.put("op", "config", self.random.choice((b"{", {"tenants": []})))
+        await self._spell()
+        await self._configure()
+        await self._store.remove("servers", "i-foreign")
+        if (service, worker, link) in self._workers:
+            await self._list(service, worker, link)
+
     async def _revoke(self) -> None:
         old, self._key = self._key, f"key-{self._version}"
         await self._configure()
--- a/packages/standins/src/tamarack_standins/platform_worker.py
+++ b/packages/standins/src/tamarack_standins/platform_worker.py
@@ -124,6 +124,10 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
+        await self.end()
+
+    async def end(self) -> None:
+        """End as a killed process does: what runs is broken off."""
         if self._server is not None:
             self._server.close()
         for task in self._tasks:
