Leave late readings aside while the newest configuration cannot be read

Cause: the version in force beside an unreadable newer one is the same as that of an older row, so that a whole reading that is seconds behind put it in force anew, with keys that the newer one takes away.

Change: an older row than the unreadable one changes nothing.

Conclusion: test_a_late_reading_does_not_bring_back_keys_that_an_unreadable_ version_takes_away fails with the guard taken out, and holds.

--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -211,16 +211,20 @@
             state.freshness.confirm(change.asked_ms)
 
     def _put_rules(self, row: Row, value: bytes) -> None:
-        state = self._state
+        # A whole reading may be seconds behind: beside a version that cannot be read, an older row
+        # would bring back keys that the newer one takes away.
+        state, behind = self._state, row.version < self._rules_version
         try:
             rules = self._site.read_rules(value)
         except ValueError as error:
-            if row.version < self._rules_version:
-                # A reading that is seconds behind; a newer version could be read.
+            if behind:
                 return
+            self._rules_version = row.version
             state.unreadable.note(RowKind.CONFIGURATION, row.key, row.version, str(error))
             state.put_unreadable_rules(str(error), self._keys(value))
             return
+        if behind and state.unreadable_rules is not None:
+            return
         self._rules_version = max(self._rules_version, row.version)
         state.put_rules(rules)
 
--- a/tests/test_foreign_rows.py
+++ b/tests/test_foreign_rows.py
@@ -14,6 +14,8 @@
 from tamarack_core.endpoint_book import Endpoint, EndpointBook
 from tamarack_ctl.main import main
 from tamarack_gateway.decision_log import DecisionLog
+from tamarack_gateway.site import Row
+from tamarack_gateway.table_follower import TableChange
 from tamarack_gateway.unreadable_rows import LINES_PER_S, RowKind, UnreadableRows
 from tamarack_platform.configuration import read_endpoint, read_rules
 from tamarack_platform.engines import PlatformEngines
@@ -289,6 +291,28 @@
     play(story())
 
 
+def test_a_late_reading_does_not_bring_back_keys_that_an_unreadable_version_takes_away() -> None:
+    """Symptom: a key that was taken away opens something again.
+
+    Sequence: the newest configuration cannot be read but for its keys; the store's history is gone,
+    and the whole reading that follows is seconds behind. Cause: the older row has the version that
+    is in force, and was put in force anew.
+    """
+
+    async def story() -> None:
+        async with Fleet({"pool": [PlatformWorker("e1", STREAM)]}) as fleet:
+            state = fleet.gateway.state
+            gone = {**configuration(2), "limits": 0, "tenants": [{"name": "shop"}]}
+            version = await fleet.store.put("op", "config", gone)
+            await until(lambda: state.unreadable_rules is not None)
+            behind = [Row("op", "config", encoded(configuration()), version - 1)]
+            fleet.gateway._feeds._took_rules(TableChange(behind, True, state.clock.now_ms, 0.0))
+            assert (await fleet.ask("/draft/1")).status == 503
+            assert state.unreadable_rules is not None
+
+    play(story())
+
+
 @pytest.mark.parametrize(
     "row",
     [
