--- a/packages/gateway/src/tamarack_gateway/caller_handler.py
+++ b/packages/gateway/src/tamarack_gateway/caller_handler.py
@@ -16,8 +16,8 @@
 from tamarack_gateway.site import RequestDialect
 
 DENY_AGE_MS = 3_600.0
-"""Age of the configuration beyond which an unknown route or key is not denied: it may have been
-added since, and a caller does not come back after a denial."""
+"""Age of the configuration beyond which an unknown route or key is not denied, as where the newest
+one cannot be read: it may have been added since, and a caller does not come back after a denial."""
 
 OVERLOAD_RETRY_MS = 100.0
 """Least time after which a caller of an overloaded router may come back, on a new connection and so
@@ -123,7 +123,7 @@
 
     def _deny(self, caller: CallerConnection, attempt: str, status: int) -> None:
         age_ms = self._state.freshness.age_ms(self._clock.now_ms)
-        if age_ms > DENY_AGE_MS:
+        if age_ms > DENY_AGE_MS or self._state.unreadable_rules is not None:
             self._refuse(caller, attempt, "the configuration is not confirmed", 400.0)
             return
         rules = self._state.rules
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -7,7 +7,7 @@
 
 from tamarack_core.admission import Admission, Decision
 from tamarack_core.admitted_placement import AdmittedPlacement
-from tamarack_core.endpoint_book import Endpoint
+from tamarack_core.endpoint_book import Endpoint, EndpointLife
 from tamarack_core.placement import Choice, choose_engine, choose_plain
 from tamarack_core.prompt import Prompt
 from tamarack_core.ruleset import Route
@@ -99,7 +99,7 @@
         self._until_ms = request.arrived_ms + limit_ms
         self._sends = 0
         self._may_have_run = False
-        self._tried: set[str] = set()
+        self._tried: set[EndpointLife] = set()
 
     @property
     def sends(self) -> int:
@@ -152,13 +152,12 @@
                 await asyncio.sleep(decision.wait_ms / 1000)
                 continue
             try:
-                address = choice.endpoint.address
-                connection = await sending_connection(self._pool, address, self._caller)
+                connection = await sending_connection(self._pool, choice.endpoint, self._caller)
             except ConnectError as error:
                 connects += 1
-                self._pool.drop(address)
+                self._pool.drop(choice.endpoint)
                 self._notes.failure(choice.endpoint, f"connect: {error}", weight=UNREACHED_WEIGHT)
-                self._tried.add(choice.endpoint.name)
+                self._tried.add(choice.endpoint.key)
                 if connects >= CONNECT_TRIES:
                     return self._give_up(last)
                 continue
@@ -177,7 +176,7 @@
     def _place(self) -> AdmittedPlacement | None:
         state = self._state
         endpoints = state.usable(self._service)
-        fresh = [e for e in endpoints if e.name not in self._tried]
+        fresh = [e for e in endpoints if e.key not in self._tried]
         if self._sends == 0 and not fresh:
             fresh = endpoints
         if not fresh:
@@ -232,7 +231,7 @@
     async def _send(self, choice: Choice, connection: EndpointConnection) -> Result:
         endpoint, state = choice.endpoint, self._state
         self._sends += 1
-        self._tried.add(endpoint.name)
+        self._tried.add(endpoint.key)
         self._notes.placed(choice, self._route, self._service, self._sends, self._left_ms)
         self._notes.sent(choice)
         sent_ms = state.clock.now_ms
@@ -246,9 +245,9 @@
         except (BrokenAnswerError, BadStreamError) as error:
             result = Result(Verdict.BROKEN, str(error))
         finally:
-            self._notes.ended(choice)
+            self._notes.ended()
             if whole:
-                self._pool.give_back(endpoint.address, connection)
+                self._pool.give_back(endpoint, connection)
             else:
                 # Closing tells the endpoint to stop; one that goes on would work for nobody.
                 connection.abort()
@@ -311,7 +310,7 @@
             return None
         if self._route.streams:
             return choice.first_token_ms + FIRST_EVENT_SLACK_MS
-        record = self._state.records.get(choice.endpoint.name)
+        record = self._state.record(choice.endpoint.key)
         usual_ms = record.latency_ms if record is not None else 0.0
         return max(PLAIN_PATIENCE_MIN_MS, PLAIN_PATIENCE * usual_ms)
 
--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -10,11 +10,14 @@
 
 import msgspec
 
+from tamarack_core.endpoint_book import Endpoint
+from tamarack_core.json_input import decode_json, is_ip_port
 from tamarack_core.relay_plan import Peer
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.site import Row, Site
 from tamarack_gateway.store_client import StoreClient, StoreError
 from tamarack_gateway.table_follower import CopyWanted, TableChange, TableFollower, TableNews
+from tamarack_gateway.unreadable_rows import RowKind
 
 RULES_WAIT_PART = 0.2
 """Part of the revocation bound for which the store holds a call for the configuration: 1 s of 5.
@@ -47,6 +50,9 @@
     failure_domain: str
 
 
+_router_decoder = msgspec.json.Decoder(RouterFields)
+
+
 class RouterRow(NamedTuple):
     """A router's row: where peers subscribe, which life it is, and where it runs."""
 
@@ -89,6 +95,7 @@
         self._routers: dict[str, Peer] = {}
         self._own_row = b""
         self._own_version: int | None = None
+        self._rules_version = 0
         self._entering = False
         self._leaving = False
         self._tasks: list[asyncio.Task[Any]] = []
@@ -211,30 +218,51 @@
         state = self._state
         for row in change.rows:
             if row.key == self._site.tables.configuration_key and row.value is not None:
-                self._put_rules(row)
-        if state.rules is not None:
+                self._put_rules(row, row.value)
+        if state.rules is not None and state.keys_known:
             state.freshness.confirm(change.asked_ms)
 
-    def _put_rules(self, row: Row) -> None:
+    def _put_rules(self, row: Row, value: bytes) -> None:
+        # A whole reading may be seconds behind: beside a version that cannot be read, an older row
+        # would bring back keys that the newer one takes away.
+        state, behind = self._state, row.version < self._rules_version
         try:
-            rules = self._site.read_rules(row.value or b"")
+            rules = self._site.read_rules(value)
         except ValueError as error:
-            self._state.log.event("a configuration cannot be read", reason=str(error))
+            if behind:
+                return
+            self._rules_version = row.version
+            state.unreadable.note(RowKind.CONFIGURATION, row.key, row.version, str(error))
+            state.put_unreadable_rules(str(error), self._keys(value))
             return
-        self._state.put_rules(rules)
+        if behind and state.unreadable_rules is not None:
+            return
+        self._rules_version = max(self._rules_version, row.version)
+        state.put_rules(rules)
+
+    def _keys(self, value: bytes) -> dict[str, str] | None:
+        try:
+            return self._site.read_keys(value)
+        except ValueError as error:
+            self._state.log.event("keys cannot be read and lapse", reason=str(error))
+            return None
 
     def _took_endpoints(self, change: TableChange) -> None:
         state, now_ms = self._state, self._state.clock.now_ms
         rows = {row.key: row for row in change.rows}
         if change.whole:
-            entries = [self._endpoint(row) for row in rows.values() if row.value is not None]
-            found = [entry for entry in entries if entry is not None]
+            read = {row.key: self._endpoint(row) for row in rows.values() if row.value is not None}
+            found = [endpoint for endpoint in read.values() if endpoint is not None]
             state.book.replace(found, now_ms, keep_until_ms=change.lapsed_until_ms)
+            for name in [name for name, endpoint in read.items() if endpoint is None]:
+                state.book.drop(name)
         else:
             for row in rows.values():
                 self._take_row(row, now_ms, change.lapsed_until_ms)
         if change.rows or change.whole:
             state.settle_endpoints()
+            for name in state.book.lifeless:
+                state.unreadable.note(RowKind.ENDPOINT, name, 0, "tells no life, as the others do")
         state.endpoints_known = True
         self._watch_expiry()
 
@@ -248,8 +276,8 @@
 
     def _expire(self) -> None:
         gone = self._state.book.expire(self._state.clock.now_ms)
+        self._state.settle_endpoints()
         if gone:
-            self._state.settle_endpoints()
             self._state.log.change("endpoints did not come back", endpoints=gone)
         self._watch_expiry()
 
@@ -258,37 +286,51 @@
         if row.value is None:
             kept_ms = max(0.0, keep_until_ms - now_ms)
             self._state.log.change("endpoint gone", endpoint=row.key, kept_ms=round(kept_ms))
+            self._state.unreadable.forget(RowKind.ENDPOINT, row.key)
             book.remove(row.key, now_ms, keep_until_ms=keep_until_ms)
             return
         endpoint = self._endpoint(row)
         if endpoint is None:
+            book.drop(row.key)
             return
         known = book.find(endpoint.name)
-        if known is None or known.draining != endpoint.draining:
-            word = "endpoint draining" if endpoint.draining else "endpoint there"
-            self._state.log.change(word, endpoint=endpoint.name, address=endpoint.address)
-        book.put(endpoint)
-
-    def _endpoint(self, row: Row) -> Any:
+        book.put(endpoint, now_ms)
+        believed = book.find(endpoint.name) or endpoint
+        if known is None or known.draining != believed.draining:
+            word = "endpoint draining" if believed.draining else "endpoint there"
+            self._state.log.change(word, endpoint=believed.name, address=believed.address)
+
+    def _endpoint(self, row: Row) -> Endpoint | None:
+        unreadable = self._state.unreadable
         try:
-            return self._site.read_endpoint(row.key, row.value or b"")
+            endpoint = self._site.read_endpoint(row.key, row.value or b"")
         except ValueError as error:
-            self._state.log.event("an endpoint cannot be read", row=row.key, reason=str(error))
+            unreadable.note(RowKind.ENDPOINT, row.key, row.version, str(error))
             return None
+        if endpoint.life is not None:
+            unreadable.forget(RowKind.ENDPOINT, row.key)
+        return endpoint
 
     def _took_routers(self, change: TableChange) -> None:
         if change.whole:
             self._routers = {}
         for row in change.rows:
             self._routers.pop(row.key, None)
-            if row.value is None:
-                continue
-            try:
-                listed = msgspec.json.decode(row.value, type=RouterFields)
-                self._routers[row.key] = Peer(
-                    row.key, listed["peers"], listed.get("failure_domain", "")
-                )
-            except (msgspec.MsgspecError, KeyError, TypeError) as error:
-                self._state.log.event("a router's row cannot be read", reason=str(error))
+            peer = self._peer(row, row.value) if row.value is not None else None
+            if peer is not None:
+                self._routers[row.key] = peer
         self._watch_own_row(change.rows, whole=change.whole)
         self._follow(self._routers)
+
+    def _peer(self, row: Row, value: bytes) -> Peer | None:
+        try:
+            listed = decode_json(_router_decoder, value)
+            address = listed.get("peers", "")
+            if not is_ip_port(address):
+                # A socket that is told to subscribe there raises an error, which would end the
+                # task that follows the table.
+                raise ValueError(f"{address!r} is not an address")
+        except ValueError as error:
+            self._state.unreadable.note(RowKind.ROUTER, row.key, row.version, str(error))
+            return None
+        return Peer(row.key, address, listed.get("failure_domain", ""))
--- a/packages/gateway/src/tamarack_gateway/sending_connection.py
+++ b/packages/gateway/src/tamarack_gateway/sending_connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from tamarack_core.endpoint_book import Endpoint
 from tamarack_gateway.caller_connection import CallerConnection, CallerGoneError
 from tamarack_gateway.connection_pool import ConnectionPool
 from tamarack_gateway.endpoint_connection import ConnectError, EndpointConnection
@@ -17,7 +18,7 @@
 
 
 async def sending_connection(
-    pool: ConnectionPool, address: str, caller: CallerConnection
+    pool: ConnectionPool, endpoint: Endpoint, caller: CallerConnection
 ) -> EndpointConnection:
     """A connection on which to send at once; raises `ConnectError` or `CallerGoneError`.
 
@@ -36,7 +37,7 @@
     The same rounds show a kept connection that the endpoint has closed meanwhile; another is taken.
     """
     for _ in range(CLOSED_TRIES):
-        connection = await pool.take(address)
+        connection = await pool.take(endpoint)
         usable = False
         try:
             for _ in range(ROUNDS):
@@ -44,7 +45,7 @@
             usable = connection.usable and not caller.gone
         finally:
             if not usable:
-                pool.put_back(address, connection)
+                pool.put_back(endpoint, connection)
         if caller.gone:
             raise CallerGoneError("left before the request was sent")
         if usable:
--- a/packages/gateway/src/tamarack_gateway/site.py
+++ b/packages/gateway/src/tamarack_gateway/site.py
@@ -146,18 +146,31 @@
         """Headers of an answer of the router's own."""
 
 
+class Inventory(NamedTuple):
+    """Prompt parts that an engine keeps, and in which life; None where it does not tell."""
+
+    parts: list[PromptPart]
+    life: int | None
+
+
 class EngineDialect(Protocol):
     """Calls of a model engine that are no requests of callers."""
 
     def inventory(self, engine: Endpoint) -> bytes:
         """Ask an engine which prompt parts it keeps."""
 
-    def read_inventory(self, body: bytes) -> list[PromptPart]:
+    def read_inventory(self, body: bytes) -> Inventory:
         """Decode its answer; raises `ValueError`."""
 
 
 class Row(NamedTuple):
-    """A row of the store; `value` is None where the row was removed."""
+    """A row of the store.
+
+    Attributes
+    ----------
+    value
+        None where the row was removed; empty where its bytes cannot be read.
+    """
 
     table: str
     key: str
@@ -166,11 +179,20 @@
 
 
 class RowsPage(NamedTuple):
-    """An answer about rows; `version` is the store's newest."""
+    """An answer about rows.
+
+    Attributes
+    ----------
+    version
+        The store's newest.
+    nameless
+        Rows that were left out since not even their keys can be read.
+    """
 
     rows: list[Row]
     version: int
     more: bool
+    nameless: int = 0
 
 
 class StoreCall(NamedTuple):
@@ -229,7 +251,14 @@
 
 
 class Site(NamedTuple):
-    """All that an adapter gives."""
+    """All that an adapter gives.
+
+    Attributes
+    ----------
+    read_rules, read_keys, read_endpoint
+        Decode a configuration, only the keys of one that cannot be read as a whole with their
+        workspaces, and an endpoint's entry by its key; all raise `ValueError`.
+    """
 
     name: str
     load_settings: Callable[[], GatewaySettings]
@@ -239,4 +268,5 @@
     directory: DirectoryDialect
     tables: Tables
     read_rules: Callable[[bytes], Ruleset]
+    read_keys: Callable[[bytes], dict[str, str]]
     read_endpoint: Callable[[str, bytes], Endpoint]
--- a/packages/gateway/src/tamarack_gateway/table_follower.py
+++ b/packages/gateway/src/tamarack_gateway/table_follower.py
@@ -296,6 +296,8 @@
             at_once = self._failures or self._behind
             page = await self._client.watch(self._table, after, 0.0 if at_once else self._wait_ms)
         self._found()
+        if page.nameless:
+            self._changed("told rows without a key", f"{page.nameless} rows")
         self._behind = False
         self._after = page.version
         self._asked_ms = asked_ms
--- a/tests/test_callers_who_left.py
+++ b/tests/test_callers_who_left.py
@@ -157,7 +157,7 @@
         async with Fleet({"web": [web]}) as fleet:
             assert (await fleet.ask("/page/1")).status == 200
             pool = fleet.gateway._pool
-            idle = pool._idle[web.address][-1]
+            ((idle,),) = pool._idle.values()
             idle_since_ms = idle.idle_since_ms
             send_and_leave([(await dial(fleet.gateway), fleet.request("/page/left"))])
             await all_left(fleet.gateway)
--- a/tests/test_gateway_bounds.py
+++ b/tests/test_gateway_bounds.py
@@ -50,7 +50,7 @@
 def test_a_missing_endpoint_is_kept_no_longer_than_it_may_get_work(drain_ms: float) -> None:
     clock = HeldClock()
     state = state_with(clock, drain_ms=drain_ms)
-    state.book.put(Endpoint("e1", "pool", ADDRESS, "a", 4, False))
+    state.book.put(Endpoint("e1", "pool", ADDRESS, "a", 4, False), clock.now_ms)
     state.book.remove("e1", clock.now_ms, keep_until_ms=99_000.0)
     assert state.book.next_expiry_ms is not None
     assert 0.5 * drain_ms < state.book.next_expiry_ms < drain_ms
