--- a/packages/core/src/tamarack_core/workspace_shares.py
+++ b/packages/core/src/tamarack_core/workspace_shares.py
@@ -130,10 +130,27 @@
         them be let in no sooner than the one with most.
         """
         share = self.share(tokens_per_s, now_ms)
+        return self._lead(workspace, share, self.level(tokens_per_s, now_ms), now_ms)
+
+    def position(self, workspace: str, tokens_per_s: float, now_ms: float) -> Position:
+        """Standing, lead and filling of a workspace."""
+        share = self.share(tokens_per_s, now_ms)
+        level = self.level(tokens_per_s, now_ms)
+        own = self._served.get(workspace, 0.0)
+        standing = own / max(1.0, share) if tokens_per_s > 0 else 0.0
+        lead = self._lead(workspace, share, level, now_ms)
+        return Position(standing, lead, own / max(1.0, level))
+
+    def largest(self, count: int, tokens_per_s: float, now_ms: float) -> list[WorkspaceReading]:
+        """Readings of the workspaces that asked for most in this window, largest first."""
+        self._slice(now_ms)
+        names = sorted(self._asked, key=lambda name: -self._asked[name])[:count]
+        return [self._reading(name, tokens_per_s, now_ms) for name in names]
+
+    def _lead(self, workspace: str, share: float, level: float, now_ms: float) -> float:
         own = self._served.get(workspace, 0.0)
         if own <= share:
             return 1.0
-        level = self.level(tokens_per_s, now_ms)
         backlogged = [
             max(share, self._served.get(name, 0.0))
             for name, asked in self._asked.items()
@@ -143,20 +160,6 @@
         ]
         return max(1.0, own / min(backlogged, default=own))
 
-    def position(self, workspace: str, tokens_per_s: float, now_ms: float) -> Position:
-        """Standing, lead and filling of a workspace."""
-        standing = self.standing(workspace, tokens_per_s, now_ms)
-        lead = self.lead(workspace, tokens_per_s, now_ms)
-        level = self.level(tokens_per_s, now_ms)
-        filled = self._served.get(workspace, 0.0) / max(1.0, level)
-        return Position(standing, lead, filled)
-
-    def largest(self, count: int, tokens_per_s: float, now_ms: float) -> list[WorkspaceReading]:
-        """Readings of the workspaces that asked for most in this window, largest first."""
-        self._slice(now_ms)
-        names = sorted(self._asked, key=lambda name: -self._asked[name])[:count]
-        return [self._reading(name, tokens_per_s, now_ms) for name in names]
-
     def _reading(self, workspace: str, tokens_per_s: float, now_ms: float) -> WorkspaceReading:
         return WorkspaceReading(
             workspace,
