Tell from logs why prompt parts were read again

The pool counts connections that lapsed or were closed by endpoints. A reader's telling of the largest configuration has a test of its own.

--- a/packages/core/src/tamarack_core/engine_model.py
+++ b/packages/core/src/tamarack_core/engine_model.py
@@ -120,13 +120,16 @@
 
     def unread_tokens(self, prompt: Prompt) -> int:
         """Prompt tokens that the engine has to read, as far as is known here."""
-        kept = 0
-        for part in prompt.parts:
-            if part.key not in self._kept:
-                break
-            kept += part.tokens
+        kept = sum(part.tokens for part in prompt.parts[: self.kept_parts(prompt)])
         return max(0, prompt.tokens_in - kept)
 
+    def kept_parts(self, prompt: Prompt) -> int:
+        """How many parts of a prompt, from its beginning, the engine keeps."""
+        for number, part in enumerate(prompt.parts):
+            if part.key not in self._kept:
+                return number
+        return len(prompt.parts)
+
     def sent(self, request: str, prompt: Prompt, now_ms: float) -> float:
         """Take in a request of this router; returns the reading time that others should add."""
         reading_ms = self.reading_ms(prompt) * self.pace(now_ms)
--- a/packages/ctl/src/tamarack_ctl/main.py
+++ b/packages/ctl/src/tamarack_ctl/main.py
@@ -8,7 +8,7 @@
 import sys
 
 from tamarack_client import AdminClient, AdminError
-from tamarack_ctl import changing, explaining, reading, router_view
+from tamarack_ctl import changing, explaining, prompt_reads, reading, router_view
 from tamarack_ctl.commands import (
     COMMANDS,
     EXIT_REFUSED,
@@ -23,7 +23,7 @@
 TOKEN = "TAMARACK_ADMIN_TOKEN"
 OPERATOR = "TAMARACK_OPERATOR"
 CA_CERTIFICATES = "TAMARACK_CA"
-MODULES = (reading, changing, explaining, router_view)
+MODULES = (reading, changing, explaining, prompt_reads, router_view)
 
 
 def make_parser() -> argparse.ArgumentParser:
--- a/packages/gateway/src/tamarack_gateway/connection_pool.py
+++ b/packages/gateway/src/tamarack_gateway/connection_pool.py
@@ -36,6 +36,13 @@
     They are kept for one life of one endpoint, not for an address. The next life, or an endpoint
     of another service, may have the same address: a connection to a process that is gone breaks
     only when a request is sent on it, and leaves it unknown whether that ran.
+
+    Attributes
+    ----------
+    opened, reused
+        How often a connection was made for a request, and how often a kept one was used.
+    lapsed, closed
+        Kept connections that were idle for too long, and that the endpoint had closed.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -43,6 +50,8 @@
         self._idle: dict[_Target, list[EndpointConnection]] = {}
         self.opened = 0
         self.reused = 0
+        self.lapsed = 0
+        self.closed = 0
 
     def idle(self, key: EndpointLife) -> int:
         """Connections that are kept for one life of an endpoint."""
@@ -56,7 +65,7 @@
             if connection.usable and self._fresh(connection):
                 self.reused += 1
                 return connection
-            connection.abort()
+            self._give_up(connection)
         connection = await open_connection(endpoint.address, CONNECT_MS)
         self.opened += 1
         return connection
@@ -84,7 +93,7 @@
             fresh = [c for c in idle if there and c.usable and self._fresh(c)]
             for connection in idle:
                 if connection not in fresh:
-                    connection.abort()
+                    self._give_up(connection)
             if fresh:
                 self._idle[target] = fresh
             else:
@@ -102,6 +111,13 @@
                 connection.abort()
         self._idle.clear()
 
+    def _give_up(self, connection: EndpointConnection) -> None:
+        if connection.usable:
+            self.lapsed += 1
+        else:
+            self.closed += 1
+        connection.abort()
+
     def _fresh(self, connection: EndpointConnection) -> bool:
         told = connection.keep_alive_ms
         limit_ms = KEPT_UNTOLD_MS if told is None else told * KEPT_PART
--- a/packages/gateway/src/tamarack_gateway/gateway_metrics.py
+++ b/packages/gateway/src/tamarack_gateway/gateway_metrics.py
@@ -71,6 +71,8 @@
             "endpoints": len(state.book),
             "connections_opened": self._pool.opened,
             "connections_reused": self._pool.reused,
+            "connections_lapsed": self._pool.lapsed,
+            "connections_closed_by_endpoints": self._pool.closed,
             "log_lines": state.log.written,
             "store_calls": self._store_calls(),
             "retries": state.allowance.taken,
--- a/packages/gateway/src/tamarack_gateway/send_notes.py
+++ b/packages/gateway/src/tamarack_gateway/send_notes.py
@@ -73,11 +73,21 @@
             send=send,
             first_token_ms=round(choice.first_token_ms),
             unread_tokens=choice.unread_tokens,
+            shared=self._shared_parts(choice),
             left_ms=round(left_ms),
             version=state.rules.version if state.rules else 0,
             confirmed_ms_ago=round(min(age_ms, 1e9)),
         )
 
+    def _shared_parts(self, choice: Choice) -> list[tuple[str, int, bool]]:
+        """Shared parts of the prompt with their tokens and whether the engine has to read them."""
+        model = self._state.model(choice.endpoint.key)
+        if self._prompt is None or model is None:
+            return []
+        shared = self._prompt.parts[:-1]
+        kept = model.kept_parts(self._prompt)
+        return [(part.key, part.tokens, number >= kept) for number, part in enumerate(shared)]
+
     def sent(self, choice: Choice) -> None:
         """Take in that it is sent to an endpoint."""
         state, prompt, now_ms = self._state, self._prompt, self._state.clock.now_ms
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -75,6 +75,20 @@
     assert not listener.follower._listening()
 
 
+def test_a_configuration_of_the_largest_size_is_told() -> None:
+    """Symptom: each change of a configuration brings a call of the store by every router.
+
+    Sequence: a configuration with many routes changes; readers hear of it. Cause: they told others
+    that it had changed, but not how, since it was above 8 KiB.
+    """
+    listener = Listener()
+    told: list[TableNews] = []
+    listener.follower._told = told.append
+    row = Row("op", "config", b"x" * 65_536, 12)
+    listener.follower._tell(10, 12, [row], 99_000.0)
+    assert told[0].rows == [RowNews("config", row.value, 12)]
+
+
 def test_news_that_were_held_up_confirm_nothing_new() -> None:
     """Symptom: a key that was taken away opens something seconds later.
 
