Decide once for an engine: a spread goes to a further one

Cause: the engine that a held request was meant for was asked a second time, as the free one. Seen by the test of held requests whose callers leave.

--- a/packages/core/src/tamarack_core/admitted_placement.py
+++ b/packages/core/src/tamarack_core/admitted_placement.py
@@ -73,7 +73,8 @@
     eased = position._replace(standing=eased_standing(position.standing, free_part))
     decision = _decide(choice, prompt, engines, eased, terms, now_ms)
     if decision.verdict is not Admission.ADMITTED and eased.standing <= 1.0:
-        spread = _spread(prompt, engines, eased, terms, now_ms)
+        further = [endpoint for endpoint in engines.endpoints if endpoint is not choice.endpoint]
+        spread = _spread(prompt, engines._replace(endpoints=further), eased, terms, now_ms)
         if spread is not None:
             return spread
     return AdmittedPlacement(choice, decision)
