--- a/packages/core/src/tamarack_core/engine_model.py
+++ b/packages/core/src/tamarack_core/engine_model.py
@@ -34,9 +34,6 @@
 SHORT_MS = 25.0
 """Reading time up to which a first event tells how long a first token takes by itself."""
 
-UNQUEUED_MS = 5.0
-"""Queue up to which an engine is believed to be free when such a request is sent."""
-
 PACE_MEASURED_MS = 40.0
 """Predictions below this say more about the way than about the engine's pace."""
 
@@ -172,7 +169,8 @@
         sent = self._sent.pop(request, None)
         if sent is None:
             return
-        self._observe_first_token(sent, now_ms)
+        if sent.reading_ms <= SHORT_MS:
+            self._first_token.observe(now_ms - sent.sent_ms - sent.reading_ms, now_ms)
         read_ms = now_ms - self.beyond_reading_ms
         self._learn(sent, read_ms)
         behind_ms = self._added_ms - sent.added_ms
@@ -242,11 +240,6 @@
         self._free_ms = max(now_ms, self._free_ms) + reading_ms
         self._added_ms += reading_ms
 
-    def _observe_first_token(self, sent: _Sent, now_ms: float) -> None:
-        queue_ms = sent.due_ms - FIRST_TOKEN_MS - sent.reading_ms - sent.sent_ms
-        if sent.reading_ms <= SHORT_MS and queue_ms <= UNQUEUED_MS:
-            self._first_token.observe(now_ms - sent.sent_ms - sent.reading_ms)
-
     def _learn(self, sent: _Sent, now_ms: float) -> None:
         predicted_ms = sent.due_ms - sent.sent_ms
         if predicted_ms < PACE_MEASURED_MS:
--- a/packages/core/src/tamarack_core/first_token.py
+++ b/packages/core/src/tamarack_core/first_token.py
@@ -11,28 +11,23 @@
 FIRST_TOKEN_MAX_MS = 150.0
 """Longest time that is learned; what takes longer is a queue, whatever was believed of it."""
 
-SAMPLES = 32
-"""Observations that are kept: some seconds of one router, so that one odd second passes."""
-
-SAMPLES_LEAST = 6
-"""Observations before the first guess is given up."""
-
-LOW_PART = 0.25
-"""Part of the observations that lie below what is taken. Most of the others met a queue that was
-not known of."""
+WINDOW_MS = 10_000.0
+SLICE_MS = 1_000.0
+"""Time for which an observation counts, and the step in which old ones are left behind. Within ten
+seconds some request of a router meets an engine without a queue, also in an overload."""
 
 
 class FirstTokenTime:
-    """Learns it from first events of short prompts at engines that were believed to be free.
+    """Learns it as the shortest that first events of short prompts took lately.
 
     An engine may deliver a first token long after it has read the prompt, and read others
     meanwhile. Where that time is not known it passes for a queue: engines that took 60 ms for it
     seemed never to be free, and requests beyond their workspace's share were refused for queues
-    that there were not.
+    that there were not. All but the shortest may have met a queue that was not known of.
     """
 
     def __init__(self) -> None:
-        self._observed: deque[float] = deque(maxlen=SAMPLES)
+        self._least: deque[tuple[float, float]] = deque()
         self._beyond_ms = 0.0
 
     @property
@@ -40,9 +35,14 @@
         """Milliseconds beyond the first guess."""
         return self._beyond_ms
 
-    def observe(self, took_ms: float) -> None:
+    def observe(self, took_ms: float, now_ms: float) -> None:
         """Take in the time to a first event, less the reading of the prompt."""
-        self._observed.append(took_ms)
-        if len(self._observed) >= SAMPLES_LEAST:
-            low = sorted(self._observed)[int(LOW_PART * len(self._observed))]
-            self._beyond_ms = min(FIRST_TOKEN_MAX_MS, max(FIRST_TOKEN_MS, low)) - FIRST_TOKEN_MS
+        least = self._least
+        while least and least[0][0] < now_ms - WINDOW_MS:
+            least.popleft()
+        if not least or least[-1][0] < now_ms - SLICE_MS:
+            least.append((now_ms, took_ms))
+        elif took_ms < least[-1][1]:
+            least[-1] = (least[-1][0], took_ms)
+        shortest_ms = min(took_ms for _, took_ms in least)
+        self._beyond_ms = min(FIRST_TOKEN_MAX_MS, max(FIRST_TOKEN_MS, shortest_ms)) - FIRST_TOKEN_MS
