Log time of day, and a stream's first event beside what was expected of it

Cause: lines of several routers could not be put in order, since each tells its own steady clock; and whether a prediction was right could not be told from any line.

--- a/packages/ctl/src/tamarack_ctl/explaining.py
+++ b/packages/ctl/src/tamarack_ctl/explaining.py
@@ -13,7 +13,7 @@
 BELIEF_MS = 10_000
 """Milliseconds before a request's first line for which what its router believed is told."""
 
-HIDDEN = frozenset(("at_ms", "router", "message", "request"))
+HIDDEN = frozenset(("at_ms", "wall_ms", "router", "message", "request"))
 
 
 class LogLine(NamedTuple):
@@ -29,6 +29,11 @@
         """Id of the request that it is about; empty for others."""
         return str(self.fields.get("request", ""))
 
+    @property
+    def wall_ms(self) -> int:
+        """Time of day, by which lines of several routers are put in order."""
+        return int(self.fields.get("wall_ms", self.at_ms))
+
     def told(self, since_ms: int) -> str:
         """The line for people, with its time after `since_ms`."""
         facts = ", ".join(f"{k} {v}" for k, v in self.fields.items() if k not in HIDDEN)
--- a/packages/ctl/src/tamarack_ctl/prompt_reads.py
+++ b/packages/ctl/src/tamarack_ctl/prompt_reads.py
@@ -56,7 +56,7 @@
 def readings(lines: Iterable[LogLine]) -> list[Reading]:
     """Uses of shared parts that placements tell of, in order of time."""
     found = [
-        Reading(line.at_ms, part, tokens, line.fields["endpoint"], read)
+        Reading(line.wall_ms, part, tokens, line.fields["endpoint"], read)
         for line in lines
         if line.message == "request: placed"
         for part, tokens, read in line.fields.get("shared", [])
@@ -67,7 +67,7 @@
 def account(lines: list[LogLine]) -> ReadAccount:
     """Add up why shared parts were read and how much was refused beside free engines."""
     gone = {
-        line.fields["endpoint"]: line.at_ms
+        line.fields["endpoint"]: line.wall_ms
         for line in lines
         if line.message == "belief: endpoint gone"
     }
--- a/packages/gateway/src/tamarack_gateway/decision_log.py
+++ b/packages/gateway/src/tamarack_gateway/decision_log.py
@@ -126,7 +126,14 @@
     def _append(self, now_ms: float, message: str, facts: dict[str, Any]) -> None:
         if not self.waiting:
             self.on_line()
-        line = {"at_ms": round(now_ms), "router": self._router, "message": message, **facts}
+        # Steady clocks differ between instances; lines of several are put in order by time of day.
+        line = {
+            "at_ms": round(now_ms),
+            "wall_ms": self._clock.wall_ms,
+            "router": self._router,
+            "message": message,
+            **facts,
+        }
         self._lines.append(self._encoder.encode(line) + b"\n")
         self.written += 1
 
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -99,6 +99,7 @@
         self._until_ms = request.arrived_ms + limit_ms
         self._sends = 0
         self._may_have_run = False
+        self._first_event_ms: float | None = None
         self._tried: set[EndpointLife] = set()
 
     @property
@@ -262,7 +263,12 @@
         self._notes.result(endpoint, result, took_ms)
         if result.verdict is Verdict.DONE:
             state.log.request(
-                "answered", self._facts.attempt, endpoint=endpoint.name, took_ms=round(took_ms)
+                "answered",
+                self._facts.attempt,
+                endpoint=endpoint.name,
+                took_ms=round(took_ms),
+                first_event_ms=self._first_event_ms and round(self._first_event_ms - sent_ms),
+                expected_ms=round(choice.first_token_ms),
             )
         return result
 
@@ -334,7 +340,7 @@
             events = self._splitter.feed(piece)
             if events and not begun:
                 begun = True
-                first_ms = clock.now_ms
+                self._first_event_ms = first_ms = clock.now_ms
                 self._notes.first_event(choice)
             if events:
                 await self._answer.pass_on(head, events)
