Keep the levels of shares for a while where there are many workspaces

Cause: each decision worked out both even parts and the least served backlogged workspace from all workspaces: 20 ms a request at 6,800 of them, which is a router's whole processor at 50 requests a second. Change: above a hundred workspaces these levels are kept for 0.05 ms a workspace; below nothing changes. 'core-placing' in make bench measures a decision; its bounds are ratios.

--- a/packages/bench/src/tamarack_bench/core_scenarios.py
+++ b/packages/bench/src/tamarack_bench/core_scenarios.py
@@ -4,6 +4,7 @@
 
 from tamarack_bench.core_bench import measure_decisions, measure_gap
 from tamarack_bench.member_bench import measure_membership
+from tamarack_bench.placement_bench import measure_placing
 from tamarack_bench.scenarios import Options, Reading, scenario
 
 
@@ -47,3 +48,19 @@
     figures["ratio_64_to_8"] = readings[64] / readings[8]
     series = {"bytes per second": [(float(size), value) for size, value in readings.items()]}
     return Reading("membership", figures, series)
+
+
+@scenario("core-placing", "microseconds to place and admit one generation, by engines")
+def core_placing(options: Options) -> Reading:
+    """Measure with few and many engines and workspaces; the best of three runs each."""
+    sizes = ((9, 16), (45, 30), (78, 60), (156, 60), (156, 6_800))
+    costs = {
+        size: min(measure_placing(*size, seed=options.seed) for _ in range(3)) for size in sizes
+    }
+    figures = {
+        f"us_{engines}_engines_{spaces}_workspaces": costs[engines, spaces]
+        for engines, spaces in sizes
+    }
+    figures["ratio_156_to_9_engines"] = costs[156, 60] / costs[9, 16]
+    figures["ratio_6800_to_60_workspaces"] = costs[156, 6_800] / costs[156, 60]
+    return Reading("core-placing", figures)
--- a/packages/core/src/tamarack_core/workspace_shares.py
+++ b/packages/core/src/tamarack_core/workspace_shares.py
@@ -15,6 +15,12 @@
 RECENT_MS = 1_000.0
 """Time in which a workspace must have asked for work to count as backlogged: four slices."""
 
+EXACT_WORKSPACES = 100
+KEPT_MS_PER_WORKSPACE = 0.05
+"""Workspaces up to which each position is worked out anew, and milliseconds for which the levels
+are kept for each one more: 0.3 s at 6,800. These take 20 ms to work out, which at each request
+would be more than all else that is done for it."""
+
 COUNTED_LEAST_MS = 500.0
 """Time for which counts are taken to stand at the least. In less than that a single request is
 beyond a share, and reports of other routers are missing that are up to 100 ms old."""
@@ -53,6 +59,17 @@
     position: Position
 
 
+class _Levels(NamedTuple):
+    """What all positions are held against: two even parts, and the backlogged one with least."""
+
+    tokens_per_s: float
+    until_ms: float
+    share: float
+    level: float
+    least: float | None
+    least_name: str
+
+
 class WorkspaceShares:
     """Counts what workspaces ask for and get, over all routers, in a sliding window.
 
@@ -75,6 +92,7 @@
         self._slices: deque[tuple[float, dict[str, float], dict[str, float]]] = deque()
         self._asked: dict[str, float] = {}
         self._served: dict[str, float] = {}
+        self._kept_levels: _Levels | None = None
 
     def ask(self, workspace: str, tokens: float, now_ms: float) -> None:
         """Count tokens that a workspace asked for."""
@@ -135,17 +153,14 @@
         window: if it counted, all who still ask would be far ahead of it, and those with least of
         them be let in no sooner than the one with most.
         """
-        share = self.share(tokens_per_s, now_ms)
-        return self._lead(workspace, share, self.level(tokens_per_s, now_ms), now_ms)
+        return self._lead(workspace, self._levels(tokens_per_s, now_ms))
 
     def position(self, workspace: str, tokens_per_s: float, now_ms: float) -> Position:
         """Standing, lead and filling of a workspace."""
-        share = self.share(tokens_per_s, now_ms)
-        level = self.level(tokens_per_s, now_ms)
+        levels = self._levels(tokens_per_s, now_ms)
         own = self._served.get(workspace, 0.0)
-        standing = own / max(1.0, share) if tokens_per_s > 0 else 0.0
-        lead = self._lead(workspace, share, level, now_ms)
-        return Position(standing, lead, own / max(1.0, level))
+        standing = own / max(1.0, levels.share) if tokens_per_s > 0 else 0.0
+        return Position(standing, self._lead(workspace, levels), own / max(1.0, levels.level))
 
     def largest(self, count: int, tokens_per_s: float, now_ms: float) -> list[WorkspaceReading]:
         """Readings of the workspaces that asked for most in this window, largest first."""
@@ -153,19 +168,31 @@
         names = sorted(self._asked, key=lambda name: -self._asked[name])[:count]
         return [self._reading(name, tokens_per_s, now_ms) for name in names]
 
-    def _lead(self, workspace: str, share: float, level: float, now_ms: float) -> float:
+    def _lead(self, workspace: str, levels: _Levels) -> float:
         own = self._served.get(workspace, 0.0)
-        if own <= share:
+        if own <= levels.share or levels.least is None or workspace == levels.least_name:
             return 1.0
+        # Where no throughput is named the share is nothing, and one may have had nothing yet.
+        return max(1.0, own / max(1.0, levels.least))
+
+    def _levels(self, tokens_per_s: float, now_ms: float) -> _Levels:
+        kept = self._kept_levels
+        if kept is not None and now_ms < kept.until_ms and tokens_per_s == kept.tokens_per_s:
+            return kept
+        share = self.share(tokens_per_s, now_ms)
+        level = self.level(tokens_per_s, now_ms)
+        served = self._served
         backlogged = [
-            max(share, self._served.get(name, 0.0))
+            (max(share, served.get(name, 0.0)), name)
             for name, asked in self._asked.items()
             if asked >= level
-            and asked > BACKLOGGED * self._served.get(name, 0.0)
+            and asked > BACKLOGGED * served.get(name, 0.0)
             and self._asks_now(name, now_ms) >= level
         ]
-        # Where no throughput is named the share is nothing, and one may have had nothing yet.
-        return max(1.0, own / max(1.0, min(backlogged, default=own)))
+        least, name = min(backlogged, default=(None, ""))
+        kept_ms = KEPT_MS_PER_WORKSPACE * max(0, len(self._asked) - EXACT_WORKSPACES)
+        self._kept_levels = _Levels(tokens_per_s, now_ms + kept_ms, share, level, least, name)
+        return self._kept_levels
 
     def _reading(self, workspace: str, tokens_per_s: float, now_ms: float) -> WorkspaceReading:
         return WorkspaceReading(
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -184,3 +184,27 @@
         if now_ms > 15_000:
             leads.append(shares.position("large", 20_000, now_ms).lead)
     assert min(leads) > 1.5
+
+
+def test_many_workspaces_are_not_looked_at_for_each_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Symptom: a router with 6,800 workspaces decides on 50 requests a second at the most.
+
+    Sequence: a tenth of them ask for more than their share; requests come one after the other.
+    Cause: both even parts and the one with least were worked out from all workspaces at each.
+    """
+    shares = WorkspaceShares(4_000.0, 0.0)
+    for number in range(6_800):
+        shares.count(f"w{number}", 40_000.0 if number % 10 == 0 else 100.0, 50.0, 5_000.0)
+    first = shares.position("w0", 1e6, 5_000.0)
+    looks = []
+    asks_now = WorkspaceShares._asks_now
+    monkeypatch.setattr(
+        WorkspaceShares, "_asks_now", lambda *told: looks.append(told) or asks_now(*told)
+    )
+    for number in range(100):
+        assert shares.position("w0", 1e6, 5_000.0 + number) == first
+    assert not looks
+    shares.position("w0", 1e6, 6_000.0)
+    assert looks
