--- a/packages/gateway/src/tamarack_gateway/fleet_members.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_members.py
@@ -59,6 +59,14 @@
         if known is not None and stamp_ms > known.stamp_ms:
             self._members[router] = known._replace(stamp_ms=stamp_ms)
 
+    def alive(self, stamps: dict[str, float], now_ms: float) -> None:
+        """Take in that routers are as they told last, with the times of their own clocks."""
+        for router, stamp_ms in stamps.items():
+            known = self._members.get(router)
+            if known is not None:
+                newest_ms = max(stamp_ms, known.stamp_ms)
+                self._members[router] = known._replace(heard_ms=now_ms, stamp_ms=newest_ms)
+
     def heard(self, member: Member) -> bool:
         """Take in a summary; False if it is of an earlier life."""
         known = self._members.get(member.router)
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -93,6 +93,7 @@
             others=lambda: self._members.heard_within(5_000.0, clock.now_ms),
             took=self._took,
             took_work=self._state.take_placements,
+            took_alive=lambda stamps: self._members.alive(stamps, self._clock.now_ms),
         )
         self._feeds = FleetFeeds(
             site,
--- a/packages/gateway/src/tamarack_gateway/peer_group.py
+++ b/packages/gateway/src/tamarack_gateway/peer_group.py
@@ -11,8 +11,9 @@
 from tamarack_core.relay_plan import Links, Peer, RelayPlan
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.outbox import Outbox, Placements, PlacementSum
-from tamarack_gateway.peer_messages import Digest, Gathered, Report, Summary
+from tamarack_gateway.peer_messages import Alive, Digest, Gathered, Report, Summary
 from tamarack_gateway.peer_sockets import PeerSockets
+from tamarack_gateway.summary_sieve import SummarySieve
 from tamarack_gateway.table_follower import CopyWanted, TableNews
 
 SUMMARY_MS = 250.0
@@ -63,6 +64,8 @@
         Called with each report of another router.
     took_work
         Called with the sum of what routers of other failure domains placed.
+    took_alive
+        Called with routers that are as they told last, and their own clocks' times.
     """
 
     def __init__(
@@ -78,6 +81,7 @@
         others: Callable[[], int],
         took: Callable[[Report], None],
         took_work: Callable[[Placements], None],
+        took_alive: Callable[[dict[str, float]], None],
     ) -> None:
         self._router = router
         self._domain = failure_domain
@@ -89,11 +93,14 @@
         self._others = others
         self._took = took
         self._took_work = took_work
+        self._took_alive = took_alive
         self._plan = RelayPlan(router, failure_domain)
         self._links = Links(frozenset(), None, False)
         self._own: list[Report] = []
         self._foreign: list[Report] = []
         self._foreign_work = PlacementSum()
+        self._foreign_alive: dict[str, float] = {}
+        self._sieve = SummarySieve()
         self._urgent = False
         self._relaying: asyncio.Task[None] | None = None
         self._relayed_ms = float("-inf")
@@ -132,9 +139,14 @@
         return self._plan.large
 
     def put(self, peers: Mapping[str, Peer]) -> None:
-        """Take in the routers that the store lists."""
+        """Take in the routers that the store lists.
+
+        Whom to listen to in a large fleet is left to the next look at it: while 195 routers start,
+        the list changes with each of them, and connections were made to be closed at once.
+        """
         self._plan.put(peers, self._clock.now_ms)
-        self._follow()
+        if not self._plan.large:
+            self._follow()
 
     def tell_summary(self) -> None:
         """Tell at once how this router is."""
@@ -180,6 +192,9 @@
     def _take(self, told: Any) -> None:
         if isinstance(told, Gathered):
             self._took_work(told.placements)
+        elif isinstance(told, Alive):
+            told.stamps.pop(self._router, None)
+            self._took_alive(told.stamps)
         elif isinstance(told, Digest):
             for report in told.reports:
                 if report.router != self._router:
@@ -193,6 +208,8 @@
         if isinstance(told, Gathered):
             self._foreign_work.add(told.placements)
             self._urgent = True
+        elif isinstance(told, Alive):
+            self._foreign_alive.update(told.stamps)
         elif isinstance(told, Digest):
             self._foreign += told.reports
             self._urgent = self._urgent or any(report.urgent for report in told.reports)
@@ -224,16 +241,18 @@
                 self._pass_on(now_ms)
 
     def _pass_on(self, now_ms: float) -> None:
-        own, foreign, work = self._own, self._foreign, self._foreign_work.take()
-        self._own, self._foreign, self._urgent = [], [], False
+        own, alive = self._sieve.sift(self._own, now_ms)
+        foreign, work = self._foreign, self._foreign_work.take()
+        all_alive = alive | self._foreign_alive
+        self._own, self._foreign, self._foreign_alive, self._urgent = [], [], {}, False
         self._relayed_ms = now_ms
-        if own:
-            self._sockets.tell(_across(self._domain), *_for_other_domains(self._router, own))
-        told = Digest(self._router, own + foreign)
-        if work is None:
-            self._sockets.tell(_within(self._domain), told)
-        else:
-            self._sockets.tell(_within(self._domain), told, Gathered(work))
+        if own or alive:
+            across = _for_other_domains(self._router, own)
+            self._sockets.tell(_across(self._domain), *across, Alive(alive))
+        within: list[Any] = [Digest(self._router, own + foreign), Alive(all_alive)]
+        if work is not None:
+            within.append(Gathered(work))
+        self._sockets.tell(_within(self._domain), *within)
 
     # who listens to whom
 
@@ -255,8 +274,8 @@
         if self._relaying is not None:
             self._relaying.cancel()
             self._relaying = None
-        self._own, self._foreign, self._urgent = [], [], False
-        self._foreign_work = PlacementSum()
+        self._own, self._foreign, self._foreign_alive, self._urgent = [], [], {}, False
+        self._foreign_work, self._sieve = PlacementSum(), SummarySieve()
         if relays:
             self._relaying = asyncio.ensure_future(self._relay())
 
--- a/packages/gateway/src/tamarack_gateway/peer_messages.py
+++ b/packages/gateway/src/tamarack_gateway/peer_messages.py
@@ -72,3 +72,10 @@
     """
 
     placements: Placements
+
+
+@message(67)
+class Alive(NamedTuple):
+    """Routers that are as their last summaries told, with the times of their own clocks."""
+
+    stamps: dict[str, float]
--- a/tests/test_peer_group.py
+++ b/tests/test_peer_group.py
@@ -10,9 +10,10 @@
 from tamarack_core.clock import BootClock
 from tamarack_core.relay_plan import SMALL_FLEET, Peer
 from tamarack_gateway.decision_log import DecisionLog
-from tamarack_gateway.outbox import Outbox
+from tamarack_gateway.outbox import Outbox, Placements
 from tamarack_gateway.peer_group import PeerGroup
 from tamarack_gateway.peer_messages import Report, Summary
+from tamarack_gateway.summary_sieve import TOLD_AGAIN_MS, SummarySieve
 
 DOMAINS = ("a", "b", "c")
 SIZE = SMALL_FLEET + 3
@@ -27,6 +28,7 @@
         self.outbox = Outbox()
         self.heard: dict[str, list[float]] = {}
         self.sums: list[float] = []
+        self.alive: dict[str, float] = {}
         self.summaries: set[str] = set()
         clock = BootClock()
         self.group = PeerGroup(
@@ -39,6 +41,7 @@
             summary=lambda: Summary(name, 1, domain, "", True, True),
             others=lambda: len(self.summaries),
             took=self.took,
+            took_alive=lambda stamps: self.alive.update(stamps),
             took_work=lambda told: self.sums.extend(placed.reading_ms for placed in told.placed),
         )
 
@@ -118,3 +121,36 @@
                 await asyncio.sleep(0.05)
 
     play(story())
+
+
+def test_summaries_that_say_nothing_new_are_not_passed_on_in_full() -> None:
+    """Symptom: routers of a large fleet with nothing to do use processors.
+
+    Sequence: 195 routers each tell once a second how they are, and nothing changes. Cause: every
+    router took in all of it each time.
+    """
+
+    async def story() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            members = await start(stack)
+            names = {member.name for member in members}
+            # A router's relay hears it directly, and tells the others only that it lives.
+            foreign = SIZE - SIZE // len(DOMAINS)
+            await until(lambda: all(len(m.alive) >= foreign for m in members))
+            for member in members:
+                assert member.alive.keys() <= names - {member.name}
+
+    play(story())
+
+
+def test_a_changed_summary_is_passed_on_at_once_and_a_same_one_now_and_then() -> None:
+    sieve = SummarySieve()
+    same = Summary("r", 1, "a", "c", True, True)
+    reports = [Report("r", 5.0, same)]
+    assert sieve.sift(reports, 0.0) == (reports, {})
+    assert sieve.sift(reports, 100.0) == ([], {"r": 5.0})
+    changed = [Report("r", 9.0, same._replace(ready=False))]
+    assert sieve.sift(changed, 200.0) == (changed, {})
+    assert sieve.sift(changed, 200.0 + TOLD_AGAIN_MS) == (changed, {})
+    placed = Report("r", 9.0, changed[0].summary, Placements([], []))
+    assert sieve.sift([placed], 2_300.0) == ([placed._replace(summary=None)], {"r": 9.0})
