--- a/packages/gateway/src/tamarack_gateway/loop_watch.py
+++ b/packages/gateway/src/tamarack_gateway/loop_watch.py
@@ -13,8 +13,8 @@
 from tamarack_gateway.decision_log import DecisionLog
 
 IDLE_SAMPLE_MS = 250.0
-"""Time between two samples while no caller is connected: there is nobody to turn away, and the
-samples would be half of what wakes an idle router."""
+"""Time between two samples while no caller is connected: there is nobody to turn away, and with
+four samples a second 195 routers were still woken 100 times a second each, counted while idle."""
 
 
 class LoopStatus(TypedDict):
--- a/packages/gateway/src/tamarack_gateway/peer_sockets.py
+++ b/packages/gateway/src/tamarack_gateway/peer_sockets.py
@@ -18,7 +18,7 @@
 HEARTBEAT_TIMEOUT_MS = 2_500
 """A connection between routers that has gone silent is opened anew after this time. The listening
 end asks, since it is the one that connects; were both to ask, a router that may relay for 33 others
-would be woken 150 times a second in place of 40 while nothing happens."""
+would take in twice as many questions and answers while nothing happens."""
 
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_PROBES = 3
--- a/packages/gateway/src/tamarack_gateway/summary_sieve.py
+++ b/packages/gateway/src/tamarack_gateway/summary_sieve.py
@@ -6,8 +6,8 @@
 
 TOLD_AGAIN_MS = 2_000.0
 """Time after which an unchanged summary is passed on in full again, for routers that have started
-meanwhile or lost a message. Every router takes in each summary of the fleet, 190 a second of 195,
-and that was a third of what an idle router did."""
+meanwhile or lost a message. Every router takes in each summary of the fleet: with 195 of them 186 a
+second, counted while they had nothing else to do."""
 
 
 class SummarySieve:
