Read a prompt anew at a free engine only where that reads little more

There 13,300 shared tokens stand before 3,720 own ones: a free engine that reads them is taken for 215 ms from requests that find their parts there.

Change: only a prompt of which the free engine reads at most 2.5 times what its keeper would.

--- a/packages/core/src/tamarack_core/admitted_placement.py
+++ b/packages/core/src/tamarack_core/admitted_placement.py
@@ -19,6 +19,12 @@
 from tamarack_core.prompt import Prompt
 from tamarack_core.workspace_shares import Position
 
+SPREAD_READS = 2.5
+"""Most times as much as its keeper has to read of a prompt that a free engine may read of it. Each
+reading takes the engine from requests that find their parts there. Where 13,300 shared tokens stood
+before 3,720 own ones, 22.5 million tokens of a day were read again in place of 14.5, and less was
+served; where 5,400 stood before 6,600, more was."""
+
 
 class Terms(NamedTuple):
     """What a request may be made to wait, and what it has waited.
@@ -72,7 +78,8 @@
     free_part = _free_part(engines, now_ms)
     eased = position._replace(standing=eased_standing(position.standing, free_part))
     decision = _decide(choice, prompt, engines, eased, terms, now_ms)
-    if decision.verdict is not Admission.ADMITTED and eased.standing <= 1.0:
+    worth_reading = prompt.tokens_in <= SPREAD_READS * choice.unread_tokens
+    if decision.verdict is not Admission.ADMITTED and eased.standing <= 1.0 and worth_reading:
         further = [endpoint for endpoint in engines.endpoints if endpoint is not choice.endpoint]
         spread = _spread(prompt, engines._replace(endpoints=further), eased, terms, now_ms)
         if spread is not None:
--- a/packages/gateway/src/tamarack_gateway/fleet_members.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_members.py
@@ -138,8 +138,8 @@
         return me.router in readers
 
     def _ranked(self, table: str, names: list[str]) -> list[str]:
-        # Each follower asks several times a second; hashing 195 names anew took 0.21 ms of each time,
-        # and the sorting alone takes 0.05.
+        # Each follower asks several times a second: hashing 195 names anew took 0.21 ms of each
+        # time, and the sorting alone takes 0.05.
         scores = self._scores.setdefault(table, {})
         for name in names:
             if name not in scores:
--- a/packages/gateway/src/tamarack_gateway/gateway_metrics.py
+++ b/packages/gateway/src/tamarack_gateway/gateway_metrics.py
@@ -47,8 +47,8 @@
 
     @cached_property
     def _collectors(self) -> MetricCollectors:
-        # Loaded with the first request: the library takes a twelfth of a router's start, and most of
-        # a large fleet's routers are ready before anybody asks them for anything.
+        # Loaded with the first request: the library takes a twelfth of a router's start, and most
+        # of a large fleet's routers are ready before anybody asks them for anything.
         from tamarack_gateway.metric_collectors import MetricCollectors
 
         return MetricCollectors(LATENCY_MS)
