--- a/packages/core/src/tamarack_core/admission.py
+++ b/packages/core/src/tamarack_core/admission.py
@@ -50,7 +50,7 @@
 is beyond its share: nobody waits for what it is then refused, and a free engine may read anew what
 is kept where there is no room. Below it counts in proportion, so that queues shorten as engines
 fill. Without this, three workspaces that asked for about what 16 engines serve got 0.73 of it while
-a third of the engines stood idle, and 0.93 with it (means of eight seeds, a simulation); among four
+a third of the engines stood idle, and 0.91 with it (means of eight seeds, a simulation); among four
 that ask for seven times as much, the least served got 0.67 of what the best got in place of 0.71.
 With 0.3 it was 0.85, and small workspaces beside the four got 0.67 of what they asked (three seeds;
 0.82 with this). With free engines used whatever their part, it was 0.40: each reading took an
