Read collected logs in one place; look for free engines only where it counts

Cause, from reading the change again: 'reads' wrote out the loop over log files that 'explain' has; and each decision counted the free engines, also for workspaces within their share, whose standing they cannot ease. Behaviour is as before.

--- a/packages/core/src/tamarack_core/admitted_placement.py
+++ b/packages/core/src/tamarack_core/admitted_placement.py
@@ -76,8 +76,10 @@
     choice = choose_engine(prompt, engines.endpoints, engines.models, engines.records, now_ms)
     if choice is None:
         return None
-    free_part = _free_part(engines, now_ms)
-    eased = position._replace(standing=eased_standing(position.standing, free_part))
+    eased = position
+    if position.standing > 1.0:
+        free_part = _free_part(engines, now_ms)
+        eased = position._replace(standing=eased_standing(position.standing, free_part))
     decision = _decide(choice, prompt, engines, eased, terms, now_ms)
     worth_reading = prompt.tokens_in <= SPREAD_READS * choice.unread_tokens
     if decision.verdict is not Admission.ADMITTED and eased.standing <= 1.0 and worth_reading:
--- a/packages/ctl/src/tamarack_ctl/explaining.py
+++ b/packages/ctl/src/tamarack_ctl/explaining.py
@@ -53,6 +53,15 @@
             continue
 
 
+def read_logs(paths: Iterable[Path]) -> list[LogLine]:
+    """Lines of routers in several collected logs."""
+    lines: list[LogLine] = []
+    for path in paths:
+        with path.open(errors="replace") as texts:
+            lines.extend(read_lines(texts))
+    return lines
+
+
 def story(lines: list[LogLine], request: str) -> list[str]:
     """What happened to a request, after what its router had learned shortly before."""
     own = [line for line in lines if line.request == request]
@@ -78,10 +87,7 @@
 @command("explain", "tell the story of one request from logs", _configure, needs_fleet=False)
 def explain(context: Context) -> Outcome:
     """Read logs and tell what happened to a request."""
-    lines: list[LogLine] = []
-    for path in context.arguments.logs:
-        with path.open(errors="replace") as texts:
-            lines.extend(read_lines(texts))
+    lines = read_logs(context.arguments.logs)
     told = story(lines, context.arguments.request)
     if not told:
         return Outcome(["No line tells of this request."], [], EXIT_REFUSED)
--- a/packages/ctl/src/tamarack_ctl/prompt_reads.py
+++ b/packages/ctl/src/tamarack_ctl/prompt_reads.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from tamarack_ctl.commands import EXIT_OK, EXIT_REFUSED, Context, Outcome, command
-from tamarack_ctl.explaining import LogLine, read_lines
+from tamarack_ctl.explaining import LogLine, read_logs
 
 REUSE_MS = 10_000
 """Time after its last use within which a part counts as read again: later than that an engine under
@@ -107,11 +107,7 @@
 @command("reads", "tell why prompt parts were read again", _configure, needs_fleet=False)
 def reads(context: Context) -> Outcome:
     """Read logs and add up shared prompt tokens by the cause of their reading."""
-    lines: list[LogLine] = []
-    for path in context.arguments.logs:
-        with path.open(errors="replace") as texts:
-            lines.extend(read_lines(texts))
-    found = account(lines)
+    found = account(read_logs(context.arguments.logs))
     if not found.tokens:
         return Outcome(["No line tells of a prompt part that was read."], [], EXIT_REFUSED)
     table = [f"{found.tokens[cause]:>12,} tokens  {cause.value}" for cause in Cause]
