Name requests across their repeats in the logs, and say which answers were lost with a connection

Cause: a request's line bears the id of one attempt, which is new with each repeat, and a connection that ended in the middle could not be told from an answer that was spoilt. So the logs could not say whether endpoints end under one request or under many. Change: a keyed-by-workspace cryptographic fingerprint of path, caller and body, made only where it is asked for; a line `connection lost` with it, how long ago it was sent and how many events had come. Conclusion: the hypotheses on requests that end endpoints can be told apart in one router's log.

--- a/packages/gateway/src/tamarack_gateway/endpoint_connection.py
+++ b/packages/gateway/src/tamarack_gateway/endpoint_connection.py
@@ -30,6 +30,10 @@
     """The connection ended, or its bytes were no answer, before the answer was whole."""
 
 
+class ConnectionLostError(BrokenAnswerError):
+    """The connection ended before the answer was whole: the endpoint may have ended, too."""
+
+
 class EndpointConnection(asyncio.Protocol):
     """One kept connection; opened with `open_connection`."""
 
@@ -180,13 +184,13 @@
             self._keep = False
             return
         if self._error is None:
-            self._error = BrokenAnswerError(str(exc) if exc else "the connection was closed")
+            self._error = ConnectionLostError(str(exc) if exc else "the connection was closed")
 
     def _check(self) -> None:
         if self._error is not None:
             raise self._error
         if self._transport is None:
-            raise BrokenAnswerError("the connection was closed")
+            raise ConnectionLostError("the connection was closed")
 
     async def _wait(self) -> None:
         self._waiter = asyncio.get_running_loop().create_future()
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -4,10 +4,12 @@
 
 import asyncio
 from collections.abc import Awaitable, Sequence
+from functools import cached_property
 
 from tamarack_core.admission import Admission, Decision
 from tamarack_core.admitted_placement import AdmittedPlacement
 from tamarack_core.endpoint_book import Endpoint, EndpointLife
+from tamarack_core.fingerprint import fingerprint
 from tamarack_core.placement import Choice, choose_engine, choose_plain
 from tamarack_core.prompt import Prompt
 from tamarack_core.ruleset import Route
@@ -17,6 +19,7 @@
 from tamarack_gateway.endpoint_connection import (
     BrokenAnswerError,
     ConnectError,
+    ConnectionLostError,
     EndpointConnection,
 )
 from tamarack_gateway.engine_gate import EngineGate
@@ -125,6 +128,14 @@
     def _prompt(self) -> Prompt | None:
         return self._facts.prompt if self._route.streams else None
 
+    @cached_property
+    def _fingerprint(self) -> str:
+        # Made only where it is asked for: for most requests nobody has to know.
+        request = self._request
+        return fingerprint(
+            self._workspace, self._facts.host, request.method, request.target, request.body
+        )
+
     @property
     def _left_ms(self) -> float:
         return self._until_ms - self._state.clock.now_ms
@@ -251,7 +262,8 @@
         except TimeoutError:
             result = Result(Verdict.TIME_UP, "no answer in time")
         except (BrokenAnswerError, BadStreamError) as error:
-            result = Result(Verdict.BROKEN, str(error))
+            lost = isinstance(error, ConnectionLostError)
+            result = Result(Verdict.BROKEN, str(error), lost=lost)
         finally:
             self._notes.ended()
             if whole:
@@ -261,6 +273,15 @@
                 connection.abort()
         took_ms = state.clock.now_ms - sent_ms
         self._notes.result(endpoint, result, took_ms)
+        if result.lost:
+            state.log.request(
+                "connection lost",
+                self._facts.attempt,
+                endpoint=endpoint.name,
+                fingerprint=self._fingerprint,
+                sent_ms_ago=round(took_ms),
+                events=self._splitter.last,
+            )
         if result.verdict is Verdict.DONE:
             state.log.request(
                 "answered",
--- a/packages/gateway/src/tamarack_gateway/send_result.py
+++ b/packages/gateway/src/tamarack_gateway/send_result.py
@@ -19,9 +19,16 @@
 
 
 class Result(NamedTuple):
-    """What came of one send, and an answer that is kept in case nothing better follows."""
+    """What came of one send, and an answer that is kept in case nothing better follows.
+
+    Attributes
+    ----------
+    lost
+        Whether the connection ended in the middle, as it does when the endpoint ends.
+    """
 
     verdict: Verdict
     reason: str = ""
     head: AnswerHead | None = None
     body: bytes = b""
+    lost: bool = False
