--- a/packages/standins/src/tamarack_standins/platform_worker.py
+++ b/packages/standins/src/tamarack_standins/platform_worker.py
@@ -10,6 +10,7 @@
 import json
 import socket
 import struct
+from collections.abc import Callable
 from types import TracebackType
 from typing import NamedTuple
 
@@ -47,6 +48,8 @@
         Whether the body, or each event's data, is the attempt's id.
     early
         Whether the answer goes out before the request's body has been read.
+    fatal
+        Whether the worker ends as it begins to answer, with all that it runs.
     """
 
     status: int = 200
@@ -65,6 +68,11 @@
     event_pause_s: float = 0.0
     echo: bool = False
     early: bool = False
+    fatal: bool = False
+
+
+FATAL = Script(fatal=True, pause_s=0.01)
+"""How a worker answers what ends it: it runs for a moment before."""
 
 
 class Arrived(NamedTuple):
@@ -96,6 +104,10 @@
         Start of its life; another one under the same name is another life. None to tell none.
     answering
         Cleared to hold requests that have arrived until it is set again.
+    fatal
+        Bodies of requests that end the worker as it begins to answer them.
+    on_fatal, on_end
+        Called with the body of such a request when it arrives, and when it has ended the worker.
     """
 
     def __init__(
@@ -111,6 +123,9 @@
         self.kept: list[tuple[str, int]] = []
         self.answering = asyncio.Event()
         self.answering.set()
+        self.fatal: frozenset[bytes] = frozenset()
+        self.on_fatal: Callable[[bytes], None] = _nobody_asks
+        self.on_end: Callable[[], None] = _nobody
         self._scripts = list(scripts) or [Script()]
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -137,6 +152,15 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def crash(self) -> None:
+        """End at once from within: no connection is accepted, and all open ones break."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for task in self._tasks - {asyncio.current_task()}:
+            task.cancel()
+        self.on_end()
+
     def entry(self, service: str, *, state: str = "ready", slots: int = 4) -> dict[str, object]:
         """Its entry in the list of workers."""
         entry: dict[str, object] = {
@@ -190,13 +214,20 @@
             writer.write(b"HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n")
             return True
         self.arrived.append(arrived)
-        script = self._next_script(arrived)
+        if arrived.body in self.fatal:
+            self.on_fatal(arrived.body)
+            script = FATAL
+        else:
+            script = self._next_script(arrived)
         await self.answering.wait()
         if script.silent:
             await self._until_closed(reader)
             return False
         if script.pause_s:
             await asyncio.sleep(script.pause_s)
+        if script.fatal:
+            self.crash()
+            return False
         if script.reset:
             _reset(writer)
             return False
@@ -286,3 +317,11 @@
 
 def _chunk(data: bytes) -> bytes:
     return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def _nobody() -> None:
+    """Stands where nobody waits for the worker's end."""
+
+
+def _nobody_asks(body: bytes) -> None:
+    """Stands where nobody asks which requests end the worker."""
--- /dev/null
+++ b/tests/crashing_pool.py
@@ -0,0 +1,100 @@
+"""A pool of engines that some requests end, and that come back as other lives."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import time
+from types import TracebackType
+from typing import NamedTuple
+
+from gateway_site import Fleet
+
+from tamarack_standins.platform_store import PlatformStore
+from tamarack_standins.platform_worker import PlatformWorker, Script
+
+
+class Arrival(NamedTuple):
+    """A fatal request as it reached an engine."""
+
+    body: bytes
+    at_s: float
+
+
+class CrashingPool:
+    """Engines of one service, each replaced some time after a request has ended it.
+
+    Parameters
+    ----------
+    fatal
+        Bodies of requests that end whoever runs them.
+    back_s
+        Seconds from an end until another life is there; the entry of the former one is gone then.
+    script
+        How all other requests are answered.
+    """
+
+    def __init__(
+        self, size: int, *fatal: bytes, back_s: float = 0.3, script: Script | None = None
+    ) -> None:
+        self.fatal = frozenset(fatal)
+        self.arrivals: list[Arrival] = []
+        self.ended_s: list[float] = []
+        self._back_s = back_s
+        self._script = script or Script(events=3, echo=True)
+        self._names = (f"e{number}" for number in itertools.count(1))
+        self._store: PlatformStore | None = None
+        self._stack = contextlib.AsyncExitStack()
+        self._tasks: list[asyncio.Task[None]] = []
+        self.engines = [self._engine() for _ in range(size)]
+
+    async def __aenter__(self) -> CrashingPool:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._stack.aclose()
+
+    def serve(self, fleet: Fleet) -> None:
+        """Write the entries of later lives to a fleet's store."""
+        self._store = fleet.store
+
+    def ends(self, body: bytes) -> int:
+        """How many engines a request has ended, or reached at least."""
+        return sum(arrival.body == body for arrival in self.arrivals)
+
+    def late(self, body: bytes, contact_s: float) -> int:
+        """How often a request reached engines later than a time after it had ended the third."""
+        times = [arrival.at_s for arrival in self.arrivals if arrival.body == body]
+        return sum(at_s > times[2] + contact_s for at_s in times[3:]) if len(times) > 3 else 0
+
+    def arrived(self, body: bytes) -> None:
+        """Take in that a fatal request has reached an engine."""
+        self.arrivals.append(Arrival(body, time.monotonic()))
+
+    def _engine(self) -> PlatformWorker:
+        engine = PlatformWorker(next(self._names), self._script)
+        engine.fatal = self.fatal
+        engine.on_fatal = self.arrived
+        engine.on_end = lambda: self._ended(engine)
+        return engine
+
+    def _ended(self, engine: PlatformWorker) -> None:
+        self.ended_s.append(time.monotonic())
+        self._tasks.append(asyncio.ensure_future(self._replace(engine)))
+
+    async def _replace(self, ended: PlatformWorker) -> None:
+        await asyncio.sleep(self._back_s)
+        engine = self._engine()
+        await self._stack.enter_async_context(engine)
+        assert self._store is not None
+        await self._store.remove("servers", ended.name)
+        await self._store.put("servers", engine.name, engine.entry("pool", slots=64))
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -81,6 +81,7 @@
         self._bounds = FleetBounds()._replace(**bounds)
         self._stack = contextlib.AsyncExitStack()
         self.gateway: Gateway
+        self.others: list[Gateway] = []
         self._attempts = 0
 
     async def __aenter__(self) -> Fleet:
@@ -102,6 +103,13 @@
     ) -> None:
         await self._stack.aclose()
 
+    async def add_routers(self, count: int) -> None:
+        """Start more routers, and wait until they take callers."""
+        for _ in range(count):
+            router = self.router(f"router-{len(self.others) + 2}")
+            self.others.append(await self._stack.enter_async_context(router))
+        await until(lambda: all(router.state.ready for router in self.others))
+
     def router(
         self,
         name: str,
@@ -152,6 +160,13 @@
         """Send one request on a connection of its own."""
         return await self.send(self.request(path, **more), at=at)
 
+    async def try_ask(self, path: str, *, at: Gateway | None = None, **more: Any) -> Answer | None:
+        """Send one request; None where its connection ends without an answer."""
+        try:
+            return await self.ask(path, at=at, **more)
+        except (OSError, asyncio.IncompleteReadError):
+            return None
+
     async def send(self, data: bytes, *, at: Gateway | None = None) -> Answer:
         """Send bytes on a connection of its own and read one answer."""
         reader, writer = await connect((at or self.gateway).callers)
