Hold back requests under which endpoints end, in all routers

Cause: nobody remembered under which requests an endpoint had ended; an id names one attempt only. Change: a quarantine of decisions without I/O (suspects, evidence, verdicts, trials with growing pauses, bounded by workspace); a witness that proves an end by a refused connection; one message for all that a router had at an end; verdicts told to all and kept as rows of the store, read before a router takes callers. An endpoint that was proved to have ended gets no work, though still listed. Two tests had to change: the line of unreadable rows names one kind more (as strict), and the fuzzed feeds have the quarantine's table, too, whose rows are now fuzzed with the others.

--- /dev/null
+++ b/packages/core/src/tamarack_core/quarantine.py
@@ -0,0 +1,447 @@
+"""Requests under which endpoints end: who is suspected, tried apart, and held back.
+
+An endpoint that ends takes with it all that it runs, up to 64 requests here, of which most are
+innocent and are sent again. So an end by itself convicts nobody: whoever was there becomes a
+suspect, and one that has met several ends is sent to an endpoint apart from other such suspects.
+An end there, with it as the only one, convicts it. A whole answer clears it: what ends whoever runs
+it is never answered.
+
+All routers tell each other of the ends that they see, and each comes to its verdicts by itself from
+the same evidence; verdicts are told, too, and kept in the platform's store.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from enum import Enum
+from typing import NamedTuple, TypeVar
+
+from tamarack_core.end_evidence import End, HeldRequest
+from tamarack_core.endpoint_book import EndpointLife
+from tamarack_core.rendezvous import score
+from tamarack_core.workspace_table import WorkspaceTable
+
+Key = TypeVar("Key")
+
+APART_WEIGHT = 2.0
+"""Ends met from which a suspect is sent apart from others. With one, all that an endpoint ran would
+be, at each end."""
+
+HELD_WEIGHT = 3.0
+"""Ends met from which a request can be held back, if it was the only suspect at the last one. The
+users allow three ends before a request counts as known."""
+
+SURE_WEIGHT = 6.0
+"""Ends met from which it is held back whoever else was there: suspects that always meet, or ends
+that always come together, must not keep one going for ever."""
+
+LATE_WEIGHT = 0.25
+"""What an end counts against a request that had run for a while, where others had only begun: one
+that ends endpoints late is still held back, by a few more ends."""
+
+TOGETHER_WEIGHT = 0.5
+"""What an end counts that came together with another's, as in a failure of machines. Five of them,
+as in the users' series of mass failures, stay below what holds a request back."""
+
+SETTLE_MS = 400.0
+"""Time from the first word of an end to the verdict on it: other routers tell within some 30 ms of
+what they had there, by relays within 0.2 s, and some see it 0.1 s later."""
+
+FORGET_MS = 3_600_000.0
+"""Time after its last end that a suspect is remembered; one that comes each half hour is found."""
+
+FIRST_PAUSE_MS = 120_000.0
+PAUSE_FACTOR = 5.0
+LONGEST_PAUSE_MS = 6 * 3_600_000.0
+"""Time for which a request is held back until it is tried once more, apart and by one router; what
+each end in such a trial makes of it; and its longest. A wrong verdict ends after two minutes; a
+right one costs an endpoint after 2, 10, 50 minutes, 4 hours, and four a day from then on."""
+
+MANY_HELD = 8
+"""Held requests of one workspace from which its others are tried apart before they meet an end:
+whoever sends many kinds of them is not given three endpoints for each."""
+
+MOST_SUSPECTS, MOST_SUSPECTS_OF_ONE = 4_096, 512
+MOST_HELD, MOST_HELD_OF_ONE = 1_024, 64
+"""Requests in the tables, and of one workspace: some 2 MB in all. A mass failure of eight engines
+with 64 requests each makes 512 suspects."""
+
+MOST_ENDS = 256
+"""Ends that await their verdict; more than the largest site has engines."""
+
+BUSY_WAIT_MS = 50.0
+"""Time after which a repeat of a suspect that is being tried here is looked at again."""
+
+
+class Treatment(Enum):
+    """What becomes of a request before it is sent."""
+
+    FREE = "free"
+    APART = "apart"
+    TRIAL = "trial"
+    WAIT = "wait"
+    HELD = "held"
+
+
+class Standing(NamedTuple):
+    """How a request is treated; `wait_ms` is the time until it should be looked at again."""
+
+    treatment: Treatment
+    wait_ms: float = 0.0
+
+
+FREE = Standing(Treatment.FREE)
+
+
+class _Suspect:
+    """A request that met ends and was not answered whole since."""
+
+    __slots__ = ("ends", "last_ms", "weight", "workspace")
+
+    def __init__(self, workspace: str) -> None:
+        self.workspace = workspace
+        self.weight = 0.0
+        self.ends = 0
+        self.last_ms = 0.0
+
+
+class _Held:
+    """A request that is held back, and since when it was not tried."""
+
+    __slots__ = ("on_trial", "since_ms", "stored", "trials", "workspace")
+
+    def __init__(self, workspace: str, trials: int, since_ms: float) -> None:
+        self.workspace = workspace
+        self.trials = trials
+        self.since_ms = since_ms
+        self.stored = False
+        self.on_trial = False
+
+    @property
+    def pause_ms(self) -> float:
+        """Time from `since_ms` until it is tried again."""
+        return float(min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * PAUSE_FACTOR ** min(self.trials, 9)))
+
+
+class _OpenEnd:
+    """An end on which the verdict is not yet given."""
+
+    __slots__ = ("aboard", "first_ms", "together")
+
+    def __init__(self, first_ms: float) -> None:
+        self.first_ms = first_ms
+        self.together = False
+        self.aboard: dict[str, bool] = {}
+
+
+class HeldReading(NamedTuple):
+    """A held request as operators see it; `tried_in_ms` is the time until its next trial."""
+
+    fingerprint: str
+    workspace: str
+    trials: int
+    stored: bool
+    tried_in_ms: int
+
+
+class SuspectReading(NamedTuple):
+    """A suspect as operators see it."""
+
+    fingerprint: str
+    workspace: str
+    weight: float
+    ends: int
+
+
+class Quarantine:
+    """The evidence and the verdicts of one router.
+
+    Parameters
+    ----------
+    tries
+        Tells whether this router is the one that tries a held request again.
+
+    Attributes
+    ----------
+    held_back
+        How often a request was held back.
+    yielded
+        Held requests that gave way to others, until somebody takes them out of the store.
+    """
+
+    def __init__(self, tries: Callable[[str], bool]) -> None:
+        self._tries = tries
+        self._ends: dict[EndpointLife, _OpenEnd] = {}
+        self._settled: dict[EndpointLife, float] = {}
+        self._suspects: WorkspaceTable[_Suspect] = WorkspaceTable(
+            most=MOST_SUSPECTS, most_of_one=MOST_SUSPECTS_OF_ONE
+        )
+        self._held: WorkspaceTable[_Held] = WorkspaceTable(
+            most=MOST_HELD, most_of_one=MOST_HELD_OF_ONE
+        )
+        self._waiting: Counter[str] = Counter()
+        self._running: Counter[str] = Counter()
+        self._places: Counter[EndpointLife] = Counter()
+        self.held_back = 0
+        self.yielded: list[str] = []
+
+    @property
+    def watching(self) -> bool:
+        """Whether any request has to be looked at; while not, none needs a fingerprint."""
+        return bool(self._suspects or self._held or self._ends)
+
+    # evidence
+
+    def ended(self, end: End, now_ms: float) -> None:
+        """Take in an end as a router saw it; several may tell of the same."""
+        if end.key in self._settled:
+            # Whoever tells of it later than all others tells of requests that were not looked at.
+            return
+        known = self._ends.get(end.key)
+        if known is None:
+            if len(self._ends) >= MOST_ENDS:
+                return
+            known = self._ends[end.key] = _OpenEnd(now_ms)
+        known.together = known.together or end.together
+        for fingerprint, workspace, early in end.aboard:
+            before = known.aboard.get(fingerprint)
+            if before is None:
+                self._waiting[fingerprint] += 1
+                self._suspect(fingerprint, workspace, now_ms)
+            known.aboard[fingerprint] = early or bool(before)
+
+    def answered(self, fingerprint: str) -> bool:
+        """Take in that a request was answered whole; returns whether others should know."""
+        if fingerprint in self._held:
+            self._held.pop(fingerprint)
+            self._clear(fingerprint)
+            return True
+        suspect = self._suspects.get(fingerprint)
+        self._clear(fingerprint)
+        return suspect is not None
+
+    def cleared(self, fingerprints: list[str]) -> None:
+        """Take in that suspects were answered whole elsewhere."""
+        for fingerprint in fingerprints:
+            self._held.pop(fingerprint)
+            self._clear(fingerprint)
+
+    def settle(self, now_ms: float) -> list[HeldRequest]:
+        """Give the verdicts that are due; returns what is held back from now on."""
+        due = [key for key, end in self._ends.items() if now_ms - end.first_ms >= SETTLE_MS]
+        held: list[HeldRequest] = []
+        for key in due:
+            end = self._ends.pop(key)
+            self._settled[key] = now_ms
+            held += self._judge(end, now_ms)
+        if due:
+            self._forget(now_ms)
+        return held
+
+    @property
+    def next_verdict_ms(self) -> float | None:
+        """When the next verdict is due; None while none is."""
+        return min((end.first_ms + SETTLE_MS for end in self._ends.values()), default=None)
+
+    # verdicts
+
+    def hold(self, request: HeldRequest, now_ms: float, *, stored: bool = False) -> bool:
+        """Hold a request back by another's verdict; returns whether that is new."""
+        known = self._held.get(request.fingerprint)
+        if known is not None and known.trials >= request.trials:
+            known.stored = known.stored or (stored and known.trials == request.trials)
+            return False
+        self._hold(request, now_ms, stored=stored)
+        return True
+
+    def holds(self, fingerprint: str) -> bool:
+        """Whether a request is held back."""
+        return fingerprint in self._held
+
+    def release(self, fingerprint: str) -> bool:
+        """Hold a request back no longer; returns whether it was."""
+        self._clear(fingerprint)
+        return self._held.pop(fingerprint) is not None
+
+    def keep_stored(self, fingerprints: set[str]) -> list[str]:
+        """Release what the store no longer lists, but not what was never written there."""
+        gone = [f for f in self._held if f not in fingerprints and self._stored(f)]
+        for fingerprint in gone:
+            self.release(fingerprint)
+        return gone
+
+    def put_by(self, request: HeldRequest) -> None:
+        """Take in that the store lists a held request."""
+        held = self._held.get(request.fingerprint)
+        if held is not None and held.trials == request.trials:
+            held.stored = True
+
+    def unstored(self) -> list[HeldRequest]:
+        """Held requests that the store does not list as they are."""
+        found = [(f, self._held.get(f)) for f in self._held]
+        return [
+            HeldRequest(f, held.workspace, held.trials)
+            for f, held in found
+            if held is not None and not held.stored
+        ]
+
+    # requests
+
+    def look(self, fingerprint: str, workspace: str, now_ms: float) -> Standing:
+        """How to treat a request now; asked again before each send."""
+        held = self._held.get(fingerprint)
+        if held is not None:
+            return self._look_at_held(fingerprint, held, now_ms)
+        suspect = self._suspects.get(fingerprint)
+        weight = self._prior(workspace) + (suspect.weight if suspect is not None else 0.0)
+        waiting = self._waiting.get(fingerprint, 0)
+        if weight + waiting < APART_WEIGHT:
+            return FREE
+        if waiting and weight + waiting >= HELD_WEIGHT:
+            return Standing(Treatment.WAIT, self._verdict_in_ms(fingerprint, now_ms))
+        if self._running[fingerprint]:
+            return Standing(Treatment.WAIT, BUSY_WAIT_MS)
+        return Standing(Treatment.APART)
+
+    def begun(self, fingerprint: str, key: EndpointLife) -> None:
+        """Take in that a request is sent apart."""
+        self._running[fingerprint] += 1
+        self._places[key] += 1
+
+    def finished(self, fingerprint: str, key: EndpointLife) -> None:
+        """Take in that such a send has ended; called once for each `begun`."""
+        _take_one(self._running, fingerprint)
+        _take_one(self._places, key)
+
+    def place(self, fingerprint: str, keys: list[EndpointLife]) -> EndpointLife:
+        """The endpoint at which to try a suspect, of some.
+
+        One where no other suspect is being tried by this router; among these by hashing, so that
+        all routers take different endpoints for different suspects without a word, and the same
+        for repeats of one.
+        """
+        return max(keys, key=lambda key: (key not in self._places, score(fingerprint, key.name)))
+
+    # readings
+
+    def held(self, now_ms: float) -> list[HeldReading]:
+        """All held requests, the newest last."""
+        found = [(f, self._held.get(f)) for f in self._held]
+        return [
+            HeldReading(
+                f,
+                held.workspace,
+                held.trials,
+                held.stored,
+                round(held.since_ms + held.pause_ms - now_ms),
+            )
+            for f, held in found
+            if held is not None
+        ]
+
+    def suspects(self, most: int) -> list[SuspectReading]:
+        """The suspects that met most ends."""
+        found = [(f, self._suspects.get(f)) for f in self._suspects]
+        readings = [
+            SuspectReading(f, suspect.workspace, round(suspect.weight, 2), suspect.ends)
+            for f, suspect in found
+            if suspect is not None
+        ]
+        return sorted(readings, key=lambda reading: reading.weight, reverse=True)[:most]
+
+    # inside
+
+    def _stored(self, fingerprint: str) -> bool:
+        held = self._held.get(fingerprint)
+        return held is not None and held.stored
+
+    def _suspect(self, fingerprint: str, workspace: str, now_ms: float) -> _Suspect:
+        suspect = self._suspects.get(fingerprint) or _Suspect(workspace)
+        suspect.last_ms = now_ms
+        for yielded in self._suspects.put(fingerprint, workspace, suspect):
+            self._waiting.pop(yielded, None)
+        return suspect
+
+    def _clear(self, fingerprint: str) -> None:
+        # Also of ends on which there is no verdict yet: an answer proves more than being there.
+        self._suspects.pop(fingerprint)
+        if self._waiting.pop(fingerprint, 0):
+            for end in self._ends.values():
+                end.aboard.pop(fingerprint, None)
+
+    def _prior(self, workspace: str) -> float:
+        return APART_WEIGHT if self._held.count(workspace) >= MANY_HELD else 0.0
+
+    def _verdict_in_ms(self, fingerprint: str, now_ms: float) -> float:
+        times = [end.first_ms for end in self._ends.values() if fingerprint in end.aboard]
+        return max(1.0, max(times, default=now_ms) + SETTLE_MS - now_ms)
+
+    def _look_at_held(self, fingerprint: str, held: _Held, now_ms: float) -> Standing:
+        if now_ms - held.since_ms < held.pause_ms or not self._tries(fingerprint):
+            self.held_back += 1
+            return Standing(Treatment.HELD)
+        # This one is the trial; whatever comes meanwhile is held back as before.
+        held.since_ms, held.on_trial = now_ms, True
+        return Standing(Treatment.TRIAL)
+
+    def _judge(self, end: _OpenEnd, now_ms: float) -> list[HeldRequest]:
+        for fingerprint in end.aboard:
+            _take_one(self._waiting, fingerprint)
+        known = [(f, held) for f in end.aboard if (held := self._held.get(f)) is not None]
+        if known:
+            # That explains the end; nobody else is to blame for it.
+            return [self._tried_in_vain(f, held, now_ms) for f, held in known if held.on_trial]
+        early = {f for f, is_early in end.aboard.items() if is_early} or set(end.aboard)
+        suspected = {f for f in early if self._weight(f) >= APART_WEIGHT}
+        for fingerprint in end.aboard:
+            self._weigh(fingerprint, end, early=fingerprint in early)
+        sole = not end.together and len(suspected) == 1
+        return [
+            self._convict(f, now_ms)
+            for f in early
+            if self._weight(f) >= SURE_WEIGHT
+            or (sole and f in suspected and self._weight(f) >= HELD_WEIGHT)
+        ]
+
+    def _weight(self, fingerprint: str) -> float:
+        suspect = self._suspects.get(fingerprint)
+        return 0.0 if suspect is None else suspect.weight + self._prior(suspect.workspace)
+
+    def _weigh(self, fingerprint: str, end: _OpenEnd, *, early: bool) -> None:
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return
+        whole = TOGETHER_WEIGHT if end.together else 1.0
+        suspect.weight += whole * (1.0 if early else LATE_WEIGHT)
+        suspect.ends += 1
+
+    def _convict(self, fingerprint: str, now_ms: float) -> HeldRequest:
+        suspect = self._suspects.get(fingerprint)
+        request = HeldRequest(fingerprint, suspect.workspace if suspect is not None else "", 0)
+        return self._hold(request, now_ms)
+
+    def _tried_in_vain(self, fingerprint: str, held: _Held, now_ms: float) -> HeldRequest:
+        return self._hold(HeldRequest(fingerprint, held.workspace, held.trials + 1), now_ms)
+
+    def _hold(self, request: HeldRequest, now_ms: float, *, stored: bool = False) -> HeldRequest:
+        held = _Held(request.workspace, request.trials, now_ms)
+        held.stored = stored
+        self._suspects.pop(request.fingerprint)
+        self.yielded += self._held.put(request.fingerprint, request.workspace, held)
+        return request
+
+    def _forget(self, now_ms: float) -> None:
+        past_ms = now_ms - SETTLE_MS * 10
+        self._settled = {key: at for key, at in self._settled.items() if at > past_ms}
+        for fingerprint in self._suspects:
+            suspect = self._suspects.get(fingerprint)
+            if suspect is not None and now_ms - suspect.last_ms > FORGET_MS:
+                self._suspects.pop(fingerprint)
+
+
+def _take_one(counts: Counter[Key], key: Key) -> None:
+    """Count one less of a key, which goes with its last."""
+    counts[key] -= 1
+    if counts[key] <= 0:
+        del counts[key]
--- a/packages/gateway/src/tamarack_gateway/caller_handler.py
+++ b/packages/gateway/src/tamarack_gateway/caller_handler.py
@@ -7,12 +7,15 @@
 from tamarack_core.leaving import ELSEWHERE_MS
 from tamarack_gateway.caller_connection import CallerConnection
 from tamarack_gateway.connection_pool import ConnectionPool
+from tamarack_gateway.containment import Containment
+from tamarack_gateway.end_witness import EndWitness
 from tamarack_gateway.exchange import Exchange
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.gateway_metrics import GatewayMetrics
 from tamarack_gateway.http_messages import Request
 from tamarack_gateway.loop_watch import LoopWatch
 from tamarack_gateway.outbox import Outbox
+from tamarack_gateway.quarantine_feed import QuarantineFeed
 from tamarack_gateway.site import RequestDialect
 
 DENY_AGE_MS = 3_600.0
@@ -44,6 +47,8 @@
         outbox: Outbox,
         metrics: GatewayMetrics,
         watch: LoopWatch,
+        witness: EndWitness,
+        quarantine: QuarantineFeed,
     ) -> None:
         self._state = state
         self._dialect = dialect
@@ -51,6 +56,8 @@
         self._outbox = outbox
         self._metrics = metrics
         self._watch = watch
+        self._witness = witness
+        self._quarantine = quarantine
         self._clock = state.clock
         self._log = state.log
         self.ending = False
@@ -72,7 +79,7 @@
             # Nobody has this address by a valid answer any more; the router ends with what runs.
             self._refuse(caller, facts.attempt, "leaving", ELSEWHERE_MS)
             return
-        if rules is None or not state.endpoints_known:
+        if rules is None or not state.informed:
             self._refuse(caller, facts.attempt, "no configuration is known yet", 300.0)
             return
         route = rules.route_for(facts.host, facts.path)
@@ -93,7 +100,16 @@
             workspace = None
         self._metrics.began(route)
         exchange = Exchange(
-            state, dialect, self._pool, self._outbox, caller, request, facts, route, workspace
+            state,
+            dialect,
+            self._pool,
+            self._outbox,
+            caller,
+            request,
+            facts,
+            route,
+            workspace,
+            Containment(state, self._witness, self._quarantine, request, facts.host, workspace),
         )
         try:
             await exchange.run()
--- a/packages/gateway/src/tamarack_gateway/connection_pool.py
+++ b/packages/gateway/src/tamarack_gateway/connection_pool.py
@@ -57,6 +57,16 @@
         """Connections that are kept for one life of an endpoint."""
         return sum(len(idle) for target, idle in self._idle.items() if target.key == key)
 
+    def lives(self, endpoint: Endpoint) -> bool:
+        """Whether a kept connection to an endpoint is open: all break when it ends."""
+        return any(connection.usable for connection in self._idle.get(_target(endpoint), []))
+
+    def keep_new(self, endpoint: Endpoint, connection: EndpointConnection) -> None:
+        """Keep a connection that was made and not used for a request yet."""
+        self.opened += 1
+        connection.idle_since_ms = self._clock.now_ms
+        self.put_back(endpoint, connection)
+
     async def take(self, endpoint: Endpoint) -> EndpointConnection:
         """A connection that is fresh enough, or a new one; raises `ConnectError`."""
         idle = self._idle.get(_target(endpoint), [])
--- a/packages/gateway/src/tamarack_gateway/endpoint_connection.py
+++ b/packages/gateway/src/tamarack_gateway/endpoint_connection.py
@@ -26,6 +26,10 @@
     """No connection could be made; nothing was sent."""
 
 
+class RefusedError(ConnectError):
+    """Nobody listens at the address: the process that did has ended."""
+
+
 class BrokenAnswerError(ConnectionError):
     """The connection ended, or its bytes were no answer, before the answer was whole."""
 
@@ -211,6 +215,8 @@
     try:
         async with asyncio.timeout(timeout_ms / 1000):
             _, connection = await loop.create_connection(EndpointConnection, host, int(port))
+    except ConnectionRefusedError as error:
+        raise RefusedError(str(error)) from error
     except (OSError, TimeoutError) as error:
         raise ConnectError(str(error) or "no answer") from error
     return connection
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -4,18 +4,18 @@
 
 import asyncio
 from collections.abc import Awaitable, Sequence
-from functools import cached_property
 
 from tamarack_core.admission import Admission, Decision
 from tamarack_core.admitted_placement import AdmittedPlacement
 from tamarack_core.endpoint_book import Endpoint, EndpointLife
-from tamarack_core.fingerprint import fingerprint
 from tamarack_core.placement import Choice, choose_engine, choose_plain
 from tamarack_core.prompt import Prompt
+from tamarack_core.quarantine import Treatment
 from tamarack_core.ruleset import Route
 from tamarack_gateway.caller_answer import CallerAnswer
 from tamarack_gateway.caller_connection import CallerConnection
 from tamarack_gateway.connection_pool import ConnectionPool
+from tamarack_gateway.containment import Containment
 from tamarack_gateway.endpoint_connection import (
     BrokenAnswerError,
     ConnectError,
@@ -81,6 +81,7 @@
         facts: RequestFacts,
         route: Route,
         workspace: str | None,
+        containment: Containment,
     ) -> None:
         self._state = state
         self._dialect = dialect
@@ -90,6 +91,7 @@
         self._facts = facts
         self._route = route
         self._workspace = workspace
+        self._containment = containment
         self._service = route.service_for(state.random.random())
         self._notes = SendNotes(state, outbox, facts.attempt, workspace, self._prompt)
         self._answer = CallerAnswer(caller, dialect, facts.attempt)
@@ -128,14 +130,6 @@
     def _prompt(self) -> Prompt | None:
         return self._facts.prompt if self._route.streams else None
 
-    @cached_property
-    def _fingerprint(self) -> str:
-        # Made only where it is asked for: for most requests nobody has to know.
-        request = self._request
-        return fingerprint(
-            self._workspace, self._facts.host, request.method, request.target, request.body
-        )
-
     @property
     def _left_ms(self) -> float:
         return self._until_ms - self._state.clock.now_ms
@@ -151,6 +145,12 @@
         connects = 0
         last = Result(Verdict.NOT_RUN, "no endpoint")
         while True:
+            standing = self._containment.look()
+            if standing.treatment is Treatment.HELD:
+                return self._hold_back()
+            if standing.treatment is Treatment.WAIT and self._left_ms >= LEAST_LEFT_MS:
+                await asyncio.sleep(min(standing.wait_ms, self._left_ms) / 1000)
+                continue
             placement = self._place() if self._keys_hold() else None
             if placement is None:
                 return self._give_up(last)
@@ -195,6 +195,7 @@
         fresh = [e for e in endpoints if e.key not in self._tried]
         if self._sends == 0 and not fresh:
             fresh = endpoints
+        fresh = list(self._containment.among(fresh))
         if not fresh:
             return None
         if self._sends == 0 and self._prompt is not None:
@@ -253,6 +254,8 @@
         self._tried.add(endpoint.key)
         self._notes.placed(choice, self._route, self._service, self._sends, self._left_ms)
         self._notes.sent(choice)
+        self._containment.sent(endpoint)
+        self._first_event_ms = None
         sent_ms = state.clock.now_ms
         whole = False
         try:
@@ -266,6 +269,7 @@
             result = Result(Verdict.BROKEN, str(error), lost=lost)
         finally:
             self._notes.ended()
+            self._containment.ended()
             if whole:
                 self._pool.give_back(endpoint, connection)
             else:
@@ -273,15 +277,10 @@
                 connection.abort()
         took_ms = state.clock.now_ms - sent_ms
         self._notes.result(endpoint, result, took_ms)
+        if result.verdict in (Verdict.DONE, Verdict.FAILED):
+            self._containment.answered()
         if result.lost:
-            state.log.request(
-                "connection lost",
-                self._facts.attempt,
-                endpoint=endpoint.name,
-                fingerprint=self._fingerprint,
-                sent_ms_ago=round(took_ms),
-                events=self._splitter.last,
-            )
+            await self._note_lost(endpoint, took_ms)
         if result.verdict is Verdict.DONE:
             state.log.request(
                 "answered",
@@ -293,6 +292,21 @@
             )
         return result
 
+    async def _note_lost(self, endpoint: Endpoint, took_ms: float) -> None:
+        state, now_ms = self._state, self._state.clock.now_ms
+        begun_ms = self._first_event_ms
+        running_ms = None if begun_ms is None else now_ms - begun_ms
+        ended = await self._containment.lost(endpoint, running_ms)
+        state.log.request(
+            "connection lost",
+            self._facts.attempt,
+            endpoint=endpoint.name,
+            ended=ended,
+            fingerprint=self._containment.fingerprint,
+            sent_ms_ago=round(took_ms),
+            running_ms=running_ms and round(running_ms),
+        )
+
     async def _ask(self, choice: Choice, connection: EndpointConnection) -> Result:
         data = self._dialect.for_endpoint(
             self._request,
@@ -412,6 +426,21 @@
         )
         return allowed
 
+    def _hold_back(self) -> None:
+        self._state.log.request(
+            "held back",
+            self._facts.attempt,
+            reason="endpoints ended under it",
+            fingerprint=self._containment.fingerprint,
+            sends=self._sends,
+        )
+        if self._caller.begun:
+            self._caller.cut()
+        elif self._may_have_run:
+            self._answer.refuse(502, None)
+        else:
+            self._answer.hold_back()
+
     def _give_up(self, last: Result) -> None:
         state = self._state
         if self._caller.begun:
--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -36,6 +36,11 @@
 ROUTERS_PAUSE_MS = 500.0
 """The same for other routers; the history that the store keeps covers it."""
 
+QUARANTINE_WAIT_MS = 25_000.0
+QUARANTINE_PAUSE_MS = 500.0
+"""The same for requests that are held back. Routers tell each other of these; the store is for
+those that start later, and each call of it is paid for."""
+
 WRITE_TRIES = 20
 """Tries to write the own row; the last ones are some ten seconds after the start."""
 
@@ -74,6 +79,8 @@
         Called with what this router learned from the store, for the others.
     wanted
         Called when the others should tell a whole table.
+    took_quarantine
+        Called with what is learned of requests that are held back.
     """
 
     def __init__(
@@ -85,8 +92,10 @@
         reads: Callable[[str], bool],
         told: Callable[[TableNews], None],
         wanted: Callable[[CopyWanted], None],
+        took_quarantine: Callable[[TableChange], None],
     ) -> None:
         self._site = site
+        self._took_quarantine = took_quarantine
         self._state = state
         self._follow = follow
         self._reads = reads
@@ -101,6 +110,7 @@
         self._leaving = False
         self._tasks: list[asyncio.Task[Any]] = []
         self._clients: list[StoreClient] = []
+        self._former_calls = 0
         self._followers: dict[str, TableFollower] = {}
 
     def start(self, peers_address: str, boot: int) -> None:
@@ -111,6 +121,12 @@
             (tables.configuration, rules_wait_ms, RULES_PAUSE_MS, self._took_rules),
             (tables.endpoints, ENDPOINTS_WAIT_MS, ENDPOINTS_PAUSE_MS, self._took_endpoints),
             (tables.routers, ROUTERS_WAIT_MS, ROUTERS_PAUSE_MS, self._took_routers),
+            (
+                tables.quarantine,
+                QUARANTINE_WAIT_MS,
+                QUARANTINE_PAUSE_MS,
+                self._took_quarantine,
+            ),
         ):
             follower = TableFollower(
                 self._client(),
@@ -133,7 +149,7 @@
     @property
     def calls(self) -> int:
         """Calls of the store that were made."""
-        return sum(client.calls for client in self._clients)
+        return self._former_calls + sum(client.calls for client in self._clients)
 
     def hear(self, news: TableNews, stamp_ms: float) -> None:
         """Take in what another router learned from the store."""
@@ -146,6 +162,20 @@
         follower = self._followers.get(wanted.table)
         return None if follower is None else follower.copy(wanted.after)
 
+    async def write_quarantine(self, key: str, value: bytes | None) -> bool:
+        """Write the row of a held request, or remove it; returns whether that was done."""
+        client, tables = self._client(), self._site.tables
+        try:
+            await client.call(self._site.store.write(tables.quarantine, key, value))
+        except StoreError as error:
+            self._state.log.event("a held request was not written", reason=str(error), row=key)
+            return False
+        finally:
+            client.close()
+            self._clients.remove(client)
+            self._former_calls += client.calls
+        return True
+
     async def leave(self) -> None:
         """Take this router out of the list of routers.
 
--- a/packages/gateway/src/tamarack_gateway/fleet_members.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_members.py
@@ -110,6 +110,10 @@
         recent = {*self._recent(now_ms), me.router}
         return len(recent) <= SMALL_FLEET or winner(endpoint, recent) == me.router
 
+    def owns(self, matter: str, me: Member, now_ms: float) -> bool:
+        """Whether a matter that one router sees to is this router's."""
+        return winner(matter, {*self._recent(now_ms), me.router}) == me.router
+
     def gives(self, matter: str, me: Member, now_ms: float) -> bool:
         """Whether this router tells others a whole table: one of those that confirm what it says.
 
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 from tamarack_core.clock import Clock
 from tamarack_core.endpoint_book import Endpoint, EndpointBook, EndpointLife
@@ -11,6 +12,7 @@
 from tamarack_core.first_token import FirstTokenTime
 from tamarack_core.key_freshness import KeyFreshness
 from tamarack_core.leaving import LeavingPlan
+from tamarack_core.quarantine import Quarantine
 from tamarack_core.retry_allowance import RetryAllowance
 from tamarack_core.return_detector import ReturnDetector
 from tamarack_core.ruleset import CallerBounds, Ruleset
@@ -39,6 +41,15 @@
 way to the endpoint then, and timers fire late."""
 
 
+ENDED_MS = 4_000.0
+"""Time for which an endpoint that ended gets no work though it is still listed: its entry lapses
+after three missed heartbeats of 1.2 s. Without it each router finds out by connections that are
+refused, for 0.9 to 3.6 s."""
+
+ENDED_LIFELESS_MS = 1_000.0
+"""The same where entries tell no life: the next one cannot be told from the one that ended."""
+
+
 class FleetState:
     """The beliefs that tasks of one router share; only the loop's thread touches them."""
 
@@ -62,6 +73,10 @@
         )
         self.shares = WorkspaceShares(bounds.share_window_ms, clock.now_ms)
         self.returns = ReturnDetector()
+        self.quarantine = Quarantine(lambda fingerprint: self.owns(fingerprint))
+        self.quarantine_known = False
+        self.owns: Callable[[str], bool] = _never
+        self._ended_until_ms: dict[EndpointLife, float] = {}
         self.leaving: LeavingPlan | None = None
         self._times: dict[str, ServiceTimes] = {}
         self._first_tokens: dict[str, FirstTokenTime] = {}
@@ -72,7 +87,16 @@
     @property
     def ready(self) -> bool:
         """Whether callers should be sent here."""
-        return self.rules is not None and self.endpoints_known and self.leaving is None
+        return self.informed and self.leaving is None
+
+    @property
+    def informed(self) -> bool:
+        """Whether all is known that callers' requests are decided by.
+
+        A router that took callers before it knows which requests are held back would send these on,
+        each router of a fleet that starts anew.
+        """
+        return self.rules is not None and self.endpoints_known and self.quarantine_known
 
     @property
     def fresh(self) -> bool:
@@ -169,7 +193,19 @@
 
     def usable(self, service: str) -> list[Endpoint]:
         """Endpoints of a service that may get new work."""
-        return self.book.usable(service)
+        endpoints = self.book.usable(service)
+        if not self._ended_until_ms:
+            return endpoints
+        now_ms = self.clock.now_ms
+        until_ms = self._ended_until_ms
+        return [e for e in endpoints if until_ms.get(e.key, 0.0) <= now_ms]
+
+    def put_ended(self, key: EndpointLife) -> None:
+        """Take in that a life of an endpoint is over, though its entry may still be there."""
+        now_ms = self.clock.now_ms
+        believed_ms = ENDED_MS if key.life is not None else ENDED_LIFELESS_MS
+        kept = {k: until for k, until in self._ended_until_ms.items() if until > now_ms}
+        self._ended_until_ms = {**kept, key: now_ms + believed_ms}
 
     def shortest_aim_ms(self, service: str, aim_ms: float) -> float:
         """Shortest aim of all routes that share a service's engines with one of `aim_ms`."""
@@ -202,3 +238,8 @@
             service = self.rules.service(endpoint.service) if self.rules and endpoint else None
             if service is not None and service.engine is not None:
                 model.resize(service.engine.memory_tokens)
+
+
+def _never(matter: str) -> bool:
+    """Stands where nobody has told which matters are this router's."""
+    return False
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -14,6 +14,7 @@
 from tamarack_gateway.caller_handler import CallerHandler
 from tamarack_gateway.connection_pool import ConnectionPool
 from tamarack_gateway.decision_log import DecisionLog
+from tamarack_gateway.end_witness import EndWitness
 from tamarack_gateway.fleet_feeds import FleetFeeds
 from tamarack_gateway.fleet_members import FleetMembers, Member
 from tamarack_gateway.fleet_state import FleetState
@@ -24,6 +25,7 @@
 from tamarack_gateway.own_pages import OwnPages
 from tamarack_gateway.peer_group import PeerGroup
 from tamarack_gateway.peer_messages import Report, Summary
+from tamarack_gateway.quarantine_feed import QuarantineFeed
 from tamarack_gateway.site import Site
 from tamarack_gateway.table_follower import CopyWanted, TableNews
 
@@ -74,8 +76,23 @@
             relays=lambda: self._peers.relays,
             loop=self._watch.status,
         )
+        self._state.owns = lambda matter: self._members.owns(matter, self._me, clock.now_ms)
+        self._quarantine = QuarantineFeed(
+            self._state,
+            tell=lambda evidence: self._peers.tell_evidence(evidence),
+            writes=self._state.owns,
+            write=lambda key, value: self._feeds.write_quarantine(key, value),
+        )
+        self._witness = EndWitness(self._state, self._pool, took=self._quarantine.saw)
         self._handler = CallerHandler(
-            self._state, site.requests, self._pool, self._outbox, self._metrics, self._watch
+            self._state,
+            site.requests,
+            self._pool,
+            self._outbox,
+            self._metrics,
+            self._watch,
+            self._witness,
+            self._quarantine,
         )
         self._listeners = Listeners(self._state, clock, self._watch, self._connections)
         self._tasks: list[asyncio.Task[Any]] = []
@@ -102,6 +119,7 @@
             reads=self._reads,
             told=self._tell_news,
             wanted=self._peers.tell_wanted,
+            took_quarantine=self._quarantine.took,
         )
         self._inventory = CacheInventory(
             self._state,
@@ -127,9 +145,14 @@
             if address:
                 self._site_addresses.append(await listen(address, self._pages.answer_site))
         self._metrics_address = await listen(settings.metrics, self._pages.answer_operator)
-        self._tasks.append(asyncio.ensure_future(self._inventory.run()))
-        self._tasks.append(asyncio.ensure_future(self._sweep()))
-        self._tasks.append(asyncio.ensure_future(self._flush()))
+        for task in (
+            self._inventory.run(),
+            self._quarantine.run(),
+            self._quarantine.store(),
+            self._sweep(),
+            self._flush(),
+        ):
+            self._tasks.append(asyncio.ensure_future(task))
         self._log.event("started", callers=self._callers, peers=self._peers.address)
         return self
 
@@ -141,6 +164,7 @@
         self._listeners.close()
         self._handler.ending = True
         await asyncio.gather(*(connection.stop() for connection in list(self._connections)))
+        await self._witness.close()
         self._pool.close()
         await asyncio.sleep(0)
         await self._stack.aclose()
@@ -205,8 +229,6 @@
             await asyncio.sleep(LEAVE_STEP_MS / 1000)
         self._log.event("left", connections=len(self._connections))
 
-    # callers
-
     # peers
 
     @property
@@ -248,9 +270,10 @@
         if report.news is not None:
             stamp_ms = report.news.stamps.get(self._settings.router, float("-inf"))
             self._feeds.hear(report.news, stamp_ms)
-
         if report.wanted is not None:
             self._give_copy(report.wanted)
+        if report.evidence is not None:
+            self._quarantine.hear(report.evidence)
 
     def _give_copy(self, wanted: CopyWanted) -> None:
         if self._members.gives(f"{wanted.table}/{wanted.tries}", self._me, self._clock.now_ms):
--- a/packages/gateway/src/tamarack_gateway/peer_group.py
+++ b/packages/gateway/src/tamarack_gateway/peer_group.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from tamarack_core.clock import Clock
+from tamarack_core.end_evidence import Evidence
 from tamarack_core.relay_plan import Links, Peer, RelayPlan
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.outbox import Outbox, Placements, PlacementSum
@@ -160,6 +161,10 @@
         """Ask the others for a whole table."""
         self._tell(wanted=wanted)
 
+    def tell_evidence(self, evidence: Evidence) -> None:
+        """Tell at once what this router learned of requests that end endpoints."""
+        self._tell(evidence=evidence)
+
     def _tell(
         self,
         *,
@@ -167,8 +172,10 @@
         placements: Placements | None = None,
         news: TableNews | None = None,
         wanted: CopyWanted | None = None,
+        evidence: Evidence | None = None,
     ) -> None:
-        report = Report(self._router, self._clock.now_ms, summary, placements, news, wanted)
+        now_ms = self._clock.now_ms
+        report = Report(self._router, now_ms, summary, placements, news, wanted, evidence)
         if self._links.relays:
             self._gather(report)
             return
--- a/packages/gateway/src/tamarack_gateway/peer_messages.py
+++ b/packages/gateway/src/tamarack_gateway/peer_messages.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from tamarack_core.end_evidence import Evidence
 from tamarack_core.wire import message
 from tamarack_gateway.outbox import Placements
 from tamarack_gateway.table_follower import CopyWanted, TableNews
@@ -43,16 +44,22 @@
     placements: Placements | None = None
     news: TableNews | None = None
     wanted: CopyWanted | None = None
+    evidence: Evidence | None = None
 
     @property
     def urgent(self) -> bool:
         """Whether a relay should pass it on soon; how a router is can wait a little."""
-        return self.placements is not None or self.news is not None or self.wanted is not None
+        return self.placements is not None or self._tells_event
 
     @property
     def tells_more(self) -> bool:
         """Whether it tells more than placements."""
-        return self.summary is not None or self.news is not None or self.wanted is not None
+        return self.summary is not None or self._tells_event
+
+    @property
+    def _tells_event(self) -> bool:
+        events = (self.news, self.wanted, self.evidence)
+        return any(event is not None for event in events)
 
 
 @message(65)
--- a/packages/gateway/src/tamarack_gateway/router_status.py
+++ b/packages/gateway/src/tamarack_gateway/router_status.py
@@ -69,6 +69,7 @@
     configuration: int
     endpoint: int
     router: int
+    quarantine: int
     newest_configuration: str | None
 
 
@@ -114,6 +115,7 @@
         "configuration": counts[RowKind.CONFIGURATION],
         "endpoint": counts[RowKind.ENDPOINT],
         "router": counts[RowKind.ROUTER],
+        "quarantine": counts[RowKind.QUARANTINE],
         "newest_configuration": state.unreadable_rules,
     }
 
--- a/packages/gateway/src/tamarack_gateway/site.py
+++ b/packages/gateway/src/tamarack_gateway/site.py
@@ -248,6 +248,7 @@
     configuration_key: str
     endpoints: str
     routers: str
+    quarantine: str
 
 
 class Site(NamedTuple):
--- a/packages/gateway/src/tamarack_gateway/unreadable_rows.py
+++ b/packages/gateway/src/tamarack_gateway/unreadable_rows.py
@@ -25,6 +25,7 @@
     CONFIGURATION = "configuration"
     ENDPOINT = "endpoint"
     ROUTER = "router"
+    QUARANTINE = "quarantine"
 
 
 class UnreadableRows:
--- a/tests/test_foreign_rows.py
+++ b/tests/test_foreign_rows.py
@@ -258,7 +258,8 @@
     told = "the newest configuration cannot be read, an older one is in force"
     lines = capsys.readouterr().out.splitlines()
     assert [line.startswith(told) for line in lines].count(True) == 1
-    assert "versions of rows that could not be used: configuration 1, endpoint 0, router 0" in lines
+    counts = "configuration 1, endpoint 0, router 0, quarantine 0"
+    assert f"versions of rows that could not be used: {counts}" in lines
 
 
 def test_a_key_that_an_unreadable_configuration_takes_away_opens_nothing() -> None:
--- a/tests/test_foreign_rows_fuzz.py
+++ b/tests/test_foreign_rows_fuzz.py
@@ -14,10 +14,13 @@
 from hypothesis import strategies as st
 
 from tamarack_core.clock import HeldClock
+from tamarack_core.end_evidence import Evidence, HeldRequest
 from tamarack_core.endpoint_book import Endpoint
 from tamarack_core.json_input import is_ip_port
+from tamarack_core.quarantine import HeldReading
 from tamarack_core.relay_plan import Peer
 from tamarack_core.ruleset import Ruleset
+from tamarack_core.wire import encode
 from tamarack_gateway.connection_pool import ConnectionPool
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.fleet_feeds import FleetFeeds
@@ -25,6 +28,8 @@
 from tamarack_gateway.gateway_metrics import GatewayMetrics
 from tamarack_gateway.http_messages import Request
 from tamarack_gateway.loop_watch import LoopWatch
+from tamarack_gateway.peer_messages import Report
+from tamarack_gateway.quarantine_feed import QuarantineFeed
 from tamarack_gateway.site import FleetBounds, GatewaySettings, Row
 from tamarack_gateway.table_follower import TableChange
 from tamarack_platform.configuration import read_endpoint, read_keys, read_rules
@@ -253,11 +258,22 @@
             reads=lambda table: True,
             told=lambda news: None,
             wanted=lambda wanted: None,
+            took_quarantine=lambda change: self.quarantine.took(change),
+        )
+        self.evidence: list[Evidence] = []
+        self.quarantine = QuarantineFeed(
+            self.state,
+            tell=self.evidence.append,
+            writes=lambda fingerprint: False,
+            write=self._write,
         )
         # There is no store to enter this router into.
         self.feeds._leaving = True
         self.version = 0
 
+    async def _write(self, key: str, value: bytes | None) -> bool:
+        return False
+
     def _follow(self, peers: dict[str, Peer]) -> None:
         self.peers = dict(peers)
 
@@ -273,6 +289,7 @@
             "servers": self.feeds._took_endpoints,
             "op": self.feeds._took_rules,
             "routers": self.feeds._took_routers,
+            "quarantine": self.quarantine.took,
         }
         take[table](change)
 
@@ -296,6 +313,14 @@
             ),
             st.booleans(),
         ),
+        st.tuples(
+            st.just("quarantine"),
+            st.lists(
+                st.tuples(names, st.none() | spoiled({"workspace": "shop", "trials": 1})),
+                max_size=3,
+            ),
+            st.booleans(),
+        ),
         st.tuples(
             st.just("op"),
             st.lists(st.tuples(names, st.none() | spoiled(configuration())), max_size=2),
@@ -306,6 +331,12 @@
 )
 
 
+def check_tellable(readings: list[HeldReading]) -> None:
+    """What was read of held requests can be told to other routers."""
+    held = [HeldRequest(one.fingerprint, one.workspace, one.trials + 1) for one in readings]
+    encode([Report("r1", 1.0, evidence=Evidence([], [], held))])
+
+
 @settings(drawn, max_examples=150)
 @given(steps)
 def test_no_rows_end_a_task_or_cost_another_row(
@@ -324,6 +355,7 @@
             "servers": ("good", written(ENTRY)),
             "routers": ("r9", written({"peers": "10.0.0.9:7", "boot": 1})),
             "op": ("config", written(configuration())),
+            "quarantine": ("f1", written({"workspace": "shop", "trials": 0})),
         }
         for table, row in good.items():
             feeds.change(table, [row], whole=True)
@@ -333,6 +365,8 @@
             feeds.change(table, [*rows, *beside], whole=whole)
             assert "good" in [endpoint.name for endpoint in state.usable("web")]
             assert "r9" in feeds.peers
+            assert state.quarantine.holds("f1")
+            check_tellable(state.quarantine.held(feeds.clock.now_ms))
             assert all(is_ip_port(peer.address) for peer in feeds.peers.values())
             assert state.rules is not None
             check_in_force(state.rules)
