Send requests that end workers through the soak, and hold them to the rule

Callers' bodies differ by caller, so that innocent repeats have names of their own. Verdicts are written at once.

--- a/packages/gateway/src/tamarack_gateway/quarantine_feed.py
+++ b/packages/gateway/src/tamarack_gateway/quarantine_feed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Annotated
 
@@ -74,6 +75,7 @@
         self._write = write
         self._news = Evidence([], [], [])
         self._told = asyncio.Event()
+        self._verdict = asyncio.Event()
         self._unwritten_ms: dict[str, float] = {}
 
     # what is learned
@@ -143,6 +145,7 @@
             for request in self._quarantine.settle(now_ms):
                 self._log_held(request, "endpoints ended under it")
                 self._news.held.append(request)
+                self._verdict.set()
             if any(self._news):
                 news, self._news = self._news, Evidence([], [], [])
                 self._tell(news)
@@ -150,7 +153,11 @@
     async def store(self) -> None:
         """Write verdicts to the store until it lists them; runs until cancelled."""
         while True:
-            await asyncio.sleep(WRITE_MS / 1000)
+            # At once after a verdict: routers that are all killed soon after it would not know.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(WRITE_MS / 1000):
+                    await self._verdict.wait()
+            self._verdict.clear()
             await self._store_held()
             while self._quarantine.yielded:
                 fingerprint = self._quarantine.yielded.pop()
--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -3,8 +3,9 @@
 Routers are killed, stopped, paused and restarted by signals, singly, all at once and in turn; their
 connections to the store and to workers are delayed, reset, cut one way and silenced by proxies; the
 store falls silent, refuses, loses answers and forgets its history; workers fail in all their ways,
-leave, are replaced and start again under their names; keys are taken away; rows are overwritten
-with what cannot be read. Callers and workers check the promises meanwhile.
+leave, are replaced and start again under their names; requests end the workers that run them; keys
+are taken away; rows are overwritten with what cannot be read. Callers and workers check the
+promises meanwhile.
 """
 
 from __future__ import annotations
@@ -19,16 +20,20 @@
 import tempfile
 import time
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any, NamedTuple
 
 from tamarack_standins.fault_proxy import FaultProxy
 from tamarack_standins.platform_store import PlatformStore
 from tamarack_standins.platform_worker import BORN_MS, Arrived, PlatformWorker, Script
+from tamarack_standins.soak_ends import BACK_S, FATAL_BODIES, FATAL_REQUESTS, PAUSE_S, EndCounts
 from tamarack_standins.soak_routers import REVOKE_MS, SPELL_S, SoakRouters, disturb
 
 HOST = "soak.example"
 ROUTERS = 3
+ENGINES = 3
+ENGINES_ENDS_ONLY = 8
 CALLERS = 12
 FAULT_PAUSE_S = (0.2, 0.9)
 ANSWER_S = 8.0
@@ -56,6 +61,9 @@
         self._soak = soak
         self._streams = stream
         self.bad_part = 0.0
+        self.fatal = FATAL_BODIES
+        self.on_fatal = soak.ends.arrived
+        self.on_end = lambda: soak.worker_ended(self)
 
     def _next_script(self, arrived: Arrived) -> Script:
         draw = self._soak.random
@@ -85,8 +93,18 @@
 class Soak:
     """One seeded run."""
 
-    def __init__(self, seed: int, seconds: float, folder: Path, *, routers: int = ROUTERS) -> None:
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        folder: Path,
+        *,
+        routers: int = ROUTERS,
+        ends_only: bool = False,
+    ) -> None:
         self.random = random.Random(seed)
+        self._own_random = random.Random(seed + 1)
+        self._ends_only = ends_only
         self._seconds = seconds
         self._folder = folder
         self._port = 20_000 + (os.getpid() + seed * 7) % 5_000 * 2
@@ -103,6 +121,10 @@
         self._names = 0
         self._key = "key-0"
         self._stopping = False
+        self._disturbing = 0
+        self._disturbed_s = float("-inf")
+        self._returning: list[asyncio.Future[None]] = []
+        self.ends = EndCounts(self._calm_s)
         self.counts: Counter[str] = Counter()
         self.broken: list[str] = []
 
@@ -111,7 +133,8 @@
         async with self._stack:
             await self._stack.enter_async_context(self._store)
             await self._configure()
-            for service in ("web", "web", "pool", "pool", "pool"):
+            engines = ENGINES_ENDS_ONLY if self._ends_only else ENGINES
+            for service in ("web", "web", *["pool"] * engines):
                 await self._add_worker(service)
             self._routers = await self._stack.enter_async_context(
                 SoakRouters(
@@ -125,10 +148,13 @@
             )
             await self._routers.until_ready()
             callers = [asyncio.ensure_future(self._calls(n)) for n in range(CALLERS)]
-            faults = asyncio.ensure_future(self._faults())
+            callers.append(asyncio.ensure_future(self._fatal_calls()))
+            play_faults = self._kill_all_once if self._ends_only else self._faults
+            faults = asyncio.ensure_future(play_faults())
             await asyncio.sleep(self._seconds)
             self._stopping = True
             await asyncio.gather(*callers, faults)
+            await asyncio.gather(*self._returning)
             self._check_promises()
 
     def ran(self, arrived: Arrived, stream: bool) -> None:
@@ -154,6 +180,8 @@
                 self.broken.append(f"{attempt} was refused as not run and ran")
         if not self.counts["200"]:
             self.broken.append("no request was served")
+        self.broken += self.ends.broken()
+        self.counts["workers ended"] = sum(self.ends.arrivals.values())
 
     # the fleet
 
@@ -194,6 +222,50 @@
         entry = {**worker.entry(service, state=state), "address": link.address}
         await self._store.put("servers", worker.name, entry)
 
+    # workers that requests end
+
+    def worker_ended(self, worker: SoakWorker) -> None:
+        """Take in that a request has ended a worker, which comes back as another life."""
+        self._returning.append(asyncio.ensure_future(self._return(worker)))
+
+    async def _return(self, ended: SoakWorker) -> None:
+        await asyncio.sleep(self._own_random.uniform(*BACK_S))
+        for place, (service, worker, link) in enumerate(self._workers):
+            if worker is ended:
+                port = int(ended.address.rpartition(":")[2])
+                life = ended.life + 1_000
+                back = SoakWorker(ended.name, self, service == "pool", life=life, port=port)
+                self._workers[place] = (service, back, link)
+                await self._stack.enter_async_context(back)
+                await self._list(service, back, link)
+                return
+
+    async def _fatal_calls(self) -> None:
+        number = 0
+        while not self._stopping:
+            await asyncio.sleep(PAUSE_S)
+            number += 1
+            request = FATAL_REQUESTS[number % len(FATAL_REQUESTS)]
+            address = self._routers.address(number % self._count)
+            with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
+                async with asyncio.timeout(ANSWER_S):
+                    await self._call(request.path, self._key, address, request.body)
+
+    def _calm_s(self) -> float:
+        return 0.0 if self._disturbing else time.monotonic() - self._disturbed_s
+
+    async def _disturb(self, fault: Callable[[], Awaitable[None]]) -> None:
+        self._disturbing += 1
+        try:
+            await fault()
+        finally:
+            self._disturbing -= 1
+            self._disturbed_s = time.monotonic()
+
+    async def _kill_all_once(self) -> None:
+        await asyncio.sleep(self._seconds / 2)
+        await self._disturb(self._routers.kill_all)
+
     # faults
 
     async def _faults(self) -> None:
@@ -208,7 +280,8 @@
             await asyncio.sleep(self.random.uniform(*FAULT_PAUSE_S))
             fault = self.random.choice(faults)
             self.counts[f"fault {fault.__name__.strip('_')}"] += 1
-            running.append(asyncio.ensure_future(fault()))
+            disturbs = fault in (*routers, *links, *store)
+            running.append(asyncio.ensure_future(self._disturb(fault) if disturbs else fault()))
         await asyncio.gather(*running)
 
     async def _spell(self) -> None:
@@ -290,33 +363,38 @@
             router = self.random.randrange(self._count)
             with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
                 async with asyncio.timeout(ANSWER_S):
-                    await self._call(path, key, self._routers.address(router))
+                    body = b'{"caller": %d}' % number
+                    await self._call(path, key, self._routers.address(router), body)
                 continue
             self.counts["no answer"] += 1
             await asyncio.sleep(0.05)
 
-    async def _call(self, path: str, key: str, address: str) -> None:
+    async def _call(self, path: str, key: str, address: str, body: bytes = b"{}") -> None:
         host, _, port = address.partition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         attempt = f"a{len(self._sent)}"
         self._sent[attempt] = Sent(path, key, time.monotonic())
         lines = [f"POST {path}x HTTP/1.1", f"Host: {HOST}", f"X-Attempt-Id: {attempt}"]
-        lines += ["X-Deadline-Ms: 2500", "Content-Length: 2"]
+        lines += ["X-Deadline-Ms: 2500", f"Content-Length: {len(body)}"]
         if path in STREAMS:
             lines += [f"Authorization: Token {key}", "X-Model: m", "X-Token-Usage: 300,40"]
             lines.append(f"X-Prompt-Prefix: s{self.random.randrange(9)}:200,o{attempt}:100")
         try:
-            writer.write("\r\n".join([*lines, "", "{}"]).encode())
-            await self._read(reader, attempt, path in STREAMS)
+            writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+            await self._read(reader, attempt, path in STREAMS, body)
         finally:
             writer.close()
 
-    async def _read(self, reader: asyncio.StreamReader, attempt: str, stream: bool) -> None:
+    async def _read(
+        self, reader: asyncio.StreamReader, attempt: str, stream: bool, sent: bytes
+    ) -> None:
         head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
         status = int(head.split(" ")[1])
         self.counts[str(status)] += 1
         if status in PROMISES:
             self._promised.add(attempt)
+        if "content-type: text/plain" in head and sent not in FATAL_BODIES:
+            self.counts["others held back"] += 1
         if status != 200:
             return
         if "chunked" not in head:
@@ -336,10 +414,10 @@
             self.broken.append(f"{attempt} got other events: {events}")
 
 
-def play(seed: int, seconds: float, *, routers: int = ROUTERS) -> Soak:
+def play(seed: int, seconds: float, *, routers: int = ROUTERS, ends_only: bool = False) -> Soak:
     """Play one seed; returns it with its counts and what was broken."""
     with tempfile.TemporaryDirectory() as folder:
-        soak = Soak(seed, seconds, Path(folder), routers=routers)
+        soak = Soak(seed, seconds, Path(folder), routers=routers, ends_only=ends_only)
         asyncio.run(soak.run())
         if soak.broken:
             kept = Path("bench/out") / f"soak-{seed}"
@@ -356,10 +434,20 @@
     parser.add_argument("--seeds", type=int, default=10, help="number of seeds")
     parser.add_argument("--seconds", type=float, default=12.0, help="length of each run")
     parser.add_argument("--routers", type=int, default=ROUTERS, help="number of routers")
+    parser.add_argument(
+        "--ends-only",
+        action="store_true",
+        help="no fault but requests that end workers, and all routers killed once",
+    )
     arguments = parser.parse_args()
     failed = 0
     for seed in range(arguments.first, arguments.first + arguments.seeds):
-        soak = play(seed, arguments.seconds, routers=arguments.routers)
+        soak = play(
+            seed,
+            arguments.seconds,
+            routers=arguments.routers,
+            ends_only=arguments.ends_only,
+        )
         print(
             json.dumps({"seed": seed, "broken": soak.broken[:5], **dict(soak.counts)}), flush=True
         )
