Let operators set the quarantine's bounds, and split its records from its decisions

Cause: ends that make a verdict and the first pause stood fixed in the code; two modules had grown. Change: TAMARACK_HOLD_ENDS and TAMARACK_HOLD_PAUSE_S, checked at the start with every fault told; records and readings in a module of their own; logging of one request's part moved to its containment.

--- a/packages/core/src/tamarack_core/quarantine.py
+++ b/packages/core/src/tamarack_core/quarantine.py
@@ -19,6 +19,15 @@
 
 from tamarack_core.end_evidence import End, HeldRequest
 from tamarack_core.endpoint_book import EndpointLife
+from tamarack_core.quarantine_records import (
+    USUAL_BOUNDS,
+    Held,
+    HeldReading,
+    OpenEnd,
+    QuarantineBounds,
+    Suspect,
+    SuspectReading,
+)
 from tamarack_core.rendezvous import score
 from tamarack_core.workspace_table import WorkspaceTable
 
@@ -28,13 +37,9 @@
 """Ends met from which a suspect is sent apart from others. With one, all that an endpoint ran would
 be, at each end."""
 
-HELD_WEIGHT = 3.0
-"""Ends met from which a request can be held back, if it was the only suspect at the last one. The
-users allow three ends before a request counts as known."""
-
-SURE_WEIGHT = 6.0
-"""Ends met from which it is held back whoever else was there: suspects that always meet, or ends
-that always come together, must not keep one going for ever."""
+SURE_FACTOR = 2.0
+"""Times the ends that make a verdict from which one is given whoever else was there: suspects that
+always meet, or ends that always come together, must not keep one going for ever."""
 
 LATE_WEIGHT = 0.25
 """What an end counts against a request that had run for a while, where others had only begun: one
@@ -51,13 +56,6 @@
 FORGET_MS = 3_600_000.0
 """Time after its last end that a suspect is remembered; one that comes each half hour is found."""
 
-FIRST_PAUSE_MS = 120_000.0
-PAUSE_FACTOR = 5.0
-LONGEST_PAUSE_MS = 6 * 3_600_000.0
-"""Time for which a request is held back until it is tried once more, apart and by one router; what
-each end in such a trial makes of it; and its longest. A wrong verdict ends after two minutes; a
-right one costs an endpoint after 2, 10, 50 minutes, 4 hours, and four a day from then on."""
-
 MANY_HELD = 8
 """Held requests of one workspace from which its others are tried apart before they meet an end:
 whoever sends many kinds of them is not given three endpoints for each."""
@@ -94,66 +92,6 @@
 FREE = Standing(Treatment.FREE)
 
 
-class _Suspect:
-    """A request that met ends and was not answered whole since."""
-
-    __slots__ = ("ends", "last_ms", "weight", "workspace")
-
-    def __init__(self, workspace: str) -> None:
-        self.workspace = workspace
-        self.weight = 0.0
-        self.ends = 0
-        self.last_ms = 0.0
-
-
-class _Held:
-    """A request that is held back, and since when it was not tried."""
-
-    __slots__ = ("on_trial", "since_ms", "stored", "trials", "workspace")
-
-    def __init__(self, workspace: str, trials: int, since_ms: float) -> None:
-        self.workspace = workspace
-        self.trials = trials
-        self.since_ms = since_ms
-        self.stored = False
-        self.on_trial = False
-
-    @property
-    def pause_ms(self) -> float:
-        """Time from `since_ms` until it is tried again."""
-        return float(min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * PAUSE_FACTOR ** min(self.trials, 9)))
-
-
-class _OpenEnd:
-    """An end on which the verdict is not yet given."""
-
-    __slots__ = ("aboard", "first_ms", "together")
-
-    def __init__(self, first_ms: float) -> None:
-        self.first_ms = first_ms
-        self.together = False
-        self.aboard: dict[str, bool] = {}
-
-
-class HeldReading(NamedTuple):
-    """A held request as operators see it; `tried_in_ms` is the time until its next trial."""
-
-    fingerprint: str
-    workspace: str
-    trials: int
-    stored: bool
-    tried_in_ms: int
-
-
-class SuspectReading(NamedTuple):
-    """A suspect as operators see it."""
-
-    fingerprint: str
-    workspace: str
-    weight: float
-    ends: int
-
-
 class Quarantine:
     """The evidence and the verdicts of one router.
 
@@ -170,14 +108,17 @@
         Held requests that gave way to others, until somebody takes them out of the store.
     """
 
-    def __init__(self, tries: Callable[[str], bool]) -> None:
+    def __init__(
+        self, tries: Callable[[str], bool], bounds: QuarantineBounds = USUAL_BOUNDS
+    ) -> None:
         self._tries = tries
-        self._ends: dict[EndpointLife, _OpenEnd] = {}
+        self._bounds = bounds
+        self._ends: dict[EndpointLife, OpenEnd] = {}
         self._settled: dict[EndpointLife, float] = {}
-        self._suspects: WorkspaceTable[_Suspect] = WorkspaceTable(
+        self._suspects: WorkspaceTable[Suspect] = WorkspaceTable(
             most=MOST_SUSPECTS, most_of_one=MOST_SUSPECTS_OF_ONE
         )
-        self._held: WorkspaceTable[_Held] = WorkspaceTable(
+        self._held: WorkspaceTable[Held] = WorkspaceTable(
             most=MOST_HELD, most_of_one=MOST_HELD_OF_ONE
         )
         self._waiting: Counter[str] = Counter()
@@ -203,7 +144,7 @@
         if known is None:
             if len(self._ends) >= MOST_ENDS:
                 return
-            known = self._ends[end.key] = _OpenEnd(now_ms)
+            known = self._ends[end.key] = OpenEnd(now_ms)
             self.ends_seen += 1
         known.together = known.together or end.together
         for fingerprint, workspace, early in end.aboard:
@@ -300,7 +241,7 @@
         waiting = self._waiting.get(fingerprint, 0)
         if weight + waiting < APART_WEIGHT:
             return FREE
-        if waiting and weight + waiting >= HELD_WEIGHT:
+        if waiting and weight + waiting >= self._bounds.ends:
             return Standing(Treatment.WAIT, self._verdict_in_ms(fingerprint, now_ms))
         if self._running[fingerprint]:
             return Standing(Treatment.WAIT, BUSY_WAIT_MS)
@@ -346,7 +287,7 @@
                 held.workspace,
                 held.trials,
                 held.stored,
-                round(held.since_ms + held.pause_ms - now_ms),
+                round(held.tried_at_ms(self._bounds.first_pause_ms) - now_ms),
             )
             for f, held in found
             if held is not None
@@ -368,8 +309,8 @@
         held = self._held.get(fingerprint)
         return held is not None and held.stored
 
-    def _suspect(self, fingerprint: str, workspace: str, now_ms: float) -> _Suspect:
-        suspect = self._suspects.get(fingerprint) or _Suspect(workspace)
+    def _suspect(self, fingerprint: str, workspace: str, now_ms: float) -> Suspect:
+        suspect = self._suspects.get(fingerprint) or Suspect(workspace)
         suspect.last_ms = now_ms
         for yielded in self._suspects.put(fingerprint, workspace, suspect):
             self._waiting.pop(yielded, None)
@@ -389,15 +330,16 @@
         times = [end.first_ms for end in self._ends.values() if fingerprint in end.aboard]
         return max(1.0, max(times, default=now_ms) + SETTLE_MS - now_ms)
 
-    def _look_at_held(self, fingerprint: str, held: _Held, now_ms: float) -> Standing:
-        if now_ms - held.since_ms < held.pause_ms or not self._tries(fingerprint):
+    def _look_at_held(self, fingerprint: str, held: Held, now_ms: float) -> Standing:
+        too_soon = now_ms < held.tried_at_ms(self._bounds.first_pause_ms)
+        if too_soon or not self._tries(fingerprint):
             self.held_back += 1
             return Standing(Treatment.HELD)
         # This one is the trial; whatever comes meanwhile is held back as before.
         held.since_ms, held.on_trial = now_ms, True
         return Standing(Treatment.TRIAL)
 
-    def _judge(self, end: _OpenEnd, now_ms: float) -> list[HeldRequest]:
+    def _judge(self, end: OpenEnd, now_ms: float) -> list[HeldRequest]:
         for fingerprint in end.aboard:
             _take_one(self._waiting, fingerprint)
         known = [(f, held) for f in end.aboard if (held := self._held.get(f)) is not None]
@@ -412,15 +354,15 @@
         return [
             self._convict(f, now_ms)
             for f in early
-            if self._weight(f) >= SURE_WEIGHT
-            or (sole and f in suspected and self._weight(f) >= HELD_WEIGHT)
+            if self._weight(f) >= SURE_FACTOR * self._bounds.ends
+            or (sole and f in suspected and self._weight(f) >= self._bounds.ends)
         ]
 
     def _weight(self, fingerprint: str) -> float:
         suspect = self._suspects.get(fingerprint)
         return 0.0 if suspect is None else suspect.weight + self._prior(suspect.workspace)
 
-    def _weigh(self, fingerprint: str, end: _OpenEnd, *, early: bool) -> None:
+    def _weigh(self, fingerprint: str, end: OpenEnd, *, early: bool) -> None:
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return
@@ -433,11 +375,11 @@
         request = HeldRequest(fingerprint, suspect.workspace if suspect is not None else "", 0)
         return self._hold(request, now_ms)
 
-    def _tried_in_vain(self, fingerprint: str, held: _Held, now_ms: float) -> HeldRequest:
+    def _tried_in_vain(self, fingerprint: str, held: Held, now_ms: float) -> HeldRequest:
         return self._hold(HeldRequest(fingerprint, held.workspace, held.trials + 1), now_ms)
 
     def _hold(self, request: HeldRequest, now_ms: float, *, stored: bool = False) -> HeldRequest:
-        held = _Held(request.workspace, request.trials, now_ms)
+        held = Held(request.workspace, request.trials, now_ms)
         held.stored = stored
         self._suspects.pop(request.fingerprint)
         self.yielded += self._held.put(request.fingerprint, request.workspace, held)
--- a/packages/gateway/src/tamarack_gateway/caller_handler.py
+++ b/packages/gateway/src/tamarack_gateway/caller_handler.py
@@ -109,7 +109,7 @@
             facts,
             route,
             workspace,
-            Containment(state, self._witness, self._quarantine, request, facts.host, workspace),
+            Containment(state, self._witness, self._quarantine, request, facts, workspace),
         )
         try:
             await exchange.run()
--- a/packages/gateway/src/tamarack_gateway/containment.py
+++ b/packages/gateway/src/tamarack_gateway/containment.py
@@ -13,6 +13,7 @@
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.http_messages import Request
 from tamarack_gateway.quarantine_feed import QuarantineFeed
+from tamarack_gateway.site import RequestFacts
 
 EARLY_MS = 500.0
 """Time after its first event up to which a request counts as having only begun. Those that ended
@@ -34,7 +35,7 @@
         witness: EndWitness,
         feed: QuarantineFeed,
         request: Request,
-        host: str,
+        facts: RequestFacts,
         workspace: str | None,
     ) -> None:
         self._state = state
@@ -42,7 +43,8 @@
         self._witness = witness
         self._feed = feed
         self._request = request
-        self._host = host
+        self._host = facts.host
+        self._attempt = facts.attempt
         self._workspace = workspace
         self._standing = FREE
         self._apart_at: EndpointLife | None = None
@@ -103,4 +105,24 @@
         """
         early = running_ms is None or running_ms < EARLY_MS
         aboard = Aboard(self.fingerprint, self._workspace or "", early)
-        return await self._witness.lost(endpoint, aboard, sent_ms)
+        ended = await self._witness.lost(endpoint, aboard, sent_ms)
+        self._state.log.request(
+            "connection lost",
+            self._attempt,
+            endpoint=endpoint.name,
+            ended=ended,
+            fingerprint=self.fingerprint,
+            sent_ms_ago=round(self._state.clock.now_ms - sent_ms),
+            running_ms=running_ms and round(running_ms),
+        )
+        return ended
+
+    def held_back(self, sends: int) -> None:
+        """Log that the request is not sent, or not again."""
+        self._state.log.request(
+            "held back",
+            self._attempt,
+            reason="endpoints ended under it",
+            fingerprint=self.fingerprint,
+            sends=sends,
+        )
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -280,7 +280,9 @@
         if result.verdict in (Verdict.DONE, Verdict.FAILED):
             self._containment.answered()
         if result.lost:
-            await self._note_lost(endpoint, sent_ms)
+            begun_ms = self._first_event_ms
+            running_ms = None if begun_ms is None else state.clock.now_ms - begun_ms
+            await self._containment.lost(endpoint, running_ms, sent_ms)
         if result.verdict is Verdict.DONE:
             state.log.request(
                 "answered",
@@ -292,21 +294,6 @@
             )
         return result
 
-    async def _note_lost(self, endpoint: Endpoint, sent_ms: float) -> None:
-        state, now_ms = self._state, self._state.clock.now_ms
-        begun_ms = self._first_event_ms
-        running_ms = None if begun_ms is None else now_ms - begun_ms
-        ended = await self._containment.lost(endpoint, running_ms, sent_ms)
-        state.log.request(
-            "connection lost",
-            self._facts.attempt,
-            endpoint=endpoint.name,
-            ended=ended,
-            fingerprint=self._containment.fingerprint,
-            sent_ms_ago=round(now_ms - sent_ms),
-            running_ms=running_ms and round(running_ms),
-        )
-
     async def _ask(self, choice: Choice, connection: EndpointConnection) -> Result:
         data = self._dialect.for_endpoint(
             self._request,
@@ -427,13 +414,7 @@
         return allowed
 
     def _hold_back(self) -> None:
-        self._state.log.request(
-            "held back",
-            self._facts.attempt,
-            reason="endpoints ended under it",
-            fingerprint=self._containment.fingerprint,
-            sends=self._sends,
-        )
+        self._containment.held_back(self._sends)
         if self._caller.begun:
             self._caller.cut()
         elif self._may_have_run:
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -13,6 +13,7 @@
 from tamarack_core.key_freshness import KeyFreshness
 from tamarack_core.leaving import LeavingPlan
 from tamarack_core.quarantine import Quarantine
+from tamarack_core.quarantine_records import USUAL_BOUNDS, QuarantineBounds
 from tamarack_core.retry_allowance import RetryAllowance
 from tamarack_core.return_detector import ReturnDetector
 from tamarack_core.ruleset import CallerBounds, Ruleset
@@ -63,7 +64,13 @@
     """
 
     def __init__(
-        self, settings: GatewaySettings, clock: Clock, log: DecisionLog, *, seed: int
+        self,
+        settings: GatewaySettings,
+        clock: Clock,
+        log: DecisionLog,
+        *,
+        seed: int,
+        quarantine: QuarantineBounds = USUAL_BOUNDS,
     ) -> None:
         bounds = settings.bounds
         self.settings = settings
@@ -82,7 +89,7 @@
         )
         self.shares = WorkspaceShares(bounds.share_window_ms, clock.now_ms)
         self.returns = ReturnDetector()
-        self.quarantine = Quarantine(lambda fingerprint: self.owns(fingerprint))
+        self.quarantine = Quarantine(lambda fingerprint: self.owns(fingerprint), quarantine)
         self.quarantine_known = False
         self.owns: Callable[[str], bool] = _never
         self.on_life_over: Callable[[EndpointLife, bool], None] = _nobody
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -8,6 +8,7 @@
 
 from tamarack_core.clock import Clock
 from tamarack_core.leaving import plan_leaving
+from tamarack_core.quarantine_records import USUAL_BOUNDS, QuarantineBounds
 from tamarack_core.relay_plan import Peer
 from tamarack_gateway.cache_inventory import CacheInventory
 from tamarack_gateway.caller_connection import CallerConnection
@@ -47,13 +48,21 @@
 class Gateway:
     """All of one router; use it as an asynchronous context manager."""
 
-    def __init__(self, site: Site, clock: Clock, log: DecisionLog, *, seed: int) -> None:
+    def __init__(
+        self,
+        site: Site,
+        clock: Clock,
+        log: DecisionLog,
+        *,
+        seed: int,
+        quarantine: QuarantineBounds = USUAL_BOUNDS,
+    ) -> None:
         self._site = site
         self._clock = clock
         self._log = log
         self._boot = seed
         self._settings = site.load_settings()
-        self._state = FleetState(self._settings, clock, log, seed=seed)
+        self._state = FleetState(self._settings, clock, log, seed=seed, quarantine=quarantine)
         self._pool = ConnectionPool(clock)
         self._outbox = Outbox()
         self._members = FleetMembers()
--- a/packages/gateway/src/tamarack_gateway/main.py
+++ b/packages/gateway/src/tamarack_gateway/main.py
@@ -12,6 +12,7 @@
 from tamarack_core.clock import BootClock
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.gateway import Gateway
+from tamarack_gateway.quarantine_settings import quarantine_bounds
 from tamarack_gateway.site import Site
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -26,6 +27,7 @@
     site = make_site()
     try:
         settings = site.load_settings()
+        bounds = quarantine_bounds(os.environ)
     except (OSError, ValueError) as error:
         print(f"tamarackd: the settings cannot be used: {error}", file=sys.stderr)
         return 2
@@ -33,7 +35,7 @@
     boot = clock.wall_ms * 1_000 + seed % 1_000
     log = DecisionLog(settings.router, clock)
     gc.freeze()
-    asyncio.run(_run(Gateway(site, clock, log, seed=boot), settings_path))
+    asyncio.run(_run(Gateway(site, clock, log, seed=boot, quarantine=bounds), settings_path))
     return 0
 
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -10,10 +10,7 @@
 from tamarack_core.end_evidence import Aboard, End, HeldRequest
 from tamarack_core.endpoint_book import EndpointLife
 from tamarack_core.quarantine import (
-    FIRST_PAUSE_MS,
     FORGET_MS,
-    HELD_WEIGHT,
-    LONGEST_PAUSE_MS,
     MANY_HELD,
     MOST_HELD_OF_ONE,
     MOST_SUSPECTS_OF_ONE,
@@ -21,6 +18,7 @@
     Quarantine,
     Treatment,
 )
+from tamarack_core.quarantine_records import LONGEST_PAUSE_MS, QuarantineBounds
 from tamarack_core.workspace_table import WorkspaceTable
 
 LATE_MOST = 3
@@ -186,7 +184,7 @@
 
 def test_one_that_ran_for_long_counts_less_beside_one_that_has_only_begun() -> None:
     steps = Steps()
-    for number in range(int(HELD_WEIGHT)):
+    for number in range(QuarantineBounds().ends):
         steps.end(f"new{number}", late=("old",))
     assert steps.look("old") is Treatment.FREE
 
@@ -253,7 +251,7 @@
         assert steps.look("a") is Treatment.HELD, "one trial at a time"
         assert steps.end("a", "beside") == ["a"]
         assert steps.look("beside") is Treatment.FREE
-    assert pauses[0] <= FIRST_PAUSE_MS
+    assert pauses[0] <= QuarantineBounds().first_pause_ms
     assert all(after >= 4 * before for before, after in zip(pauses, pauses[1:4], strict=False))
     assert max(pauses) <= LONGEST_PAUSE_MS
     while steps.look("a") is Treatment.HELD:
