Speak of a quarantine throughout; keep endpoints in use that only close new connections; bench it

Cause: `held` already names a request that waits for an engine's queue, and a reader would take one for the other. Change: requests are quarantined, in code, logs, settings and counters; only a refused connection takes an endpoint out of use, other proofs speak of what it ran. Where the path does not answer, the entry's going decides. make bench has two scenarios: the model, and what a request costs.

--- a/packages/bench/src/tamarack_bench/__main__.py
+++ b/packages/bench/src/tamarack_bench/__main__.py
@@ -14,6 +14,7 @@
     fair_scenarios,
     order_scenarios,
     path_scenarios,
+    quarantine_scenarios,
     slopes,
     soak,
 )
@@ -25,6 +26,7 @@
 BOUNDS = Path("bench/bounds.toml")
 MODULES = (
     core_scenarios,
+    quarantine_scenarios,
     fair_scenarios,
     path_scenarios,
     config_scenarios,
--- /dev/null
+++ b/packages/bench/src/tamarack_bench/quarantine_scenarios.py
@@ -0,0 +1,83 @@
+"""Scenarios on requests that end endpoints: what they cost, and what holding them back costs."""
+
+from __future__ import annotations
+
+import time
+
+from tamarack_bench.quarantine_model import ModelOptions, ModelResult, QuarantineModel
+from tamarack_bench.scenarios import Options, Reading, scenario
+from tamarack_core.end_evidence import Aboard, End
+from tamarack_core.fingerprint import fingerprint
+from tamarack_core.quarantine import SETTLE_MS, Quarantine
+
+SEEDS = 5
+LOOKS = 4_000
+BODY = b"x" * 7_000
+"""As long as what the users' callers send on the mean: 6,905 bytes of 1,897 requests of one day."""
+
+SUSPECTS = (0, 10, 10_000)
+
+
+@scenario("quarantine-model", "endpoints ended, and innocent requests quarantined, in a model")
+def quarantine_model(options: Options) -> Reading:
+    """Play two guilty requests with and without the quarantine, five of them, and mass failures."""
+    nothing = _play(options, ModelOptions(), watching=False)
+    two = _play(options, ModelOptions())
+    five = _play(options, ModelOptions(guilty=5))
+    mass = ModelOptions(guilty=0, failures_ms=(5e3, 8e3, 11e3, 14e3, 17e3), seconds=25.0)
+    failures = _play(options, mass)
+    figures = {
+        "ends_without": _mean([result.ends for result in nothing]),
+        "ends_two_guilty": _mean([result.ends for result in two]),
+        "ends_five_guilty": _mean([result.ends for result in five]),
+        "cut_without": _mean([result.cut for result in nothing]),
+        "cut_two_guilty": _mean([result.cut for result in two]),
+        "late_most": float(max(max(result.late) for result in two + five)),
+        "quarantined_innocents_two_guilty": _mean([result.quarantined for result in two]),
+        "quarantined_innocents_five_guilty": _mean([result.quarantined for result in five]),
+        "quarantined_innocents_mass_failures": _mean([result.quarantined for result in failures]),
+    }
+    return Reading("quarantine-model", figures)
+
+
+@scenario("quarantine-cost", "microseconds that a request costs, by suspects")
+def quarantine_cost(options: Options) -> Reading:
+    """Measure with none, few and as many suspects as are kept; the best of three runs each."""
+    costs = {count: min(_look_us(count) for _ in range(3)) for count in SUSPECTS}
+    figures = {f"us_{count}_suspects": cost for count, cost in costs.items()}
+    figures["us_fingerprint_100_kb"] = _fingerprint_us(b"x" * 100_000)
+    figures["ratio_10000_to_10"] = costs[10_000] / costs[10]
+    return Reading("quarantine-cost", figures)
+
+
+def _play(options: Options, what: ModelOptions, *, watching: bool = True) -> list[ModelResult]:
+    seeds = range(options.seed, options.seed + SEEDS)
+    return [QuarantineModel(what._replace(seed=s), watching=watching).run() for s in seeds]
+
+
+def _mean(values: list[int]) -> float:
+    return sum(values) / len(values)
+
+
+def _look_us(suspects: int) -> float:
+    quarantine = Quarantine(lambda name: False)
+    for number in range(suspects):
+        # Workspaces of their own, so that as many as possible stay in the table.
+        aboard = [Aboard(f"f{number}", f"w{number % 100}", True)]
+        quarantine.ended(End(f"e{number}", number, False, aboard), number * SETTLE_MS)
+        quarantine.settle((number + 1) * SETTLE_MS)
+    now_ms = suspects * SETTLE_MS
+    started = time.perf_counter()
+    for number in range(LOOKS):
+        if quarantine.watching:
+            name = fingerprint("shop", "shop.example", b"POST", b"/draft/%d" % number, BODY)
+            quarantine.look(name, "shop", now_ms)
+            quarantine.answered(name)
+    return (time.perf_counter() - started) / LOOKS * 1e6
+
+
+def _fingerprint_us(body: bytes) -> float:
+    started = time.perf_counter()
+    for _ in range(100):
+        fingerprint("shop", "shop.example", b"POST", b"/draft/x", body)
+    return (time.perf_counter() - started) / 100 * 1e6
--- a/packages/core/src/tamarack_core/end_evidence.py
+++ b/packages/core/src/tamarack_core/end_evidence.py
@@ -30,12 +30,16 @@
     together
         Whether another endpoint ended at the same moment, as in a failure of machines: no single
         request ends two.
+    refused
+        Whether nobody listens at its address any more. Other proofs speak of what it ran, and leave
+        open whether it could take work.
     """
 
     endpoint: str
     life: int | None
     together: bool
     aboard: list[Aboard]
+    refused: bool = True
 
     @property
     def key(self) -> EndpointLife:
@@ -43,8 +47,8 @@
         return EndpointLife(self.endpoint, self.life)
 
 
-class HeldRequest(NamedTuple):
-    """A request that is held back.
+class QuarantinedRequest(NamedTuple):
+    """A request that is quarantined.
 
     Attributes
     ----------
@@ -68,4 +72,4 @@
 
     ends: list[End] = []
     cleared: list[str] = []
-    held: list[HeldRequest] = []
+    quarantined: list[QuarantinedRequest] = []
--- a/packages/core/src/tamarack_core/quarantine.py
+++ b/packages/core/src/tamarack_core/quarantine.py
@@ -1,4 +1,4 @@
-"""Requests under which endpoints end: who is suspected, tried apart, and held back.
+"""Requests under which endpoints end: who is suspected, tried apart, and quarantined.
 
 An endpoint that ends takes with it all that it runs, up to 64 requests here, of which most are
 innocent and are sent again. So an end by itself convicts nobody: whoever was there becomes a
@@ -17,14 +17,14 @@
 from enum import Enum
 from typing import NamedTuple, TypeVar
 
-from tamarack_core.end_evidence import End, HeldRequest
+from tamarack_core.end_evidence import End, QuarantinedRequest
 from tamarack_core.endpoint_book import EndpointLife
 from tamarack_core.quarantine_records import (
     USUAL_BOUNDS,
-    Held,
-    HeldReading,
     OpenEnd,
     QuarantineBounds,
+    Quarantined,
+    QuarantinedReading,
     Suspect,
     SuspectReading,
 )
@@ -43,11 +43,11 @@
 
 LATE_WEIGHT = 0.25
 """What an end counts against a request that had run for a while, where others had only begun: one
-that ends endpoints late is still held back, by a few more ends."""
+that ends endpoints late is still quarantined, by a few more ends."""
 
 TOGETHER_WEIGHT = 0.5
 """What an end counts that came together with another's, as in a failure of machines. Five of them,
-as in the users' series of mass failures, stay below what holds a request back."""
+as in the users' series of mass failures, stay below what quarantines a request."""
 
 SETTLE_MS = 400.0
 """Time from the first word of an end to the verdict on it: other routers tell within some 30 ms of
@@ -56,12 +56,12 @@
 FORGET_MS = 3_600_000.0
 """Time after its last end that a suspect is remembered; one that comes each half hour is found."""
 
-MANY_HELD = 8
-"""Held requests of one workspace from which its others are tried apart before they meet an end:
-whoever sends many kinds of them is not given three endpoints for each."""
+MANY_QUARANTINED = 8
+"""Quarantined requests of one workspace from which its others are tried apart before they meet an
+end: whoever sends many kinds of them is not given three endpoints for each."""
 
 MOST_SUSPECTS, MOST_SUSPECTS_OF_ONE = 4_096, 512
-MOST_HELD, MOST_HELD_OF_ONE = 1_024, 64
+MOST_QUARANTINED, MOST_QUARANTINED_OF_ONE = 1_024, 64
 """Requests in the tables, and of one workspace: some 2 MB in all. A mass failure of eight engines
 with 64 requests each makes 512 suspects."""
 
@@ -79,7 +79,7 @@
     APART = "apart"
     TRIAL = "trial"
     WAIT = "wait"
-    HELD = "held"
+    QUARANTINED = "quarantined"
 
 
 class Standing(NamedTuple):
@@ -98,14 +98,14 @@
     Parameters
     ----------
     tries
-        Tells whether this router is the one that tries a held request again.
+        Tells whether this router is the one that tries a quarantined request again.
 
     Attributes
     ----------
-    held_back, ends_seen
-        How often a request was held back, and how many ends this router heard of.
+    refused, ends_seen
+        How often a request was quarantined, and how many ends this router heard of.
     yielded
-        Held requests that gave way to others, until somebody takes them out of the store.
+        quarantined requests that gave way to others, until somebody takes them out of the store.
     """
 
     def __init__(
@@ -118,20 +118,20 @@
         self._suspects: WorkspaceTable[Suspect] = WorkspaceTable(
             most=MOST_SUSPECTS, most_of_one=MOST_SUSPECTS_OF_ONE
         )
-        self._held: WorkspaceTable[Held] = WorkspaceTable(
-            most=MOST_HELD, most_of_one=MOST_HELD_OF_ONE
+        self._entries: WorkspaceTable[Quarantined] = WorkspaceTable(
+            most=MOST_QUARANTINED, most_of_one=MOST_QUARANTINED_OF_ONE
         )
         self._waiting: Counter[str] = Counter()
         self._running: Counter[str] = Counter()
         self._places: Counter[EndpointLife] = Counter()
-        self.held_back = 0
+        self.refused = 0
         self.ends_seen = 0
         self.yielded: list[str] = []
 
     @property
     def watching(self) -> bool:
         """Whether any request has to be looked at; while not, none needs a fingerprint."""
-        return bool(self._suspects or self._held or self._ends)
+        return bool(self._suspects or self._entries or self._ends)
 
     # evidence
 
@@ -156,8 +156,8 @@
 
     def answered(self, fingerprint: str) -> bool:
         """Take in that a request was answered whole; returns whether others should know."""
-        if fingerprint in self._held:
-            self._held.pop(fingerprint)
+        if fingerprint in self._entries:
+            self._entries.pop(fingerprint)
             self._clear(fingerprint)
             return True
         suspect = self._suspects.get(fingerprint)
@@ -167,20 +167,20 @@
     def cleared(self, fingerprints: list[str]) -> None:
         """Take in that suspects were answered whole elsewhere."""
         for fingerprint in fingerprints:
-            self._held.pop(fingerprint)
+            self._entries.pop(fingerprint)
             self._clear(fingerprint)
 
-    def settle(self, now_ms: float) -> list[HeldRequest]:
-        """Give the verdicts that are due; returns what is held back from now on."""
+    def settle(self, now_ms: float) -> list[QuarantinedRequest]:
+        """Give the verdicts that are due; returns what is quarantined from now on."""
         due = [key for key, end in self._ends.items() if now_ms - end.first_ms >= SETTLE_MS]
-        held: list[HeldRequest] = []
+        verdicts: list[QuarantinedRequest] = []
         for key in due:
             end = self._ends.pop(key)
             self._settled[key] = now_ms
-            held += self._judge(end, now_ms)
+            verdicts += self._judge(end, now_ms)
         if due:
             self._forget(now_ms)
-        return held
+        return verdicts
 
     @property
     def next_verdict_ms(self) -> float | None:
@@ -189,53 +189,53 @@
 
     # verdicts
 
-    def hold(self, request: HeldRequest, now_ms: float, *, stored: bool = False) -> bool:
-        """Hold a request back by another's verdict; returns whether that is new."""
-        known = self._held.get(request.fingerprint)
+    def take_in(self, request: QuarantinedRequest, now_ms: float, *, stored: bool = False) -> bool:
+        """Quarantine a request by another's verdict; returns whether that is new."""
+        known = self._entries.get(request.fingerprint)
         if known is not None and known.trials >= request.trials:
             known.stored = known.stored or (stored and known.trials == request.trials)
             return False
-        self._hold(request, now_ms, stored=stored)
+        self._put(request, now_ms, stored=stored)
         return True
 
-    def holds(self, fingerprint: str) -> bool:
-        """Whether a request is held back."""
-        return fingerprint in self._held
+    def contains(self, fingerprint: str) -> bool:
+        """Whether a request is quarantined."""
+        return fingerprint in self._entries
 
     def release(self, fingerprint: str) -> bool:
-        """Hold a request back no longer; returns whether it was."""
+        """Release a request; returns whether it was."""
         self._clear(fingerprint)
-        return self._held.pop(fingerprint) is not None
+        return self._entries.pop(fingerprint) is not None
 
     def keep_stored(self, fingerprints: set[str]) -> list[str]:
         """Release what the store no longer lists, but not what was never written there."""
-        gone = [f for f in self._held if f not in fingerprints and self._stored(f)]
+        gone = [f for f in self._entries if f not in fingerprints and self._stored(f)]
         for fingerprint in gone:
             self.release(fingerprint)
         return gone
 
-    def put_by(self, request: HeldRequest) -> None:
-        """Take in that the store lists a held request."""
-        held = self._held.get(request.fingerprint)
-        if held is not None and held.trials == request.trials:
-            held.stored = True
+    def mark_stored(self, request: QuarantinedRequest) -> None:
+        """Take in that the store lists a quarantined request."""
+        entry = self._entries.get(request.fingerprint)
+        if entry is not None and entry.trials == request.trials:
+            entry.stored = True
 
-    def unstored(self) -> list[HeldRequest]:
-        """Held requests that the store does not list as they are."""
-        found = [(f, self._held.get(f)) for f in self._held]
+    def unstored(self) -> list[QuarantinedRequest]:
+        """Quarantined requests that the store does not list as they are."""
+        found = [(f, self._entries.get(f)) for f in self._entries]
         return [
-            HeldRequest(f, held.workspace, held.trials)
-            for f, held in found
-            if held is not None and not held.stored
+            QuarantinedRequest(f, entry.workspace, entry.trials)
+            for f, entry in found
+            if entry is not None and not entry.stored
         ]
 
     # requests
 
     def look(self, fingerprint: str, workspace: str, now_ms: float) -> Standing:
         """How to treat a request now; asked again before each send."""
-        held = self._held.get(fingerprint)
-        if held is not None:
-            return self._look_at_held(fingerprint, held, now_ms)
+        entry = self._entries.get(fingerprint)
+        if entry is not None:
+            return self._look_at_entry(fingerprint, entry, now_ms)
         suspect = self._suspects.get(fingerprint)
         weight = self._prior(workspace) + (suspect.weight if suspect is not None else 0.0)
         waiting = self._waiting.get(fingerprint, 0)
@@ -269,28 +269,28 @@
     # readings
 
     @property
-    def held_count(self) -> int:
-        """How many requests are held back."""
-        return len(self._held)
+    def quarantined_count(self) -> int:
+        """How many requests are quarantined."""
+        return len(self._entries)
 
     @property
     def suspect_count(self) -> int:
         """How many requests met ends and were not answered whole since."""
         return len(self._suspects)
 
-    def held(self, now_ms: float) -> list[HeldReading]:
-        """All held requests, the newest last."""
-        found = [(f, self._held.get(f)) for f in self._held]
+    def entries(self, now_ms: float) -> list[QuarantinedReading]:
+        """All quarantined requests, the newest last."""
+        found = [(f, self._entries.get(f)) for f in self._entries]
         return [
-            HeldReading(
+            QuarantinedReading(
                 f,
-                held.workspace,
-                held.trials,
-                held.stored,
-                round(held.tried_at_ms(self._bounds.first_pause_ms) - now_ms),
+                entry.workspace,
+                entry.trials,
+                entry.stored,
+                round(entry.tried_at_ms(self._bounds.first_pause_ms) - now_ms),
             )
-            for f, held in found
-            if held is not None
+            for f, entry in found
+            if entry is not None
         ]
 
     def suspects(self, most: int) -> list[SuspectReading]:
@@ -306,8 +306,8 @@
     # inside
 
     def _stored(self, fingerprint: str) -> bool:
-        held = self._held.get(fingerprint)
-        return held is not None and held.stored
+        entry = self._entries.get(fingerprint)
+        return entry is not None and entry.stored
 
     def _suspect(self, fingerprint: str, workspace: str, now_ms: float) -> Suspect:
         suspect = self._suspects.get(fingerprint) or Suspect(workspace)
@@ -324,28 +324,28 @@
                 end.aboard.pop(fingerprint, None)
 
     def _prior(self, workspace: str) -> float:
-        return APART_WEIGHT if self._held.count(workspace) >= MANY_HELD else 0.0
+        return APART_WEIGHT if self._entries.count(workspace) >= MANY_QUARANTINED else 0.0
 
     def _verdict_in_ms(self, fingerprint: str, now_ms: float) -> float:
         times = [end.first_ms for end in self._ends.values() if fingerprint in end.aboard]
         return max(1.0, max(times, default=now_ms) + SETTLE_MS - now_ms)
 
-    def _look_at_held(self, fingerprint: str, held: Held, now_ms: float) -> Standing:
-        too_soon = now_ms < held.tried_at_ms(self._bounds.first_pause_ms)
+    def _look_at_entry(self, fingerprint: str, entry: Quarantined, now_ms: float) -> Standing:
+        too_soon = now_ms < entry.tried_at_ms(self._bounds.first_pause_ms)
         if too_soon or not self._tries(fingerprint):
-            self.held_back += 1
-            return Standing(Treatment.HELD)
-        # This one is the trial; whatever comes meanwhile is held back as before.
-        held.since_ms, held.on_trial = now_ms, True
+            self.refused += 1
+            return Standing(Treatment.QUARANTINED)
+        # This one is the trial; whatever comes meanwhile is quarantined as before.
+        entry.since_ms, entry.on_trial = now_ms, True
         return Standing(Treatment.TRIAL)
 
-    def _judge(self, end: OpenEnd, now_ms: float) -> list[HeldRequest]:
+    def _judge(self, end: OpenEnd, now_ms: float) -> list[QuarantinedRequest]:
         for fingerprint in end.aboard:
             _take_one(self._waiting, fingerprint)
-        known = [(f, held) for f in end.aboard if (held := self._held.get(f)) is not None]
+        known = [(f, entry) for f in end.aboard if (entry := self._entries.get(f)) is not None]
         if known:
             # That explains the end; nobody else is to blame for it.
-            return [self._tried_in_vain(f, held, now_ms) for f, held in known if held.on_trial]
+            return [self._tried_in_vain(f, entry, now_ms) for f, entry in known if entry.on_trial]
         early = {f for f, is_early in end.aboard.items() if is_early} or set(end.aboard)
         suspected = {f for f in early if self._weight(f) >= APART_WEIGHT}
         for fingerprint in end.aboard:
@@ -370,19 +370,24 @@
         suspect.weight += whole * (1.0 if early else LATE_WEIGHT)
         suspect.ends += 1
 
-    def _convict(self, fingerprint: str, now_ms: float) -> HeldRequest:
+    def _convict(self, fingerprint: str, now_ms: float) -> QuarantinedRequest:
         suspect = self._suspects.get(fingerprint)
-        request = HeldRequest(fingerprint, suspect.workspace if suspect is not None else "", 0)
-        return self._hold(request, now_ms)
-
-    def _tried_in_vain(self, fingerprint: str, held: Held, now_ms: float) -> HeldRequest:
-        return self._hold(HeldRequest(fingerprint, held.workspace, held.trials + 1), now_ms)
-
-    def _hold(self, request: HeldRequest, now_ms: float, *, stored: bool = False) -> HeldRequest:
-        held = Held(request.workspace, request.trials, now_ms)
-        held.stored = stored
+        workspace = suspect.workspace if suspect is not None else ""
+        return self._put(QuarantinedRequest(fingerprint, workspace, 0), now_ms)
+
+    def _tried_in_vain(
+        self, fingerprint: str, entry: Quarantined, now_ms: float
+    ) -> QuarantinedRequest:
+        request = QuarantinedRequest(fingerprint, entry.workspace, entry.trials + 1)
+        return self._put(request, now_ms)
+
+    def _put(
+        self, request: QuarantinedRequest, now_ms: float, *, stored: bool = False
+    ) -> QuarantinedRequest:
+        entry = Quarantined(request.workspace, request.trials, now_ms)
+        entry.stored = stored
         self._suspects.pop(request.fingerprint)
-        self.yielded += self._held.put(request.fingerprint, request.workspace, held)
+        self.yielded += self._entries.put(request.fingerprint, request.workspace, entry)
         return request
 
     def _forget(self, now_ms: float) -> None:
--- a/packages/core/src/tamarack_core/quarantine_records.py
+++ b/packages/core/src/tamarack_core/quarantine_records.py
@@ -1,4 +1,4 @@
-"""What the quarantine keeps of suspects, held requests and ends, and what it tells of them."""
+"""What the quarantine keeps of suspects, of its entries and of ends, and what it tells of them."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 PAUSE_FACTOR = 5.0
 LONGEST_PAUSE_MS = 6 * 3_600_000.0
-"""What each end in a trial makes of the time for which a request is held back, and its longest.
+"""What each end in a trial makes of the time for which a request is quarantined, and its longest.
 With two minutes at first, a right verdict costs an endpoint after 2, 10, 50 minutes, 4 hours, and
 four a day from then on."""
 
@@ -20,11 +20,11 @@
     Attributes
     ----------
     ends
-        Ends met from which a request can be held back, if it was the only suspect at the last one.
+        Ends met from which a request can be quarantined, if it was the only suspect at the last.
         The users allow three before a request counts as known.
     first_pause_ms
-        Time for which a request is held back until it is tried once more, apart and by one router:
-        a wrong verdict ends after two minutes.
+        Time for which a request is quarantined until it is tried once more, apart and by one
+        router: a wrong verdict ends after two minutes.
     """
 
     ends: int = 3
@@ -46,8 +46,8 @@
         self.last_ms = 0.0
 
 
-class Held:
-    """A request that is held back, and since when it was not tried.
+class Quarantined:
+    """A request that is quarantined, and since when it was not tried.
 
     Attributes
     ----------
@@ -83,8 +83,8 @@
         self.aboard: dict[str, bool] = {}
 
 
-class HeldReading(NamedTuple):
-    """A held request as operators see it; `tried_in_ms` is the time until its next trial."""
+class QuarantinedReading(NamedTuple):
+    """A quarantined request as operators see it; `tried_in_ms` is the time until its next trial."""
 
     fingerprint: str
     workspace: str
--- a/packages/ctl/src/tamarack_ctl/quarantine_view.py
+++ b/packages/ctl/src/tamarack_ctl/quarantine_view.py
@@ -1,4 +1,4 @@
-"""The commands that show which requests are held back, and release one."""
+"""The commands that show which requests are quarantined, and release one."""
 
 from __future__ import annotations
 
@@ -21,12 +21,12 @@
 
 @command(
     "quarantine",
-    "list requests that are held back since endpoints ended under them",
+    "list requests in quarantine since endpoints ended under them",
     add_address,
     needs_fleet=False,
 )
 def show_quarantine(context: Context) -> Outcome:
-    """Ask one router which requests are held back and suspected."""
+    """Ask one router which requests are quarantined and suspected."""
     address = context.arguments.address
     try:
         answer = urllib3.request(
@@ -43,7 +43,7 @@
     parser.add_argument("fingerprint", help="the request, as `quarantine` lists it")
 
 
-@command("release", "hold a request back no longer", _configure_release, needs_fleet=False)
+@command("release", "release a request", _configure_release, needs_fleet=False)
 def release(context: Context) -> Outcome:
     """Release a request by one router; the others learn it from the store."""
     address, fingerprint = context.arguments.address, context.arguments.fingerprint
@@ -59,8 +59,8 @@
 
 
 def _lines(status: dict[str, Any]) -> list[str]:
-    lines = [f"sends held back by this router so far: {status['held_back']}"]
-    for title in ("held", "suspects"):
+    lines = [f"sends quarantined by this router so far: {status['refused']}"]
+    for title in ("quarantined", "suspects"):
         lines += table_lines(title, status[title])
     return lines
 
--- a/packages/gateway/src/tamarack_gateway/caller_answer.py
+++ b/packages/gateway/src/tamarack_gateway/caller_answer.py
@@ -8,8 +8,10 @@
 from tamarack_gateway.http_messages import AnswerHead
 from tamarack_gateway.site import RequestDialect
 
-HELD_BACK = b"held back: endpoints ended while they ran this request; repeating it does not help\n"
-"""What a caller is told of a request that is held back."""
+QUARANTINED = (
+    b"quarantined: endpoints ended while they ran this request; repeating it does not help\n"
+)
+"""What a caller is told of a request that is quarantined."""
 
 
 class CallerAnswer:
@@ -46,10 +48,10 @@
         """Write an answer of the router's own."""
         self._caller.answer(status, self._dialect.refusal(self._attempt, retry_after_ms))
 
-    def hold_back(self) -> None:
+    def quarantine(self) -> None:
         """Refuse what has not run in this attempt, and is not to: no time to come back is told."""
         headers = [*self._dialect.refusal(self._attempt, None), (b"content-type", b"text/plain")]
-        self._caller.answer(503, headers, HELD_BACK)
+        self._caller.answer(503, headers, QUARANTINED)
 
     def refuse_for_now(self, draw: float) -> None:
         """Refuse what this router has no time for; another serves it at once.
--- a/packages/gateway/src/tamarack_gateway/containment.py
+++ b/packages/gateway/src/tamarack_gateway/containment.py
@@ -117,10 +117,10 @@
         )
         return ended
 
-    def held_back(self, sends: int) -> None:
+    def refused(self, sends: int) -> None:
         """Log that the request is not sent, or not again."""
         self._state.log.request(
-            "held back",
+            "quarantined",
             self._attempt,
             reason="endpoints ended under it",
             fingerprint=self.fingerprint,
--- a/packages/gateway/src/tamarack_gateway/end_witness.py
+++ b/packages/gateway/src/tamarack_gateway/end_witness.py
@@ -62,6 +62,8 @@
         self.first_ms = first_ms
         self.lost: list[_Lost] = []
         self.together = False
+        self.refused = False
+        self.delisted = False
         self.task: asyncio.Task[bool]
 
     @property
@@ -81,10 +83,10 @@
         )
 
     @property
-    def burst(self) -> list[Aboard]:
-        """Requests whose answers broke off last, and shortly before."""
+    def burst(self) -> list[_Lost]:
+        """The answers that broke off last, and shortly before."""
         last_ms = max((lost.at_ms for lost in self.lost), default=0.0)
-        return [lost.aboard for lost in self.lost if last_ms - lost.at_ms <= BURST_MS]
+        return [lost for lost in self.lost if last_ms - lost.at_ms <= BURST_MS]
 
 
 class EndWitness:
@@ -113,7 +115,7 @@
         if look is None:
             look = self._begin(endpoint, now_ms)
         elif look.ended:
-            self._tell(look, [aboard])
+            self._tell(look, [_Lost(aboard, now_ms, sent_ms)])
             return True
         look.lost.append(_Lost(aboard, now_ms, sent_ms))
         return await asyncio.shield(look.task)
@@ -133,28 +135,30 @@
     async def _look(self, look: _Look) -> bool:
         await asyncio.sleep(GATHER_MS / 1000)
         endpoint, loop = look.endpoint, asyncio.get_running_loop()
-        if self._pool.lives(endpoint) or not await self._is_gone(endpoint):
+        if self._pool.lives(endpoint) or not await self._is_gone(look):
             self._looks.pop(endpoint.key, None)
             self._keep_unproved(look)
             return False
         loop.call_later(KNOWN_MS / 1000, self._looks.pop, endpoint.key, None)
         self._pool.drop(endpoint)
         self._mark_together(look)
-        self._tell(look, [lost.aboard for lost in look.lost])
+        self._tell(look, look.lost)
         return True
 
-    async def _is_gone(self, endpoint: Endpoint) -> bool:
+    async def _is_gone(self, look: _Look) -> bool:
         try:
-            connection = await open_connection(endpoint.address, LOOK_MS)
+            connection = await open_connection(look.endpoint.address, LOOK_MS)
         except RefusedError:
+            look.refused = True
             return True
         except ConnectError:
-            return False
+            # No answer may mean that the path is cut; with the entry gone as well, the endpoint is.
+            return look.delisted
         try:
             async with asyncio.timeout(CLOSED_MS / 1000):
                 await connection.closed()
         except TimeoutError:
-            self._pool.keep_new(endpoint, connection)
+            self._pool.keep_new(look.endpoint, connection)
             return False
         return True
 
@@ -188,8 +192,9 @@
             self._tell(look, look.burst)
         else:
             # An entry is taken out, too, of one that leaves and still serves for a while.
-            self._begin(look.endpoint, look.first_ms).lost = look.lost[-len(look.burst) :]
+            again = self._begin(look.endpoint, look.first_ms)
+            again.lost, again.delisted = look.burst, True
 
-    def _tell(self, look: _Look, aboard: list[Aboard]) -> None:
-        key = look.endpoint.key
-        self._took(End(key.name, key.life, look.together, aboard))
+    def _tell(self, look: _Look, lost: list[_Lost]) -> None:
+        key, aboard = look.endpoint.key, [one.aboard for one in lost]
+        self._took(End(key.name, key.life, look.together, aboard, look.refused))
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -146,8 +146,8 @@
         last = Result(Verdict.NOT_RUN, "no endpoint")
         while True:
             standing = self._containment.look()
-            if standing.treatment is Treatment.HELD:
-                return self._hold_back()
+            if standing.treatment is Treatment.QUARANTINED:
+                return self._quarantine()
             if standing.treatment is Treatment.WAIT and self._left_ms >= LEAST_LEFT_MS:
                 await asyncio.sleep(min(standing.wait_ms, self._left_ms) / 1000)
                 continue
@@ -413,14 +413,14 @@
         )
         return allowed
 
-    def _hold_back(self) -> None:
-        self._containment.held_back(self._sends)
+    def _quarantine(self) -> None:
+        self._containment.refused(self._sends)
         if self._caller.begun:
             self._caller.cut()
         elif self._may_have_run:
             self._answer.refuse(502, None)
         else:
-            self._answer.hold_back()
+            self._answer.quarantine()
 
     def _give_up(self, last: Result) -> None:
         state = self._state
--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -38,7 +38,7 @@
 
 QUARANTINE_WAIT_MS = 25_000.0
 QUARANTINE_PAUSE_MS = 500.0
-"""The same for requests that are held back. Routers tell each other of these; the store is for
+"""The same for requests in quarantine. Routers tell each other of these; the store is for
 those that start later, and each call of it is paid for."""
 
 WRITE_TRIES = 20
@@ -80,7 +80,7 @@
     wanted
         Called when the others should tell a whole table.
     took_quarantine
-        Called with what is learned of requests that are held back.
+        Called with what is learned of requests in quarantine.
     """
 
     def __init__(
@@ -163,12 +163,14 @@
         return None if follower is None else follower.copy(wanted.after)
 
     async def write_quarantine(self, key: str, value: bytes | None) -> bool:
-        """Write the row of a held request, or remove it; returns whether that was done."""
+        """Write the row of a quarantined request, or remove it; returns whether that was done."""
         client, tables = self._client(), self._site.tables
         try:
             await client.call(self._site.store.write(tables.quarantine, key, value))
         except StoreError as error:
-            self._state.log.event("a held request was not written", reason=str(error), row=key)
+            self._state.log.event(
+                "a quarantined request was not written", reason=str(error), row=key
+            )
             return False
         finally:
             client.close()
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -110,8 +110,8 @@
     def informed(self) -> bool:
         """Whether all is known that callers' requests are decided by.
 
-        A router that took callers before it knows which requests are held back would send these on,
-        each router of a fleet that starts anew.
+        A router that took callers before it knows which requests are quarantined would send these
+        on, each router of a fleet that starts anew.
         """
         return self.rules is not None and self.endpoints_known and self.quarantine_known
 
--- a/packages/gateway/src/tamarack_gateway/gateway_metrics.py
+++ b/packages/gateway/src/tamarack_gateway/gateway_metrics.py
@@ -87,9 +87,9 @@
             "requests_in_progress": loop["requests"],
         }
         quarantine = state.quarantine
-        readings["held_requests"] = quarantine.held_count
+        readings["quarantined_requests"] = quarantine.quarantined_count
         readings["suspected_requests"] = quarantine.suspect_count
-        readings["requests_held_back"] = quarantine.held_back
+        readings["quarantine_refusals"] = quarantine.refused
         readings["endpoints_ended"] = quarantine.ends_seen
         readings["newest_configuration_unreadable"] = int(state.unreadable_rules is not None)
         for kind in RowKind:
--- a/packages/gateway/src/tamarack_gateway/own_pages.py
+++ b/packages/gateway/src/tamarack_gateway/own_pages.py
@@ -32,7 +32,7 @@
     loop
         Tells how busy its event loop is.
     release
-        Holds a request back no longer, by its fingerprint; returns whether the store has taken it.
+        Releases a request, by its fingerprint; returns whether the store has taken it.
     """
 
     def __init__(
@@ -94,10 +94,10 @@
             caller.answer(404, [])
 
     async def _answer_release(self, fingerprint: str, caller: CallerConnection) -> None:
-        if not self._state.quarantine.holds(fingerprint):
-            caller.answer(404, [], b"no such request is held back\n")
+        if not self._state.quarantine.contains(fingerprint):
+            caller.answer(404, [], b"no such request is quarantined\n")
         elif await self._release(fingerprint):
             caller.answer(200, [], b"released\n")
         else:
-            # Its row is still there, and would hold it back again at the next router's start.
+            # Its row is still there, and would quarantine it again at the next router's start.
             caller.answer(503, [], b"the store did not take the release; try again\n")
--- a/packages/gateway/src/tamarack_gateway/quarantine_feed.py
+++ b/packages/gateway/src/tamarack_gateway/quarantine_feed.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from tamarack_core.end_evidence import End, Evidence, HeldRequest
+from tamarack_core.end_evidence import End, Evidence, QuarantinedRequest
 from tamarack_core.json_input import decode_json
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.site import Row
@@ -37,14 +37,14 @@
 """Largest number of trials that a row may tell; routers tell each other of it in 64 bits."""
 
 
-class _HeldFields(msgspec.Struct):
-    """A held request's row."""
+class _RowFields(msgspec.Struct):
+    """A quarantined request's row."""
 
     workspace: str = ""
     trials: Annotated[int, msgspec.Meta(ge=0, le=MOST_TRIALS)] = 0
 
 
-_decoder = msgspec.json.Decoder(_HeldFields)
+_decoder = msgspec.json.Decoder(_RowFields)
 
 
 class QuarantineFeed:
@@ -55,7 +55,7 @@
     tell
         Called with news for the other routers.
     writes
-        Tells whether it is this router's turn to write the row of a held request.
+        Tells whether it is this router's turn to write the row of a quarantined request.
     write
         Writes a row, or removes it; returns whether that was done.
     """
@@ -88,6 +88,7 @@
             endpoint=end.endpoint,
             life=end.life,
             together=end.together,
+            refused=end.refused,
             running=len(named),
             early=sum(aboard.early for aboard in end.aboard),
             fingerprints=named[:FINGERPRINTS_TOLD],
@@ -97,11 +98,13 @@
 
     def answered(self, fingerprint: str) -> None:
         """Take in that a request was answered whole."""
-        was_held = self._quarantine.holds(fingerprint)
+        was_quarantined = self._quarantine.contains(fingerprint)
         if not self._quarantine.answered(fingerprint):
             return
-        self._state.log.change("request cleared", fingerprint=fingerprint, was_held=was_held)
-        if was_held:
+        self._state.log.change(
+            "request cleared", fingerprint=fingerprint, was_quarantined=was_quarantined
+        )
+        if was_quarantined:
             self._quarantine.yielded.append(fingerprint)
         self._news.cleared.append(fingerprint)
         self._told.set()
@@ -112,9 +115,9 @@
         for end in evidence.ends:
             self._take_end(end)
         self._quarantine.cleared(evidence.cleared)
-        for request in evidence.held:
-            if self._quarantine.hold(request, now_ms):
-                self._log_held(request, "told by another router")
+        for request in evidence.quarantined:
+            if self._quarantine.take_in(request, now_ms):
+                self._log_quarantined(request, "told by another router")
 
     def took(self, change: TableChange) -> None:
         """Take in rows of the store."""
@@ -143,8 +146,8 @@
             await self._wait()
             now_ms = self._state.clock.now_ms
             for request in self._quarantine.settle(now_ms):
-                self._log_held(request, "endpoints ended under it")
-                self._news.held.append(request)
+                self._log_quarantined(request, "endpoints ended under it")
+                self._news.quarantined.append(request)
                 self._verdict.set()
             if any(self._news):
                 news, self._news = self._news, Evidence([], [], [])
@@ -158,7 +161,7 @@
                 async with asyncio.timeout(WRITE_MS / 1000):
                     await self._verdict.wait()
             self._verdict.clear()
-            await self._store_held()
+            await self._store_verdicts()
             while self._quarantine.yielded:
                 fingerprint = self._quarantine.yielded.pop()
                 if self._writes(fingerprint):
@@ -174,7 +177,7 @@
             await asyncio.sleep(min(LOOK_MS, left_ms) / 1000)
         self._told.clear()
 
-    async def _store_held(self) -> None:
+    async def _store_verdicts(self) -> None:
         now_ms = self._state.clock.now_ms
         unstored = self._quarantine.unstored()
         known = self._unwritten_ms
@@ -183,15 +186,16 @@
             waited_ms = now_ms - self._unwritten_ms[request.fingerprint]
             if not self._writes(request.fingerprint) and waited_ms < OTHERS_WRITE_MS:
                 continue
-            row = _HeldFields(request.workspace, request.trials)
+            row = _RowFields(request.workspace, request.trials)
             if await self._write(request.fingerprint, msgspec.json.encode(row)):
-                self._quarantine.put_by(request)
+                self._quarantine.mark_stored(request)
 
     # inside
 
     def _take_end(self, end: End) -> None:
         self._quarantine.ended(end, self._state.clock.now_ms)
-        self._state.put_ended(end.key)
+        if end.refused:
+            self._state.put_ended(end.key)
         self._told.set()
 
     def _take_row(self, row: Row, now_ms: float) -> None:
@@ -206,12 +210,12 @@
         except ValueError as error:
             unreadable.note(RowKind.QUARANTINE, row.key, row.version, str(error))
             return
-        request = HeldRequest(row.key, fields.workspace, fields.trials)
-        if self._quarantine.hold(request, now_ms, stored=True):
-            self._log_held(request, "listed in the store")
+        request = QuarantinedRequest(row.key, fields.workspace, fields.trials)
+        if self._quarantine.take_in(request, now_ms, stored=True):
+            self._log_quarantined(request, "listed in the store")
 
-    def _log_held(self, request: HeldRequest, reason: str) -> None:
-        self._state.log.change("request held back", reason=reason, **request._asdict())
+    def _log_quarantined(self, request: QuarantinedRequest, reason: str) -> None:
+        self._state.log.change("request quarantined", reason=reason, **request._asdict())
 
     def _log_released(self, fingerprint: str) -> None:
         self._state.log.change("request released", fingerprint=fingerprint)
--- a/packages/gateway/src/tamarack_gateway/quarantine_settings.py
+++ b/packages/gateway/src/tamarack_gateway/quarantine_settings.py
@@ -6,11 +6,11 @@
 
 from tamarack_core.quarantine_records import LONGEST_PAUSE_MS, USUAL_BOUNDS, QuarantineBounds
 
-ENDS = "TAMARACK_HOLD_ENDS"
-PAUSE_S = "TAMARACK_HOLD_PAUSE_S"
+ENDS = "TAMARACK_QUARANTINE_ENDS"
+PAUSE_S = "TAMARACK_QUARANTINE_PAUSE_S"
 
 ENDS_RANGE = (2, 100)
-"""With one, every end would hold back whoever was there alone; with a hundred, nobody ever."""
+"""With one, every end would quarantine whoever was there alone; with a hundred, nobody ever."""
 
 PAUSE_S_RANGE = (1.0, LONGEST_PAUSE_MS / 1000)
 """From a second, for trials, to the longest pause."""
--- a/packages/gateway/src/tamarack_gateway/quarantine_status.py
+++ b/packages/gateway/src/tamarack_gateway/quarantine_status.py
@@ -1,4 +1,4 @@
-"""Requests that are held back or suspected, told to operators."""
+"""Requests in quarantine or suspected, told to operators."""
 
 from __future__ import annotations
 
@@ -10,8 +10,8 @@
 """Suspects that are told of, by the ends that they met; a mass failure makes hundreds."""
 
 
-class HeldStatus(TypedDict):
-    """A request that is held back; `stored` tells whether the store lists it."""
+class QuarantinedStatus(TypedDict):
+    """A request that is quarantined; `stored` tells whether the store lists it."""
 
     fingerprint: str
     workspace: str
@@ -32,16 +32,16 @@
 class QuarantineStatus(TypedDict):
     """All that one router knows of requests that end endpoints."""
 
-    held: list[HeldStatus]
+    quarantined: list[QuarantinedStatus]
     suspects: list[SuspectStatus]
-    held_back: int
+    refused: int
 
 
 def quarantine_status(state: FleetState) -> QuarantineStatus:
     """Read the quarantine of a router."""
     quarantine = state.quarantine
     return {
-        "held": [
+        "quarantined": [
             {
                 "fingerprint": one.fingerprint,
                 "workspace": one.workspace,
@@ -49,7 +49,7 @@
                 "stored": one.stored,
                 "tried_in_s": one.tried_in_ms // 1000,
             }
-            for one in quarantine.held(state.clock.now_ms)
+            for one in quarantine.entries(state.clock.now_ms)
         ],
         "suspects": [
             {
@@ -60,5 +60,5 @@
             }
             for one in quarantine.suspects(MOST_SUSPECTS)
         ],
-        "held_back": quarantine.held_back,
+        "refused": quarantine.refused,
     }
--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -394,7 +394,7 @@
         if status in PROMISES:
             self._promised.add(attempt)
         if "content-type: text/plain" in head and sent not in FATAL_BODIES:
-            self.counts["others held back"] += 1
+            self.counts["others quarantined"] += 1
         if status != 200:
             return
         if "chunked" not in head:
