--- a/packages/gateway/src/tamarack_gateway/quarantine_feed.py
+++ b/packages/gateway/src/tamarack_gateway/quarantine_feed.py
@@ -19,9 +19,6 @@
 GATHER_MS = 20.0
 """Time from the first news to the message with them: ends of a mass failure come together."""
 
-LOOK_MS = 100.0
-"""Longest time between two looks at verdicts that are due."""
-
 WRITE_MS = 500.0
 """Time between two looks at verdicts that the store does not list yet."""
 
@@ -169,12 +166,12 @@
 
     async def _wait(self) -> None:
         due_ms = self._quarantine.next_verdict_ms
-        if due_ms is None:
-            await self._told.wait()
+        left_ms = None if due_ms is None else max(1.0, due_ms - self._state.clock.now_ms)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(None if left_ms is None else left_ms / 1000):
+                await self._told.wait()
+        if self._told.is_set():
             await asyncio.sleep(GATHER_MS / 1000)
-        else:
-            left_ms = max(GATHER_MS, due_ms - self._state.clock.now_ms)
-            await asyncio.sleep(min(LOOK_MS, left_ms) / 1000)
         self._told.clear()
 
     async def _store_verdicts(self) -> None:
