Let callers in where connections are idle, and send them past a crowded router

Cause: a router counted idle connections of callers like busy ones and kept each until its idle time was over. Callers come back after a refusal on a new connection and keep the old one, so one to which a busy workspace's callers keep reached its bound and turned everybody away, while it said that it was ready. Only a router whose event loop was behind told callers of others. Change: beyond the bound the connections that have been idle for longest make room; from half of it on answers end their connections, and callers are told of other routers.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -49,6 +49,8 @@
         Tells the limits in force.
     registry
         The set of open connections that this one enters itself into.
+    crowded
+        Tells whether there are so many that each ends with the answer in progress.
     """
 
     def __init__(
@@ -57,7 +59,10 @@
         clock: Clock,
         bounds: Callable[[], CallerBounds],
         registry: set[CallerConnection],
+        crowded: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._crowded = crowded
+        self._answered = False
         self._handler = handler
         self._clock = clock
         self._bounds = bounds
@@ -185,6 +190,17 @@
         """Whether a request is read, waits or is answered."""
         return self._task is not None or self._reading
 
+    @property
+    def unused(self) -> bool:
+        """Whether nothing has come on it yet."""
+        return not self._answered and not self.busy
+
+    @property
+    def answered_ms(self) -> float | None:
+        """When its last answer ended; None while it is busy, and before the first."""
+        idle = self._answered and not self.busy and not self.gone
+        return self._since_ms if idle else None
+
     def answer(self, status: int, headers: Headers, body: bytes = b"") -> None:
         """Write a whole answer."""
         if self._begun:
@@ -266,6 +282,7 @@
                     return
         finally:
             self._task = None
+            self._answered = True
             self._since_ms = self._clock.now_ms
 
     def _fail(self) -> None:
@@ -284,7 +301,7 @@
             self._transport.close()
 
     def _connection_headers(self) -> Headers:
-        if self.closing or not self._keep:
+        if self.closing or not self._keep or self._crowded():
             self._keep = False
             return [(b"connection", b"close")]
         return []
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -12,6 +12,7 @@
 from tamarack_core.relay_plan import Peer
 from tamarack_gateway.cache_inventory import CacheInventory
 from tamarack_gateway.caller_connection import CallerConnection
+from tamarack_gateway.caller_crowd import CallerCrowd
 from tamarack_gateway.caller_handler import CallerHandler
 from tamarack_gateway.connection_pool import ConnectionPool
 from tamarack_gateway.decision_log import DecisionLog
@@ -104,7 +105,8 @@
             self._witness,
             self._quarantine,
         )
-        self._listeners = Listeners(self._state, clock, self._watch, self._connections)
+        self._crowd = CallerCrowd(self._state, self._connections)
+        self._listeners = Listeners(self._state, clock, self._watch, self._connections, self._crowd)
         self._tasks: list[asyncio.Task[Any]] = []
         self._lines = asyncio.Event()
         log.on_line = self._lines.set
@@ -252,7 +254,7 @@
             self._state.ready,
             self._clock.now_ms,
             self._state.fresh,
-            overloaded=self._watch.avoid,
+            overloaded=self._watch.avoid or self._crowd.crowded,
         )
 
     def _follow(self, peers: dict[str, Peer]) -> None:
--- a/packages/gateway/src/tamarack_gateway/listeners.py
+++ b/packages/gateway/src/tamarack_gateway/listeners.py
@@ -7,6 +7,7 @@
 
 from tamarack_core.clock import Clock
 from tamarack_gateway.caller_connection import CallerConnection, Handler, TurnedAway
+from tamarack_gateway.caller_crowd import CallerCrowd
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.loop_watch import LoopWatch
 
@@ -19,11 +20,6 @@
 seconds, in which nothing else was read and no overload was noticed. At 1.5 ms for a request that is
 refused there, the rounds stay at 50 ms."""
 
-CALLERS_PART = 0.6
-"""Part of the descriptors that callers' connections may take; the rest is for endpoints, the store
-and other routers. A router without one left can neither accept nor connect, and requests that it
-has read are lost; callers that are turned away at once go to another router."""
-
 
 class Listeners:
     """Listens until closed.
@@ -32,6 +28,8 @@
     ----------
     connections
         The set that each connection enters itself into.
+    crowd
+        Tells whether one more is let in.
     """
 
     def __init__(
@@ -40,11 +38,13 @@
         clock: Clock,
         watch: LoopWatch,
         connections: set[CallerConnection],
+        crowd: CallerCrowd,
     ) -> None:
         self._state = state
         self._clock = clock
         self._watch = watch
         self._connections = connections
+        self._crowd = crowd
         self._servers: list[asyncio.Server] = []
 
     async def listen(self, address: str, handler: Handler, *, for_callers: bool = False) -> str:
@@ -52,7 +52,7 @@
         loop = asyncio.get_running_loop()
 
         def accept() -> asyncio.Protocol:
-            if self._full() or (for_callers and self._watch.turn_away()):
+            if not self._crowd.admit() or (for_callers and self._watch.turn_away()):
                 return TurnedAway()
             return self._connection(handler)
 
@@ -68,15 +68,15 @@
         for server in self._servers:
             server.close()
 
-    def _full(self) -> bool:
-        if len(self._connections) < CALLERS_PART * self._state.settings.descriptors:
-            return False
-        self._state.log.event("a caller was turned away", connections=len(self._connections))
-        return True
-
     def _connection(self, handler: Handler) -> CallerConnection:
         state = self._state
-        connection = CallerConnection(handler, self._clock, lambda: state.bounds, self._connections)
+        connection = CallerConnection(
+            handler,
+            self._clock,
+            lambda: state.bounds,
+            self._connections,
+            lambda: self._crowd.crowded,
+        )
         connection.closing = state.leaving is not None
         return connection
 
