--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -22,32 +22,20 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any
 
 from tamarack_standins.fault_proxy import FaultProxy
 from tamarack_standins.platform_store import PlatformStore
 from tamarack_standins.platform_worker import BORN_MS, Arrived, PlatformWorker, Script
+from tamarack_standins.soak_callers import ANSWER_S, HOST, KINDS, STREAMS, SoakCalls
 from tamarack_standins.soak_ends import BACK_S, FATAL_BODIES, FATAL_REQUESTS, PAUSE_S, EndCounts
 from tamarack_standins.soak_routers import REVOKE_MS, SPELL_S, SoakRouters, disturb
 
-HOST = "soak.example"
 ROUTERS = 3
 ENGINES = 3
 ENGINES_ENDS_ONLY = 8
 CALLERS = 12
 FAULT_PAUSE_S = (0.2, 0.9)
-ANSWER_S = 8.0
-KINDS = {"/page/": "non_idempotent", "/search/": "idempotent"}
-STREAMS = {"/rewrite/": False, "/draft/": True}
-PROMISES = (408, 421, 429, 503)
-
-
-class Sent(NamedTuple):
-    """A request as its caller sent it."""
-
-    path: str
-    key: str
-    sent_s: float
 
 
 class SoakWorker(PlatformWorker):
@@ -113,9 +101,7 @@
         self._count = routers
         self._routers: SoakRouters
         self._workers: list[tuple[str, SoakWorker, FaultProxy]] = []
-        self._sent: dict[str, Sent] = {}
         self._runs: Counter[str] = Counter()
-        self._promised: set[str] = set()
         self._revoked: dict[str, float] = {}
         self._version = 0
         self._names = 0
@@ -127,6 +113,7 @@
         self.ends = EndCounts(self._calm_s)
         self.counts: Counter[str] = Counter()
         self.broken: list[str] = []
+        self._calls_made = SoakCalls(self.random, self.counts, self.broken)
 
     async def run(self) -> None:
         """Play the seed; what was broken stands in `broken`."""
@@ -161,7 +148,7 @@
         """Take in that a worker runs a request."""
         attempt = arrived.headers.get("x-attempt-id", "")
         self._runs[attempt] += 1
-        sent = self._sent.get(attempt)
+        sent = self._calls_made.sent.get(attempt)
         if sent is None:
             self.broken.append(f"{attempt} runs and no caller sent it")
             return
@@ -175,7 +162,7 @@
             self.broken.append(f"{attempt} runs at {arrived.target}")
 
     def _check_promises(self) -> None:
-        for attempt in self._promised:
+        for attempt in self._calls_made.promised:
             if self._runs[attempt]:
                 self.broken.append(f"{attempt} was refused as not run and ran")
         if not self.counts["200"]:
@@ -249,7 +236,7 @@
             address = self._routers.address(number % self._count)
             with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
                 async with asyncio.timeout(ANSWER_S):
-                    await self._call(request.path, self._key, address, request.body)
+                    await self._calls_made.call(request.path, self._key, address, request.body)
 
     def _calm_s(self) -> float:
         return 0.0 if self._disturbing else time.monotonic() - self._disturbed_s
@@ -364,55 +351,11 @@
             with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
                 async with asyncio.timeout(ANSWER_S):
                     body = b'{"caller": %d}' % number
-                    await self._call(path, key, self._routers.address(router), body)
+                    await self._calls_made.call(path, key, self._routers.address(router), body)
                 continue
             self.counts["no answer"] += 1
             await asyncio.sleep(0.05)
 
-    async def _call(self, path: str, key: str, address: str, body: bytes = b"{}") -> None:
-        host, _, port = address.partition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        attempt = f"a{len(self._sent)}"
-        self._sent[attempt] = Sent(path, key, time.monotonic())
-        lines = [f"POST {path}x HTTP/1.1", f"Host: {HOST}", f"X-Attempt-Id: {attempt}"]
-        lines += ["X-Deadline-Ms: 2500", f"Content-Length: {len(body)}"]
-        if path in STREAMS:
-            lines += [f"Authorization: Token {key}", "X-Model: m", "X-Token-Usage: 300,40"]
-            lines.append(f"X-Prompt-Prefix: s{self.random.randrange(9)}:200,o{attempt}:100")
-        try:
-            writer.write("\r\n".join([*lines, "", ""]).encode() + body)
-            await self._read(reader, attempt, path in STREAMS, body)
-        finally:
-            writer.close()
-
-    async def _read(
-        self, reader: asyncio.StreamReader, attempt: str, stream: bool, sent: bytes
-    ) -> None:
-        head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
-        status = int(head.split(" ")[1])
-        self.counts[str(status)] += 1
-        if status in PROMISES:
-            self._promised.add(attempt)
-        if "content-type: text/plain" in head and sent not in FATAL_BODIES:
-            self.counts["others quarantined"] += 1
-        if status != 200:
-            return
-        if "chunked" not in head:
-            length = int(head.split("content-length: ")[1].split("\r")[0])
-            body = await reader.readexactly(length)
-            if stream or body.decode() != attempt:
-                self.broken.append(f"{attempt} got {body!r}")
-            return
-        body = b""
-        while size := int(await reader.readuntil(b"\r\n"), 16):
-            body += (await reader.readexactly(size + 2))[:-2]
-        self._check_events(body, attempt)
-
-    def _check_events(self, body: bytes, attempt: str) -> None:
-        events = [event for event in body.decode().split("\n\n") if event]
-        if events != [f"id: {n}\ndata: {attempt}" for n in range(1, len(events) + 1)]:
-            self.broken.append(f"{attempt} got other events: {events}")
-
 
 def play(seed: int, seconds: float, *, routers: int = ROUTERS, ends_only: bool = False) -> Soak:
     """Play one seed; returns it with its counts and what was broken."""
--- /dev/null
+++ b/packages/standins/src/tamarack_standins/soak_callers.py
@@ -0,0 +1,94 @@
+"""The callers of a soak: what they send, and what they check of the answers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import Counter
+from typing import NamedTuple
+
+from tamarack_standins.soak_ends import FATAL_BODIES
+
+HOST = "soak.example"
+ANSWER_S = 8.0
+KINDS = {"/page/": "non_idempotent", "/search/": "idempotent"}
+STREAMS = {"/rewrite/": False, "/draft/": True}
+PROMISES = (408, 421, 429, 503)
+
+
+class Sent(NamedTuple):
+    """A request as its caller sent it."""
+
+    path: str
+    key: str
+    sent_s: float
+
+
+class SoakCalls:
+    """Sends requests, and keeps what their callers were told.
+
+    Parameters
+    ----------
+    counts, broken
+        Take answers by status, and what was broken.
+
+    Attributes
+    ----------
+    sent
+        All requests by their attempts.
+    promised
+        Attempts that were answered as not run.
+    """
+
+    def __init__(self, draws: random.Random, counts: Counter[str], broken: list[str]) -> None:
+        self._random = draws
+        self._counts = counts
+        self._broken = broken
+        self.sent: dict[str, Sent] = {}
+        self.promised: set[str] = set()
+
+    async def call(self, path: str, key: str, address: str, body: bytes) -> None:
+        """Send a request to a router, and check what comes back."""
+        host, _, port = address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        attempt = f"a{len(self.sent)}"
+        self.sent[attempt] = Sent(path, key, time.monotonic())
+        lines = [f"POST {path}x HTTP/1.1", f"Host: {HOST}", f"X-Attempt-Id: {attempt}"]
+        lines += ["X-Deadline-Ms: 2500", f"Content-Length: {len(body)}"]
+        if path in STREAMS:
+            lines += [f"Authorization: Token {key}", "X-Model: m", "X-Token-Usage: 300,40"]
+            lines.append(f"X-Prompt-Prefix: s{self._random.randrange(9)}:200,o{attempt}:100")
+        try:
+            writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+            await self._read(reader, attempt, path in STREAMS, body)
+        finally:
+            writer.close()
+
+    async def _read(
+        self, reader: asyncio.StreamReader, attempt: str, stream: bool, sent: bytes
+    ) -> None:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+        status = int(head.split(" ")[1])
+        self._counts[str(status)] += 1
+        if status in PROMISES:
+            self.promised.add(attempt)
+        if "content-type: text/plain" in head and sent not in FATAL_BODIES:
+            self._counts["others quarantined"] += 1
+        if status != 200:
+            return
+        if "chunked" not in head:
+            length = int(head.split("content-length: ")[1].split("\r")[0])
+            body = await reader.readexactly(length)
+            if stream or body.decode() != attempt:
+                self._broken.append(f"{attempt} got {body!r}")
+            return
+        body = b""
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            body += (await reader.readexactly(size + 2))[:-2]
+        self._check_events(body, attempt)
+
+    def _check_events(self, body: bytes, attempt: str) -> None:
+        events = [event for event in body.decode().split("\n\n") if event]
+        if events != [f"id: {n}\ndata: {attempt}" for n in range(1, len(events) + 1)]:
+            self._broken.append(f"{attempt} got other events: {events}")
