Take the waiting for an endpoint's answer out of the exchange

Change: how long an answer is waited for stands in a module of its own; a test that shortens one of its times names the new module. Nothing else changes.

--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Sequence
+from collections.abc import Sequence
 
 from tamarack_core.admission import Admission, Decision
 from tamarack_core.admitted_placement import AdmittedPlacement
@@ -27,6 +27,7 @@
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.http_messages import AnswerHead, Request
 from tamarack_gateway.outbox import Outbox
+from tamarack_gateway.patience import Patience
 from tamarack_gateway.send_notes import UNREACHED_WEIGHT, SendNotes
 from tamarack_gateway.send_result import Result, Verdict
 from tamarack_gateway.sending_connection import sending_connection
@@ -42,21 +43,6 @@
 CONNECT_TRIES = 4
 """Endpoints that are tried while no connection can be made; nothing has been sent to any."""
 
-FIRST_EVENT_SLACK_MS = 1_500.0
-"""Time beyond the prediction after which a stream without an event is tried elsewhere, where it
-may be. An estimate, not measured: above the aims of most routes and below callers' patience."""
-
-EVENT_SILENCE_MS = 1_700.0
-"""Pause between events after which a stream goes on elsewhere, where it may. Callers give up after
-two seconds at the earliest, and routes ask for pauses of half a second at the most."""
-
-PLAIN_PATIENCE = 8.0
-"""Times the usual latency after which an idempotent request without an answer is asked elsewhere;
-long answers are up to five times the usual."""
-
-PLAIN_PATIENCE_MIN_MS = 250.0
-"""Least such time: an estimate, above the longest answers of some 220 ms."""
-
 UNBOUNDED = Decision(Admission.ADMITTED, "not decided on")
 """For plain services, whose endpoints refuse themselves, and for what was sent before."""
 
@@ -102,6 +88,7 @@
         if facts.wait_ms is not None:
             limit_ms = min(limit_ms, facts.wait_ms)
         self._until_ms = request.arrived_ms + limit_ms
+        self._patience = Patience(state, route, lambda: self._left_ms)
         self._sends = 0
         self._may_have_run = False
         self._first_event_ms: float | None = None
@@ -306,7 +293,7 @@
         sent_ms = self._state.clock.now_ms
         ran_before, self._may_have_run = self._may_have_run, True
         connection.send(data)
-        head = await self._first(connection.head(), choice)
+        head = await self._patience.head(connection.head(), choice, self._sends)
         facts = self._dialect.read_answer(head)
         if facts.attempt is not None and facts.attempt != self._facts.attempt:
             raise BrokenAnswerError("the answer belongs to another request")
@@ -328,27 +315,6 @@
         self._caller.answer(head.status, self._dialect.for_caller(head), body)
         return Result(Verdict.DONE)
 
-    async def _first(self, head: Awaitable[AnswerHead], choice: Choice) -> AnswerHead:
-        patience_ms = self._patience_ms(choice)
-        if patience_ms is None:
-            return await head
-        try:
-            async with asyncio.timeout(patience_ms / 1000):
-                return await head
-        except TimeoutError as error:
-            if self._left_ms <= 1.0:
-                raise
-            raise BrokenAnswerError("silent for longer than predicted") from error
-
-    def _patience_ms(self, choice: Choice) -> float | None:
-        if not self._route.repeatable or self._sends >= self._route.max_attempts:
-            return None
-        if self._route.streams:
-            return choice.first_token_ms + FIRST_EVENT_SLACK_MS
-        record = self._state.record(choice.endpoint.key)
-        usual_ms = record.latency_ms if record is not None else 0.0
-        return max(PLAIN_PATIENCE_MIN_MS, PLAIN_PATIENCE * usual_ms)
-
     async def _relay_events(
         self, choice: Choice, connection: EndpointConnection, head: AnswerHead
     ) -> Result:
@@ -356,7 +322,7 @@
         clock, resumed_after = self._state.clock, self._splitter.last
         begun, first_ms = False, 0.0
         while True:
-            piece = await self._next_piece(connection, choice, not begun)
+            piece = await self._patience.piece(connection, choice, self._sends, first=not begun)
             if piece is None:
                 break
             events = self._splitter.feed(piece)
@@ -375,22 +341,6 @@
             self._time_to_end.streamed(clock.now_ms - first_ms, resumed_after)
         return Result(Verdict.DONE)
 
-    async def _next_piece(
-        self, connection: EndpointConnection, choice: Choice, first: bool
-    ) -> bytes | None:
-        if not self._route.repeatable or self._sends >= self._route.max_attempts:
-            return await connection.piece()
-        limit_ms = EVENT_SILENCE_MS
-        if first:
-            limit_ms = choice.first_token_ms + FIRST_EVENT_SLACK_MS
-        try:
-            async with asyncio.timeout(limit_ms / 1000):
-                return await connection.piece()
-        except TimeoutError as error:
-            if self._left_ms <= 1.0:
-                raise
-            raise BrokenAnswerError("silent for too long") from error
-
     # what follows a send
 
     def _may_try_again(self, last: Result) -> bool:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -244,9 +244,9 @@
     """
 
     async def story() -> None:
-        from tamarack_gateway import exchange
+        from tamarack_gateway import patience
 
-        monkeypatch.setattr(exchange, "FIRST_EVENT_SLACK_MS", 100.0)
+        monkeypatch.setattr(patience, "FIRST_EVENT_SLACK_MS", 100.0)
         engines = [PlatformWorker(name) for name in ("e1", "e2")]
         engines[0]._scripts = engines[1]._scripts = [Script(silent=True), STREAM]
         async with Fleet({"pool": engines}) as fleet:
