Take out of the store what was answered after its verdict, by whoever saw the answer

Cause: an entry that a whole answer released was removed from the store only where hashing gave its row to the very router that saw the answer; elsewhere the row stayed, and the next router to start read it. Change: whoever sees the answer removes the row, again until the store has taken it.

--- a/packages/core/src/tamarack_core/quarantine.py
+++ b/packages/core/src/tamarack_core/quarantine.py
@@ -105,7 +105,7 @@
     refused, ends_seen
         How often a request was quarantined, and how many ends this router heard of.
     yielded
-        quarantined requests that gave way to others, until somebody takes them out of the store.
+        Quarantined requests that gave way to others, until somebody takes them out of the store.
     """
 
     def __init__(
@@ -209,7 +209,7 @@
 
     def keep_stored(self, fingerprints: set[str]) -> list[str]:
         """Release what the store no longer lists, but not what was never written there."""
-        gone = [f for f in self._entries if f not in fingerprints and self._stored(f)]
+        gone = [f for f, entry in self._entries.items() if entry.stored and f not in fingerprints]
         for fingerprint in gone:
             self.release(fingerprint)
         return gone
@@ -222,11 +222,10 @@
 
     def unstored(self) -> list[QuarantinedRequest]:
         """Quarantined requests that the store does not list as they are."""
-        found = [(f, self._entries.get(f)) for f in self._entries]
         return [
-            QuarantinedRequest(f, entry.workspace, entry.trials)
-            for f, entry in found
-            if entry is not None and not entry.stored
+            QuarantinedRequest(fingerprint, entry.workspace, entry.trials)
+            for fingerprint, entry in self._entries.items()
+            if not entry.stored
         ]
 
     # requests
@@ -280,35 +279,28 @@
 
     def entries(self, now_ms: float) -> list[QuarantinedReading]:
         """All quarantined requests, the newest last."""
-        found = [(f, self._entries.get(f)) for f in self._entries]
+        first_pause_ms = self._bounds.first_pause_ms
         return [
             QuarantinedReading(
-                f,
+                fingerprint,
                 entry.workspace,
                 entry.trials,
                 entry.stored,
-                round(entry.tried_at_ms(self._bounds.first_pause_ms) - now_ms),
+                round(entry.tried_at_ms(first_pause_ms) - now_ms),
             )
-            for f, entry in found
-            if entry is not None
+            for fingerprint, entry in self._entries.items()
         ]
 
     def suspects(self, most: int) -> list[SuspectReading]:
         """The suspects that met most ends."""
-        found = [(f, self._suspects.get(f)) for f in self._suspects]
         readings = [
-            SuspectReading(f, suspect.workspace, round(suspect.weight, 2), suspect.ends)
-            for f, suspect in found
-            if suspect is not None
+            SuspectReading(fingerprint, suspect.workspace, round(suspect.weight, 2), suspect.ends)
+            for fingerprint, suspect in self._suspects.items()
         ]
         return sorted(readings, key=lambda reading: reading.weight, reverse=True)[:most]
 
     # inside
 
-    def _stored(self, fingerprint: str) -> bool:
-        entry = self._entries.get(fingerprint)
-        return entry is not None and entry.stored
-
     def _suspect(self, fingerprint: str, workspace: str, now_ms: float) -> Suspect:
         suspect = self._suspects.get(fingerprint) or Suspect(workspace)
         suspect.last_ms = now_ms
@@ -393,9 +385,8 @@
     def _forget(self, now_ms: float) -> None:
         past_ms = now_ms - SETTLE_MS * 10
         self._settled = {key: at for key, at in self._settled.items() if at > past_ms}
-        for fingerprint in self._suspects:
-            suspect = self._suspects.get(fingerprint)
-            if suspect is not None and now_ms - suspect.last_ms > FORGET_MS:
+        for fingerprint, suspect in self._suspects.items():
+            if now_ms - suspect.last_ms > FORGET_MS:
                 self._suspects.pop(fingerprint)
 
 
--- a/packages/core/src/tamarack_core/workspace_table.py
+++ b/packages/core/src/tamarack_core/workspace_table.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from typing import Generic, TypeVar
 
 T = TypeVar("T")
@@ -34,8 +33,9 @@
     def __contains__(self, key: str) -> bool:
         return key in self._values
 
-    def __iter__(self) -> Iterator[str]:
-        return iter(list(self._values))
+    def items(self) -> list[tuple[str, T]]:
+        """All keys with their values, in the order in which they were put first."""
+        return list(self._values.items())
 
     def get(self, key: str) -> T | None:
         """The value of a key; None without one."""
--- a/packages/gateway/src/tamarack_gateway/quarantine_feed.py
+++ b/packages/gateway/src/tamarack_gateway/quarantine_feed.py
@@ -72,6 +72,7 @@
         self._write = write
         self._news = Evidence([], [], [])
         self._told = asyncio.Event()
+        self._removals: list[str] = []
         self._verdict = asyncio.Event()
         self._unwritten_ms: dict[str, float] = {}
 
@@ -102,7 +103,8 @@
             "request cleared", fingerprint=fingerprint, was_quarantined=was_quarantined
         )
         if was_quarantined:
-            self._quarantine.yielded.append(fingerprint)
+            self._removals.append(fingerprint)
+            self._verdict.set()
         self._news.cleared.append(fingerprint)
         self._told.set()
 
@@ -159,10 +161,7 @@
                     await self._verdict.wait()
             self._verdict.clear()
             await self._store_verdicts()
-            while self._quarantine.yielded:
-                fingerprint = self._quarantine.yielded.pop()
-                if self._writes(fingerprint):
-                    await self._write(fingerprint, None)
+            await self._remove_rows()
 
     async def _wait(self) -> None:
         due_ms = self._quarantine.next_verdict_ms
@@ -174,6 +173,13 @@
             await asyncio.sleep(GATHER_MS / 1000)
         self._told.clear()
 
+    async def _remove_rows(self) -> None:
+        # All routers see an entry yield; only this one has seen the answer.
+        yielded, self._quarantine.yielded = self._quarantine.yielded, []
+        self._removals += [one for one in yielded if self._writes(one)]
+        due = [one for one in self._removals if not self._quarantine.contains(one)]
+        self._removals = [one for one in due if not await self._write(one, None)]
+
     async def _store_verdicts(self) -> None:
         now_ms = self._state.clock.now_ms
         unstored = self._quarantine.unstored()
--- a/tests/test_requests_that_end_endpoints.py
+++ b/tests/test_requests_that_end_endpoints.py
@@ -186,6 +186,32 @@
     play(run())
 
 
+def test_an_answer_that_comes_after_the_verdict_releases_it_everywhere() -> None:
+    """Symptom: a request that was answered is quarantined again with the next router's start.
+
+    Sequence: it is wrongly quarantined while it runs; it is answered whole, at a router whose turn
+    it is not to write its row. Cause: only that other router took rows out of the store.
+    """
+
+    async def run() -> None:
+        slow = Script(events=3, pause_s=0.6, echo=True)
+        async with Fleet({"pool": [PlatformWorker("e1", slow)]}) as fleet:
+            await fleet.add_routers(2)
+            routers = [fleet.gateway, *fleet.others]
+            for router in routers:
+                body = b"runs at " + router.callers.encode()
+                name = fingerprint("shop", "shop.example", b"POST", b"/draft/x", body)
+                asked = asyncio.ensure_future(fleet.ask("/draft/x", at=router, body=body))
+                await asyncio.sleep(0.2)
+                await fleet.store.put("quarantine", name, {"workspace": "shop", "trials": 0})
+                await until(lambda: all(quarantined(one) for one in routers))
+                assert (await asked).status == 200
+                await until(lambda: not any(quarantined(one) for one in routers))
+                await until(lambda: fleet.store.rows("quarantine") == {})
+
+    play(run())
+
+
 def test_operators_list_and_release_held_requests(capsys: pytest.CaptureFixture[str]) -> None:
     async def run() -> None:
         async with CrashingPool(4, FATAL) as pool, Fleet({"pool": pool.engines}) as fleet:
