--- a/packages/gateway/src/tamarack_gateway/caller_handler.py
+++ b/packages/gateway/src/tamarack_gateway/caller_handler.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from tamarack_core.leaving import ELSEWHERE_MS
+from tamarack_core.ruleset import Route
 from tamarack_gateway.caller_connection import CallerConnection
 from tamarack_gateway.connection_pool import ConnectionPool
 from tamarack_gateway.containment import Containment
@@ -16,7 +17,7 @@
 from tamarack_gateway.loop_watch import LoopWatch
 from tamarack_gateway.outbox import Outbox
 from tamarack_gateway.quarantine_feed import QuarantineFeed
-from tamarack_gateway.site import RequestDialect
+from tamarack_gateway.site import RequestDialect, RequestFacts
 
 DENY_AGE_MS = 3_600.0
 """Age of the configuration beyond which an unknown route or key is not denied, as where the newest
@@ -99,18 +100,7 @@
         elif not state.freshness.trusted(self._clock.now_ms):
             workspace = None
         self._metrics.began(route)
-        exchange = Exchange(
-            state,
-            dialect,
-            self._pool,
-            self._outbox,
-            caller,
-            request,
-            facts,
-            route,
-            workspace,
-            Containment(state, self._witness, self._quarantine, request, facts, workspace),
-        )
+        exchange = self._exchange(request, caller, facts, route, workspace)
         try:
             await exchange.run()
         except ConnectionError as error:
@@ -122,6 +112,29 @@
         finally:
             self._metrics.ended(route, self._clock.now_ms - request.arrived_ms)
 
+    def _exchange(
+        self,
+        request: Request,
+        caller: CallerConnection,
+        facts: RequestFacts,
+        route: Route,
+        workspace: str | None,
+    ) -> Exchange:
+        state = self._state
+        contained = Containment(state, self._witness, self._quarantine, request, facts, workspace)
+        return Exchange(
+            state,
+            self._dialect,
+            self._pool,
+            self._outbox,
+            caller,
+            request,
+            facts,
+            route,
+            workspace,
+            contained,
+        )
+
     def _cancelled(self, exchange: Exchange, request: Request, attempt: str) -> None:
         # A request that the router ends itself must not look as if its caller had left, or its
         # endpoint failed: the time since the request to stop tells which it was.
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -78,22 +78,8 @@
             loop=self._watch.status,
         )
         self._state.owns = lambda matter: self._members.owns(matter, self._me, clock.now_ms)
-        self._quarantine = QuarantineFeed(
-            self._state,
-            tell=lambda evidence: self._peers.tell_evidence(evidence),
-            writes=self._state.owns,
-            write=lambda key, value: self._feeds.write_quarantine(key, value),
-        )
-        self._pages = OwnPages(
-            self._state,
-            self._members,
-            self._metrics,
-            site.directory,
-            me=lambda: self._me,
-            relays=lambda: self._peers.relays,
-            loop=self._watch.status,
-            release=self._quarantine.release,
-        )
+        self._quarantine = self._make_quarantine()
+        self._pages = self._make_pages()
         self._witness = EndWitness(self._state, self._pool, took=self._quarantine.saw)
         self._handler = CallerHandler(
             self._state,
@@ -111,36 +97,9 @@
         self._lines = asyncio.Event()
         log.on_line = self._lines.set
         self._stack = contextlib.AsyncExitStack()
-        self._peers = PeerGroup(
-            self._settings.router,
-            self._settings.failure_domain,
-            self._settings.peers,
-            clock=clock,
-            log=log,
-            outbox=self._outbox,
-            summary=self._summary,
-            others=lambda: self._members.heard_within(5_000.0, clock.now_ms),
-            took=self._took,
-            took_work=self._state.take_placements,
-            took_alive=lambda stamps: self._members.alive(stamps, self._clock.now_ms),
-        )
-        self._feeds = FleetFeeds(
-            site,
-            self._state,
-            follow=self._follow,
-            reads=self._reads,
-            told=self._tell_news,
-            wanted=self._peers.tell_wanted,
-            took_quarantine=self._quarantine.took,
-        )
-        self._inventory = CacheInventory(
-            self._state,
-            site.engines,
-            self._pool,
-            self._outbox,
-            settles=lambda: self._peers.large,
-            asks=lambda name: self._members.asks(name, self._me, clock.now_ms),
-        )
+        self._peers = self._make_peers()
+        self._feeds = self._make_feeds()
+        self._inventory = self._make_inventory()
         self._started_ms = clock.now_ms
         self._callers = ""
         self._site_addresses: list[str] = []
@@ -241,6 +200,64 @@
             await asyncio.sleep(LEAVE_STEP_MS / 1000)
         self._log.event("left", connections=len(self._connections))
 
+    # parts
+
+    def _make_quarantine(self) -> QuarantineFeed:
+        return QuarantineFeed(
+            self._state,
+            tell=lambda evidence: self._peers.tell_evidence(evidence),
+            writes=self._state.owns,
+            write=lambda key, value: self._feeds.write_quarantine(key, value),
+        )
+
+    def _make_pages(self) -> OwnPages:
+        return OwnPages(
+            self._state,
+            self._members,
+            self._metrics,
+            self._site.directory,
+            me=lambda: self._me,
+            relays=lambda: self._peers.relays,
+            loop=self._watch.status,
+            release=self._quarantine.release,
+        )
+
+    def _make_peers(self) -> PeerGroup:
+        return PeerGroup(
+            self._settings.router,
+            self._settings.failure_domain,
+            self._settings.peers,
+            clock=self._clock,
+            log=self._log,
+            outbox=self._outbox,
+            summary=self._summary,
+            others=lambda: self._members.heard_within(5_000.0, self._clock.now_ms),
+            took=self._took,
+            took_work=self._state.take_placements,
+            took_alive=lambda stamps: self._members.alive(stamps, self._clock.now_ms),
+        )
+
+    def _make_feeds(self) -> FleetFeeds:
+        return FleetFeeds(
+            self._site,
+            self._state,
+            follow=self._follow,
+            reads=self._reads,
+            told=self._tell_news,
+            wanted=self._peers.tell_wanted,
+            took_quarantine=self._quarantine.took,
+        )
+
+    def _make_inventory(self) -> CacheInventory:
+        return CacheInventory(
+            self._state,
+            self._site.engines,
+            self._pool,
+            self._outbox,
+            settles=lambda: self._peers.large,
+            asks=lambda name: self._members.asks(name, self._me, self._clock.now_ms),
+        )
+
     # peers
 
     @property
