--- a/packages/ctl/src/tamarack_ctl/quarantine_view.py
+++ b/packages/ctl/src/tamarack_ctl/quarantine_view.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import argparse
-import json
 from typing import Any
 from urllib.parse import quote
 
@@ -11,12 +10,17 @@
 
 from tamarack_ctl.commands import (
     EXIT_REFUSED,
-    EXIT_UNREACHABLE,
     Context,
     Outcome,
     command,
 )
-from tamarack_ctl.router_view import TIMEOUT_S, add_address, table_lines
+from tamarack_ctl.router_view import (
+    TIMEOUT_S,
+    add_address,
+    show_page,
+    table_lines,
+    unreachable,
+)
 
 
 @command(
@@ -27,15 +31,7 @@
 )
 def show_quarantine(context: Context) -> Outcome:
     """Ask one router which requests are quarantined and suspected."""
-    address = context.arguments.address
-    try:
-        answer = urllib3.request(
-            "GET", f"http://{address}/quarantine", timeout=TIMEOUT_S, retries=False
-        )
-        status = json.loads(answer.data)
-        return Outcome(_lines(status), status)
-    except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError) as error:
-        return _unreachable(address, error)
+    return show_page(context.arguments.address, "/quarantine", _lines)
 
 
 def _configure_release(parser: argparse.ArgumentParser) -> None:
@@ -51,7 +47,7 @@
     try:
         answer = urllib3.request("POST", url, timeout=TIMEOUT_S, retries=False)
     except urllib3.exceptions.HTTPError as error:
-        return _unreachable(address, error)
+        return unreachable(address, error)
     told = answer.data.decode(errors="replace").strip()
     done = answer.status == 200
     value = {"fingerprint": fingerprint, "released": done, "told": told}
@@ -63,8 +59,3 @@
     for title in ("quarantined", "suspects"):
         lines += table_lines(title, status[title])
     return lines
-
-
-def _unreachable(address: str, error: Exception) -> Outcome:
-    reason = f"{address} does not answer as a router: {error}"
-    return Outcome([reason], {"error": reason}, EXIT_UNREACHABLE)
--- a/packages/ctl/src/tamarack_ctl/router_view.py
+++ b/packages/ctl/src/tamarack_ctl/router_view.py
@@ -4,6 +4,7 @@
 
 import argparse
 import json
+from collections.abc import Callable
 from typing import Any
 
 import urllib3
@@ -22,16 +23,23 @@
 @command("router", "show what one router of the platform believes", add_address, needs_fleet=False)
 def show_router(context: Context) -> Outcome:
     """Ask one router for its status."""
-    address = context.arguments.address
+    return show_page(context.arguments.address, "/status", _lines)
+
+
+def show_page(address: str, path: str, lines: Callable[[dict[str, Any]], list[str]]) -> Outcome:
+    """Read a page of one router, and lay it out as lines."""
     try:
-        answer = urllib3.request(
-            "GET", f"http://{address}/status", timeout=TIMEOUT_S, retries=False
-        )
-        status = json.loads(answer.data)
-        return Outcome(_lines(status), status)
+        answer = urllib3.request("GET", f"http://{address}{path}", timeout=TIMEOUT_S, retries=False)
+        page = json.loads(answer.data)
+        return Outcome(lines(page), page)
     except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError) as error:
-        reason = f"{address} does not answer as a router: {error}"
-        return Outcome([reason], {"error": reason}, EXIT_UNREACHABLE)
+        return unreachable(address, error)
+
+
+def unreachable(address: str, error: Exception) -> Outcome:
+    """What a command found where no router answers."""
+    reason = f"{address} does not answer as a router: {error}"
+    return Outcome([reason], {"error": reason}, EXIT_UNREACHABLE)
 
 
 def _lines(status: dict[str, Any]) -> list[str]:
