Suspect nobody of an end that came before it was sent

Cause: behind something that goes on to accept connections for an endpoint that has ended, what was sent there afterwards broke off as well, and each counted as one that the endpoint had when it ended. Change: what was sent after a router knew of the end counts for nothing; an endpoint that closes new connections gets no work for half a second.

--- a/packages/gateway/src/tamarack_gateway/end_witness.py
+++ b/packages/gateway/src/tamarack_gateway/end_witness.py
@@ -112,6 +112,10 @@
         """Take in that an answer broke off, and tell whether its endpoint has ended."""
         now_ms = self._state.clock.now_ms
         look = self._looks.get(endpoint.key)
+        known_ms = self._state.ended_ms(endpoint.key)
+        if known_ms is not None and sent_ms >= known_ms:
+            # Something before the endpoint took it, which had ended already and ran nothing.
+            return True
         if look is None:
             look = self._begin(endpoint, now_ms)
         elif look.ended:
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -51,6 +51,11 @@
 """The same where entries tell no life: the next one cannot be told from the one that ended."""
 
 
+CLOSING_MS = 500.0
+"""The same where it is only known to close new connections: something before it accepts them for an
+endpoint that has ended, or it is full. Without it, what is sent meanwhile is lost there."""
+
+
 class FleetState:
     """The beliefs that tasks of one router share; only the loop's thread touches them.
 
@@ -94,6 +99,7 @@
         self.owns: Callable[[str], bool] = _never
         self.on_life_over: Callable[[EndpointLife, bool], None] = _nobody
         self._ended_until_ms: dict[EndpointLife, float] = {}
+        self._ended_ms: dict[EndpointLife, float] = {}
         self.leaving: LeavingPlan | None = None
         self._times: dict[str, ServiceTimes] = {}
         self._first_tokens: dict[str, FirstTokenTime] = {}
@@ -219,12 +225,25 @@
         until_ms = self._ended_until_ms
         return [e for e in endpoints if until_ms.get(e.key, 0.0) <= now_ms]
 
-    def put_ended(self, key: EndpointLife) -> None:
-        """Take in that a life of an endpoint is over, though its entry may still be there."""
+    def put_ended(self, key: EndpointLife, *, refused: bool) -> None:
+        """Take in that a life of an endpoint is over, though its entry may still be there.
+
+        Parameters
+        ----------
+        refused
+            Whether nobody listens at its address; one that closes new connections may be full.
+        """
         now_ms = self.clock.now_ms
         believed_ms = ENDED_MS if key.life is not None else ENDED_LIFELESS_MS
+        until_ms = now_ms + (believed_ms if refused else CLOSING_MS)
         kept = {k: until for k, until in self._ended_until_ms.items() if until > now_ms}
-        self._ended_until_ms = {**kept, key: now_ms + believed_ms}
+        self._ended_until_ms = {**kept, key: max(until_ms, kept.get(key, 0.0))}
+        ends = {k: at for k, at in self._ended_ms.items() if now_ms - at < ENDED_MS}
+        self._ended_ms = {key: now_ms, **ends}
+
+    def ended_ms(self, key: EndpointLife) -> float | None:
+        """When this router first learned that a life is over; None where it has not lately."""
+        return self._ended_ms.get(key)
 
     def shortest_aim_ms(self, service: str, aim_ms: float) -> float:
         """Shortest aim of all routes that share a service's engines with one of `aim_ms`."""
--- a/packages/gateway/src/tamarack_gateway/quarantine_feed.py
+++ b/packages/gateway/src/tamarack_gateway/quarantine_feed.py
@@ -197,8 +197,7 @@
 
     def _take_end(self, end: End) -> None:
         self._quarantine.ended(end, self._state.clock.now_ms)
-        if end.refused:
-            self._state.put_ended(end.key)
+        self._state.put_ended(end.key, refused=end.refused)
         self._told.set()
 
     def _take_row(self, row: Row, now_ms: float) -> None:
