Listen to routers that have left the list while they finish what they run

Cause: a router that is asked to stop takes its row out first and serves for its grace time; the others stopped listening to it with its row. What it saw of endpoints that end reached nobody: at an end with two suspects another router knew of one, and convicted it. Change: an address that left the list is listened to for ten seconds more; in a large fleet by the relays of its failure domain. Figures: the new test fails on the code before. Conclusion: evidence is whole in a rolling stop; what a killed router had seen and not told stays lost.

--- a/packages/gateway/src/tamarack_gateway/peer_group.py
+++ b/packages/gateway/src/tamarack_gateway/peer_group.py
@@ -34,6 +34,11 @@
 """Longest time that a relay is quiet when it has nothing to pass on, or only how routers are:
 with 195 of them there is always a summary to pass on, and each message wakes them all."""
 
+FORMER_MS = 10_000.0
+"""Time for which a router that has left the list is still listened to: it finishes what it runs for
+its grace time, 8 s here. Without it, what it sees of endpoints that end reaches nobody, and others
+judge by part of the evidence."""
+
 PLAN_MS = 100.0
 """Time between two looks at who relays."""
 
@@ -97,6 +102,8 @@
         self._took_alive = took_alive
         self._plan = RelayPlan(router, failure_domain)
         self._links = Links(frozenset(), None, False)
+        self._listed: Mapping[str, Peer] = {}
+        self._former: dict[Peer, float] = {}
         self._own: list[Report] = []
         self._foreign: list[Report] = []
         self._foreign_work = PlacementSum()
@@ -145,7 +152,13 @@
         Whom to listen to in a large fleet is left to the next look at it: while 195 routers start,
         the list changes with each of them, and connections were made to be closed at once.
         """
-        self._plan.put(peers, self._clock.now_ms)
+        now_ms = self._clock.now_ms
+        for peer in self._listed.values():
+            self._former[peer] = now_ms + FORMER_MS
+        self._listed = dict(peers)
+        for peer in peers.values():
+            self._former.pop(peer, None)
+        self._plan.put(peers, now_ms)
         if not self._plan.large:
             self._follow()
 
@@ -266,16 +279,26 @@
     async def _watch(self) -> None:
         while True:
             await asyncio.sleep(PLAN_MS / 1000)
-            if self._plan.large:
+            if self._plan.large or self._former:
                 self._follow()
 
+    def _former_addresses(self, links: Links) -> frozenset[str]:
+        now_ms = self._clock.now_ms
+        self._former = {peer: until for peer, until in self._former.items() if until > now_ms}
+        return frozenset(
+            peer.address
+            for peer in self._former
+            if not self._plan.large or (links.relays and peer.failure_domain == self._domain)
+        )
+
     def _follow(self) -> None:
         links = self._plan.links(self._clock.now_ms)
         if links.relays != self._links.relays:
             self._log.event("relays" if links.relays else "relays no longer", domain=self._domain)
             self._turn(links.relays)
         self._links = links
-        self._sockets.follow(links.addresses, self._topics(links))
+        addresses = links.addresses | self._former_addresses(links)
+        self._sockets.follow(addresses, self._topics(links))
 
     def _turn(self, relays: bool) -> None:
         if self._relaying is not None:
--- a/tests/test_requests_that_end_endpoints.py
+++ b/tests/test_requests_that_end_endpoints.py
@@ -149,6 +149,32 @@
     play(run())
 
 
+def test_what_a_leaving_router_sees_reaches_the_others() -> None:
+    """Symptom: while routers are replaced in turn, innocent requests are quarantined.
+
+    Sequence: a router that was asked to stop takes itself out of the list and goes on serving for
+    its grace time; endpoints end while it does. Cause: nobody listened to it any more. Evidence: a
+    soak's logs with a verdict on an innocent request by one router, at an end at which another one,
+    which was leaving, had the fatal request.
+    """
+
+    async def run() -> None:
+        async with CrashingPool(4, FATAL) as pool, Fleet({"pool": pool.engines}) as fleet:
+            pool.serve(fleet)
+            await fleet.add_routers(1)
+            leaving = fleet.others[0]
+            await until(lambda: len(fleet.gateway._members.known()) == 1)
+            left = asyncio.ensure_future(leaving.leave())
+            await until(lambda: len(fleet.store.rows("routers")) == 1)
+            await asyncio.sleep(0.3)
+            await fleet.try_ask("/draft/x", at=leaving, body=FATAL)
+            assert leaving.state.quarantine.suspect_count == 1
+            await until(lambda: fleet.gateway.state.quarantine.suspect_count == 1)
+            await left
+
+    play(run())
+
+
 def test_others_learn_of_a_request_while_the_store_is_down() -> None:
     """Symptom: while the store is down, a request ends endpoints by one router after the other.
 
