--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -259,7 +259,7 @@
         fleet = self._routers
         routers = (fleet.kill, fleet.kill_all, fleet.terminate, fleet.roll, fleet.pause)
         links = (fleet.hang_up, fleet.disturb_link, self._disturb_worker)
-        store = (self._disturb_store, self._forget, self._revoke)
+        store = (self._disturb_store, self._store.forget_history, self._revoke)
         workers = (self._spoil_worker, self._replace_worker, self._restart_worker)
         faults = (*routers, *links, *store, *workers, self._write_badly)
         running: list[asyncio.Future[None]] = []
@@ -280,9 +280,6 @@
         await self._spell()
         setattr(self._store, way, 0 if way == "refusing" else False)
 
-    async def _forget(self) -> None:
-        await self._store.forget_history()
-
     async def _disturb_worker(self) -> None:
         await disturb(self.random.choice(self._workers)[2], self.random)
 
