--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -150,7 +150,8 @@
         self._runs[attempt] += 1
         sent = self._calls_made.sent.get(attempt)
         if sent is None:
-            self.broken.append(f"{attempt} runs and no caller sent it")
+            what = f"{arrived.method} {arrived.target} {arrived.headers}"
+            self.broken.append(f"{attempt} runs and no caller sent it: {what}")
             return
         once = sent.path in ("/page/", "/rewrite/")
         if once and self._runs[attempt] > 1:
