Drop broken answers that grow old while they are looked at

Found by reading: an entry of unproved answers that was emptied as too old was kept, and its last item was asked for by every later look: each request whose answer broke off would have been answered 500 from then on. It needs a look at a delisted endpoint that takes an answer past its five seconds. Change: emptied entries go at once. The new test fails on the code before.

--- a/packages/gateway/src/tamarack_gateway/end_witness.py
+++ b/packages/gateway/src/tamarack_gateway/end_witness.py
@@ -183,9 +183,11 @@
         if known is not look:
             known.lost += look.lost
         past_ms = self._state.clock.now_ms - UNPROVED_MS
-        known.lost = [lost for lost in known.lost if lost.at_ms >= past_ms]
-        for key in [key for key, old in self._unproved.items() if old.lost[-1].at_ms < past_ms]:
-            del self._unproved[key]
+        for key, old in list(self._unproved.items()):
+            # A look takes a while, after which what it was about may be too old as well.
+            old.lost = [lost for lost in old.lost if lost.at_ms >= past_ms]
+            if not old.lost:
+                del self._unproved[key]
 
     def _life_over(self, key: EndpointLife, replaced: bool) -> None:
         look = self._unproved.pop(key, None)
--- a/tests/test_end_witness.py
+++ b/tests/test_end_witness.py
@@ -7,6 +7,7 @@
 from crashing_pool import CrashingPool
 from gateway_site import Fleet, play, until
 
+from tamarack_gateway.end_witness import UNPROVED_MS
 from tamarack_standins.fault_proxy import FaultProxy
 from tamarack_standins.platform_worker import BORN_MS, PlatformWorker, Script
 
@@ -127,6 +128,29 @@
     play(run())
 
 
+def test_broken_answers_that_grow_old_while_they_are_looked_at_cost_nothing() -> None:
+    """Symptom: requests whose answers break off are answered 500, at any endpoint, for good.
+
+    Sequence: an answer breaks off and its endpoint's end is not proved; the entry goes just before
+    the answer is too old to count, and the look that follows is longer. Cause: an empty list was
+    kept of it, whose last item was asked for each time.
+    """
+
+    async def run() -> None:
+        engines = [PlatformWorker(f"e{n}", Script(reset=True), STREAM) for n in (1, 2)]
+        async with Fleet({"pool": engines}) as fleet:
+            witness = fleet.gateway._witness
+            await fleet.ask("/rewrite/x", body=b"breaks off")
+            (look,) = witness._unproved.values()
+            look.lost = [one._replace(at_ms=one.at_ms - UNPROVED_MS) for one in look.lost]
+            witness._keep_unproved(look)
+            assert witness._unproved == {}
+            for number in range(2):
+                assert (await fleet.ask("/rewrite/x", body=b"%d" % number)).status != 500
+
+    play(run())
+
+
 def test_an_endpoint_that_ended_gets_no_work_though_it_is_listed() -> None:
     """Symptom: after an end each router finds out by refused connections of its own, for seconds.
 
