End a soak's routers with the soak; trace what its orphans did

Cause: a soak that is ended by SIGTERM left its routers behind. Shown: the orphans' parents were gone and their ages those of two soaks ended by hand; a router whose store's address is a worker's sent that 25 requests without an id in 3 s; the failing bind names the address in use. Change: SIGTERM ends the soak as an exit does. Conclusion: neither was a fault of the routers.

--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -16,6 +16,7 @@
 import json
 import os
 import random
+import signal
 import sys
 import tempfile
 import time
@@ -31,6 +32,7 @@
 from tamarack_standins.soak_ends import BACK_S, FATAL_BODIES, FATAL_REQUESTS, PAUSE_S, EndCounts
 from tamarack_standins.soak_routers import REVOKE_MS, SPELL_S, SoakRouters, disturb
 
+EXIT_TERMINATED = 143
 ROUTERS = 3
 ENGINES = 3
 ENGINES_ENDS_ONLY = 8
@@ -370,6 +372,9 @@
 
 def main() -> int:
     """Play seeds from the command line."""
+    # Ended by SIGTERM, the soak still ends its routers: left behind, they hold addresses and call a
+    # store whose port a later run's worker may have.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_TERMINATED))
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--first", type=int, default=1, help="first seed")
     parser.add_argument("--seeds", type=int, default=10, help="number of seeds")
