--- a/packages/core/src/tamarack_core/quarantine.py
+++ b/packages/core/src/tamarack_core/quarantine.py
@@ -301,12 +301,11 @@
 
     # inside
 
-    def _suspect(self, fingerprint: str, workspace: str, now_ms: float) -> Suspect:
+    def _suspect(self, fingerprint: str, workspace: str, now_ms: float) -> None:
         suspect = self._suspects.get(fingerprint) or Suspect(workspace)
         suspect.last_ms = now_ms
         for yielded in self._suspects.put(fingerprint, workspace, suspect):
             self._waiting.pop(yielded, None)
-        return suspect
 
     def _clear(self, fingerprint: str) -> None:
         # Also of ends on which there is no verdict yet: an answer proves more than being there.
--- a/packages/gateway/src/tamarack_gateway/quarantine_feed.py
+++ b/packages/gateway/src/tamarack_gateway/quarantine_feed.py
@@ -176,9 +176,14 @@
     async def _remove_rows(self) -> None:
         # All routers see an entry yield; only this one has seen the answer.
         yielded, self._quarantine.yielded = self._quarantine.yielded, []
-        self._removals += [one for one in yielded if self._writes(one)]
-        due = [one for one in self._removals if not self._quarantine.contains(one)]
-        self._removals = [one for one in due if not await self._write(one, None)]
+        due = self._removals + [one for one in yielded if self._writes(one)]
+        # Taken before the first call: answers go on to come while the store is asked.
+        self._removals = []
+        for fingerprint in due:
+            if not self._quarantine.contains(fingerprint) and not await self._write(
+                fingerprint, None
+            ):
+                self._removals.append(fingerprint)
 
     async def _store_verdicts(self) -> None:
         now_ms = self._state.clock.now_ms
--- a/tests/test_end_witness.py
+++ b/tests/test_end_witness.py
@@ -19,6 +19,15 @@
     return len(fleet.gateway.state.quarantine.suspects(100))
 
 
+async def list_behind(fleet: Fleet, engine: PlatformWorker, link: FaultProxy) -> dict[str, object]:
+    """List an engine at a link's address, and wait until the router knows; returns the entry."""
+    entry = {**engine.entry("pool"), "address": link.address}
+    await fleet.store.put("servers", engine.name, entry)
+    book = fleet.gateway.state.book
+    await until(lambda: any(e.address == link.address for e in book.usable("pool")))
+    return entry
+
+
 def test_an_endpoint_that_only_resets_a_connection_has_not_ended() -> None:
     """Symptom: requests are quarantined that met spoilt answers only.
 
@@ -62,10 +71,7 @@
         engine = PlatformWorker("e1", STREAM)
         engine.fatal = frozenset((FATAL,))
         async with Fleet({"pool": [engine]}) as fleet, FaultProxy(engine.address) as link:
-            entry = {**engine.entry("pool"), "address": link.address}
-            await fleet.store.put("servers", "e1", entry)
-            known = fleet.gateway.state.book
-            await until(lambda: any(e.address == link.address for e in known.usable("pool")))
+            await list_behind(fleet, engine, link)
             assert (await fleet.ask("/rewrite/x", body=FATAL)).status == 502
             assert suspects(fleet) == 1
             # A full endpoint closes new connections as well, and may take work again soon.
@@ -88,10 +94,7 @@
         engine = PlatformWorker("e1", STREAM)
         engine.fatal = frozenset((FATAL,))
         async with Fleet({"pool": [engine]}) as fleet, FaultProxy(engine.address) as link:
-            entry = {**engine.entry("pool"), "address": link.address}
-            await fleet.store.put("servers", "e1", entry)
-            known = fleet.gateway.state.book
-            await until(lambda: any(e.address == link.address for e in known.usable("pool")))
+            await list_behind(fleet, engine, link)
             await fleet.ask("/rewrite/x", body=FATAL)
             for _ in range(3):
                 await until(lambda: len(fleet.gateway.state.usable("pool")) == 1)
@@ -111,10 +114,7 @@
     async def run() -> None:
         engine = PlatformWorker("e1", STREAM)
         async with Fleet({"pool": [engine]}) as fleet, FaultProxy(engine.address) as link:
-            entry = {**engine.entry("pool"), "address": link.address}
-            await fleet.store.put("servers", "e1", entry)
-            known = fleet.gateway.state.book
-            await until(lambda: any(e.address == link.address for e in known.usable("pool")))
+            entry = await list_behind(fleet, engine, link)
             engine.answering.clear()
             asked = asyncio.ensure_future(fleet.try_ask("/rewrite/x", body=b"there"))
             await until(lambda: len(engine.arrived) == 1)
--- a/tests/test_quarantine_feed.py
+++ b/tests/test_quarantine_feed.py
@@ -46,3 +46,33 @@
         assert len(tried) >= 1
 
     asyncio.run(run())
+
+
+def test_an_answer_that_comes_while_a_row_is_removed_is_not_forgotten() -> None:
+    """Symptom: a request that was answered is quarantined again with the next router's start.
+
+    Sequence: while the store is asked to remove one row, another entry's request is answered.
+    Cause: the list of rows to remove was replaced after the call by what had been there before it.
+    """
+
+    async def run() -> None:
+        removed: list[str] = []
+
+        async def write(key: str, value: bytes | None) -> bool:
+            removed.append(key)
+            if key == "f1":
+                feed.answered("f2")
+            return True
+
+        state = Feeds().state
+        feed = QuarantineFeed(
+            state, tell=lambda evidence: None, writes=lambda key: False, write=write
+        )
+        for name in ("f1", "f2"):
+            state.quarantine.take_in(QuarantinedRequest(name, "shop", 0), 0.0, stored=True)
+        feed.answered("f1")
+        await feed._remove_rows()
+        await feed._remove_rows()
+        assert removed == ["f1", "f2"]
+
+    asyncio.run(run())
