Tell by which bound and with what lead a request is let in

Cause: lines of placed requests told neither workspace nor bound nor lead, so that who is let in by the least bound alone was not to be seen; a refusal by a router that is behind named no workspace. Change: placements have a reason (in time, or an engine is free), workspace, tokens, queue, bound, standing and lead; refusals of a router that is behind name the workspace; 'tamarackctl shares LOG...' adds up by workspace what was placed, let in by free engines and at which lead, refused, and turned away. The simulation counts the same.

--- a/packages/core/src/tamarack_core/admission.py
+++ b/packages/core/src/tamarack_core/admission.py
@@ -72,6 +72,10 @@
 as a message between routers."""
 
 
+FREE_ENGINE = "an engine is free"
+"""Reason of what only the least bound lets in; in logs and metrics."""
+
+
 class Admission(Enum):
     """What becomes of a request; the value names it in logs."""
 
@@ -152,10 +156,12 @@
     beyond = max(1.0, min(standing, most))
     part = within / (beyond**STANDING_POWER * max(1.0, lead) ** LEAD_POWER)
     yielding_ms = shortest_aim_ms * (shortest_aim_ms / aim_ms) ** YIELD
-    bound_ms = max(IDLE_MS, min(part * aim_ms - waited_ms, part * yielding_ms))
+    timely_ms = min(part * aim_ms - waited_ms, part * yielding_ms)
+    bound_ms = max(IDLE_MS, timely_ms)
     queue_ms = max(0.0, first_token_ms - unavoidable_ms)
     if queue_ms <= bound_ms and first_token_ms < left_ms:
-        return Decision(Admission.ADMITTED, "in time", 0.0, queue_ms, bound_ms)
+        reason = "in time" if queue_ms <= timely_ms else FREE_ENGINE
+        return Decision(Admission.ADMITTED, reason, 0.0, queue_ms, bound_ms)
     over_ms = queue_ms - bound_ms
     if standing <= 1.0 and over_ms <= HOLD_PART * aim_ms - waited_ms and first_token_ms < left_ms:
         held_ms = max(HOLD_MIN_MS, over_ms)
--- a/packages/core/src/tamarack_core/admitted_placement.py
+++ b/packages/core/src/tamarack_core/admitted_placement.py
@@ -49,10 +49,14 @@
 
 
 class AdmittedPlacement(NamedTuple):
-    """The engine that suits a request best, and what becomes of the request there."""
+    """The engine that suits a request best, and what becomes of the request there.
+
+    `position` is the workspace's, as the decision was taken by it.
+    """
 
     choice: Choice
     decision: Decision
+    position: Position = Position()
 
 
 class Engines(NamedTuple):
@@ -84,8 +88,8 @@
         further = [endpoint for endpoint in engines.endpoints if endpoint is not choice.endpoint]
         spread = _spread(prompt, engines._replace(endpoints=further), eased, terms, now_ms)
         if spread is not None:
-            return spread
-    return AdmittedPlacement(choice, decision)
+            return spread._replace(position=position)
+    return AdmittedPlacement(choice, decision, position)
 
 
 def _spread(
--- a/packages/ctl/src/tamarack_ctl/main.py
+++ b/packages/ctl/src/tamarack_ctl/main.py
@@ -15,6 +15,7 @@
     quarantine_view,
     reading,
     router_view,
+    workspace_service,
 )
 from tamarack_ctl.commands import (
     COMMANDS,
@@ -30,7 +31,15 @@
 TOKEN = "TAMARACK_ADMIN_TOKEN"
 OPERATOR = "TAMARACK_OPERATOR"
 CA_CERTIFICATES = "TAMARACK_CA"
-MODULES = (reading, changing, explaining, prompt_reads, router_view, quarantine_view)
+MODULES = (
+    reading,
+    changing,
+    explaining,
+    prompt_reads,
+    router_view,
+    quarantine_view,
+    workspace_service,
+)
 
 
 def make_parser() -> argparse.ArgumentParser:
--- /dev/null
+++ b/packages/ctl/src/tamarack_ctl/workspace_service.py
@@ -0,0 +1,101 @@
+"""The command that tells from collected logs what workspaces got, and by which decisions."""
+
+from __future__ import annotations
+
+import argparse
+from collections import defaultdict
+from collections.abc import Iterable
+from pathlib import Path
+from typing import TypedDict
+
+from tamarack_core.admission import FREE_ENGINE
+from tamarack_ctl.commands import EXIT_OK, EXIT_REFUSED, Context, Outcome, command
+from tamarack_ctl.explaining import LogLine, read_logs
+
+
+class WorkspaceService(TypedDict):
+    """What became of a workspace's generations; `tokens` are prompt and answer, as charged.
+
+    Attributes
+    ----------
+    free_tokens
+        The part of `placed_tokens` that was let in only because an engine was free.
+    free_lead
+        Mean lead at which that was, weighed by tokens.
+    overloaded
+        Requests refused by routers that were behind, whatever they asked for.
+    """
+
+    workspace: str
+    placed_tokens: int
+    free_tokens: int
+    free_lead: float
+    refused_tokens: int
+    overloaded: int
+
+
+def workspace_services(lines: Iterable[LogLine]) -> list[WorkspaceService]:
+    """Add up placements and refusals by workspace; the one that was placed most comes first.
+
+    A request that is sent again counts once.
+    """
+    found: dict[str, WorkspaceService] = defaultdict(lambda: _service(""))
+    leads: dict[str, float] = defaultdict(float)
+    for line in lines:
+        workspace = line.fields.get("workspace")
+        if workspace is None:
+            continue
+        service = found[workspace]
+        tokens = int(line.fields.get("tokens", 0))
+        if line.message == "request: placed" and line.fields.get("send") == 1:
+            service["placed_tokens"] += tokens
+            if line.fields.get("reason") == FREE_ENGINE:
+                service["free_tokens"] += tokens
+                leads[workspace] += tokens * float(line.fields.get("lead", 1.0))
+        elif line.message == "request: refused":
+            service["refused_tokens"] += tokens
+            service["overloaded"] += line.fields.get("reason") == "overloaded"
+    for workspace, service in found.items():
+        service["workspace"] = workspace
+        if service["free_tokens"]:
+            service["free_lead"] = round(leads[workspace] / service["free_tokens"], 2)
+    return sorted(found.values(), key=lambda service: -service["placed_tokens"])
+
+
+def _service(workspace: str) -> WorkspaceService:
+    return {
+        "workspace": workspace,
+        "placed_tokens": 0,
+        "free_tokens": 0,
+        "free_lead": 1.0,
+        "refused_tokens": 0,
+        "overloaded": 0,
+    }
+
+
+def _configure(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("logs", nargs="+", type=Path, metavar="LOG", help="collected logs")
+    parser.add_argument("--from-ms", type=int, default=0, help="first time of day to look at")
+    parser.add_argument("--until-ms", type=int, help="time of day to stop at")
+
+
+@command("shares", "tell what workspaces got, from logs", _configure, needs_fleet=False)
+def shares(context: Context) -> Outcome:
+    """Read logs and add up what was placed and refused, by workspace."""
+    chosen = context.arguments
+    lines = [
+        line
+        for line in read_logs(chosen.logs)
+        if line.wall_ms >= chosen.from_ms
+        and (chosen.until_ms is None or line.wall_ms < chosen.until_ms)
+    ]
+    found = workspace_services(lines)
+    if not found:
+        return Outcome(["No line tells of a workspace."], [], EXIT_REFUSED)
+    table = [f"{'placed':>12} {'free engine':>12} {'lead':>6} {'refused':>12} {'overloaded':>10}"]
+    table += [
+        f"{row['placed_tokens']:>12,} {row['free_tokens']:>12,} {row['free_lead']:>6.2f} "
+        f"{row['refused_tokens']:>12,} {row['overloaded']:>10,}  {row['workspace']}"
+        for row in found
+    ]
+    return Outcome(table, found, EXIT_OK)
--- a/packages/gateway/src/tamarack_gateway/caller_handler.py
+++ b/packages/gateway/src/tamarack_gateway/caller_handler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 from tamarack_core.leaving import ELSEWHERE_MS
 from tamarack_core.ruleset import Route
@@ -71,10 +72,7 @@
             caller.answer(400, [])
             return
         if self._watch.sheds:
-            # Before any other work: it has no time for more, and elsewhere there is some. The
-            # caller is told, and keeps its connection: one that is closed unread takes the address
-            # for dead, and has no other if it keeps to this one.
-            self._refuse(caller, facts.attempt, "overloaded", OVERLOAD_RETRY_MS)
+            self._shed(caller, facts)
             return
         rules = state.rules
         if state.leaving is not None and not state.leaving.lingers(self._clock.now_ms):
@@ -153,6 +151,14 @@
             became, attempt, reason=ROUTER_ENDS, stopping_ms=stopping_ms, ran_ms=ran_ms
         )
 
+    def _shed(self, caller: CallerConnection, facts: RequestFacts) -> None:
+        # Before any other work: it has no time for more, and elsewhere there is some. The caller is
+        # told, and keeps its connection: one that is closed unread takes the address for dead, and
+        # has no other if it keeps to this one.
+        rules = self._state.rules
+        workspace = rules.workspace_of(facts.key) if rules and facts.key else None
+        self._refuse(caller, facts.attempt, "overloaded", OVERLOAD_RETRY_MS, workspace=workspace)
+
     def _deny(self, caller: CallerConnection, attempt: str, status: int) -> None:
         age_ms = self._state.freshness.age_ms(self._clock.now_ms)
         if age_ms > DENY_AGE_MS or self._state.unreadable_rules is not None:
@@ -164,8 +170,13 @@
         caller.answer(status, self._dialect.refusal(attempt, None))
 
     def _refuse(
-        self, caller: CallerConnection, attempt: str, reason: str, retry_after_ms: float
+        self,
+        caller: CallerConnection,
+        attempt: str,
+        reason: str,
+        retry_after_ms: float,
+        **facts: Any,
     ) -> None:
-        self._log.request("refused", attempt, reason=reason)
+        self._log.request("refused", attempt, reason=reason, **facts)
         spread_ms = retry_after_ms * (1.0 + self._state.random.random())
         caller.answer(503, self._dialect.refusal(attempt, spread_ms))
--- a/packages/gateway/src/tamarack_gateway/engine_gate.py
+++ b/packages/gateway/src/tamarack_gateway/engine_gate.py
@@ -4,10 +4,9 @@
 
 from collections.abc import Sequence
 
-from tamarack_core.admission import Admission, Decision
+from tamarack_core.admission import Admission
 from tamarack_core.admitted_placement import AdmittedPlacement, Engines, Terms, place_admitted
 from tamarack_core.endpoint_book import Endpoint
-from tamarack_core.placement import Choice
 from tamarack_core.prompt import Prompt
 from tamarack_core.ruleset import Route
 from tamarack_core.workspace_shares import Position
@@ -59,7 +58,7 @@
         engines = Engines(endpoints, state.models, state.records)
         placement = place_admitted(prompt, engines, position, terms, now_ms)
         if placement is not None and placement.decision.verdict is not Admission.ADMITTED:
-            self._log(placement.choice, placement.decision, position)
+            self._log(prompt, placement)
         return placement
 
     def _position(self, now_ms: float) -> Position:
@@ -68,15 +67,16 @@
             return Position()
         return state.shares.position(self._workspace, rules.tokens_per_s, now_ms)
 
-    def _log(self, choice: Choice, decision: Decision, position: Position) -> None:
+    def _log(self, prompt: Prompt, placement: AdmittedPlacement) -> None:
         # The shortest wait anywhere tells a full service from one whose free engines do not keep
         # this prompt's parts; the bound and the lead tell whose work the queue was kept free for.
-        state = self._state
+        state, (choice, decision, position) = self._state, placement
         state.log.request(
             decision.verdict.value,
             self._facts.attempt,
             reason=decision.reason,
             workspace=self._workspace,
+            tokens=prompt.charge,
             endpoint=choice.endpoint.name,
             first_token_ms=round(choice.first_token_ms),
             queue_ms=round(decision.queue_ms),
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -142,7 +142,7 @@
             placement = self._place() if self._keys_hold() else None
             if placement is None:
                 return self._give_up(last)
-            choice, decision = placement
+            choice, decision, _ = placement
             if decision.verdict is Admission.REFUSED:
                 self._answer.refuse(503, decision.wait_ms)
                 return None
@@ -171,7 +171,7 @@
                 # It began to leave, or to start anew, while the connection was made.
                 connection.abort()
                 continue
-            last = await self._send(choice, connection)
+            last = await self._send(placement, connection)
             if last.verdict is Verdict.DONE:
                 return None
             if not self._may_try_again(last):
@@ -236,11 +236,12 @@
 
     # one send
 
-    async def _send(self, choice: Choice, connection: EndpointConnection) -> Result:
-        endpoint, state = choice.endpoint, self._state
+    async def _send(self, placement: AdmittedPlacement, connection: EndpointConnection) -> Result:
+        choice, state = placement.choice, self._state
+        endpoint = choice.endpoint
         self._sends += 1
         self._tried.add(endpoint.key)
-        self._notes.placed(choice, self._route, self._service, self._sends, self._left_ms)
+        self._notes.placed(placement, self._route, self._service, self._sends, self._left_ms)
         self._notes.sent(choice)
         self._containment.sent(endpoint)
         self._first_event_ms = None
--- a/packages/gateway/src/tamarack_gateway/send_notes.py
+++ b/packages/gateway/src/tamarack_gateway/send_notes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from tamarack_core.admitted_placement import AdmittedPlacement
 from tamarack_core.endpoint_book import Endpoint
 from tamarack_core.endpoint_record import EndpointRecord
 from tamarack_core.engine_model import EngineModel
@@ -60,13 +61,23 @@
         self._state.shares.ask(self._workspace, charge, self._state.clock.now_ms)
         self._outbox.asked(self._workspace, charge)
 
-    def placed(self, choice: Choice, route: Route, service: str, send: int, left_ms: float) -> None:
+    def placed(
+        self,
+        placement: AdmittedPlacement,
+        route: Route,
+        service: str,
+        send: int,
+        left_ms: float,
+    ) -> None:
         """Log where the request's next send goes, and by what this was decided."""
-        state = self._state
+        state, (choice, decision, position) = self._state, placement
         age_ms = state.freshness.age_ms(state.clock.now_ms)
         state.log.request(
             "placed",
             self._attempt,
+            reason=decision.reason,
+            workspace=self._workspace,
+            tokens=self._prompt.charge if self._prompt else 0,
             route=route.name,
             service=service,
             endpoint=choice.endpoint.name,
@@ -74,6 +85,10 @@
             first_token_ms=round(choice.first_token_ms),
             unread_tokens=choice.unread_tokens,
             shared=self._shared_parts(choice),
+            queue_ms=round(decision.queue_ms),
+            bound_ms=round(decision.bound_ms),
+            standing=round(position.standing, 2),
+            lead=round(position.lead, 2),
             left_ms=round(left_ms),
             version=state.rules.version if state.rules else 0,
             confirmed_ms_ago=round(min(age_ms, 1e9)),
--- a/tests/share_simulation.py
+++ b/tests/share_simulation.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from tamarack_core.admission import Admission
+from tamarack_core.admission import FREE_ENGINE, Admission
 from tamarack_core.admitted_placement import Engines, Terms, place_admitted
 from tamarack_core.endpoint_book import Endpoint
 from tamarack_core.endpoint_record import EndpointRecord
@@ -77,7 +77,7 @@
     """Tokens by workspace from one second on, and how the engines were used.
 
     `served` are tokens of requests whose first token came before their deadline, `late` those of
-    them that came past the aim.
+    them that came past the aim. `by_free` were let in only because an engine was free.
     """
 
     asked: dict[str, float]
@@ -85,6 +85,7 @@
     late: dict[str, float]
     read: float
     busy: float
+    by_free: dict[str, float]
 
     def fairness(self, workspaces: list[str]) -> float:
         """Least part that one of these got of what it asked, or the best got if that is less."""
@@ -149,6 +150,7 @@
         self._asked: dict[str, float] = defaultdict(float)
         self._served: dict[str, float] = defaultdict(float)
         self._late: dict[str, float] = defaultdict(float)
+        self._by_free: dict[str, float] = defaultdict(float)
         self._now_ms = 0.0
 
     def play(self) -> Outcome:
@@ -167,7 +169,8 @@
         busy_ms = sum(min(engine.busy_ms, scenario.length_ms) for engine in engines)
         busy = busy_ms / len(self._engines) / scenario.length_ms
         read = sum(engine.read for engine in engines)
-        return Outcome(dict(self._asked), dict(self._served), dict(self._late), read, busy)
+        by_free = dict(self._by_free)
+        return Outcome(dict(self._asked), dict(self._served), dict(self._late), read, busy, by_free)
 
     def _at(self, when_ms: float, act: Callable[..., None], *arguments: Any) -> None:
         heapq.heappush(self._events, (when_ms, next(self._order), act, arguments))
@@ -236,6 +239,8 @@
         assert placement is not None
         decision = placement.decision
         if decision.verdict is Admission.ADMITTED:
+            if decision.reason == FREE_ENGINE and self._counted(now_ms):
+                self._by_free[request.workspace] += request.prompt.charge
             self._send(router, request, placement.choice.endpoint.name)
         elif decision.verdict is Admission.HELD:
             self._at(now_ms + decision.wait_ms, self._decide, router, request, came_ms)
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tamarack_core.admission import Admission, Decision, admit
+from tamarack_core.admission import FREE_ENGINE, Admission, Decision, admit
 from tamarack_core.endpoint_book import Endpoint, EndpointBook
 from tamarack_core.endpoint_record import EndpointRecord
 from tamarack_core.engine_model import EngineModel
@@ -402,6 +402,14 @@
     assert decision(first_token_ms=90.0).queue_ms == pytest.approx(30.0)
 
 
+def test_a_placement_tells_whether_only_a_free_engine_let_it_in() -> None:
+    """Failure: nobody can tell whether a workspace far ahead is let in despite its lead."""
+    free = decision(first_token_ms=70.0, standing=7.0, lead=2.8)
+    assert (free.verdict, free.reason) == (Admission.ADMITTED, FREE_ENGINE)
+    timely = decision(first_token_ms=70.0)
+    assert (timely.verdict, timely.reason) == (Admission.ADMITTED, "in time")
+
+
 def test_a_router_that_has_just_started_knows_who_is_beyond_the_share() -> None:
     """Symptom: a fifth of the routers lets in whoever asks most for seconds.
 
