--- a/tests/share_simulation.py
+++ b/tests/share_simulation.py
@@ -24,7 +24,6 @@
 from tamarack_core.workspace_shares import WorkspaceShares
 
 WINDOW_MS = 4_000.0
-TELL_MS = 20.0
 AIM_MS, DEADLINE_MS = 1_000.0, 10_000.0
 ENGINE_TOKENS = 1_500_000
 """Memory of an engine: large enough that parts are read again only where requests are sent on to
@@ -60,6 +59,8 @@
         Routers that start anew at `restart_ms` and know nothing then.
     scattered
         Whether parts lie at the engines that read them; otherwise all engines keep all.
+    tell_ms
+        Time for which a router gathers what it tells the others.
     """
 
     workspaces: dict[str, Asks]
@@ -71,6 +72,7 @@
     scattered: bool = True
     length_ms: float = 12_000.0
     seed: int = 1
+    tell_ms: float = 20.0
 
 
 class Outcome(NamedTuple):
@@ -160,7 +162,7 @@
         for name in scenario.workspaces:
             self._at(0.0, self._arrive, name)
         for number in range(scenario.routers):
-            self._at(self._random.uniform(0.0, TELL_MS), self._tell, number)
+            self._at(self._random.uniform(0.0, scenario.tell_ms), self._tell, number)
         self._at(scenario.restart_ms, self._restart)
         while self._events and self._events[0][0] < scenario.length_ms:
             self._now_ms, _, act, arguments = heapq.heappop(self._events)
@@ -290,7 +292,7 @@
             if news and other != number:
                 delay_ms = self._random.uniform(20.0, 100.0)
                 self._at(self._now_ms + delay_ms, self._hear, other, news)
-        self._at(self._now_ms + TELL_MS, self._tell, number)
+        self._at(self._now_ms + self._scenario.tell_ms, self._tell, number)
 
     def _hear(self, number: int, news: list[Callable[[_Router, float], None]]) -> None:
         for hear in news:
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -75,6 +75,28 @@
     assert sum(parts) / len(parts) >= 0.82
 
 
+MANY_ENGINES = 78
+RATES = (3.7, 1.8, 1.5, 1.2, 1.0, 0.85, 0.73, 0.6, 0.5, 0.37, 0.37, 0.3)
+"""Million tokens a second that twelve workspaces ask for; together 1.7 times what is served."""
+
+
+@pytest.mark.parametrize("tell_ms", [20.0, 100.0])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_among_many_engines_who_asks_most_does_not_get_most(seed: int, tell_ms: float) -> None:
+    """Failure: one of many engines is always free, and whoever asks most meets it most often."""
+    large = {f"large-{number}": Asks(rate * 1e6) for number, rate in enumerate(RATES)}
+    small = {f"small-{number}": Asks(40_000.0, parts=3) for number in range(50)}
+    nominal = NOMINAL * MANY_ENGINES / 16
+    scenario = Scenario({**large, **small}, nominal, MANY_ENGINES, 8, length_ms=10_000.0)
+    scenario = scenario._replace(seed=seed, tell_ms=tell_ms)
+    outcome = Simulation(scenario, from_ms=4_000.0, until_ms=10_000.0).play()
+    assert outcome.fairness(list(large)) >= 0.5
+    asked, served = (
+        sum(tokens[name] for name in small) for tokens in (outcome.asked, outcome.served)
+    )
+    assert served >= 0.5 * asked
+
+
 TOKENS = 4_000.0
 TOKENS_PER_MS = 50.0
 ENGINES = 2
