Let the bound for free engines fall with the lead

Callers saw: one workspace gets far less than its share while the one that asks most is served. Cause: who is far ahead of the backlogged workspace with least is held to a least bound on the queue of 20 ms, the same for all who are ahead. Change: the least bound is divided by the lead. At a lead of 1 it is what it was.

--- a/packages/core/src/tamarack_core/admission.py
+++ b/packages/core/src/tamarack_core/admission.py
@@ -17,9 +17,9 @@
 
 IDLE_MS = 20.0
 """Predicted wait in milliseconds up to which an engine counts as free: the first steps of an
-answer and the way, and hardly any work of others. A free engine takes work of anyone, so that
-nothing is left unused; among many engines some has a longer queue than this at any time, and a
-higher bound would let in whoever asks most."""
+answer and the way, and hardly any work of others. A free engine takes work from beyond its
+workspace's share, so that nothing is left unused. The bound falls with the lead, since among many
+engines one is free at any time, and whoever asks most meets it most often."""
 
 LEAD_POWER = 6.0
 """How fast the bound falls with the lead over the backlogged workspace that has had least: steep,
@@ -157,7 +157,7 @@
     part = within / (beyond**STANDING_POWER * max(1.0, lead) ** LEAD_POWER)
     yielding_ms = shortest_aim_ms * (shortest_aim_ms / aim_ms) ** YIELD
     timely_ms = min(part * aim_ms - waited_ms, part * yielding_ms)
-    bound_ms = max(IDLE_MS, timely_ms)
+    bound_ms = max(IDLE_MS / max(1.0, lead), timely_ms)
     queue_ms = max(0.0, first_token_ms - unavoidable_ms)
     if queue_ms <= bound_ms and first_token_ms < left_ms:
         reason = "in time" if queue_ms <= timely_ms else FREE_ENGINE
--- a/tests/test_gateway_core.py
+++ b/tests/test_gateway_core.py
@@ -8,6 +8,7 @@
 from tamarack_core.endpoint_book import Endpoint, EndpointBook
 from tamarack_core.endpoint_record import EndpointRecord
 from tamarack_core.engine_model import EngineModel
+from tamarack_core.first_token import FIRST_TOKEN_MS
 from tamarack_core.key_freshness import KeyFreshness
 from tamarack_core.placement import choose_engine, choose_plain
 from tamarack_core.prompt import Prompt, PromptPart, parts_of
@@ -384,7 +385,19 @@
     short_queue = {"first_token_ms": 90.0, "unavoidable_ms": 20.0}
     assert decide(**short_queue, standing=2.5, lead=1.0)
     assert not decide(**short_queue, standing=7.0, lead=2.8)
-    assert decide(first_token_ms=40.0, unavoidable_ms=20.0, standing=7.0, lead=2.8)
+    free = {"first_token_ms": 40.0, "unavoidable_ms": 20.0}
+    assert decide(**free, standing=7.0, lead=1.0)
+    assert not decide(**free, standing=7.0, lead=2.8)
+
+
+@pytest.mark.parametrize("queue_ms", [FIRST_TOKEN_MS, 20.0])
+def test_a_free_engine_is_not_for_one_with_twice_as_much_as_a_backlogged_one(
+    queue_ms: float,
+) -> None:
+    """Failure: among many engines one is always free, so that a least bound for all is no bound."""
+    queue = {"first_token_ms": 20.0 + queue_ms, "unavoidable_ms": 20.0}
+    assert not decide(**queue, standing=3.0, lead=2.0)
+    assert decide(**queue, standing=7.0, lead=1.0)
 
 
 def test_a_refusal_tells_the_queue_and_the_bound_that_it_was_decided_by() -> None:
@@ -404,7 +417,7 @@
 
 def test_a_placement_tells_whether_only_a_free_engine_let_it_in() -> None:
     """Failure: nobody can tell whether a workspace far ahead is let in despite its lead."""
-    free = decision(first_token_ms=70.0, standing=7.0, lead=2.8)
+    free = decision(first_token_ms=73.0, standing=7.0, lead=1.5)
     assert (free.verdict, free.reason) == (Admission.ADMITTED, FREE_ENGINE)
     timely = decision(first_token_ms=70.0)
     assert (timely.verdict, timely.reason) == (Admission.ADMITTED, "in time")
