Give the command that adds up logs by workspace a name of its own

Change: 'tamarackctl service LOG...'; a name that is taken raises an error. Conclusion: both commands are there.

--- a/packages/ctl/src/tamarack_ctl/commands.py
+++ b/packages/ctl/src/tamarack_ctl/commands.py
@@ -54,9 +54,17 @@
 def command(
     name: str, help: str, configure: Configure = _nothing, *, needs_fleet: bool = True
 ) -> Callable[[Run], Run]:
-    """Enter a function into the registry of commands."""
+    """Enter a function into the registry of commands.
+
+    Raises
+    ------
+    ValueError
+        For a name that is taken: the later command would silently replace the other.
+    """
 
     def register(run: Run) -> Run:
+        if name in COMMANDS:
+            raise ValueError(f"there is a command {name!r} already")
         COMMANDS[name] = Command(name, help, configure, run, needs_fleet)
         return run
 
--- a/packages/ctl/src/tamarack_ctl/workspace_service.py
+++ b/packages/ctl/src/tamarack_ctl/workspace_service.py
@@ -45,21 +45,21 @@
         workspace = line.fields.get("workspace")
         if workspace is None:
             continue
-        service = found[workspace]
+        counts = found[workspace]
         tokens = int(line.fields.get("tokens", 0))
         if line.message == "request: placed" and line.fields.get("send") == 1:
-            service["placed_tokens"] += tokens
+            counts["placed_tokens"] += tokens
             if line.fields.get("reason") == FREE_ENGINE:
-                service["free_tokens"] += tokens
+                counts["free_tokens"] += tokens
                 leads[workspace] += tokens * float(line.fields.get("lead", 1.0))
         elif line.message == "request: refused":
-            service["refused_tokens"] += tokens
-            service["overloaded"] += line.fields.get("reason") == "overloaded"
-    for workspace, service in found.items():
-        service["workspace"] = workspace
-        if service["free_tokens"]:
-            service["free_lead"] = round(leads[workspace] / service["free_tokens"], 2)
-    return sorted(found.values(), key=lambda service: -service["placed_tokens"])
+            counts["refused_tokens"] += tokens
+            counts["overloaded"] += line.fields.get("reason") == "overloaded"
+    for workspace, counts in found.items():
+        counts["workspace"] = workspace
+        if counts["free_tokens"]:
+            counts["free_lead"] = round(leads[workspace] / counts["free_tokens"], 2)
+    return sorted(found.values(), key=lambda counts: -counts["placed_tokens"])
 
 
 def _service(workspace: str) -> WorkspaceService:
@@ -79,8 +79,8 @@
     parser.add_argument("--until-ms", type=int, help="time of day to stop at")
 
 
-@command("shares", "tell what workspaces got, from logs", _configure, needs_fleet=False)
-def shares(context: Context) -> Outcome:
+@command("service", "tell what workspaces got, from logs", _configure, needs_fleet=False)
+def service(context: Context) -> Outcome:
     """Read logs and add up what was placed and refused, by workspace."""
     chosen = context.arguments
     lines = [
--- a/tests/test_workspace_service.py
+++ b/tests/test_workspace_service.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from tamarack_ctl.commands import COMMANDS, command
 from tamarack_ctl.main import main
 
 
@@ -35,7 +36,7 @@
             )
         )
     )
-    assert main(["--json", "shares", str(log), "--until-ms", "800"]) == 0
+    assert main(["--json", "service", str(log), "--until-ms", "800"]) == 0
     a, b = json.loads(capsys.readouterr().out)
     assert a == {
         "workspace": "a",
@@ -51,4 +52,12 @@
 def test_logs_without_workspaces_tell_of_no_service(tmp_path: Path) -> None:
     log = tmp_path / "log"
     log.write_text("not a line of a router\n")
-    assert main(["shares", str(log)]) == 1
+    assert main(["service", str(log)]) == 1
+
+
+def test_a_command_does_not_replace_another_one_of_its_name() -> None:
+    """Failure: a new command takes the name of an old one, which is gone without a word."""
+    before = COMMANDS["shares"]
+    with pytest.raises(ValueError, match="shares"):
+        command("shares", "something else")(lambda context: before.run(context))
+    assert COMMANDS["shares"] is before
