Count workspaces' shares at each service of engines

Cause, of the same class as the bound for free engines: what a workspace got at one service was held against it at all others. With the bound that now falls with the lead, one that is far ahead of a backlogged other at a busy service would be refused beside the free engines of another service, where it takes nothing from anybody. Change: counts, reports of routers, readings and metrics are kept by service; each has a part of the throughput that the configuration names, by its engines. What peers tell of services that the configuration does not name is not kept. The 'workspaces' metric has a label more, and the test that reads it asserts the label.

--- a/packages/core/src/tamarack_core/ruleset.py
+++ b/packages/core/src/tamarack_core/ruleset.py
@@ -157,6 +157,7 @@
         self._workspace_by_key = workspace_by_key
         self._bounds = bounds or CallerBounds()
         self._tokens_per_s = tokens_per_s
+        self._engine_services = tuple(s.name for s in services if s.engine is not None)
         self._shortest_aims: dict[str, float] = {}
         for route in routes:
             for share in route.shares if route.streams else ():
@@ -187,6 +188,11 @@
         """Tokens a second that workspaces share."""
         return self._tokens_per_s
 
+    @property
+    def engine_services(self) -> tuple[str, ...]:
+        """Names of the services of model engines."""
+        return self._engine_services
+
     @property
     def needs_keys(self) -> bool:
         """Whether requests on routes that are not public need a key."""
--- a/packages/gateway/src/tamarack_gateway/engine_gate.py
+++ b/packages/gateway/src/tamarack_gateway/engine_gate.py
@@ -62,10 +62,11 @@
         return placement
 
     def _position(self, now_ms: float) -> Position:
-        state, rules = self._state, self._state.rules
-        if rules is None or self._workspace is None:
+        state = self._state
+        if state.rules is None or self._workspace is None:
             return Position()
-        return state.shares.position(self._workspace, rules.tokens_per_s, now_ms)
+        shares = state.shares.of(self._service)
+        return shares.position(self._workspace, state.throughput(self._service), now_ms)
 
     def _log(self, prompt: Prompt, placement: AdmittedPlacement) -> None:
         # The shortest wait anywhere tells a full service from one whose free engines do not keep
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -80,7 +80,9 @@
         self._workspace = workspace
         self._containment = containment
         self._service = route.service_for(state.random.random())
-        self._notes = SendNotes(state, outbox, facts.attempt, workspace, self._prompt)
+        self._notes = SendNotes(
+            state, outbox, facts.attempt, self._service, workspace, self._prompt
+        )
         self._answer = CallerAnswer(caller, dialect, facts.attempt)
         self._gate = EngineGate(state, self._service, request, facts, route, workspace)
         self._splitter = EventSplitter(facts.last_event)
@@ -241,7 +243,7 @@
         endpoint = choice.endpoint
         self._sends += 1
         self._tried.add(endpoint.key)
-        self._notes.placed(placement, self._route, self._service, self._sends, self._left_ms)
+        self._notes.placed(placement, self._route, self._sends, self._left_ms)
         self._notes.sent(choice)
         self._containment.sent(endpoint)
         self._first_event_ms = None
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -17,8 +17,8 @@
 from tamarack_core.retry_allowance import RetryAllowance
 from tamarack_core.return_detector import ReturnDetector
 from tamarack_core.ruleset import CallerBounds, Ruleset
+from tamarack_core.service_shares import ServiceShares
 from tamarack_core.service_times import ServiceTimes
-from tamarack_core.workspace_shares import WorkspaceShares
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.outbox import Placements
 from tamarack_gateway.site import GatewaySettings
@@ -92,7 +92,7 @@
         self.allowance = RetryAllowance(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
         )
-        self.shares = WorkspaceShares(bounds.share_window_ms, clock.now_ms)
+        self.shares = ServiceShares(bounds.share_window_ms, clock.now_ms)
         self.returns = ReturnDetector()
         self.quarantine = Quarantine(lambda fingerprint: self.owns(fingerprint), quarantine)
         self.quarantine_known = False
@@ -144,6 +144,7 @@
         if self.rules is None or rules.version != self.rules.version:
             self.log.change("configuration", version=rules.version)
         self.rules = rules
+        self.shares.keep(rules.engine_services)
         self.unreadable_rules, self.keys_known = None, True
         self._fit_models()
         return True
@@ -196,8 +197,13 @@
         for name, wait_ms, pace, life in told.seen:
             if name in lives and lives[name] == life:
                 models[name].seen_elsewhere(wait_ms, pace, now_ms)
-        for workspace, asked, served in told.tokens:
-            self.shares.count(workspace, asked, served, now_ms)
+        # What is told of a service that this router does not know is not kept: it may be nonsense.
+        known = self.rules.engine_services if self.rules is not None else ()
+        for service, rows in told.tokens.items():
+            if service in known:
+                shares = self.shares.of(service)
+                for workspace, asked, served in rows:
+                    shares.count(workspace, asked, served, now_ms)
 
     def record(self, key: EndpointLife) -> EndpointRecord | None:
         """How an endpoint has answered; None where it is not there, or has another life now."""
@@ -249,12 +255,22 @@
         """Shortest aim of all routes that share a service's engines with one of `aim_ms`."""
         return min(aim_ms, self.rules.shortest_aim_ms(service)) if self.rules else aim_ms
 
+    def throughput(self, service: str) -> float:
+        """Tokens a second that a service's engines carry, as far as the configuration tells.
+
+        It tells this of all engines together; each service has a part of it by its engines.
+        """
+        if self.rules is None:
+            return 0.0
+        whole, names = self.rules.tokens_per_s, self.rules.engine_services
+        if len(names) < 2 or service not in names:
+            return whole
+        counts = {name: len(self.usable(name)) for name in names}
+        return whole * counts[service] / max(1, sum(counts.values()))
+
     def engines(self) -> list[Endpoint]:
         """Model engines among the endpoints that may get new work."""
-        rules = self.rules
-        if rules is None:
-            return []
-        names = [service.name for service in rules.services if service.engine is not None]
+        names = self.rules.engine_services if self.rules is not None else ()
         return [endpoint for name in names for endpoint in self.usable(name)]
 
     def _begin(self, endpoint: Endpoint) -> None:
--- a/packages/gateway/src/tamarack_gateway/gateway_metrics.py
+++ b/packages/gateway/src/tamarack_gateway/gateway_metrics.py
@@ -124,5 +124,5 @@
                 "filled": row["filled"],
             }
             for name, value in readings.items():
-                labels = {"name": name, "workspace": row["workspace"]}
+                labels = {"name": name, "service": row["service"], "workspace": row["workspace"]}
                 self._collectors.workspaces.set(labels, float(value))
--- a/packages/gateway/src/tamarack_gateway/outbox.py
+++ b/packages/gateway/src/tamarack_gateway/outbox.py
@@ -35,7 +35,7 @@
 
 
 class Tokens(NamedTuple):
-    """Tokens that a workspace asked for and was served since the last message."""
+    """Tokens that a workspace asked for and was served at one service since the last message."""
 
     workspace: str
     asked: int
@@ -57,15 +57,18 @@
 
 
 class Placements(NamedTuple):
-    """What a router did since its last message; sent soon after each placement."""
+    """What a router did since its last message; sent soon after each placement.
+
+    `tokens` has an entry for each service.
+    """
 
     placed: list[Placed]
-    tokens: list[Tokens]
+    tokens: dict[str, list[Tokens]]
     seen: list[Seen] = []
 
 
 class PlacementSum:
-    """Adds up placements, one entry for each engine and each workspace.
+    """Adds up placements, one entry for each engine, and for each workspace at each service.
 
     A relay passes on the sum of what its failure domain told in an interval. With each report
     passed on as it was, every router of a large fleet would take in all reports of all others.
@@ -74,19 +77,19 @@
     def __init__(self) -> None:
         self._reading: dict[EndpointLife, float] = {}
         self._parts: dict[EndpointLife, dict[str, int]] = {}
-        self._asked: dict[str, float] = {}
-        self._served: dict[str, float] = {}
+        self._tokens: dict[str, dict[str, tuple[float, float]]] = {}
         self._seen: dict[EndpointLife, Seen] = {}
 
     def __bool__(self) -> bool:
-        return bool(self._reading or self._asked or self._served or self._seen)
+        return bool(self._reading or self._tokens or self._seen)
 
     def add(self, told: Placements) -> None:
         """Add what was told before; of several first events at one engine the last one stays."""
         for placed in told.placed:
             self.add_work(placed.key, placed.reading_ms, placed.parts)
-        for tokens in told.tokens:
-            self.add_tokens(tokens.workspace, tokens.asked, tokens.served)
+        for service, rows in told.tokens.items():
+            for workspace, asked, served in rows:
+                self.add_tokens(service, workspace, asked, served)
         for seen in told.seen:
             self.add_seen(seen)
 
@@ -97,12 +100,11 @@
         self._reading[key] = self._reading.get(key, 0.0) + reading_ms
         self._parts.setdefault(key, {}).update(parts)
 
-    def add_tokens(self, workspace: str, asked: float, served: float) -> None:
-        """Add tokens that a workspace asked for and was served."""
-        if asked:
-            self._asked[workspace] = self._asked.get(workspace, 0.0) + asked
-        if served:
-            self._served[workspace] = self._served.get(workspace, 0.0) + served
+    def add_tokens(self, service: str, workspace: str, asked: float, served: float) -> None:
+        """Add tokens that a workspace asked a service for and was served."""
+        rows = self._tokens.setdefault(service, {})
+        asked_before, served_before = rows.get(workspace, (0.0, 0.0))
+        rows[workspace] = (asked_before + asked, served_before + served)
 
     def add_seen(self, seen: Seen) -> None:
         """Add what a first event showed; of several the last one stays."""
@@ -116,14 +118,14 @@
             Placed(key.name, round(reading_ms, 1), list(self._parts.get(key, {}).items()), key.life)
             for key, reading_ms in self._reading.items()
         ]
-        names = self._asked.keys() | self._served.keys()
-        tokens = [
-            Tokens(name, int(self._asked.get(name, 0.0)), int(self._served.get(name, 0.0)))
-            for name in names
-        ]
+        tokens = {
+            service: [
+                Tokens(name, int(asked), int(served)) for name, (asked, served) in rows.items()
+            ]
+            for service, rows in self._tokens.items()
+        }
         seen = list(self._seen.values())
-        self._reading, self._parts, self._seen = {}, {}, {}
-        self._asked, self._served = {}, {}
+        self._reading, self._parts, self._seen, self._tokens = {}, {}, {}, {}
         return Placements(placed, tokens, seen)
 
 
@@ -147,14 +149,14 @@
         key = EndpointLife(endpoint, life)
         self._sum.add_work(key, reading_ms, ((part.key, part.tokens) for part in parts))
 
-    def asked(self, workspace: str, tokens: float) -> None:
-        """Take in tokens that were asked for."""
+    def asked(self, service: str, workspace: str, tokens: float) -> None:
+        """Take in tokens that a service was asked for."""
         self._news.set()
-        self._sum.add_tokens(workspace, tokens, 0.0)
+        self._sum.add_tokens(service, workspace, tokens, 0.0)
 
-    def served(self, workspace: str, tokens: float) -> None:
-        """Take in tokens of a request that was sent to an engine."""
-        self._sum.add_tokens(workspace, 0.0, tokens)
+    def served(self, service: str, workspace: str, tokens: float) -> None:
+        """Take in tokens of a request that was sent to an engine of a service."""
+        self._sum.add_tokens(service, workspace, 0.0, tokens)
 
     def seen(self, key: EndpointLife, wait_ms: float, pace: float) -> None:
         """Take in what a first event showed; of several the last one is told."""
--- a/packages/gateway/src/tamarack_gateway/router_status.py
+++ b/packages/gateway/src/tamarack_gateway/router_status.py
@@ -10,8 +10,8 @@
 from tamarack_gateway.unreadable_rows import RowKind
 
 LARGEST_WORKSPACES = 20
-"""Workspaces that are told of, by what they ask; a site may have thousands, and those that ask for
-little are neither refused nor in the way of others."""
+"""Workspaces that are told of at each service, by what they ask; a site may have thousands, and
+those that ask for little are neither refused nor in the way of others."""
 
 
 class MemberStatus(TypedDict):
@@ -44,13 +44,14 @@
 
 
 class WorkspaceStatus(TypedDict):
-    """One of the workspaces that asked for most lately, over all routers.
+    """One of the workspaces that asked a service for most lately, over all routers.
 
     `asked` and `served` are tokens in the window; `standing` is what it was served in shares,
     `lead` as a multiple of what the backlogged workspace with least was served, and `filled` in
     even parts of what is really served.
     """
 
+    service: str
     workspace: str
     asked: int
     served: int
@@ -161,13 +162,17 @@
 
 
 def workspace_statuses(state: FleetState) -> list[WorkspaceStatus]:
-    """Rows of the workspaces that asked for most in the window."""
-    rules, now_ms = state.rules, state.clock.now_ms
-    if rules is None:
-        return []
-    readings = state.shares.largest(LARGEST_WORKSPACES, rules.tokens_per_s, now_ms)
+    """Rows of the workspaces that asked each service for most in the window."""
+    names = state.rules.engine_services if state.rules is not None else ()
+    return [row for name in names for row in _workspaces(state, name)]
+
+
+def _workspaces(state: FleetState, service: str) -> list[WorkspaceStatus]:
+    shares, rate = state.shares.of(service), state.throughput(service)
+    readings = shares.largest(LARGEST_WORKSPACES, rate, state.clock.now_ms)
     return [
         {
+            "service": service,
             "workspace": reading.workspace,
             "asked": round(reading.asked),
             "served": round(reading.served),
--- a/packages/gateway/src/tamarack_gateway/send_notes.py
+++ b/packages/gateway/src/tamarack_gateway/send_notes.py
@@ -31,7 +31,7 @@
 
     Parameters
     ----------
-    attempt, workspace, prompt
+    attempt, service, workspace, prompt
         Of the request; `prompt` is None for plain services.
     """
 
@@ -40,12 +40,14 @@
         state: FleetState,
         outbox: Outbox,
         attempt: str,
+        service: str,
         workspace: str | None,
         prompt: Prompt | None,
     ) -> None:
         self._state = state
         self._outbox = outbox
         self._attempt = attempt
+        self._service = service
         self._workspace = workspace
         self._prompt = prompt
         self._record: EndpointRecord | None = None
@@ -58,17 +60,11 @@
         if self._prompt is None or self._workspace is None:
             return
         charge = self._prompt.charge
-        self._state.shares.ask(self._workspace, charge, self._state.clock.now_ms)
-        self._outbox.asked(self._workspace, charge)
+        shares = self._state.shares.of(self._service)
+        shares.ask(self._workspace, charge, self._state.clock.now_ms)
+        self._outbox.asked(self._service, self._workspace, charge)
 
-    def placed(
-        self,
-        placement: AdmittedPlacement,
-        route: Route,
-        service: str,
-        send: int,
-        left_ms: float,
-    ) -> None:
+    def placed(self, placement: AdmittedPlacement, route: Route, send: int, left_ms: float) -> None:
         """Log where the request's next send goes, and by what this was decided."""
         state, (choice, decision, position) = self._state, placement
         age_ms = state.freshness.age_ms(state.clock.now_ms)
@@ -79,7 +75,7 @@
             workspace=self._workspace,
             tokens=self._prompt.charge if self._prompt else 0,
             route=route.name,
-            service=service,
+            service=self._service,
             endpoint=choice.endpoint.name,
             send=send,
             first_token_ms=round(choice.first_token_ms),
@@ -118,8 +114,8 @@
         self._outbox.placed(name, reading_ms, parts, life)
         if self._workspace is not None and not self._served:
             self._served = True
-            state.shares.serve(self._workspace, prompt.charge, now_ms)
-            self._outbox.served(self._workspace, prompt.charge)
+            state.shares.of(self._service).serve(self._workspace, prompt.charge, now_ms)
+            self._outbox.served(self._service, self._workspace, prompt.charge)
 
     def first_event(self, choice: Choice) -> None:
         """Take in that an engine begins to answer."""
--- a/tests/test_endpoint_lives.py
+++ b/tests/test_endpoint_lives.py
@@ -140,7 +140,7 @@
             def told(life: int | None) -> bool:
                 placed = Placed("e1", 400.0, [PART], life)
                 seen = Seen("e1", 800.0, 4.0, life)
-                fleet.gateway.state.take_placements(Placements([placed], [], [seen]))
+                fleet.gateway.state.take_placements(Placements([placed], {}, [seen]))
                 model, now_ms = state.models["e1"], state.clock.now_ms
                 return model.keeps(PART) or model.wait_ms(now_ms) > 0 or model.pace(now_ms) > 1
 
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -37,8 +37,8 @@
         outbox = Outbox()
         engine, workspace = f"e{draw.randrange(ENGINES)}", f"w{draw.randrange(WORKSPACES)}"
         outbox.placed(engine, 50.0, [PromptPart(f"part-{draw.randrange(40)}", 5_000)])
-        outbox.asked(workspace, 100.0)
-        outbox.served(workspace, 100.0)
+        outbox.asked("s", workspace, 100.0)
+        outbox.served("s", workspace, 100.0)
         reading[engine] = reading.get(engine, 0.0) + 50.0
         served[workspace] = served.get(workspace, 0) + 100
         told = outbox.take()
@@ -47,10 +47,10 @@
     whole = passed.take()
     assert whole is not None
     assert {placed.endpoint: placed.reading_ms for placed in whole.placed} == reading
-    assert {tokens.workspace: tokens.served for tokens in whole.tokens} == served
-    assert {tokens.workspace: tokens.asked for tokens in whole.tokens} == served
+    assert {row.workspace: row.served for row in whole.tokens["s"]} == served
+    assert {row.workspace: row.asked for row in whole.tokens["s"]} == served
     assert len(whole.placed) <= ENGINES
-    assert len(whole.tokens) <= WORKSPACES
+    assert len(whole.tokens) == 1 and len(whole.tokens["s"]) <= WORKSPACES
     assert passed.take() is None
 
 
--- a/tests/test_peer_group.py
+++ b/tests/test_peer_group.py
@@ -152,5 +152,5 @@
     changed = [Report("r", 9.0, same._replace(ready=False))]
     assert sieve.sift(changed, 200.0) == (changed, {})
     assert sieve.sift(changed, 200.0 + TOLD_AGAIN_MS) == (changed, {})
-    placed = Report("r", 9.0, changed[0].summary, Placements([], []))
+    placed = Report("r", 9.0, changed[0].summary, Placements([], {}))
     assert sieve.sift([placed], 2_300.0) == ([placed._replace(summary=None)], {"r": 9.0})
--- a/tests/test_router_view.py
+++ b/tests/test_router_view.py
@@ -75,15 +75,15 @@
     async def story() -> None:
         async with Fleet({"pool": [PlatformWorker("e1", STREAM)]}) as fleet:
             assert (await fleet.ask("/draft/1")).status == 200
-            shares, clock = fleet.gateway.state.shares, fleet.gateway.state.clock
+            shares, clock = fleet.gateway.state.shares.of("pool"), fleet.gateway.state.clock
             for number in range(40):
                 shares.ask(f"other-{number}", 1e6 + number, clock.now_ms)
             reader, writer = await connect(fleet.gateway.metrics_address)
             writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
             text = (await read_answer(reader)).body.decode()
             writer.close()
-        assert 'workspaces{name="asked_tokens",workspace="other-39"} 1000039' in text
-        assert 'workspaces{name="served_tokens",workspace="other-39"} 0' in text
+        assert 'workspaces{name="asked_tokens",service="pool",workspace="other-39"} 1000039' in text
+        assert 'workspaces{name="served_tokens",service="pool",workspace="other-39"} 0' in text
         assert text.count('name="asked_tokens"') == LARGEST_WORKSPACES
 
     play(story())
--- /dev/null
+++ b/tests/test_service_shares.py
@@ -0,0 +1,90 @@
+"""Shares of workspaces at a site with several services of model engines."""
+
+from __future__ import annotations
+
+import pytest
+from test_gateway_bounds import ADDRESS, state_with
+
+from tamarack_core.admission import Admission
+from tamarack_core.clock import HeldClock
+from tamarack_core.endpoint_book import Endpoint
+from tamarack_core.prompt import Prompt, parts_of
+from tamarack_core.ruleset import (
+    EngineTraits,
+    RequestKind,
+    Route,
+    Ruleset,
+    Service,
+    ServiceShare,
+)
+from tamarack_gateway.engine_gate import EngineGate
+from tamarack_gateway.fleet_state import FleetState
+from tamarack_gateway.http_messages import Request
+from tamarack_gateway.outbox import Placements, Tokens
+from tamarack_gateway.site import RequestFacts
+
+TOKENS_PER_S = 300_000.0
+PROMPT = Prompt(1_000, 60, parts_of("m", [("shared", 800), ("own", 200)]))
+
+
+def make_state(clock: HeldClock, **engines: int) -> FleetState:
+    """A router's beliefs with so many engines at each service."""
+    state = state_with(clock)
+    services = [Service(name, 100, EngineTraits(16, 500_000, 6)) for name in engines]
+    state.put_rules(Ruleset(1, [], services, {}, tokens_per_s=TOKENS_PER_S))
+    for service, count in engines.items():
+        for number in range(count):
+            name = f"{service}-{number}"
+            state.book.put(Endpoint(name, service, ADDRESS, "a", 16, False), clock.now_ms)
+    state.settle_endpoints()
+    return state
+
+
+def verdict(state: FleetState, service: str, workspace: str) -> Admission:
+    """What becomes of a request of a workspace at a service."""
+    share = (ServiceShare(service, 1),)
+    route = Route("/", "h", "/", RequestKind.STREAM, share, 4_000.0, 800.0, 2, False, True)
+    facts = RequestFacts("attempt", "h", "/", None, "key", PROMPT, None)
+    request = Request(b"POST", b"/", [], b"", state.clock.now_ms)
+    gate = EngineGate(state, service, request, facts, route, workspace)
+    placement = gate.place(state.usable(service), PROMPT, 4_000.0)
+    assert placement is not None
+    return placement.decision.verdict
+
+
+def told(**services: list[Tokens]) -> Placements:
+    return Placements([], services)
+
+
+def test_one_far_ahead_at_a_busy_service_may_use_the_free_engines_of_another() -> None:
+    """Failure: a workspace is refused beside free engines for what it got at other ones."""
+    clock = HeldClock(10_000.0)
+    state = make_state(clock, busy=2, idle=2)
+    flood, other = Tokens("flood", 20_000_000, 4_000_000), Tokens("other", 9_000_000, 1_000_000)
+    state.take_placements(told(busy=[flood, other]))
+    for name in ("busy-0", "busy-1"):
+        state.models[name].sent_elsewhere(30.0, clock.now_ms)
+    assert verdict(state, "busy", "flood") is Admission.REFUSED
+    assert verdict(state, "busy", "other") is not Admission.REFUSED
+    assert verdict(state, "idle", "flood") is Admission.ADMITTED
+
+
+@pytest.mark.parametrize("known", [True, False])
+def test_word_of_an_unknown_service_is_not_kept(known: bool) -> None:
+    """Failure: a peer that tells nonsense makes a router's memory grow without bound."""
+    clock = HeldClock(10_000.0)
+    state = make_state(clock, **({"pool": 1} if known else {}))
+    for number in range(1_000):
+        state.take_placements(told(**{f"s{number}": [Tokens("w", 10, 10)]}))
+    state.take_placements(told(pool=[Tokens("w", 10, 0)]))
+    assert len(state.shares._shares) == int(known)
+    state.put_rules(Ruleset(2, [], [], {}))
+    assert not state.shares._shares
+
+
+def test_each_service_has_a_part_of_the_throughput_by_its_engines() -> None:
+    """Failure: each of several services is taken to carry what all of them carry together."""
+    state = make_state(HeldClock(), large=3, small=1)
+    assert state.throughput("large") == pytest.approx(0.75 * TOKENS_PER_S)
+    assert state.throughput("small") == pytest.approx(0.25 * TOKENS_PER_S)
+    assert make_state(HeldClock(), only=1).throughput("only") == TOKENS_PER_S
