Refuse at a full router those whose requests fill it

Cause: a router that has reached its limit of requests in progress refused whoever came; who shares it with a workspace that fills it was refused as often, whatever it asked for. Change: requests in progress are counted by workspace. Beyond the limit a workspace with less than an even part of it is still taken, up to twice the limit in all, so that many with little each do not undo it; the limit itself follows the lag as before.

--- a/packages/core/src/tamarack_core/concurrency_limit.py
+++ b/packages/core/src/tamarack_core/concurrency_limit.py
@@ -25,6 +25,10 @@
 LEAST = 32.0
 """Requests that are taken in any case: so few are not what makes a loop late."""
 
+OVER = 2.0
+"""Times the limit up to which those are taken whose workspaces have less than an even part of it:
+a bound for the case that many workspaces ask for little each."""
+
 
 class ConcurrencyLimit:
     """Bounds the work that a router takes to what its processor bears.
@@ -45,6 +49,23 @@
         """Requests in progress up to which another one is taken; infinite while none was late."""
         return self._most
 
+    def takes(self, own: int, running: int, workspaces: int) -> bool:
+        """Whether one more request is taken.
+
+        A full router would otherwise refuse whoever comes, a workspace with few requests as often
+        as the one whose requests fill it.
+
+        Parameters
+        ----------
+        own
+            Requests in progress of the workspace that asks.
+        running, workspaces
+            Requests in progress of all, and how many workspaces these and this one belong to.
+        """
+        if running < self._most:
+            return True
+        return running < OVER * self._most and own < self._most / workspaces
+
     def observe(self, late_ms: float, running: int, now_ms: float) -> None:
         """Take in how late the loop's timer fired, with so many requests in progress."""
         self._late = self._late + 1 if late_ms > HIGH_MS else 0
--- a/packages/gateway/src/tamarack_gateway/caller_handler.py
+++ b/packages/gateway/src/tamarack_gateway/caller_handler.py
@@ -71,10 +71,16 @@
         if facts is None:
             caller.answer(400, [])
             return
-        if self._watch.sheds:
-            self._shed(caller, facts)
-            return
         rules = state.rules
+        workspace = rules.workspace_of(facts.key) if rules and facts.key is not None else None
+        if self._watch.sheds(workspace):
+            # Before any other work: it has no time for more, and elsewhere there is some. The
+            # caller is told, and keeps its connection: one that is closed unread takes the address
+            # for dead, and has no other if it keeps to this one.
+            self._refuse(
+                caller, facts.attempt, "overloaded", OVERLOAD_RETRY_MS, workspace=workspace
+            )
+            return
         if state.leaving is not None and not state.leaving.lingers(self._clock.now_ms):
             # Nobody has this address by a valid answer any more; the router ends with what runs.
             self._refuse(caller, facts.attempt, "leaving", ELSEWHERE_MS)
@@ -86,9 +92,6 @@
         if route is None:
             self._deny(caller, facts.attempt, 404)
             return
-        workspace = None
-        if facts.key is not None:
-            workspace = rules.workspace_of(facts.key)
         if rules.needs_keys and not route.public:
             if not state.freshness.trusted(self._clock.now_ms):
                 self._refuse(caller, facts.attempt, "keys are not confirmed", 400.0)
@@ -100,9 +103,9 @@
             workspace = None
         self._metrics.began(route)
         exchange = self._exchange(request, caller, facts, route, workspace)
-        self._watch.running += 1
         try:
-            await exchange.run()
+            with self._watch.taking(workspace):
+                await exchange.run()
         except ConnectionError as error:
             self._log.request("caller gone", facts.attempt, reason=str(error))
             caller.cut()
@@ -110,7 +113,6 @@
             self._cancelled(exchange, request, facts.attempt)
             raise
         finally:
-            self._watch.running -= 1
             self._metrics.ended(route, self._clock.now_ms - request.arrived_ms)
 
     def _exchange(
@@ -151,14 +153,6 @@
             became, attempt, reason=ROUTER_ENDS, stopping_ms=stopping_ms, ran_ms=ran_ms
         )
 
-    def _shed(self, caller: CallerConnection, facts: RequestFacts) -> None:
-        # Before any other work: it has no time for more, and elsewhere there is some. The caller is
-        # told, and keeps its connection: one that is closed unread takes the address for dead, and
-        # has no other if it keeps to this one.
-        rules = self._state.rules
-        workspace = rules.workspace_of(facts.key) if rules and facts.key else None
-        self._refuse(caller, facts.attempt, "overloaded", OVERLOAD_RETRY_MS, workspace=workspace)
-
     def _deny(self, caller: CallerConnection, attempt: str, status: int) -> None:
         age_ms = self._state.freshness.age_ms(self._clock.now_ms)
         if age_ms > DENY_AGE_MS or self._state.unreadable_rules is not None:
--- a/packages/gateway/src/tamarack_gateway/loop_watch.py
+++ b/packages/gateway/src/tamarack_gateway/loop_watch.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Collection
+from collections import Counter
+from collections.abc import Callable, Collection, Iterator
+from contextlib import contextmanager
 from types import TracebackType
 from typing import TypedDict
 
@@ -43,11 +45,6 @@
         Called when an overload begins or ends.
     turned_away
         Tells how many connections were closed unread for want of room.
-
-    Attributes
-    ----------
-    running
-        Requests in progress; whoever takes one counts it here.
     """
 
     def __init__(
@@ -66,7 +63,7 @@
         self._turned_away = turned_away
         self._lag = LoopLag()
         self._limit = ConcurrencyLimit()
-        self.running = 0
+        self._running: Counter[str | None] = Counter()
         self._timer: asyncio.TimerHandle | None = None
 
     def __enter__(self) -> LoopWatch:
@@ -93,9 +90,28 @@
         return self._lag.avoid(self._clock.now_ms)
 
     @property
-    def sheds(self) -> bool:
-        """Whether what comes now is refused at once."""
-        return self.running >= self._limit.most or self._lag.sheds(self._clock.now_ms)
+    def running(self) -> int:
+        """Requests in progress."""
+        return self._running.total()
+
+    def sheds(self, workspace: str | None) -> bool:
+        """Whether a request that a workspace sends now is refused at once."""
+        own = self._running[workspace]
+        workspaces = len(self._running) + (own == 0)
+        if not self._limit.takes(own, self.running, workspaces):
+            return True
+        return self._lag.sheds(self._clock.now_ms)
+
+    @contextmanager
+    def taking(self, workspace: str | None) -> Iterator[None]:
+        """Count a request of a workspace as in progress."""
+        self._running[workspace] += 1
+        try:
+            yield
+        finally:
+            self._running[workspace] -= 1
+            if not self._running[workspace]:
+                del self._running[workspace]
 
     def status(self) -> LoopStatus:
         """How busy the loop is."""
--- a/tests/test_concurrency_limit.py
+++ b/tests/test_concurrency_limit.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import math
-from collections import deque
+import random
+from collections import Counter, deque
 
 import pytest
-from gateway_site import Fleet, connect, play, read_answer, until
+from gateway_site import Answer, Fleet, configuration, connect, play, read_answer, until
 
 from tamarack_core.concurrency_limit import (
     CUT,
@@ -17,6 +18,7 @@
     LATE_SAMPLES,
     LEAST,
     LOW_MS,
+    OVER,
     ConcurrencyLimit,
 )
 from tamarack_core.loop_lag import SAMPLE_MS
@@ -132,6 +134,76 @@
     assert len(limited) > 0.95 * 20 * ASKED_PER_S
 
 
+def small_answers(flood: int, *, seconds: float) -> tuple[int, int, int]:
+    """How many requests of a small workspace are taken of how many, beside a flood; most at once.
+
+    The flood has `flood` callers at a time, the small one two; each asks again at once, and a
+    request takes a tenth of a second.
+    """
+    limit, draw = late(50), random.Random(3)
+    running: list[tuple[float, str]] = []
+    asked = taken = most = 0
+    for now_ms in range(0, int(seconds * 1_000), 5):
+        running = [(until, name) for until, name in running if until > now_ms]
+        counts = Counter(name for _, name in running)
+        callers = ["flood"] * (flood - counts["flood"]) + ["small"] * (2 - counts["small"])
+        draw.shuffle(callers)
+        for name in callers:
+            counts = Counter(name for _, name in running)
+            took = limit.takes(counts[name], len(running), len({*counts, name}))
+            if took:
+                running.append((now_ms + 100.0, name))
+            if name == "small":
+                asked, taken = asked + 1, taken + took
+        most = max(most, len(running))
+    return taken, asked, most
+
+
+def test_a_small_workspace_is_taken_beside_one_that_fills_the_router() -> None:
+    """Failure: a full router refuses whoever comes, and mostly those who are not what fills it."""
+    taken, asked, most = small_answers(400, seconds=5.0)
+    assert taken >= 0.9 * asked
+    assert most <= late(50).most + 2
+
+
+def test_many_workspaces_with_little_each_do_not_undo_the_limit() -> None:
+    """Failure: a router with thousands of workspaces takes a request of each, and falls behind."""
+    limit, running = late(50), 0
+    while limit.takes(0, running, running + 1):
+        running += 1
+    assert limit.most <= running <= OVER * limit.most
+
+
+def test_a_full_router_takes_the_request_of_a_workspace_that_has_none_there(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Failure: who shares a router with a large workspace is refused as often as that."""
+
+    async def story() -> None:
+        engine = PlatformWorker("e1", Script(events=3))
+        engine.answering.clear()
+        keys = [{"name": name, "apiKeys": [f"key-{name}"]} for name in ("large", "small")]
+        async with Fleet({"pool": [engine]}) as fleet:
+            await fleet.store.put("op", "config", configuration(2, tenants=keys))
+            router = fleet.gateway
+            await until(lambda: router.state.rules is not None and router.state.rules.version == 2)
+            monkeypatch.setattr(router._watch._limit, "_most", 2.0)
+
+            def ask(name: str, path: str) -> asyncio.Future[Answer]:
+                return asyncio.ensure_future(fleet.ask(path, Authorization=f"Token key-{name}"))
+
+            taken = [ask("large", "/draft/1"), ask("large", "/draft/2")]
+            await until(lambda: router._watch.running == 2)
+            assert (await ask("large", "/draft/3")).status == 503
+            taken.append(ask("small", "/draft/4"))
+            await until(lambda: router._watch.running == 3)
+            assert (await ask("small", "/draft/5")).status == 503
+            engine.answering.set()
+            assert [(await answer).status for answer in taken] == [200, 200, 200]
+
+    play(story())
+
+
 def test_beyond_the_limit_a_request_is_refused_at_once_and_not_run(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
