--- a/bench/ablation/patches/concurrency-limit.sed
+++ b/bench/ablation/patches/concurrency-limit.sed
@@ -1,2 +1,2 @@
-#packages/gateway/src/tamarack_gateway/loop_watch.py
-s/self.running >= self._limit.most or //
+#packages/core/src/tamarack_core/concurrency_limit.py
+s/if running < self._most:/if True:/
