--- a/packages/ctl/src/tamarack_ctl/workspace_service.py
+++ b/packages/ctl/src/tamarack_ctl/workspace_service.py
@@ -39,13 +39,13 @@
 
     A request that is sent again counts once.
     """
-    found: dict[str, WorkspaceService] = defaultdict(lambda: _service(""))
+    found: dict[str, WorkspaceService] = {}
     leads: dict[str, float] = defaultdict(float)
     for line in lines:
         workspace = line.fields.get("workspace")
         if workspace is None:
             continue
-        counts = found[workspace]
+        counts = found.setdefault(workspace, _nothing(workspace))
         tokens = int(line.fields.get("tokens", 0))
         if line.message == "request: placed" and line.fields.get("send") == 1:
             counts["placed_tokens"] += tokens
@@ -56,13 +56,12 @@
             counts["refused_tokens"] += tokens
             counts["overloaded"] += line.fields.get("reason") == "overloaded"
     for workspace, counts in found.items():
-        counts["workspace"] = workspace
         if counts["free_tokens"]:
             counts["free_lead"] = round(leads[workspace] / counts["free_tokens"], 2)
     return sorted(found.values(), key=lambda counts: -counts["placed_tokens"])
 
 
-def _service(workspace: str) -> WorkspaceService:
+def _nothing(workspace: str) -> WorkspaceService:
     return {
         "workspace": workspace,
         "placed_tokens": 0,
