Send the soak's signals without taking the routers' exit statuses

Cause: a process object of the standard library polls its child before it sends a signal; a child that has just ended is reaped by that, and the event loop, which waits for it, finds none and reports 255. Change: signals go to the pid while the loop has not seen the end; the child stays until the loop has reaped it. Evidence: the test fails on the code before ('it is polled').

--- a/packages/standins/src/tamarack_standins/soak_routers.py
+++ b/packages/standins/src/tamarack_standins/soak_routers.py
@@ -90,7 +90,7 @@
         picked = self._pick()
         if picked is not None:
             number, process = picked
-            process.kill()
+            send_signal(process, signal.SIGKILL)
             await process.wait()
             await self._restart(number, process)
 
@@ -98,7 +98,7 @@
         """Kill all routers at once and start them again."""
         living = [(n, p) for n, p in self._processes.items() if p.returncode is None]
         for _, process in living:
-            process.kill()
+            send_signal(process, signal.SIGKILL)
         for number, process in living:
             await process.wait()
             await self._restart(number, process)
@@ -123,16 +123,14 @@
         picked = self._pick()
         if picked is None:
             return
-        with contextlib.suppress(ProcessLookupError):
-            picked[1].send_signal(signal.SIGSTOP)
-            await self._spell()
-            picked[1].send_signal(signal.SIGCONT)
+        send_signal(picked[1], signal.SIGSTOP)
+        await self._spell()
+        send_signal(picked[1], signal.SIGCONT)
 
     async def hang_up(self) -> None:
         """Tell one router that its settings changed."""
         if picked := self._pick():
-            with contextlib.suppress(ProcessLookupError):
-                picked[1].send_signal(signal.SIGHUP)
+            send_signal(picked[1], signal.SIGHUP)
 
     async def disturb_link(self) -> None:
         """Delay, reset, silence or cut one way one router's path to the store."""
@@ -181,14 +179,13 @@
         log.close()
 
     async def _stop(self, number: int, process: asyncio.subprocess.Process) -> None:
-        with contextlib.suppress(ProcessLookupError):
-            process.terminate()
+        send_signal(process, signal.SIGTERM)
         try:
             async with asyncio.timeout(GRACE_S + 2):
                 code = await process.wait()
         except TimeoutError:
             self._broken(f"router-{number} did not end in its grace time")
-            process.kill()
+            send_signal(process, signal.SIGKILL)
             code = await process.wait()
         if code not in (0, -signal.SIGKILL) and not self._not_begun(number, code):
             self._broken(f"router-{number} ended with {code}")
@@ -202,9 +199,8 @@
 
     async def _end(self, number: int) -> None:
         process = self._processes[number]
-        if process.returncode is None:
-            process.send_signal(signal.SIGCONT)
-            process.kill()
+        send_signal(process, signal.SIGCONT)
+        send_signal(process, signal.SIGKILL)
         await process.wait()
 
     async def _restart(self, number: int, process: asyncio.subprocess.Process) -> None:
@@ -221,6 +217,17 @@
         await asyncio.sleep(self._random.uniform(*SPELL_S))
 
 
+def send_signal(process: asyncio.subprocess.Process, number: signal.Signals) -> None:
+    """Send a signal to a process, unless it has ended.
+
+    The process's own method polls it first, and takes the exit status of one that has just ended
+    from the event loop, which then reports 255.
+    """
+    if process.returncode is None:
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(process.pid, number)
+
+
 async def disturb(link: FaultProxy, draws: random.Random) -> None:
     """Bring one of its faults to a link, and heal it after a while."""
     way = draws.choice(("delay", "reset", "silence", "cut there", "cut back"))
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
+import random
+import signal
+import subprocess
+import sys
+from asyncio.subprocess import PIPE
+from pathlib import Path
+
 import pytest
 
 from tamarack_standins.platform_soak import play
+from tamarack_standins.soak_routers import SoakRouters
 
 SECONDS = 4.0
 
@@ -27,3 +36,21 @@
     assert soak.broken == []
     assert soak.counts["200"] > 0
     assert soak.counts["workers ended"] >= 6
+
+
+def test_a_signal_does_not_take_a_routers_exit_status(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Failure: a router that ends in order as the soak signals it is reported to end with 255."""
+
+    async def story() -> int:
+        routers = SoakRouters(
+            1, tmp_path, 9_000, "", draws=random.Random(1), broken=lambda reason: None
+        )
+        process = await asyncio.create_subprocess_exec(sys.executable, "-c", "input()", stdin=PIPE)
+        routers._processes[0] = process
+        monkeypatch.setattr(subprocess.Popen, "poll", lambda child: pytest.fail("it is polled"))
+        await routers.hang_up()
+        return await process.wait()
+
+    assert asyncio.run(story()) == -signal.SIGHUP
