--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -361,15 +361,23 @@
     """Play one seed; returns it with its counts and what was broken."""
     with tempfile.TemporaryDirectory() as folder:
         soak = Soak(seed, seconds, Path(folder), routers=routers, ends_only=ends_only)
-        asyncio.run(soak.run())
-        if soak.broken:
-            kept = Path("bench/out") / f"soak-{seed}"
-            kept.mkdir(parents=True, exist_ok=True)
-            for log in Path(folder).glob("*.log"):
-                (kept / log.name).write_bytes(log.read_bytes())
+        whole = False
+        try:
+            asyncio.run(soak.run())
+            whole = not soak.broken
+        finally:
+            # Also where the soak itself fails, as when a router does not begin.
+            if not whole:
+                _keep_logs(Path(folder), Path("bench/out") / f"soak-{seed}")
         return soak
 
 
+def _keep_logs(folder: Path, kept: Path) -> None:
+    kept.mkdir(parents=True, exist_ok=True)
+    for log in folder.glob("*.log"):
+        (kept / log.name).write_bytes(log.read_bytes())
+
+
 def main() -> int:
     """Play seeds from the command line."""
     # Ended by SIGTERM, the soak still ends its routers: left behind, they hold addresses and call a
