--- a/tests/test_service_shares.py
+++ b/tests/test_service_shares.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from test_gateway_bounds import ADDRESS, state_with
 
 from tamarack_core.admission import Admission
@@ -20,7 +24,7 @@
 from tamarack_gateway.engine_gate import EngineGate
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.http_messages import Request
-from tamarack_gateway.outbox import Placements, Tokens
+from tamarack_gateway.outbox import Outbox, Placements, PlacementSum, Tokens
 from tamarack_gateway.site import RequestFacts
 
 TOKENS_PER_S = 300_000.0
@@ -88,3 +92,40 @@
     assert state.throughput("large") == pytest.approx(0.75 * TOKENS_PER_S)
     assert state.throughput("small") == pytest.approx(0.25 * TOKENS_PER_S)
     assert make_state(HeldClock(), only=1).throughput("only") == TOKENS_PER_S
+
+
+_ROW = st.tuples(
+    st.sampled_from(["a", "b"]),
+    st.sampled_from(["w1", "w2", "w3"]),
+    st.integers(0, 9),
+    st.booleans(),
+)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(st.lists(_ROW, max_size=6), max_size=6))
+def test_sums_of_relays_lose_and_double_no_workspaces_tokens(
+    reports: list[list[tuple[str, str, int, bool]]],
+) -> None:
+    """Failure: what a workspace got at one service is told as another's, twice, or not at all."""
+    whole: Counter[tuple[str, str, bool]] = Counter()
+    relay = PlacementSum()
+    for report in reports:
+        outbox = Outbox()
+        for service, workspace, tokens, served in report:
+            (outbox.served if served else outbox.asked)(service, workspace, tokens)
+            whole[service, workspace, served] += tokens
+        told = outbox.take()
+        if told is not None:
+            relay.add(told)
+    summed = relay.take() or Placements([], {})
+    found = Counter(
+        {
+            (service, row.workspace, served): row.served if served else row.asked
+            for service, rows in summed.tokens.items()
+            for row in rows
+            for served in (False, True)
+        }
+    )
+    assert +found == +whole
+    assert relay.take() is None
