--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -92,7 +92,7 @@
     outcome = Simulation(scenario, from_ms=4_000.0, until_ms=10_000.0).play()
     assert outcome.fairness(list(large)) >= 0.5
     asked, served = (
-        sum(tokens[name] for name in small) for tokens in (outcome.asked, outcome.served)
+        sum(tokens.get(name, 0.0) for name in small) for tokens in (outcome.asked, outcome.served)
     )
     assert served >= 0.5 * asked
 
