--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -5,11 +5,13 @@
 import asyncio
 from typing import Any, cast
 
+import pytest
 from gateway_site import Fleet, configuration, play, until
 
 from tamarack_core.clock import HeldClock
 from tamarack_core.relay_plan import SMALL_FLEET
 from tamarack_gateway.fleet_members import READERS, FleetMembers, Member
+from tamarack_gateway.fleet_state import KEPT_PART
 from tamarack_gateway.site import Row, RowsPage
 from tamarack_gateway.store_client import StoreError
 from tamarack_gateway.table_follower import (
@@ -336,3 +338,17 @@
     for at_ms in range(250, 6_000, 250):
         members.heard(told(1_000, float(at_ms)))
     assert [member.boot for member in members.live(6_000.0)] == [1_000]
+
+
+@pytest.mark.parametrize("drain_ms", [2_000.0, 3_000.0, 4_000.0])
+def test_a_missed_word_of_a_leaving_endpoint_is_noticed_while_it_may_get_work(
+    drain_ms: float,
+) -> None:
+    """Failure: a listener learns of a gap by the readers' next answers, a whole wait later."""
+
+    async def story() -> None:
+        workers = {"pool": [PlatformWorker("e1", Script(events=1))]}
+        async with Fleet(workers, drain_ms=drain_ms) as fleet:
+            assert fleet.gateway._feeds._followers["servers"]._wait_ms < KEPT_PART * drain_ms
+
+    play(story())
