--- a/packages/ctl/src/tamarack_ctl/explaining.py
+++ b/packages/ctl/src/tamarack_ctl/explaining.py
@@ -40,6 +40,11 @@
         return f"{self.at_ms - since_ms:+8} ms  {self.router}  {self.message}  {facts}".rstrip()
 
 
+def add_logs(parser: argparse.ArgumentParser) -> None:
+    """Add the argument that names collected logs."""
+    parser.add_argument("logs", nargs="+", type=Path, metavar="LOG", help="collected logs")
+
+
 def read_lines(texts: Iterable[str]) -> Iterator[LogLine]:
     """Lines of routers among others; what stands before the JSON object is passed over."""
     for text in texts:
@@ -81,7 +86,7 @@
 
 def _configure(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("request", help="id of the request's attempt")
-    parser.add_argument("logs", nargs="+", type=Path, metavar="LOG", help="collected logs")
+    add_logs(parser)
 
 
 @command("explain", "tell the story of one request from logs", _configure, needs_fleet=False)
--- a/packages/ctl/src/tamarack_ctl/prompt_reads.py
+++ b/packages/ctl/src/tamarack_ctl/prompt_reads.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-import argparse
 from collections import Counter
 from collections.abc import Iterable
 from enum import Enum
-from pathlib import Path
 from typing import NamedTuple
 
 from tamarack_ctl.commands import EXIT_OK, EXIT_REFUSED, Context, Outcome, command
-from tamarack_ctl.explaining import LogLine, read_logs
+from tamarack_ctl.explaining import LogLine, add_logs, read_logs
 
 REUSE_MS = 10_000
 """Time after its last use within which a part counts as read again: later than that an engine under
@@ -100,11 +98,7 @@
     return Cause.FURTHER_ENGINE
 
 
-def _configure(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument("logs", nargs="+", type=Path, metavar="LOG", help="collected logs")
-
-
-@command("reads", "tell why prompt parts were read again", _configure, needs_fleet=False)
+@command("reads", "tell why prompt parts were read again", add_logs, needs_fleet=False)
 def reads(context: Context) -> Outcome:
     """Read logs and add up shared prompt tokens by the cause of their reading."""
     found = account(read_logs(context.arguments.logs))
--- a/packages/ctl/src/tamarack_ctl/workspace_service.py
+++ b/packages/ctl/src/tamarack_ctl/workspace_service.py
@@ -5,12 +5,11 @@
 import argparse
 from collections import defaultdict
 from collections.abc import Iterable
-from pathlib import Path
 from typing import TypedDict
 
 from tamarack_core.admission import FREE_ENGINE
 from tamarack_ctl.commands import EXIT_OK, EXIT_REFUSED, Context, Outcome, command
-from tamarack_ctl.explaining import LogLine, read_logs
+from tamarack_ctl.explaining import LogLine, add_logs, read_logs
 
 
 class WorkspaceService(TypedDict):
@@ -73,7 +72,7 @@
 
 
 def _configure(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument("logs", nargs="+", type=Path, metavar="LOG", help="collected logs")
+    add_logs(parser)
     parser.add_argument("--from-ms", type=int, default=0, help="first time of day to look at")
     parser.add_argument("--until-ms", type=int, help="time of day to stop at")
 
