Give the soak's workers a module of their own

A worker is told what it draws from and whom it tells of runs, not the whole soak; the next life at an address was made in two places, and is one method now. No behaviour changes: the same draws in the same order.

--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -27,10 +27,11 @@
 
 from tamarack_standins.fault_proxy import FaultProxy
 from tamarack_standins.platform_store import PlatformStore
-from tamarack_standins.platform_worker import BORN_MS, Arrived, PlatformWorker, Script
+from tamarack_standins.platform_worker import Arrived
 from tamarack_standins.soak_callers import ANSWER_S, HOST, KINDS, STREAMS, SoakCalls
-from tamarack_standins.soak_ends import BACK_S, FATAL_BODIES, FATAL_REQUESTS, PAUSE_S, EndCounts
+from tamarack_standins.soak_ends import BACK_S, FATAL_REQUESTS, PAUSE_S, EndCounts
 from tamarack_standins.soak_routers import REVOKE_MS, SPELL_S, SoakRouters, disturb
+from tamarack_standins.soak_worker import SoakWorker
 
 EXIT_TERMINATED = 143
 ROUTERS = 3
@@ -40,46 +41,6 @@
 FAULT_PAUSE_S = (0.2, 0.9)
 
 
-class SoakWorker(PlatformWorker):
-    """A worker that fails part of its requests, and tells the soak of each run."""
-
-    def __init__(
-        self, name: str, soak: Soak, stream: bool, *, life: int = BORN_MS, port: int = 0
-    ) -> None:
-        super().__init__(name, born=life, port=port)
-        self.life = life
-        self._soak = soak
-        self._streams = stream
-        self.bad_part = 0.0
-        self.fatal = FATAL_BODIES
-        self.on_fatal = soak.ends.arrived
-        self.on_end = lambda: soak.worker_ended(self)
-
-    def _next_script(self, arrived: Arrived) -> Script:
-        draw = self._soak.random
-        events = draw.randint(1, 8) if self._streams else None
-        good = Script(echo=True, events=events, pause_s=draw.random() * 0.02)
-        if draw.random() >= self.bad_part:
-            self._soak.ran(arrived, self._streams)
-            return good
-        bad = draw.choice(
-            (
-                good._replace(status=503, not_run=True, events=None),
-                good._replace(status=500, events=None),
-                good._replace(reset=True),
-                good._replace(silent=True),
-                good._replace(attempt="stray"),
-                good._replace(events=8, cut_after=2)
-                if self._streams
-                else good._replace(extra=b"x"),
-                good._replace(truncated=True, events=None),
-            )
-        )
-        if not bad.not_run:
-            self._soak.ran(arrived, self._streams)
-        return bad
-
-
 class Soak:
     """One seeded run."""
 
@@ -200,12 +161,18 @@
 
     async def _add_worker(self, service: str) -> None:
         self._names += 1
-        worker = SoakWorker(f"i-{self._names}", self, service == "pool")
-        await self._stack.enter_async_context(worker)
+        streams = service == "pool"
+        worker = SoakWorker(f"i-{self._names}", streams=streams, draws=self.random, ran=self.ran)
+        await self._enter(worker)
         link = await self._stack.enter_async_context(FaultProxy(worker.address))
         self._workers.append((service, worker, link))
         await self._list(service, worker, link)
 
+    async def _enter(self, worker: SoakWorker) -> None:
+        worker.on_fatal = self.ends.arrived
+        worker.on_end = lambda: self.worker_ended(worker)
+        await self._stack.enter_async_context(worker)
+
     async def _list(
         self, service: str, worker: SoakWorker, link: FaultProxy, *, state: str = "ready"
     ) -> None:
@@ -222,11 +189,9 @@
         await asyncio.sleep(self._own_random.uniform(*BACK_S))
         for place, (service, worker, link) in enumerate(self._workers):
             if worker is ended:
-                port = int(ended.address.rpartition(":")[2])
-                life = ended.life + 1_000
-                back = SoakWorker(ended.name, self, service == "pool", life=life, port=port)
+                back = ended.next_life()
                 self._workers[place] = (service, back, link)
-                await self._stack.enter_async_context(back)
+                await self._enter(back)
                 await self._list(service, back, link)
                 return
 
@@ -305,9 +270,8 @@
         service, old, link = self._workers.pop(self.random.randrange(len(self._workers)))
         await old.end()
         await asyncio.sleep(self.random.uniform(0.0, 0.3))
-        port = int(old.address.rpartition(":")[2])
-        worker = SoakWorker(old.name, self, service == "pool", life=old.life + 1_000, port=port)
-        await self._stack.enter_async_context(worker)
+        worker = old.next_life()
+        await self._enter(worker)
         self._workers.append((service, worker, link))
         await self._list(service, worker, link)
 
