Let a listener that missed a change learn of it from others' versions

Cause: a router that turns from relay to listener can miss a message.

Change: a new kind of message carries the newest version of each table that a router knows. Routers of a large fleet send it to their relays at most each 200 ms, relays pass the newest ones on with each message. A listener that is behind such a version for 300 ms calls the store.

Test: the listed test asserted the length of the readers' wait, that is one way to a mend, which costs calls of the store for each reader. A second test: a version that arrives before its change is no gap.

--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -158,6 +158,17 @@
         if follower is not None:
             follower.receive(news, stamp_ms)
 
+    @property
+    def versions(self) -> dict[str, int]:
+        """Version of each table that this router has read."""
+        found = {table: follower.version for table, follower in self._followers.items()}
+        return {table: version for table, version in found.items() if version is not None}
+
+    def record_versions(self, versions: dict[str, int]) -> None:
+        """Record another router's versions of the tables."""
+        for table, follower in self._followers.items():
+            follower.record_version(versions.get(table, 0))
+
     def copy(self, wanted: CopyWanted) -> TableNews | None:
         """The table that another router requests, if this one can send it."""
         follower = self._followers.get(wanted.table)
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -241,6 +241,8 @@
             on_report=self._on_report,
             on_placements=self._state.apply_placements,
             on_alive=lambda stamps: self._members.record_unchanged(stamps, self._clock.now_ms),
+            versions=lambda: self._feeds.versions,
+            on_versions=lambda versions: self._feeds.record_versions(versions),
         )
 
     def _make_feeds(self) -> FleetFeeds:
--- a/packages/gateway/src/tamarack_gateway/peer_group.py
+++ b/packages/gateway/src/tamarack_gateway/peer_group.py
@@ -12,7 +12,14 @@
 from tamarack_core.termination_evidence import Evidence
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.outbox import Outbox, Placements, PlacementSum
-from tamarack_gateway.peer_messages import Alive, Digest, Gathered, Report, Summary
+from tamarack_gateway.peer_messages import (
+    Alive,
+    Digest,
+    Gathered,
+    Report,
+    Summary,
+    TableVersions,
+)
 from tamarack_gateway.peer_sockets import PeerSockets
 from tamarack_gateway.summary_filter import SummaryFilter
 from tamarack_gateway.table_follower import CopyWanted, TableNews
@@ -38,6 +45,9 @@
 within its grace period, 8 s here. Without it, its observations of endpoint terminations would be
 lost, and the others would decide on incomplete evidence."""
 
+VERSIONS_MS = 200.0
+"""Minimum time between two messages with the versions of the followed tables."""
+
 PLAN_CHECK_MS = 100.0
 """Time between two checks of the relay plan."""
 
@@ -71,6 +81,10 @@
         Called with the summed placements of routers of other failure domains.
     on_alive
         Called with the timestamps of routers whose summaries are unchanged, by their own clocks.
+    versions
+        Returns this router's version of each followed table.
+    on_versions
+        Called with the versions that another router has.
     """
 
     def __init__(
@@ -87,6 +101,8 @@
         on_report: Callable[[Report], None],
         on_placements: Callable[[Placements], None],
         on_alive: Callable[[dict[str, float]], None],
+        versions: Callable[[], dict[str, int]] = dict,
+        on_versions: Callable[[dict[str, int]], None] = lambda versions: None,
     ) -> None:
         self._router = router
         self._domain = failure_domain
@@ -99,6 +115,8 @@
         self._on_report = on_report
         self._on_placements = on_placements
         self._on_alive = on_alive
+        self._versions = versions
+        self._on_versions = on_versions
         self._plan = RelayPlan(router, failure_domain)
         self._links = Links(frozenset(), None, False)
         self._listed: Mapping[str, Peer] = {}
@@ -107,6 +125,8 @@
         self._remote_reports: list[Report] = []
         self._remote_work = PlacementSum()
         self._remote_alive: dict[str, float] = {}
+        self._heard_versions: dict[str, int] = {}
+        self._last_versions_ms = float("-inf")
         self._summary_filter = SummaryFilter()
         self._urgent = False
         self._relay_task: asyncio.Task[None] | None = None
@@ -192,7 +212,14 @@
         if self._links.relays:
             self._collect(report)
             return
-        self._sockets.publish(_reports_topic(self._domain), report)
+        self._sockets.publish(_reports_topic(self._domain), report, *self._due_versions(now_ms))
+
+    def _due_versions(self, now_ms: float) -> list[TableVersions]:
+        # In a small fleet each router reads the tables itself.
+        if not self._plan.large or now_ms - self._last_versions_ms < VERSIONS_MS:
+            return []
+        self._last_versions_ms = now_ms
+        return [TableVersions(self._versions())]
 
     def _receive(self, topic: bytes, message: Any) -> None:
         if isinstance(message, Report):
@@ -200,6 +227,8 @@
             if self._links.relays:
                 self._collect(message)
             self._on_report(message)
+        elif isinstance(message, TableVersions):
+            self._note_versions(message.versions)
         elif topic == _within_topic(self._domain):
             if isinstance(message, Digest):
                 self._plan.record_relay(message.relay, self._clock.now_ms)
@@ -220,6 +249,11 @@
                 if report.router != self._router:
                     self._on_report(report)
 
+    def _note_versions(self, versions: dict[str, int]) -> None:
+        for table, version in versions.items():
+            self._heard_versions[table] = max(version, self._heard_versions.get(table, 0))
+        self._on_versions(versions)
+
     def _collect(self, report: Report) -> None:
         self._reports.append(report)
         self._urgent = self._urgent or report.urgent
@@ -266,14 +300,20 @@
         all_alive = alive | self._remote_alive
         self._reports, self._remote_reports, self._remote_alive, self._urgent = [], [], {}, False
         self._last_relay_ms = now_ms
+        versions = TableVersions(self._newest_versions())
         if own or alive:
             across = _for_other_domains(self._router, own)
-            self._sockets.publish(_across_topic(self._domain), *across, Alive(alive))
-        within: list[Any] = [Digest(self._router, own + foreign), Alive(all_alive)]
+            self._sockets.publish(_across_topic(self._domain), *across, Alive(alive), versions)
+        within: list[Any] = [Digest(self._router, own + foreign), Alive(all_alive), versions]
         if work is not None:
             within.append(Gathered(work))
         self._sockets.publish(_within_topic(self._domain), *within)
 
+    def _newest_versions(self) -> dict[str, int]:
+        own = self._versions()
+        tables = own.keys() | self._heard_versions.keys()
+        return {t: max(own.get(t, 0), self._heard_versions.get(t, 0)) for t in sorted(tables)}
+
     # subscriptions
 
     async def _check_plan(self) -> None:
--- a/packages/gateway/src/tamarack_gateway/peer_messages.py
+++ b/packages/gateway/src/tamarack_gateway/peer_messages.py
@@ -82,6 +82,17 @@
     placements: Placements
 
 
+@message(68)
+class TableVersions(NamedTuple):
+    """The newest version of each followed table that the sender knows of.
+
+    A router that has missed a change learns of it at once and not with the next change, which may
+    be seconds away.
+    """
+
+    versions: dict[str, int]
+
+
 @message(67)
 class Alive(NamedTuple):
     """Routers whose summaries are unchanged, with timestamps of their own clocks."""
--- a/packages/gateway/src/tamarack_gateway/table_follower.py
+++ b/packages/gateway/src/tamarack_gateway/table_follower.py
@@ -35,6 +35,11 @@
 and its maximum. A message that shows a gap is handled at once."""
 
 
+BEHIND_MS = 300.0
+"""Time for which a listener may be behind another router's version before it calls the store: the
+missing change may still be on its way through another relay."""
+
+
 class TableChange(NamedTuple):
     """A change of a table, as a follower reports it.
 
@@ -165,6 +170,8 @@
         self._gap_found = False
         self._last_message_ms = float("-inf")
         self._gap_event = asyncio.Event()
+        self._known_newer = 0
+        self._behind_since_ms = float("-inf")
         self._failures = 0
         self._restarting_call = False
         self._recovered_ms = float("-inf")
@@ -210,8 +217,7 @@
             return
         if news.after > self._version or (news.rows is None and news.version > self._version):
             # A message was lost, or the rows were too large for it: call the store instead.
-            self._gap_found = True
-            self._gap_event.set()
+            self._call_for_gap()
             return
         rows = [
             Row(self._table, row.key, row.value, row.version)
@@ -221,6 +227,25 @@
         self._version = max(self._version, news.version)
         self._apply(rows, False, stamp_ms - news.age_ms)
 
+    def record_version(self, version: int) -> None:
+        """Record another router's version of the table.
+
+        A listener that stays behind it has missed a change. The next message of a reader would
+        show that as well, but may be a whole wait away, and a leaving endpoint would get work for
+        that long.
+        """
+        if self._version is None or version <= self._version or not self._listening():
+            return
+        now_ms = self._clock.now_ms
+        if self._known_newer <= self._version:
+            self._known_newer, self._behind_since_ms = version, now_ms
+        elif now_ms - self._behind_since_ms >= BEHIND_MS:
+            self._call_for_gap()
+
+    def _call_for_gap(self) -> None:
+        self._gap_found = True
+        self._gap_event.set()
+
     def copy(self, after: int) -> TableNews | None:
         """Return the whole table for a router at version `after`; None if there is no need."""
         now_ms = self._clock.now_ms
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -15,6 +15,7 @@
 from tamarack_gateway.site import Row, RowsPage
 from tamarack_gateway.store_client import StoreError
 from tamarack_gateway.table_follower import (
+    BEHIND_MS,
     CopyWanted,
     PublishedRow,
     TableChange,
@@ -349,10 +350,53 @@
     """Failure: a listener detects a lost message only with the readers' next one, a wait later."""
 
     async def scenario() -> None:
-        workers = {"pool": [PlatformWorker("e1", Script(events=1))]}
-        async with Fleet(workers, drain_ms=drain_ms) as fleet:
-            assert (
-                fleet.gateway._feeds._followers["servers"]._wait_ms < RETAINED_FRACTION * drain_ms
-            )
+        worker = PlatformWorker("e1", Script(events=1))
+        async with Fleet({"pool": [worker]}, drain_ms=drain_ms) as fleet:
+            await fleet.add_routers(SMALL_FLEET)
+            everyone = [fleet.gateway, *fleet.others]
+            await until(lambda: sum(not r._reads("servers") for r in everyone) == SMALL_FLEET - 2)
+            listener = next(r for r in everyone if not r._reads("servers"))
+            follower = listener._feeds._followers["servers"]
+            # Ends the calls that routers began before they knew the others.
+            await fleet.store.put("servers", "e1", worker.entry("pool", slots=5))
+            await until(lambda: follower._call_task is None or follower._call_task.done())
+            await until(lambda: all(r.state.usable("pool")[0].slots == 5 for r in everyone))
+            missed: list[TableNews] = []
+
+            def drop_changes(news: TableNews, stamp_ms: float) -> None:
+                if news.table == "servers" and news.rows:
+                    missed.append(news)
+
+            receive = listener._feeds.receive
+            listener._feeds.receive = drop_changes  # type: ignore[method-assign]
+            await fleet.store.put("servers", "e1", worker.entry("pool", state="draining"))
+            others = [router for router in everyone if router is not listener]
+            async with asyncio.timeout(RETAINED_FRACTION * drain_ms / 1000):
+                while any(r.state.usable("pool") for r in others) or len(missed) < READERS:
+                    await asyncio.sleep(0.005)
+                listener._feeds.receive = receive  # type: ignore[method-assign]
+                while listener.state.usable("pool"):
+                    await asyncio.sleep(0.005)
 
     play(scenario())
+
+
+def test_a_version_that_arrives_before_its_change_is_no_gap() -> None:
+    """Failure: listeners call the store for each change.
+
+    Versions and changes pass through different relays, and a version may arrive first.
+    """
+    listener = Listener()
+    listener.follower._last_message_ms = listener.clock.now_ms
+    listener.follower.record_version(12)
+    listener.clock.advance(BEHIND_MS - 1.0)
+    listener.follower.record_version(12)
+    assert listener.follower._listening()
+    listener.deliver(10, 12, [PublishedRow("a", b"1", 12)])
+    listener.follower.record_version(14)
+    listener.clock.advance(1.0)
+    listener.follower.record_version(14)
+    assert listener.follower._listening()
+    listener.clock.advance(BEHIND_MS)
+    listener.follower.record_version(14)
+    assert not listener.follower._listening()
