Send nothing to endpoints of evacuated failure domains

Cause: rows that evacuate a failure domain lie in the configuration's table and were read nowhere.

Change: the follower of the configuration also applies these rows, with the table's versions, so that they come from the store or from other routers, never revert, and are known before a router is ready. FleetState.usable leaves such endpoints out; it is asked again right before each send, so held, retried and resumed requests and trials of the quarantine are covered. The store's call for the configuration is held for a fifth of the shorter of the bounds for revocations and evacuations. Shown by status, tamarackctl router and a gauge.

--- a/packages/core/src/tamarack_core/endpoint_registry.py
+++ b/packages/core/src/tamarack_core/endpoint_registry.py
@@ -162,6 +162,12 @@
         """Names of all endpoints that are listed or retained."""
         return self._listed.keys() | self._retained.keys()
 
+    @property
+    def failure_domains(self) -> set[str]:
+        """Failure domains of all endpoints that are listed or retained."""
+        kept = (endpoint for endpoint, _ in self._retained.values())
+        return {endpoint.failure_domain for endpoint in (*self._listed.values(), *kept)}
+
     def _accepted(self, endpoint: Endpoint, now_ms: float) -> Endpoint:
         known = self.find(endpoint.name)
         if known is None or not endpoint.older_than(known):
--- a/packages/ctl/src/tamarack_ctl/router_view.py
+++ b/packages/ctl/src/tamarack_ctl/router_view.py
@@ -57,6 +57,10 @@
         f"{loop['requests']} requests in progress"
     )
     lines += _unreadable(status["unreadable"])
+    lines += [
+        f"failure domain {entry['failure_domain']} evacuated {entry['since_ms']} ms ago"
+        for entry in status.get("evacuated", [])
+    ]
     for title in ("members", "endpoints", "workspaces"):
         lines += table_lines(title, status[title])
     return lines
--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -20,11 +20,11 @@
 from tamarack_gateway.unreadable_rows import RowKind
 
 RULES_WAIT_FRACTION = 0.2
-"""Time for which the store holds a call for the configuration, as a fraction of the revocation
-bound: 1 s of 5. An answer confirms the keys as of the time at which its call was sent, so a
-confirmation is up to twice this old, or three times if another router passes it on. Keys expire
-half a second before the bound: with a fixed second, they would expire between two calls where the
-bound is 3 s."""
+"""Time for which the store holds a call for the configuration, as a fraction of the bounds for
+revocations and evacuations: 1 s of 5. An answer confirms the keys as of the time at which its call
+was sent, so a confirmation is up to twice this old, or three times if another router passes it on.
+Keys expire half a second before the bound: with a fixed second, they would expire between two calls
+where the bound is 3 s."""
 
 RULES_PAUSE_MS = 250.0
 """Minimum time between two calls for the configuration; a change may take 2 s to take effect."""
@@ -117,7 +117,8 @@
     def start(self, peers_address: str, boot: int) -> None:
         """Start to follow all tables, and add this router to the list of routers."""
         tables = self._site.tables
-        rules_wait_ms = self._state.settings.bounds.revoke_ms * RULES_WAIT_FRACTION
+        bounds = self._state.settings.bounds
+        rules_wait_ms = min(bounds.revoke_ms, bounds.evacuate_ms) * RULES_WAIT_FRACTION
         for table, wait_ms, pause_ms, on_change in (
             (tables.configuration, rules_wait_ms, RULES_PAUSE_MS, self._apply_rules),
             (tables.endpoints, ENDPOINTS_WAIT_MS, ENDPOINTS_PAUSE_MS, self._apply_endpoints),
@@ -269,11 +270,29 @@
         for row in change.rows:
             if row.key == self._site.tables.configuration_key and row.value is not None:
                 self._put_rules(row, row.value)
+        self._apply_evacuations(change)
         if state.rules is not None and state.keys_known:
             # Capped at the present: the clock of an earlier incarnation may be ahead, and keys
             # would be trusted for longer by the difference.
             state.freshness.confirm(min(change.asked_ms, state.clock.now_ms))
 
+    def _apply_evacuations(self, change: TableChange) -> None:
+        # The row's presence is the order; its value is not read.
+        state, prefix = self._state, self._site.tables.evacuation_prefix
+        now_ms = state.clock.now_ms
+        rows = {r.key.removeprefix(prefix): r for r in change.rows if r.key.startswith(prefix)}
+        ordered = [domain for domain, row in rows.items() if row.value is not None]
+        ended = [domain for domain, row in rows.items() if row.value is None]
+        if change.whole:
+            ended += state.evacuations.missing_from(ordered)
+        for domain in ordered:
+            if state.evacuations.begin(domain, now_ms):
+                known = domain in state.registry.failure_domains
+                state.log.change("failure domain evacuated", domain=domain, known=known)
+        for domain in ended:
+            if state.evacuations.end(domain, now_ms):
+                state.log.change("failure domain restored", domain=domain)
+
     def _put_rules(self, row: Row, value: bytes) -> None:
         # A read of the whole table may be seconds old. If the newest version cannot be read, an
         # older row must not restore keys that the newest one revokes.
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -9,6 +9,7 @@
 from tamarack_core.endpoint_record import EndpointRecord
 from tamarack_core.endpoint_registry import Endpoint, EndpointIncarnation, EndpointRegistry
 from tamarack_core.engine_model import EngineModel
+from tamarack_core.evacuations import Evacuations
 from tamarack_core.first_token import FirstTokenTime
 from tamarack_core.key_freshness import KeyFreshness
 from tamarack_core.leaving import LeavingPlan
@@ -88,6 +89,7 @@
         self.rules: Ruleset | None = None
         self.registry = EndpointRegistry(kept_ms=bounds.drain_ms * RETAINED_FRACTION)
         self.endpoints_known = False
+        self.evacuations = Evacuations()
         self.models: dict[str, EngineModel] = {}
         self.records: dict[str, EndpointRecord] = {}
         self._incarnations: dict[str, int | None] = {}
@@ -228,6 +230,9 @@
     def usable(self, service: str) -> list[Endpoint]:
         """Endpoints of a service that may get new work."""
         endpoints = self.registry.usable(service)
+        if self.evacuations.domains:
+            covers = self.evacuations.covers
+            endpoints = [e for e in endpoints if not covers(e.failure_domain)]
         if not self._avoid_until_ms:
             return endpoints
         now_ms = self.clock.now_ms
--- a/packages/gateway/src/tamarack_gateway/gateway_metrics.py
+++ b/packages/gateway/src/tamarack_gateway/gateway_metrics.py
@@ -69,6 +69,7 @@
             "configuration_version": state.rules.version if state.rules else 0,
             "configuration_age_ms": min(1e9, state.freshness.age_ms(now_ms)),
             "endpoints": len(state.registry),
+            "evacuated_domains": len(state.evacuations.domains),
             "connections_opened": self._pool.opened,
             "connections_reused": self._pool.reused,
             "connections_lapsed": self._pool.expired,
--- a/packages/gateway/src/tamarack_gateway/router_status.py
+++ b/packages/gateway/src/tamarack_gateway/router_status.py
@@ -61,6 +61,13 @@
     filled: float
 
 
+class EvacuationStatus(TypedDict):
+    """An evacuated failure domain, and the time since this router learned of it."""
+
+    failure_domain: str
+    since_ms: int
+
+
 class UnreadableStatus(TypedDict):
     """Numbers of row versions that could not be read since the start.
 
@@ -86,6 +93,7 @@
     confirmed_ms_ago: int | None
     loop: LoopStatus
     unreadable: UnreadableStatus
+    evacuated: list[EvacuationStatus]
     members: list[MemberStatus]
     endpoints: list[EndpointStatus]
     workspaces: list[WorkspaceStatus]
@@ -105,6 +113,7 @@
         "confirmed_ms_ago": None if age_ms == float("inf") else round(age_ms),
         "loop": loop,
         "unreadable": _unreadable(state),
+        "evacuated": _evacuated(state),
         "members": _members(state, members),
         "endpoints": _endpoints(state),
         "workspaces": workspace_statuses(state),
@@ -122,6 +131,14 @@
     }
 
 
+def _evacuated(state: FleetState) -> list[EvacuationStatus]:
+    now_ms, domains = state.clock.now_ms, state.evacuations.domains
+    return [
+        {"failure_domain": domain, "since_ms": round(now_ms - since_ms)}
+        for domain, since_ms in sorted(domains.items())
+    ]
+
+
 def _members(state: FleetState, members: FleetMembers) -> list[MemberStatus]:
     now_ms = state.clock.now_ms
     return [
--- a/packages/gateway/src/tamarack_gateway/site.py
+++ b/packages/gateway/src/tamarack_gateway/site.py
@@ -22,6 +22,8 @@
     ----------
     revoke_ms
         Milliseconds after which a revoked key must be rejected.
+    evacuate_ms
+        Milliseconds after which endpoints of an evacuated failure domain must get no more work.
     drain_ms
         Milliseconds for which a leaving endpoint may still get new work.
     grace_ms
@@ -35,6 +37,7 @@
     """
 
     revoke_ms: float = 5_000.0
+    evacuate_ms: float = 5_000.0
     drain_ms: float = 2_000.0
     grace_ms: float = 8_000.0
     address_ttl_ms: float = 5_000.0
@@ -244,10 +247,17 @@
 
 
 class Tables(NamedTuple):
-    """Names of the store's tables, and the key of the configuration's row."""
+    """Names of the store's tables, and keys in the configuration's table.
+
+    Attributes
+    ----------
+    evacuation_prefix
+        A row whose key is this and the name of a failure domain evacuates that domain.
+    """
 
     configuration: str
     configuration_key: str
+    evacuation_prefix: str
     endpoints: str
     routers: str
     quarantine: str
--- a/packages/standins/src/tamarack_standins/platform_worker.py
+++ b/packages/standins/src/tamarack_standins/platform_worker.py
@@ -97,6 +97,8 @@
         Scripts for successive requests; the last one is reused for all further requests.
     port
         Port to listen on; zero takes a free one.
+    zone
+        Failure domain that its entry names.
 
     Attributes
     ----------
@@ -114,12 +116,18 @@
     """
 
     def __init__(
-        self, name: str, *scripts: Script, born: int | None = BORN_MS, port: int = 0
+        self,
+        name: str,
+        *scripts: Script,
+        born: int | None = BORN_MS,
+        port: int = 0,
+        zone: str = "a",
     ) -> None:
         self.name = name
         self.address = ""
         self.born = born
         self._port = port
+        self._zone = zone
         self.received: list[ReceivedRequest] = []
         self.closed_early = 0
         self.connections = 0
@@ -169,7 +177,7 @@
         entry: dict[str, object] = {
             "service": service,
             "address": self.address,
-            "zone": "a",
+            "zone": self._zone,
             "version": "v1",
             "slots": slots,
             "state": state,
