Keep endpoints that warm up below the limit of all routers together

Cause: an endpoint that has started tolerates few requests a second and crashes well above that; routers knew nothing of it and sent what they would send to a warm one.

What entries say, by a trial with lines: a new start has a new id and tells at once how long it is cold; an evacuated worker that turns cold has it in its entry a second before the domain is taken back. So an endpoint is known to be cold before or within 0.4 s of any use.

Change: a router sends to such an endpoint only within a lease of a part of its rate. One router, the dealer, leases the rate of each endpoint to up to three of the busiest routers, which tell their rates only while something warms up. A lease runs from the demand that it answers, by its holder's clock; a part is leased again after the lease and the window of the limit; a new dealer, or one that stood still, waits until all earlier leases have ended; a dealer needs more than half of the listed routers. Endpoints of a restored domain are taken to be cold for the service's warm-up. A request that finds only cold endpoints is refused until the first of them is warm. A crash during a warm-up is no evidence against requests. No call of the store is added; idle routers do nothing more but rank the ready routers twice a second.

--- a/packages/core/src/tamarack_core/endpoint_registry.py
+++ b/packages/core/src/tamarack_core/endpoint_registry.py
@@ -31,6 +31,8 @@
         Incarnation of the endpoint. A new one has none of the cache, queue and counters of the one
         before. It is the endpoint's own clock at its start in milliseconds, so that only
         incarnations of the same endpoint can be compared. None if an entry does not name one.
+    warm_up_ms
+        Milliseconds for which it was still warming up when it wrote the entry.
     """
 
     name: str
@@ -40,6 +42,7 @@
     slots: int
     draining: bool
     life: int | None = None
+    warm_up_ms: float = 0.0
 
     @property
     def key(self) -> EndpointIncarnation:
@@ -165,8 +168,15 @@
     @property
     def failure_domains(self) -> set[str]:
         """Failure domains of all endpoints that are listed or retained."""
-        kept = (endpoint for endpoint, _ in self._retained.values())
-        return {endpoint.failure_domain for endpoint in (*self._listed.values(), *kept)}
+        return {endpoint.failure_domain for endpoint in self._present}
+
+    def in_failure_domain(self, domain: str) -> list[Endpoint]:
+        """Endpoints of a failure domain that are listed or retained."""
+        return [endpoint for endpoint in self._present if endpoint.failure_domain == domain]
+
+    @property
+    def _present(self) -> list[Endpoint]:
+        return [*self._listed.values(), *(endpoint for endpoint, _ in self._retained.values())]
 
     def _accepted(self, endpoint: Endpoint, now_ms: float) -> Endpoint:
         known = self.find(endpoint.name)
@@ -185,8 +195,7 @@
         for name in self._listed:
             self._retained.pop(name, None)
         by_service: dict[str, list[Endpoint]] = {}
-        kept = [endpoint for endpoint, _ in self._retained.values()]
-        present = [*self._listed.values(), *kept]
+        present = self._present
         without_incarnation = {endpoint.name for endpoint in present if endpoint.life is None}
         self._without_incarnation = (
             sorted(without_incarnation) if 2 * len(without_incarnation) < len(present) else []
--- a/packages/core/src/tamarack_core/retry_allowance.py
+++ b/packages/core/src/tamarack_core/retry_allowance.py
@@ -48,6 +48,12 @@
         times.append(now_ms)
         self._expire(times, now_ms)
 
+    def requests_per_s(self, service: str, now_ms: float) -> float:
+        """Mean rate of requests for a service within the window."""
+        times = self._requests.get(service, deque())
+        self._expire(times, now_ms)
+        return 1_000.0 * len(times) / self._window_ms
+
     def take(self, service: str, now_ms: float) -> bool:
         """Consume one retry for a service; False if the budget of this window is used up."""
         requests = self._requests.setdefault(service, deque())
--- a/packages/core/src/tamarack_core/ruleset.py
+++ b/packages/core/src/tamarack_core/ruleset.py
@@ -95,6 +95,21 @@
     tokens_per_event: int
 
 
+class WarmUp(NamedTuple):
+    """Warm-up of a service's endpoints after their start.
+
+    Attributes
+    ----------
+    duration_ms
+        Longest duration in milliseconds.
+    requests_per_s
+        Requests in a second that an endpoint tolerates meanwhile.
+    """
+
+    duration_ms: float
+    requests_per_s: float
+
+
 class Service(NamedTuple):
     """A pool of interchangeable endpoints.
 
@@ -104,11 +119,14 @@
         Connections that an endpoint accepts from all routers together.
     engine
         Properties of its model engines; None for a plain service.
+    warm_up
+        Warm-up of its endpoints; None if they have none.
     """
 
     name: str
     max_connections: int
     engine: EngineTraits | None
+    warm_up: WarmUp | None = None
 
 
 class CallerBounds(NamedTuple):
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -176,8 +176,9 @@
             if not self._may_finish(choice):
                 connection.abort()
                 return self._refuse_outlasting(choice, last)
-            if not self._still_usable(choice):
-                # The endpoint began to drain or restarted while the connection was made.
+            if not self._still_available(choice):
+                # While the connection was made, the endpoint began to drain or restarted, or other
+                # requests used what it may get while it is warming up.
                 connection.abort()
                 continue
             last = await self._send(placement, connection)
@@ -188,7 +189,7 @@
 
     def _place(self) -> AdmittedPlacement | None:
         state = self._state
-        endpoints = state.usable(self._service)
+        endpoints = state.available(self._service)
         fresh = [e for e in endpoints if e.key not in self._tried]
         if self._sends == 0 and not fresh:
             fresh = endpoints
@@ -200,8 +201,8 @@
         choice = self._choose(fresh)
         return AdmittedPlacement(choice, NOT_LIMITED) if choice is not None else None
 
-    def _still_usable(self, choice: Choice) -> bool:
-        return any(e.key == choice.endpoint.key for e in self._state.usable(self._service))
+    def _still_available(self, choice: Choice) -> bool:
+        return any(e.key == choice.endpoint.key for e in self._state.available(self._service))
 
     def _choose(self, endpoints: Sequence[Endpoint]) -> Choice | None:
         state, now_ms = self._state, self._state.clock.now_ms
@@ -386,8 +387,12 @@
             return
         if not self._may_have_run:
             reason = last.reason if self._key_is_valid() else "keys are not confirmed"
+            retry_ms = 200.0
+            warm_in_ms = state.warm_in_ms(self._service)
+            if warm_in_ms is not None:
+                reason, retry_ms = "endpoints are warming up", max(retry_ms, warm_in_ms)
             state.log.request("refused", self._facts.attempt, reason=reason, sends=self._sends)
-            self._answer.refuse(503, 200.0 + 300.0 * state.random.random())
+            self._answer.refuse(503, retry_ms + 300.0 * state.random.random())
             return
         status = 504 if last.outcome is SendOutcome.TIMED_OUT else 502
         state.log.request("failed", self._facts.attempt, reason=last.reason, status=status)
--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -42,6 +42,9 @@
 """The same for quarantined requests. Routers send these to each other directly; the store serves
 routers that start later, and each call to it has a cost."""
 
+MAX_WARM_UP_MS = 3_600_000.0
+"""Longest plausible warm-up in milliseconds; shorter ones are capped by the service's."""
+
 MAX_WRITE_ATTEMPTS = 20
 """Attempts to write this router's row; the last ones are some ten seconds after the start."""
 
@@ -159,6 +162,11 @@
         if follower is not None:
             follower.receive(news, stamp_ms)
 
+    @property
+    def listed_count(self) -> int:
+        """Number of routers in the store's list."""
+        return len(self._routers)
+
     @property
     def versions(self) -> dict[str, int]:
         """Version of each table that this router has read."""
@@ -279,19 +287,15 @@
     def _apply_evacuations(self, change: TableChange) -> None:
         # The row's presence is the order; its value is not read.
         state, prefix = self._state, self._site.tables.evacuation_prefix
-        now_ms = state.clock.now_ms
         rows = {r.key.removeprefix(prefix): r for r in change.rows if r.key.startswith(prefix)}
         ordered = [domain for domain, row in rows.items() if row.value is not None]
         ended = [domain for domain, row in rows.items() if row.value is None]
         if change.whole:
             ended += state.evacuations.missing_from(ordered)
         for domain in ordered:
-            if state.evacuations.begin(domain, now_ms):
-                known = domain in state.registry.failure_domains
-                state.log.change("failure domain evacuated", domain=domain, known=known)
+            state.evacuate(domain)
         for domain in ended:
-            if state.evacuations.end(domain, now_ms):
-                state.log.change("failure domain restored", domain=domain)
+            state.restore(domain)
 
     def _put_rules(self, row: Row, value: bytes) -> None:
         # A read of the whole table may be seconds old. If the newest version cannot be read, an
@@ -321,6 +325,7 @@
     def _apply_endpoints(self, change: TableChange) -> None:
         state, now_ms = self._state, self._state.clock.now_ms
         rows = {row.key: row for row in change.rows}
+        known = {name: state.registry.find(name) for name in rows}
         if change.whole:
             read = {
                 row.key: self._read_endpoint(row) for row in rows.values() if row.value is not None
@@ -334,11 +339,25 @@
                 self._apply_endpoint_row(row, now_ms, change.grace_until_ms)
         if change.rows or change.whole:
             state.sync_endpoints()
+            self._record_warm_ups(known)
             for name in state.registry.without_incarnation:
                 state.unreadable.note(RowKind.ENDPOINT, name, 0, "tells no life, as the others do")
         state.endpoints_known = True
         self._schedule_expiry()
 
+    def _record_warm_ups(self, before: dict[str, Endpoint | None]) -> None:
+        """Record the warm-ups of changed entries, given the endpoints known before by name.
+
+        Other routers may use what this one finds listed when it starts.
+        """
+        state = self._state
+        for name, known in before.items():
+            endpoint = state.registry.find(name)
+            if endpoint is None:
+                continue
+            is_new = known is None or known.key != endpoint.key
+            state.record_warm_up(endpoint, unused=is_new and state.endpoints_known)
+
     def _schedule_expiry(self) -> None:
         # A timer for the exact time: polling each half second would send work to an endpoint that
         # has left for that much longer.
@@ -384,7 +403,10 @@
         except ValueError as error:
             unreadable.note(RowKind.ENDPOINT, row.key, row.version, str(error))
             return None
-        if endpoint.life is not None:
+        if not 0 <= endpoint.warm_up_ms <= MAX_WARM_UP_MS:
+            reason = f"a warm-up of {endpoint.warm_up_ms:g} ms is out of range"
+            unreadable.note(RowKind.ENDPOINT, row.key, row.version, reason)
+        elif endpoint.life is not None:
             unreadable.forget(RowKind.ENDPOINT, row.key)
         return endpoint
 
--- a/packages/gateway/src/tamarack_gateway/fleet_members.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_members.py
@@ -115,6 +115,17 @@
         """Whether this router owns a key, by rendezvous hashing."""
         return winner(key, {*self._recent(now_ms), me.router}) == me.router
 
+    def leads(self, key: str, me: Member, listed: int, now_ms: float) -> bool:
+        """Whether this router does a task for the whole fleet, by rendezvous hashing.
+
+        Of two parts of a fleet that do not hear each other, only one with more than half of the
+        listed routers has a leader.
+        """
+        ready = {n for n, member in self._recent(now_ms).items() if member.ready}
+        if me.ready:
+            ready.add(me.router)
+        return 2 * len(ready) > listed and self._ranked(key, list(ready))[:1] == [me.router]
+
     def sends_copy(self, key: str, me: Member, now_ms: float) -> bool:
         """Whether this router answers a request for a whole table; only fresh, ready routers do.
 
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -20,6 +20,7 @@
 from tamarack_core.ruleset import CallerBounds, Ruleset
 from tamarack_core.service_shares import ServiceShares
 from tamarack_core.service_times import ServiceTimes
+from tamarack_core.warm_up import SETTLE_MS, WarmUps
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.outbox import Placements
 from tamarack_gateway.site import GatewaySettings
@@ -54,6 +55,10 @@
 terminated one."""
 
 
+UNCONFIGURED_WARM_UP_MS = 10_000.0
+"""Longest warm-up in milliseconds of endpoints that are listed before the configuration is known;
+it has no effect on services that the configuration then does not limit."""
+
 CLOSING_MS = 500.0
 """The same for an endpoint that accepts and then closes new connections: either it is full, or
 something in front of it accepts them for a terminated endpoint. Requests sent there meanwhile would
@@ -90,6 +95,7 @@
         self.registry = EndpointRegistry(kept_ms=bounds.drain_ms * RETAINED_FRACTION)
         self.endpoints_known = False
         self.evacuations = Evacuations()
+        self.warm_ups = WarmUps()
         self.models: dict[str, EngineModel] = {}
         self.records: dict[str, EndpointRecord] = {}
         self._incarnations: dict[str, int | None] = {}
@@ -152,6 +158,7 @@
         self.shares.keep(rules.engine_services)
         self.unreadable_rules, self.keys_known = None, True
         self._resize_models()
+        self.warm_ups.on_begin()
         return True
 
     def put_unreadable_rules(self, reason: str, keys: dict[str, str] | None) -> None:
@@ -239,6 +246,77 @@
         until_ms = self._avoid_until_ms
         return [e for e in endpoints if until_ms.get(e.key, 0.0) <= now_ms]
 
+    def available(self, service: str) -> list[Endpoint]:
+        """Usable endpoints of a service, without those that are warming up and get no more now."""
+        endpoints, now_ms = self.usable(service), self.clock.now_ms
+        if not self.warm_ups or self.warm_up_limit(service) is None:
+            return endpoints
+        return [e for e in endpoints if self.warm_ups.allows(e.key, now_ms)]
+
+    def warm_up_limit(self, service: str) -> int | None:
+        """Requests a second that an endpoint may get while it is warming up; None if unlimited."""
+        known = self.rules.service(service) if self.rules else None
+        if known is None or known.warm_up is None:
+            return None
+        bounds = self.settings.bounds
+        return int(known.warm_up.requests_per_s * bounds.warm_up_factor + bounds.warm_up_slack)
+
+    def warm_in_ms(self, service: str) -> float | None:
+        """Time until an endpoint of a service is warm; None unless all of them are warming up."""
+        now_ms = self.clock.now_ms
+        warming = {w.key: w.until_ms - now_ms for w in self.warm_ups.warming_endpoints(now_ms)}
+        keys = [endpoint.key for endpoint in self.usable(service)]
+        if not keys or not all(key in warming for key in keys):
+            return None
+        return min(warming[key] for key in keys)
+
+    def record_warm_up(self, endpoint: Endpoint, *, unused: bool) -> None:
+        """Record what an endpoint's entry says of its warm-up.
+
+        Parameters
+        ----------
+        unused
+            Whether no router has sent requests to this incarnation.
+        """
+        now_ms, longest_ms = self.clock.now_ms, self._longest_warm_up_ms(endpoint.service)
+        remaining_ms = min(max(0.0, endpoint.warm_up_ms), longest_ms)
+        grantable_ms = now_ms if unused else self._settled_ms(endpoint.failure_domain)
+        if self.warm_ups.listed(endpoint.key, remaining_ms, now_ms, grantable_ms=grantable_ms):
+            self.log.change(
+                "endpoint warming up", endpoint=endpoint.name, remaining_ms=round(remaining_ms)
+            )
+
+    def evacuate(self, domain: str) -> None:
+        """Send nothing more to the endpoints of a failure domain."""
+        if self.evacuations.begin(domain, self.clock.now_ms):
+            known = domain in self.registry.failure_domains
+            self.log.change("failure domain evacuated", domain=domain, known=known)
+
+    def restore(self, domain: str) -> None:
+        """Use the endpoints of an evacuated failure domain again.
+
+        They may have become cold meanwhile without having told so yet.
+        """
+        grantable_ms = self._settled_ms(domain)
+        if not self.evacuations.end(domain, self.clock.now_ms):
+            return
+        self.log.change("failure domain restored", domain=domain)
+        now_ms = self.clock.now_ms
+        for endpoint in self.registry.in_failure_domain(domain):
+            until_ms = now_ms + self._longest_warm_up_ms(endpoint.service)
+            self.warm_ups.restored(endpoint.key, until_ms, now_ms, grantable_ms=grantable_ms)
+
+    def _longest_warm_up_ms(self, service: str) -> float:
+        if self.rules is None:
+            return UNCONFIGURED_WARM_UP_MS
+        known = self.rules.service(service)
+        return known.warm_up.duration_ms if known is not None and known.warm_up else 0.0
+
+    def _settled_ms(self, domain: str) -> float:
+        """Time from which no request counts that was sent to a failure domain without a limit."""
+        now_ms = self.clock.now_ms
+        return max(now_ms, self.evacuations.domains.get(domain, now_ms) + SETTLE_MS)
+
     def record_termination(self, key: EndpointIncarnation, *, refused: bool) -> None:
         """Record that an incarnation of an endpoint has terminated; it may still be listed.
 
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -30,6 +30,7 @@
 from tamarack_gateway.site import Site
 from tamarack_gateway.table_follower import CopyWanted, TableNews
 from tamarack_gateway.termination_detector import TerminationDetector
+from tamarack_gateway.warm_up_feed import WarmUpFeed
 
 READERS_SETTLE_MS = 1_000.0
 """Time after its start in which a router of a large fleet, having read the store once, does not act
@@ -83,6 +84,12 @@
         )
         self._state.owns = lambda matter: self._members.owns(matter, self._me, clock.now_ms)
         self._quarantine = self._make_quarantine()
+        self._warm_ups = WarmUpFeed(
+            self._state,
+            boot=seed,
+            leads=self._deals_warm_ups,
+            publish=lambda notice: self._peers.publish_notice(notice),
+        )
         self._pages = self._make_pages()
         self._detector = TerminationDetector(
             self._state, self._pool, on_termination=self._quarantine.record_termination
@@ -126,6 +133,7 @@
             self._inventory.run(),
             self._quarantine.run(),
             self._quarantine.store(),
+            self._warm_ups.run(),
             self._sweep(),
             self._flush(),
         ):
@@ -243,6 +251,7 @@
             on_alive=lambda stamps: self._members.record_unchanged(stamps, self._clock.now_ms),
             versions=lambda: self._feeds.versions,
             on_versions=lambda versions: self._feeds.record_versions(versions),
+            on_notice=self._warm_ups.receive,
         )
 
     def _make_feeds(self) -> FleetFeeds:
@@ -292,6 +301,10 @@
             return False
         return self._members.reads(table, self._me, now_ms)
 
+    def _deals_warm_ups(self) -> bool:
+        listed = self._feeds.listed_count
+        return self._members.leads("warm-up", self._me, listed, self._clock.now_ms)
+
     def _publish_changes(self, news: TableNews) -> None:
         if self._members.heard_within(5_000.0, self._clock.now_ms):
             if news.table == self._site.tables.configuration:
@@ -354,6 +367,7 @@
             for connection in list(self._connections):
                 connection.close_if_idle(now_ms)
             self._pool.sweep(self._state.knows)
+            self._warm_ups.observe()
             lost, regained = self._members.poll_changes(now_ms)
             if lost or regained:
                 self._log.event("peers changed", lost=lost, regained=regained)
--- a/packages/gateway/src/tamarack_gateway/gateway_metrics.py
+++ b/packages/gateway/src/tamarack_gateway/gateway_metrics.py
@@ -70,6 +70,8 @@
             "configuration_age_ms": min(1e9, state.freshness.age_ms(now_ms)),
             "endpoints": len(state.registry),
             "evacuated_domains": len(state.evacuations.domains),
+            "endpoints_warming_up": len(state.warm_ups.warming_endpoints(now_ms)),
+            "sent_to_warming_endpoints": state.warm_ups.sent_count,
             "connections_opened": self._pool.opened,
             "connections_reused": self._pool.reused,
             "connections_lapsed": self._pool.expired,
--- a/packages/gateway/src/tamarack_gateway/peer_group.py
+++ b/packages/gateway/src/tamarack_gateway/peer_group.py
@@ -10,6 +10,7 @@
 from tamarack_core.clock import Clock
 from tamarack_core.relay_plan import Links, Peer, RelayPlan
 from tamarack_core.termination_evidence import Evidence
+from tamarack_core.warm_up_dealer import Demand, Leases
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.outbox import Outbox, Placements, PlacementSum
 from tamarack_gateway.peer_messages import (
@@ -85,6 +86,8 @@
         Returns this router's version of each followed table.
     on_versions
         Called with the versions that another router has.
+    on_notice
+        Called with demands and leases of other routers.
     """
 
     def __init__(
@@ -103,6 +106,7 @@
         on_alive: Callable[[dict[str, float]], None],
         versions: Callable[[], dict[str, int]] = dict,
         on_versions: Callable[[dict[str, int]], None] = lambda versions: None,
+        on_notice: Callable[[Demand | Leases], None] = lambda notice: None,
     ) -> None:
         self._router = router
         self._domain = failure_domain
@@ -117,6 +121,7 @@
         self._on_alive = on_alive
         self._versions = versions
         self._on_versions = on_versions
+        self._on_notice = on_notice
         self._plan = RelayPlan(router, failure_domain)
         self._links = Links(frozenset(), None, False)
         self._listed: Mapping[str, Peer] = {}
@@ -126,6 +131,8 @@
         self._remote_work = PlacementSum()
         self._remote_alive: dict[str, float] = {}
         self._heard_versions: dict[str, int] = {}
+        self._notices: list[Demand | Leases] = []
+        self._remote_notices: list[Demand | Leases] = []
         self._last_versions_ms = float("-inf")
         self._summary_filter = SummaryFilter()
         self._urgent = False
@@ -198,6 +205,14 @@
         """Publish new evidence about requests that crash endpoints at once."""
         self._publish(evidence=evidence)
 
+    def publish_notice(self, notice: Demand | Leases) -> None:
+        """Publish a demand or leases at once."""
+        if self._links.relays:
+            self._notices.append(notice)
+            self._urgent = True
+        else:
+            self._sockets.publish(_reports_topic(self._domain), notice)
+
     def _publish(
         self,
         *,
@@ -229,6 +244,8 @@
             self._on_report(message)
         elif isinstance(message, TableVersions):
             self._note_versions(message.versions)
+        elif isinstance(message, Demand | Leases):
+            self._receive_notice(topic, message)
         elif topic == _within_topic(self._domain):
             if isinstance(message, Digest):
                 self._plan.record_relay(message.relay, self._clock.now_ms)
@@ -249,6 +266,16 @@
                 if report.router != self._router:
                     self._on_report(report)
 
+    def _receive_notice(self, topic: bytes, notice: Demand | Leases) -> None:
+        relays = self._links.relays
+        if relays and topic in (_within_topic(self._domain), _across_topic(self._domain)):
+            return
+        if relays:
+            own = topic == _reports_topic(self._domain)
+            (self._notices if own else self._remote_notices).append(notice)
+            self._urgent = True
+        self._on_notice(notice)
+
     def _note_versions(self, versions: dict[str, int]) -> None:
         for table, version in versions.items():
             self._heard_versions[table] = max(version, self._heard_versions.get(table, 0))
@@ -301,10 +328,13 @@
         self._reports, self._remote_reports, self._remote_alive, self._urgent = [], [], {}, False
         self._last_relay_ms = now_ms
         versions = TableVersions(self._newest_versions())
-        if own or alive:
-            across = _for_other_domains(self._router, own)
-            self._sockets.publish(_across_topic(self._domain), *across, Alive(alive), versions)
+        notices, remote_notices = self._notices, self._remote_notices
+        self._notices, self._remote_notices = [], []
+        if own or alive or notices:
+            across = [*_for_other_domains(self._router, own), Alive(alive), versions, *notices]
+            self._sockets.publish(_across_topic(self._domain), *across)
         within: list[Any] = [Digest(self._router, own + foreign), Alive(all_alive), versions]
+        within += notices + remote_notices
         if work is not None:
             within.append(Gathered(work))
         self._sockets.publish(_within_topic(self._domain), *within)
@@ -346,6 +376,7 @@
             self._relay_task = None
         self._reports, self._remote_reports, self._remote_alive, self._urgent = [], [], {}, False
         self._remote_work, self._summary_filter = PlacementSum(), SummaryFilter()
+        self._notices, self._remote_notices = [], []
         if relays:
             self._relay_task = asyncio.ensure_future(self._relay_loop())
 
--- a/packages/gateway/src/tamarack_gateway/quarantine_feed.py
+++ b/packages/gateway/src/tamarack_gateway/quarantine_feed.py
@@ -27,6 +27,10 @@
 """Time after which other routers write a decision that its owner has not written: the owner may
 have terminated, or the store rejects it."""
 
+WARM_UP_CRASH_MS = 1_000.0
+"""Time after an endpoint's warm-up in which its crash may still be due to it: it is detected and
+reported within half a second."""
+
 MAX_LOGGED_FINGERPRINTS = 8
 """Maximum number of fingerprints in one log line."""
 
@@ -209,6 +213,10 @@
         return waited_ms >= TAKEOVER_MS and draw * self._state.allowance.routers < 1.0
 
     def _record_end(self, end: Termination) -> None:
+        now_ms = self._state.clock.now_ms
+        if self._state.warm_ups.warmed_within(end.key, WARM_UP_CRASH_MS, now_ms):
+            # It may have crashed because it got too many requests, whichever they were.
+            end = end._replace(aboard=[])
         self._quarantine.ended(end, self._state.clock.now_ms)
         self._state.record_termination(end.key, refused=end.refused)
         self._pending_event.set()
--- a/packages/gateway/src/tamarack_gateway/router_status.py
+++ b/packages/gateway/src/tamarack_gateway/router_status.py
@@ -29,7 +29,8 @@
     """An endpoint: its predicted waiting time and its recent performance.
 
     `wait_ms` and `pace` (the speed factor) apply to model engines; for plain services, see
-    `latency_ms`. `life` is the incarnation.
+    `latency_ms`. `life` is the incarnation. `warm_up_ms` is what is left of its warm-up, in which
+    this router may send it `warm_up_part` requests a second.
     """
 
     endpoint: str
@@ -42,6 +43,8 @@
     latency_ms: int
     failures: float
     outstanding: int
+    warm_up_ms: int
+    warm_up_part: int
 
 
 class WorkspaceStatus(TypedDict):
@@ -157,11 +160,13 @@
 def _endpoints(state: FleetState) -> list[EndpointStatus]:
     now_ms = state.clock.now_ms
     found: list[EndpointStatus] = []
+    warming = {warming.key: warming for warming in state.warm_ups.warming_endpoints(now_ms)}
     for name in sorted(state.records):
         endpoint = state.registry.find(name)
         if endpoint is None:
             continue
         record, model = state.records[name], state.models[name]
+        warm_up = warming.get(endpoint.key)
         found.append(
             {
                 "endpoint": name,
@@ -174,6 +179,8 @@
                 "latency_ms": round(record.latency_ms),
                 "failures": round(record.failures(now_ms), 1),
                 "outstanding": record.outstanding,
+                "warm_up_ms": round(warm_up.until_ms - now_ms) if warm_up else 0,
+                "warm_up_part": warm_up.part if warm_up else 0,
             }
         )
     return found
--- a/packages/gateway/src/tamarack_gateway/send_recorder.py
+++ b/packages/gateway/src/tamarack_gateway/send_recorder.py
@@ -106,6 +106,7 @@
         """Record that the request is sent to an endpoint."""
         state, prompt, now_ms = self._state, self._prompt, self._state.clock.now_ms
         name, life = choice.endpoint.key
+        state.warm_ups.sent(choice.endpoint.key, now_ms)
         self._record = state.record(choice.endpoint.key)
         if self._record is not None:
             self._record.outstanding += 1
--- a/packages/gateway/src/tamarack_gateway/site.py
+++ b/packages/gateway/src/tamarack_gateway/site.py
@@ -34,6 +34,9 @@
         Budget of retried requests, for all routers together.
     share_window_ms
         Window in milliseconds in which workspaces' shares are counted.
+    warm_up_factor, warm_up_slack
+        An endpoint that is warming up may get the rate that it tolerates times the factor, plus the
+        slack, in requests a second from all routers together.
     """
 
     revoke_ms: float = 5_000.0
@@ -45,6 +48,8 @@
     retry_slack: float = 50.0
     retry_window_ms: float = 10_000.0
     share_window_ms: float = 4_000.0
+    warm_up_factor: float = 1.0
+    warm_up_slack: float = 0.0
 
 
 class GatewaySettings(NamedTuple):
--- a/packages/standins/src/tamarack_standins/platform_worker.py
+++ b/packages/standins/src/tamarack_standins/platform_worker.py
@@ -14,6 +14,8 @@
 from types import TracebackType
 from typing import NamedTuple
 
+from tamarack_core.clock import Clock
+
 SIGNATURE = "3e1b.07.5a2"
 BORN_MS = 1_764_000_000_000
 
@@ -102,6 +104,8 @@
 
     Attributes
     ----------
+    received_ms
+        Arrival of each received request on the monotonic clock, in milliseconds.
     cached_blocks
         Prefix blocks that it reports as cached: id, and size in tokens.
     born
@@ -129,6 +133,7 @@
         self._port = port
         self._zone = zone
         self.received: list[ReceivedRequest] = []
+        self.received_ms: list[float] = []
         self.closed_early = 0
         self.connections = 0
         self.cached_blocks: list[tuple[str, int]] = []
@@ -227,6 +232,7 @@
             writer.write(b"HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n")
             return True
         self.received.append(received)
+        self.received_ms.append(Clock().now_ms)
         if received.body in self.fatal:
             self.on_fatal(received.body)
             script = FATAL
