Compare the ways to divide the rate of endpoints that warm up

Cause: which way uses most of the rate within the limit was known from a model of the users only.

Change: a simulation with a registry of ways, and a scenario of the bench.

The model lets each request go to any cold endpoint, which placement does not.

--- a/packages/bench/src/tamarack_bench/__main__.py
+++ b/packages/bench/src/tamarack_bench/__main__.py
@@ -17,6 +17,7 @@
     quarantine_scenarios,
     slopes,
     soak,
+    warm_up_scenarios,
 )
 from tamarack_bench.bounds import check, read_bounds
 from tamarack_bench.report import write_report
@@ -27,6 +28,7 @@
 MODULES = (
     core_scenarios,
     quarantine_scenarios,
+    warm_up_scenarios,
     fair_scenarios,
     path_scenarios,
     config_scenarios,
--- a/tests/test_warm_up.py
+++ b/tests/test_warm_up.py
@@ -11,6 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from tamarack_bench.warm_up_model import WarmUpOptions, simulate
 from tamarack_core.endpoint_registry import EndpointIncarnation
 from tamarack_core.warm_up import WINDOW_MS, WarmUps
 from tamarack_core.warm_up_dealer import (
@@ -303,6 +304,15 @@
     assert len(simulation.sent_ms) > 60
 
 
+@pytest.mark.parametrize("routers", [8, 83])
+def test_a_domain_that_returns_cold_gets_its_whole_rate_and_no_more(routers: int) -> None:
+    """Failure: a third of the fleet idles because no router may send there enough."""
+    fleet = WarmUpOptions(routers, cold=routers // 5 + 1, per_s=11.4 * routers)
+    result = simulate("dealt", fleet)
+    assert result.most <= fleet.limit
+    assert result.used >= 1.0
+
+
 # a fleet
 
 
