Keep requests of routes and workspaces within their allowed regions

Cause: routes and workspaces may name regions; they were read nowhere. All deployments so far have one region, others may have two.

Change: the settings give the region of each failure domain. Endpoints of other regions are left out before each send. The directory names only routers of the caller's own region, or of the regions that all restricted routes of its host allow; where workspaces are restricted, only of the caller's own region, as it is not known yet whose requests will come. A failure domain without a known region belongs to none.

--- a/packages/core/src/tamarack_core/ruleset.py
+++ b/packages/core/src/tamarack_core/ruleset.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import copy
+from collections.abc import Mapping
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -41,6 +42,8 @@
         Whether requests need no key.
     resumable
         Whether an interrupted stream may resume at another endpoint after the last event.
+    regions
+        Regions whose endpoints may run its requests; None for all.
     """
 
     name: str
@@ -53,6 +56,7 @@
     max_attempts: int
     public: bool
     resumable: bool
+    regions: frozenset[str] | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -156,6 +160,9 @@
         twice; zero if it is not configured.
     needs_keys
         Whether requests on routes that are not public need a key.
+    regions_by_workspace
+        Regions whose endpoints may run a workspace's requests; workspaces without an entry may use
+        all.
     """
 
     def __init__(
@@ -168,11 +175,13 @@
         bounds: CallerBounds | None = None,
         tokens_per_s: float = 0.0,
         needs_keys: bool = True,
+        regions_by_workspace: Mapping[str, frozenset[str]] | None = None,
     ) -> None:
         self._version = version
         self._needs_keys = needs_keys
         self._services = {service.name: service for service in services}
         self._workspace_by_key = workspace_by_key
+        self._regions_by_workspace = regions_by_workspace or {}
         self._bounds = bounds or CallerBounds()
         self._tokens_per_s = tokens_per_s
         self._engine_services = tuple(s.name for s in services if s.engine is not None)
@@ -223,6 +232,23 @@
                 return route
         return None
 
+    def regions_for(self, route: Route, workspace: str | None) -> frozenset[str] | None:
+        """Regions whose endpoints may run a request; None for all, empty for none."""
+        restrictions = [route.regions, self._regions_by_workspace.get(workspace or "")]
+        given = [regions for regions in restrictions if regions is not None]
+        return frozenset.intersection(*given) if given else None
+
+    def regions_of_host(self, host: str) -> frozenset[str] | None:
+        """Regions whose routers may receive requests for a host; None for all.
+
+        Where workspaces are restricted, it is empty: whose requests will come is not known yet, so
+        that only routers of the caller's own region may receive them.
+        """
+        if self._regions_by_workspace:
+            return frozenset()
+        given = [r.regions for r in self._by_host.get(host, ()) if r.regions is not None]
+        return frozenset.intersection(*given) if given else None
+
     def shortest_aim_ms(self, service: str) -> float:
         """Shortest latency target of the streaming routes of a service; infinite without any."""
         return self._shortest_aims.get(service, float("inf"))
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -189,7 +189,7 @@
 
     def _place(self) -> AdmittedPlacement | None:
         state = self._state
-        endpoints = state.available(self._service)
+        endpoints = state.in_regions(state.available(self._service), self._regions)
         fresh = [e for e in endpoints if e.key not in self._tried]
         if self._sends == 0 and not fresh:
             fresh = endpoints
@@ -201,6 +201,11 @@
         choice = self._choose(fresh)
         return AdmittedPlacement(choice, NOT_LIMITED) if choice is not None else None
 
+    @property
+    def _regions(self) -> frozenset[str] | None:
+        rules = self._state.rules
+        return rules.regions_for(self._route, self._workspace) if rules else self._route.regions
+
     def _still_available(self, choice: Choice) -> bool:
         return any(e.key == choice.endpoint.key for e in self._state.available(self._service))
 
--- a/packages/gateway/src/tamarack_gateway/fleet_members.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_members.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from typing import NamedTuple
 
 from tamarack_core.relay_plan import SMALL_FLEET
@@ -162,17 +163,27 @@
                 scores[name] = score(table, name)
         return sorted(names, key=scores.__getitem__, reverse=True)
 
-    def addresses(self, me: Member, failure_domain: str, now_ms: float) -> list[str]:
+    def addresses(
+        self,
+        me: Member,
+        failure_domain: str,
+        now_ms: float,
+        *,
+        domains: Collection[str] | None = None,
+    ) -> list[str]:
         """Addresses for a caller: those of its own failure domain, with others if these are few.
 
         A router that is rejected by the store soon refuses requests with keys, so callers are sent
         to others. If most routers are in that state, the few others would be overloaded, so all are
         included. An answer has at least half as many addresses as the domain has live routers. The
-        same applies to routers with event-loop lag.
+        same applies to routers with event-loop lag. If `domains` is given, only routers in one of
+        these failure domains are included.
         """
         live = self.live(now_ms)
         if me.ready:
             live.append(me)
+        if domains is not None:
+            live = [member for member in live if member.failure_domain in domains]
         usable = _if_majority([member for member in live if member.fresh], live)
         usable = _if_majority([member for member in usable if not member.overloaded], usable)
         local = [m for m in usable if m.failure_domain == failure_domain]
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -253,6 +253,15 @@
             return endpoints
         return [e for e in endpoints if self.warm_ups.allows(e.key, now_ms)]
 
+    def in_regions(
+        self, endpoints: list[Endpoint], regions: frozenset[str] | None
+    ) -> list[Endpoint]:
+        """Those of some endpoints that lie in one of the regions; all if `regions` is None."""
+        if regions is None:
+            return endpoints
+        region_of = self.settings.regions
+        return [e for e in endpoints if region_of.get(e.failure_domain) in regions]
+
     def warm_up_limit(self, service: str) -> int | None:
         """Requests a second that an endpoint may get while it is warming up; None if unlimited."""
         known = self.rules.service(service) if self.rules else None
--- a/packages/gateway/src/tamarack_gateway/router_pages.py
+++ b/packages/gateway/src/tamarack_gateway/router_pages.py
@@ -14,7 +14,7 @@
 from tamarack_gateway.loop_monitor import LoopStatus
 from tamarack_gateway.quarantine_status import quarantine_status
 from tamarack_gateway.router_status import router_status
-from tamarack_gateway.site import DirectoryDialect
+from tamarack_gateway.site import DirectoryDialect, Place
 
 QUARANTINE = b"/quarantine"
 RELEASE = b"/quarantine/release/"
@@ -67,13 +67,23 @@
             caller.answer(404, [])
             return
         now_ms = state.clock.now_ms
-        addresses = self._members.addresses(self._me(), place.failure_domain, now_ms)
+        addresses = self._members.addresses(
+            self._me(), place.failure_domain, now_ms, domains=self._domains_for(place)
+        )
         if not addresses:
             caller.answer(503, [])
             return
         headers, body = directory.addresses(addresses, state.address_ttl_ms / 1000)
         caller.answer(200, headers, body)
 
+    def _domains_for(self, place: Place) -> set[str] | None:
+        """Failure domains whose routers may receive a caller's requests; None for all."""
+        rules, region_of = self._state.rules, self._state.settings.regions
+        regions = rules.regions_of_host(place.host.lower()) if rules is not None else None
+        if regions is None:
+            return None
+        return {d for d, region in region_of.items() if region in regions or region == place.region}
+
     async def answer_operator(self, request: Request, caller: CallerConnection) -> None:
         """Answer a metrics reader or an operator."""
         path = request.target.partition(b"?")[0]
--- a/packages/gateway/src/tamarack_gateway/site.py
+++ b/packages/gateway/src/tamarack_gateway/site.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple, Protocol
 
 from tamarack_core.endpoint_registry import Endpoint
@@ -66,6 +66,8 @@
         Address of the platform's store.
     descriptors
         Maximum number of sockets that the process may have open.
+    regions
+        Region of each failure domain.
     """
 
     router: str
@@ -78,6 +80,7 @@
     store: str
     bounds: FleetBounds
     descriptors: int = 1_024
+    regions: Mapping[str, str] = {}
 
 
 class RequestFacts(NamedTuple):
@@ -232,10 +235,11 @@
 
 
 class Place(NamedTuple):
-    """The host and the failure domain that a caller requests addresses for."""
+    """The host that a caller requests addresses for, and where the caller is."""
 
     host: str
     failure_domain: str
+    region: str = ""
 
 
 class DirectoryDialect(Protocol):
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -73,12 +73,21 @@
     ----------
     workers
         Workers by service.
+    regions
+        Region of each failure domain.
     """
 
-    def __init__(self, workers: dict[str, list[PlatformWorker]], **bounds: float) -> None:
+    def __init__(
+        self,
+        workers: dict[str, list[PlatformWorker]],
+        *,
+        regions: dict[str, str] | None = None,
+        **bounds: float,
+    ) -> None:
         self.store = PlatformStore()
         self._workers = workers
         self._bounds = FleetBounds()._replace(**bounds)
+        self._regions = regions or {}
         self._stack = contextlib.AsyncExitStack()
         self.gateway: Gateway
         self.others: list[Gateway] = []
@@ -130,6 +139,7 @@
             store=store or self.store.address,
             bounds=self._bounds,
             descriptors=descriptors,
+            regions=self._regions,
         )
         site = platform_site()._replace(load_settings=lambda: settings)
         clock = clock or BootClock()
