Show messages of other routers that cannot be read

Change: a gauge malformed_messages, and a log line with topic and size, at most one a second.

Test: test_peer_group, one line for two frames; fails on the code before (no line).

--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -81,6 +81,7 @@
             self._pool,
             store_calls=lambda: self._feeds.calls,
             loop=self._loop_monitor.status,
+            malformed=lambda: self._peers.malformed,
         )
         self._state.owns = lambda matter: self._members.owns(matter, self._me, clock.now_ms)
         self._quarantine = self._make_quarantine()
--- a/packages/gateway/src/tamarack_gateway/gateway_metrics.py
+++ b/packages/gateway/src/tamarack_gateway/gateway_metrics.py
@@ -30,6 +30,8 @@
         Returns the number of calls made to the store.
     loop
         Returns the state of the event loop.
+    malformed
+        Returns the number of messages of other routers that could not be read.
     """
 
     def __init__(
@@ -39,11 +41,13 @@
         *,
         store_calls: Callable[[], int],
         loop: Callable[[], LoopStatus],
+        malformed: Callable[[], int] = lambda: 0,
     ) -> None:
         self._state = state
         self._pool = pool
         self._store_calls = store_calls
         self._loop = loop
+        self._malformed = malformed
 
     @cached_property
     def _collectors(self) -> MetricCollectors:
@@ -79,6 +83,7 @@
             "log_lines": state.log.written,
             "store_calls": self._store_calls(),
             "retries": state.allowance.taken,
+            "malformed_messages": self._malformed(),
             "routers": state.allowance.routers,
             "ready": int(state.ready),
             "loop_lag_ms": loop["lag_ms"],
--- a/packages/gateway/src/tamarack_gateway/peer_group.py
+++ b/packages/gateway/src/tamarack_gateway/peer_group.py
@@ -46,6 +46,9 @@
 within its grace period, 8 s here. Without it, its observations of endpoint terminations would be
 lost, and the others would decide on incomplete evidence."""
 
+MALFORMED_LINE_MS = 1_000.0
+"""Minimum time between two log lines about frames that cannot be read."""
+
 VERSIONS_MS = 200.0
 """Minimum time between two messages with the versions of the followed tables."""
 
@@ -88,6 +91,11 @@
         Called with the versions that another router has.
     on_notice
         Called with demands and leases of other routers.
+
+    Attributes
+    ----------
+    malformed
+        Number of received frames that could not be read.
     """
 
     def __init__(
@@ -139,12 +147,15 @@
         self._relay_task: asyncio.Task[None] | None = None
         self._last_relay_ms = float("-inf")
         self._last_summary_ms = float("-inf")
+        self._malformed_logged_ms = float("-inf")
+        self.malformed = 0
         self._stack = contextlib.ExitStack()
         self._tasks: list[asyncio.Task[Any]] = []
         self._sockets: PeerSockets
 
     async def __aenter__(self) -> PeerGroup:
-        self._sockets = self._stack.enter_context(PeerSockets(self._listen, self._receive))
+        sockets = PeerSockets(self._listen, self._receive, self._record_malformed)
+        self._sockets = self._stack.enter_context(sockets)
         self._update_subscriptions()
         for task in (self._report_loop(), self._check_plan()):
             self._tasks.append(asyncio.ensure_future(task))
@@ -255,6 +266,15 @@
             self._collect_remote(message)
             self._deliver(message)
 
+    def _record_malformed(self, topic: bytes, size: int) -> None:
+        # A router of another version may send many.
+        self.malformed += 1
+        now_ms = self._clock.now_ms
+        if now_ms - self._malformed_logged_ms >= MALFORMED_LINE_MS:
+            self._malformed_logged_ms = now_ms
+            facts = {"topic": topic.decode("latin-1"), "bytes": size, "so_far": self.malformed}
+            self._log.event("a message of a router cannot be read", **facts)
+
     def _deliver(self, message: Any) -> None:
         if isinstance(message, Gathered):
             self._on_placements(message.placements)
--- a/packages/gateway/src/tamarack_gateway/peer_sockets.py
+++ b/packages/gateway/src/tamarack_gateway/peer_sockets.py
@@ -37,10 +37,18 @@
         Address as `IP:PORT`; port 0 selects a free port.
     on_message
         Called with the topic and content of each received message.
+    on_malformed
+        Called with the topic and size in bytes of each frame that cannot be read.
     """
 
-    def __init__(self, listen: str, on_message: Callable[[bytes, Any], None]) -> None:
+    def __init__(
+        self,
+        listen: str,
+        on_message: Callable[[bytes, Any], None],
+        on_malformed: Callable[[bytes, int], None] = lambda topic, size: None,
+    ) -> None:
         self._on_message = on_message
+        self._on_malformed = on_malformed
         self._context = zmq.Context()
         self._out = self._socket(zmq.PUB)
         self._in = self._socket(zmq.SUB)
@@ -52,7 +60,6 @@
         self._address = f"{host}:{port}"
         self._peers: frozenset[str] = frozenset()
         self._topics: frozenset[bytes] = frozenset()
-        self.malformed = 0
 
     def __enter__(self) -> PeerSockets:
         asyncio.get_running_loop().add_reader(self._in.fileno(), self.drain)
@@ -103,7 +110,7 @@
     def _dispatch(self, parts: list[bytes]) -> None:
         frame = decode(parts[-1], "", 0, "") if len(parts) == 2 else None
         if frame is None:
-            self.malformed += 1
+            self._on_malformed(parts[0], len(parts[-1]))
             return
         for message in frame.messages:
             self._on_message(parts[0], message)
--- a/tests/test_peer_group.py
+++ b/tests/test_peer_group.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 
+import pytest
 from gateway_site import play, until
 
 from tamarack_core.clock import BootClock
@@ -158,3 +159,23 @@
     assert summary_filter.filter(changed, 200.0 + FULL_SUMMARY_INTERVAL_MS) == (changed, {})
     placed = Report("r", 9.0, changed[0].summary, Placements([], {}))
     assert summary_filter.filter([placed], 2_300.0) == ([placed._replace(summary=None)], {"r": 9.0})
+
+
+def test_messages_that_cannot_be_read_are_counted_and_logged(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    """Failure: routers of two versions do not understand each other, and nothing shows it."""
+
+    async def scenario() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            members = await start(stack)
+            receiver = next(member for member in members if member.group.relays)
+            topic = f"r/{receiver.domain}/".encode()
+            sender = next(m for m in members if m.domain == receiver.domain and m is not receiver)
+            for _ in range(2):
+                sender.group._sockets._out.send_multipart([topic, b"\xc1"])
+            await until(lambda: receiver.group.malformed == 2)
+            receiver.group._log.flush()
+
+    play(scenario())
+    assert capfd.readouterr().err.count("a message of a router cannot be read") == 1
