Evacuate failure domains in the own interface

Cause: tamarackctl could drain single endpoints only.

Change: an entry of a new kind evacuates the failure domain of its name; its endpoints count as drained. tamarackctl evacuate DOMAIN and restore DOMAIN write and delete it and wait until that is in force; it stands in the history, the status shows it, operators may write it. A roll-forward to an earlier version leaves evacuations as they are.

Tests: test_fleet, evacuated domain gets no work, also after a roll-forward; both commands. On the code before: there is no such kind.

--- a/packages/core/src/tamarack_core/configuration.py
+++ b/packages/core/src/tamarack_core/configuration.py
@@ -162,7 +162,7 @@
         old = self._parts
         loads = self._entries["preset"].get(self._preset, {}).get("loads", {})
         new_loads = entries["preset"].get(change.preset, {}).get("loads", {})
-        if "service" in touched or loads != new_loads:
+        if touched & {"service", "evacuation"} or loads != new_loads:
             return _build_derived(entries, change.preset)
         keys, queue_limit = old.keys, old.queue_limit
         if "workspace" in touched:
@@ -265,7 +265,7 @@
         body["address"],
         body["failure_domain"],
         body.get("slots", 4),
-        body.get("drained", False),
+        body.get("drained", False) or body["failure_domain"] in entries["evacuation"],
         entries["service"].get(service, {}).get("model", service),
     )
     return service, spec
--- a/packages/core/src/tamarack_core/configuration_entries.py
+++ b/packages/core/src/tamarack_core/configuration_entries.py
@@ -54,11 +54,18 @@
     checks_fencing: NotRequired[bool]
 
 
+class EvacuationEntry(TypedDict):
+    """An evacuated failure domain, by its name: its endpoints get no new work."""
+
+    reason: NotRequired[str]
+
+
 ENTRY_TYPES: dict[str, type] = {
     "workspace": WorkspaceEntry,
     "service": ServiceEntry,
     "preset": PresetEntry,
     "endpoint": EndpointEntry,
+    "evacuation": EvacuationEntry,
 }
 
 
--- a/packages/ctl/src/tamarack_ctl/change_commands.py
+++ b/packages/ctl/src/tamarack_ctl/change_commands.py
@@ -74,6 +74,27 @@
     return wait_in_force(context, version, f"{arguments.endpoint} {effect}.")
 
 
+def _domain_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("domain", metavar="DOMAIN", help="a failure domain")
+    add_timeout(parser)
+
+
+@command("evacuate", "stop sending new work to a failure domain's endpoints", _domain_arguments)
+def evacuate(context: Context) -> Outcome:
+    """Evacuate a failure domain until it is restored."""
+    domain = context.arguments.domain
+    version = int(context.admin.call("PUT", f"evacuations/{domain}", {})["version"])
+    return wait_in_force(context, version, f"Failure domain {domain} is evacuated.")
+
+
+@command("restore", "send work to an evacuated failure domain again", _domain_arguments)
+def restore(context: Context) -> Outcome:
+    """End the evacuation of a failure domain."""
+    domain = context.arguments.domain
+    version = int(context.admin.call("DELETE", f"evacuations/{domain}")["version"])
+    return wait_in_force(context, version, f"Failure domain {domain} is restored.")
+
+
 def _roll_arguments(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("version", type=int)
     add_timeout(parser)
--- a/packages/ctl/src/tamarack_ctl/read_commands.py
+++ b/packages/ctl/src/tamarack_ctl/read_commands.py
@@ -9,7 +9,7 @@
 
 from tamarack_ctl.commands import Context, Outcome, command
 
-KINDS = ("workspaces", "services", "presets", "endpoints")
+KINDS = ("workspaces", "services", "presets", "endpoints", "evacuations")
 
 
 @command("status", "show routers, versions and dispatchers")
@@ -20,6 +20,7 @@
         f"preset {value['preset']}, version {value['version']}, "
         f"store {'answers' if value['store_up'] else 'DOES NOT ANSWER'}"
     ]
+    lines += [f"  failure domain {domain} is evacuated" for domain in value.get("evacuated", [])]
     for member in value["members"]:
         lines.append(
             f"  {member['router']:<20} {member['state']:<8} version {member['version']:<6} "
--- a/packages/router/src/tamarack_router/admin_app.py
+++ b/packages/router/src/tamarack_router/admin_app.py
@@ -30,6 +30,11 @@
 ROLES = ("read", "operate", "configure")
 
 
+VERSIONED_KINDS = [kind for kind in ENTRY_TYPES if kind != "evacuation"]
+"""Kinds of entries that a roll-forward brings back. An evacuation ends only by its own command: the
+earlier version may be from before it."""
+
+
 class AdminToken(NamedTuple):
     """An operator's token with its role; each role includes the permissions of the lower ones."""
 
@@ -81,7 +86,7 @@
         return None
 
     def _required_role(self, call: HttpCall) -> str:
-        operations = ("preset", "drain")
+        operations = ("preset", "drain", "evacuations")
         parts = call.path.removeprefix(BASE).strip("/").split("/")
         return "operate" if parts[0] in operations else "configure"
 
@@ -125,6 +130,7 @@
             "router": self._router,
             "version": view.config.version,
             "preset": view.config.preset,
+            "evacuated": sorted(view.config.entries("evacuation")),
             "ready": view.ready,
             "isolated": view.isolated,
             "leaving": view.leaving,
@@ -210,13 +216,13 @@
         current = self._config()
         puts = [
             EntryPut(kind, name, body)
-            for kind in ENTRY_TYPES
+            for kind in VERSIONED_KINDS
             for name, body in old.entries(kind).items()
             if current.entries(kind).get(name) != body
         ]
         deletes = [
             EntryName(kind, name)
-            for kind in ENTRY_TYPES
+            for kind in VERSIONED_KINDS
             for name in current.entries(kind)
             if name not in old.entries(kind)
         ]
--- a/packages/router/src/tamarack_router/openapi.py
+++ b/packages/router/src/tamarack_router/openapi.py
@@ -67,10 +67,11 @@
     for kind in ENTRY_TYPES:
         schema = kind.capitalize()
         one = f"/{kind}s/{{name}}"
+        role = "operate" if kind == "evacuation" else "configure"
         operations.append(Operation("get", f"/{kind}s", f"All entries of kind {kind}", "read"))
         operations.append(Operation("get", one, f"One {kind}", "read"))
-        operations.append(Operation("put", one, f"Write a {kind} whole", "configure", schema))
-        operations.append(Operation("delete", one, f"Delete a {kind}", "configure"))
+        operations.append(Operation("put", one, f"Write a {kind} whole", role, schema))
+        operations.append(Operation("delete", one, f"Delete a {kind}", role))
     return operations
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -421,6 +421,38 @@
     admin.call("DELETE", f"drain/{endpoint['endpoint']}")
 
 
+def test_endpoints_of_an_evacuated_domain_get_no_work_until_it_is_restored(
+    fleet: Fleet, client: Client
+) -> None:
+    """Failure: work reaches a failure domain that operators have taken out of service.
+
+    A roll-forward to a version from before the evacuation must not end it.
+    """
+    admin = fleet.admin()
+    engines = models(fleet)
+    domains = {e["failure_domain"] for e in engines}
+    emptied = engines[-1]["failure_domain"]
+    outside = [e for e in engines if e["failure_domain"] == emptied]
+    before = admin.call("GET", "preset")["version"]
+    version = admin.call("PUT", f"evacuations/{emptied}", {})["version"]
+    assert not admin.wait_in_force(version, WAIT_S).routers
+    admin.call("POST", f"roll-forward/{before}")
+    assert admin.status()["evacuated"] == [emptied]
+    counts = [runs_at(fleet, e) for e in outside]
+    if len(domains) > 1:
+        for _ in range(8):
+            client.complete(MODEL, "x", max_tokens=3)
+    assert [runs_at(fleet, e) for e in outside] == counts
+    version = admin.call("DELETE", f"evacuations/{emptied}")["version"]
+    assert not admin.wait_in_force(version, WAIT_S).routers
+    assert admin.status()["evacuated"] == []
+
+
+def runs_at(fleet: Fleet, endpoint: Any) -> int:
+    """Number of runs that an endpoint has logged."""
+    return len(fleet.get_json(endpoint["address"], "/standin/log")["runs"])
+
+
 def test_a_preset_that_loads_another_model_moves_an_engine_to_its_service(
     fleet: Fleet, client: Client
 ) -> None:
@@ -483,6 +515,10 @@
     assert run("apply", "-f", str(path)).returncode == 0
     made = json.loads(run("--json", "key-create", "new-desk").stdout)
     assert Client(fleet.addresses, made["key"]).complete(MODEL, "x", max_tokens=2).status == 200
+    assert run("evacuate", "nowhere").returncode == 0
+    assert "failure domain nowhere is evacuated" in run("status").stdout
+    assert run("restore", "nowhere").returncode == 0
+    assert "is evacuated" not in run("status").stdout
     path.write_text('[endpoint.broken]\naddress = "x"\n')
     broken = run("apply", "-f", str(path))
     assert broken.returncode == 1 and "endpoint/broken/service" in broken.stderr
