Split what relays collect and endpoints' rows into modules of their own

Change: RelayCollector holds what a relay passes on with its next message; EndpointRows applies the table of endpoints. Names and messages stay.

Tests: those of warm-up, foreign rows, peers and the table follower pass.

--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
-from tamarack_core.endpoint_registry import Endpoint
 from tamarack_core.json_input import decode_json, is_ip_port
 from tamarack_core.relay_plan import Peer
+from tamarack_gateway.endpoint_rows import EndpointRows
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.site import Row, Site
 from tamarack_gateway.store_client import StoreClient, StoreError
@@ -42,9 +42,6 @@
 """The same for quarantined requests. Routers send these to each other directly; the store serves
 routers that start later, and each call to it has a cost."""
 
-MAX_WARM_UP_MS = 3_600_000.0
-"""Longest plausible warm-up in milliseconds; shorter ones are capped by the service's."""
-
 MAX_WRITE_ATTEMPTS = 20
 """Attempts to write this router's row; the last ones are some ten seconds after the start."""
 
@@ -109,7 +106,7 @@
         self._own_row = b""
         self._own_version: int | None = None
         self._rules_version = 0
-        self._expiry: asyncio.TimerHandle | None = None
+        self._endpoints = EndpointRows(state, site.read_endpoint)
         self._registering = False
         self._leaving = False
         self._tasks: list[asyncio.Task[Any]] = []
@@ -124,7 +121,7 @@
         rules_wait_ms = min(bounds.revoke_ms, bounds.evacuate_ms) * RULES_WAIT_FRACTION
         for table, wait_ms, pause_ms, on_change in (
             (tables.configuration, rules_wait_ms, RULES_PAUSE_MS, self._apply_rules),
-            (tables.endpoints, ENDPOINTS_WAIT_MS, ENDPOINTS_PAUSE_MS, self._apply_endpoints),
+            (tables.endpoints, ENDPOINTS_WAIT_MS, ENDPOINTS_PAUSE_MS, self._endpoints.apply),
             (tables.routers, ROUTERS_WAIT_MS, ROUTERS_PAUSE_MS, self._apply_routers),
             (
                 tables.quarantine,
@@ -322,94 +319,6 @@
             self._state.log.event("keys cannot be read and will expire", reason=str(error))
             return None
 
-    def _apply_endpoints(self, change: TableChange) -> None:
-        state, now_ms = self._state, self._state.clock.now_ms
-        rows = {row.key: row for row in change.rows}
-        known = {name: state.registry.find(name) for name in rows}
-        if change.whole:
-            read = {
-                row.key: self._read_endpoint(row) for row in rows.values() if row.value is not None
-            }
-            found = [endpoint for endpoint in read.values() if endpoint is not None]
-            state.registry.replace(found, now_ms, keep_until_ms=change.grace_until_ms)
-            for name in [name for name, endpoint in read.items() if endpoint is None]:
-                state.registry.drop(name)
-        else:
-            for row in rows.values():
-                self._apply_endpoint_row(row, now_ms, change.grace_until_ms)
-        if change.rows or change.whole:
-            state.sync_endpoints()
-            self._record_warm_ups(known)
-            for name in state.registry.without_incarnation:
-                state.unreadable.note(RowKind.ENDPOINT, name, 0, "tells no life, as the others do")
-        state.endpoints_known = True
-        self._schedule_expiry()
-
-    def _record_warm_ups(self, before: dict[str, Endpoint | None]) -> None:
-        """Record the warm-ups of changed entries, given the endpoints known before by name.
-
-        Other routers may use what this one finds listed when it starts.
-        """
-        state = self._state
-        for name, known in before.items():
-            endpoint = state.registry.find(name)
-            if endpoint is None:
-                continue
-            is_new = known is None or known.key != endpoint.key
-            state.record_warm_up(endpoint, unused=is_new and state.endpoints_known)
-
-    def _schedule_expiry(self) -> None:
-        # A timer for the exact time: polling each half second would send work to an endpoint that
-        # has left for that much longer.
-        if self._expiry is not None:
-            self._expiry.cancel()
-            self._expiry = None
-        next_ms = self._state.registry.next_expiry_ms
-        if next_ms is not None:
-            wait_ms = max(0.0, next_ms - self._state.clock.now_ms)
-            loop = asyncio.get_running_loop()
-            self._expiry = loop.call_later(wait_ms / 1000, self._expire)
-
-    def _expire(self) -> None:
-        expired = self._state.registry.expire(self._state.clock.now_ms)
-        self._state.sync_endpoints()
-        if expired:
-            self._state.log.change("missing endpoints expired", endpoints=expired)
-        self._schedule_expiry()
-
-    def _apply_endpoint_row(self, row: Row, now_ms: float, keep_until_ms: float) -> None:
-        registry = self._state.registry
-        if row.value is None:
-            kept_ms = max(0.0, keep_until_ms - now_ms)
-            self._state.log.change("endpoint gone", endpoint=row.key, kept_ms=round(kept_ms))
-            self._state.unreadable.forget(RowKind.ENDPOINT, row.key)
-            registry.remove(row.key, now_ms, keep_until_ms=keep_until_ms)
-            return
-        endpoint = self._read_endpoint(row)
-        if endpoint is None:
-            registry.drop(row.key)
-            return
-        known = registry.find(endpoint.name)
-        registry.put(endpoint, now_ms)
-        current = registry.find(endpoint.name) or endpoint
-        if known is None or known.draining != current.draining:
-            change = "endpoint draining" if current.draining else "endpoint available"
-            self._state.log.change(change, endpoint=current.name, address=current.address)
-
-    def _read_endpoint(self, row: Row) -> Endpoint | None:
-        unreadable = self._state.unreadable
-        try:
-            endpoint = self._site.read_endpoint(row.key, row.value or b"")
-        except ValueError as error:
-            unreadable.note(RowKind.ENDPOINT, row.key, row.version, str(error))
-            return None
-        if not 0 <= endpoint.warm_up_ms <= MAX_WARM_UP_MS:
-            reason = f"a warm-up of {endpoint.warm_up_ms:g} ms is out of range"
-            unreadable.note(RowKind.ENDPOINT, row.key, row.version, reason)
-        elif endpoint.life is not None:
-            unreadable.forget(RowKind.ENDPOINT, row.key)
-        return endpoint
-
     def _apply_routers(self, change: TableChange) -> None:
         if change.whole:
             self._routers = {}
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -44,7 +44,6 @@
 """Margin by which a key expires before its revocation bound: a request forwarded just before is
 still on its way to the endpoint, and timers fire late."""
 
-
 TERMINATED_MS = 4_000.0
 """Time for which a terminated endpoint gets no work though it is still listed: its entry expires
 after three missed heartbeats of 1.2 s. Without it, each router's connections to it are refused for
@@ -54,7 +53,6 @@
 """The same where entries have no incarnation: a restarted endpoint cannot be told from the
 terminated one."""
 
-
 UNCONFIGURED_WARM_UP_MS = 10_000.0
 """Longest warm-up in milliseconds of endpoints that are listed before the configuration is known;
 it has no effect on services that the configuration then does not limit."""
--- a/packages/gateway/src/tamarack_gateway/peer_group.py
+++ b/packages/gateway/src/tamarack_gateway/peer_group.py
@@ -12,7 +12,7 @@
 from tamarack_core.termination_evidence import Evidence
 from tamarack_core.warm_up_dealer import Demand, Leases
 from tamarack_gateway.decision_log import DecisionLog
-from tamarack_gateway.outbox import Outbox, Placements, PlacementSum
+from tamarack_gateway.outbox import Outbox, Placements
 from tamarack_gateway.peer_messages import (
     Alive,
     Digest,
@@ -22,7 +22,7 @@
     TableVersions,
 )
 from tamarack_gateway.peer_sockets import PeerSockets
-from tamarack_gateway.summary_filter import SummaryFilter
+from tamarack_gateway.relay_collector import RelayCollector
 from tamarack_gateway.table_follower import CopyWanted, TableNews
 
 SUMMARY_MS = 250.0
@@ -134,16 +134,9 @@
         self._links = Links(frozenset(), None, False)
         self._listed: Mapping[str, Peer] = {}
         self._departed: dict[Peer, float] = {}
-        self._reports: list[Report] = []
-        self._remote_reports: list[Report] = []
-        self._remote_work = PlacementSum()
-        self._remote_alive: dict[str, float] = {}
+        self._collector = RelayCollector(router)
         self._heard_versions: dict[str, int] = {}
-        self._notices: list[Demand | Leases] = []
-        self._remote_notices: list[Demand | Leases] = []
         self._last_versions_ms = float("-inf")
-        self._summary_filter = SummaryFilter()
-        self._urgent = False
         self._relay_task: asyncio.Task[None] | None = None
         self._last_relay_ms = float("-inf")
         self._last_summary_ms = float("-inf")
@@ -219,8 +212,7 @@
     def publish_notice(self, notice: Demand | Leases) -> None:
         """Publish a demand or leases at once."""
         if self._links.relays:
-            self._notices.append(notice)
-            self._urgent = True
+            self._collector.add_notice(notice, remote=False)
         else:
             self._sockets.publish(_reports_topic(self._domain), notice)
 
@@ -236,7 +228,7 @@
         now_ms = self._clock.now_ms
         report = Report(self._router, now_ms, summary, placements, news, wanted, evidence)
         if self._links.relays:
-            self._collect(report)
+            self._collector.add_report(report)
             return
         self._sockets.publish(_reports_topic(self._domain), report, *self._due_versions(now_ms))
 
@@ -251,7 +243,7 @@
         if isinstance(message, Report):
             self._plan.record_report(self._clock.now_ms)
             if self._links.relays:
-                self._collect(message)
+                self._collector.add_report(message)
             self._on_report(message)
         elif isinstance(message, TableVersions):
             self._note_versions(message.versions)
@@ -263,7 +255,7 @@
             if not self._links.relays:
                 self._deliver(message)
         elif self._links.relays and topic != _across_topic(self._domain):
-            self._collect_remote(message)
+            self._collector.add_remote(message)
             self._deliver(message)
 
     def _record_malformed(self, topic: bytes, size: int) -> None:
@@ -291,9 +283,8 @@
         if relays and topic in (_within_topic(self._domain), _across_topic(self._domain)):
             return
         if relays:
-            own = topic == _reports_topic(self._domain)
-            (self._notices if own else self._remote_notices).append(notice)
-            self._urgent = True
+            remote = topic != _reports_topic(self._domain)
+            self._collector.add_notice(notice, remote=remote)
         self._on_notice(notice)
 
     def _note_versions(self, versions: dict[str, int]) -> None:
@@ -301,20 +292,6 @@
             self._heard_versions[table] = max(version, self._heard_versions.get(table, 0))
         self._on_versions(versions)
 
-    def _collect(self, report: Report) -> None:
-        self._reports.append(report)
-        self._urgent = self._urgent or report.urgent
-
-    def _collect_remote(self, message: Any) -> None:
-        if isinstance(message, Gathered):
-            self._remote_work.add(message.placements)
-            self._urgent = True
-        elif isinstance(message, Alive):
-            self._remote_alive.update(message.stamps)
-        elif isinstance(message, Digest):
-            self._remote_reports += message.reports
-            self._urgent = self._urgent or any(report.urgent for report in message.reports)
-
     # sending
 
     async def _report_loop(self) -> None:
@@ -337,27 +314,16 @@
         while True:
             await asyncio.sleep(RELAY_MS / 1000)
             now_ms = self._clock.now_ms
-            due = self._urgent or now_ms - self._last_relay_ms >= RELAY_IDLE_MS
+            due = self._collector.urgent or now_ms - self._last_relay_ms >= RELAY_IDLE_MS
             if due and self._plan.should_publish(now_ms):
                 self._relay_collected(now_ms)
 
     def _relay_collected(self, now_ms: float) -> None:
-        own, alive = self._summary_filter.filter(self._reports, now_ms)
-        foreign, work = self._remote_reports, self._remote_work.take()
-        all_alive = alive | self._remote_alive
-        self._reports, self._remote_reports, self._remote_alive, self._urgent = [], [], {}, False
         self._last_relay_ms = now_ms
-        versions = TableVersions(self._newest_versions())
-        notices, remote_notices = self._notices, self._remote_notices
-        self._notices, self._remote_notices = [], []
-        if own or alive or notices:
-            across = [*_for_other_domains(self._router, own), Alive(alive), versions, *notices]
-            self._sockets.publish(_across_topic(self._domain), *across)
-        within: list[Any] = [Digest(self._router, own + foreign), Alive(all_alive), versions]
-        within += notices + remote_notices
-        if work is not None:
-            within.append(Gathered(work))
-        self._sockets.publish(_within_topic(self._domain), *within)
+        collected = self._collector.take(TableVersions(self._newest_versions()), now_ms)
+        if collected.across:
+            self._sockets.publish(_across_topic(self._domain), *collected.across)
+        self._sockets.publish(_within_topic(self._domain), *collected.within)
 
     def _newest_versions(self) -> dict[str, int]:
         own = self._versions()
@@ -394,9 +360,7 @@
         if self._relay_task is not None:
             self._relay_task.cancel()
             self._relay_task = None
-        self._reports, self._remote_reports, self._remote_alive, self._urgent = [], [], {}, False
-        self._remote_work, self._summary_filter = PlacementSum(), SummaryFilter()
-        self._notices, self._remote_notices = [], []
+        self._collector = RelayCollector(self._router)
         if relays:
             self._relay_task = asyncio.ensure_future(self._relay_loop())
 
@@ -407,19 +371,3 @@
         if links.relays:
             topics |= {_reports_topic(self._domain), b"x/"}
         return frozenset(topics)
-
-
-def _for_other_domains(relay: str, reports: list[Report]) -> list[Any]:
-    """Messages of a relay to other domains: reports without placements, and the placements' sum."""
-    work = PlacementSum()
-    remaining = []
-    for report in reports:
-        if report.placements is not None:
-            work.add(report.placements)
-        if report.has_more_than_placements:
-            remaining.append(report._replace(placements=None))
-    placements = work.take()
-    messages: list[Any] = [Digest(relay, remaining)]
-    if placements is not None:
-        messages.append(Gathered(placements))
-    return messages
--- /dev/null
+++ b/packages/gateway/src/tamarack_gateway/relay_collector.py
@@ -0,0 +1,94 @@
+"""Collects what a relay passes on with its next message."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+from tamarack_core.warm_up_dealer import Demand, Leases
+from tamarack_gateway.outbox import PlacementSum
+from tamarack_gateway.peer_messages import Alive, Digest, Gathered, Report, TableVersions
+from tamarack_gateway.summary_filter import SummaryFilter
+
+
+class Collected(NamedTuple):
+    """Messages of a relay to the relays of other failure domains, and to its own domain."""
+
+    across: list[Any]
+    within: list[Any]
+
+
+class RelayCollector:
+    """What a relay has received since its last message.
+
+    Reports of its own failure domain go to both sides, those of other domains only to its own.
+
+    Attributes
+    ----------
+    urgent
+        Whether something should be passed on soon.
+    """
+
+    def __init__(self, router: str) -> None:
+        self._router = router
+        self._reports: list[Report] = []
+        self._remote_reports: list[Report] = []
+        self._remote_work = PlacementSum()
+        self._remote_alive: dict[str, float] = {}
+        self._notices: list[Demand | Leases] = []
+        self._remote_notices: list[Demand | Leases] = []
+        self._summary_filter = SummaryFilter()
+        self.urgent = False
+
+    def add_report(self, report: Report) -> None:
+        """Add a report of the own failure domain."""
+        self._reports.append(report)
+        self.urgent = self.urgent or report.urgent
+
+    def add_remote(self, message: Any) -> None:
+        """Add a message of another failure domain's relay."""
+        if isinstance(message, Gathered):
+            self._remote_work.add(message.placements)
+            self.urgent = True
+        elif isinstance(message, Alive):
+            self._remote_alive.update(message.stamps)
+        elif isinstance(message, Digest):
+            self._remote_reports += message.reports
+            self.urgent = self.urgent or any(report.urgent for report in message.reports)
+
+    def add_notice(self, notice: Demand | Leases, *, remote: bool) -> None:
+        """Add a notice of the own failure domain, or of another one."""
+        (self._remote_notices if remote else self._notices).append(notice)
+        self.urgent = True
+
+    def take(self, versions: TableVersions, now_ms: float) -> Collected:
+        """Return what was collected as messages, and reset it."""
+        own, alive = self._summary_filter.filter(self._reports, now_ms)
+        across: list[Any] = []
+        if own or alive or self._notices:
+            across = [*_for_other_domains(self._router, own), Alive(alive), versions]
+            across += self._notices
+        digest = Digest(self._router, own + self._remote_reports)
+        within: list[Any] = [digest, Alive(alive | self._remote_alive), versions]
+        work = self._remote_work.take()
+        if work is not None:
+            within.append(Gathered(work))
+        within += self._notices + self._remote_notices
+        self._reports, self._remote_reports, self._remote_alive = [], [], {}
+        self._notices, self._remote_notices, self.urgent = [], [], False
+        return Collected(across, within)
+
+
+def _for_other_domains(relay: str, reports: list[Report]) -> list[Any]:
+    """Messages of a relay to other domains: reports without placements, and the placements' sum."""
+    work = PlacementSum()
+    remaining = []
+    for report in reports:
+        if report.placements is not None:
+            work.add(report.placements)
+        if report.has_more_than_placements:
+            remaining.append(report._replace(placements=None))
+    placements = work.take()
+    messages: list[Any] = [Digest(relay, remaining)]
+    if placements is not None:
+        messages.append(Gathered(placements))
+    return messages
--- a/tests/test_foreign_rows_fuzz.py
+++ b/tests/test_foreign_rows_fuzz.py
@@ -288,7 +288,7 @@
                 found.append(Row(table, key, value, self.version))
         change = TableChange(found, whole, self.clock.now_ms, self.clock.now_ms + 1_000.0)
         take = {
-            "servers": self.feeds._apply_endpoints,
+            "servers": self.feeds._endpoints.apply,
             "op": self.feeds._apply_rules,
             "routers": self.feeds._apply_routers,
             "quarantine": self.quarantine.apply_change,
--- a/tests/test_warm_up.py
+++ b/tests/test_warm_up.py
@@ -27,7 +27,7 @@
     divide,
 )
 from tamarack_gateway import warm_up_feed
-from tamarack_gateway.fleet_feeds import MAX_WARM_UP_MS
+from tamarack_gateway.endpoint_rows import MAX_WARM_UP_MS
 from tamarack_standins.platform_worker import PlatformWorker, Script
 
 STREAM = Script(events=2)
