Give the demo's large workspaces enough callers to be backlogged

Cause: each large workspace had 10 callers with one request at a time, and a fair share of 10 of 30 slots. Whenever its callers turned round, nothing of it waited, and the flooding workspace got the slot.

Change: 20 callers. Tolerance and checks stay.

--- a/packages/bench/src/tamarack_bench/demo.py
+++ b/packages/bench/src/tamarack_bench/demo.py
@@ -28,7 +28,10 @@
 PHASE_S = 6.0
 SETTLE_S = 1.5
 FLOODING_CALLERS = 30
-LARGE_CALLERS = 10
+LARGE_CALLERS = 20
+"""Callers of each large workspace, each with one request at a time. Its fair share is up to ten
+slots: only with more callers than that some of its requests always wait."""
+
 SMALL_CALLERS = 1
 SMALL_THINK_S = 0.3
 SHARE_TOLERANCE = 0.15
