Build the list of usable endpoints once for many changed entries

Cause: each changed entry rebuilt the list of all endpoints.

Change: the list is built with its first use after a change.

Test: test_large_fleet counts the builds; it fails on the code before.

--- a/packages/core/src/tamarack_core/endpoint_registry.py
+++ b/packages/core/src/tamarack_core/endpoint_registry.py
@@ -88,8 +88,7 @@
         self._listed: dict[str, Endpoint] = {}
         self._retained: dict[str, tuple[Endpoint, float]] = {}
         self._deferred: dict[str, tuple[Endpoint, float]] = {}
-        self._by_service: dict[str, list[Endpoint]] = {}
-        self._without_incarnation: list[str] = []
+        self._usable: _Usable | None = None
 
     def __len__(self) -> int:
         return len(self._listed) + len(self._retained)
@@ -102,12 +101,14 @@
             if endpoint.name not in listed:
                 self._retain(endpoint, now_ms, keep_until_ms)
         self._listed = listed
-        self._rebuild()
+        self._retained = {n: kept for n, kept in self._retained.items() if n not in listed}
+        self._usable = None
 
     def put(self, endpoint: Endpoint, now_ms: float) -> None:
         """Apply a new or changed entry."""
         self._listed[endpoint.name] = self._accepted(endpoint, now_ms)
-        self._rebuild()
+        self._retained.pop(endpoint.name, None)
+        self._usable = None
 
     def remove(self, name: str, now_ms: float, *, keep_until_ms: float) -> None:
         """Apply the removal of an entry; it is retained until `keep_until_ms`."""
@@ -115,18 +116,18 @@
         self._deferred.pop(name, None)
         if endpoint is not None:
             self._retain(endpoint, now_ms, keep_until_ms)
-        self._rebuild()
+        self._usable = None
 
     def drop(self, name: str) -> None:
         """Drop an entry at once, without retaining it."""
         for entries in (self._listed, self._retained, self._deferred):
             entries.pop(name, None)
-        self._rebuild()
+        self._usable = None
 
     @property
     def without_incarnation(self) -> list[str]:
         """Entries that are not used because they name no incarnation although most entries do."""
-        return self._without_incarnation
+        return self._current.without_incarnation
 
     @property
     def next_expiry_ms(self) -> float | None:
@@ -146,12 +147,13 @@
             if now_ms >= until_ms:
                 del self._deferred[name]
                 self._listed[name] = endpoint
-        self._rebuild()
+                self._retained.pop(name, None)
+        self._usable = None
         return expired
 
     def usable(self, service: str) -> list[Endpoint]:
         """Endpoints of a service that may get new requests."""
-        return self._by_service.get(service, [])
+        return self._current.by_service.get(service, [])
 
     def find(self, name: str) -> Endpoint | None:
         """Entry of an endpoint that is listed or retained."""
@@ -191,16 +193,27 @@
         if until_ms > now_ms and not endpoint.draining:
             self._retained[endpoint.name] = (endpoint, min(until_ms, now_ms + self._kept_ms))
 
-    def _rebuild(self) -> None:
-        for name in self._listed:
-            self._retained.pop(name, None)
-        by_service: dict[str, list[Endpoint]] = {}
-        present = self._present
-        without_incarnation = {endpoint.name for endpoint in present if endpoint.life is None}
-        self._without_incarnation = (
-            sorted(without_incarnation) if 2 * len(without_incarnation) < len(present) else []
-        )
-        for endpoint in present:
-            if not endpoint.draining and endpoint.name not in self._without_incarnation:
-                by_service.setdefault(endpoint.service, []).append(endpoint)
-        self._by_service = by_service
+    @property
+    def _current(self) -> _Usable:
+        # Rebuilt with the first use after a change: a message may change hundreds of entries, and
+        # a list may hold thousands.
+        if self._usable is None:
+            self._usable = _usable(self._present)
+        return self._usable
+
+
+class _Usable(NamedTuple):
+    """Endpoints that may get new requests, by service, and names of those left out."""
+
+    by_service: dict[str, list[Endpoint]]
+    without_incarnation: list[str]
+
+
+def _usable(present: list[Endpoint]) -> _Usable:
+    unnamed = {endpoint.name for endpoint in present if endpoint.life is None}
+    left_out = unnamed if 2 * len(unnamed) < len(present) else set()
+    by_service: dict[str, list[Endpoint]] = {}
+    for endpoint in present:
+        if not endpoint.draining and endpoint.name not in left_out:
+            by_service.setdefault(endpoint.service, []).append(endpoint)
+    return _Usable(by_service, sorted(left_out))
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import random
+from typing import Any
+
+import pytest
 
 from tamarack_core.endpoint_record import EndpointRecord
-from tamarack_core.endpoint_registry import Endpoint
+from tamarack_core import endpoint_registry
+from tamarack_core.endpoint_registry import Endpoint, EndpointRegistry
 from tamarack_core.engine_model import EngineModel
 from tamarack_core.first_token import FIRST_TOKEN_MS
 from tamarack_core.placement import (
@@ -64,6 +68,31 @@
         _compare_with_exhaustive_search(random.Random(seed))
 
 
+def test_the_list_of_usable_endpoints_is_built_once_for_many_changed_entries(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Failure: routers spend seconds on a list of thousands of endpoints, of which many change.
+
+    Each of hundreds of entries in a message rebuilds the list of all endpoints.
+    """
+    built: list[int] = []
+    build = endpoint_registry._usable
+
+    def counting(present: list[Endpoint]) -> Any:
+        built.append(len(present))
+        return build(present)
+
+    monkeypatch.setattr(endpoint_registry, "_usable", counting)
+    registry = EndpointRegistry(kept_ms=1_000.0)
+    entries = [Endpoint(f"e{n}", "s", f"e{n}:1", "a", 16, False) for n in range(3_000)]
+    registry.replace(entries, NOW_MS, keep_until_ms=NOW_MS)
+    for entry in entries[:500]:
+        registry.put(entry._replace(slots=8), NOW_MS)
+    assert [e.slots for e in registry.usable("s")].count(8) == 500
+    assert registry.without_incarnation == []
+    assert built == [3_000]
+
+
 def _compare_with_exhaustive_search(draw: random.Random) -> None:
     names = [f"e{number}" for number in range(ENGINES)]
     endpoints = [Endpoint(name, "s", f"{name}:1", "a", 16, False) for name in names]
