Share queries of engine caches by groups of engines

Change: routers own 128 groups of endpoints by rendezvous hashing.

Test: none of its own; test_cache_inventory and the fleets of test_table_follower go through it.

--- a/packages/gateway/src/tamarack_gateway/cache_inventory.py
+++ b/packages/gateway/src/tamarack_gateway/cache_inventory.py
@@ -37,9 +37,9 @@
     ----------
     settles
         Returns whether to wait for summaries of other routers first, as in a large fleet.
-    queries
-        Returns whether this router queries an endpoint; in a large fleet, one router queries it
-        and publishes the answer.
+    queried
+        Returns which of some endpoints this router queries; in a large fleet, one router queries
+        each and publishes the answer.
     """
 
     def __init__(
@@ -50,14 +50,14 @@
         outbox: Outbox,
         *,
         settles: Callable[[], bool],
-        queries: Callable[[str], bool],
+        queried: Callable[[list[str]], list[str]],
     ) -> None:
         self._state = state
         self._dialect = dialect
         self._pool = pool
         self._outbox = outbox
         self._settles = settles
-        self._queries = queries
+        self._queried = queried
         self._done = False
 
     @property
@@ -71,7 +71,8 @@
             await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
         if self._settles():
             await asyncio.sleep(SETTLE_MS / 1000)
-        engines = [engine for engine in self._state.engines() if self._queries(engine.name)]
+        listed = {engine.name: engine for engine in self._state.engines()}
+        engines = [listed[name] for name in self._queried(list(listed))]
         counts = await asyncio.gather(*(self._query(engine) for engine in engines))
         self._state.log.event("engine caches queried", engines=len(engines), parts=sum(counts))
         self._done = True
--- a/packages/gateway/src/tamarack_gateway/fleet_members.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_members.py
@@ -5,6 +5,8 @@
 from collections.abc import Collection
 from typing import NamedTuple
 
+import xxhash
+
 from tamarack_core.relay_plan import SMALL_FLEET
 from tamarack_core.rendezvous import ranked, score, winner
 
@@ -29,6 +31,9 @@
 """Routers of a large fleet that read the store and publish changes to the others; they are in
 different failure domains, and any two may fail."""
 
+QUERY_GROUPS = 128
+"""Groups of endpoints, each of which one router queries."""
+
 MAX_ADDRESSES = 64
 """Maximum number of addresses that callers accept in one answer."""
 
@@ -107,10 +112,17 @@
         """The newest timestamp of each router, by its own clock."""
         return {name: member.stamp_ms for name, member in self._members.items()}
 
-    def queries(self, endpoint: str, me: Member, now_ms: float) -> bool:
-        """Whether this router queries an endpoint; in a large fleet, one router does for all."""
+    def queried_by(self, me: Member, endpoints: list[str], now_ms: float) -> list[str]:
+        """Endpoints that this router queries; in a large fleet, one router does for all.
+
+        Routers own groups of endpoints: hashing each of thousands of endpoints with each of
+        hundreds of routers takes half a second, and all routers do it when they start.
+        """
         recent = {*self._recent(now_ms), me.router}
-        return len(recent) <= SMALL_FLEET or winner(endpoint, recent) == me.router
+        if len(recent) <= SMALL_FLEET:
+            return endpoints
+        owners = [winner(f"query/{group}", recent) for group in range(QUERY_GROUPS)]
+        return [name for name in endpoints if owners[_query_group(name)] == me.router]
 
     def owns(self, key: str, me: Member, now_ms: float) -> bool:
         """Whether this router owns a key, by rendezvous hashing."""
@@ -197,3 +209,7 @@
 
 def _if_majority(chosen: list[Member], members: list[Member]) -> list[Member]:
     return chosen if 2 * len(chosen) >= len(members) else members
+
+
+def _query_group(endpoint: str) -> int:
+    return xxhash.xxh64_intdigest(endpoint.encode()) % QUERY_GROUPS
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -273,7 +273,7 @@
             self._pool,
             self._outbox,
             settles=lambda: self._peers.large,
-            queries=lambda name: self._members.queries(name, self._me, self._clock.now_ms),
+            queried=lambda names: self._members.queried_by(self._me, names, self._clock.now_ms),
         )
 
     # peers
