--- a/packages/gateway/src/tamarack_gateway/relay_collector.py
+++ b/packages/gateway/src/tamarack_gateway/relay_collector.py
@@ -37,11 +37,12 @@
         self._notices: list[Demand | Leases] = []
         self._remote_notices: list[Demand | Leases] = []
         self._summary_filter = SummaryFilter()
+        self._passed_versions: dict[str, int] = {}
         self.urgent = False
 
     def add_report(self, report: Report) -> None:
         """Add a report of the own failure domain."""
-        self._reports.append(report)
+        self._reports.append(self._without_known_rows(report))
         self.urgent = self.urgent or report.urgent
 
     def add_remote(self, message: Any) -> None:
@@ -52,7 +53,7 @@
         elif isinstance(message, Alive):
             self._remote_alive.update(message.stamps)
         elif isinstance(message, Digest):
-            self._remote_reports += message.reports
+            self._remote_reports += map(self._without_known_rows, message.reports)
             self.urgent = self.urgent or any(report.urgent for report in message.reports)
 
     def add_notice(self, notice: Demand | Leases, *, remote: bool) -> None:
@@ -60,6 +61,20 @@
         (self._remote_notices if remote else self._notices).append(notice)
         self.urgent = True
 
+    def _without_known_rows(self, report: Report) -> Report:
+        """Leave out rows that another reader's message had: each change comes from all readers.
+
+        A router that lost the earlier message finds a gap before this one.
+        """
+        news = report.news
+        if news is None or news.whole:
+            return report
+        passed = self._passed_versions.get(news.table, 0)
+        self._passed_versions[news.table] = max(passed, news.version)
+        if not news.rows or news.version > passed:
+            return report
+        return report._replace(news=news._replace(after=news.version, rows=[]))
+
     def take(self, versions: TableVersions, now_ms: float) -> Collected:
         """Return what was collected as messages, and reset it."""
         own, alive = self._summary_filter.filter(self._reports, now_ms)
--- a/packages/standins/src/tamarack_standins/platform_worker.py
+++ b/packages/standins/src/tamarack_standins/platform_worker.py
@@ -131,7 +131,7 @@
         self.address = ""
         self.born = born
         self._port = port
-        self._zone = zone
+        self.zone = zone
         self.received: list[ReceivedRequest] = []
         self.received_ms: list[float] = []
         self.closed_early = 0
@@ -182,7 +182,7 @@
         entry: dict[str, object] = {
             "service": service,
             "address": self.address,
-            "zone": self._zone,
+            "zone": self.zone,
             "version": "v1",
             "slots": slots,
             "state": state,
--- a/packages/standins/src/tamarack_standins/soak_worker.py
+++ b/packages/standins/src/tamarack_standins/soak_worker.py
@@ -28,6 +28,8 @@
 
     Attributes
     ----------
+    on_arrival
+        Called when a request arrives, whatever becomes of it.
     failure_probability
         Probability that a request fails.
     """
@@ -41,14 +43,16 @@
         ran: Callable[[ReceivedRequest, bool], None],
         life: int = BORN_MS,
         port: int = 0,
+        zone: str = "a",
     ) -> None:
-        super().__init__(name, born=life, port=port)
+        super().__init__(name, born=life, port=port, zone=zone)
         self._life = life
         self._streams = streams
         self._rng = rng
         self._ran = ran
         self.failure_probability = 0.0
         self.fatal = FATAL_BODIES
+        self.on_arrival: Callable[[SoakWorker], None] = _ignore
 
     def next_incarnation(self) -> SoakWorker:
         """The next incarnation of this worker, with the same name and address."""
@@ -60,10 +64,12 @@
             ran=self._ran,
             life=self._life + INCARNATION_STEP_MS,
             port=port,
+            zone=self.zone,
         )
 
     def _next_script(self, received: ReceivedRequest) -> Script:
         rng = self._rng
+        self.on_arrival(self)
         events = rng.randint(1, 8) if self._streams else None
         good = Script(echo=True, events=events, pause_s=rng.random() * 0.02)
         if rng.random() >= self.failure_probability:
@@ -85,3 +91,7 @@
         if not bad.not_run:
             self._ran(received, self._streams)
         return bad
+
+
+def _ignore(worker: SoakWorker) -> None:
+    """Default of `on_arrival`: does nothing."""
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from tamarack_core.endpoint_record import EndpointRecord
 from tamarack_core import endpoint_registry
+from tamarack_core.endpoint_record import EndpointRecord
 from tamarack_core.endpoint_registry import Endpoint, EndpointRegistry
 from tamarack_core.engine_model import EngineModel
 from tamarack_core.first_token import FIRST_TOKEN_MS
--- /dev/null
+++ b/tests/test_relay_collector.py
@@ -0,0 +1,50 @@
+"""What a relay passes on of the reports that it has received."""
+
+from __future__ import annotations
+
+from tamarack_gateway.peer_messages import Digest, Report, TableVersions
+from tamarack_gateway.relay_collector import RelayCollector
+from tamarack_gateway.table_follower import PublishedRow, TableNews
+
+ROW = PublishedRow("e1", b"x" * 1_000, 12)
+NOTHING = TableVersions({})
+
+
+def news(after: int, version: int, rows: list[PublishedRow], *, whole: bool = False) -> TableNews:
+    return TableNews("servers", after, version, 0.0, rows, {"r": 5.0}, whole)
+
+
+def passed(collector: RelayCollector) -> list[TableNews]:
+    digest = collector.take(NOTHING, 0.0).within[0]
+    assert isinstance(digest, Digest)
+    return [report.news for report in digest.reports if report.news is not None]
+
+
+def test_a_change_is_passed_on_once_though_all_readers_publish_it() -> None:
+    """Failure: in a large fleet the same rows reach each router from three readers.
+
+    Thousands of endpoints that start make messages of over 100 KiB, four times a second.
+    """
+    collector = RelayCollector("relay")
+    collector.add_report(Report("r1", 0.0, news=news(10, 12, [ROW])))
+    collector.add_remote(Digest("other", [Report("r2", 0.0, news=news(11, 12, [ROW]))]))
+    first, second = passed(collector)
+    assert first == news(10, 12, [ROW])
+    # Its time still confirms the table, and its version shows a lost first message.
+    assert second == news(12, 12, [])
+    collector.add_remote(Digest("other", [Report("r3", 0.0, news=news(10, 12, [ROW]))]))
+    assert passed(collector) == [news(12, 12, [])]
+
+
+def test_a_newer_change_and_a_copy_of_the_table_are_passed_on_whole() -> None:
+    """Failure: a router that needs a whole table never gets one."""
+    collector = RelayCollector("relay")
+    newer = PublishedRow("e1", b"y", 13)
+    collector.add_report(Report("r1", 0.0, news=news(10, 12, [ROW])))
+    collector.add_report(Report("r2", 0.0, news=news(10, 13, [ROW, newer])))
+    collector.add_report(Report("r3", 0.0, news=news(0, 12, [ROW], whole=True)))
+    assert passed(collector) == [
+        news(10, 12, [ROW]),
+        news(10, 13, [ROW, newer]),
+        news(0, 12, [ROW], whole=True),
+    ]
