Share queries of engine caches among all listed routers of a fleet that starts

Cause: 0.4 s after its start a router asked all engines that it owned among the routers it had heard.

Change: routers that the store lists count as well.

Figures: 300 routers with the list and no summary ask 3,000 engines 3,000 times in all; 900,000 times before (by the test's arithmetic).

Test: test_large_fleet, fails on the code before.

--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from functools import partial
 from typing import Any, NamedTuple, TypedDict
 
@@ -160,9 +160,9 @@
             follower.receive(news, stamp_ms)
 
     @property
-    def listed_count(self) -> int:
-        """Number of routers in the store's list."""
-        return len(self._routers)
+    def listed_routers(self) -> Collection[str]:
+        """Names of the routers in the store's list."""
+        return self._routers.keys()
 
     @property
     def versions(self) -> dict[str, int]:
--- a/packages/gateway/src/tamarack_gateway/fleet_members.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_members.py
@@ -112,16 +112,21 @@
         """The newest timestamp of each router, by its own clock."""
         return {name: member.stamp_ms for name, member in self._members.items()}
 
-    def queried_by(self, me: Member, endpoints: list[str], now_ms: float) -> list[str]:
+    def queried_by(
+        self, me: Member, endpoints: list[str], listed: Collection[str], now_ms: float
+    ) -> list[str]:
         """Endpoints that this router queries; in a large fleet, one router does for all.
 
+        Routers that are listed in the store count although they have not been heard yet: of a large
+        fleet that starts, each router would otherwise take itself to be alone and query all.
+
         Routers own groups of endpoints: hashing each of thousands of endpoints with each of
         hundreds of routers takes half a second, and all routers do it when they start.
         """
-        recent = {*self._recent(now_ms), me.router}
-        if len(recent) <= SMALL_FLEET:
+        routers = {*self._recent(now_ms), *listed, me.router}
+        if len(routers) <= SMALL_FLEET:
             return endpoints
-        owners = [winner(f"query/{group}", recent) for group in range(QUERY_GROUPS)]
+        owners = [winner(f"query/{group}", routers) for group in range(QUERY_GROUPS)]
         return [name for name in endpoints if owners[_query_group(name)] == me.router]
 
     def owns(self, key: str, me: Member, now_ms: float) -> bool:
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -273,7 +273,7 @@
             self._pool,
             self._outbox,
             settles=lambda: self._peers.large,
-            queried=lambda names: self._members.queried_by(self._me, names, self._clock.now_ms),
+            queried=self._queried,
         )
 
     # peers
@@ -302,8 +302,12 @@
             return False
         return self._members.reads(table, self._me, now_ms)
 
+    def _queried(self, endpoints: list[str]) -> list[str]:
+        now_ms = self._clock.now_ms
+        return self._members.queried_by(self._me, endpoints, self._feeds.listed_routers, now_ms)
+
     def _deals_warm_ups(self) -> bool:
-        listed = self._feeds.listed_count
+        listed = len(self._feeds.listed_routers)
         return self._members.leads("warm-up", self._me, listed, self._clock.now_ms)
 
     def _publish_changes(self, news: TableNews) -> None:
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -20,6 +20,7 @@
 )
 from tamarack_core.prompt import PrefixBlock, Prompt
 from tamarack_core.rendezvous import score
+from tamarack_gateway.fleet_members import FleetMembers, Member
 from tamarack_gateway.outbox import Outbox, PlacementSum
 
 ENGINES = 78
@@ -93,6 +94,22 @@
     assert built == [3_000]
 
 
+def test_routers_of_a_large_fleet_that_start_together_share_the_queries_of_engines() -> None:
+    """Failure: each of 300 routers opens connections to all of 3,000 engines when it starts.
+
+    None has heard of the others yet; the store lists them.
+    """
+    routers = [f"r{n}" for n in range(300)]
+    engines = [f"e{n}" for n in range(3_000)]
+    queried: list[str] = []
+    for router in routers:
+        me = Member(router, 1, "a", "x:1", True, NOW_MS)
+        queried += FleetMembers().queried_by(me, engines, routers, NOW_MS)
+    assert sorted(queried) == sorted(engines)
+    alone = Member("r0", 1, "a", "x:1", True, NOW_MS)
+    assert FleetMembers().queried_by(alone, engines, ["r0", "r1"], NOW_MS) == engines
+
+
 def _compare_with_exhaustive_search(draw: random.Random) -> None:
     names = [f"e{number}" for number in range(ENGINES)]
     endpoints = [Endpoint(name, "s", f"{name}:1", "a", 16, False) for name in names]
