--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -26,7 +26,6 @@
 from pathlib import Path
 from typing import Any
 
-from tamarack_standins.fault_proxy import FaultProxy
 from tamarack_standins.platform_store import PlatformStore
 from tamarack_standins.platform_worker import ReceivedRequest
 from tamarack_standins.soak_callers import ANSWER_S, KINDS, STREAMS, SoakCalls
@@ -34,12 +33,11 @@
 from tamarack_standins.soak_crashes import (
     FATAL_INTERVAL_S,
     FATAL_REQUESTS,
-    RESTART_DELAY_S,
     CrashCounts,
 )
-from tamarack_standins.soak_domains import COLD_MS, ZONES, DomainChecks
+from tamarack_standins.soak_domains import ZONES, DomainChecks
 from tamarack_standins.soak_routers import FAULT_PERIOD_S, REVOKE_MS, SoakRouters, disturb
-from tamarack_standins.soak_worker import SoakWorker
+from tamarack_standins.soak_workers import SoakWorkers
 
 EXIT_TERMINATED = 143
 ROUTERS = 3
@@ -73,7 +71,6 @@
         ends_only: bool = False,
     ) -> None:
         self.random = random.Random(seed)
-        self._restart_random = random.Random(seed + 1)
         self._ends_only = ends_only
         self._seconds = seconds
         self._folder = folder
@@ -82,30 +79,36 @@
         self._stack = contextlib.AsyncExitStack()
         self._count = routers
         self._routers: SoakRouters
-        self._workers: list[tuple[str, SoakWorker, FaultProxy]] = []
         self._runs: Counter[str] = Counter()
         self._revoked: dict[str, float] = {}
         self._version = 0
-        self._worker_count = 0
         self._key = "key-0"
-        self._started = self._stopping = False
+        self._stopping = False
         self._active_faults = 0
         self._last_fault_s = float("-inf")
-        self._restarts: list[asyncio.Future[None]] = []
         self.ends = CrashCounts(self._fault_free_s)
         self._domains = DomainChecks(REVOKE_MS / 1000)
         self.counts: Counter[str] = Counter()
         self.broken: list[str] = []
         self._calls = SoakCalls(self.random, self.counts, self.broken)
+        self._workers = SoakWorkers(
+            self._store,
+            self.random,
+            restart_rng=random.Random(seed + 1),
+            ends=self.ends,
+            domains=self._domains,
+            ran=self.ran,
+        )
 
     async def run(self) -> None:
         """Run the seed; broken promises are added to `broken`."""
         async with self._stack:
             await self._stack.enter_async_context(self._store)
+            await self._stack.enter_async_context(self._workers)
             await self._configure()
             engines = ENGINES_ENDS_ONLY if self._ends_only else ENGINES
             for service in ("web", "web", *["pool"] * engines):
-                await self._add_worker(service)
+                await self._workers.add(service)
             self._routers = await self._stack.enter_async_context(
                 SoakRouters(
                     self._count,
@@ -117,7 +120,7 @@
                 )
             )
             await self._routers.until_ready()
-            self._started = True
+            self._workers.start_cold = True
             callers = [asyncio.ensure_future(self._run_caller(n)) for n in range(CALLERS)]
             callers.append(asyncio.ensure_future(self._send_fatal()))
             inject_faults = self._kill_all_once if self._ends_only else self._faults
@@ -125,7 +128,7 @@
             await asyncio.sleep(self._seconds)
             self._stopping = True
             await asyncio.gather(*callers, faults)
-            await asyncio.gather(*self._restarts)
+            await self._workers.settle()
             self._check_promises()
 
     def ran(self, received: ReceivedRequest, stream: bool) -> None:
@@ -162,54 +165,6 @@
         self._version += 1
         await self._store.put("op", "config", soak_configuration(self._version, self._key))
 
-    async def _add_worker(self, service: str) -> None:
-        self._worker_count += 1
-        streams = service == "pool"
-        worker = SoakWorker(
-            f"i-{self._worker_count}",
-            streams=streams,
-            rng=self.random,
-            ran=self.ran,
-            zone=ZONES[self._worker_count % len(ZONES)],
-        )
-        if streams and self._started:
-            self._domains.started(worker)
-        await self._start_worker(worker)
-        link = await self._stack.enter_async_context(FaultProxy(worker.address))
-        self._workers.append((service, worker, link))
-        await self._publish(service, worker, link)
-
-    async def _start_worker(self, worker: SoakWorker) -> None:
-        worker.on_fatal = self.ends.arrived
-        worker.on_end = lambda: self.worker_ended(worker)
-        worker.on_arrival = self._check_arrival
-        await self._stack.enter_async_context(worker)
-
-    async def _publish(
-        self, service: str, worker: SoakWorker, link: FaultProxy, *, state: str = "ready"
-    ) -> None:
-        entry = {**worker.entry(service, state=state), "address": link.address}
-        if self._domains.is_cold(worker):
-            entry["coldRemainingMs"] = COLD_MS
-        await self._store.put("servers", worker.name, entry)
-
-    # workers that requests crash
-
-    def worker_ended(self, worker: SoakWorker) -> None:
-        """Restart a worker that a request crashed, as a new incarnation."""
-        self._restarts.append(asyncio.ensure_future(self._restart_crashed(worker)))
-
-    async def _restart_crashed(self, ended: SoakWorker) -> None:
-        await asyncio.sleep(self._restart_random.uniform(*RESTART_DELAY_S))
-        for index, (service, worker, link) in enumerate(self._workers):
-            if worker is ended:
-                restarted = ended.next_incarnation()
-                self._workers[index] = (service, restarted, link)
-                self._domains.restarted(restarted)
-                await self._start_worker(restarted)
-                await self._publish(service, restarted, link)
-                return
-
     async def _send_fatal(self) -> None:
         number = 0
         while not self._stopping:
@@ -243,8 +198,12 @@
         routers = (fleet.kill, fleet.kill_all, fleet.terminate, fleet.roll, fleet.pause)
         links = (fleet.hang_up, fleet.disturb_link, self._disturb_worker)
         store = (self._disturb_store, self._store.forget_history, self._revoke)
-        workers = (self._spoil_worker, self._replace_worker, self._restart_worker)
-        domains = (self._evacuate, self._return_cold)
+        workers = (
+            self._workers.spoil_worker,
+            self._workers.replace_worker,
+            self._workers.restart_worker,
+        )
+        domains = (self._evacuate, self._workers.return_cold)
         faults = (*routers, *links, *store, *workers, *domains, self._write_badly)
         running: list[asyncio.Future[None]] = []
         while not self._stopping:
@@ -265,36 +224,7 @@
         setattr(self._store, mode, 0 if mode == "refusing" else False)
 
     async def _disturb_worker(self) -> None:
-        await disturb(self.random.choice(self._workers)[2], self.random)
-
-    async def _spoil_worker(self) -> None:
-        worker = self.random.choice(self._workers)[1]
-        worker.failure_probability = self.random.uniform(0.1, 0.8)
-        await self._wait_fault_period()
-        worker.failure_probability = 0.0
-
-    async def _replace_worker(self) -> None:
-        service, worker, link = self._workers.pop(self.random.randrange(len(self._workers)))
-        await self._add_worker(service)
-        if self.random.random() < 0.5:
-            await self._publish(service, worker, link, state="draining")
-            await self._wait_fault_period()
-        await self._store.remove("servers", worker.name)
-
-    async def _restart_worker(self) -> None:
-        """Terminate a worker and restart it with the same name and address."""
-        service, old, link = self._workers.pop(self.random.randrange(len(self._workers)))
-        await old.end()
-        await asyncio.sleep(self.random.uniform(0.0, 0.3))
-        worker = old.next_incarnation()
-        self._domains.restarted(worker)
-        await self._start_worker(worker)
-        self._workers.append((service, worker, link))
-        await self._publish(service, worker, link)
-
-    def _check_arrival(self, worker: SoakWorker) -> None:
-        keyed = any(known is worker and name == "pool" for name, known, _ in self._workers)
-        self._domains.arrived(worker, keyed=keyed)
+        await disturb(self.random.choice(self._workers.all)[2], self.random)
 
     async def _evacuate(self) -> None:
         """Evacuate a zone, and restore it after a while."""
@@ -307,21 +237,9 @@
         self._domains.restored(zone)
         await self._store.remove("op", f"evacuate/{zone}")
 
-    async def _return_cold(self) -> None:
-        """Terminate the streaming workers of a zone; others take their place, all cold."""
-        zone = self.random.choice(ZONES)
-        ended = [w for w in self._workers if w[0] == "pool" and w[1].zone == zone]
-        self._workers = [w for w in self._workers if w not in ended]
-        for _, worker, _ in ended:
-            await worker.end()
-        await asyncio.sleep(self.random.uniform(0.0, 0.3))
-        for _, worker, _ in ended:
-            await self._store.remove("servers", worker.name)
-            await self._add_worker("pool")
-
     async def _write_badly(self) -> None:
         """Overwrite or add a worker's entry, or corrupt the configuration, as a foreign writer."""
-        service, worker, link = self.random.choice(self._workers)
+        service, worker, link = self.random.choice(self._workers.all)
         entry = {**worker.entry(service), "address": link.address}
         bad: tuple[Any, ...] = (
             b"\xff",
@@ -337,8 +255,8 @@
         await self._wait_fault_period()
         await self._configure()
         await self._store.remove("servers", "i-foreign")
-        if (service, worker, link) in self._workers:
-            await self._publish(service, worker, link)
+        if (service, worker, link) in self._workers.all:
+            await self._workers.publish(service, worker, link)
 
     async def _revoke(self) -> None:
         old, self._key = self._key, f"key-{self._version}"
