Keep calls of the store at a fleet's start where they were

Versions of the store rise without a change of the table, and were taken for missed changes; rows left out by relays made gaps at routers that had missed the first message; and a router that had heard at most 12 others took the fleet to be small and read all tables.

Change: routers tell the version of the newest change; a relay leaves rows out from 16 KiB on; a router counts the listed routers as well for its first 5 s.

--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -166,12 +166,11 @@
 
     @property
     def versions(self) -> dict[str, int]:
-        """Version of each table that this router has read."""
-        found = {table: follower.version for table, follower in self._followers.items()}
-        return {table: version for table, version in found.items() if version is not None}
+        """Version of the newest change of each table that this router knows."""
+        return {table: follower.changed_version for table, follower in self._followers.items()}
 
     def record_versions(self, versions: dict[str, int]) -> None:
-        """Record another router's versions of the tables."""
+        """Record the versions of the newest changes that another router knows."""
         for table, follower in self._followers.items():
             follower.record_version(versions.get(table, 0))
 
--- a/packages/gateway/src/tamarack_gateway/fleet_members.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_members.py
@@ -156,11 +156,21 @@
             return me.router in able
         return bool(able) and winner(key, able) == me.router
 
-    def reads(self, table: str, me: Member, now_ms: float) -> bool:
-        """Whether this router reads a table from the store rather than receiving it from others."""
+    def reads(
+        self, table: str, me: Member, now_ms: float, *, expected: Collection[str] = ()
+    ) -> bool:
+        """Whether this router reads a table from the store rather than receiving it from others.
+
+        Parameters
+        ----------
+        expected
+            Routers that will be heard soon, for a router that has just started. As long as it has
+            heard few of a large fleet, it would otherwise read everything itself.
+        """
         recent = {**self._recent(now_ms), me.router: me}
         if len(recent) <= SMALL_FLEET:
-            return True
+            order = self._ranked(table, list({*expected, me.router}))
+            return len(order) <= SMALL_FLEET or me.router in order[:READERS]
         readers: list[str] = []
         domains: set[str] = set()
         order = self._ranked(table, [name for name, member in recent.items() if member.ready])
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -37,6 +37,10 @@
 as a reader: before it knows the others, it would select itself. Without this wait, each of 66
 routers that start together made three more calls, a quarter of a short day's calls."""
 
+JOINED_MS = 5_000.0
+"""Time after its start in which a router expects to hear the routers that the store lists; it may
+have read the list before most of them were ready."""
+
 SWEEP_MS = 500.0
 """Time between two checks for idle connections and silent peers."""
 
@@ -298,9 +302,11 @@
 
     def _reads(self, table: str) -> bool:
         now_ms = self._clock.now_ms
-        if self._peers.large and now_ms - self._started_ms < READERS_SETTLE_MS:
+        age_ms = now_ms - self._started_ms
+        if self._peers.large and age_ms < READERS_SETTLE_MS:
             return False
-        return self._members.reads(table, self._me, now_ms)
+        expected = self._feeds.listed_routers if age_ms < JOINED_MS else ()
+        return self._members.reads(table, self._me, now_ms, expected=expected)
 
     def _queried(self, endpoints: list[str]) -> list[str]:
         now_ms = self._clock.now_ms
--- a/packages/gateway/src/tamarack_gateway/peer_group.py
+++ b/packages/gateway/src/tamarack_gateway/peer_group.py
@@ -86,7 +86,7 @@
     on_alive
         Called with the timestamps of routers whose summaries are unchanged, by their own clocks.
     versions
-        Returns this router's version of each followed table.
+        Returns the version of the newest change of each followed table that this router knows.
     on_versions
         Called with the versions that another router has.
     on_notice
--- a/packages/gateway/src/tamarack_gateway/peer_messages.py
+++ b/packages/gateway/src/tamarack_gateway/peer_messages.py
@@ -84,7 +84,7 @@
 
 @message(68)
 class TableVersions(NamedTuple):
-    """The newest version of each followed table that the sender knows of.
+    """The version of the newest change of each followed table that the sender knows of.
 
     A router that has missed a change learns of it at once and not with the next change, which may
     be seconds away.
--- a/packages/gateway/src/tamarack_gateway/relay_collector.py
+++ b/packages/gateway/src/tamarack_gateway/relay_collector.py
@@ -8,6 +8,10 @@
 from tamarack_gateway.outbox import PlacementSum
 from tamarack_gateway.peer_messages import Alive, Digest, Gathered, Report, TableVersions
 from tamarack_gateway.summary_filter import SummaryFilter
+from tamarack_gateway.table_follower import TableNews
+
+MIN_LEFT_OUT_BYTES = 16_384
+"""Size of rows from which they are passed on once; a call of the store costs more than fewer."""
 
 
 class Collected(NamedTuple):
@@ -62,16 +66,17 @@
         self.urgent = True
 
     def _without_known_rows(self, report: Report) -> Report:
-        """Leave out rows that another reader's message had: each change comes from all readers.
+        """Leave out many rows that another reader's message had.
 
-        A router that lost the earlier message finds a gap before this one.
+        Each change comes from all readers. A router that lost the earlier message finds a gap and
+        calls the store, so that a few rows are passed on each time.
         """
         news = report.news
         if news is None or news.whole:
             return report
         passed = self._passed_versions.get(news.table, 0)
         self._passed_versions[news.table] = max(passed, news.version)
-        if not news.rows or news.version > passed:
+        if not news.rows or news.version > passed or _size(news) < MIN_LEFT_OUT_BYTES:
             return report
         return report._replace(news=news._replace(after=news.version, rows=[]))
 
@@ -93,6 +98,10 @@
         return Collected(across, within)
 
 
+def _size(news: TableNews) -> int:
+    return sum(len(row.value or b"") for row in news.rows or [])
+
+
 def _for_other_domains(relay: str, reports: list[Report]) -> list[Any]:
     """Messages of a relay to other domains: reports without placements, and the placements' sum."""
     work = PlacementSum()
--- a/packages/gateway/src/tamarack_gateway/table_follower.py
+++ b/packages/gateway/src/tamarack_gateway/table_follower.py
@@ -170,6 +170,7 @@
         self._gap_found = False
         self._last_message_ms = float("-inf")
         self._gap_event = asyncio.Event()
+        self._changed_version = 0
         self._known_newer = 0
         self._behind_since_ms = float("-inf")
         self._failures = 0
@@ -183,6 +184,11 @@
         """Store version up to which all changes are applied; None before the first call."""
         return self._version
 
+    @property
+    def changed_version(self) -> int:
+        """Version of the newest change that is applied; the store's version rises without one."""
+        return self._changed_version
+
     async def run(self) -> None:
         """Follow the table until cancelled."""
         try:
@@ -228,7 +234,7 @@
         self._apply(rows, False, stamp_ms - news.age_ms)
 
     def record_version(self, version: int) -> None:
-        """Record another router's version of the table.
+        """Record the version of the newest change that another router knows.
 
         A listener that stays behind it has missed a change. The next message of a reader would
         show that as well, but may be a whole wait away, and a leaving endpoint would get work for
@@ -275,6 +281,7 @@
         if whole:
             self._rows = {}
         for row in rows:
+            self._changed_version = max(self._changed_version, row.version)
             if row.value is None:
                 self._rows.pop(row.key, None)
             else:
