--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -196,7 +196,7 @@
         fleet = Fleet({"pool": [PlatformWorker("e1", Script(events=1))]})
         async with fleet, fleet.router("router-2") as second:
             await until(lambda: second.state.ready and bool(second._members.stamps()))
-            second._members.reads = lambda table, me, now_ms: False  # type: ignore[method-assign]
+            second._members.reads = lambda *_, **__: False  # type: ignore[method-assign]
             followers = second._feeds._followers
             await until(followers["op"]._listening)
             await fleet.store.put("op", "config", configuration(7))
