--- a/packages/bench/src/tamarack_bench/capacity.py
+++ b/packages/bench/src/tamarack_bench/capacity.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from tamarack_bench.platform_slopes import read_sweeps, section
+
 SLOPES = Path("bench/readings/slopes.json")
 
 DAEMONS = 1_600
@@ -116,6 +118,7 @@
         *_consequences(sizes),
         *_missing(lines, sizes),
         *_slopes(lines),
+        *section(read_sweeps()),
     ]
     return "\n".join([*parts, ""])
 
