--- a/packages/bench/src/tamarack_bench/platform_slopes.py
+++ b/packages/bench/src/tamarack_bench/platform_slopes.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-SWEEPS = Path("bench/readings/platform-sweeps.json")
+SWEEPS = Path("bench/platform-sweeps.json")
 
 
 class Row(msgspec.Struct):
