--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -177,8 +177,7 @@
                 connection.abort()
                 return self._refuse_outlasting(choice, last)
             if not self._still_available(choice):
-                # While the connection was made, the endpoint began to drain or restarted, or other
-                # requests used what it may get while it is warming up.
+                # It began to drain, restarted, or got all that it may get while it warms up.
                 connection.abort()
                 continue
             last = await self._send(placement, connection)
@@ -232,19 +231,17 @@
             choice, self._left_ms, self._splitter.last
         )
 
-    def _longest_ms(self, choice: Choice) -> float:
-        return self._duration_estimate.longest_ms(choice, self._left_ms, self._splitter.last)
-
     def _refuse_outlasting(self, choice: Choice, last: Result) -> None:
         state, plan = self._state, self._state.leaving
         if plan is None or self._may_have_run:
             return self._give_up(last)
+        longest_ms = self._duration_estimate.longest_ms(choice, self._left_ms, self._splitter.last)
         state.log.request(
             "refused",
             self._facts.attempt,
             reason="would outlast the router",
             endpoint=choice.endpoint.name,
-            longest_ms=round(self._longest_ms(choice)),
+            longest_ms=round(longest_ms),
             router_left_ms=round(plan.left_ms(state.clock.now_ms)),
         )
         return self._answer.refuse_for_now(state.random.random())
@@ -392,8 +389,7 @@
             return
         if not self._may_have_run:
             reason = last.reason if self._key_is_valid() else "keys are not confirmed"
-            retry_ms = 200.0
-            warm_in_ms = state.warm_in_ms(self._service)
+            retry_ms, warm_in_ms = 200.0, state.warm_in_ms(self._service)
             if warm_in_ms is not None:
                 reason, retry_ms = "endpoints are warming up", max(retry_ms, warm_in_ms)
             state.log.request("refused", self._facts.attempt, reason=reason, sends=self._sends)
