--- a/packages/core/src/tamarack_core/evacuations.py
+++ b/packages/core/src/tamarack_core/evacuations.py
@@ -6,11 +6,7 @@
 
 
 class Evacuations:
-    """Evacuated failure domains, and those restored recently.
-
-    Endpoints may have restarted while their failure domain was evacuated, so that callers of
-    `restored_ms` treat them as warming up for a while.
-    """
+    """Evacuated failure domains, and when others were last restored."""
 
     def __init__(self) -> None:
         self._since_ms: dict[str, float] = {}
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -53,15 +53,15 @@
 """The same where entries have no incarnation: a restarted endpoint cannot be told from the
 terminated one."""
 
-UNCONFIGURED_WARM_UP_MS = 10_000.0
-"""Longest warm-up in milliseconds of endpoints that are listed before the configuration is known;
-it has no effect on services that the configuration then does not limit."""
-
 CLOSING_MS = 500.0
 """The same for an endpoint that accepts and then closes new connections: either it is full, or
 something in front of it accepts them for a terminated endpoint. Requests sent there meanwhile would
 be lost."""
 
+UNCONFIGURED_WARM_UP_MS = 10_000.0
+"""Longest warm-up in milliseconds of endpoints that are listed before the configuration is known;
+it has no effect on services that the configuration then does not limit."""
+
 
 class FleetState:
     """State shared by the tasks of one router; only the event loop's thread accesses it.
