Move the terminations that a router knows of to a class of their own

Change: record, known_ms and without_terminated with their constants are in tamarack_core.terminations; no behaviour changes.

--- /dev/null
+++ b/packages/core/src/tamarack_core/terminations.py
@@ -0,0 +1,57 @@
+"""Endpoints that have terminated, and may still be listed."""
+
+from __future__ import annotations
+
+from tamarack_core.clock import Clock
+from tamarack_core.endpoint_registry import Endpoint, EndpointIncarnation
+
+TERMINATED_MS = 4_000.0
+"""Time for which a terminated endpoint gets no work though it is still listed: its entry expires
+after three missed heartbeats of 1.2 s. Without it, each router's connections to it are refused for
+0.9 to 3.6 s."""
+
+TERMINATED_UNIDENTIFIED_MS = 1_000.0
+"""The same where entries have no incarnation: a restarted endpoint cannot be told from the
+terminated one."""
+
+CLOSING_MS = 500.0
+"""The same for an endpoint that accepts and then closes new connections: either it is full, or
+something in front of it accepts them for a terminated endpoint. Requests sent there meanwhile would
+be lost."""
+
+
+class Terminations:
+    """Terminations that one router has learned of."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._avoid_until_ms: dict[EndpointIncarnation, float] = {}
+        self._known_ms: dict[EndpointIncarnation, float] = {}
+
+    def record(self, key: EndpointIncarnation, *, refused: bool) -> None:
+        """Record that an incarnation of an endpoint has terminated.
+
+        Parameters
+        ----------
+        refused
+            Whether connections to its address are refused. An endpoint that only closes new
+            connections may be full.
+        """
+        now_ms = self._clock.now_ms
+        avoid_ms = TERMINATED_MS if key.life is not None else TERMINATED_UNIDENTIFIED_MS
+        until_ms = now_ms + (avoid_ms if refused else CLOSING_MS)
+        remaining = {k: until for k, until in self._avoid_until_ms.items() if until > now_ms}
+        self._avoid_until_ms = {**remaining, key: max(until_ms, remaining.get(key, 0.0))}
+        recent = {k: at for k, at in self._known_ms.items() if now_ms - at < TERMINATED_MS}
+        self._known_ms = {key: now_ms, **recent}
+
+    def known_ms(self, key: EndpointIncarnation) -> float | None:
+        """When this router first learned of a termination; None if it has not recently."""
+        return self._known_ms.get(key)
+
+    def without_terminated(self, endpoints: list[Endpoint]) -> list[Endpoint]:
+        """Those of some endpoints that may get work."""
+        if not self._avoid_until_ms:
+            return endpoints
+        now_ms, until_ms = self._clock.now_ms, self._avoid_until_ms
+        return [e for e in endpoints if until_ms.get(e.key, 0.0) <= now_ms]
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -20,6 +20,7 @@
 from tamarack_core.ruleset import CallerBounds, Ruleset
 from tamarack_core.service_shares import ServiceShares
 from tamarack_core.service_times import ServiceTimes
+from tamarack_core.terminations import Terminations
 from tamarack_core.warm_up import SETTLE_MS, WarmUps
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.outbox import Placements
@@ -44,20 +45,6 @@
 """Margin by which a key expires before its revocation bound: a request forwarded just before is
 still on its way to the endpoint, and timers fire late."""
 
-TERMINATED_MS = 4_000.0
-"""Time for which a terminated endpoint gets no work though it is still listed: its entry expires
-after three missed heartbeats of 1.2 s. Without it, each router's connections to it are refused for
-0.9 to 3.6 s."""
-
-TERMINATED_UNIDENTIFIED_MS = 1_000.0
-"""The same where entries have no incarnation: a restarted endpoint cannot be told from the
-terminated one."""
-
-CLOSING_MS = 500.0
-"""The same for an endpoint that accepts and then closes new connections: either it is full, or
-something in front of it accepts them for a terminated endpoint. Requests sent there meanwhile would
-be lost."""
-
 UNCONFIGURED_WARM_UP_MS = 10_000.0
 """Longest warm-up in milliseconds of endpoints that are listed before the configuration is known;
 it has no effect on services that the configuration then does not limit."""
@@ -94,6 +81,7 @@
         self.endpoints_known = False
         self.evacuations = Evacuations()
         self.warm_ups = WarmUps()
+        self.terminations = Terminations(clock)
         self.models: dict[str, EngineModel] = {}
         self.records: dict[str, EndpointRecord] = {}
         self._incarnations: dict[str, int | None] = {}
@@ -107,8 +95,6 @@
         self.quarantine_known = False
         self.owns: Callable[[str], bool] = _owns_nothing
         self.on_incarnation_ended: Callable[[EndpointIncarnation, bool], None] = _ignore
-        self._avoid_until_ms: dict[EndpointIncarnation, float] = {}
-        self._termination_ms: dict[EndpointIncarnation, float] = {}
         self.leaving: LeavingPlan | None = None
         self._times: dict[str, ServiceTimes] = {}
         self._first_tokens: dict[str, FirstTokenTime] = {}
@@ -238,11 +224,7 @@
         if self.evacuations.domains:
             covers = self.evacuations.covers
             endpoints = [e for e in endpoints if not covers(e.failure_domain)]
-        if not self._avoid_until_ms:
-            return endpoints
-        now_ms = self.clock.now_ms
-        until_ms = self._avoid_until_ms
-        return [e for e in endpoints if until_ms.get(e.key, 0.0) <= now_ms]
+        return self.terminations.without_terminated(endpoints)
 
     def available(self, service: str) -> list[Endpoint]:
         """Usable endpoints of a service, without those that are warming up and get no more now."""
@@ -324,27 +306,6 @@
         now_ms = self.clock.now_ms
         return max(now_ms, self.evacuations.domains.get(domain, now_ms) + SETTLE_MS)
 
-    def record_termination(self, key: EndpointIncarnation, *, refused: bool) -> None:
-        """Record that an incarnation of an endpoint has terminated; it may still be listed.
-
-        Parameters
-        ----------
-        refused
-            Whether connections to its address are refused. An endpoint that only closes new
-            connections may be full.
-        """
-        now_ms = self.clock.now_ms
-        avoid_ms = TERMINATED_MS if key.life is not None else TERMINATED_UNIDENTIFIED_MS
-        until_ms = now_ms + (avoid_ms if refused else CLOSING_MS)
-        remaining = {k: until for k, until in self._avoid_until_ms.items() if until > now_ms}
-        self._avoid_until_ms = {**remaining, key: max(until_ms, remaining.get(key, 0.0))}
-        ends = {k: at for k, at in self._termination_ms.items() if now_ms - at < TERMINATED_MS}
-        self._termination_ms = {key: now_ms, **ends}
-
-    def termination_ms(self, key: EndpointIncarnation) -> float | None:
-        """When this router first learned of a termination; None if it has not recently."""
-        return self._termination_ms.get(key)
-
     def shortest_aim_ms(self, service: str, aim_ms: float) -> float:
         """Shortest latency target of all routes on a service's engines, including `aim_ms`."""
         return min(aim_ms, self.rules.shortest_aim_ms(service)) if self.rules else aim_ms
--- a/packages/gateway/src/tamarack_gateway/quarantine_feed.py
+++ b/packages/gateway/src/tamarack_gateway/quarantine_feed.py
@@ -218,7 +218,7 @@
             # It may have crashed because it got too many requests, whichever they were.
             end = end._replace(aboard=[])
         self._quarantine.ended(end, self._state.clock.now_ms)
-        self._state.record_termination(end.key, refused=end.refused)
+        self._state.terminations.record(end.key, refused=end.refused)
         self._pending_event.set()
 
     def _apply_row(self, row: Row, now_ms: float) -> None:
--- a/packages/gateway/src/tamarack_gateway/termination_detector.py
+++ b/packages/gateway/src/tamarack_gateway/termination_detector.py
@@ -140,7 +140,7 @@
         """
         now_ms = self._state.clock.now_ms
         check = self._checks.get(endpoint.key)
-        known_ms = self._state.termination_ms(endpoint.key)
+        known_ms = self._state.terminations.known_ms(endpoint.key)
         if known_ms is not None and sent_ms >= known_ms:
             # A proxy accepted the request after the endpoint had terminated; it never ran.
             return True
