--- a/packages/core/src/tamarack_core/endpoint_registry.py
+++ b/packages/core/src/tamarack_core/endpoint_registry.py
@@ -88,6 +88,7 @@
         self._listed: dict[str, Endpoint] = {}
         self._retained: dict[str, tuple[Endpoint, float]] = {}
         self._deferred: dict[str, tuple[Endpoint, float]] = {}
+        self._leaving: set[EndpointIncarnation] = set()
         self._usable: _Usable | None = None
 
     def __len__(self) -> int:
@@ -118,6 +119,13 @@
             self._retain(endpoint, now_ms, keep_until_ms)
         self._usable = None
 
+    def record_leaving(self, key: EndpointIncarnation) -> bool:
+        """Record that an endpoint says that it leaves; returns whether that is new."""
+        if key in self._leaving:
+            return False
+        self._leaving.add(key)
+        return True
+
     def drop(self, name: str) -> None:
         """Drop an entry at once, without retaining it."""
         for entries in (self._listed, self._retained, self._deferred):
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -311,6 +311,7 @@
         facts = self._dialect.read_answer(head)
         if facts.attempt is not None and facts.attempt != self._facts.attempt:
             raise BrokenAnswerError("the answer belongs to another request")
+        self._state.notices.record(choice.endpoint, facts)
         if facts.not_run:
             self._may_have_run = ran_before
             await connection.body()
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -23,6 +23,7 @@
 from tamarack_core.terminations import Terminations
 from tamarack_core.warm_up import SETTLE_MS, WarmUps
 from tamarack_gateway.decision_log import DecisionLog
+from tamarack_gateway.endpoint_notices import EndpointNotices
 from tamarack_gateway.outbox import Placements
 from tamarack_gateway.site import GatewaySettings
 from tamarack_gateway.unreadable_rows import UnreadableRows
@@ -82,6 +83,7 @@
         self.evacuations = Evacuations()
         self.warm_ups = WarmUps()
         self.terminations = Terminations(clock)
+        self.notices = EndpointNotices(self.registry, log, clock)
         self.models: dict[str, EngineModel] = {}
         self.records: dict[str, EndpointRecord] = {}
         self._incarnations: dict[str, int | None] = {}
--- a/packages/gateway/src/tamarack_gateway/gateway_metrics.py
+++ b/packages/gateway/src/tamarack_gateway/gateway_metrics.py
@@ -76,6 +76,8 @@
             "evacuated_domains": len(state.evacuations.domains),
             "endpoints_warming_up": len(state.warm_ups.warming_endpoints(now_ms)),
             "sent_to_warming_endpoints": state.warm_ups.sent_count,
+            "endpoints_resting": len(state.notices.rests.active),
+            "rests_requested": state.notices.rests.requested,
             "connections_opened": self._pool.opened,
             "connections_reused": self._pool.reused,
             "connections_lapsed": self._pool.expired,
--- a/packages/gateway/src/tamarack_gateway/site.py
+++ b/packages/gateway/src/tamarack_gateway/site.py
@@ -122,12 +122,19 @@
         Whether it guarantees that the request has not run and never will.
     encoded
         Whether the body has an encoding that was not requested.
+    leaving
+        Whether the endpoint says that it is shutting down and wants no new requests.
+    rest_ms
+        Milliseconds for which the endpoint wants no requests from this router; None if it does not
+        say so.
     """
 
     attempt: str | None
     signed: bool
     not_run: bool
     encoded: bool
+    leaving: bool = False
+    rest_ms: float | None = None
 
 
 class RequestDialect(Protocol):
--- a/packages/standins/src/tamarack_standins/platform_worker.py
+++ b/packages/standins/src/tamarack_standins/platform_worker.py
@@ -54,6 +54,10 @@
         Whether the answer is sent before the request's body has been read.
     fatal
         Whether the worker crashes as it begins to answer, with all requests that it runs.
+    leaving
+        Whether the answer says that the worker leaves.
+    retry_after
+        Value of the answer's `Retry-After`; empty for none.
     """
 
     status: int = 200
@@ -73,6 +77,8 @@
     echo: bool = False
     early: bool = False
     fatal: bool = False
+    leaving: bool = False
+    retry_after: str = ""
 
 
 FATAL = Script(fatal=True, pause_s=0.01)
@@ -314,6 +320,10 @@
             lines.append(f"X-Server-Stamp: {SIGNATURE}.{self.name}")
         if script.not_run:
             lines.append("X-Not-Executed: 1")
+        if script.leaving:
+            lines.append("Server-Leaving: 1")
+        if script.retry_after:
+            lines.append(f"Retry-After: {script.retry_after}")
         return lines
 
 
