Send nothing more to an endpoint that has said in an answer that it leaves

An endpoint that leaves ends with the requests that it runs.

Cause: the entry in the store was the only source of that fact, and the store was away. Class: a fact that reaches the router by one way is believed by another way only.

Change: the registry of endpoints remembers which incarnations have said so, and treats their entries as draining, whatever a row says later, also while a missing row is retained or deferred. Answers to queries of caches count too; an answer to a misdirected request does not, as it is another endpoint's. A notice is forgotten ten minutes after it, unless the endpoint is listed.

Why it works: every path (first send, retry, resumption, held request) takes endpoints from the registry again right before the send.

--- a/packages/core/src/tamarack_core/endpoint_registry.py
+++ b/packages/core/src/tamarack_core/endpoint_registry.py
@@ -61,6 +61,10 @@
 belongs to the current incarnation, whose clock was set back: if it were never applied, a later
 notice that it drains would be ignored."""
 
+LEAVING_RETAINED_MS = 600_000.0
+"""Milliseconds for which an endpoint that is no longer listed is remembered as leaving. It serves
+for some time after its entry was removed, and a delayed write may list it again."""
+
 
 class EndpointRegistry:
     """Endpoints that may get new requests.
@@ -88,7 +92,7 @@
         self._listed: dict[str, Endpoint] = {}
         self._retained: dict[str, tuple[Endpoint, float]] = {}
         self._deferred: dict[str, tuple[Endpoint, float]] = {}
-        self._leaving: set[EndpointIncarnation] = set()
+        self._leaving_ms: dict[EndpointIncarnation, float] = {}
         self._usable: _Usable | None = None
 
     def __len__(self) -> int:
@@ -119,11 +123,21 @@
             self._retain(endpoint, now_ms, keep_until_ms)
         self._usable = None
 
-    def record_leaving(self, key: EndpointIncarnation) -> bool:
-        """Record that an endpoint says that it leaves; returns whether that is new."""
-        if key in self._leaving:
+    def record_leaving(self, key: EndpointIncarnation, now_ms: float) -> bool:
+        """Record that an endpoint says that it leaves; returns whether that is new.
+
+        This incarnation gets no new requests, whatever its entry says from now on.
+        """
+        if key in self._leaving_ms:
             return False
-        self._leaving.add(key)
+        self._forget_leaving(now_ms)
+        self._leaving_ms[key] = now_ms
+        if (listed := self._listed.get(key.name)) is not None:
+            self._listed[key.name] = self._with_notice(listed)
+        if key.name in self._retained:
+            retained, until_ms = self._retained[key.name]
+            self._retained[key.name] = self._with_notice(retained), until_ms
+        self._usable = None
         return True
 
     def drop(self, name: str) -> None:
@@ -154,7 +168,7 @@
         for name, (endpoint, until_ms) in list(self._deferred.items()):
             if now_ms >= until_ms:
                 del self._deferred[name]
-                self._listed[name] = endpoint
+                self._listed[name] = self._with_notice(endpoint)
                 self._retained.pop(name, None)
         self._usable = None
         return expired
@@ -192,11 +206,23 @@
         known = self.find(endpoint.name)
         if known is None or not endpoint.older_than(known):
             self._deferred.pop(endpoint.name, None)
-            return endpoint
+            return self._with_notice(endpoint)
         _, until_ms = self._deferred.get(endpoint.name, (endpoint, now_ms + DEFERRED_MS))
         self._deferred[endpoint.name] = (endpoint, until_ms)
         return known
 
+    def _with_notice(self, endpoint: Endpoint) -> Endpoint:
+        """The entry, draining if that incarnation has said that it leaves."""
+        return endpoint._replace(draining=True) if endpoint.key in self._leaving_ms else endpoint
+
+    def _forget_leaving(self, now_ms: float) -> None:
+        present, past_ms = {e.key for e in self._present}, now_ms - LEAVING_RETAINED_MS
+        self._leaving_ms = {
+            key: told_ms
+            for key, told_ms in self._leaving_ms.items()
+            if told_ms > past_ms or key in present
+        }
+
     def _retain(self, endpoint: Endpoint, now_ms: float, until_ms: float) -> None:
         if until_ms > now_ms and not endpoint.draining:
             self._retained[endpoint.name] = (endpoint, min(until_ms, now_ms + self._kept_ms))
--- a/packages/gateway/src/tamarack_gateway/cache_inventory.py
+++ b/packages/gateway/src/tamarack_gateway/cache_inventory.py
@@ -10,6 +10,7 @@
 from tamarack_gateway.connection_pool import ConnectionPool
 from tamarack_gateway.endpoint_connection import BrokenAnswerError, ConnectError
 from tamarack_gateway.fleet_state import FleetState
+from tamarack_gateway.http_messages import AnswerHead
 from tamarack_gateway.outbox import Outbox
 from tamarack_gateway.site import EngineDialect, Inventory
 
@@ -40,6 +41,8 @@
     queried
         Returns which of some endpoints this router queries; in a large fleet, one router queries
         each and publishes the answer.
+    on_answer
+        Called with the head of each engine's answer.
     """
 
     def __init__(
@@ -51,6 +54,7 @@
         *,
         settles: Callable[[], bool],
         queried: Callable[[list[str]], list[str]],
+        on_answer: Callable[[Endpoint, AnswerHead], None],
     ) -> None:
         self._state = state
         self._dialect = dialect
@@ -58,6 +62,7 @@
         self._outbox = outbox
         self._settles = settles
         self._queried = queried
+        self._on_answer = on_answer
         self._done = False
 
     @property
@@ -110,6 +115,7 @@
             if not whole:
                 connection.abort()
         self._pool.give_back(engine, connection)
+        self._on_answer(engine, head)
         if head.status != 200:
             raise BrokenAnswerError(f"status {head.status}")
         return body
--- a/packages/gateway/src/tamarack_gateway/endpoint_notices.py
+++ b/packages/gateway/src/tamarack_gateway/endpoint_notices.py
@@ -18,11 +18,13 @@
     def __init__(self, registry: EndpointRegistry, log: DecisionLog, clock: Clock) -> None:
         self._registry = registry
         self._log = log
+        self._clock = clock
         self.rests = RestPeriods(clock)
 
     def record(self, endpoint: Endpoint, facts: AnswerFacts) -> None:
         """Record the notices in an answer of an endpoint."""
-        if facts.leaving and self._registry.record_leaving(endpoint.key):
+        now_ms = self._clock.now_ms
+        if facts.leaving and self._registry.record_leaving(endpoint.key, now_ms):
             self._log.change("endpoint says that it is leaving", endpoint=endpoint.name)
         if facts.rest_ms is not None:
             self.rests.request(endpoint.key, facts.rest_ms)
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from tamarack_core.clock import Clock
+from tamarack_core.endpoint_registry import Endpoint
 from tamarack_core.leaving import plan_leaving
 from tamarack_core.quarantine_records import DEFAULT_BOUNDS, QuarantineBounds
 from tamarack_core.relay_plan import Peer
@@ -20,6 +21,7 @@
 from tamarack_gateway.fleet_members import FleetMembers, Member
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.gateway_metrics import GatewayMetrics
+from tamarack_gateway.http_messages import AnswerHead
 from tamarack_gateway.listeners import Listeners
 from tamarack_gateway.loop_monitor import LoopMonitor
 from tamarack_gateway.outbox import Outbox
@@ -278,6 +280,7 @@
             self._outbox,
             settles=lambda: self._peers.large,
             queried=self._queried,
+            on_answer=self._record_notices,
         )
 
     # peers
@@ -312,6 +315,9 @@
         now_ms = self._clock.now_ms
         return self._members.queried_by(self._me, endpoints, self._feeds.listed_routers, now_ms)
 
+    def _record_notices(self, endpoint: Endpoint, head: AnswerHead) -> None:
+        self._state.notices.record(endpoint, self._site.requests.read_answer(head))
+
     def _deals_warm_ups(self) -> bool:
         listed = len(self._feeds.listed_routers)
         return self._members.leads("warm-up", self._me, listed, self._clock.now_ms)
--- a/packages/standins/src/tamarack_standins/platform_worker.py
+++ b/packages/standins/src/tamarack_standins/platform_worker.py
@@ -119,6 +119,8 @@
         name is another incarnation. None reports no start.
     answering
         Cleared to delay received requests until it is set again.
+    leaving
+        Whether all its answers say that it leaves.
     fatal
         Bodies of requests that crash the worker as it begins to answer them.
     on_fatal, on_end
@@ -145,6 +147,7 @@
         self.cached_blocks: list[tuple[str, int]] = []
         self.answering = asyncio.Event()
         self.answering.set()
+        self.leaving = False
         self.fatal: frozenset[bytes] = frozenset()
         self.on_fatal: Callable[[bytes], None] = _ignore_fatal
         self.on_end: Callable[[], None] = _ignore_end
@@ -264,7 +267,9 @@
         held = [["", part, tokens, "m"] for part, tokens in self.cached_blocks]
         listing = {"epoch": 1, "next": 1, "held": held, "born": self.born}
         body = json.dumps(listing).encode()
-        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(body), body))
+        notice = b"Server-Leaving: 1\r\n" if self.leaving else b""
+        head = b"HTTP/1.1 200 OK\r\n%scontent-length: %d\r\n\r\n" % (notice, len(body))
+        writer.write(head + body)
 
     def _next_script(self, received: ReceivedRequest) -> Script:
         """The script for a request; a subclass may choose by the request."""
@@ -320,7 +325,7 @@
             lines.append(f"X-Server-Stamp: {SIGNATURE}.{self.name}")
         if script.not_run:
             lines.append("X-Not-Executed: 1")
-        if script.leaving:
+        if script.leaving or self.leaving:
             lines.append("Server-Leaving: 1")
         if script.retry_after:
             lines.append(f"Retry-After: {script.retry_after}")
