Ask a cold worker only while it is cold in the test of its limit

Cause: the test of the limit that routers keep together counts all arrivals, and made 120 rounds of requests whatever they took. Beside load they took longer than the 2.5 s for which the worker is cold, so that the last arrivals came when it was warm and no limit held. Traced in the logs of a failed run: the warm-up began at 734288 and ended at 736788; sends up to then 11, the nine that made it fail from 736807 on.

Change: the rounds end 0.1 s before the worker is warm; every arrival is still counted against the same limit, and the number of arrivals and both outcomes are still required.

--- a/tests/test_warm_up.py
+++ b/tests/test_warm_up.py
@@ -12,6 +12,7 @@
 from warm_up_simulation import KEY, LIMIT, SECOND_MS, Simulation
 
 from tamarack_bench.warm_up_model import WarmUpOptions, simulate
+from tamarack_core.clock import Clock
 from tamarack_core.endpoint_registry import EndpointIncarnation
 from tamarack_core.warm_up import WINDOW_MS, WarmUps
 from tamarack_core.warm_up_dealer import (
@@ -228,9 +229,10 @@
             routers = [fleet.gateway, *fleet.others]
             await until(lambda: all(r.state.warm_up_limit("pool") == 11 for r in routers))
             await until(lambda: any(r._warm_ups.deals for r in routers))
+            warm_ms = Clock().now_ms + 2_500.0
             await start_cold(fleet, cold, 2_500.0)
             statuses = []
-            for _ in range(120):
+            while Clock().now_ms < warm_ms - 100.0:
                 asked = [fleet.ask("/draft/1", at=router) for router in routers]
                 statuses += [answer.status for answer in await asyncio.gather(*asked)]
                 await asyncio.sleep(0.015)
