Send nothing to an endpoint in the rest period that it asked for

Cause: the Retry-After of a 503 was not read. A rejection counted half a failure, 300 ms in the cost of placing there, less than reading a large cached prompt elsewhere costs. Class: a fact that an endpoint tells is replaced by an estimate of our own.

Change: an incarnation's rest period (the latest end of several, ten minutes at most) takes it out of what may get a request now. Every path takes endpoints from there right before the send. Queries of caches leave resting engines out. Where all endpoints of a service rest or warm up, a request is refused at once, with the first of their ends as the time to come back; that decision is a module of its own.

--- a/packages/core/src/tamarack_core/rest_periods.py
+++ b/packages/core/src/tamarack_core/rest_periods.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from tamarack_core.clock import Clock
-from tamarack_core.endpoint_registry import EndpointIncarnation
+from tamarack_core.endpoint_registry import Endpoint, EndpointIncarnation
 
 LONGEST_REST_MS = 600_000.0
 """Longest rest period in milliseconds; an endpoint that names more is offered a request after it,
@@ -36,3 +36,10 @@
         until_ms = self._clock.now_ms + min(rest_ms, LONGEST_REST_MS)
         active = self.active
         self._until_ms = {**active, key: max(until_ms, active.get(key, 0.0))}
+
+    def without_resting(self, endpoints: list[Endpoint]) -> list[Endpoint]:
+        """Those of some endpoints that do not rest."""
+        if not self._until_ms:
+            return endpoints
+        now_ms, until_ms = self._clock.now_ms, self._until_ms
+        return [e for e in endpoints if until_ms.get(e.key, 0.0) <= now_ms]
--- a/packages/gateway/src/tamarack_gateway/cache_inventory.py
+++ b/packages/gateway/src/tamarack_gateway/cache_inventory.py
@@ -76,7 +76,8 @@
             await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
         if self._settles():
             await asyncio.sleep(SETTLE_MS / 1000)
-        listed = {engine.name: engine for engine in self._state.engines()}
+        rests = self._state.notices.rests
+        listed = {e.name: e for e in rests.without_resting(self._state.engines())}
         engines = [listed[name] for name in self._queried(list(listed))]
         counts = await asyncio.gather(*(self._query(engine) for engine in engines))
         self._state.log.event("engine caches queried", engines=len(engines), parts=sum(counts))
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -34,6 +34,7 @@
 from tamarack_gateway.send_result import Result, SendOutcome
 from tamarack_gateway.sending_connection import acquire_connection
 from tamarack_gateway.site import RequestDialect, RequestFacts
+from tamarack_gateway.unavailability import unavailability
 
 DEADLINE_MARGIN_MS = 15.0
 """Subtracted from the deadline sent to an endpoint: its answer takes a few milliseconds to come
@@ -177,7 +178,7 @@
                 connection.abort()
                 return self._refuse_outlasting(choice, last)
             if not self._still_available(choice):
-                # It began to drain, restarted, or got all that it may get while it warms up.
+                # It drains, has restarted, rests, or got all that it may get while it warms up.
                 connection.abort()
                 continue
             last = await self._send(placement, connection)
@@ -390,9 +391,9 @@
             return
         if not self._may_have_run:
             reason = last.reason if self._key_is_valid() else "keys are not confirmed"
-            retry_ms, warm_in_ms = 200.0, state.warm_in_ms(self._service)
-            if warm_in_ms is not None:
-                reason, retry_ms = "endpoints are warming up", max(retry_ms, warm_in_ms)
+            retry_ms, unavailable = 200.0, unavailability(state, self._service)
+            if unavailable is not None:
+                reason, retry_ms = unavailable.reason, max(retry_ms, unavailable.wait_ms)
             state.log.request("refused", self._facts.attempt, reason=reason, sends=self._sends)
             self._answer.refuse(503, retry_ms + 300.0 * state.random.random())
             return
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -229,8 +229,12 @@
         return self.terminations.without_terminated(endpoints)
 
     def available(self, service: str) -> list[Endpoint]:
-        """Usable endpoints of a service, without those that are warming up and get no more now."""
-        endpoints, now_ms = self.usable(service), self.clock.now_ms
+        """Usable endpoints of a service that may get a request now.
+
+        Endpoints that rest are left out, and those that are warming up and get no more now.
+        """
+        now_ms = self.clock.now_ms
+        endpoints = self.notices.rests.without_resting(self.usable(service))
         if not self.warm_ups or self.warm_up_limit(service) is None:
             return endpoints
         return [e for e in endpoints if self.warm_ups.allows(e.key, now_ms)]
@@ -252,15 +256,6 @@
         bounds = self.settings.bounds
         return int(known.warm_up.requests_per_s * bounds.warm_up_factor + bounds.warm_up_slack)
 
-    def warm_in_ms(self, service: str) -> float | None:
-        """Time until an endpoint of a service is warm; None unless all of them are warming up."""
-        now_ms = self.clock.now_ms
-        warming = {w.key: w.until_ms - now_ms for w in self.warm_ups.warming_endpoints(now_ms)}
-        keys = [endpoint.key for endpoint in self.usable(service)]
-        if not keys or not all(key in warming for key in keys):
-            return None
-        return min(warming[key] for key in keys)
-
     def record_warm_up(self, endpoint: Endpoint, *, unused: bool) -> None:
         """Record what an endpoint's entry says of its warm-up.
 
--- /dev/null
+++ b/packages/gateway/src/tamarack_gateway/unavailability.py
@@ -0,0 +1,34 @@
+"""When a service whose endpoints take no requests now will take some again."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from tamarack_gateway.fleet_state import FleetState
+
+
+class Unavailability(NamedTuple):
+    """Why all endpoints of a service take no requests now, and for how many milliseconds."""
+
+    reason: str
+    wait_ms: float
+
+
+def unavailability(state: FleetState, service: str) -> Unavailability | None:
+    """Return until when all endpoints of a service warm up or rest.
+
+    None if one of them does neither, or if there is none.
+    """
+    now_ms = state.clock.now_ms
+    warm_ms = {w.key: w.until_ms for w in state.warm_ups.warming_endpoints(now_ms)}
+    rested_ms = state.notices.rests.active
+    ends = []
+    for endpoint in state.usable(service):
+        until_ms = {
+            "endpoints are warming up": warm_ms.get(endpoint.key, now_ms),
+            "endpoints rest": rested_ms.get(endpoint.key, now_ms),
+        }
+        reason = max(until_ms, key=lambda name: until_ms[name])
+        ends.append(Unavailability(reason, until_ms[reason] - now_ms))
+    first = min(ends, key=lambda end: end.wait_ms, default=None)
+    return first if first is not None and first.wait_ms > 0.0 else None
--- a/tests/test_warm_up.py
+++ b/tests/test_warm_up.py
@@ -27,6 +27,7 @@
 )
 from tamarack_gateway import warm_up_feed
 from tamarack_gateway.endpoint_rows import MAX_WARM_UP_MS
+from tamarack_gateway.unavailability import unavailability
 from tamarack_standins.platform_worker import PlatformWorker, Script
 
 STREAM = Script(events=2)
@@ -257,7 +258,7 @@
             assert 0.5 < float(answer.headers["retry-after"]) < 2.0
             assert cold.received == []
             state = fleet.gateway.state
-            await until(lambda: state.warm_in_ms("pool") is None)
+            await until(lambda: unavailability(state, "pool") is None)
             assert (await fleet.ask("/draft/1")).status == 200
 
     play(scenario())
