Let workers of the soak leave by their answers alone, and ask for rest

Change: replaced workers say in all answers that they leave, half of them there alone for 2.5 to 4 s; rejections ask for rest, and a new fault lets a worker reject everything for a while. soak_notices checks both promises for each router from what callers got and workers saw; a router that starts, is paused or wakes, and for rests a worker whose link is disturbed, is excused from then on.

--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -3,10 +3,10 @@
 Routers are killed, stopped, paused and restarted by signals, singly, all at once and in turn; their
 connections to the store and to workers are delayed, reset, or blocked in one or both directions by
 proxies; the store stops responding, refuses calls, loses answers and drops its history; workers
-fail in every scripted way, leave, are replaced and restart under their names; a zone's workers
-return cold together; zones are evacuated and restored; requests crash the workers that run them;
-keys are revoked; rows are overwritten with invalid values. Meanwhile, callers and workers check the
-promises.
+fail in every scripted way, request rest, leave, are replaced and restart under their names; a
+zone's workers return cold together; zones are evacuated and restored; requests crash the workers
+that run them; keys are revoked; rows are overwritten with invalid values. Meanwhile, callers and
+workers check the promises.
 """
 
 from __future__ import annotations
@@ -36,7 +36,8 @@
     CrashCounts,
 )
 from tamarack_standins.soak_domains import ZONES, DomainChecks
-from tamarack_standins.soak_routers import FAULT_PERIOD_S, REVOKE_MS, SoakRouters, disturb
+from tamarack_standins.soak_notices import NoticeChecks
+from tamarack_standins.soak_routers import FAULT_PERIOD_S, REVOKE_MS, SoakRouters
 from tamarack_standins.soak_workers import SoakWorkers
 
 EXIT_TERMINATED = 143
@@ -91,12 +92,15 @@
         self.counts: Counter[str] = Counter()
         self.broken: list[str] = []
         self._calls = SoakCalls(self.random, self.counts, self.broken)
+        self._notices = NoticeChecks(self._calls)
+        self._calls.on_leaving = self._notices.told_leaving
         self._workers = SoakWorkers(
             self._store,
             self.random,
             restart_rng=random.Random(seed + 1),
             ends=self.ends,
             domains=self._domains,
+            notices=self._notices,
             ran=self.ran,
         )
 
@@ -117,6 +121,7 @@
                     self._store.address,
                     rng=self.random,
                     broken=self.broken.append,
+                    disturbed=self._notices.disturbed,
                 )
             )
             await self._routers.until_ready()
@@ -155,7 +160,9 @@
                 self.broken.append(f"{attempt} was refused as not run and ran")
         if not self.counts["200"]:
             self.broken.append("no request was served")
-        self.broken += self.ends.broken() + self._domains.broken
+        self.broken += self.ends.broken() + self._domains.broken + self._notices.broken
+        self.counts["rests requested"] = self._notices.rests
+        self.counts["leaving known"] = self._notices.departures
         self.counts["most while cold"] = self._domains.most_while_cold
         self.counts["workers ended"] = sum(self.ends.arrivals.values())
 
@@ -196,10 +203,11 @@
     async def _faults(self) -> None:
         fleet = self._routers
         routers = (fleet.kill, fleet.kill_all, fleet.terminate, fleet.roll, fleet.pause)
-        links = (fleet.hang_up, fleet.disturb_link, self._disturb_worker)
+        links = (fleet.hang_up, fleet.disturb_link, self._workers.disturb_link)
         store = (self._disturb_store, self._store.forget_history, self._revoke)
         workers = (
             self._workers.spoil_worker,
+            self._workers.overload_worker,
             self._workers.replace_worker,
             self._workers.restart_worker,
         )
@@ -223,9 +231,6 @@
         await self._wait_fault_period()
         setattr(self._store, mode, 0 if mode == "refusing" else False)
 
-    async def _disturb_worker(self) -> None:
-        await disturb(self.random.choice(self._workers.all)[2], self.random)
-
     async def _evacuate(self) -> None:
         """Evacuate a zone, and restore it after a while."""
         zone = self.random.choice(ZONES)
--- a/packages/standins/src/tamarack_standins/soak_callers.py
+++ b/packages/standins/src/tamarack_standins/soak_callers.py
@@ -6,8 +6,10 @@
 import random
 import time
 from collections import Counter
+from collections.abc import Callable
 from typing import NamedTuple
 
+from tamarack_standins.platform_worker import SIGNATURE
 from tamarack_standins.soak_crashes import FATAL_BODIES
 
 HOST = "soak.example"
@@ -19,11 +21,12 @@
 
 
 class Sent(NamedTuple):
-    """A request as its caller sent it."""
+    """A request as its caller sent it, to the router with an address."""
 
     path: str
     key: str
     sent_s: float
+    router: str
 
 
 class SoakCalls:
@@ -40,6 +43,8 @@
         All requests by attempt id.
     answered_not_run
         Ids of attempts whose answer states that they did not run.
+    on_leaving
+        Called with a router and a worker when an answer says that the worker leaves.
     """
 
     def __init__(self, rng: random.Random, counts: Counter[str], broken: list[str]) -> None:
@@ -48,13 +53,14 @@
         self._broken = broken
         self.sent: dict[str, Sent] = {}
         self.answered_not_run: set[str] = set()
+        self.on_leaving: Callable[[str, str], None] = lambda router, worker: None
 
     async def call(self, path: str, key: str, address: str, body: bytes) -> None:
         """Send a request to a router and check the answer."""
         host, _, port = address.partition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         attempt = f"a{len(self.sent)}"
-        self.sent[attempt] = Sent(path, key, time.monotonic())
+        self.sent[attempt] = Sent(path, key, time.monotonic(), address)
         lines = [f"POST {path}x HTTP/1.1", f"Host: {HOST}", f"X-Attempt-Id: {attempt}"]
         lines += ["X-Deadline-Ms: 2500", f"Content-Length: {len(body)}"]
         if path in STREAMS:
@@ -74,6 +80,9 @@
         self._counts[str(status)] += 1
         if status in NOT_RUN_STATUSES:
             self.answered_not_run.add(attempt)
+        if "server-leaving: 1" in head and f"{SIGNATURE}." in head:
+            worker = head.split(f"{SIGNATURE}.")[1].split("\r")[0]
+            self.on_leaving(self.sent[attempt].router, worker)
         if "content-type: text/plain" in head and sent not in FATAL_BODIES:
             self._counts["others quarantined"] += 1
         if status != 200:
--- /dev/null
+++ b/packages/standins/src/tamarack_standins/soak_notices.py
@@ -0,0 +1,97 @@
+"""Checks that routers of a soak heed what workers say about themselves in answers."""
+
+from __future__ import annotations
+
+import time
+
+from tamarack_standins.platform_worker import ReceivedRequest
+from tamarack_standins.soak_callers import SoakCalls
+
+DRAIN_S = 2.0
+"""Seconds after an answer that says a worker leaves in which its router may still send there."""
+
+REST_REACTION_S = 0.5
+REST_ARRIVALS = 2
+"""Seconds from a worker's request for rest until it counts what its router sends, and how many such
+requests may still arrive."""
+
+
+class _Rest:
+    """A rest period that a worker requested from a router."""
+
+    def __init__(self, rest_s: float) -> None:
+        now_s = time.monotonic()
+        self.counted_s = now_s + REST_REACTION_S
+        self.until_s = now_s + rest_s
+        self.arrivals = 0
+
+
+class NoticeChecks:
+    """What each router has been told by workers, and what it sends them since.
+
+    Parameters
+    ----------
+    calls
+        Tells which router a request was sent to, and when.
+
+    Attributes
+    ----------
+    rests, departures
+        Number of rest periods requested, and of answers passed on that were the first to tell a
+        router that their worker leaves.
+    """
+
+    def __init__(self, calls: SoakCalls) -> None:
+        self._calls = calls
+        self._left_s: dict[tuple[str, str], float] = {}
+        self._rests: dict[tuple[str, str], list[_Rest]] = {}
+        self.broken: list[str] = []
+        self.rests = 0
+        self.departures = 0
+
+    def told_leaving(self, router: str, worker: str) -> None:
+        """Record that a router has passed on an answer that says that its worker leaves."""
+        if (router, worker) not in self._left_s:
+            self.departures += 1
+            self._left_s[router, worker] = time.monotonic()
+
+    def requested_rest(self, worker: str, received: ReceivedRequest, rest_s: float) -> None:
+        """Record that a worker answers a request with a request for rest."""
+        sent = self._calls.sent.get(received.headers.get("x-attempt-id", ""))
+        if sent is not None:
+            self.rests += 1
+            self._rests.setdefault((sent.router, worker), []).append(_Rest(rest_s))
+
+    def arrived(self, worker: str, received: ReceivedRequest) -> None:
+        """Check a request that has reached a worker."""
+        attempt = received.headers.get("x-attempt-id", "")
+        sent = self._calls.sent.get(attempt)
+        if sent is None:
+            return
+        key = sent.router, worker
+        left_s = self._left_s.get(key)
+        if left_s is not None and sent.sent_s > left_s + DRAIN_S:
+            late_s = sent.sent_s - left_s
+            self.broken.append(
+                f"{attempt} reaches leaving {worker} {late_s:.2f} s after its notice"
+            )
+        now_s = time.monotonic()
+        self._rests[key] = [r for r in self._rests.get(key, []) if r.until_s > now_s]
+        for rest in self._rests[key]:
+            rest.arrivals += now_s >= rest.counted_s
+            if rest.arrivals > REST_ARRIVALS:
+                self.broken.append(f"resting {worker} gets {rest.arrivals} requests of a router")
+
+    def disturbed(self, router: str) -> None:
+        """Forget what a router was told: it starts again, is paused, or wakes up."""
+        self._left_s = {key: at_s for key, at_s in self._left_s.items() if key[0] != router}
+        self._rests = {key: rests for key, rests in self._rests.items() if key[0] != router}
+
+    def restarted(self, worker: str) -> None:
+        """Forget what a worker's former incarnation told."""
+        self._left_s = {key: at_s for key, at_s in self._left_s.items() if key[1] != worker}
+        self.cut_off(worker)
+
+    def cut_off(self, worker: str) -> None:
+        """Forget the rests of a worker whose connections fail, or work again."""
+        self._rests = {key: rests for key, rests in self._rests.items() if key[1] != worker}
--- a/packages/standins/src/tamarack_standins/soak_routers.py
+++ b/packages/standins/src/tamarack_standins/soak_routers.py
@@ -43,6 +43,8 @@
         Address of the store.
     broken
         Called with a sentence for each promise that a router broke.
+    disturbed
+        Called with a router's address when it starts, is paused or wakes up.
     """
 
     def __init__(
@@ -54,12 +56,14 @@
         *,
         rng: random.Random,
         broken: Callable[[str], None],
+        disturbed: Callable[[str], None] = lambda address: None,
     ) -> None:
         self._count = count
         self._folder = folder
         self._port = port
         self._random = rng
         self._broken = broken
+        self._disturbed = disturbed
         self._processes: dict[int, asyncio.subprocess.Process] = {}
         self._log_bytes: dict[int, int] = {}
         self._stack = contextlib.AsyncExitStack()
@@ -124,9 +128,12 @@
         picked = self._pick_alive()
         if picked is None:
             return
-        send_signal(picked[1], signal.SIGSTOP)
+        number, process = picked
+        send_signal(process, signal.SIGSTOP)
+        self._disturbed(self.address(number))
         await self._wait_fault_period()
-        send_signal(picked[1], signal.SIGCONT)
+        send_signal(process, signal.SIGCONT)
+        self._disturbed(self.address(number))
 
     async def hang_up(self) -> None:
         """Send one router SIGHUP, on which it reloads its settings."""
@@ -152,6 +159,7 @@
             writer.close()
 
     async def _start(self, number: int) -> None:
+        self._disturbed(self.address(number))
         settings = {
             "nodeName": f"router-{number}",
             "ip": self.address(number).partition(":")[0],
--- a/packages/standins/src/tamarack_standins/soak_worker.py
+++ b/packages/standins/src/tamarack_standins/soak_worker.py
@@ -11,6 +11,10 @@
 INCARNATION_STEP_MS = 1_000
 """Milliseconds between the start times of two incarnations of a worker."""
 
+REST_PROBABILITY = 0.7
+REST_S = (0.8, 2.5)
+"""Probability that a rejection requests rest, and the range of its seconds."""
+
 
 class SoakWorker(PlatformWorker):
     """A worker that fails some of its requests, and reports each run.
@@ -29,9 +33,13 @@
     Attributes
     ----------
     on_arrival
-        Called when a request arrives, whatever becomes of it.
+        Called with each request that arrives, whatever becomes of it.
+    on_rest
+        Called with a request that is answered with a request for rest, and its seconds.
     failure_probability
         Probability that a request fails.
+    overloaded
+        Whether it rejects all requests and requests rest.
     """
 
     def __init__(
@@ -51,8 +59,10 @@
         self._rng = rng
         self._ran = ran
         self.failure_probability = 0.0
+        self.overloaded = False
         self.fatal = FATAL_BODIES
-        self.on_arrival: Callable[[SoakWorker], None] = _ignore
+        self.on_arrival: Callable[[SoakWorker, ReceivedRequest], None] = _ignore
+        self.on_rest: Callable[[str, ReceivedRequest, float], None] = _ignore_rest
 
     def next_incarnation(self) -> SoakWorker:
         """The next incarnation of this worker, with the same name and address."""
@@ -69,9 +79,13 @@
 
     def _next_script(self, received: ReceivedRequest) -> Script:
         rng = self._rng
-        self.on_arrival(self)
+        self.on_arrival(self, received)
         events = rng.randint(1, 8) if self._streams else None
         good = Script(echo=True, events=events, pause_s=rng.random() * 0.02)
+        if self.overloaded:
+            return self._request_rest(
+                good._replace(status=503, not_run=True, events=None), received
+            )
         if rng.random() >= self.failure_probability:
             self._ran(received, self._streams)
             return good
@@ -90,8 +104,19 @@
         )
         if not bad.not_run:
             self._ran(received, self._streams)
+        elif rng.random() < REST_PROBABILITY:
+            return self._request_rest(bad, received)
         return bad
 
+    def _request_rest(self, rejection: Script, received: ReceivedRequest) -> Script:
+        rest_s = self._rng.uniform(*REST_S)
+        self.on_rest(self.name, received, rest_s)
+        return rejection._replace(retry_after=f"{rest_s:.3f}")
+
 
-def _ignore(worker: SoakWorker) -> None:
+def _ignore(worker: SoakWorker, received: ReceivedRequest) -> None:
     """Default of `on_arrival`: does nothing."""
+
+
+def _ignore_rest(worker: str, received: ReceivedRequest, rest_s: float) -> None:
+    """Default of `on_rest`: does nothing."""
--- a/packages/standins/src/tamarack_standins/soak_workers.py
+++ b/packages/standins/src/tamarack_standins/soak_workers.py
@@ -13,9 +13,13 @@
 from tamarack_standins.platform_worker import ReceivedRequest
 from tamarack_standins.soak_crashes import RESTART_DELAY_S, CrashCounts
 from tamarack_standins.soak_domains import COLD_MS, ZONES, DomainChecks
-from tamarack_standins.soak_routers import FAULT_PERIOD_S
+from tamarack_standins.soak_notices import DRAIN_S, NoticeChecks
+from tamarack_standins.soak_routers import FAULT_PERIOD_S, disturb
 from tamarack_standins.soak_worker import SoakWorker
 
+SILENT_LEAVE_S = (DRAIN_S + 0.5, DRAIN_S + 2.0)
+"""Range of the seconds for which a worker says only in its answers that it leaves."""
+
 
 class Placed(NamedTuple):
     """A worker, its service, and the proxy through which routers reach it."""
@@ -49,6 +53,7 @@
         restart_rng: random.Random,
         ends: CrashCounts,
         domains: DomainChecks,
+        notices: NoticeChecks,
         ran: Callable[[ReceivedRequest, bool], None],
     ) -> None:
         self._store = store
@@ -56,6 +61,7 @@
         self._restart_random = restart_rng
         self._ends = ends
         self._domains = domains
+        self._notices = notices
         self._ran = ran
         self._stack = contextlib.AsyncExitStack()
         self._count = 0
@@ -95,6 +101,7 @@
         worker.on_fatal = self._ends.arrived
         worker.on_end = lambda: self._restart_later(worker)
         worker.on_arrival = self._check_arrival
+        worker.on_rest = self._notices.requested_rest
         await self._stack.enter_async_context(worker)
 
     async def publish(
@@ -117,6 +124,7 @@
                 restarted = ended.next_incarnation()
                 self.all[index] = Placed(service, restarted, link)
                 self._domains.restarted(restarted)
+                self._notices.restarted(restarted.name)
                 await self._start_worker(restarted)
                 await self.publish(service, restarted, link)
                 return
@@ -128,13 +136,26 @@
         await asyncio.sleep(self._random.uniform(*FAULT_PERIOD_S))
         worker.failure_probability = 0.0
 
+    async def overload_worker(self) -> None:
+        """Let a worker reject all requests for a while, and request rest each time."""
+        worker = self._random.choice(self.all)[1]
+        worker.overloaded = True
+        await asyncio.sleep(self._random.uniform(*FAULT_PERIOD_S))
+        worker.overloaded = False
+
     async def replace_worker(self) -> None:
-        """Replace a worker by another one; some tell that they leave."""
+        """Replace a worker by another one; all say in their answers that they leave.
+
+        Some say so in the store as well; the entries of the others stay until they have left.
+        """
         service, worker, link = self.all.pop(self._random.randrange(len(self.all)))
+        worker.leaving = True
         await self.add(service)
         if self._random.random() < 0.5:
             await self.publish(service, worker, link, state="draining")
             await asyncio.sleep(self._random.uniform(*FAULT_PERIOD_S))
+        else:
+            await asyncio.sleep(self._random.uniform(*SILENT_LEAVE_S))
         await self._store.remove("servers", worker.name)
 
     async def restart_worker(self) -> None:
@@ -144,6 +165,7 @@
         await asyncio.sleep(self._random.uniform(0.0, 0.3))
         worker = old.next_incarnation()
         self._domains.restarted(worker)
+        self._notices.restarted(worker.name)
         await self._start_worker(worker)
         self.all.append(Placed(service, worker, link))
         await self.publish(service, worker, link)
@@ -160,6 +182,14 @@
             await self._store.remove("servers", worker.name)
             await self.add("pool")
 
-    def _check_arrival(self, worker: SoakWorker) -> None:
+    async def disturb_link(self) -> None:
+        """Delay, reset or block the connections of a worker."""
+        _, worker, link = self._random.choice(self.all)
+        self._notices.cut_off(worker.name)
+        await disturb(link, self._random)
+        self._notices.cut_off(worker.name)
+
+    def _check_arrival(self, worker: SoakWorker, received: ReceivedRequest) -> None:
+        self._notices.arrived(worker.name, received)
         keyed = any(known is worker and name == "pool" for name, known, _ in self.all)
         self._domains.arrived(worker, keyed=keyed)
