Move the messages about followed tables to a module of their own

Change: TableChange, PublishedRow, TableNews and CopyWanted are in table_messages; their numbers and fields on the wire are as they were. No behaviour changes.

--- a/packages/gateway/src/tamarack_gateway/endpoint_rows.py
+++ b/packages/gateway/src/tamarack_gateway/endpoint_rows.py
@@ -8,7 +8,7 @@
 from tamarack_core.endpoint_registry import Endpoint
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.site import Row
-from tamarack_gateway.table_follower import TableChange
+from tamarack_gateway.table_messages import TableChange
 from tamarack_gateway.unreadable_rows import RowKind
 
 MAX_WARM_UP_MS = 3_600_000.0
--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -16,7 +16,8 @@
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.site import Row, Site
 from tamarack_gateway.store_client import StoreClient, StoreError
-from tamarack_gateway.table_follower import CopyWanted, TableChange, TableFollower, TableNews
+from tamarack_gateway.table_follower import TableFollower
+from tamarack_gateway.table_messages import CopyWanted, TableChange, TableNews
 from tamarack_gateway.unreadable_rows import RowKind
 
 RULES_WAIT_FRACTION = 0.2
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -30,7 +30,7 @@
 from tamarack_gateway.quarantine_feed import QuarantineFeed
 from tamarack_gateway.router_pages import RouterPages
 from tamarack_gateway.site import Site
-from tamarack_gateway.table_follower import CopyWanted, TableNews
+from tamarack_gateway.table_messages import CopyWanted, TableNews
 from tamarack_gateway.termination_detector import TerminationDetector
 from tamarack_gateway.warm_up_feed import WarmUpFeed
 
--- a/packages/gateway/src/tamarack_gateway/peer_group.py
+++ b/packages/gateway/src/tamarack_gateway/peer_group.py
@@ -23,7 +23,7 @@
 )
 from tamarack_gateway.peer_sockets import PeerSockets
 from tamarack_gateway.relay_collector import RelayCollector
-from tamarack_gateway.table_follower import CopyWanted, TableNews
+from tamarack_gateway.table_messages import CopyWanted, TableNews
 
 SUMMARY_MS = 250.0
 SUMMARY_PER_ROUTER_MS = 4.0
--- a/packages/gateway/src/tamarack_gateway/peer_messages.py
+++ b/packages/gateway/src/tamarack_gateway/peer_messages.py
@@ -7,7 +7,7 @@
 from tamarack_core.termination_evidence import Evidence
 from tamarack_core.wire import message
 from tamarack_gateway.outbox import Placements
-from tamarack_gateway.table_follower import CopyWanted, TableNews
+from tamarack_gateway.table_messages import CopyWanted, TableNews
 
 
 class Summary(NamedTuple):
--- a/packages/gateway/src/tamarack_gateway/quarantine_feed.py
+++ b/packages/gateway/src/tamarack_gateway/quarantine_feed.py
@@ -13,7 +13,7 @@
 from tamarack_core.termination_evidence import Evidence, QuarantinedRequest, Termination
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.site import Row
-from tamarack_gateway.table_follower import TableChange
+from tamarack_gateway.table_messages import TableChange
 from tamarack_gateway.unreadable_rows import RowKind
 
 GATHER_MS = 20.0
--- a/packages/gateway/src/tamarack_gateway/relay_collector.py
+++ b/packages/gateway/src/tamarack_gateway/relay_collector.py
@@ -8,7 +8,7 @@
 from tamarack_gateway.outbox import PlacementSum
 from tamarack_gateway.peer_messages import Alive, Digest, Gathered, Report, TableVersions
 from tamarack_gateway.summary_filter import SummaryFilter
-from tamarack_gateway.table_follower import TableNews
+from tamarack_gateway.table_messages import TableNews
 
 MIN_LEFT_OUT_BYTES = 16_384
 """Size of rows from which they are passed on once; a call of the store costs more than fewer."""
--- a/packages/gateway/src/tamarack_gateway/table_follower.py
+++ b/packages/gateway/src/tamarack_gateway/table_follower.py
@@ -5,12 +5,11 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
-from typing import NamedTuple
 
 from tamarack_core.clock import Clock
-from tamarack_core.wire import message
 from tamarack_gateway.site import Row
 from tamarack_gateway.store_client import HistoryGoneError, StoreClient, StoreError
+from tamarack_gateway.table_messages import CopyWanted, PublishedRow, TableChange, TableNews
 
 BACKOFF_MS = (150.0, 300.0, 600.0, 900.0)
 """Pauses after consecutive failed calls; refused calls cost as much as others. With the longest
@@ -34,86 +33,11 @@
 """Interval at which a listener checks that messages still arrive, as a fraction of a call's wait,
 and its maximum. A message that shows a gap is handled at once."""
 
-
 BEHIND_MS = 300.0
 """Time for which a listener may be behind another router's version before it calls the store: the
 missing change may still be on its way through another relay."""
 
 
-class TableChange(NamedTuple):
-    """A change of a table, as a follower reports it.
-
-    Attributes
-    ----------
-    rows
-        All rows of the table if `whole`, else those that changed.
-    asked_ms
-        When the call was sent; the rows were current then or later.
-    grace_until_ms
-        Time until which missing rows may only have expired in an outage of the store and may
-        return. It is in the past if there was no recent outage.
-    """
-
-    rows: list[Row]
-    whole: bool
-    asked_ms: float
-    grace_until_ms: float
-
-
-class PublishedRow(NamedTuple):
-    """A row as readers publish it; `value` is None if it was removed."""
-
-    key: str
-    value: bytes | None
-    version: int
-
-
-@message(60)
-class TableNews(NamedTuple):
-    """Result of a reader's call, published to routers that do not call the store themselves.
-
-    Attributes
-    ----------
-    after, version
-        The call returned all changes between these versions.
-    age_ms
-        Time in milliseconds from the call to the sending of this message.
-    rows
-        The changed rows; None if they are too large for a message.
-    stamps
-        The newest timestamp that the reader has received from each router, by that router's own
-        clock. It proves to a listener that this message was sent after that time, whatever its
-        delay.
-    whole
-        Whether `rows` are all rows of the table at `version`.
-    """
-
-    table: str
-    after: int
-    version: int
-    age_ms: float
-    rows: list[PublishedRow] | None
-    stamps: dict[str, float]
-    whole: bool = False
-
-
-@message(61)
-class CopyWanted(NamedTuple):
-    """Request of a router that has missed changes of a table and cannot read the store.
-
-    Attributes
-    ----------
-    after
-        Version up to which the router has all changes.
-    tries
-        Number of consecutive failed calls; it selects another reader to answer each time.
-    """
-
-    table: str
-    after: int
-    tries: int
-
-
 class TableFollower:
     """Follows one table of the store.
 
--- a/tests/test_foreign_rows.py
+++ b/tests/test_foreign_rows.py
@@ -15,7 +15,7 @@
 from tamarack_ctl.main import main
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.site import Row
-from tamarack_gateway.table_follower import TableChange
+from tamarack_gateway.table_messages import TableChange
 from tamarack_gateway.unreadable_rows import LINES_PER_S, RowKind, UnreadableRows
 from tamarack_platform.configuration import read_endpoint, read_rules
 from tamarack_platform.engines import PlatformEngines
--- a/tests/test_foreign_rows_fuzz.py
+++ b/tests/test_foreign_rows_fuzz.py
@@ -31,7 +31,7 @@
 from tamarack_gateway.peer_messages import Report
 from tamarack_gateway.quarantine_feed import QuarantineFeed
 from tamarack_gateway.site import FleetBounds, GatewaySettings, Row
-from tamarack_gateway.table_follower import TableChange
+from tamarack_gateway.table_messages import TableChange
 from tamarack_platform.configuration import read_endpoint, read_keys, read_rules
 from tamarack_platform.engines import PlatformEngines
 from tamarack_platform.platform_site import platform_site
--- a/tests/test_relay_collector.py
+++ b/tests/test_relay_collector.py
@@ -4,7 +4,7 @@
 
 from tamarack_gateway.peer_messages import Digest, Report, TableVersions
 from tamarack_gateway.relay_collector import MIN_LEFT_OUT_BYTES, RelayCollector
-from tamarack_gateway.table_follower import PublishedRow, TableNews
+from tamarack_gateway.table_messages import PublishedRow, TableNews
 
 ROW = PublishedRow("e1", b"x" * MIN_LEFT_OUT_BYTES, 12)
 NOTHING = TableVersions({})
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -14,14 +14,8 @@
 from tamarack_gateway.fleet_state import RETAINED_FRACTION
 from tamarack_gateway.site import Row, RowsPage
 from tamarack_gateway.store_client import StoreError
-from tamarack_gateway.table_follower import (
-    BEHIND_MS,
-    CopyWanted,
-    PublishedRow,
-    TableChange,
-    TableFollower,
-    TableNews,
-)
+from tamarack_gateway.table_follower import BEHIND_MS, TableFollower
+from tamarack_gateway.table_messages import CopyWanted, PublishedRow, TableChange, TableNews
 from tamarack_standins.fault_proxy import FaultProxy
 from tamarack_standins.platform_worker import PlatformWorker, Script
 
