Log and count restores of the store from a copy, and let the stand-in return to one

Cause: that the store's versions have gone back showed in no line, metric or test; routers log lost and regained calls, which a short absence may not even cause.

The stand-in names an era, returns to a copy, gives versions out again and answers 410 to versions that it does not have. No decision looks at epochs yet.

--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -16,6 +16,7 @@
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.site import Row, Site
 from tamarack_gateway.store_client import StoreClient, StoreError
+from tamarack_gateway.store_epoch import StoreEpoch
 from tamarack_gateway.table_follower import TableFollower
 from tamarack_gateway.table_messages import CopyWanted, TableChange, TableNews
 from tamarack_gateway.unreadable_rows import RowKind
@@ -114,6 +115,8 @@
         self._clients: list[StoreClient] = []
         self._closed_client_calls = 0
         self._followers: dict[str, TableFollower] = {}
+        self._epoch = StoreEpoch(state.clock)
+        self._epoch.on_restore = self._on_restore
 
     def start(self, peers_address: str, boot: int) -> None:
         """Start to follow all tables, and add this router to the list of routers."""
@@ -149,6 +152,11 @@
         self._own_row = msgspec.json.encode(RouterRow(peers_address, boot, domain)._asdict())
         self._start_registration()
 
+    @property
+    def store_epoch(self) -> int:
+        """How often the store has been restored from a copy, as far as this router knows."""
+        return self._epoch.current
+
     @property
     def calls(self) -> int:
         """Number of calls made to the store."""
@@ -222,10 +230,18 @@
 
     def _client(self) -> StoreClient:
         state = self._state
-        client = StoreClient(lambda: state.settings.store, self._site.store, state.clock)
+        client = StoreClient(
+            lambda: state.settings.store, self._site.store, state.clock, self._epoch
+        )
         self._clients.append(client)
         return client
 
+    def _on_restore(self) -> None:
+        versions = {name: follower.version for name, follower in self._followers.items()}
+        self._state.log.event(
+            "store restored from a copy", epoch=self._epoch.current, versions=versions
+        )
+
     def _status_reporter(self, table: str) -> Callable[[str, str], None]:
         def report(what: str, reason: str) -> None:
             self._state.log.event(f"store {what}", table=table, reason=reason)
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -88,6 +88,7 @@
             store_calls=lambda: self._feeds.calls,
             loop=self._loop_monitor.status,
             malformed=lambda: self._peers.malformed,
+            store_epoch=lambda: self._feeds.store_epoch,
         )
         self._state.owns = lambda matter: self._members.owns(matter, self._me, clock.now_ms)
         self._quarantine = self._make_quarantine()
--- a/packages/gateway/src/tamarack_gateway/gateway_metrics.py
+++ b/packages/gateway/src/tamarack_gateway/gateway_metrics.py
@@ -32,6 +32,8 @@
         Returns the state of the event loop.
     malformed
         Returns the number of messages of other routers that could not be read.
+    store_epoch
+        Returns how often the store has been restored from a copy.
     """
 
     def __init__(
@@ -42,12 +44,14 @@
         store_calls: Callable[[], int],
         loop: Callable[[], LoopStatus],
         malformed: Callable[[], int] = lambda: 0,
+        store_epoch: Callable[[], int] = lambda: 0,
     ) -> None:
         self._state = state
         self._pool = pool
         self._store_calls = store_calls
         self._loop = loop
         self._malformed = malformed
+        self._store_epoch = store_epoch
 
     @cached_property
     def _collectors(self) -> MetricCollectors:
@@ -84,6 +88,7 @@
             "connections_closed_by_endpoints": self._pool.closed,
             "log_lines": state.log.written,
             "store_calls": self._store_calls(),
+            "store_epoch": self._store_epoch(),
             "retries": state.allowance.taken,
             "malformed_messages": self._malformed(),
             "routers": state.allowance.routers,
--- a/packages/gateway/src/tamarack_gateway/site.py
+++ b/packages/gateway/src/tamarack_gateway/site.py
@@ -240,6 +240,9 @@
     def page(self, body: bytes) -> RowsPage:
         """Decode a page of rows; raises `ValueError`."""
 
+    def epoch(self, head: AnswerHead) -> int | None:
+        """How often the store has been restored from a copy; None if the answer does not say."""
+
 
 class Place(NamedTuple):
     """The host that a caller requests addresses for, and where the caller is."""
--- a/packages/gateway/src/tamarack_gateway/store_client.py
+++ b/packages/gateway/src/tamarack_gateway/store_client.py
@@ -14,6 +14,7 @@
 )
 from tamarack_gateway.http_messages import request_bytes
 from tamarack_gateway.site import Row, RowsPage, StoreCall, StoreDialect
+from tamarack_gateway.store_epoch import MAX_EPOCH, StoreEpoch
 
 CONNECT_MS = 700.0
 """Timeout of a connection to the store: some hundred times the usual duration."""
@@ -40,12 +41,21 @@
     ----------
     address
         Returns the store's address, which may change with the settings.
+    epoch
+        Updated with the epoch that each answer names.
     """
 
-    def __init__(self, address: Callable[[], str], dialect: StoreDialect, clock: Clock) -> None:
+    def __init__(
+        self,
+        address: Callable[[], str],
+        dialect: StoreDialect,
+        clock: Clock,
+        epoch: StoreEpoch,
+    ) -> None:
         self._address = address
         self._dialect = dialect
         self._clock = clock
+        self._epoch = epoch
         self._connection: EndpointConnection | None = None
         self.calls = 0
 
@@ -100,6 +110,9 @@
                 connection.abort()
         if connection.finish(self._clock.now_ms):
             self._connection = connection
+        epoch = self._dialect.epoch(head)
+        if epoch is not None and epoch <= MAX_EPOCH:
+            self._epoch.observe(epoch)
         if head.status == HISTORY_GONE:
             raise HistoryGoneError("the requested history is no longer available")
         if head.status != 200:
--- a/packages/standins/src/tamarack_standins/platform_store.py
+++ b/packages/standins/src/tamarack_standins/platform_store.py
@@ -18,6 +18,13 @@
     version: int
 
 
+class StoreCopy(NamedTuple):
+    """A copy of the store's rows, at a version."""
+
+    tables: dict[str, dict[str, StoredRow]]
+    version: int
+
+
 class PlatformStore:
     """Serves rows on a loopback address.
 
@@ -29,6 +36,8 @@
         Whether calls are accepted and never answered.
     dropping_write_answers
         Whether writes are applied and not answered.
+    era
+        Number that all answers name; it rises when the store returns to a copy.
     apply_delay_s
         If not zero, writes are not answered, and are applied after this many seconds if their
         condition still holds.
@@ -46,9 +55,11 @@
         self.dropping_write_answers = False
         self.apply_delay_s = 0.0
         self.calls: list[str] = []
+        self.era = 1
 
     async def __aenter__(self) -> PlatformStore:
         app = web.Application()
+        app.on_response_prepare.append(self._name_era)
         app.router.add_get("/api/rows-get", self._get)
         app.router.add_get("/api/rows-feed", self._feed)
         app.router.add_post("/api/rows-tx", self._transact)
@@ -84,6 +95,22 @@
             self._oldest = self._version
             self._changed.notify_all()
 
+    def copy(self) -> StoreCopy:
+        """A copy of all rows."""
+        return StoreCopy({name: dict(rows) for name, rows in self._tables.items()}, self._version)
+
+    async def restore(self, copy: StoreCopy) -> None:
+        """Return to a copy: later rows are lost, and later versions are given out again."""
+        async with self._changed:
+            self._tables = {name: dict(rows) for name, rows in copy.tables.items()}
+            self._version = copy.version
+            self._oldest = min(self._oldest, copy.version)
+            self.era += 1
+            self._changed.notify_all()
+
+    async def _name_era(self, request: web.Request, response: web.StreamResponse) -> None:
+        response.headers["Store-Era"] = str(self.era)
+
     def rows(self, table: str) -> dict[str, bytes]:
         """Rows of a table, without removed ones."""
         found = self._tables.get(table, {})
@@ -125,7 +152,7 @@
         until = loop.time() + int(request.query["waitMs"]) / 1000
         async with self._changed:
             while True:
-                if after < self._oldest:
+                if not self._oldest <= after <= self._version:
                     return web.Response(status=410)
                 rows = self._since(table, after)
                 left = until - loop.time()
