Compare versions of the store only within an epoch

The store had been back from a copy for some seconds.

Cause: after a restore versions go back and are given out again. Whatever kept the highest version took what was written under lower ones for old: followers dropped answers, listeners dropped what readers told, and asked for changes after a version that the store had passed meanwhile. What was written before that was missed for good. Class: an order that holds within one life of its source is used across two.

Change: the epoch that answers name stands in the upper bits of versions, in what routers tell each other and in relays too. A call for changes after a version of another epoch reads the whole table; a waiting one is ended; a reader passes its table on, so that listeners need no calls. For ten seconds what the copy lacks is taken to be lost, not ended: endpoints that drain, left lately or warm up, evacuations, the routers known to each other, quarantined requests (stored again), and an unreadable configuration. Keys are not confirmed by the copy. Routers write their lost rows again, and a router that stops uses no condition of a former epoch.

Costs: routers of the build before, in one fleet with new ones, see versions that are too high (and the other way round) where the store names an epoch, and call the store for each reader's message until the roll has ended.

--- a/packages/core/src/tamarack_core/endpoint_registry.py
+++ b/packages/core/src/tamarack_core/endpoint_registry.py
@@ -66,6 +66,11 @@
 for some time after its entry was removed, and a delayed write may list it again."""
 
 
+REMOVED_RETAINED_MS = 30_000.0
+"""Milliseconds for which the removal of an entry is remembered: longer than a copy from which the
+store is restored is old."""
+
+
 class EndpointRegistry:
     """Endpoints that may get new requests.
 
@@ -93,6 +98,8 @@
         self._retained: dict[str, tuple[Endpoint, float]] = {}
         self._deferred: dict[str, tuple[Endpoint, float]] = {}
         self._leaving_ms: dict[EndpointIncarnation, float] = {}
+        self._removed_ms: dict[EndpointIncarnation, float] = {}
+        self._held: set[EndpointIncarnation] = set()
         self._usable: _Usable | None = None
 
     def __len__(self) -> int:
@@ -104,6 +111,7 @@
         self._deferred = {name: kept for name, kept in self._deferred.items() if name in listed}
         for endpoint in self._listed.values():
             if endpoint.name not in listed:
+                self._record_removal(endpoint, now_ms)
                 self._retain(endpoint, now_ms, keep_until_ms)
         self._listed = listed
         self._retained = {n: kept for n, kept in self._retained.items() if n not in listed}
@@ -111,6 +119,7 @@
 
     def put(self, endpoint: Endpoint, now_ms: float) -> None:
         """Apply a new or changed entry."""
+        self._held.discard(endpoint.key)
         self._listed[endpoint.name] = self._accepted(endpoint, now_ms)
         self._retained.pop(endpoint.name, None)
         self._usable = None
@@ -120,6 +129,7 @@
         endpoint = self._listed.pop(name, None)
         self._deferred.pop(name, None)
         if endpoint is not None:
+            self._record_removal(endpoint, now_ms)
             self._retain(endpoint, now_ms, keep_until_ms)
         self._usable = None
 
@@ -140,6 +150,25 @@
         self._usable = None
         return True
 
+    def record_restore(self, now_ms: float) -> None:
+        """Record that the list was restored from a copy that may lack its latest changes.
+
+        Endpoints that drain go on to do so, whatever the copy says, and those removed lately are
+        not used until their entries change or `end_restore` is called.
+        """
+        for endpoint in self._listed.values():
+            if endpoint.draining:
+                self._leaving_ms.setdefault(endpoint.key, now_ms)
+        present, past_ms = {e.key for e in self._present}, now_ms - REMOVED_RETAINED_MS
+        removed = {key for key, removed_ms in self._removed_ms.items() if removed_ms > past_ms}
+        self._held |= removed - present
+        self._usable = None
+
+    def end_restore(self) -> None:
+        """Record that all changes that the copy lacked have been made again."""
+        self._held.clear()
+        self._usable = None
+
     def drop(self, name: str) -> None:
         """Drop an entry at once, without retaining it."""
         for entries in (self._listed, self._retained, self._deferred):
@@ -215,6 +244,11 @@
         """The entry, draining if that incarnation has said that it leaves."""
         return endpoint._replace(draining=True) if endpoint.key in self._leaving_ms else endpoint
 
+    def _record_removal(self, endpoint: Endpoint, now_ms: float) -> None:
+        past_ms = now_ms - REMOVED_RETAINED_MS
+        recent = {key: ms for key, ms in self._removed_ms.items() if ms > past_ms}
+        self._removed_ms = {**recent, endpoint.key: now_ms}
+
     def _forget_leaving(self, now_ms: float) -> None:
         present, past_ms = {e.key for e in self._present}, now_ms - LEAVING_RETAINED_MS
         self._leaving_ms = {
@@ -232,7 +266,7 @@
         # Rebuilt with the first use after a change: a message may change hundreds of entries, and
         # a list may hold thousands.
         if self._usable is None:
-            self._usable = _usable(self._present)
+            self._usable = _usable([e for e in self._present if e.key not in self._held])
         return self._usable
 
 
--- a/packages/core/src/tamarack_core/quarantine.py
+++ b/packages/core/src/tamarack_core/quarantine.py
@@ -216,6 +216,11 @@
             self.release(fingerprint)
         return stale
 
+    def mark_lost(self, fingerprints: set[str]) -> None:
+        """Record that the store has lost all rows but these; they are to be stored again."""
+        for fingerprint, entry in self._entries.items():
+            entry.stored = entry.stored and fingerprint in fingerprints
+
     def mark_stored(self, request: QuarantinedRequest) -> None:
         """Record that the store lists a quarantined request."""
         entry = self._entries.get(request.fingerprint)
--- a/packages/gateway/src/tamarack_gateway/endpoint_rows.py
+++ b/packages/gateway/src/tamarack_gateway/endpoint_rows.py
@@ -47,16 +47,17 @@
                 self._apply_row(row, now_ms, change.grace_until_ms)
         if change.rows or change.whole:
             state.sync_endpoints()
-            self._record_warm_ups(before)
+            self._record_warm_ups(before, from_copy=change.whole and change.catching_up)
             for name in state.registry.without_incarnation:
                 state.unreadable.note(RowKind.ENDPOINT, name, 0, "tells no life, as the others do")
         state.endpoints_known = True
         self._schedule_expiry()
 
-    def _record_warm_ups(self, before: dict[str, Endpoint | None]) -> None:
+    def _record_warm_ups(self, before: dict[str, Endpoint | None], *, from_copy: bool) -> None:
         """Record the warm-ups of changed entries, given the endpoints known before by name.
 
-        Other routers may use what this one finds listed when it starts.
+        Other routers may use what this one finds listed when it starts. An entry from a copy may
+        have been written before the endpoint restarted its warm-up.
         """
         state = self._state
         for name, known in before.items():
@@ -65,7 +66,7 @@
                 continue
             if known is None or known.key != endpoint.key:
                 state.record_warm_up(endpoint, unused=state.endpoints_known)
-            elif known.warm_up_ms != endpoint.warm_up_ms:
+            elif known.warm_up_ms != endpoint.warm_up_ms and not from_copy:
                 state.record_warm_up(endpoint, unused=False)
 
     def _schedule_expiry(self) -> None:
--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -16,7 +16,7 @@
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.site import Row, Site
 from tamarack_gateway.store_client import StoreClient, StoreError
-from tamarack_gateway.store_epoch import StoreEpoch
+from tamarack_gateway.store_epoch import LOST_CHANGES_MS, StoreEpoch, epoch_of, without_epoch
 from tamarack_gateway.table_follower import TableFollower
 from tamarack_gateway.table_messages import CopyWanted, TableChange, TableNews
 from tamarack_gateway.unreadable_rows import RowKind
@@ -117,6 +117,7 @@
         self._followers: dict[str, TableFollower] = {}
         self._epoch = StoreEpoch(state.clock)
         self._epoch.on_restore = self._on_restore
+        self._reapplication: asyncio.TimerHandle | None = None
 
     def start(self, peers_address: str, boot: int) -> None:
         """Start to follow all tables, and add this router to the list of routers."""
@@ -145,6 +146,7 @@
                 reads=partial(self._reads, table),
                 publish=self._publish,
                 wanted=self._request_copy,
+                epoch=self._epoch,
             )
             self._followers[table] = follower
             self._tasks.append(asyncio.ensure_future(follower.run()))
@@ -166,6 +168,8 @@
         """Apply changes that another router read from the store."""
         follower = self._followers.get(news.table)
         if follower is not None:
+            if epoch := epoch_of(news.version):
+                self._epoch.observe(epoch)
             follower.receive(news, stamp_ms)
 
     @property
@@ -212,10 +216,11 @@
         which no other router would then subscribe to.
         """
         self._leaving = True
-        if self._own_version is None:
+        version = self._own_version
+        if version is None or epoch_of(version) < self._epoch.current:
             return
         tables, name = self._site.tables, self._state.settings.router
-        call = self._site.store.write(tables.routers, name, None, self._own_version)
+        call = self._site.store.write(tables.routers, name, None, without_epoch(version))
         with contextlib.suppress(StoreError, TimeoutError):
             async with asyncio.timeout(LEAVE_WRITE_MS / 1000):
                 await self._client().call(call)
@@ -237,10 +242,30 @@
         return client
 
     def _on_restore(self) -> None:
-        versions = {name: follower.version for name, follower in self._followers.items()}
+        versions = {
+            name: without_epoch(follower.version or 0) for name, follower in self._followers.items()
+        }
         self._state.log.event(
             "store restored from a copy", epoch=self._epoch.current, versions=versions
         )
+        self._state.registry.record_restore(self._state.clock.now_ms)
+        loop = asyncio.get_running_loop()
+        # The answer that told of the restore is being read by one of these calls.
+        loop.call_soon(self._restart_calls)
+        if self._reapplication is not None:
+            self._reapplication.cancel()
+        self._reapplication = loop.call_later(LOST_CHANGES_MS / 1000, self._reapply)
+
+    def _restart_calls(self) -> None:
+        for follower in self._followers.values():
+            follower.record_restore()
+
+    def _reapply(self) -> None:
+        """Apply all tables as they are: what is still missing has not been written again."""
+        self._reapplication = None
+        self._state.registry.end_restore()
+        for follower in self._followers.values():
+            follower.reapply()
 
     def _status_reporter(self, table: str) -> Callable[[str, str], None]:
         def report(what: str, reason: str) -> None:
@@ -270,16 +295,18 @@
         client.close()
         self._registering = False
 
-    def _check_own_row(self, rows: list[Row], *, whole: bool) -> None:
+    def _check_own_row(self, change: TableChange) -> None:
         # Routers that start later do not subscribe to a router without a row. The row can be
-        # removed by a delayed write of an earlier incarnation, or by an operator.
-        own = [row for row in rows if row.key == self._state.settings.router]
+        # removed by a delayed write of an earlier incarnation, or by an operator, and a restored
+        # store may list that of an earlier incarnation.
+        own = [row for row in change.rows if row.key == self._state.settings.router]
         if own:
-            self._own_version = own[-1].version if own[-1].value is not None else None
-        elif whole:
+            value, outdated = own[-1].value, change.catching_up and own[-1].value != self._own_row
+            self._own_version = None if value is None or outdated else own[-1].version
+        elif change.whole:
             self._own_version = None
         if (
-            (own or whole)
+            (own or change.whole)
             and self._own_version is None
             and not (self._registering or self._leaving)
         ):
@@ -290,9 +317,9 @@
         state = self._state
         for row in change.rows:
             if row.key == self._site.tables.configuration_key and row.value is not None:
-                self._put_rules(row, row.value)
+                self._put_rules(row, row.value, catching_up=change.catching_up)
         self._apply_evacuations(change)
-        if state.rules is not None and state.keys_known:
+        if state.rules is not None and state.keys_known and not self._may_lack_keys(change):
             # Capped at the present: the clock of an earlier incarnation may be ahead, and keys
             # would be trusted for longer by the difference.
             state.freshness.confirm(min(change.asked_ms, state.clock.now_ms))
@@ -303,14 +330,18 @@
         rows = {r.key.removeprefix(prefix): r for r in change.rows if r.key.startswith(prefix)}
         ordered = [domain for domain, row in rows.items() if row.value is not None]
         ended = [domain for domain, row in rows.items() if row.value is None]
-        if change.whole:
+        if change.whole and not change.catching_up:
             ended += state.evacuations.missing_from(ordered)
         for domain in ordered:
             state.evacuate(domain)
         for domain in ended:
             state.restore(domain)
 
-    def _put_rules(self, row: Row, value: bytes) -> None:
+    def _may_lack_keys(self, change: TableChange) -> bool:
+        # The operator may have revoked a key shortly before the restore, which no router has read.
+        return change.asked_ms < self._epoch.restored_ms + TableFollower.RETURN_MS
+
+    def _put_rules(self, row: Row, value: bytes, *, catching_up: bool) -> None:
         # A read of the whole table may be seconds old. If the newest version cannot be read, an
         # older row must not restore keys that the newest one revokes.
         state, outdated = self._state, row.version < self._rules_version
@@ -323,7 +354,9 @@
             state.unreadable.note(RowKind.CONFIGURATION, row.key, row.version, str(error))
             state.put_unreadable_rules(str(error), self._read_keys(value))
             return
-        if outdated and state.unreadable_rules is not None:
+        known = state.rules.version if state.rules is not None else 0
+        from_copy = catching_up and rules.version <= known
+        if state.unreadable_rules is not None and (outdated or from_copy):
             return
         self._rules_version = max(self._rules_version, row.version)
         state.put_rules(rules)
@@ -336,14 +369,14 @@
             return None
 
     def _apply_routers(self, change: TableChange) -> None:
-        if change.whole:
+        if change.whole and not change.catching_up:
             self._routers = {}
         for row in change.rows:
             self._routers.pop(row.key, None)
             peer = self._read_peer(row, row.value) if row.value is not None else None
             if peer is not None:
                 self._routers[row.key] = peer
-        self._check_own_row(change.rows, whole=change.whole)
+        self._check_own_row(change)
         self._follow(self._routers)
 
     def _read_peer(self, row: Row, value: bytes) -> Peer | None:
--- a/packages/gateway/src/tamarack_gateway/quarantine_feed.py
+++ b/packages/gateway/src/tamarack_gateway/quarantine_feed.py
@@ -130,6 +130,8 @@
             self._apply_row(row, now_ms)
         if change.whole:
             listed = {row.key for row in change.rows if row.value is not None}
+            if change.catching_up:
+                self._quarantine.mark_lost(listed)
             for fingerprint in self._quarantine.retain_stored(listed):
                 self._log_released(fingerprint)
         self._state.quarantine_known = True
--- a/packages/gateway/src/tamarack_gateway/store_client.py
+++ b/packages/gateway/src/tamarack_gateway/store_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import NamedTuple
 
 from tamarack_core.clock import Clock
 from tamarack_gateway.endpoint_connection import (
@@ -14,7 +15,13 @@
 )
 from tamarack_gateway.http_messages import request_bytes
 from tamarack_gateway.site import Row, RowsPage, StoreCall, StoreDialect
-from tamarack_gateway.store_epoch import MAX_EPOCH, StoreEpoch
+from tamarack_gateway.store_epoch import (
+    MAX_EPOCH,
+    StoreEpoch,
+    epoch_of,
+    with_epoch,
+    without_epoch,
+)
 
 CONNECT_MS = 700.0
 """Timeout of a connection to the store: some hundred times the usual duration."""
@@ -34,6 +41,13 @@
     """The requested changes are no longer available; the whole table must be read again."""
 
 
+class _Answer(NamedTuple):
+    """Body of an answer, and the epoch of the versions in it."""
+
+    body: bytes
+    epoch: int
+
+
 class StoreClient:
     """One connection to the store, for one task.
 
@@ -61,6 +75,9 @@
 
     async def call(self, call: StoreCall, *, wait_ms: float = 0.0) -> bytes:
         """Call the store and return the body of its answer; raises `StoreError`."""
+        return (await self._call(call, wait_ms)).body
+
+    async def _call(self, call: StoreCall, wait_ms: float = 0.0) -> _Answer:
         self.calls += 1
         try:
             async with asyncio.timeout((CALL_MS + wait_ms) / 1000):
@@ -71,9 +88,12 @@
     async def read_all(self, table: str) -> RowsPage:
         """Read all rows of a table."""
         rows: list[Row] = []
-        start, nameless = "", 0
+        start, nameless, epoch = "", 0, None
         while True:
-            page = self._page(await self.call(self._dialect.read(table, start)))
+            page = self._page(await self._call(self._dialect.read(table, start)))
+            if epoch not in (None, epoch_of(page.version)):
+                raise StoreError("the store was restored between two pages")
+            epoch = epoch_of(page.version)
             rows.extend(page.rows)
             nameless += page.nameless
             if not page.more or not page.rows:
@@ -81,9 +101,15 @@
             start = page.rows[-1].key + "\0"
 
     async def watch(self, table: str, after: int, wait_ms: float) -> RowsPage:
-        """Wait for changes of a table."""
-        call = self._dialect.watch(table, after, int(wait_ms))
-        return self._page(await self.call(call, wait_ms=wait_ms))
+        """Wait for changes of a table after a version.
+
+        Raises `HistoryGoneError` if the answer is of another epoch than that version.
+        """
+        call = self._dialect.watch(table, without_epoch(after), int(wait_ms))
+        page = self._page(await self._call(call, wait_ms))
+        if epoch_of(page.version) != epoch_of(after):
+            raise HistoryGoneError("the store was restored")
+        return page
 
     def close(self) -> None:
         """Close the connection."""
@@ -91,7 +117,7 @@
             self._connection.abort()
             self._connection = None
 
-    async def _exchange(self, call: StoreCall) -> bytes:
+    async def _exchange(self, call: StoreCall) -> _Answer:
         connection = self._connection
         if connection is None or not connection.usable:
             connection = await open_connection(self._address(), CONNECT_MS)
@@ -111,16 +137,21 @@
         if connection.finish(self._clock.now_ms):
             self._connection = connection
         epoch = self._dialect.epoch(head)
-        if epoch is not None and epoch <= MAX_EPOCH:
+        if epoch is None or epoch > MAX_EPOCH:
+            epoch = self._epoch.current
+        else:
             self._epoch.observe(epoch)
         if head.status == HISTORY_GONE:
             raise HistoryGoneError("the requested history is no longer available")
         if head.status != 200:
             raise StoreError(f"status {head.status}")
-        return body
+        return _Answer(body, epoch)
 
-    def _page(self, body: bytes) -> RowsPage:
+    def _page(self, answer: _Answer) -> RowsPage:
+        epoch = answer.epoch
         try:
-            return self._dialect.page(body)
+            page = self._dialect.page(answer.body)
+            rows = [row._replace(version=with_epoch(epoch, row.version)) for row in page.rows]
+            return page._replace(rows=rows, version=with_epoch(epoch, page.version))
         except ValueError as error:
             raise StoreError(f"malformed page of rows: {error}") from error
--- a/packages/gateway/src/tamarack_gateway/store_epoch.py
+++ b/packages/gateway/src/tamarack_gateway/store_epoch.py
@@ -16,6 +16,10 @@
 
 MAX_EPOCH = 2 ** (63 - VERSION_BITS) - 1
 
+LOST_CHANGES_MS = 10_000.0
+"""Milliseconds after a restore for which lost rows may not have been written again: endpoints write
+every second or so, an operator's tools may take several."""
+
 
 class StoreEpoch:
     """The newest epoch that an answer of the store or a message of another router has named.
@@ -38,6 +42,11 @@
         self.restored_ms = float("-inf")
         self.on_restore: Callable[[], None] = _ignore
 
+    @property
+    def catching_up(self) -> bool:
+        """Whether rows that the restore has lost may not have been written again yet."""
+        return self._clock.now_ms < self.restored_ms + LOST_CHANGES_MS
+
     def observe(self, epoch: int) -> None:
         """Record an epoch; the first one is no restore."""
         if not self._known:
--- a/packages/gateway/src/tamarack_gateway/table_follower.py
+++ b/packages/gateway/src/tamarack_gateway/table_follower.py
@@ -9,6 +9,7 @@
 from tamarack_core.clock import Clock
 from tamarack_gateway.site import Row
 from tamarack_gateway.store_client import HistoryGoneError, StoreClient, StoreError
+from tamarack_gateway.store_epoch import StoreEpoch, epoch_of
 from tamarack_gateway.table_messages import CopyWanted, PublishedRow, TableChange, TableNews
 
 BACKOFF_MS = (150.0, 300.0, 600.0, 900.0)
@@ -57,6 +58,8 @@
         Called with the result of a call, to be published to other routers.
     wanted
         Called when another router should send this one the whole table.
+    epoch
+        Epoch of the store; changes of different epochs are never combined.
     """
 
     RETURN_MS = 2_200.0
@@ -76,6 +79,7 @@
         reads: Callable[[], bool] = lambda: True,
         publish: Callable[[TableNews], None] = lambda news: None,
         wanted: Callable[[CopyWanted], None] = lambda wanted: None,
+        epoch: StoreEpoch | None = None,
     ) -> None:
         self._client = client
         self._clock = clock
@@ -87,6 +91,9 @@
         self._reads = reads
         self._on_result = publish
         self._request_copy = wanted
+        self._epoch = epoch or StoreEpoch(clock)
+        self._applied_epoch: int | None = None
+        self._call_after: int | None = None
         self._rows: dict[str, Row] = {}
         self._call_sent_ms = float("-inf")
         self._copy_ms = float("-inf")
@@ -137,6 +144,28 @@
             self._restarting_call = True
             self._call_task.cancel()
 
+    def record_restore(self) -> None:
+        """Record that the store was restored, and end a call for changes of a former epoch.
+
+        It may wait until the store's version has passed the one that it names, and would miss all
+        changes up to there.
+        """
+        self._recovered_ms = self._clock.now_ms
+        self._recovery_known = True
+        calling = self._call_task is not None and not self._call_task.done()
+        if calling and self._is_outdated(self._call_after):
+            self.restart_call()
+
+    def reapply(self) -> None:
+        """Report all known rows once more, as of an unknown time."""
+        if self._version is not None:
+            until_ms = self._recovered_ms + self.RETURN_MS
+            rows = list(self._rows.values())
+            self._on_change(TableChange(rows, True, float("-inf"), until_ms))
+
+    def _is_outdated(self, version: int | None) -> bool:
+        return version is not None and epoch_of(version) < self._epoch.current
+
     def receive(self, news: TableNews, stamp_ms: float) -> None:
         """Apply a reader's message; `stamp_ms` is this router's newest time known to the reader."""
         self._last_message_ms = self._clock.now_ms
@@ -145,8 +174,13 @@
             return
         if self._version is None:
             return
-        if news.after > self._version or (news.rows is None and news.version > self._version):
-            # A message was lost, or the rows were too large for it: call the store instead.
+        if (
+            news.after > self._version
+            or epoch_of(news.version) != epoch_of(self._version)
+            or (news.rows is None and news.version > self._version)
+        ):
+            # A message was lost, one of the two routers has missed a restore of the store, or the
+            # rows were too large for a message: call the store instead.
             self._call_for_gap()
             return
         rows = [
@@ -189,9 +223,15 @@
         return TableNews(self._table, after, self._version, age_ms, rows, {}, whole=True)
 
     def _apply_copy(self, news: TableNews, stamp_ms: float) -> None:
-        self._copy_ms = self._clock.now_ms
-        if self._version is not None and (not self._gap_found or news.version < self._version):
+        epoch = epoch_of(news.version)
+        if epoch < self._epoch.current:
             return
+        self._copy_ms = self._clock.now_ms
+        known = self._version
+        if known is not None and epoch == epoch_of(known):
+            outdated = news.version < known
+            if outdated or not self._gap_found:
+                return
         self._gap_found = False
         self._version = news.version
         rows = [Row(self._table, row.key, row.value, row.version) for row in news.rows or []]
@@ -204,6 +244,7 @@
             self._store_answered()
         if whole:
             self._rows = {}
+            self._applied_epoch = epoch_of(self._version or 0)
         for row in rows:
             self._changed_version = max(self._changed_version, row.version)
             if row.value is None:
@@ -211,7 +252,7 @@
             else:
                 self._rows[row.key] = row
         until_ms = self._recovered_ms + self.RETURN_MS
-        self._on_change(TableChange(rows, whole, asked_ms, until_ms))
+        self._on_change(TableChange(rows, whole, asked_ms, until_ms, self._epoch.catching_up))
 
     def _listening(self) -> bool:
         if self._version is None or self._gap_found or self._failures or self._reads():
@@ -247,7 +288,8 @@
 
     async def _call_store(self) -> None:
         asked_ms = self._clock.now_ms
-        after = self._version
+        after = self._version if not self._is_outdated(self._version) else None
+        self._call_after = after
         if after is None:
             page = await self._client.read_all(self._table)
             # Counts as a reader's message: otherwise, routers of a large fleet that start together
@@ -268,10 +310,15 @@
             # If applied, a leaving endpoint would get work again.
             self._apply([], False, asked_ms)
             return
+        former = self._applied_epoch
+        restored = former is not None and former < epoch_of(page.version)
         self._version = page.version
         self._apply(page.rows, after is None, asked_ms)
         if after is not None:
             self._publish(after, page.version, page.rows, asked_ms)
+        elif restored and (copy := self.copy(0)) is not None:
+            # Otherwise each listener would have to read the table itself.
+            self._on_result(copy)
 
     def _publish(self, after: int, version: int, rows: list[Row], asked_ms: float) -> None:
         published_rows: list[PublishedRow] | None = [
--- a/packages/gateway/src/tamarack_gateway/table_messages.py
+++ b/packages/gateway/src/tamarack_gateway/table_messages.py
@@ -20,12 +20,16 @@
     grace_until_ms
         Time until which missing rows may only have expired in an outage of the store and may
         return. It is in the past if there was no recent outage.
+    catching_up
+        Whether the store was restored from a copy a short time ago: rows may be missing or outdated
+        that their writers have not written again yet.
     """
 
     rows: list[Row]
     whole: bool
     asked_ms: float
     grace_until_ms: float
+    catching_up: bool = False
 
 
 class PublishedRow(NamedTuple):
--- a/packages/gateway/src/tamarack_gateway/unreadable_rows.py
+++ b/packages/gateway/src/tamarack_gateway/unreadable_rows.py
@@ -7,6 +7,7 @@
 
 from tamarack_core.clock import Clock
 from tamarack_gateway.decision_log import DecisionLog
+from tamarack_gateway.store_epoch import without_epoch
 
 LINES_PER_S = 20
 """Maximum log lines in a second, so that they do not use up the log's own limit, which also applies
@@ -62,7 +63,11 @@
             self._second, self._lines = second, 0
         self._lines += 1
         if self._lines <= LINES_PER_S:
-            facts = {"row": key, "version": version, "reason": reason[:MAX_REASON_CHARACTERS]}
+            facts = {
+                "row": key,
+                "version": without_epoch(version),
+                "reason": reason[:MAX_REASON_CHARACTERS],
+            }
             self._log.event(f"unreadable {kind}", **facts)
 
     def forget(self, kind: RowKind, key: str) -> None:
--- a/packages/standins/src/tamarack_standins/platform_store.py
+++ b/packages/standins/src/tamarack_standins/platform_store.py
@@ -99,14 +99,28 @@
         """A copy of all rows."""
         return StoreCopy({name: dict(rows) for name, rows in self._tables.items()}, self._version)
 
-    async def restore(self, copy: StoreCopy) -> None:
-        """Return to a copy: later rows are lost, and later versions are given out again."""
+    async def restore(self, copy: StoreCopy) -> StoreCopy:
+        """Return to a copy: later rows are lost, and later versions are given out again.
+
+        Returns the rows before that, for `write_again`.
+        """
         async with self._changed:
+            lost = self.copy()
             self._tables = {name: dict(rows) for name, rows in copy.tables.items()}
             self._version = copy.version
             self._oldest = min(self._oldest, copy.version)
             self.era += 1
             self._changed.notify_all()
+            return lost
+
+    async def write_again(self, lost: StoreCopy, copy: StoreCopy, tables: tuple[str, ...]) -> None:
+        """Write what some tables lost when the store returned to a copy, and nobody has since."""
+        for table in tables:
+            before, then = copy.tables.get(table, {}), lost.tables.get(table, {})
+            for key, row in then.items():
+                now = self._tables.get(table, {}).get(key)
+                if row != before.get(key) and now == before.get(key):
+                    await self._change(table, key, row.value)
 
     async def _name_era(self, request: web.Request, response: web.StreamResponse) -> None:
         response.headers["Store-Era"] = str(self.era)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import json
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -11,8 +12,12 @@
 from gateway_site import Fleet, configuration, play, until
 
 from tamarack_core.relay_plan import SMALL_FLEET
+from tamarack_core.termination_evidence import QuarantinedRequest
 from tamarack_gateway.gateway import Gateway
-from tamarack_standins.platform_worker import PlatformWorker
+from tamarack_gateway.http_messages import AnswerHead
+from tamarack_gateway.store_epoch import epoch_of
+from tamarack_platform.store import PlatformStore as StoreDialect
+from tamarack_standins.platform_worker import PlatformWorker, Script
 
 DRAIN_MS = 2_000.0
 
@@ -47,6 +52,12 @@
             await asyncio.sleep(0.01)
 
 
+async def until_read(fleet: Fleet, table: str) -> None:
+    """Wait until the first router has read a table in the store's present epoch."""
+    follower = fleet.gateway._feeds._followers[table]
+    await until(lambda: epoch_of(follower.version or 0) == fleet.store.era)
+
+
 def without_search(version: int) -> dict[str, Any]:
     """A configuration without the route of searches, and with another key."""
     changed = configuration(version)
@@ -128,3 +139,212 @@
             await within_drain(lambda: len(fleet.gateway.state.usable("web")) == 1)
 
     play(scenario())
+
+
+# what the copy lacks
+
+
+def test_an_endpoint_that_leaves_stays_out_of_use_when_a_copy_says_ready() -> None:
+    """Failure: a copy from before an endpoint's notice makes routers use it again."""
+
+    async def scenario() -> None:
+        web = [PlatformWorker(f"w{number}") for number in (1, 2, 3)]
+        async with Fleet({"web": web}) as fleet:
+            state = fleet.gateway.state
+            copy = fleet.store.copy()
+            await fleet.store.put("servers", "w1", web[0].entry("web", state="draining"))
+            await fleet.store.remove("servers", "w2")
+            await until(lambda: [e.name for e in state.usable("web")] == ["w3"])
+            async with away(fleet):
+                await fleet.store.restore(copy)
+            await until_read(fleet, "servers")
+            assert state.registry.find("w2") is not None
+            until_s = asyncio.get_running_loop().time() + 1.0
+            while asyncio.get_running_loop().time() < until_s:
+                assert [e.name for e in state.usable("web")] == ["w3"]
+                await asyncio.sleep(0.01)
+            await fleet.store.put("servers", "w1", web[0].entry("web", state="draining"))
+            await fleet.store.put("servers", "w2", web[1].entry("web", slots=5))
+            await until(lambda: {e.name for e in state.usable("web")} == {"w2", "w3"})
+
+    play(scenario())
+
+
+def test_an_evacuation_that_a_copy_lacks_stays_in_force_until_it_could_be_ordered_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Failure: requests reach an evacuated domain because the store has lost the order."""
+    monkeypatch.setattr("tamarack_gateway.fleet_feeds.LOST_CHANGES_MS", 1_500.0)
+    monkeypatch.setattr("tamarack_gateway.store_epoch.LOST_CHANGES_MS", 1_500.0)
+
+    async def scenario() -> None:
+        web = [PlatformWorker("w1", zone="a"), PlatformWorker("w2", zone="b")]
+        async with Fleet({"web": web}) as fleet:
+            state = fleet.gateway.state
+            copy = fleet.store.copy()
+            await fleet.store.put("op", "evacuate/a", {})
+            await until(lambda: state.evacuations.covers("a"))
+            async with away(fleet):
+                await fleet.store.restore(copy)
+            await until_read(fleet, "op")
+            until_s = asyncio.get_running_loop().time() + 0.5
+            while asyncio.get_running_loop().time() < until_s:
+                assert state.evacuations.covers("a")
+                await asyncio.sleep(0.01)
+            await until(lambda: not state.evacuations.covers("a"))
+
+    play(scenario())
+
+
+def test_a_copy_does_not_replace_a_newer_configuration() -> None:
+    """Failure: a revoked key is accepted again, also if the newest version is unreadable."""
+
+    async def scenario() -> None:
+        engine = PlatformWorker("e1", Script(events=1))
+        async with Fleet({"pool": [engine]}) as fleet:
+            state = fleet.gateway.state
+            copy = fleet.store.copy()
+            unreadable = {**without_search(2), "routes": "none"}
+            await fleet.store.put("op", "config", unreadable)
+            await until(lambda: state.unreadable_rules is not None)
+            assert (await fleet.ask("/draft/1")).status in (401, 503)
+            async with away(fleet):
+                await fleet.store.restore(copy)
+            await until_read(fleet, "op")
+            for _ in range(20):
+                assert (await fleet.ask("/draft/1")).status in (401, 503)
+                await asyncio.sleep(0.02)
+            assert engine.received == []
+            await fleet.store.put("op", "config", configuration(3))
+            await follow_all([fleet.gateway], 3)
+
+    play(scenario())
+
+
+def test_a_copy_does_not_confirm_keys() -> None:
+    """Failure: a key whose revocation the store has lost is accepted past the bound."""
+
+    async def scenario() -> None:
+        async with Fleet({"web": [PlatformWorker("w1")]}) as fleet:
+            state, clock = fleet.gateway.state, fleet.gateway.state.clock
+            copy = fleet.store.copy()
+            async with away(fleet):
+                lost_ms = clock.now_ms
+                await fleet.store.restore(copy)
+            await until_read(fleet, "op")
+            await asyncio.sleep(1.2)
+            assert state.freshness.age_ms(clock.now_ms) >= clock.now_ms - lost_ms
+            await until(lambda: state.freshness.age_ms(clock.now_ms) < clock.now_ms - lost_ms)
+
+    play(scenario())
+
+
+def test_a_copy_does_not_end_a_warm_up() -> None:
+    """Failure: an endpoint that turned cold after the copy was made gets all requests at once."""
+
+    async def scenario() -> None:
+        engine = PlatformWorker("e1", Script(events=1))
+        async with Fleet({"pool": [engine]}) as fleet:
+            state = fleet.gateway.state
+            cold = configuration(2)
+            cold["services"][1] |= {"coldStartS": 10.0, "coldPerS": 4.0}
+            await fleet.store.put("op", "config", cold)
+            await follow_all([fleet.gateway], 2)
+            copy = fleet.store.copy()
+            entry = {**engine.entry("pool"), "coldRemainingMs": 9_000}
+            await fleet.store.put("servers", "e1", entry)
+            await until(lambda: len(state.warm_ups.warming_endpoints(state.clock.now_ms)) == 1)
+            async with away(fleet):
+                await fleet.store.restore(copy)
+            await until_read(fleet, "servers")
+            assert len(state.warm_ups.warming_endpoints(state.clock.now_ms)) == 1
+
+    play(scenario())
+
+
+# rows of the routers' own
+
+
+def test_routers_write_their_lost_rows_again() -> None:
+    """Failure: routers that start after a restore do not find the others."""
+
+    async def scenario() -> None:
+        async with Fleet({"web": [PlatformWorker("w1")]}) as fleet:
+            copy = fleet.store.copy()
+            row = fleet.store.rows("routers")["router-1"]
+            former = {**json.loads(row), "boot": 7, "peers": "127.0.0.1:9"}
+            copy.tables["routers"]["router-1"] = copy.tables["routers"]["router-1"]._replace(
+                value=json.dumps(former).encode()
+            )
+            await fleet.add_routers(1)
+            for _ in range(2):
+                async with away(fleet):
+                    await fleet.store.restore(copy)
+                await until(lambda: fleet.store.rows("routers").get("router-1") == row)
+                await until(lambda: "router-2" in fleet.store.rows("routers"))
+                peers = set(fleet.gateway._feeds.listed_routers)
+                assert peers == {"router-1", "router-2"}
+
+    play(scenario())
+
+
+def test_quarantined_requests_that_a_copy_lacks_are_stored_again() -> None:
+    """Failure: a quarantined request crashes endpoints again after the store was restored."""
+
+    async def scenario() -> None:
+        async with Fleet({"pool": [PlatformWorker("e1", Script(events=1))]}) as fleet:
+            quarantine = fleet.gateway.state.quarantine
+            copy = fleet.store.copy()
+            request = QuarantinedRequest("f1", "shop", 0)
+            quarantine.add(request, fleet.gateway.state.clock.now_ms)
+            await until(lambda: "f1" in fleet.store.rows("quarantine"))
+            await until(lambda: not quarantine.unstored())
+            async with away(fleet):
+                await fleet.store.restore(copy)
+                assert "f1" not in fleet.store.rows("quarantine")
+            await until(lambda: "f1" in fleet.store.rows("quarantine"))
+            assert quarantine.contains("f1")
+
+    play(scenario())
+
+
+def test_a_stopping_router_does_not_remove_a_row_under_a_version_given_out_again() -> None:
+    """Failure: the condition on a version holds for another write of the row."""
+
+    async def scenario() -> None:
+        async with Fleet({"web": [PlatformWorker("w1")]}) as fleet:
+            feeds = fleet.gateway._feeds
+            await until(lambda: feeds._own_version is not None)
+            feeds._epoch.observe(fleet.store.era + 1)
+            await feeds.deregister()
+            assert "router-1" in fleet.store.rows("routers")
+
+    play(scenario())
+
+
+# bad input
+
+
+@pytest.mark.parametrize(
+    ("value", "epoch"),
+    [(b"3", 3), (b" 4 ", 4), (b"", None), (b"-1", None), (b"1.5", None), (b"x", None)]
+    + [(b"9" * 40, None)],
+)
+def test_an_epoch_that_is_no_number_is_ignored(value: bytes, epoch: int | None) -> None:
+    """Failure: an unreadable header ends the task that follows the store."""
+    assert StoreDialect().epoch(AnswerHead(200, [(b"store-era", value)], 0, False)) == epoch
+
+
+def test_an_implausible_epoch_does_not_hide_later_restores() -> None:
+    """Failure: after one absurd header no later restore is noticed."""
+
+    async def scenario() -> None:
+        async with Fleet({"web": [PlatformWorker("w1")]}) as fleet:
+            feeds = fleet.gateway._feeds
+            await until(lambda: feeds.store_epoch == 1)
+            fleet.store.era = 10**15
+            await fleet.store.put("op", "config", configuration(2))
+            await follow_all([fleet.gateway], 2)
+            assert feeds.store_epoch == 1
+
+    play(scenario())
