Let the soak's store return to a copy of itself

Change: a fault of the soak: the store goes away, returns to a copy 0.5 to 4 s old with a new era, and what the operator and the workers had written is written again up to 1.5 s later, unless they wrote anew.

--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -2,11 +2,11 @@
 
 Routers are killed, stopped, paused and restarted by signals, singly, all at once and in turn; their
 connections to the store and to workers are delayed, reset, or blocked in one or both directions by
-proxies; the store stops responding, refuses calls, loses answers and drops its history; workers
-fail in every scripted way, request rest, leave, are replaced and restart under their names; a
-zone's workers return cold together; zones are evacuated and restored; requests crash the workers
-that run them; keys are revoked; rows are overwritten with invalid values. Meanwhile, callers and
-workers check the promises.
+proxies; the store stops responding, refuses calls, loses answers, drops its history and returns to
+a copy of itself; workers fail in every scripted way, request rest, leave, are replaced and restart
+under their names; a zone's workers return cold together; zones are evacuated and restored; requests
+crash the workers that run them; keys are revoked; rows are overwritten with invalid values.
+Meanwhile, callers and workers check the promises.
 """
 
 from __future__ import annotations
@@ -51,6 +51,13 @@
 """Shortest and longest evacuation in seconds; some last longer than keys are valid without news."""
 
 
+COPY_AGE_S = (0.5, 4.0)
+AWAY_S = (0.1, 1.0)
+WRITE_AGAIN_S = (0.0, 1.5)
+"""Ranges in seconds of the age of a copy to which the store returns, of its absence, and of the
+time until lost rows are written again."""
+
+
 class Soak:
     """One seeded run.
 
@@ -204,7 +211,12 @@
         fleet = self._routers
         routers = (fleet.kill, fleet.kill_all, fleet.terminate, fleet.roll, fleet.pause)
         links = (fleet.hang_up, fleet.disturb_link, self._workers.disturb_link)
-        store = (self._disturb_store, self._store.forget_history, self._revoke)
+        store = (
+            self._disturb_store,
+            self._store.forget_history,
+            self._restore_store,
+            self._revoke,
+        )
         workers = (
             self._workers.spoil_worker,
             self._workers.overload_worker,
@@ -231,6 +243,18 @@
         await self._wait_fault_period()
         setattr(self._store, mode, 0 if mode == "refusing" else False)
 
+    async def _restore_store(self) -> None:
+        """Return the store to a copy some seconds old; others than routers write again."""
+        copy = self._store.copy()
+        await asyncio.sleep(self.random.uniform(*COPY_AGE_S))
+        self._store.refusing = 503
+        await self._store.forget_history()
+        await asyncio.sleep(self.random.uniform(*AWAY_S))
+        lost = await self._store.restore(copy)
+        self._store.refusing = 0
+        await asyncio.sleep(self.random.uniform(*WRITE_AGAIN_S))
+        await self._store.write_again(lost, copy, ("op", "servers"))
+
     async def _evacuate(self) -> None:
         """Evacuate a zone, and restore it after a while."""
         zone = self.random.choice(ZONES)
