Confirm keys at once when a restored store may be trusted again

Cause: after a restore a router's keys are not confirmed for 2.2 s, in which a lost revocation may not have been written again. The next call then waited for a change, up to a fifth of the revocation bound, so that keys could expire before its answer.

Change: the configuration's reader calls once more when that time is over and has the store answer at once. When callers of a service without usable endpoints should return is decided beside the reason for it.

--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -34,7 +34,7 @@
 from tamarack_gateway.send_result import Result, SendOutcome
 from tamarack_gateway.sending_connection import acquire_connection
 from tamarack_gateway.site import RequestDialect, RequestFacts
-from tamarack_gateway.unavailability import unavailability
+from tamarack_gateway.unavailability import refusal
 
 DEADLINE_MARGIN_MS = 15.0
 """Subtracted from the deadline sent to an endpoint: its answer takes a few milliseconds to come
@@ -391,11 +391,9 @@
             return
         if not self._may_have_run:
             reason = last.reason if self._key_is_valid() else "keys are not confirmed"
-            retry_ms, unavailable = 200.0, unavailability(state, self._service)
-            if unavailable is not None:
-                reason, retry_ms = unavailable.reason, max(retry_ms, unavailable.wait_ms)
+            reason, wait_ms = refusal(state, self._service, reason)
             state.log.request("refused", self._facts.attempt, reason=reason, sends=self._sends)
-            self._answer.refuse(503, retry_ms + 300.0 * state.random.random())
+            self._answer.refuse(503, wait_ms)
             return
         status = 504 if last.outcome is SendOutcome.TIMED_OUT else 502
         state.log.request("failed", self._facts.attempt, reason=last.reason, status=status)
--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -117,7 +117,7 @@
         self._followers: dict[str, TableFollower] = {}
         self._epoch = StoreEpoch(state.clock)
         self._epoch.on_restore = self._on_restore
-        self._reapplication: asyncio.TimerHandle | None = None
+        self._timers: list[asyncio.TimerHandle] = []
 
     def start(self, peers_address: str, boot: int) -> None:
         """Start to follow all tables, and add this router to the list of routers."""
@@ -227,6 +227,8 @@
 
     async def close(self) -> None:
         """Stop following."""
+        for timer in self._timers:
+            timer.cancel()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -252,9 +254,14 @@
         loop = asyncio.get_running_loop()
         # The answer that told of the restore is being read by one of these calls.
         loop.call_soon(self._restart_calls)
-        if self._reapplication is not None:
-            self._reapplication.cancel()
-        self._reapplication = loop.call_later(LOST_CHANGES_MS / 1000, self._reapply)
+        for timer in self._timers:
+            timer.cancel()
+        # Keys are confirmed by a call sent after that time, which should not wait for a change.
+        confirm = self._followers[self._site.tables.configuration].refresh
+        self._timers = [
+            loop.call_later(TableFollower.RETURN_MS / 1000, confirm),
+            loop.call_later(LOST_CHANGES_MS / 1000, self._reapply),
+        ]
 
     def _restart_calls(self) -> None:
         for follower in self._followers.values():
@@ -262,7 +269,6 @@
 
     def _reapply(self) -> None:
         """Apply all tables as they are: what is still missing has not been written again."""
-        self._reapplication = None
         self._state.registry.end_restore()
         for follower in self._followers.values():
             follower.reapply()
--- a/packages/gateway/src/tamarack_gateway/table_follower.py
+++ b/packages/gateway/src/tamarack_gateway/table_follower.py
@@ -140,6 +140,15 @@
         """
         self._recovered_ms = self._clock.now_ms
         self._recovery_known = True
+        self._end_call()
+
+    def refresh(self) -> None:
+        """Call the store now, if this router does, and have it answer at once."""
+        if self._reads() and not self._failures:
+            self._gap_found = True
+            self._end_call()
+
+    def _end_call(self) -> None:
         if self._call_task is not None and not self._call_task.done():
             self._restarting_call = True
             self._call_task.cancel()
@@ -152,9 +161,8 @@
         """
         self._recovered_ms = self._clock.now_ms
         self._recovery_known = True
-        calling = self._call_task is not None and not self._call_task.done()
-        if calling and self._is_outdated(self._call_after):
-            self.restart_call()
+        if self._is_outdated(self._call_after):
+            self._end_call()
 
     def reapply(self) -> None:
         """Report all known rows once more, as of an unknown time."""
--- a/packages/gateway/src/tamarack_gateway/unavailability.py
+++ b/packages/gateway/src/tamarack_gateway/unavailability.py
@@ -14,6 +14,25 @@
     wait_ms: float
 
 
+RETRY_MS = 200.0
+RETRY_SPREAD_MS = 300.0
+"""Least time in milliseconds after which a refused caller should return, and the range over which
+callers that were refused together are spread."""
+
+
+def refusal(state: FleetState, service: str, reason: str) -> Unavailability:
+    """Return why a request that has not run is refused, and when its caller should return.
+
+    Parameters
+    ----------
+    reason
+        Reason to give if some endpoint of the service takes requests.
+    """
+    unavailable = unavailability(state, service) or Unavailability(reason, 0.0)
+    wait_ms = max(RETRY_MS, unavailable.wait_ms) + RETRY_SPREAD_MS * state.random.random()
+    return unavailable._replace(wait_ms=wait_ms)
+
+
 def unavailability(state: FleetState, service: str) -> Unavailability | None:
     """Return until when all endpoints of a service warm up or rest.
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -16,6 +16,7 @@
 from tamarack_gateway.gateway import Gateway
 from tamarack_gateway.http_messages import AnswerHead
 from tamarack_gateway.store_epoch import epoch_of
+from tamarack_gateway.table_follower import TableFollower
 from tamarack_platform.store import PlatformStore as StoreDialect
 from tamarack_standins.platform_worker import PlatformWorker, Script
 
@@ -222,7 +223,10 @@
 
 
 def test_a_copy_does_not_confirm_keys() -> None:
-    """Failure: a key whose revocation the store has lost is accepted past the bound."""
+    """Failure: a key whose revocation the store has lost is accepted past the bound.
+
+    Nor must all keys expire because the next confirmation waits for a change.
+    """
 
     async def scenario() -> None:
         async with Fleet({"web": [PlatformWorker("w1")]}) as fleet:
@@ -234,7 +238,8 @@
             await until_read(fleet, "op")
             await asyncio.sleep(1.2)
             assert state.freshness.age_ms(clock.now_ms) >= clock.now_ms - lost_ms
-            await until(lambda: state.freshness.age_ms(clock.now_ms) < clock.now_ms - lost_ms)
+            async with asyncio.timeout(TableFollower.RETURN_MS / 1000 - 1.2 + 0.5):
+                await until(lambda: state.freshness.age_ms(clock.now_ms) < 500.0)
 
     play(scenario())
 
