--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -10,13 +10,15 @@
 
 import pytest
 from gateway_site import Fleet, configuration, play, until
+from test_table_follower import Listener
 
 from tamarack_core.relay_plan import SMALL_FLEET
 from tamarack_core.termination_evidence import QuarantinedRequest
 from tamarack_gateway.gateway import Gateway
 from tamarack_gateway.http_messages import AnswerHead
-from tamarack_gateway.store_epoch import epoch_of
+from tamarack_gateway.store_epoch import epoch_of, with_epoch
 from tamarack_gateway.table_follower import TableFollower
+from tamarack_gateway.table_messages import PublishedRow, TableNews
 from tamarack_platform.store import PlatformStore as StoreDialect
 from tamarack_standins.platform_worker import PlatformWorker, Script
 
@@ -142,6 +144,36 @@
     play(scenario())
 
 
+def news(epoch: int, version: int, *, whole: bool = False) -> TableNews:
+    """A reader's message about one change, or with the whole table."""
+    row = PublishedRow("a", b"1", with_epoch(epoch, version))
+    after = with_epoch(epoch, 0 if whole else version - 1)
+    return TableNews("op", after, row.version, 0.0, [row], {}, whole)
+
+
+@pytest.mark.parametrize("epoch", [1, 3])
+def test_a_listener_does_not_combine_changes_of_two_epochs(epoch: int) -> None:
+    """Failure: a change of another epoch counts as the next one, or as known already."""
+    listener = Listener()
+    listener.follower._epoch.observe(2)
+    listener.follower._version = with_epoch(2, 10)
+    listener.follower.receive(news(epoch, 11), 0.0)
+    assert listener.changes == []
+    assert not listener.follower._listening()
+
+
+def test_a_listener_takes_a_whole_table_of_a_newer_epoch_only() -> None:
+    """Failure: a reader that missed a restore brings back what the store no longer holds."""
+    listener = Listener()
+    listener.follower._epoch.observe(2)
+    listener.follower._version = with_epoch(1, 90)
+    listener.follower.receive(news(1, 95, whole=True), 0.0)
+    assert listener.changes == []
+    listener.follower.receive(news(2, 11, whole=True), 0.0)
+    assert [change.whole for change in listener.changes] == [True]
+    assert listener.follower.version == with_epoch(2, 11)
+
+
 # what the copy lacks
 
 
