--- a/packages/core/src/tamarack_core/endpoint_registry.py
+++ b/packages/core/src/tamarack_core/endpoint_registry.py
@@ -65,7 +65,6 @@
 """Milliseconds for which an endpoint that is no longer listed is remembered as leaving. It serves
 for some time after its entry was removed, and a delayed write may list it again."""
 
-
 REMOVED_RETAINED_MS = 30_000.0
 """Milliseconds for which the removal of an entry is remembered: longer than a copy from which the
 store is restored is old."""
