Report once a second what an overloaded router refuses, admits and spends

Cause: the hypotheses about refusals that crowd out service cannot be told apart: no reading tells processor time, accepted connections, or those closed after an answer; lines of refusals beyond 300 a second are dropped. Change: a line a second while requests are refused for overload (refused, admitted, largest workspaces, connections accepted and closed after an answer, processor time, limit, running, lag); the same as metrics. No decision changes.

--- a/packages/core/src/tamarack_core/clock.py
+++ b/packages/core/src/tamarack_core/clock.py
@@ -24,6 +24,11 @@
         """Milliseconds since the Unix epoch, for records that people read."""
         return time.time_ns() // 1_000_000
 
+    @property
+    def processor_ms(self) -> float:
+        """Milliseconds of processor time that the process has used."""
+        return time.process_time_ns() / 1e6
+
 
 class BootClock(Clock):
     """A clock that also runs while the instance is suspended.
--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -49,8 +49,8 @@
         Returns the limits in force.
     registry
         The set of open connections, to which this one adds itself.
-    near_limit
-        Returns whether so many connections are open that each closes after the answer in progress.
+    should_close
+        Returns whether the connection closes after the answer in progress, for want of room.
 
     Attributes
     ----------
@@ -66,9 +66,9 @@
         clock: Clock,
         bounds: Callable[[], CallerBounds],
         registry: set[CallerConnection],
-        near_limit: Callable[[], bool] = lambda: False,
+        should_close: Callable[[], bool] = lambda: False,
     ) -> None:
-        self._near_limit = near_limit
+        self._should_close = should_close
         self._answered = False
         self._handler = handler
         self._clock = clock
@@ -313,7 +313,7 @@
             self._transport.close()
 
     def _connection_headers(self) -> Headers:
-        if self.closing or not self._keep_alive or self._near_limit():
+        if self.closing or not self._keep_alive or self._should_close():
             self._keep_alive = False
             return [(b"connection", b"close")]
         return []
--- a/packages/gateway/src/tamarack_gateway/connection_limiter.py
+++ b/packages/gateway/src/tamarack_gateway/connection_limiter.py
@@ -6,6 +6,7 @@
 
 from tamarack_gateway.caller_connection import CallerConnection
 from tamarack_gateway.fleet_state import FleetState
+from tamarack_gateway.refusal_report import ConnectionCounts
 
 CALLER_DESCRIPTOR_FRACTION = 0.6
 """Fraction of the file descriptors for callers' connections; the rest is for endpoints, the store
@@ -52,6 +53,8 @@
         self._state = state
         self._connections = connections
         self._freed = 0
+        self._accepted = 0
+        self._closed_after_answer = 0
         self.turned_away = 0
         self._logged_ms = float("-inf")
         self.closed = 0
@@ -66,8 +69,23 @@
         """Whether callers should be directed to other routers."""
         return len(self._connections) >= NEAR_LIMIT_FRACTION * self.limit
 
+    @property
+    def counts(self) -> ConnectionCounts:
+        """Counts of callers' connections since the start."""
+        return ConnectionCounts(self._accepted, self.turned_away, self._closed_after_answer)
+
+    def should_close(self) -> bool:
+        """Whether a connection closes after the answer in progress, for want of room."""
+        self._closed_after_answer += self.near_limit
+        return self.near_limit
+
     def admit(self) -> bool:
         """Whether a new connection is accepted; idle connections are closed to make room for it."""
+        admitted = self._has_room()
+        self._accepted += admitted
+        return admitted
+
+    def _has_room(self) -> bool:
         if len(self._connections) < self.limit:
             self._freed = 0
             return True
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -75,12 +75,13 @@
         self._outbox = Outbox()
         self._members = FleetMembers()
         self._connections: set[CallerConnection] = set()
+        self._caller_limit = ConnectionLimiter(self._state, self._connections)
         self._loop_monitor = LoopMonitor(
             clock,
             log,
             self._connections,
             changed=lambda: self._peers.publish_summary(),
-            turned_away=lambda: self._caller_limit.turned_away,
+            counts=lambda: self._caller_limit.counts,
         )
         self._metrics = GatewayMetrics(
             self._state,
@@ -112,7 +113,6 @@
             self._detector,
             self._quarantine,
         )
-        self._caller_limit = ConnectionLimiter(self._state, self._connections)
         self._listeners = Listeners(self._state, clock, self._connections, self._caller_limit)
         self._tasks: list[asyncio.Task[Any]] = []
         self._lines_queued = asyncio.Event()
--- a/packages/gateway/src/tamarack_gateway/listeners.py
+++ b/packages/gateway/src/tamarack_gateway/listeners.py
@@ -69,7 +69,7 @@
             self._clock,
             lambda: state.bounds,
             self._connections,
-            lambda: self._limiter.near_limit,
+            self._limiter.should_close,
         )
         connection.closing = state.leaving is not None
         return connection
--- a/packages/gateway/src/tamarack_gateway/loop_monitor.py
+++ b/packages/gateway/src/tamarack_gateway/loop_monitor.py
@@ -15,6 +15,7 @@
 from tamarack_core.loop_lag import SAMPLE_MS, LoopLag
 from tamarack_gateway.caller_connection import CallerConnection
 from tamarack_gateway.decision_log import DecisionLog
+from tamarack_gateway.refusal_report import ConnectionCounts, RefusalReport
 
 IDLE_SAMPLE_MS = 250.0
 """Time between two samples while no caller is connected: there are no requests to reject, and idle
@@ -29,7 +30,11 @@
     most_lag_ms: int
     overloaded: bool
     overloads: int
+    accepted: int
     turned_away: int
+    closed_after_answer: int
+    refused: int
+    processor_ms: int
     most_in_progress: int
     connections: int
     requests: int
@@ -44,8 +49,8 @@
         Open connections of callers.
     changed
         Called when an overload begins or ends.
-    turned_away
-        Returns the number of connections closed unread because the limit was reached.
+    counts
+        Returns the counts of callers' connections.
     """
 
     def __init__(
@@ -55,13 +60,14 @@
         connections: Collection[CallerConnection],
         *,
         changed: Callable[[], None],
-        turned_away: Callable[[], int] = int,
+        counts: Callable[[], ConnectionCounts] = ConnectionCounts,
     ) -> None:
         self._clock = clock
         self._log = log
         self._connections = connections
         self._changed = changed
-        self._turned_away = turned_away
+        self._counts = counts
+        self._report = RefusalReport(clock, log, counts)
         self._lag = LoopLag()
         self._limit = ConcurrencyLimit()
         self._running: Counter[str | None] = Counter()
@@ -99,14 +105,18 @@
         """Whether a new request of a workspace is to be refused at once."""
         own = self._running[workspace]
         workspaces = len(self._running) + (own == 0)
-        if not self._limit.admits(own, self.running, workspaces):
-            return True
-        return self._lag.should_refuse(self._clock.now_ms)
+        refuse = not self._limit.admits(own, self.running, workspaces) or self._lag.should_refuse(
+            self._clock.now_ms
+        )
+        if refuse:
+            self._report.refuse(workspace)
+        return refuse
 
     @contextmanager
     def in_progress(self, workspace: str | None) -> Iterator[None]:
         """Count a request of a workspace as in progress within the context."""
         self._running[workspace] += 1
+        self._report.admit()
         try:
             yield
         finally:
@@ -116,18 +126,26 @@
 
     def status(self) -> LoopStatus:
         """Current load of the event loop."""
-        lag, limit = self._lag, self._limit.limit
+        lag, counts = self._lag, self._counts()
         return {
             "lag_ms": round(lag.lag_ms),
             "most_lag_ms": round(lag.max_ms),
             "overloaded": lag.overloaded,
             "overloads": lag.overloads,
-            "turned_away": self._turned_away(),
-            "most_in_progress": 0 if math.isinf(limit) else int(limit),
+            "accepted": counts.accepted,
+            "turned_away": counts.turned_away,
+            "closed_after_answer": counts.closed_after_answer,
+            "refused": self._report.refused,
+            "processor_ms": round(self._clock.processor_ms),
+            "most_in_progress": self._most_in_progress,
             "connections": len(self._connections),
             "requests": sum(connection.busy for connection in self._connections),
         }
 
+    @property
+    def _most_in_progress(self) -> int:
+        return 0 if math.isinf(self._limit.limit) else int(self._limit.limit)
+
     def _schedule(self) -> None:
         sample_ms = SAMPLE_MS if self._connections else IDLE_SAMPLE_MS
         due_ms = self._clock.now_ms + sample_ms
@@ -139,6 +157,9 @@
         self._limit.observe(now_ms - due_ms, self.running, now_ms)
         overload_changed = self._lag.record_lag(now_ms - due_ms, now_ms)
         self._schedule()
+        self._report.poll(
+            limit=self._most_in_progress, running=self.running, lag_ms=round(self._lag.lag_ms)
+        )
         if overload_changed:
             message = "overloaded" if self._lag.overloaded else "no longer overloaded"
             self._log.event(message, **self.status())
--- /dev/null
+++ b/tests/test_refusal_report.py
@@ -0,0 +1,59 @@
+"""Reports of requests that an overloaded router refused."""
+
+from __future__ import annotations
+
+import json
+import os
+
+from tamarack_core.clock import ManualClock
+from tamarack_gateway.decision_log import DecisionLog
+from tamarack_gateway.refusal_report import REPORT_INTERVAL_MS, ConnectionCounts, RefusalReport
+
+
+class Clock(ManualClock):
+    """A manual clock with a processor time that the test sets."""
+
+    used_ms = 0.0
+
+    @property
+    def processor_ms(self) -> float:
+        return self.used_ms
+
+
+def test_a_report_tells_what_was_refused_admitted_and_spent() -> None:
+    reader, writer = os.pipe()
+    clock = Clock()
+    log = DecisionLog("r", clock, output=writer)
+    counts = ConnectionCounts(accepted=5)
+    report = RefusalReport(clock, log, lambda: counts)
+    for workspace in ("large", "large", None):
+        report.refuse(workspace)
+    report.admit()
+    report.poll(limit=32)
+    assert not log.waiting
+    clock.advance(REPORT_INTERVAL_MS)
+    clock.used_ms, counts = 480.0, ConnectionCounts(accepted=12, closed_after_answer=4)
+    report.poll(limit=32)
+    log.flush()
+    line = json.loads(os.read(reader, 4_096))
+    assert line["message"] == "router: requests refused for overload"
+    assert (line["refused"], line["admitted"], line["limit"]) == (3, 1, 32)
+    assert line["largest"] == {"large": 2, "": 1}
+    assert (line["accepted"], line["closed_after_answer"]) == (7, 4)
+    assert (line["processor_ms"], line["took_ms"]) == (480, REPORT_INTERVAL_MS)
+    assert report.refused == 3
+    os.close(reader)
+    os.close(writer)
+
+
+def test_nothing_is_reported_without_refusals() -> None:
+    clock = Clock()
+    reader, writer = os.pipe()
+    log = DecisionLog("r", clock, output=writer)
+    report = RefusalReport(clock, log, ConnectionCounts)
+    report.admit()
+    clock.advance(REPORT_INTERVAL_MS)
+    report.poll()
+    assert not log.waiting
+    os.close(reader)
+    os.close(writer)
