Keep connections that were used before open near the limit of connections

Cause: near its limit of connections (1,230 open) a router closed each connection after its answer, so that every refused caller had to connect again; callers saw refusals half a second late and few placements. Change: only connections that are used for the first time close there: retries, which come on new connections, so that their number stays bounded. Conclusion: first tries find their connections; the diversion of callers that stay is a fault of its own.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -50,7 +50,7 @@
     registry
         The set of open connections, to which this one adds itself.
     should_close
-        Returns whether the connection closes after the answer in progress, for want of room.
+        Returns whether the connection closes after its first answer, for want of room.
 
     Attributes
     ----------
@@ -313,7 +313,7 @@
             self._transport.close()
 
     def _connection_headers(self) -> Headers:
-        if self.closing or not self._keep_alive or self._should_close():
+        if self.closing or not self._keep_alive or (not self._answered and self._should_close()):
             self._keep_alive = False
             return [(b"connection", b"close")]
         return []
--- a/packages/gateway/src/tamarack_gateway/connection_limiter.py
+++ b/packages/gateway/src/tamarack_gateway/connection_limiter.py
@@ -14,10 +14,11 @@
 requests that it has read; callers whose connection is rejected at once go to another router."""
 
 NEAR_LIMIT_FRACTION = 0.5
-"""Fraction of that limit from which on connections close after each answer, and callers are
-directed to other routers. Callers retry a refused request on a new connection and keep the old one
-open: at 600 requests a second they reach a limit of 2,340 connections in 4 s, and no caller can
-connect any more."""
+"""Fraction of that limit from which on new connections close after their first answer, and callers
+are directed to other routers. Callers retry a refused request on a new connection and keep the old
+one open: at 600 requests a second they reach a limit of 2,340 connections in 4 s, and no caller can
+connect any more. Connections that were used before stay open, since connecting costs several times
+as much as refusing a request."""
 
 EVICTION_BATCH = 32
 """Idle connections that are closed together to make room: finding them among thousands takes a
@@ -75,7 +76,7 @@
         return ConnectionCounts(self._accepted, self.turned_away, self._closed_after_answer)
 
     def should_close(self) -> bool:
-        """Whether a connection closes after the answer in progress, for want of room."""
+        """Whether a new connection closes after its first answer, for want of room."""
         self._closed_after_answer += self.near_limit
         return self.near_limit
 
