Refuse for overload before a task is started and the whole head is read

Change: a request that the router's limit or lag refuses is answered where it was read, by attempt id and key alone; framing is checked in one pass. The limit is looked at again when the task of an admitted request starts, as requests that were read together have begun since.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import re
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -31,8 +32,18 @@
 """Timeout in milliseconds for a cancelled handler to return; a handler that does not return would
 block the router's exit until the process is killed."""
 
+NOT_VISIBLE = re.compile(rb"[^\x21-\x7e]")
+"""Bytes that no request target contains: spaces, control characters and all beyond ASCII."""
+
 Handler = Callable[[Request, "CallerConnection"], Awaitable[None]]
 
+Refusal = Callable[[Request, "CallerConnection"], bool]
+
+
+def no_refusal(request: Request, caller: CallerConnection) -> bool:
+    """Refuse no request early."""
+    return False
+
 
 class CallerDisconnectedError(ConnectionError):
     """The caller has closed its connection."""
@@ -45,6 +56,9 @@
     ----------
     handler
         Answers a request by calling `answer`, or `begin`, `write` and `end`, of this connection.
+    refuse_early
+        Answers a request that is refused without further work; returns whether it did. It is called
+        before a task is started for the handler, which costs as much as a refusal.
     bounds
         Returns the limits in force.
     registry
@@ -67,8 +81,10 @@
         bounds: Callable[[], CallerBounds],
         registry: set[CallerConnection],
         should_close: Callable[[], bool] = lambda: False,
+        refuse_early: Refusal = no_refusal,
     ) -> None:
         self._should_close = should_close
+        self._refuse_early = refuse_early
         self._answered = False
         self._handler = handler
         self._clock = clock
@@ -178,7 +194,13 @@
             self._clock.now_ms,
         )
         self._body = []
-        self._pending.append((request, self._parser.should_keep_alive()))
+        keep = self._parser.should_keep_alive()
+        if self._task is None and not self._pending:
+            self._begin_request(keep)
+            if self._refuse_early(request, self):
+                self._end_request()
+                return
+        self._pending.append((request, keep))
         if self._task is None:
             self._task = asyncio.ensure_future(self._serve())
 
@@ -280,8 +302,7 @@
         try:
             while self._pending and not self.disconnected:
                 request, keep = self._pending.popleft()
-                self._keep_alive = keep
-                self._begun = False
+                self._begin_request(keep)
                 try:
                     await self._handler(request, self)
                 except Exception:
@@ -289,14 +310,26 @@
                     raise
                 if not self._begun and not self.disconnected:
                     raise RuntimeError("a request was not answered")
-                if not (self._keep_alive and not self.closing):
-                    self._finish()
+                if not self._end_request():
                     return
         finally:
             self._task = None
             self._answered = True
             self._changed_ms = self._clock.now_ms
 
+    def _begin_request(self, keep: bool) -> None:
+        self._keep_alive = keep
+        self._begun = False
+
+    def _end_request(self) -> bool:
+        """End an answered request; returns whether the connection stays open."""
+        self._answered = True
+        self._changed_ms = self._clock.now_ms
+        if self._keep_alive and not self.closing:
+            return True
+        self._finish()
+        return False
+
     def _fail(self) -> None:
         # An unexpected exception: without an answer or a close the caller would wait until its
         # deadline, and its connection would never be closed.
@@ -327,20 +360,22 @@
     def _has_valid_framing(self) -> bool:
         # Prevents request smuggling: a request with ambiguous framing can hide a second one in its
         # body, and an endpoint would run a request that no caller sent.
-        lengths = [value for name, value in self._headers if name == b"content-length"]
-        codings = [value for name, value in self._headers if name == b"transfer-encoding"]
-        hosts = [value for name, value in self._headers if name == b"host"]
+        lengths: list[bytes] = []
+        codings: list[bytes] = []
+        hosts: list[bytes] = []
+        framing = {b"content-length": lengths, b"transfer-encoding": codings, b"host": hosts}
+        for name, value in self._headers:
+            if b"\r" in value or b"\n" in value:
+                return False
+            if name in framing:
+                framing[name].append(value)
         if len(lengths) > 1 or len(codings) > 1 or (lengths and codings) or len(hosts) != 1:
             return False
         if codings and codings[0].strip().lower() != b"chunked":
             return False
         if lengths and not lengths[0].strip().isdigit():
             return False
-        if not self._target.startswith(b"/") or any(
-            byte <= 32 or byte > 126 for byte in self._target
-        ):
-            return False
-        return not any(b"\r" in value or b"\n" in value for _, value in self._headers)
+        return self._target.startswith(b"/") and not NOT_VISIBLE.search(self._target)
 
     def _expects_continue(self) -> bool:
         return any(
--- a/packages/gateway/src/tamarack_gateway/caller_handler.py
+++ b/packages/gateway/src/tamarack_gateway/caller_handler.py
@@ -65,6 +65,17 @@
         self._log = state.log
         self.ending = False
 
+    def refuse_early(self, request: Request, caller: CallerConnection) -> bool:
+        """Refuse a request if this router is overloaded; returns whether it was refused.
+
+        The caller gets an answer and keeps its connection: a caller whose connection is closed
+        unread considers the address unreachable, and one pinned to this router has no other.
+        """
+        if not self._loop_monitor.may_refuse:
+            return False
+        sender = self._dialect.sender(request)
+        return sender is not None and self._refuse_overload(caller, sender.attempt, sender.key)
+
     async def answer(self, request: Request, caller: CallerConnection) -> None:
         """Answer one request."""
         state, dialect = self._state, self._dialect
@@ -72,16 +83,11 @@
         if facts is None:
             caller.answer(400, [])
             return
-        rules = state.rules
-        workspace = rules.workspace_of(facts.key) if rules and facts.key is not None else None
-        if self._loop_monitor.should_refuse(workspace):
-            # Checked before any other work: this router is overloaded, and others may not be. The
-            # caller gets an answer and keeps its connection: a caller whose connection is closed
-            # unread considers the address unreachable, and one pinned to this router has no other.
-            self._refuse(
-                caller, facts.attempt, "overloaded", OVERLOAD_RETRY_MS, workspace=workspace
-            )
+        # Checked again: requests that were read together have begun since.
+        if self._refuse_overload(caller, facts.attempt, facts.key):
             return
+        rules = state.rules
+        workspace = self._workspace_of(facts.key)
         if state.leaving is not None and not state.leaving.lingers(self._clock.now_ms):
             # The TTL of every answer with this address has expired; only running requests remain.
             self._refuse(caller, facts.attempt, "leaving", ELSEWHERE_MS)
@@ -116,6 +122,17 @@
         finally:
             self._metrics.ended(route, self._clock.now_ms - request.arrived_ms)
 
+    def _workspace_of(self, key: str | None) -> str | None:
+        rules = self._state.rules
+        return rules.workspace_of(key) if rules is not None and key is not None else None
+
+    def _refuse_overload(self, caller: CallerConnection, attempt: str, key: str | None) -> bool:
+        workspace = self._workspace_of(key)
+        if not self._loop_monitor.should_refuse(workspace):
+            return False
+        self._refuse(caller, attempt, "overloaded", OVERLOAD_RETRY_MS, workspace=workspace)
+        return True
+
     def _exchange(
         self,
         request: Request,
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -133,7 +133,10 @@
         self._stack.enter_context(self._loop_monitor)
         self._feeds.start(self._peers.address, self._boot)
         listen = self._listeners.listen
-        self._callers = await listen(settings.callers, self._handler.answer)
+        handler = self._handler
+        self._callers = await listen(
+            settings.callers, handler.answer, refuse_early=handler.refuse_early
+        )
         for address in dict.fromkeys((settings.readiness, settings.directory)):
             if address:
                 self._site_addresses.append(await listen(address, self._pages.answer_site))
--- a/packages/gateway/src/tamarack_gateway/listeners.py
+++ b/packages/gateway/src/tamarack_gateway/listeners.py
@@ -6,7 +6,13 @@
 import socket
 
 from tamarack_core.clock import Clock
-from tamarack_gateway.caller_connection import CallerConnection, Handler, RejectedConnection
+from tamarack_gateway.caller_connection import (
+    CallerConnection,
+    Handler,
+    Refusal,
+    RejectedConnection,
+    no_refusal,
+)
 from tamarack_gateway.connection_limiter import ConnectionLimiter
 from tamarack_gateway.fleet_state import FleetState
 
@@ -43,12 +49,16 @@
         self._limiter = limiter
         self._servers: list[asyncio.Server] = []
 
-    async def listen(self, address: str, handler: Handler) -> str:
+    async def listen(
+        self, address: str, handler: Handler, *, refuse_early: Refusal = no_refusal
+    ) -> str:
         """Listen on an address; returns the bound address."""
         loop = asyncio.get_running_loop()
 
         def accept() -> asyncio.Protocol:
-            return self._connection(handler) if self._limiter.admit() else RejectedConnection()
+            if not self._limiter.admit():
+                return RejectedConnection()
+            return self._connection(handler, refuse_early)
 
         listener = _bind(address)
         self._servers.append(
@@ -62,7 +72,7 @@
         for server in self._servers:
             server.close()
 
-    def _connection(self, handler: Handler) -> CallerConnection:
+    def _connection(self, handler: Handler, refuse_early: Refusal) -> CallerConnection:
         state = self._state
         connection = CallerConnection(
             handler,
@@ -70,6 +80,7 @@
             lambda: state.bounds,
             self._connections,
             self._limiter.should_close,
+            refuse_early,
         )
         connection.closing = state.leaving is not None
         return connection
--- a/packages/gateway/src/tamarack_gateway/loop_monitor.py
+++ b/packages/gateway/src/tamarack_gateway/loop_monitor.py
@@ -107,6 +107,11 @@
         """Requests in progress."""
         return self._running.total()
 
+    @property
+    def may_refuse(self) -> bool:
+        """Whether some new requests are refused; False means that none is."""
+        return self.running >= self._limit.limit or self._lag.overloaded
+
     def should_refuse(self, workspace: str | None) -> bool:
         """Whether a new request of a workspace is to be refused at once."""
         own = self._running[workspace]
--- a/packages/gateway/src/tamarack_gateway/site.py
+++ b/packages/gateway/src/tamarack_gateway/site.py
@@ -83,6 +83,19 @@
     regions: Mapping[str, str] = {}
 
 
+class Sender(NamedTuple):
+    """Who sent a request.
+
+    Attributes
+    ----------
+    attempt, key
+        As in `RequestFacts`.
+    """
+
+    attempt: str
+    key: str | None
+
+
 class RequestFacts(NamedTuple):
     """Facts from the headers of a caller's request.
 
@@ -140,6 +153,9 @@
 class RequestDialect(Protocol):
     """Headers of requests and answers, on the callers' and the endpoints' side."""
 
+    def sender(self, request: Request) -> Sender | None:
+        """Sender of a request, without reading the rest; None if it cannot be parsed."""
+
     def read(self, request: Request) -> RequestFacts | None:
         """Facts of a request; None if it cannot be parsed."""
 
