Count flapping as one crowded time when callers that stay are diverted

Cause: a router near its limit of connections crosses it several times a second; each crossing began a diversion anew, none lasted for the two seconds of a trial, so callers that stay were diverted on and off. Change: a router counts as crowded for 3.3 s after each crowded moment, for lag and connections alike. That time stood in LoopLag, and moved; so did its test, with the same expectations, from LoopLag.avoid to CallerDiversion.

--- a/packages/core/src/tamarack_core/caller_diversion.py
+++ b/packages/core/src/tamarack_core/caller_diversion.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+AVOID_MS = 3_300.0
+"""Milliseconds after a crowded moment for which callers are still directed to other routers. Some
+use an answer with addresses for three times its time to live of one second: with a shorter period
+the caller whose traffic crowds the router would not notice it, and would stay."""
+
 TRIAL_MS = 2_000.0
 """Milliseconds after which most callers have left: they ask for addresses once a second."""
 
@@ -12,8 +17,8 @@
 """Requests in a second below which it does not matter whether callers connect for each of them."""
 
 PAUSE_MS = 10_000.0
-"""Milliseconds without a need for diversion after which callers that stayed are diverted again:
-others may use the router by then."""
+"""Milliseconds after a diversion in which the router is not crowded, and after which callers that
+stayed are diverted again: others may use it by then."""
 
 RATE_MS = 1_000.0
 """Time in milliseconds over which requests are counted for their rate."""
@@ -30,6 +35,7 @@
     def __init__(self) -> None:
         self._wanted = False
         self._ignored = False
+        self._crowded_ms = float("-inf")
         self._changed_ms = 0.0
         self._counted_ms = 0.0
         self._count = 0
@@ -45,11 +51,14 @@
         """Count a request that arrived."""
         self._count += 1
 
-    def observe(self, wanted: bool, now_ms: float) -> None:
-        """Record whether callers should use other routers; called several times a second."""
+    def observe(self, crowded: bool, now_ms: float) -> None:
+        """Record whether the router is crowded; called several times a second."""
+        if crowded:
+            self._crowded_ms = now_ms
         if now_ms - self._counted_ms >= RATE_MS:
             self._per_s = 1_000 * self._count / (now_ms - self._counted_ms)
             self._counted_ms, self._count = now_ms, 0
+        wanted = now_ms - self._crowded_ms < AVOID_MS
         if wanted != self._wanted:
             self._wanted, self._changed_ms = wanted, now_ms
             self._before_per_s = self._per_s
--- a/packages/core/src/tamarack_core/loop_lag.py
+++ b/packages/core/src/tamarack_core/loop_lag.py
@@ -30,11 +30,6 @@
 accepts them. With permanent refusal no request would be served if all routers are overloaded, or if
 the lag is not caused by their callers."""
 
-AVOID_MS = 3_300.0
-"""Milliseconds after an overload for which callers are still directed to other routers. Some use an
-answer with addresses for three times its time to live of one second: with a shorter period the
-caller whose traffic caused the overload would not notice it, and would stay."""
-
 PEAK_KEPT = 0.95
 """Factor by which the reported peak lag decays with each sample. It halves in 0.7 s, since it is
 read only now and then."""
@@ -58,7 +53,6 @@
         self._calm_samples = 0
         self._overloaded = False
         self._since_ms = 0.0
-        self._ended_ms = float("-inf")
         self.lag_ms = 0.0
         self.max_ms = 0.0
         self.overloads = 0
@@ -68,10 +62,6 @@
         """Whether the loop lags persistently."""
         return self._overloaded
 
-    def avoid(self, now_ms: float) -> bool:
-        """Whether callers should use other routers: this one is or was recently overloaded."""
-        return self._overloaded or now_ms - self._ended_ms < AVOID_MS
-
     def should_refuse(self, now_ms: float) -> bool:
         """Whether requests that arrive now are refused."""
         return self._overloaded and (now_ms - self._since_ms) % (REFUSE_MS + TAKE_MS) < REFUSE_MS
@@ -90,6 +80,5 @@
             return True
         if self._overloaded and self._calm_samples >= CALM_SAMPLES:
             self._overloaded = False
-            self._ended_ms = now_ms
             return True
         return False
--- a/packages/gateway/src/tamarack_gateway/loop_monitor.py
+++ b/packages/gateway/src/tamarack_gateway/loop_monitor.py
@@ -51,7 +51,7 @@
     changed
         Called when an overload begins or ends, or when callers are directed elsewhere or no longer.
     crowded
-        Returns whether callers should use other routers for another reason than lag.
+        Returns whether the router is crowded for another reason than lag.
     counts
         Returns the counts of callers' connections.
     """
@@ -170,7 +170,7 @@
         self._limit.observe(now_ms - due_ms, self.running, now_ms)
         overload_changed = self._lag.record_lag(now_ms - due_ms, now_ms)
         diverted = self.avoid
-        self._diversion.observe(self._lag.avoid(now_ms) or self._crowded(), now_ms)
+        self._diversion.observe(self._lag.overloaded or self._crowded(), now_ms)
         self._schedule()
         self._report.poll(
             limit=self._most_in_progress,
--- a/tests/test_caller_diversion.py
+++ b/tests/test_caller_diversion.py
@@ -6,8 +6,9 @@
 import os
 from collections.abc import Callable
 
+from tamarack_core.caller_diversion import AVOID_MS, CallerDiversion
 from tamarack_core.clock import ManualClock
-from tamarack_core.loop_lag import AVOID_MS, LATE_MS, SAMPLE_MS
+from tamarack_core.loop_lag import LATE_MS, SAMPLE_MS
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.loop_monitor import LoopMonitor
 
@@ -91,3 +92,34 @@
     """Failure: a slow router is listed again as a few callers still use it."""
     diverted = play(lambda now_ms: now_ms > 2_000, lambda now_ms: now_ms % 500 == 0, 20.0)
     assert max(diverted) == 20_000.0
+
+
+def test_callers_avoid_a_router_for_longer_than_they_use_an_answer() -> None:
+    """Failure: a caller with much traffic overloads the same router again and again.
+
+    An overload lasts half a second, and the caller asks for addresses before and after it. A router
+    that is left out of answers only during its overload is never left out of the caller's answers.
+    """
+    diversion = CallerDiversion()
+    diversion.observe(False, 0.0)
+    assert not diversion.active
+    diversion.observe(True, 1_000.0)
+    assert diversion.active
+    diversion.observe(True, 1_500.0)
+    diversion.observe(False, 1_500.0 + AVOID_MS - 1.0)
+    assert diversion.active
+    diversion.observe(False, 1_500.0 + AVOID_MS)
+    assert not diversion.active
+
+
+def test_callers_that_stay_are_not_diverted_by_turns() -> None:
+    """Failure: a router that is crowded for less than a trial at a time diverts callers forever."""
+    diversion, diverted = CallerDiversion(), []
+    for sample in range(800):
+        now_ms = SAMPLE_MS * sample
+        for _ in range(50):
+            diversion.record_request()
+        diversion.observe(now_ms % 1_000 < 500, now_ms)
+        diverted.append(diversion.active)
+    assert diverted[0]
+    assert not any(diverted[100:])
--- a/tests/test_loop_lag.py
+++ b/tests/test_loop_lag.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from tamarack_core.loop_lag import (
-    AVOID_MS,
     CALM_MS,
     CALM_SAMPLES,
     LATE_MS,
@@ -72,20 +71,3 @@
         assert lag.should_refuse(begin_ms + REFUSE_MS - 1.0)
         assert not lag.should_refuse(begin_ms + REFUSE_MS)
         assert not lag.should_refuse(begin_ms + REFUSE_MS + TAKE_MS - 1.0)
-
-
-def test_callers_avoid_a_router_for_longer_than_they_use_an_answer() -> None:
-    """Failure: a caller with much traffic overloads the same router again and again.
-
-    An overload lasts half a second, and the caller asks for addresses before and after it. A router
-    that is left out of answers only during its overload is never left out of the caller's answers.
-    """
-    lag = LoopLag()
-    assert not lag.avoid(0.0)
-    for _ in range(LATE_SAMPLES):
-        lag.record_lag(BEHIND_MS, 1_000.0)
-    assert lag.avoid(1_000.0)
-    for _ in range(CALM_SAMPLES):
-        lag.record_lag(0.0, 1_500.0)
-    assert lag.avoid(1_500.0 + AVOID_MS - 1.0)
-    assert not lag.avoid(1_500.0 + AVOID_MS)
