Accept connections only as fast as they can be answered beside streams

Cause: each iteration of a crowded router's loop accepted 96 connections, of 0.2 to 0.25 ms of processor time each; at the lag that the concurrency limit allows, that left a fifth of an iteration for streams, so the limit fell to its least. With 1,024 connections waiting, most of what was accepted had been given up. Change: 64 connections an iteration, 512 waiting.

--- a/packages/gateway/src/tamarack_gateway/listeners.py
+++ b/packages/gateway/src/tamarack_gateway/listeners.py
@@ -16,13 +16,15 @@
 from tamarack_gateway.connection_limiter import ConnectionLimiter
 from tamarack_gateway.fleet_state import FleetState
 
-BACKLOG = 1_024
-"""Length of the accept queue; when it is full, callers lose seconds until they connect."""
-
-MAX_ACCEPTS_PER_ITERATION = 96
-"""Connections accepted in one event-loop iteration. With more, each with a request, an iteration on
-a small instance would take so long that nothing else is read and no overload is detected; with
-fewer, the router would not keep up with the connections that arrive while the loop lags."""
+BACKLOG = 512
+"""Length of the accept queue; when it is full, callers lose seconds until they connect. Callers
+give up after a second: with a longer queue, a router that accepts as many as it can, some 800 a
+second on a small instance, would only accept connections whose callers have left."""
+
+MAX_ACCEPTS_PER_ITERATION = 64
+"""Connections accepted in one event-loop iteration. With more, each with a request, they would take
+most of an iteration on a small instance, and the concurrency limit would fall until hardly anything
+else is served; with fewer, the router would not keep up with the connections that arrive."""
 
 
 class Listeners:
