Look at no endpoint for exclusions that have ended

Cause: once any endpoint had warmed up, rested or terminated, each request passed all endpoints through a filter for each of the three, twice, and once more for those already tried; nobody cleared what had ended. On deployments with thousands of endpoints that cost more than all else of a request. Change: warm-ups, rests and terminations keep the last of their ends, and return the list as it is after that; while some last, only endpoints of these names are looked at. Rests and terminations are one class of exclusions now. Right before a send only the chosen endpoint is looked at.

--- a/packages/core/src/tamarack_core/endpoint_registry.py
+++ b/packages/core/src/tamarack_core/endpoint_registry.py
@@ -205,6 +205,17 @@
         """Endpoints of a service that may get new requests."""
         return self._current.by_service.get(service, [])
 
+    def is_usable(self, endpoint: Endpoint) -> bool:
+        """Whether `usable` still has this incarnation of an endpoint; looks at no other one."""
+        current = self.find(endpoint.name)
+        return (
+            current is not None
+            and (current.key, current.service) == (endpoint.key, endpoint.service)
+            and not current.draining
+            and current.key not in self._held
+            and current.name not in self.without_incarnation
+        )
+
     def find(self, name: str) -> Endpoint | None:
         """Entry of an endpoint that is listed or retained."""
         endpoint = self._listed.get(name)
--- a/packages/core/src/tamarack_core/evacuations.py
+++ b/packages/core/src/tamarack_core/evacuations.py
@@ -12,6 +12,9 @@
         self._since_ms: dict[str, float] = {}
         self._restored_ms: dict[str, float] = {}
 
+    def __bool__(self) -> bool:
+        return bool(self._since_ms)
+
     @property
     def domains(self) -> dict[str, float]:
         """Evacuated failure domains, with the time at which this router learned of each."""
--- a/packages/core/src/tamarack_core/terminations.py
+++ b/packages/core/src/tamarack_core/terminations.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from tamarack_core.clock import Clock
-from tamarack_core.endpoint_registry import Endpoint, EndpointIncarnation
+from tamarack_core.endpoint_registry import EndpointIncarnation
+from tamarack_core.timed_exclusions import TimedExclusions
 
 TERMINATED_MS = 4_000.0
 """Time for which a terminated endpoint gets no work though it is still listed: its entry expires
@@ -20,12 +21,11 @@
 be lost."""
 
 
-class Terminations:
+class Terminations(TimedExclusions):
     """Terminations that one router has learned of."""
 
     def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._avoid_until_ms: dict[EndpointIncarnation, float] = {}
+        super().__init__(clock)
         self._known_ms: dict[EndpointIncarnation, float] = {}
 
     def record(self, key: EndpointIncarnation, *, refused: bool) -> None:
@@ -39,19 +39,10 @@
         """
         now_ms = self._clock.now_ms
         avoid_ms = TERMINATED_MS if key.life is not None else TERMINATED_UNIDENTIFIED_MS
-        until_ms = now_ms + (avoid_ms if refused else CLOSING_MS)
-        remaining = {k: until for k, until in self._avoid_until_ms.items() if until > now_ms}
-        self._avoid_until_ms = {**remaining, key: max(until_ms, remaining.get(key, 0.0))}
+        self.exclude(key, now_ms + (avoid_ms if refused else CLOSING_MS))
         recent = {k: at for k, at in self._known_ms.items() if now_ms - at < TERMINATED_MS}
         self._known_ms = {key: now_ms, **recent}
 
     def known_ms(self, key: EndpointIncarnation) -> float | None:
         """When this router first learned of a termination; None if it has not recently."""
         return self._known_ms.get(key)
-
-    def without_terminated(self, endpoints: list[Endpoint]) -> list[Endpoint]:
-        """Those of some endpoints that may get work."""
-        if not self._avoid_until_ms:
-            return endpoints
-        now_ms, until_ms = self._clock.now_ms, self._avoid_until_ms
-        return [e for e in endpoints if until_ms.get(e.key, 0.0) <= now_ms]
--- a/packages/core/src/tamarack_core/warm_up.py
+++ b/packages/core/src/tamarack_core/warm_up.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from tamarack_core.endpoint_registry import EndpointIncarnation
+from tamarack_core.endpoint_registry import Endpoint, EndpointIncarnation
 
 WINDOW_MS = 1_050.0
 """Sliding window of the limit in milliseconds: one second, and a margin for differences between the
@@ -76,6 +76,7 @@
 
     def __init__(self) -> None:
         self._warm_ups: dict[EndpointIncarnation, _WarmUp] = {}
+        self._last_ms = float("-inf")
         self.sent_count = 0
         self.on_begin: Callable[[], None] = _ignore
 
@@ -96,6 +97,7 @@
         begins = remaining_ms > 0.0 and not self.warming(key, now_ms)
         warm_up = self._begin(key, now_ms, grantable_ms)
         warm_up.listed_until_ms = now_ms + remaining_ms
+        self._last_ms = max(self._last_ms, warm_up.listed_until_ms)
         return begins
 
     def restored(
@@ -103,9 +105,7 @@
     ) -> None:
         """Record that an endpoint's failure domain was restored: it may be warming up."""
         self._begin(key, now_ms, grantable_ms).restored_until_ms = until_ms
-
-    def __bool__(self) -> bool:
-        return bool(self._warm_ups)
+        self._last_ms = max(self._last_ms, until_ms)
 
     def warming(self, key: EndpointIncarnation, now_ms: float) -> bool:
         """Whether an endpoint is warming up."""
@@ -118,6 +118,8 @@
 
     def warming_endpoints(self, now_ms: float) -> list[WarmingEndpoint]:
         """All endpoints that are warming up."""
+        if now_ms >= self._last_ms:
+            return []
         return [
             WarmingEndpoint(key, w.until_ms, w.grantable_ms, _part(w, now_ms))
             for key, w in self._warm_ups.items()
@@ -139,6 +141,13 @@
             warm_up.sent.popleft()
         return len(warm_up.sent) < _part(warm_up, now_ms)
 
+    def without_limited(self, endpoints: list[Endpoint], now_ms: float) -> list[Endpoint]:
+        """Those of some endpoints that this router may send a request to now."""
+        if now_ms >= self._last_ms:
+            return endpoints
+        names = {key.name for key in self._warm_ups}
+        return [e for e in endpoints if e.name not in names or self.allows(e.key, now_ms)]
+
     def sent(self, key: EndpointIncarnation, now_ms: float) -> None:
         """Record that this router sends a request to an endpoint."""
         warm_up = self._warm_ups.get(key)
--- a/packages/gateway/src/tamarack_gateway/cache_inventory.py
+++ b/packages/gateway/src/tamarack_gateway/cache_inventory.py
@@ -77,7 +77,7 @@
         if self._settles():
             await asyncio.sleep(SETTLE_MS / 1000)
         rests = self._state.notices.rests
-        listed = {e.name: e for e in rests.without_resting(self._state.engines())}
+        listed = {e.name: e for e in rests.without_excluded(self._state.engines())}
         engines = [listed[name] for name in self._queried(list(listed))]
         counts = await asyncio.gather(*(self._query(engine) for engine in engines))
         self._state.log.event("engine caches queried", engines=len(engines), parts=sum(counts))
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -177,7 +177,7 @@
             if not self._may_finish(choice):
                 connection.abort()
                 return self._refuse_outlasting(choice, last)
-            if not self._still_available(choice):
+            if not self._state.is_available(choice.endpoint):
                 # It drains, has restarted, rests, or got all that it may get while it warms up.
                 connection.abort()
                 continue
@@ -190,7 +190,7 @@
     def _place(self) -> AdmittedPlacement | None:
         state = self._state
         endpoints = state.in_regions(state.available(self._service), self._regions)
-        fresh = [e for e in endpoints if e.key not in self._tried]
+        fresh = self._untried(endpoints)
         if self._sends == 0 and not fresh:
             fresh = endpoints
         fresh = list(self._request_quarantine.allowed_endpoints(fresh))
@@ -206,8 +206,10 @@
         rules = self._state.rules
         return rules.regions_for(self._route, self._workspace) if rules else self._route.regions
 
-    def _still_available(self, choice: Choice) -> bool:
-        return any(e.key == choice.endpoint.key for e in self._state.available(self._service))
+    def _untried(self, endpoints: list[Endpoint]) -> list[Endpoint]:
+        if not self._tried:
+            return endpoints
+        return [e for e in endpoints if e.key not in self._tried]
 
     def _choose(self, endpoints: Sequence[Endpoint]) -> Choice | None:
         state, now_ms = self._state, self._state.clock.now_ms
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -223,21 +223,33 @@
     def usable(self, service: str) -> list[Endpoint]:
         """Endpoints of a service that may get new work."""
         endpoints = self.registry.usable(service)
-        if self.evacuations.domains:
+        if self.evacuations:
             covers = self.evacuations.covers
             endpoints = [e for e in endpoints if not covers(e.failure_domain)]
-        return self.terminations.without_terminated(endpoints)
+        return self.terminations.without_excluded(endpoints)
 
     def available(self, service: str) -> list[Endpoint]:
         """Usable endpoints of a service that may get a request now.
 
         Endpoints that rest are left out, and those that are warming up and get no more now.
         """
-        now_ms = self.clock.now_ms
-        endpoints = self.notices.rests.without_resting(self.usable(service))
-        if not self.warm_ups or self.warm_up_limit(service) is None:
+        endpoints = self.notices.rests.without_excluded(self.usable(service))
+        if self.warm_up_limit(service) is None:
             return endpoints
-        return [e for e in endpoints if self.warm_ups.allows(e.key, now_ms)]
+        return self.warm_ups.without_limited(endpoints, self.clock.now_ms)
+
+    def is_available(self, endpoint: Endpoint) -> bool:
+        """Whether an endpoint is still among those that `available` returns for its service."""
+        key, service = endpoint.key, endpoint.service
+        return (
+            self.registry.is_usable(endpoint)
+            and not self.evacuations.covers(endpoint.failure_domain)
+            and not self.terminations.covers(key)
+            and not self.notices.rests.covers(key)
+            and (
+                self.warm_up_limit(service) is None or self.warm_ups.allows(key, self.clock.now_ms)
+            )
+        )
 
     def in_regions(
         self, endpoints: list[Endpoint], regions: frozenset[str] | None
