Move the check of a request's framing to a module of its own

Change: has_valid_framing in request_framing; a member is made from a summary's fields by name; a comment said that callers retry at another router, which those that keep to one do not. Tests of security, properties and the path pass. Conclusion: no change of behaviour.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import re
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -20,6 +19,7 @@
     chunk_bytes,
     head_bytes,
 )
+from tamarack_gateway.request_framing import has_valid_framing
 
 DRAIN_BYTES = 4_000_000
 """Bytes of a refused body that are read and discarded: closing with unread bytes resets the
@@ -32,9 +32,6 @@
 """Timeout in milliseconds for a cancelled handler to return; a handler that does not return would
 block the router's exit until the process is killed."""
 
-NOT_VISIBLE = re.compile(rb"[^\x21-\x7e]")
-"""Bytes that no request target contains: spaces, control characters and all beyond ASCII."""
-
 Handler = Callable[[Request, "CallerConnection"], Awaitable[None]]
 
 Refusal = Callable[[Request, "CallerConnection"], bool]
@@ -167,7 +164,7 @@
             return
         if self._head_bytes > self._bounds().header_bytes:
             self._refuse(431)
-        elif not self._has_valid_framing():
+        elif not has_valid_framing(self._target, self._headers):
             self._refuse(400)
         elif self._expects_continue():
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -357,26 +354,6 @@
             if self._head_bytes > 2 * self._bounds().header_bytes:
                 self._refuse(431)
 
-    def _has_valid_framing(self) -> bool:
-        # Prevents request smuggling: a request with ambiguous framing can hide a second one in its
-        # body, and an endpoint would run a request that no caller sent.
-        lengths: list[bytes] = []
-        codings: list[bytes] = []
-        hosts: list[bytes] = []
-        framing = {b"content-length": lengths, b"transfer-encoding": codings, b"host": hosts}
-        for name, value in self._headers:
-            if b"\r" in value or b"\n" in value:
-                return False
-            if name in framing:
-                framing[name].append(value)
-        if len(lengths) > 1 or len(codings) > 1 or (lengths and codings) or len(hosts) != 1:
-            return False
-        if codings and codings[0].strip().lower() != b"chunked":
-            return False
-        if lengths and not lengths[0].strip().isdigit():
-            return False
-        return self._target.startswith(b"/") and not NOT_VISIBLE.search(self._target)
-
     def _expects_continue(self) -> bool:
         return any(
             name == b"expect" and value.lower() == b"100-continue" for name, value in self._headers
--- a/packages/gateway/src/tamarack_gateway/caller_handler.py
+++ b/packages/gateway/src/tamarack_gateway/caller_handler.py
@@ -26,8 +26,8 @@
 denial."""
 
 OVERLOAD_RETRY_MS = 100.0
-"""Minimum delay before a caller retries after an overloaded router refused it, on a new connection
-and so most likely at another router; a random spread adds up to the same time again."""
+"""Minimum delay before a caller retries after an overloaded router refused it; a random spread adds
+up to the same time again. Most retry at another router, and soon enough to meet their targets."""
 
 ROUTER_ENDS = "the router ends"
 """Reason in logs and metrics for requests that are cancelled when the router exits."""
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -190,7 +190,7 @@
     def _place(self) -> AdmittedPlacement | None:
         state = self._state
         endpoints = state.in_regions(state.available(self._service), self._regions)
-        fresh = self._untried(endpoints)
+        fresh = [e for e in endpoints if e.key not in self._tried] if self._tried else endpoints
         if self._sends == 0 and not fresh:
             fresh = endpoints
         fresh = list(self._request_quarantine.allowed_endpoints(fresh))
@@ -206,11 +206,6 @@
         rules = self._state.rules
         return rules.regions_for(self._route, self._workspace) if rules else self._route.regions
 
-    def _untried(self, endpoints: list[Endpoint]) -> list[Endpoint]:
-        if not self._tried:
-            return endpoints
-        return [e for e in endpoints if e.key not in self._tried]
-
     def _choose(self, endpoints: Sequence[Endpoint]) -> Choice | None:
         state, now_ms = self._state, self._state.clock.now_ms
         if self._prompt is not None:
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -354,18 +354,8 @@
                 self._publish_changes(news)
 
     def _on_summary(self, summary: Summary, stamp_ms: float) -> None:
-        now_ms = self._clock.now_ms
-        member = Member(
-            summary.router,
-            summary.boot,
-            summary.failure_domain,
-            summary.callers,
-            summary.ready,
-            now_ms,
-            summary.fresh,
-            stamp_ms,
-            summary.overloaded,
-        )
+        heard_ms = self._clock.now_ms
+        member = Member(**summary._asdict(), heard_ms=heard_ms, stamp_ms=stamp_ms)
         self._members.record_summary(member)
 
     def _summary(self) -> Summary:
