--- a/packages/core/src/tamarack_core/concurrency_limit.py
+++ b/packages/core/src/tamarack_core/concurrency_limit.py
@@ -66,14 +66,23 @@
             return True
         return running < OVER_LIMIT_FACTOR * self._limit and own < self._limit / workspaces
 
-    def observe(self, late_ms: float, running: int, now_ms: float) -> None:
-        """Update the limit by the lag of the event loop's timer and the requests in progress."""
-        self._late_samples = self._late_samples + 1 if late_ms > HIGH_MS else 0
+    def observe(
+        self, late_ms: float, running: int, now_ms: float, *, starved: bool = False
+    ) -> None:
+        """Update the limit by the lag of the event loop's timer and the requests in progress.
+
+        Parameters
+        ----------
+        starved
+            Whether new connections wait while too few of them are accepted.
+        """
+        late = starved or late_ms > HIGH_MS
+        self._late_samples = self._late_samples + 1 if late else 0
         if (
             self._late_samples >= LATE_SAMPLES
             and now_ms - self._decreased_ms >= DECREASE_INTERVAL_MS
         ):
             self._decreased_ms = now_ms
             self._limit = max(MIN_LIMIT, DECREASE_FACTOR * min(self._limit, running))
-        elif late_ms < LOW_MS and running >= DECREASE_FACTOR * self._limit:
+        elif not starved and late_ms < LOW_MS and running >= DECREASE_FACTOR * self._limit:
             self._limit += GROWTH
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -6,6 +6,7 @@
 import contextlib
 from typing import Any
 
+from tamarack_core.accept_rate import AcceptRate
 from tamarack_core.clock import Clock
 from tamarack_core.endpoint_registry import Endpoint
 from tamarack_core.leaving import plan_leaving
@@ -76,12 +77,14 @@
         self._members = FleetMembers()
         self._connections: set[CallerConnection] = set()
         self._caller_limit = ConnectionLimiter(self._state, self._connections)
+        accept_rate = AcceptRate()
         self._loop_monitor = LoopMonitor(
             clock,
             log,
             self._connections,
             changed=lambda: self._peers.publish_summary(),
             crowded=lambda: self._caller_limit.near_limit,
+            accept_rate=accept_rate,
             counts=lambda: self._caller_limit.counts,
         )
         self._metrics = GatewayMetrics(
@@ -114,7 +117,9 @@
             self._detector,
             self._quarantine,
         )
-        self._listeners = Listeners(self._state, clock, self._connections, self._caller_limit)
+        self._listeners = Listeners(
+            self._state, clock, self._connections, self._caller_limit, accept_rate
+        )
         self._tasks: list[asyncio.Task[Any]] = []
         self._lines_queued = asyncio.Event()
         log.on_line = self._lines_queued.set
@@ -134,7 +139,7 @@
         self._feeds.start(self._peers.address, self._boot)
         listen = self._listeners.listen
         handler = self._handler
-        self._callers = await listen(
+        self._callers = await self._listeners.listen_to_callers(
             settings.callers, handler.answer, refuse_early=handler.refuse_early
         )
         for address in dict.fromkeys((settings.readiness, settings.directory)):
--- a/packages/gateway/src/tamarack_gateway/loop_monitor.py
+++ b/packages/gateway/src/tamarack_gateway/loop_monitor.py
@@ -10,6 +10,7 @@
 from types import TracebackType
 from typing import TypedDict
 
+from tamarack_core.accept_rate import AcceptRate
 from tamarack_core.caller_diversion import CallerDiversion
 from tamarack_core.clock import Clock
 from tamarack_core.concurrency_limit import ConcurrencyLimit
@@ -52,6 +53,8 @@
         Called when an overload begins or ends, or when callers are directed elsewhere or no longer.
     crowded
         Returns whether the router is crowded for another reason than lag.
+    accept_rate
+        Counts of the connections that callers open.
     counts
         Returns the counts of callers' connections.
     """
@@ -64,6 +67,7 @@
         *,
         changed: Callable[[], None],
         crowded: Callable[[], bool] = bool,
+        accept_rate: AcceptRate | None = None,
         counts: Callable[[], ConnectionCounts] = ConnectionCounts,
     ) -> None:
         self._clock = clock
@@ -73,6 +77,7 @@
         self._counts = counts
         self._report = RefusalReport(clock, log, counts)
         self._crowded = crowded
+        self._accept_rate = accept_rate or AcceptRate()
         self._lag = LoopLag()
         self._diversion = CallerDiversion()
         self._limit = ConcurrencyLimit()
@@ -167,7 +172,8 @@
 
     def _sample(self, due_ms: float) -> None:
         now_ms = self._clock.now_ms
-        self._limit.observe(now_ms - due_ms, self.running, now_ms)
+        starved = self._accept_rate.starved(now_ms)
+        self._limit.observe(now_ms - due_ms, self.running, now_ms, starved=starved)
         overload_changed = self._lag.record_lag(now_ms - due_ms, now_ms)
         diverted = self.avoid
         self._diversion.observe(self._lag.overloaded or self._crowded(), now_ms)
@@ -177,6 +183,7 @@
             running=self.running,
             lag_ms=round(self._lag.lag_ms),
             diverted=self.avoid,
+            starved=starved,
         )
         if overload_changed:
             message = "overloaded" if self._lag.overloaded else "no longer overloaded"
--- a/tests/test_accept_queue.py
+++ b/tests/test_accept_queue.py
@@ -6,6 +6,7 @@
 from collections import deque
 from typing import NamedTuple
 
+from tamarack_core.accept_rate import GUARANTEED_PER_S, WINDOW_MS, AcceptRate
 from tamarack_core.concurrency_limit import ConcurrencyLimit
 from tamarack_core.loop_lag import SAMPLE_MS, LoopLag
 from tamarack_gateway.listeners import BACKLOG, MAX_ACCEPTS_PER_ITERATION
@@ -74,6 +75,7 @@
         self._gap_ms = 1_000 / asked_per_s
         self._limit = ConcurrencyLimit()
         self._lag = LoopLag()
+        self._rate = AcceptRate()
         self._processor = Processor()
         self._now_ms = 0.0
         self._streams: deque[float] = deque()
@@ -102,7 +104,8 @@
                 self._streams.popleft()
             if self._now_ms >= sample_ms:
                 late_ms = self._now_ms - sample_ms
-                self._limit.observe(late_ms, len(self._streams), self._now_ms)
+                starved = self._rate.starved(self._now_ms)
+                self._limit.observe(late_ms, len(self._streams), self._now_ms, starved=starved)
                 self._lag.record_lag(late_ms, self._now_ms)
                 overloaded.append(self._lag.overloaded)
                 sample_ms = self._now_ms + SAMPLE_MS
@@ -121,10 +124,13 @@
         work_ms = 0.0
         for _ in range(min(MAX_ACCEPTS_PER_ITERATION, len(self._queue))):
             work_ms += CONNECTING_MS
+            self._rate.record_accept()
             if self._now_ms - self._queue.popleft() > PATIENCE_MS:
                 self._late += 1
             else:
                 work_ms += self._answer(retry=True)
+        if not self._queue:
+            self._rate.record_empty()
         return work_ms
 
     def _answer(self, *, retry: bool) -> float:
@@ -151,3 +157,36 @@
     for asked_per_s in (500, 1_300, 1_900, 2_700):
         outcome = CrowdedRouter(asked_per_s).run(20.0)
         assert outcome.overloaded < 0.1, (asked_per_s, outcome)
+
+
+def accept_steadily(per_s: float, seconds: float, *, empty: bool) -> list[bool]:
+    """Whether connections are starved at each sample, at a constant rate of accepted ones."""
+    rate, starved, due = AcceptRate(), [], 0.0
+    for sample in range(int(seconds * 1_000 / SAMPLE_MS)):
+        due += per_s * SAMPLE_MS / 1_000
+        while due >= 1.0:
+            rate.record_accept()
+            due -= 1.0
+        if empty:
+            rate.record_empty()
+        starved.append(rate.starved(SAMPLE_MS * sample))
+    return starved
+
+
+def test_connections_are_starved_while_others_wait_and_few_are_accepted() -> None:
+    few, many = 0.8 * GUARANTEED_PER_S, 1.2 * GUARANTEED_PER_S
+    assert all(accept_steadily(few, 2.0, empty=False)[int(2 * WINDOW_MS / SAMPLE_MS) :])
+    assert not any(accept_steadily(many, 2.0, empty=False))
+
+
+def test_few_connections_are_not_starved_if_none_wait() -> None:
+    """Failure: requests yield to connections of a router that few callers connect to."""
+    assert not any(accept_steadily(20.0, 2.0, empty=True))
+
+
+def test_connections_are_not_starved_when_no_more_come() -> None:
+    """Failure: a burst of as many connections as an iteration accepts counts as waiting forever."""
+    rate = AcceptRate()
+    for _ in range(MAX_ACCEPTS_PER_ITERATION):
+        rate.record_accept()
+    assert not any(rate.starved(SAMPLE_MS * sample) for sample in range(20))
--- a/tests/test_concurrency_limit.py
+++ b/tests/test_concurrency_limit.py
@@ -10,6 +10,7 @@
 import pytest
 from gateway_site import Answer, Fleet, configuration, connect, play, read_answer, until
 
+from tamarack_core.accept_rate import AcceptRate
 from tamarack_core.concurrency_limit import (
     DECREASE_FACTOR,
     DECREASE_INTERVAL_MS,
@@ -91,7 +92,7 @@
     next_ms, sample_ms = 0.0, SAMPLE_MS
     queue: deque[float] = deque()
     streams: deque[float] = deque()
-    events = 0.0
+    events, rate = 0.0, AcceptRate()
     while now_ms < seconds * 1_000:
         while next_ms <= now_ms:
             queue.append(next_ms)
@@ -99,10 +100,13 @@
         took_ms = events * EVENT_MS
         for _ in range(min(MAX_ACCEPTS_PER_ITERATION, len(queue))):
             read.append(now_ms - queue.popleft())
+            rate.record_accept()
             taken = limit is None or len(streams) < limit.limit
             took_ms += PLACING_MS if taken else REFUSING_MS
             if taken:
                 streams.append(now_ms + STREAM_MS)
+        if not queue:
+            rate.record_empty()
         took_ms = max(1.0, took_ms)
         now_ms += took_ms
         # Events of one stream that arrive within an iteration are read together.
@@ -111,7 +115,8 @@
             streams.popleft()
         if now_ms >= sample_ms:
             if limit is not None:
-                limit.observe(now_ms - sample_ms, len(streams), now_ms)
+                starved = rate.starved(now_ms)
+                limit.observe(now_ms - sample_ms, len(streams), now_ms, starved=starved)
             sample_ms = now_ms + SAMPLE_MS
     return read
 
