Log the software version of endpoints, and which requests take a stream up

Cause: the hypotheses on streams of two versions could not be told apart: no line, metric or status named the version of an endpoint, and none told a caller's take-up of a stream from a first try. Change: the entry's version is kept with the endpoint; "placed" lines tell it and the event after which a stream goes on; "takes a stream up" tells the attempt that began it; the status lists versions, a metric counts them. No decision changes. Conclusion: one stream's "placed" lines now show where its version changes.

--- a/packages/core/src/tamarack_core/endpoint_registry.py
+++ b/packages/core/src/tamarack_core/endpoint_registry.py
@@ -33,6 +33,8 @@
         incarnations of the same endpoint can be compared. None if an entry does not name one.
     warm_up_ms
         Milliseconds for which it was still warming up when it wrote the entry.
+    software_version
+        Version of the software that it runs; empty if its entry names none.
     """
 
     name: str
@@ -43,6 +45,7 @@
     draining: bool
     life: int | None = None
     warm_up_ms: float = 0.0
+    software_version: str = ""
 
     @property
     def key(self) -> EndpointIncarnation:
@@ -228,6 +231,14 @@
         """Names of all endpoints that are listed or retained."""
         return self._listed.keys() | self._retained.keys()
 
+    @property
+    def most_software_versions(self) -> int:
+        """Largest number of software versions that endpoints of one service run."""
+        versions: dict[str, set[str]] = {}
+        for endpoint in self._present:
+            versions.setdefault(endpoint.service, set()).add(endpoint.software_version)
+        return max(map(len, versions.values()), default=0)
+
     @property
     def failure_domains(self) -> set[str]:
         """Failure domains of all endpoints that are listed or retained."""
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -135,6 +135,13 @@
         state = self._state
         state.allowance.record_request(self._service, state.clock.now_ms)
         self._recorder.asked()
+        if self._route.streams and self._facts.last_event is not None:
+            state.log.request(
+                "takes a stream up",
+                self._facts.attempt,
+                resumes=self._facts.resumes,
+                last_event=self._facts.last_event,
+            )
         await self._attempts()
 
     async def _attempts(self) -> None:
@@ -251,7 +258,9 @@
         endpoint = choice.endpoint
         self._sends += 1
         self._tried.add(endpoint.key)
-        self._recorder.placed(placement, self._route, self._sends, self._left_ms)
+        self._recorder.placed(
+            placement, self._route, self._sends, self._left_ms, self._splitter.last
+        )
         self._recorder.sent(choice)
         self._request_quarantine.sent(endpoint)
         self._first_event_ms = None
--- a/packages/gateway/src/tamarack_gateway/gateway_metrics.py
+++ b/packages/gateway/src/tamarack_gateway/gateway_metrics.py
@@ -77,6 +77,7 @@
             "configuration_version": state.rules.version if state.rules else 0,
             "configuration_age_ms": min(1e9, state.freshness.age_ms(now_ms)),
             "endpoints": len(state.registry),
+            "software_versions": state.registry.most_software_versions,
             "evacuated_domains": len(state.evacuations.domains),
             "endpoints_warming_up": len(state.warm_ups.warming_endpoints(now_ms)),
             "sent_to_warming_endpoints": state.warm_ups.sent_count,
--- a/packages/gateway/src/tamarack_gateway/router_status.py
+++ b/packages/gateway/src/tamarack_gateway/router_status.py
@@ -38,6 +38,7 @@
     failure_domain: str
     life: int | None
     draining: bool
+    software_version: str
     wait_ms: int
     pace: float
     latency_ms: int
@@ -174,6 +175,7 @@
                 "failure_domain": endpoint.failure_domain,
                 "life": endpoint.life,
                 "draining": endpoint.draining,
+                "software_version": endpoint.software_version,
                 "wait_ms": round(model.wait_ms(now_ms)),
                 "pace": round(model.pace(now_ms), 2),
                 "latency_ms": round(record.latency_ms),
--- a/packages/gateway/src/tamarack_gateway/send_recorder.py
+++ b/packages/gateway/src/tamarack_gateway/send_recorder.py
@@ -65,7 +65,14 @@
         shares.record_demand(self._workspace, charge, self._state.clock.now_ms)
         self._outbox.asked(self._service, self._workspace, charge)
 
-    def placed(self, placement: AdmittedPlacement, route: Route, send: int, left_ms: float) -> None:
+    def placed(
+        self,
+        placement: AdmittedPlacement,
+        route: Route,
+        send: int,
+        left_ms: float,
+        last_event: int | None,
+    ) -> None:
         """Log the endpoint of the request's next send, and the inputs of that decision."""
         state, (choice, decision, position) = self._state, placement
         age_ms = state.freshness.age_ms(state.clock.now_ms)
@@ -78,7 +85,9 @@
             route=route.name,
             service=self._service,
             endpoint=choice.endpoint.name,
+            software_version=choice.endpoint.software_version,
             send=send,
+            last_event=last_event,
             first_token_ms=round(choice.first_token_ms),
             unread_tokens=choice.unread_tokens,
             shared=self._shared_blocks(choice),
--- a/packages/gateway/src/tamarack_gateway/site.py
+++ b/packages/gateway/src/tamarack_gateway/site.py
@@ -111,6 +111,8 @@
         The prompt of a generation request; None for other requests.
     last_event
         Id of the last event that the caller received of an interrupted stream.
+    resumes
+        Id of the attempt that brought the first event of that stream; None if not given.
     """
 
     attempt: str
@@ -120,6 +122,7 @@
     key: str | None
     prompt: Prompt | None
     last_event: int | None
+    resumes: str | None = None
 
 
 class AnswerFacts(NamedTuple):
