Show by tests that streams go on at another software version

Cause: what the incident's callers saw, without the users' programs. Change: engines of the stand-ins have a software version, name it in their entry and can write it into their events; tests of streams that break off, within an answer and taken up by callers at the same router, at others, at one just started, after the first has stopped, twice, with the store silent, with the version gone or unknown.

--- a/packages/standins/src/tamarack_standins/platform_worker.py
+++ b/packages/standins/src/tamarack_standins/platform_worker.py
@@ -18,6 +18,7 @@
 
 SIGNATURE = "3e1b.07.5a2"
 BORN_MS = 1_764_000_000_000
+SOFTWARE_VERSION = "v1"
 
 
 class Script(NamedTuple):
@@ -50,6 +51,8 @@
         Delay in seconds before the answer, and before each event of a stream.
     echo
         Whether the body, or each event's data, is the attempt id.
+    tells_version
+        Whether the body, or each event's data, is the worker's software version.
     early
         Whether the answer is sent before the request's body has been read.
     fatal
@@ -75,6 +78,7 @@
     pause_s: float = 0.0
     event_pause_s: float = 0.0
     echo: bool = False
+    tells_version: bool = False
     early: bool = False
     fatal: bool = False
     leaving: bool = False
@@ -107,6 +111,8 @@
         Port to listen on; zero takes a free one.
     zone
         Failure domain that its entry names.
+    software_version
+        Version of its software that its entry names.
 
     Attributes
     ----------
@@ -134,10 +140,12 @@
         born: int | None = BORN_MS,
         port: int = 0,
         zone: str = "a",
+        software_version: str = SOFTWARE_VERSION,
     ) -> None:
         self.name = name
         self.address = ""
         self.born = born
+        self.software_version = software_version
         self._port = port
         self.zone = zone
         self.received: list[ReceivedRequest] = []
@@ -192,7 +200,7 @@
             "service": service,
             "address": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.software_version,
             "slots": slots,
             "state": state,
             "coldRemainingMs": 0,
@@ -284,7 +292,7 @@
         self, script: Script, received: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> bool:
         lines = self._head(script, received)
-        body = _body(script, received)
+        body = self._body(script, received)
         if not script.unframed:
             lines.append(f"content-length: {len(body)}")
         body = body[:-1] if script.truncated else body
@@ -305,7 +313,7 @@
         for number in range(first, (script.events or 0) + 1):
             if script.event_pause_s:
                 await asyncio.sleep(script.event_pause_s)
-            event = b"id: %d\ndata: %s\n\n" % (number, _body(script, received))
+            event = b"id: %d\ndata: %s\n\n" % (number, self._body(script, received))
             if script.cut_after is not None and number > script.cut_after:
                 writer.write(_chunk(event[:-5]))
                 await writer.drain()
@@ -318,6 +326,11 @@
         await writer.drain()
         return True
 
+    def _body(self, script: Script, received: ReceivedRequest) -> bytes:
+        if script.tells_version:
+            return self.software_version.encode()
+        return received.headers.get("x-attempt-id", "").encode() if script.echo else script.body
+
     def _head(self, script: Script, received: ReceivedRequest) -> list[str]:
         attempt = script.attempt or received.headers.get("x-attempt-id", "")
         lines = [f"HTTP/1.1 {script.status} Status", f"X-Attempt-Id: {attempt}"]
@@ -343,10 +356,6 @@
     return ReceivedRequest(method, target, headers, b"")
 
 
-def _body(script: Script, received: ReceivedRequest) -> bytes:
-    return received.headers.get("x-attempt-id", "").encode() if script.echo else script.body
-
-
 def _reset(writer: asyncio.StreamWriter) -> None:
     sock = writer.get_extra_info("socket")
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- /dev/null
+++ b/tests/test_stream_versions.py
@@ -0,0 +1,206 @@
+"""A stream goes on only at the software version that began it."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from gateway_site import Fleet, play, until
+from versioned_pool import (
+    STREAMS,
+    Stream,
+    begin_streams,
+    end_one_of_each,
+    engines,
+    mixed,
+    of_version,
+    send_once,
+    take_all_up,
+)
+
+from tamarack_standins.platform_worker import PlatformWorker, Script
+
+# within one answer
+
+
+def test_a_router_goes_on_with_a_stream_at_the_version_that_began_it() -> None:
+    """Failure: after an engine breaks off, its streams go on at engines of another version."""
+
+    async def scenario() -> None:
+        async with Fleet({"pool": engines(v1=2, v2=2)}) as fleet:
+            streams = await begin_streams(fleet)
+            assert mixed(streams) == []
+            assert all(stream.whole for stream in streams)
+
+    play(scenario())
+
+
+def test_a_router_cuts_a_stream_when_no_other_engine_has_its_version() -> None:
+    """Failure: with one engine of each version left, a stream goes on at the other version."""
+
+    async def scenario() -> None:
+        pool = engines(v1=1, v2=1)
+        async with Fleet({"pool": pool}) as fleet:
+            streams = await begin_streams(fleet)
+            assert mixed(streams) == []
+            assert not any(stream.answers[0].whole for stream in streams)
+            assert sum(worker.resumed for worker in pool) == 0
+
+    play(scenario())
+
+
+# taken up by callers
+
+
+@pytest.mark.parametrize("taker", ["the same", "another", "one that has just started"])
+def test_a_stream_is_taken_up_at_the_version_that_began_it(taker: str) -> None:
+    """Failure: the router at which a caller goes on knows nothing of the stream's version."""
+
+    async def scenario() -> None:
+        pool = engines(v1=2, v2=2)
+        async with Fleet({"pool": pool}) as fleet:
+            await fleet.add_routers(2)
+            await send_once(fleet)
+            streams = await begin_streams(fleet)
+            await end_one_of_each(fleet, pool)
+            if taker == "one that has just started":
+                await fleet.add_routers(1)
+            await take_all_up(
+                streams, at=fleet.gateway if taker == "the same" else fleet.others[-1]
+            )
+            assert mixed(streams) == []
+            assert all(stream.whole for stream in streams)
+
+    play(scenario())
+
+
+def test_streams_of_a_router_that_has_stopped_are_taken_up_at_their_version() -> None:
+    """Failure: what a router knew of its streams is lost with it."""
+
+    async def scenario() -> None:
+        pool = engines(v1=2, v2=2)
+        async with Fleet({"pool": pool}) as fleet:
+            await fleet.add_routers(2)
+            await send_once(fleet)
+            async with fleet.router("router-9") as ended:
+                await until(lambda: ended.state.ready)
+                streams = await begin_streams(fleet, at=ended)
+            await end_one_of_each(fleet, pool)
+            await take_all_up(streams, at=fleet.others[-1])
+            assert mixed(streams) == []
+            assert all(stream.whole for stream in streams)
+
+    play(scenario())
+
+
+def test_a_stream_is_taken_up_twice_at_the_version_that_began_it() -> None:
+    """Failure: the second take-up names the first attempt, and goes on at another version."""
+
+    async def scenario() -> None:
+        pool = engines(v1=2, v2=2)
+        async with Fleet({"pool": pool}) as fleet:
+            await fleet.add_routers(1)
+            await send_once(fleet)
+            streams = await begin_streams(fleet)
+            for worker in pool:
+                worker.breaks_after = 5
+            await take_all_up(streams, at=fleet.others[0])
+            assert {len(stream.versions) for stream in streams} == {5}
+            await take_all_up(streams)
+            assert mixed(streams) == []
+            assert all(stream.whole for stream in streams)
+
+    play(scenario())
+
+
+def test_a_stream_whose_version_has_gone_is_refused_at_once() -> None:
+    """Failure: callers go on at another version, or wait for one that is not coming back."""
+
+    async def scenario() -> None:
+        pool = engines(v1=2, v2=2)
+        async with Fleet({"pool": pool}) as fleet:
+            await send_once(fleet)
+            streams = await begin_streams(fleet)
+            began = [stream for stream in streams if stream.versions[0] == "v1"]
+            for worker in of_version(pool, "v1"):
+                await worker.end()
+                await fleet.store.remove("servers", worker.name)
+            registry = fleet.gateway.state.registry
+            await until(lambda: len(registry.usable("pool")) == 2)
+            await take_all_up(began)
+            assert began
+            assert [stream.answers[-1].status for stream in began] == [503] * len(began)
+            assert sum(worker.resumed for worker in pool) == 0
+
+    play(scenario())
+
+
+@pytest.mark.parametrize(
+    "resumes", ["never-sent", "", "\xff\xfe,;"], ids=["never sent", "not named", "unreadable"]
+)
+def test_a_stream_of_unknown_origin_is_refused_while_two_versions_serve(resumes: str) -> None:
+    """Failure: a router that does not know where a stream began guesses a version."""
+
+    async def scenario() -> None:
+        pool = engines(v1=2, v2=2)
+        async with Fleet({"pool": pool}) as fleet:
+            await fleet.add_routers(1)
+            await send_once(fleet)
+            streams = await begin_streams(fleet)
+            await take_all_up(streams, at=fleet.others[0], resumes=resumes)
+            assert [stream.answers[-1].status for stream in streams] == [503] * STREAMS
+            assert sum(worker.resumed for worker in pool) == 0
+
+    play(scenario())
+
+
+def test_streams_are_taken_up_at_their_version_while_the_store_is_silent() -> None:
+    """Failure: routers tell each other of streams only by way of the store."""
+
+    async def scenario() -> None:
+        pool = engines(v1=2, v2=2)
+        async with Fleet({"pool": pool}) as fleet:
+            await fleet.add_routers(1)
+            await send_once(fleet)
+            fleet.store.silent = True
+            streams = await begin_streams(fleet)
+            await end_one_of_each(fleet, pool)
+            await take_all_up(streams, at=fleet.others[0])
+            assert mixed(streams) == []
+            assert all(stream.whole for stream in streams)
+
+    play(scenario())
+
+
+# what goes on as before
+
+
+def test_streams_of_one_version_are_taken_up_at_any_endpoint() -> None:
+    """Failure: callers of a service that has one version are refused."""
+
+    async def scenario() -> None:
+        pool = engines(v1=3)
+        async with Fleet({"pool": pool}) as fleet:
+            await fleet.add_routers(1)
+            await send_once(fleet)
+            streams = await begin_streams(fleet)
+            await take_all_up(streams, at=fleet.others[0])
+            assert all(stream.whole for stream in streams)
+            assert all(worker.resumed for worker in pool)
+
+    play(scenario())
+
+
+def test_a_stream_without_events_begins_at_any_version() -> None:
+    """Failure: a stream is tied to the version of an engine that failed before its first event."""
+
+    async def scenario() -> None:
+        failing = PlatformWorker("v1-0", Script(reset=True), software_version="v1")
+        whole = PlatformWorker("v2-0", Script(events=2), software_version="v2")
+        async with Fleet({"pool": [failing, whole]}) as fleet:
+            streams = [Stream(number, fleet) for number in range(8)]
+            await asyncio.gather(*(stream.begin() for stream in streams))
+            assert [stream.answers[0].status for stream in streams] == [200] * 8
+            assert failing.received
+
+    play(scenario())
--- /dev/null
+++ b/tests/versioned_pool.py
@@ -0,0 +1,129 @@
+"""A pool of engines of several software versions whose streams break off, and callers' take-ups."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from gateway_site import Answer, Fleet, configuration, until
+
+from tamarack_gateway.gateway import Gateway
+from tamarack_standins.platform_worker import PlatformWorker, ReceivedRequest, Script
+
+EVENTS = 6
+BREAK_AFTER = 3
+STREAMS = 24
+
+
+class VersionedWorker(PlatformWorker):
+    """An engine whose events name its software version.
+
+    Attributes
+    ----------
+    breaks_after
+        Event after which a stream breaks off; one that goes on after it is completed.
+    """
+
+    breaks_after = BREAK_AFTER
+
+    @property
+    def resumed(self) -> int:
+        """Number of requests that went on with a stream here."""
+        return sum("last-event-id" in received.headers for received in self.received)
+
+    def _next_script(self, received: ReceivedRequest) -> Script:
+        whole = Script(events=EVENTS, tells_version=True)
+        if int(received.headers.get("last-event-id", "0")) >= self.breaks_after:
+            return whole
+        return whole._replace(cut_after=self.breaks_after)
+
+
+def engines(**counts: int) -> list[VersionedWorker]:
+    """Engines by software version; `v1=2, v2=1` makes two of v1 and one of v2."""
+    return [
+        VersionedWorker(f"{version}-{number}", software_version=version)
+        for version, count in counts.items()
+        for number in range(count)
+    ]
+
+
+def of_version(pool: list[VersionedWorker], version: str) -> list[VersionedWorker]:
+    """Those of some engines that run a software version."""
+    return [worker for worker in pool if worker.software_version == version]
+
+
+class Stream:
+    """A stream as its caller has it, over all of its attempts."""
+
+    def __init__(self, number: int, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._prompt = {"X_Prompt_Prefix": f"{number:x}:200,b:100"}
+        self._first = f"stream{number}"
+        self._attempts = 0
+        self.answers: list[Answer] = []
+
+    async def begin(self, *, at: Gateway | None = None) -> Stream:
+        """Send the first attempt."""
+        await self._send(at, X_Attempt_Id=self._first)
+        return self
+
+    async def take_up(self, *, at: Gateway | None = None, resumes: str | None = None) -> Stream:
+        """Go on after the last event, as a caller whose connection has broken."""
+        self._attempts += 1
+        resumes = self._first if resumes is None else resumes
+        headers = {"Resumes": resumes} if resumes else {}
+        attempt = f"{self._first}-{self._attempts}"
+        await self._send(at, X_Attempt_Id=attempt, Last_Event_Id=str(len(self.versions)), **headers)
+        return self
+
+    @property
+    def versions(self) -> list[str]:
+        """Software version that each of its events names."""
+        served = [answer for answer in self.answers if answer.status == 200]
+        lines = [line for answer in served for line in answer.body.decode().split("\n")]
+        return [line.removeprefix("data: ") for line in lines if line.startswith("data: ")]
+
+    @property
+    def whole(self) -> bool:
+        """Whether all of its events have arrived, each once."""
+        return len(self.versions) == EVENTS
+
+    async def _send(self, at: Gateway | None, **headers: Any) -> None:
+        answer = await self._fleet.try_ask("/draft/1", at=at, **self._prompt, **headers)
+        if answer is not None:
+            self.answers.append(answer)
+
+
+async def send_once(fleet: Fleet) -> None:
+    """Let routers send each attempt to one endpoint only, so that callers take streams up."""
+    routes = [{**route, "maxAttempts": 1} for route in configuration()["routes"]]
+    await fleet.store.put("op", "config", configuration(2, routes=routes))
+    for router in (fleet.gateway, *fleet.others):
+        await until(lambda router=router: router.state.rules.version == 2)
+
+
+async def begin_streams(fleet: Fleet, *, at: Gateway | None = None) -> list[Stream]:
+    """Begin streams at a router; all of them break off."""
+    streams = [Stream(number, fleet) for number in range(STREAMS)]
+    await asyncio.gather(*(stream.begin(at=at) for stream in streams))
+    return streams
+
+
+async def end_one_of_each(fleet: Fleet, pool: list[VersionedWorker]) -> None:
+    """End the first engine of each version, so that its streams have to go on elsewhere."""
+    for worker in pool:
+        if worker.name.endswith("-0"):
+            await worker.end()
+            await fleet.store.remove("servers", worker.name)
+
+
+async def take_all_up(
+    streams: list[Stream], *, at: Gateway | None = None, resumes: str | None = None
+) -> None:
+    """Take streams up at a router, all at once."""
+    await asyncio.gather(*(stream.take_up(at=at, resumes=resumes) for stream in streams))
+
+
+def mixed(streams: list[Stream]) -> list[list[str]]:
+    """Versions of the streams that hold events of more than one."""
+    return [stream.versions for stream in streams if len(set(stream.versions)) > 1]
