Go on with a stream only at the software version that began it

Callers saw whole answers whose events came from two software versions. Change: the first event ties a request to the version of its endpoint, and the selection of endpoints, now a module of its own, keeps to it. An endpoint whose entry changes its version between choice and send is no longer the one that was chosen. Why it works: every send passes through the same selection. A stream whose version has no other endpoint is cut, and its caller learns of it at once.

--- a/packages/core/src/tamarack_core/endpoint_registry.py
+++ b/packages/core/src/tamarack_core/endpoint_registry.py
@@ -213,6 +213,7 @@
         current = self.find(endpoint.name)
         return (
             current is not None
+            and current.software_version == endpoint.software_version
             and (current.key, current.service) == (endpoint.key, endpoint.service)
             and not current.draining
             and current.key not in self._held
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
 
-from tamarack_core.admission import Admission, Decision
+from tamarack_core.admission import Admission
 from tamarack_core.admitted_placement import AdmittedPlacement
-from tamarack_core.endpoint_registry import Endpoint, EndpointIncarnation
-from tamarack_core.placement import Choice, choose_engine, choose_plain
+from tamarack_core.placement import Choice
 from tamarack_core.prompt import Prompt
 from tamarack_core.quarantine import Treatment
 from tamarack_core.ruleset import Route
@@ -23,6 +21,7 @@
     ConnectionLostError,
     EndpointConnection,
 )
+from tamarack_gateway.endpoint_selector import EndpointSelector
 from tamarack_gateway.engine_admission import EngineAdmission
 from tamarack_gateway.event_relay import EventRelay
 from tamarack_gateway.event_splitter import BadStreamError, EventSplitter
@@ -46,10 +45,6 @@
 MAX_CONNECT_FAILURES = 4
 """Failed connection attempts after which a request is given up; nothing was sent in any of them."""
 
-NOT_LIMITED = Decision(Admission.ADMITTED, "not decided on")
-"""Decision without admission control: for plain services, whose endpoints reject requests
-themselves, and for retries."""
-
 
 class Exchange:
     """Handles one request from its arrival to its answer.
@@ -87,8 +82,14 @@
             state, outbox, facts.attempt, self._service, workspace, self._prompt
         )
         self._answer = CallerAnswer(caller, dialect, facts.attempt)
-        self._engine_admission = EngineAdmission(
-            state, self._service, request, facts, route, workspace
+        self._selector = EndpointSelector(
+            state,
+            route,
+            self._service,
+            workspace,
+            self._prompt,
+            EngineAdmission(state, self._service, request, facts, route, workspace),
+            request_quarantine,
         )
         self._splitter = EventSplitter(facts.last_event)
         self._duration_estimate = DurationEstimate(state, route, self._service, self._prompt)
@@ -100,7 +101,6 @@
         self._sends = 0
         self._may_have_run = False
         self._first_event_ms: float | None = None
-        self._tried: set[EndpointIncarnation] = set()
 
     @property
     def sends(self) -> int:
@@ -154,7 +154,9 @@
             if standing.treatment is Treatment.WAIT and self._left_ms >= MIN_TIME_LEFT_MS:
                 await asyncio.sleep(min(standing.wait_ms, self._left_ms) / 1000)
                 continue
-            placement = self._place() if self._key_is_valid() else None
+            placement = None
+            if self._key_is_valid():
+                placement = self._selector.select(self._left_ms, retries=self._sends > 0)
             if placement is None:
                 return self._give_up(last)
             choice, decision, _ = placement
@@ -174,7 +176,7 @@
                 self._recorder.failure(
                     choice.endpoint, f"connect: {error}", weight=UNREACHED_WEIGHT
                 )
-                self._tried.add(choice.endpoint.key)
+                self._selector.exclude(choice.endpoint)
                 if connect_failures >= MAX_CONNECT_FAILURES:
                     return self._give_up(last)
                 continue
@@ -194,31 +196,6 @@
             if not self._may_retry(last):
                 return self._give_up(last)
 
-    def _place(self) -> AdmittedPlacement | None:
-        state = self._state
-        endpoints = state.in_regions(state.available(self._service), self._regions)
-        fresh = [e for e in endpoints if e.key not in self._tried] if self._tried else endpoints
-        if self._sends == 0 and not fresh:
-            fresh = endpoints
-        fresh = list(self._request_quarantine.allowed_endpoints(fresh))
-        if not fresh:
-            return None
-        if self._sends == 0 and self._prompt is not None:
-            return self._engine_admission.place(fresh, self._prompt, self._left_ms)
-        choice = self._choose(fresh)
-        return AdmittedPlacement(choice, NOT_LIMITED) if choice is not None else None
-
-    @property
-    def _regions(self) -> frozenset[str] | None:
-        rules = self._state.rules
-        return rules.regions_for(self._route, self._workspace) if rules else self._route.regions
-
-    def _choose(self, endpoints: Sequence[Endpoint]) -> Choice | None:
-        state, now_ms = self._state, self._state.clock.now_ms
-        if self._prompt is not None:
-            return choose_engine(self._prompt, endpoints, state.models, state.records, now_ms)
-        return choose_plain(endpoints, state.records, state.settings.failure_domain, now_ms)
-
     def _key_is_valid(self) -> bool:
         # Checked again after each wait: the key may have been revoked meanwhile, or the store may
         # have been unreachable for so long that the local configuration is no longer trusted.
@@ -257,7 +234,7 @@
         choice, state = placement.choice, self._state
         endpoint = choice.endpoint
         self._sends += 1
-        self._tried.add(endpoint.key)
+        self._selector.exclude(endpoint)
         self._recorder.placed(
             placement, self._route, self._sends, self._left_ms, self._splitter.last
         )
@@ -344,6 +321,7 @@
 
         def on_first_event() -> None:
             self._first_event_ms = clock.now_ms
+            self._selector.software_version = choice.endpoint.software_version
             self._recorder.first_event(choice)
 
         relay = EventRelay(
@@ -389,7 +367,13 @@
     def _give_up(self, last: Result) -> None:
         state = self._state
         if self._caller.begun:
-            state.log.request("cut", self._facts.attempt, reason=last.reason, sends=self._sends)
+            state.log.request(
+                "cut",
+                self._facts.attempt,
+                reason=last.reason,
+                sends=self._sends,
+                software_version=self._selector.software_version,
+            )
             self._caller.cut()
             return
         if last.outcome is SendOutcome.FAILED and last.head is not None:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -18,6 +18,7 @@
     take_all_up,
 )
 
+from tamarack_core.endpoint_registry import Endpoint, EndpointRegistry
 from tamarack_standins.platform_worker import PlatformWorker, Script
 
 # within one answer
@@ -49,6 +50,16 @@
     play(scenario())
 
 
+def test_an_endpoint_is_another_one_when_its_software_version_changes() -> None:
+    """Failure: an entry without an incarnation changes its version between choice and send."""
+    registry = EndpointRegistry(kept_ms=1_000.0)
+    old = Endpoint("e1", "pool", "127.0.0.1:1", "a", 4, False, software_version="v1")
+    registry.put(old, 0.0)
+    assert registry.is_usable(old)
+    registry.put(old._replace(software_version="v2"), 1.0)
+    assert not registry.is_usable(old)
+
+
 # taken up by callers
 
 
