Take streams up only at the software version that began them

Callers who took a broken stream up at any router got the rest of it from another software version. Cause: which version began a stream was known to the router that began it, if at all, and to nobody once it had stopped; what the caller names as the attempt that brought the first event was not read. Change: while a service has had more than one version within the time for which streams go on, a router tells the others of each attempt as it sends it, in the frame of its next report (all of a small fleet, relays of a large one), and all it remembers when a second version appears. A router that does not know an attempt asks the others. A service's only version is certain for a router that has seen no other for as long as streams go on and that is in touch with the store. Without certainty the caller is refused at once (503, not run). Both tries of a split route's stream go to the same service. Why it works: a record exists at other routers before the first event can arrive, and an unknown one is never guessed. With one version nothing is told (asserted by a test). Gateway's handling of other routers' messages is a module of its own now.

--- a/packages/core/src/tamarack_core/endpoint_registry.py
+++ b/packages/core/src/tamarack_core/endpoint_registry.py
@@ -233,12 +233,12 @@
         return self._listed.keys() | self._retained.keys()
 
     @property
-    def most_software_versions(self) -> int:
-        """Largest number of software versions that endpoints of one service run."""
+    def software_versions(self) -> dict[str, set[str]]:
+        """Software versions of all endpoints that are listed or retained, by service."""
         versions: dict[str, set[str]] = {}
         for endpoint in self._present:
             versions.setdefault(endpoint.service, set()).add(endpoint.software_version)
-        return max(map(len, versions.values()), default=0)
+        return versions
 
     @property
     def failure_domains(self) -> set[str]:
--- a/packages/core/src/tamarack_core/rendezvous.py
+++ b/packages/core/src/tamarack_core/rendezvous.py
@@ -12,6 +12,11 @@
     return xxhash.xxh64_intdigest(f"{key}\x00{member}".encode())
 
 
+def draw(key: str) -> float:
+    """Number in [0, 1) that is the same for `key` at all routers."""
+    return xxhash.xxh64_intdigest(key.encode()) / 2**64
+
+
 def ranked(key: str, members: Iterable[str]) -> list[str]:
     """Members in order of preference for `key`."""
     return sorted(members, key=lambda member: score(key, member), reverse=True)
--- a/packages/core/src/tamarack_core/ruleset.py
+++ b/packages/core/src/tamarack_core/ruleset.py
@@ -185,6 +185,10 @@
         self._bounds = bounds or CallerBounds()
         self._tokens_per_s = tokens_per_s
         self._engine_services = tuple(s.name for s in services if s.engine is not None)
+        self._longest_resumable_ms = max(
+            (route.time_limit_ms for route in routes if route.streams and route.resumable),
+            default=0.0,
+        )
         self._shortest_aims: dict[str, float] = {}
         for route in routes:
             for share in route.shares if route.streams else ():
@@ -215,6 +219,11 @@
         """Tokens per second that workspaces share."""
         return self._tokens_per_s
 
+    @property
+    def longest_resumable_ms(self) -> float:
+        """Longest time limit in milliseconds of routes whose streams may be resumed."""
+        return self._longest_resumable_ms
+
     @property
     def engine_services(self) -> tuple[str, ...]:
         """Names of the services of model engines."""
--- /dev/null
+++ b/packages/core/src/tamarack_core/software_versions.py
@@ -0,0 +1,91 @@
+"""Software versions that the endpoints of each service have run lately.
+
+What two versions write does not fit together, so that a stream goes on only at the version that
+began it. A service's only version needs no further knowledge about single streams, as long as no
+other version can have begun a stream that is still going on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Mapping
+
+from tamarack_core.clock import Clock
+
+LONGEST_STREAM_MS = 20_000.0
+"""Time in milliseconds after its first event for which a caller may go on with a stream, unless a
+route allows a longer time: callers wait 15 s or less."""
+
+
+class SoftwareVersions:
+    """Versions by service, as one router knows them.
+
+    Parameters
+    ----------
+    retention_ms
+        Returns the time in milliseconds for which a stream may go on.
+
+    Attributes
+    ----------
+    on_several
+        Called with a service that has had one version and now has another one as well.
+    """
+
+    def __init__(self, clock: Clock, retention_ms: Callable[[], float]) -> None:
+        self._clock = clock
+        self._retention_ms = retention_ms
+        self._since_ms: float | None = None
+        self._seen_ms: dict[str, dict[str, float]] = {}
+        self._listed: Mapping[str, Collection[str]] = {}
+        self.on_several: Callable[[str], None] = _ignore
+
+    def update(self, listed: Mapping[str, Collection[str]]) -> None:
+        """Apply the versions of all listed endpoints, by service."""
+        now_ms = self._clock.now_ms
+        if self._since_ms is None:
+            self._since_ms = now_ms
+        before = {service: self.recent(service) for service in listed}
+        for service, versions in (*self._listed.items(), *listed.items()):
+            self._seen_ms.setdefault(service, {}).update(dict.fromkeys(versions, now_ms))
+        self._listed = listed
+        self._forget(now_ms)
+        for service, versions in listed.items():
+            self._compare(service, before[service], versions)
+
+    def see(self, service: str, version: str) -> None:
+        """Record that another router has sent requests to endpoints of a version."""
+        before = self.recent(service)
+        self._seen_ms.setdefault(service, {})[version] = self._clock.now_ms
+        self._compare(service, before, (version,))
+
+    def recent(self, service: str) -> set[str]:
+        """Versions at which streams may have begun that still go on."""
+        past_ms = self._clock.now_ms - self._retention_ms()
+        seen = self._seen_ms.get(service, {})
+        return {v for v, seen_ms in seen.items() if seen_ms > past_ms} | {
+            *self._listed.get(service, ())
+        }
+
+    def sole(self, service: str) -> str | None:
+        """The version at which every stream that still goes on has begun; None if not certain."""
+        since_ms = self._since_ms
+        if since_ms is None or self._clock.now_ms - since_ms < self._retention_ms():
+            return None
+        recent = self.recent(service)
+        return recent.pop() if len(recent) == 1 else None
+
+    def _compare(self, service: str, before: set[str], versions: Collection[str]) -> None:
+        if len(before) == 1 and not before.issuperset(versions):
+            self.on_several(service)
+
+    def _forget(self, now_ms: float) -> None:
+        past_ms = now_ms - self._retention_ms()
+        for service, seen in list(self._seen_ms.items()):
+            kept = {version: seen_ms for version, seen_ms in seen.items() if seen_ms > past_ms}
+            if kept:
+                self._seen_ms[service] = kept
+            else:
+                del self._seen_ms[service]
+
+
+def _ignore(service: str) -> None:
+    """Default of `SoftwareVersions.on_several`: does nothing."""
--- a/packages/gateway/src/tamarack_gateway/caller_handler.py
+++ b/packages/gateway/src/tamarack_gateway/caller_handler.py
@@ -14,6 +14,7 @@
 from tamarack_gateway.gateway_metrics import GatewayMetrics
 from tamarack_gateway.http_messages import Request
 from tamarack_gateway.loop_monitor import LoopMonitor
+from tamarack_gateway.origin_feed import OriginFeed
 from tamarack_gateway.outbox import Outbox
 from tamarack_gateway.quarantine_feed import QuarantineFeed
 from tamarack_gateway.request_quarantine import RequestQuarantine
@@ -52,6 +53,7 @@
         loop_monitor: LoopMonitor,
         detector: TerminationDetector,
         quarantine: QuarantineFeed,
+        origins: OriginFeed,
     ) -> None:
         self._state = state
         self._dialect = dialect
@@ -61,6 +63,7 @@
         self._loop_monitor = loop_monitor
         self._detector = detector
         self._quarantine = quarantine
+        self._origins = origins
         self._clock = state.clock
         self._log = state.log
         self.ending = False
@@ -156,6 +159,7 @@
             route,
             workspace,
             request_quarantine,
+            self._origins,
         )
 
     def _log_cancelled(self, exchange: Exchange, request: Request, attempt: str) -> None:
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -9,6 +9,7 @@
 from tamarack_core.placement import Choice
 from tamarack_core.prompt import Prompt
 from tamarack_core.quarantine import Treatment
+from tamarack_core.rendezvous import draw
 from tamarack_core.ruleset import Route
 from tamarack_gateway.answer_timeouts import AnswerTimeouts
 from tamarack_gateway.caller_answer import CallerAnswer
@@ -27,6 +28,7 @@
 from tamarack_gateway.event_splitter import BadStreamError, EventSplitter
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.http_messages import AnswerHead, Request
+from tamarack_gateway.origin_feed import OriginFeed
 from tamarack_gateway.outbox import Outbox
 from tamarack_gateway.request_quarantine import RequestQuarantine
 from tamarack_gateway.send_recorder import UNREACHED_WEIGHT, SendRecorder
@@ -42,6 +44,9 @@
 MIN_TIME_LEFT_MS = 30.0
 """A request with less time left is not sent: no endpoint answers that fast."""
 
+UNKNOWN_ORIGIN = Result(SendOutcome.NOT_RUN, "the stream's software version is not known")
+"""Result of a request that goes on with a stream of which no router is certain where it began."""
+
 MAX_CONNECT_FAILURES = 4
 """Failed connection attempts after which a request is given up; nothing was sent in any of them."""
 
@@ -67,6 +72,7 @@
         route: Route,
         workspace: str | None,
         request_quarantine: RequestQuarantine,
+        origins: OriginFeed,
     ) -> None:
         self._state = state
         self._dialect = dialect
@@ -77,7 +83,9 @@
         self._route = route
         self._workspace = workspace
         self._request_quarantine = request_quarantine
-        self._service = route.service_for(state.random.random())
+        self._origins = origins
+        # A take-up of a stream is routed to the same service of a split route.
+        self._service = route.service_for(draw(facts.resumes or facts.attempt))
         self._recorder = SendRecorder(
             state, outbox, facts.attempt, self._service, workspace, self._prompt
         )
@@ -135,14 +143,12 @@
         state = self._state
         state.allowance.record_request(self._service, state.clock.now_ms)
         self._recorder.asked()
-        if self._route.streams and self._facts.last_event is not None:
-            state.log.request(
-                "takes a stream up",
-                self._facts.attempt,
-                resumes=self._facts.resumes,
-                last_event=self._facts.last_event,
-            )
-        await self._attempts()
+        if self._route.resumable and self._facts.takes_up:
+            version = await self._origins.find(self._facts, self._service)
+            if version is None:
+                return self._give_up(UNKNOWN_ORIGIN)
+            self._selector.software_version = version
+        return await self._attempts()
 
     async def _attempts(self) -> None:
         connect_failures = 0
@@ -239,6 +245,8 @@
             placement, self._route, self._sends, self._left_ms, self._splitter.last
         )
         self._recorder.sent(choice)
+        if self._route.resumable:
+            self._origins.sent(self._facts.attempt, endpoint)
         self._request_quarantine.sent(endpoint)
         self._first_event_ms = None
         sent_ms = state.clock.now_ms
--- a/packages/gateway/src/tamarack_gateway/fleet_members.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_members.py
@@ -9,6 +9,7 @@
 
 from tamarack_core.relay_plan import SMALL_FLEET
 from tamarack_core.rendezvous import ranked, score, winner
+from tamarack_gateway.peer_messages import Summary
 
 SILENCE_MS = 1_200.0
 """Time without a summary after which callers no longer get a router's address: four summary
@@ -51,6 +52,19 @@
     stamp_ms: float = 0.0
     overloaded: bool = False
 
+    @property
+    def summary(self) -> Summary:
+        """The summary that tells others of this router."""
+        return Summary(
+            self.router,
+            self.boot,
+            self.failure_domain,
+            self.callers,
+            self.ready,
+            self.fresh,
+            self.overloaded,
+        )
+
 
 class FleetMembers:
     """Holds the last summaries of the other routers."""
@@ -93,6 +107,10 @@
         silence_ms = RELAYED_SILENCE_MS if large else SILENCE_MS
         return {n: m for n, m in self._members.items() if now_ms - m.heard_ms <= silence_ms}
 
+    def recent_routers(self, now_ms: float) -> list[str]:
+        """Names of the other routers with a recent summary."""
+        return list(self._recent(now_ms))
+
     def live(self, now_ms: float) -> list[Member]:
         """Ready routers with a recent summary."""
         return [member for member in self._recent(now_ms).values() if member.ready]
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -20,6 +20,7 @@
 from tamarack_core.ruleset import CallerBounds, Ruleset
 from tamarack_core.service_shares import ServiceShares
 from tamarack_core.service_times import ServiceTimes
+from tamarack_core.software_versions import LONGEST_STREAM_MS, SoftwareVersions
 from tamarack_core.terminations import Terminations
 from tamarack_core.warm_up import SETTLE_MS, WarmUps
 from tamarack_gateway.decision_log import DecisionLog
@@ -82,6 +83,7 @@
         self.endpoints_known = False
         self.evacuations = Evacuations()
         self.warm_ups = WarmUps()
+        self.software_versions = SoftwareVersions(clock, lambda: self.longest_stream_ms)
         self.terminations = Terminations(clock)
         self.notices = EndpointNotices(self.registry, log, clock)
         self.models: dict[str, EngineModel] = {}
@@ -129,6 +131,12 @@
         """Time to live, in milliseconds, of the addresses given to callers."""
         return min(ADDRESS_TTL_MS, self.settings.bounds.address_ttl_ms)
 
+    @property
+    def longest_stream_ms(self) -> float:
+        """Longest time in milliseconds for which a caller may go on with a stream."""
+        longest_ms = self.rules.longest_resumable_ms if self.rules is not None else 0.0
+        return max(LONGEST_STREAM_MS, longest_ms)
+
     @property
     def bounds(self) -> CallerBounds:
         """Limits on what callers may send."""
@@ -169,6 +177,7 @@
             over = EndpointIncarnation(name, self._incarnations[name])
             del self.records[name], self.models[name], self._incarnations[name]
             self.on_incarnation_ended(over, False)
+        self.software_versions.update(self.registry.software_versions)
         self._resize_models()
 
     def knows(self, key: EndpointIncarnation) -> bool:
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -25,13 +25,14 @@
 from tamarack_gateway.http_messages import AnswerHead
 from tamarack_gateway.listeners import Listeners
 from tamarack_gateway.loop_monitor import LoopMonitor
+from tamarack_gateway.origin_feed import OriginFeed
 from tamarack_gateway.outbox import Outbox
 from tamarack_gateway.peer_group import PeerGroup
-from tamarack_gateway.peer_messages import Report, Summary
+from tamarack_gateway.peer_inbox import PeerInbox
 from tamarack_gateway.quarantine_feed import QuarantineFeed
 from tamarack_gateway.router_pages import RouterPages
 from tamarack_gateway.site import Site
-from tamarack_gateway.table_messages import CopyWanted, TableNews
+from tamarack_gateway.table_messages import TableNews
 from tamarack_gateway.termination_detector import TerminationDetector
 from tamarack_gateway.warm_up_feed import WarmUpFeed
 
@@ -94,6 +95,7 @@
             loop=self._loop_monitor.status,
             malformed=lambda: self._peers.malformed,
             store_epoch=lambda: self._feeds.store_epoch,
+            origins=lambda: self._origins.readings,
         )
         self._state.owns = lambda matter: self._members.owns(matter, self._me, clock.now_ms)
         self._quarantine = self._make_quarantine()
@@ -103,6 +105,7 @@
             leads=self._deals_warm_ups,
             publish=lambda notice: self._peers.publish_notice(notice),
         )
+        self._origins = self._make_origins()
         self._pages = self._make_pages()
         self._detector = TerminationDetector(
             self._state, self._pool, on_termination=self._quarantine.record_termination
@@ -116,6 +119,7 @@
             self._loop_monitor,
             self._detector,
             self._quarantine,
+            self._origins,
         )
         self._listeners = Listeners(
             self._state, clock, self._connections, self._caller_limit, accept_rate
@@ -124,6 +128,7 @@
         self._lines_queued = asyncio.Event()
         log.on_line = self._lines_queued.set
         self._stack = contextlib.AsyncExitStack()
+        self._inbox = self._make_inbox()
         self._peers = self._make_peers()
         self._feeds = self._make_feeds()
         self._inventory = self._make_inventory()
@@ -261,14 +266,36 @@
             clock=self._clock,
             log=self._log,
             outbox=self._outbox,
-            summary=self._summary,
+            summary=lambda: self._me.summary,
             others=lambda: self._members.heard_within(5_000.0, self._clock.now_ms),
-            on_report=self._on_report,
+            on_report=self._inbox.receive_report,
             on_placements=self._state.apply_placements,
             on_alive=lambda stamps: self._members.record_unchanged(stamps, self._clock.now_ms),
             versions=lambda: self._feeds.versions,
             on_versions=lambda versions: self._feeds.record_versions(versions),
-            on_notice=self._warm_ups.receive,
+            on_notice=self._inbox.receive_notice,
+            on_begun=self._origins.receive,
+        )
+
+    def _make_origins(self) -> OriginFeed:
+        return OriginFeed(
+            self._state,
+            self._outbox,
+            routers=self._other_routers,
+            answers_all=lambda: self._peers.relays or not self._peers.large,
+            publish=lambda message: self._peers.publish_notice(message),
+        )
+
+    def _make_inbox(self) -> PeerInbox:
+        return PeerInbox(
+            self._state,
+            self._members,
+            self._quarantine,
+            self._origins,
+            self._warm_ups,
+            me=lambda: self._me,
+            feeds=lambda: self._feeds,
+            publish=self._publish_changes,
         )
 
     def _make_feeds(self) -> FleetFeeds:
@@ -325,6 +352,10 @@
         now_ms = self._clock.now_ms
         return self._members.queried_by(self._me, endpoints, self._feeds.listed_routers, now_ms)
 
+    def _other_routers(self) -> set[str]:
+        heard = self._members.recent_routers(self._clock.now_ms)
+        return {*heard, *self._feeds.listed_routers} - {self._settings.router}
+
     def _record_notices(self, endpoint: Endpoint, head: AnswerHead) -> None:
         self._state.notices.record(endpoint, self._site.requests.read_answer(head))
 
@@ -338,43 +369,6 @@
                 news = news._replace(stamps=self._members.stamps())
             self._peers.publish_changes(news)
 
-    def _on_report(self, report: Report) -> None:
-        if report.summary is not None:
-            self._on_summary(report.summary, report.stamp_ms)
-        self._members.record_stamp(report.router, report.stamp_ms)
-        if report.placements is not None:
-            self._state.apply_placements(report.placements)
-        if report.news is not None:
-            stamp_ms = report.news.stamps.get(self._settings.router, float("-inf"))
-            self._feeds.receive(report.news, stamp_ms)
-        if report.wanted is not None:
-            self._send_copy(report.wanted)
-        if report.evidence is not None:
-            self._quarantine.receive(report.evidence)
-
-    def _send_copy(self, wanted: CopyWanted) -> None:
-        if self._members.sends_copy(f"{wanted.table}/{wanted.tries}", self._me, self._clock.now_ms):
-            news = self._feeds.copy(wanted)
-            if news is not None:
-                self._publish_changes(news)
-
-    def _on_summary(self, summary: Summary, stamp_ms: float) -> None:
-        heard_ms = self._clock.now_ms
-        member = Member(**summary._asdict(), heard_ms=heard_ms, stamp_ms=stamp_ms)
-        self._members.record_summary(member)
-
-    def _summary(self) -> Summary:
-        me = self._me
-        return Summary(
-            me.router,
-            me.boot,
-            me.failure_domain,
-            me.callers,
-            me.ready,
-            me.fresh,
-            me.overloaded,
-        )
-
     # housekeeping
 
     async def _sweep(self) -> None:
--- a/packages/gateway/src/tamarack_gateway/gateway_metrics.py
+++ b/packages/gateway/src/tamarack_gateway/gateway_metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import cached_property
 from typing import TYPE_CHECKING
 
@@ -34,6 +34,8 @@
         Returns the number of messages of other routers that could not be read.
     store_epoch
         Returns how often the store has been restored from a copy.
+    origins
+        Returns readings of what the router knows about where streams began.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         loop: Callable[[], LoopStatus],
         malformed: Callable[[], int] = lambda: 0,
         store_epoch: Callable[[], int] = lambda: 0,
+        origins: Callable[[], Mapping[str, int]] = dict,
     ) -> None:
         self._state = state
         self._pool = pool
@@ -52,6 +55,7 @@
         self._loop = loop
         self._malformed = malformed
         self._store_epoch = store_epoch
+        self._origins = origins
 
     @cached_property
     def _collectors(self) -> MetricCollectors:
@@ -77,7 +81,10 @@
             "configuration_version": state.rules.version if state.rules else 0,
             "configuration_age_ms": min(1e9, state.freshness.age_ms(now_ms)),
             "endpoints": len(state.registry),
-            "software_versions": state.registry.most_software_versions,
+            "software_versions": max(
+                map(len, state.registry.software_versions.values()), default=0
+            ),
+            **self._origins(),
             "evacuated_domains": len(state.evacuations.domains),
             "endpoints_warming_up": len(state.warm_ups.warming_endpoints(now_ms)),
             "sent_to_warming_endpoints": state.warm_ups.sent_count,
--- /dev/null
+++ b/packages/gateway/src/tamarack_gateway/origin_feed.py
@@ -0,0 +1,188 @@
+"""Finds out at which software version a stream began, with the help of the other routers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Collection
+from typing import NamedTuple
+
+from tamarack_core.endpoint_registry import Endpoint
+from tamarack_core.stream_origins import (
+    BegunStreams,
+    Origin,
+    OriginAnswer,
+    OriginQuery,
+    StreamOrigins,
+    conclude,
+)
+from tamarack_gateway.fleet_state import FleetState
+from tamarack_gateway.outbox import Outbox
+from tamarack_gateway.site import RequestFacts
+
+ASK_MS = 100.0
+ASK_TIMES = 6
+"""Time to wait for answers before a question is repeated, and how often it is asked. Through relays
+question and answer take 200 ms, and others hear a router only some time after it has started."""
+
+MAX_QUESTIONS = 200
+"""Questions that may be open at a time; all routers process each of them."""
+
+MAX_ATTEMPT_LENGTH = 200
+"""Longest name of an attempt that is asked for, in characters."""
+
+
+class _Finding(NamedTuple):
+    """The software version at which a stream began, None if not certain, and how it was found."""
+
+    software_version: str | None
+    reason: str
+
+
+class _Question:
+    """A question to the other routers, with the answers so far."""
+
+    def __init__(self, expected: Collection[str], own: OriginAnswer) -> None:
+        self._expected = set(expected)
+        self.answers = [own]
+        self._complete = asyncio.Event()
+
+    def add(self, answer: OriginAnswer) -> None:
+        """Add an answer; the first of a router that knows the stream settles the question."""
+        self.answers.append(answer)
+        self._expected.discard(answer.router)
+        if answer.known is not None or not self._expected:
+            self._complete.set()
+
+    async def answered(self, wait_ms: float) -> bool:
+        """Wait for the missing answers; returns whether none is missing any more."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_ms / 1000):
+                await self._complete.wait()
+        return self._complete.is_set()
+
+
+class OriginFeed:
+    """Remembers where streams began, tells the other routers, and asks them.
+
+    While a service has one software version, nothing is told or asked. Otherwise each router tells
+    the others of its streams before their first events arrive, so that callers can go on with them
+    at any router after this one has stopped.
+
+    Parameters
+    ----------
+    routers
+        Returns the names of the other routers.
+    answers_all
+        Returns whether this router also answers questions about streams that it does not know; in a
+        large fleet only relays do.
+    publish
+        Called with questions and answers for the other routers.
+    """
+
+    def __init__(
+        self,
+        state: FleetState,
+        outbox: Outbox,
+        *,
+        routers: Callable[[], Collection[str]],
+        answers_all: Callable[[], bool],
+        publish: Callable[[OriginQuery | OriginAnswer], None],
+    ) -> None:
+        self._state = state
+        self._outbox = outbox
+        self._routers = routers
+        self._answers_all = answers_all
+        self._publish = publish
+        self._origins = StreamOrigins(state.clock, lambda: state.longest_stream_ms)
+        self._questions: dict[int, _Question] = {}
+        self._asked = 0
+        state.software_versions.on_several = self._tell_all
+
+    @property
+    def readings(self) -> dict[str, int]:
+        """Number of streams whose origin is remembered, and of questions to other routers."""
+        return {"stream_origins": len(self._origins), "stream_origins_asked": self._asked}
+
+    def sent(self, attempt: str, endpoint: Endpoint) -> None:
+        """Record that an attempt, whose stream may be taken up, is sent to an endpoint."""
+        origin = Origin(endpoint.service, endpoint.software_version)
+        if self._origins.record_own(attempt, origin) and self._sole(endpoint.service) is None:
+            self._outbox.began(attempt, origin)
+
+    def receive(self, message: BegunStreams | OriginQuery | OriginAnswer) -> None:
+        """Apply a message of another router."""
+        if isinstance(message, BegunStreams):
+            self._state.software_versions.see(*message.origin)
+            self._origins.record_told(message)
+        elif isinstance(message, OriginQuery):
+            answer = self._answer(message)
+            if answer.known is not None or self._answers_all():
+                self._publish(answer)
+        elif message.asker == self._state.settings.router and message.number in self._questions:
+            self._questions[message.number].add(message)
+
+    async def find(self, facts: RequestFacts, service: str) -> str | None:
+        """Find out at which software version the stream began that a request takes up.
+
+        Returns None if no router is certain. `service` is the one of which it is now requested.
+        """
+        found = await self._find(facts.resumes or "", service)
+        self._state.log.request(
+            "takes a stream up",
+            facts.attempt,
+            reason=found.reason,
+            resumes=facts.resumes,
+            last_event=facts.last_event,
+            software_version=found.software_version,
+        )
+        return found.software_version
+
+    async def _find(self, attempt: str, service: str) -> _Finding:
+        origin = self._origins.find(attempt)
+        if origin is not None:
+            return _Finding(origin.software_version, "known")
+        if (sole := self._sole(service)) is not None:
+            return _Finding(sole, "the only version")
+        several = len(self._state.software_versions.recent(service)) > 1
+        if (several and not attempt) or len(attempt) > MAX_ATTEMPT_LENGTH:
+            return _Finding(None, "not named")
+        if len(self._questions) >= MAX_QUESTIONS:
+            return _Finding(None, "too many questions")
+        return await self._ask(attempt, service)
+
+    async def _ask(self, attempt: str, service: str) -> _Finding:
+        routers = self._routers()
+        if not routers:
+            return _Finding(None, "no other router")
+        self._asked += 1
+        query = OriginQuery(self._state.settings.router, self._asked, attempt, service)
+        question = self._questions[query.number] = _Question(routers, self._answer(query))
+        try:
+            for _ in range(ASK_TIMES):
+                self._publish(query)
+                if await question.answered(ASK_MS):
+                    break
+        finally:
+            del self._questions[query.number]
+        return _Finding(conclude(question.answers), "asked")
+
+    def _answer(self, query: OriginQuery) -> OriginAnswer:
+        origin = self._origins.find(query.attempt)
+        return OriginAnswer(
+            self._state.settings.router,
+            query.router,
+            query.number,
+            None if origin is None else origin.software_version,
+            self._sole(query.service),
+            len(self._state.software_versions.recent(query.service)) > 1,
+        )
+
+    def _sole(self, service: str) -> str | None:
+        # A router that is cut off does not learn of a new version.
+        state = self._state
+        return state.software_versions.sole(service) if state.fresh else None
+
+    def _tell_all(self, service: str) -> None:
+        for attempt, origin in self._origins.own_attempts(service):
+            self._outbox.began(attempt, origin)
--- a/packages/gateway/src/tamarack_gateway/outbox.py
+++ b/packages/gateway/src/tamarack_gateway/outbox.py
@@ -8,6 +8,7 @@
 
 from tamarack_core.endpoint_registry import EndpointIncarnation
 from tamarack_core.prompt import PrefixBlock
+from tamarack_core.stream_origins import BegunStreams, Origin, by_origin
 
 
 class Placed(NamedTuple):
@@ -130,10 +131,11 @@
 
 
 class Outbox:
-    """Collects placements since the last message to the other routers."""
+    """Collects placements and begun streams since the last message to the other routers."""
 
     def __init__(self) -> None:
         self._sum = PlacementSum()
+        self._begun: dict[str, Origin] = {}
         self._pending_event = asyncio.Event()
 
     async def wait(self) -> None:
@@ -162,6 +164,16 @@
         """Record the observation of a first event; of several, the last one is reported."""
         self._sum.add_seen(Seen(key.name, round(wait_ms, 1), round(pace, 2), key.life))
 
+    def began(self, attempt: str, origin: Origin) -> None:
+        """Record where an attempt is sent, whose stream may be taken up at another router."""
+        self._pending_event.set()
+        self._begun[attempt] = origin
+
     def take(self) -> Placements | None:
-        """Return and reset what was collected; None if nothing was."""
+        """Return and reset the placements; None if there were none."""
         return self._sum.take()
+
+    def take_begun(self) -> list[BegunStreams]:
+        """Return and reset the begun streams."""
+        begun, self._begun = by_origin(self._begun), {}
+        return begun
--- a/packages/gateway/src/tamarack_gateway/peer_group.py
+++ b/packages/gateway/src/tamarack_gateway/peer_group.py
@@ -4,19 +4,20 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 from tamarack_core.clock import Clock
 from tamarack_core.relay_plan import Links, Peer, RelayPlan
+from tamarack_core.stream_origins import BegunStreams
 from tamarack_core.termination_evidence import Evidence
-from tamarack_core.warm_up_dealer import Demand, Leases
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.outbox import Outbox, Placements
 from tamarack_gateway.peer_messages import (
     Alive,
     Digest,
     Gathered,
+    Notice,
     Report,
     Summary,
     TableVersions,
@@ -90,7 +91,9 @@
     on_versions
         Called with the versions that another router has.
     on_notice
-        Called with demands and leases of other routers.
+        Called with each notice of another router.
+    on_begun
+        Called with begun streams of other routers.
 
     Attributes
     ----------
@@ -114,7 +117,8 @@
         on_alive: Callable[[dict[str, float]], None],
         versions: Callable[[], dict[str, int]] = dict,
         on_versions: Callable[[dict[str, int]], None] = lambda versions: None,
-        on_notice: Callable[[Demand | Leases], None] = lambda notice: None,
+        on_notice: Callable[[Notice], None] = lambda notice: None,
+        on_begun: Callable[[BegunStreams], None] = lambda begun: None,
     ) -> None:
         self._router = router
         self._domain = failure_domain
@@ -130,6 +134,7 @@
         self._versions = versions
         self._on_versions = on_versions
         self._on_notice = on_notice
+        self._on_begun = on_begun
         self._plan = RelayPlan(router, failure_domain)
         self._links = Links(frozenset(), None, False)
         self._listed: Mapping[str, Peer] = {}
@@ -209,8 +214,8 @@
         """Publish new evidence about requests that crash endpoints at once."""
         self._publish(evidence=evidence)
 
-    def publish_notice(self, notice: Demand | Leases) -> None:
-        """Publish a demand or leases at once."""
+    def publish_notice(self, notice: Notice) -> None:
+        """Publish a notice at once."""
         if self._links.relays:
             self._collector.add_notice(notice, remote=False)
         else:
@@ -224,13 +229,17 @@
         news: TableNews | None = None,
         wanted: CopyWanted | None = None,
         evidence: Evidence | None = None,
+        begun: Sequence[BegunStreams] = (),
     ) -> None:
         now_ms = self._clock.now_ms
         report = Report(self._router, now_ms, summary, placements, news, wanted, evidence)
         if self._links.relays:
             self._collector.add_report(report)
+            for streams in begun:
+                self._collector.add_begun(streams)
             return
-        self._sockets.publish(_reports_topic(self._domain), report, *self._due_versions(now_ms))
+        messages = (report, *self._due_versions(now_ms), *begun)
+        self._sockets.publish(_reports_topic(self._domain), *messages)
 
     def _due_versions(self, now_ms: float) -> list[TableVersions]:
         # In a small fleet each router reads the tables itself.
@@ -247,8 +256,10 @@
             self._on_report(message)
         elif isinstance(message, TableVersions):
             self._note_versions(message.versions)
-        elif isinstance(message, Demand | Leases):
+        elif isinstance(message, Notice):
             self._receive_notice(topic, message)
+        elif isinstance(message, BegunStreams):
+            self._receive_begun(topic, message)
         elif topic == _within_topic(self._domain):
             if isinstance(message, Digest):
                 self._plan.record_relay(message.relay, self._clock.now_ms)
@@ -278,7 +289,7 @@
                 if report.router != self._router:
                     self._on_report(report)
 
-    def _receive_notice(self, topic: bytes, notice: Demand | Leases) -> None:
+    def _receive_notice(self, topic: bytes, notice: Notice) -> None:
         relays = self._links.relays
         if relays and topic in (_within_topic(self._domain), _across_topic(self._domain)):
             return
@@ -287,6 +298,11 @@
             self._collector.add_notice(notice, remote=remote)
         self._on_notice(notice)
 
+    def _receive_begun(self, topic: bytes, begun: BegunStreams) -> None:
+        if self._links.relays and topic == _reports_topic(self._domain):
+            self._collector.add_begun(begun)
+        self._on_begun(begun)
+
     def _note_versions(self, versions: dict[str, int]) -> None:
         for table, version in versions.items():
             self._heard_versions[table] = max(version, self._heard_versions.get(table, 0))
@@ -306,9 +322,9 @@
             if self._clock.now_ms - self._last_summary_ms >= interval_ms:
                 self._last_summary_ms = self._clock.now_ms
                 summary = self._summary()
-            placements = self._outbox.take()
-            if summary is not None or placements is not None:
-                self._publish(summary=summary, placements=placements)
+            placements, begun = self._outbox.take(), self._outbox.take_begun()
+            if summary is not None or placements is not None or begun:
+                self._publish(summary=summary, placements=placements, begun=begun)
 
     async def _relay_loop(self) -> None:
         while True:
--- a/packages/gateway/src/tamarack_gateway/relay_collector.py
+++ b/packages/gateway/src/tamarack_gateway/relay_collector.py
@@ -4,9 +4,9 @@
 
 from typing import Any, NamedTuple
 
-from tamarack_core.warm_up_dealer import Demand, Leases
+from tamarack_core.stream_origins import BegunStreams, Origin, by_origin
 from tamarack_gateway.outbox import PlacementSum
-from tamarack_gateway.peer_messages import Alive, Digest, Gathered, Report, TableVersions
+from tamarack_gateway.peer_messages import Alive, Digest, Gathered, Notice, Report, TableVersions
 from tamarack_gateway.summary_filter import SummaryFilter
 from tamarack_gateway.table_messages import TableNews
 
@@ -38,8 +38,9 @@
         self._remote_reports: list[Report] = []
         self._remote_work = PlacementSum()
         self._remote_alive: dict[str, float] = {}
-        self._notices: list[Demand | Leases] = []
-        self._remote_notices: list[Demand | Leases] = []
+        self._notices: list[Notice] = []
+        self._remote_notices: list[Notice] = []
+        self._begun: dict[str, Origin] = {}
         self._summary_filter = SummaryFilter()
         self._passed_versions: dict[str, int] = {}
         self.urgent = False
@@ -60,11 +61,16 @@
             self._remote_reports += map(self._without_known_rows, message.reports)
             self.urgent = self.urgent or any(report.urgent for report in message.reports)
 
-    def add_notice(self, notice: Demand | Leases, *, remote: bool) -> None:
+    def add_notice(self, notice: Notice, *, remote: bool) -> None:
         """Add a notice of the own failure domain, or of another one."""
         (self._remote_notices if remote else self._notices).append(notice)
         self.urgent = True
 
+    def add_begun(self, begun: BegunStreams) -> None:
+        """Add begun streams of the own failure domain, which only other relays receive."""
+        self._begun.update(dict.fromkeys(begun.attempts, begun.origin))
+        self.urgent = True
+
     def _without_known_rows(self, report: Report) -> Report:
         """Leave out many rows that another reader's message had.
 
@@ -84,9 +90,9 @@
         """Return what was collected as messages, and reset it."""
         own, alive = self._summary_filter.filter(self._reports, now_ms)
         across: list[Any] = []
-        if own or alive or self._notices:
+        if own or alive or self._notices or self._begun:
             across = [*_for_other_domains(self._router, own), Alive(alive), versions]
-            across += self._notices
+            across += [*self._notices, *by_origin(self._begun)]
         digest = Digest(self._router, own + self._remote_reports)
         within: list[Any] = [digest, Alive(alive | self._remote_alive), versions]
         work = self._remote_work.take()
@@ -95,6 +101,7 @@
         within += self._notices + self._remote_notices
         self._reports, self._remote_reports, self._remote_alive = [], [], {}
         self._notices, self._remote_notices, self.urgent = [], [], False
+        self._begun = {}
         return Collected(across, within)
 
 
--- a/packages/gateway/src/tamarack_gateway/site.py
+++ b/packages/gateway/src/tamarack_gateway/site.py
@@ -124,6 +124,11 @@
     last_event: int | None
     resumes: str | None = None
 
+    @property
+    def takes_up(self) -> bool:
+        """Whether it goes on with a stream that another attempt began."""
+        return self.last_event is not None or self.resumes is not None
+
 
 class AnswerFacts(NamedTuple):
     """Facts from the headers of an endpoint's answer.
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -119,6 +119,17 @@
             self.others.append(await self._stack.enter_async_context(router))
         await until(lambda: all(router.state.ready for router in self.others))
 
+    async def until_acquainted(self, *more: Gateway) -> None:
+        """Wait until all routers hear each other."""
+        routers = (self.gateway, *self.others, *more)
+        for router in routers:
+            names = {other.state.settings.router for other in routers if other is not router}
+            await until(
+                lambda router=router, names=names: (
+                    {member.router for member in router._members.known()} >= names
+                )
+            )
+
     def router(
         self,
         name: str,
--- a/tests/test_peer_group.py
+++ b/tests/test_peer_group.py
@@ -10,10 +10,11 @@
 
 from tamarack_core.clock import BootClock
 from tamarack_core.relay_plan import SMALL_FLEET, Peer
+from tamarack_core.stream_origins import BegunStreams, Origin, OriginQuery
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.outbox import Outbox, Placements
 from tamarack_gateway.peer_group import PeerGroup
-from tamarack_gateway.peer_messages import Report, Summary
+from tamarack_gateway.peer_messages import Notice, Report, Summary
 from tamarack_gateway.summary_filter import FULL_SUMMARY_INTERVAL_MS, SummaryFilter
 
 DOMAINS = ("a", "b", "c")
@@ -31,6 +32,8 @@
         self.sums: list[float] = []
         self.alive: dict[str, float] = {}
         self.summaries: set[str] = set()
+        self.begun: list[BegunStreams] = []
+        self.notices: list[Notice] = []
         clock = BootClock()
         self.group = PeerGroup(
             name,
@@ -42,6 +45,8 @@
             summary=lambda: Summary(name, 1, domain, "", True, True),
             others=lambda: len(self.summaries),
             on_report=self.on_report,
+            on_begun=self.begun.append,
+            on_notice=self.notices.append,
             on_alive=lambda stamps: self.alive.update(stamps),
             on_placements=lambda work: self.sums.extend(
                 placed.reading_ms for placed in work.placed
@@ -128,6 +133,29 @@
     play(scenario())
 
 
+def test_relays_alone_remember_begun_streams_and_all_routers_hear_questions() -> None:
+    """Failure: each router of a large fleet remembers all streams, or a question gets lost."""
+
+    async def scenario() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            members = await start(stack)
+            holders = relays(members)
+            (teller, *_) = [member for member in members if member not in holders]
+            teller.outbox.began("attempt", Origin("pool", "v1"))
+            await until(lambda: all(holder.begun for holder in holders))
+            await asyncio.sleep(0.2)
+            told = [BegunStreams("pool", "v1", ["attempt"])]
+            assert [member.begun for member in members] == [
+                told if member in holders else [] for member in members
+            ]
+            question = OriginQuery(teller.name, 1, "attempt", "pool")
+            teller.group.publish_notice(question)
+            others = [member for member in members if member is not teller]
+            await until(lambda: all(question in member.notices for member in others))
+
+    play(scenario())
+
+
 def test_unchanged_summaries_are_not_passed_on_in_full() -> None:
     """Idle routers of a large fleet used processor time.
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -12,6 +12,7 @@
     begin_streams,
     end_one_of_each,
     engines,
+    later_routers,
     mixed,
     of_version,
     send_once,
@@ -71,6 +72,7 @@
         pool = engines(v1=2, v2=2)
         async with Fleet({"pool": pool}) as fleet:
             await fleet.add_routers(2)
+            await fleet.until_acquainted()
             await send_once(fleet)
             streams = await begin_streams(fleet)
             await end_one_of_each(fleet, pool)
@@ -92,9 +94,11 @@
         pool = engines(v1=2, v2=2)
         async with Fleet({"pool": pool}) as fleet:
             await fleet.add_routers(2)
+            await fleet.until_acquainted()
             await send_once(fleet)
             async with fleet.router("router-9") as ended:
                 await until(lambda: ended.state.ready)
+                await fleet.until_acquainted(ended)
                 streams = await begin_streams(fleet, at=ended)
             await end_one_of_each(fleet, pool)
             await take_all_up(streams, at=fleet.others[-1])
@@ -111,6 +115,7 @@
         pool = engines(v1=2, v2=2)
         async with Fleet({"pool": pool}) as fleet:
             await fleet.add_routers(1)
+            await fleet.until_acquainted()
             await send_once(fleet)
             streams = await begin_streams(fleet)
             for worker in pool:
@@ -156,6 +161,7 @@
         pool = engines(v1=2, v2=2)
         async with Fleet({"pool": pool}) as fleet:
             await fleet.add_routers(1)
+            await fleet.until_acquainted()
             await send_once(fleet)
             streams = await begin_streams(fleet)
             await take_all_up(streams, at=fleet.others[0], resumes=resumes)
@@ -172,6 +178,7 @@
         pool = engines(v1=2, v2=2)
         async with Fleet({"pool": pool}) as fleet:
             await fleet.add_routers(1)
+            await fleet.until_acquainted()
             await send_once(fleet)
             fleet.store.silent = True
             streams = await begin_streams(fleet)
@@ -183,6 +190,49 @@
     play(scenario())
 
 
+# a service with one version, and its second one
+
+
+def test_streams_that_began_before_the_second_version_are_taken_up_at_the_first() -> None:
+    """Failure: while there was one version, nobody was told of the streams that it began."""
+
+    async def scenario() -> None:
+        pool, newer = engines(v1=2), engines(v2=2)
+        async with Fleet({"pool": pool}) as fleet, later_routers(fleet, 2) as (first, second):
+            await send_once(fleet, first, second)
+            streams = await begin_streams(fleet, at=first)
+            assert second._origins.readings["stream_origins"] == 0
+            for worker in newer:
+                await fleet._stack.enter_async_context(worker)
+                await fleet.store.put("servers", worker.name, worker.entry("pool"))
+            await until(lambda: second._origins.readings["stream_origins"] >= STREAMS)
+            await end_one_of_each(fleet, pool)
+            await take_all_up(streams, at=second)
+            assert mixed(streams) == []
+            assert all(stream.whole for stream in streams)
+
+    play(scenario())
+
+
+def test_a_router_out_of_touch_does_not_take_its_only_version_for_certain() -> None:
+    """Failure: a router that cannot learn of a second version goes on with its streams."""
+
+    async def scenario() -> None:
+        async with Fleet({"pool": engines(v1=2)}) as fleet, later_routers(fleet, 1) as (router,):
+            await send_once(fleet, router)
+            streams = await begin_streams(fleet, at=router)
+            await take_all_up(streams, at=router, resumes="never-sent")
+            assert all(stream.whole for stream in streams)
+            await fleet.gateway.__aexit__(None, None, None)
+            streams = await begin_streams(fleet, at=router)
+            fleet.store.silent = True
+            router._clock.ahead_ms += 4_000.0
+            await take_all_up(streams, at=router, resumes="never-sent")
+            assert [stream.answers[-1].status for stream in streams] == [503] * STREAMS
+
+    play(scenario())
+
+
 # what goes on as before
 
 
@@ -193,6 +243,7 @@
         pool = engines(v1=3)
         async with Fleet({"pool": pool}) as fleet:
             await fleet.add_routers(1)
+            await fleet.until_acquainted()
             await send_once(fleet)
             streams = await begin_streams(fleet)
             await take_all_up(streams, at=fleet.others[0])
--- a/tests/versioned_pool.py
+++ b/tests/versioned_pool.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from collections.abc import AsyncIterator
 from typing import Any
 
 from gateway_site import Answer, Fleet, configuration, until
 
+from tamarack_core.clock import BootClock
+from tamarack_core.software_versions import LONGEST_STREAM_MS
 from tamarack_gateway.gateway import Gateway
 from tamarack_standins.platform_worker import PlatformWorker, ReceivedRequest, Script
 
@@ -94,11 +98,38 @@
             self.answers.append(answer)
 
 
-async def send_once(fleet: Fleet) -> None:
+class ClockAhead(BootClock):
+    """A clock that runs ahead by some milliseconds."""
+
+    ahead_ms = 0.0
+
+    @property
+    def now_ms(self) -> float:
+        return super().now_ms + self.ahead_ms
+
+
+@contextlib.asynccontextmanager
+async def later_routers(fleet: Fleet, count: int) -> AsyncIterator[list[Gateway]]:
+    """Routers that have been running for longer than any stream lasts."""
+    clocks = [ClockAhead() for _ in range(count)]
+    async with contextlib.AsyncExitStack() as stack:
+        routers = [
+            await stack.enter_async_context(fleet.router(f"later-{number}", clock=clock))
+            for number, clock in enumerate(clocks)
+        ]
+        await until(lambda: all(router.state.ready for router in routers))
+        for clock in clocks:
+            clock.ahead_ms = 2 * LONGEST_STREAM_MS
+        await until(lambda: all(router.state.fresh for router in routers))
+        await fleet.until_acquainted(*routers)
+        yield routers
+
+
+async def send_once(fleet: Fleet, *more: Gateway) -> None:
     """Let routers send each attempt to one endpoint only, so that callers take streams up."""
     routes = [{**route, "maxAttempts": 1} for route in configuration()["routes"]]
     await fleet.store.put("op", "config", configuration(2, routes=routes))
-    for router in (fleet.gateway, *fleet.others):
+    for router in (fleet.gateway, *fleet.others, *more):
         await until(lambda router=router: router.state.rules.version == 2)
 
 
