Play software versions and take-ups of streams in the soak

Cause: workers of the soak had one version, and its callers never took a stream up, so that it could not find streams of two versions. Change: workers that start run the newest software version or the one before; releases are a fault of their own; streams that may be taken up last longer, and callers take a broken one up at other routers after a pause, naming its first attempt. Any stream with events of two versions is a broken promise.

--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -3,9 +3,10 @@
 Routers are killed, stopped, paused and restarted by signals, singly, all at once and in turn; their
 connections to the store and to workers are delayed, reset, or blocked in one or both directions by
 proxies; the store stops responding, refuses calls, loses answers, drops its history and returns to
-a copy of itself; workers fail in every scripted way, request rest, leave, are replaced and restart
-under their names; a zone's workers return cold together; zones are evacuated and restored; requests
-crash the workers that run them; keys are revoked; rows are overwritten with invalid values.
+a copy of itself; workers fail in every scripted way, request rest, leave, are replaced, also by
+other software versions, and restart under their names; a zone's workers return cold together; zones
+are evacuated and restored; requests crash the workers that run them; keys are revoked; rows are
+overwritten with invalid values.
 Meanwhile, callers and workers check the promises.
 """
 
@@ -45,6 +46,9 @@
 ENGINES = 3
 ENGINES_ENDS_ONLY = 8
 CALLERS = 12
+TRIES = 3
+"""Attempts of a caller, the first one included; only broken streams are taken up."""
+
 FAULT_PAUSE_S = (0.2, 0.9)
 
 EVACUATION_S = (1.0, REVOKE_MS / 1000 + 3.0)
@@ -188,7 +192,7 @@
             address = self._routers.address(number % self._count)
             with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
                 async with asyncio.timeout(ANSWER_S):
-                    await self._calls.call(request.path, self._key, address, request.body)
+                    await self._calls.call(request.path, self._key, [address], request.body)
 
     def _fault_free_s(self) -> float:
         return 0.0 if self._active_faults else time.monotonic() - self._last_fault_s
@@ -221,6 +225,7 @@
             self._workers.spoil_worker,
             self._workers.overload_worker,
             self._workers.replace_worker,
+            self._workers.release,
             self._workers.restart_worker,
         )
         domains = (self._evacuate, self._workers.return_cold)
@@ -302,11 +307,12 @@
             path = self.random.choice([*KINDS, *STREAMS])
             # Some callers keep using a key long after its revocation.
             key = self.random.choice(keys[-3:])
-            router = self.random.randrange(self._count)
+            routers = [self.random.randrange(self._count) for _ in range(TRIES)]
+            addresses = [self._routers.address(router) for router in routers]
             with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
                 async with asyncio.timeout(ANSWER_S):
                     body = b'{"caller": %d}' % number
-                    await self._calls.call(path, key, self._routers.address(router), body)
+                    await self._calls.call(path, key, addresses, body)
                 continue
             self.counts["no answer"] += 1
             await asyncio.sleep(0.05)
--- a/packages/standins/src/tamarack_standins/platform_worker.py
+++ b/packages/standins/src/tamarack_standins/platform_worker.py
@@ -327,9 +327,9 @@
         return True
 
     def _body(self, script: Script, received: ReceivedRequest) -> bytes:
-        if script.tells_version:
-            return self.software_version.encode()
-        return received.headers.get("x-attempt-id", "").encode() if script.echo else script.body
+        parts = [received.headers.get("x-attempt-id", "")] if script.echo else []
+        parts += [self.software_version] if script.tells_version else []
+        return " ".join(parts).encode() if parts else script.body
 
     def _head(self, script: Script, received: ReceivedRequest) -> list[str]:
         attempt = script.attempt or received.headers.get("x-attempt-id", "")
--- a/packages/standins/src/tamarack_standins/soak_worker.py
+++ b/packages/standins/src/tamarack_standins/soak_worker.py
@@ -5,12 +5,22 @@
 import random
 from collections.abc import Callable
 
-from tamarack_standins.platform_worker import BORN_MS, PlatformWorker, ReceivedRequest, Script
+from tamarack_standins.platform_worker import (
+    BORN_MS,
+    SOFTWARE_VERSION,
+    PlatformWorker,
+    ReceivedRequest,
+    Script,
+)
 from tamarack_standins.soak_crashes import FATAL_BODIES
 
 INCARNATION_STEP_MS = 1_000
 """Milliseconds between the start times of two incarnations of a worker."""
 
+EVENT_PAUSE_S = 0.15
+"""Longest time in seconds between events of streams that may be taken up: many should be under way
+when a router ends."""
+
 REST_PROBABILITY = 0.7
 REST_S = (0.8, 2.5)
 """Probability that a rejection requests rest, and the range of its seconds."""
@@ -52,8 +62,9 @@
         life: int = BORN_MS,
         port: int = 0,
         zone: str = "a",
+        software_version: str = SOFTWARE_VERSION,
     ) -> None:
-        super().__init__(name, born=life, port=port, zone=zone)
+        super().__init__(name, born=life, port=port, zone=zone, software_version=software_version)
         self._life = life
         self._streams = streams
         self._rng = rng
@@ -75,13 +86,19 @@
             life=self._life + INCARNATION_STEP_MS,
             port=port,
             zone=self.zone,
+            software_version=self.software_version,
         )
 
     def _next_script(self, received: ReceivedRequest) -> Script:
         rng = self._rng
         self.on_arrival(self, received)
-        events = rng.randint(1, 8) if self._streams else None
+        first = int(received.headers.get("last-event-id", "0")) + 1
+        events = rng.randint(first, first + 7) if self._streams else None
         good = Script(echo=True, events=events, pause_s=rng.random() * 0.02)
+        if self._streams:
+            resumable = received.target.startswith("/draft/")
+            pause_s = rng.random() * EVENT_PAUSE_S if resumable else 0.0
+            good = good._replace(tells_version=True, event_pause_s=pause_s)
         if self.overloaded:
             return self._request_rest(
                 good._replace(status=503, not_run=True, events=None), received
@@ -96,7 +113,7 @@
                 good._replace(reset=True),
                 good._replace(silent=True),
                 good._replace(attempt="stray"),
-                good._replace(events=8, cut_after=2)
+                good._replace(events=first + 7, cut_after=first + 1)
                 if self._streams
                 else good._replace(extra=b"x"),
                 good._replace(truncated=True, events=None),
--- a/packages/standins/src/tamarack_standins/soak_workers.py
+++ b/packages/standins/src/tamarack_standins/soak_workers.py
@@ -65,6 +65,7 @@
         self._ran = ran
         self._stack = contextlib.AsyncExitStack()
         self._count = 0
+        self._release = 1
         self._restarts: list[asyncio.Future[None]] = []
         self.all: list[Placed] = []
         self.start_cold = False
@@ -89,6 +90,7 @@
             rng=self._random,
             ran=self._ran,
             zone=ZONES[self._count % len(ZONES)],
+            software_version=f"v{self._random.randint(max(1, self._release - 1), self._release)}",
         )
         if streams and self.start_cold:
             self._domains.started(worker)
@@ -158,6 +160,11 @@
             await asyncio.sleep(self._random.uniform(*SILENT_LEAVE_S))
         await self._store.remove("servers", worker.name)
 
+    async def release(self) -> None:
+        """Release a software version; workers that start run it or the one before."""
+        self._release += 1
+        await self.replace_worker()
+
     async def restart_worker(self) -> None:
         """Terminate a worker and restart it with the same name and address."""
         service, old, link = self.all.pop(self._random.randrange(len(self.all)))
