Trust a service's only version only while in touch without a break

Cause: a router that was frozen or cut off came back with an old list of endpoints, and with a configuration confirmed before that list was read again; it would have taken the one version it knew for certain, and gone on with streams of another. Change: the view has to be complete without a break for as long as streams go on. A stall of 1.5 s or a lapse of touch starts it anew, and the router's own streams are then told to the others, as when a second version appears. A line says so.

--- a/packages/core/src/tamarack_core/software_versions.py
+++ b/packages/core/src/tamarack_core/software_versions.py
@@ -16,9 +16,17 @@
 route allows a longer time: callers wait 15 s or less."""
 
 
+STALL_MS = 1_500.0
+"""Time in milliseconds between two observations after which a router may have stood still, and
+missed a version."""
+
+
 class SoftwareVersions:
     """Versions by service, as one router knows them.
 
+    A service's only version is certain to a router that has been in touch for as long as streams
+    may go on, without having seen another one.
+
     Parameters
     ----------
     retention_ms
@@ -26,23 +34,25 @@
 
     Attributes
     ----------
-    on_several
-        Called with a service that has had one version and now has another one as well.
+    on_uncertain
+        Called with a service of which a second version has appeared, or whose only version is no
+        longer certain.
     """
 
     def __init__(self, clock: Clock, retention_ms: Callable[[], float]) -> None:
         self._clock = clock
         self._retention_ms = retention_ms
         self._since_ms: float | None = None
+        self._observed_ms = float("-inf")
         self._seen_ms: dict[str, dict[str, float]] = {}
         self._listed: Mapping[str, Collection[str]] = {}
-        self.on_several: Callable[[str], None] = _ignore
+        self.on_uncertain: Callable[[str], None] = _ignore
 
     def update(self, listed: Mapping[str, Collection[str]]) -> None:
         """Apply the versions of all listed endpoints, by service."""
         now_ms = self._clock.now_ms
         if self._since_ms is None:
-            self._since_ms = now_ms
+            self._since_ms = self._observed_ms = now_ms
         before = {service: self.recent(service) for service in listed}
         for service, versions in (*self._listed.items(), *listed.items()):
             self._seen_ms.setdefault(service, {}).update(dict.fromkeys(versions, now_ms))
@@ -51,6 +61,17 @@
         for service, versions in listed.items():
             self._compare(service, before[service], versions)
 
+    def observe(self, *, in_touch: bool) -> None:
+        """Note whether this router learns of changes; called several times in `STALL_MS`."""
+        now_ms = self._clock.now_ms
+        stalled, self._observed_ms = now_ms - self._observed_ms > STALL_MS, now_ms
+        if self._since_ms is None or (in_touch and not stalled):
+            return
+        certain = [service for service in self._seen_ms if self.sole(service) is not None]
+        self._since_ms = now_ms
+        for service in certain:
+            self.on_uncertain(service)
+
     def see(self, service: str, version: str) -> None:
         """Record that another router has sent requests to endpoints of a version."""
         before = self.recent(service)
@@ -67,15 +88,24 @@
 
     def sole(self, service: str) -> str | None:
         """The version at which every stream that still goes on has begun; None if not certain."""
-        since_ms = self._since_ms
-        if since_ms is None or self._clock.now_ms - since_ms < self._retention_ms():
+        if not self._complete_view:
             return None
         recent = self.recent(service)
         return recent.pop() if len(recent) == 1 else None
 
+    @property
+    def _complete_view(self) -> bool:
+        """Whether any version is known at which a stream may have begun that still goes on."""
+        now_ms = self._clock.now_ms
+        return (
+            self._since_ms is not None
+            and now_ms - self._since_ms >= self._retention_ms()
+            and now_ms - self._observed_ms <= STALL_MS
+        )
+
     def _compare(self, service: str, before: set[str], versions: Collection[str]) -> None:
         if len(before) == 1 and not before.issuperset(versions):
-            self.on_several(service)
+            self.on_uncertain(service)
 
     def _forget(self, now_ms: float) -> None:
         past_ms = now_ms - self._retention_ms()
@@ -88,4 +118,4 @@
 
 
 def _ignore(service: str) -> None:
-    """Default of `SoftwareVersions.on_several`: does nothing."""
+    """Default of `SoftwareVersions.on_uncertain`: does nothing."""
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -375,6 +375,7 @@
         while True:
             await asyncio.sleep(SWEEP_MS / 1000)
             now_ms = self._clock.now_ms
+            self._state.software_versions.observe(in_touch=self._state.fresh)
             for connection in list(self._connections):
                 connection.close_if_idle(now_ms)
             self._pool.sweep(self._state.knows)
--- a/packages/gateway/src/tamarack_gateway/origin_feed.py
+++ b/packages/gateway/src/tamarack_gateway/origin_feed.py
@@ -97,7 +97,7 @@
         self._origins = StreamOrigins(state.clock, lambda: state.longest_stream_ms)
         self._questions: dict[int, _Question] = {}
         self._asked = 0
-        state.software_versions.on_several = self._tell_all
+        state.software_versions.on_uncertain = self._tell_all
 
     @property
     def readings(self) -> dict[str, int]:
@@ -184,5 +184,12 @@
         return state.software_versions.sole(service) if state.fresh else None
 
     def _tell_all(self, service: str) -> None:
-        for attempt, origin in self._origins.own_attempts(service):
+        own = self._origins.own_attempts(service)
+        for attempt, origin in own:
             self._outbox.began(attempt, origin)
+        self._state.log.change(
+            "software versions of streams are told to other routers",
+            service=service,
+            versions=sorted(self._state.software_versions.recent(service)),
+            streams=len(own),
+        )
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -135,13 +135,14 @@
         name: str,
         *,
         clock: Clock | None = None,
+        domain: str = "a",
         store: str = "",
         descriptors: int = 1_024,
     ) -> Gateway:
-        """Another router of the fleet; it may have its own clock or address of the store."""
+        """Another router of the fleet; it may have its own clock, domain or store address."""
         settings = GatewaySettings(
             router=name,
-            failure_domain="a",
+            failure_domain=domain,
             callers="127.0.0.1:0",
             readiness="127.0.0.1:0",
             directory="127.0.0.1:0",
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -8,7 +8,7 @@
 
 from tamarack_core.clock import ManualClock
 from tamarack_core.recent_table import MAX_ENTRIES, RecentTable
-from tamarack_core.software_versions import SoftwareVersions
+from tamarack_core.software_versions import STALL_MS, SoftwareVersions
 from tamarack_core.stream_origins import (
     BegunStreams,
     Origin,
@@ -31,6 +31,14 @@
     return SoftwareVersions(clock, lambda: RETENTION_MS)
 
 
+def pass_time(clock: ManualClock, versions: SoftwareVersions, span_ms: float) -> None:
+    """Let time pass for a router that runs and is in touch."""
+    end_ms = clock.now_ms + span_ms
+    while clock.now_ms < end_ms:
+        clock.advance(min(500.0, end_ms - clock.now_ms))
+        versions.observe(in_touch=True)
+
+
 # the only version of a service
 
 
@@ -40,9 +48,9 @@
     versions = versions_at(clock)
     assert versions.sole("pool") is None
     versions.update({"pool": {"v1"}})
-    clock.advance(RETENTION_MS - 1.0)
+    pass_time(clock, versions, RETENTION_MS - 1.0)
     assert versions.sole("pool") is None
-    clock.advance(1.0)
+    pass_time(clock, versions, 1.0)
     assert versions.sole("pool") == "v1"
     assert versions.sole("other") is None
 
@@ -52,12 +60,12 @@
     clock = ManualClock()
     versions = versions_at(clock)
     versions.update({"pool": {"v1", "v2"}})
-    clock.advance(5 * RETENTION_MS)
+    pass_time(clock, versions, 5 * RETENTION_MS)
     versions.update({"pool": {"v2"}})
-    clock.advance(RETENTION_MS - 1.0)
+    pass_time(clock, versions, RETENTION_MS - 1.0)
     assert versions.recent("pool") == {"v1", "v2"}
     assert versions.sole("pool") is None
-    clock.advance(1.0)
+    pass_time(clock, versions, 1.0)
     assert versions.sole("pool") == "v2"
 
 
@@ -66,17 +74,41 @@
     clock = ManualClock()
     versions = versions_at(clock)
     versions.update({"pool": {"v1"}})
-    clock.advance(RETENTION_MS)
+    pass_time(clock, versions, RETENTION_MS)
+    assert versions.sole("pool") == "v1"
     versions.see("pool", "v2")
     assert versions.sole("pool") is None
 
 
+@pytest.mark.parametrize("fault", ["stands still", "is out of touch"])
+def test_a_router_that_may_have_missed_a_version_is_not_certain(fault: str) -> None:
+    """Failure: a router that was frozen or cut off goes on by an old list of endpoints."""
+    clock = ManualClock()
+    versions = versions_at(clock)
+    announced: list[str] = []
+    versions.on_uncertain = announced.append
+    versions.update({"pool": {"v1"}})
+    pass_time(clock, versions, RETENTION_MS)
+    assert versions.sole("pool") == "v1"
+    if fault == "stands still":
+        clock.advance(STALL_MS + 1.0)
+        assert versions.sole("pool") is None
+        versions.observe(in_touch=True)
+    else:
+        versions.observe(in_touch=False)
+    assert announced == ["pool"]
+    assert versions.sole("pool") is None
+    pass_time(clock, versions, RETENTION_MS)
+    assert versions.sole("pool") == "v1"
+    assert announced == ["pool"]
+
+
 def test_the_second_version_of_a_service_is_announced_once() -> None:
     """Failure: streams that began before the second version came are told to nobody."""
     clock = ManualClock()
     versions = versions_at(clock)
     announced: list[str] = []
-    versions.on_several = announced.append
+    versions.on_uncertain = announced.append
     versions.update({"pool": {"v1"}, "web": {"v1"}})
     versions.update({"pool": {"v1"}, "web": {"v1"}})
     assert announced == []
@@ -102,8 +134,8 @@
     for pause_ms, names in changes:
         versions.update({"pool": names})
         listed.append((clock.now_ms, names))
-        clock.advance(pause_ms)
-    clock.advance(last_ms)
+        pass_time(clock, versions, pause_ms)
+    pass_time(clock, versions, last_ms)
     sole = versions.sole("pool")
     ends_ms = [at_ms for at_ms, _ in listed[1:]] + [clock.now_ms]
     recent = [
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import pytest
 from gateway_site import Fleet, play, until
@@ -15,11 +16,13 @@
     later_routers,
     mixed,
     of_version,
+    remembered,
     send_once,
     take_all_up,
 )
 
 from tamarack_core.endpoint_registry import Endpoint, EndpointRegistry
+from tamarack_core.relay_plan import SMALL_FLEET
 from tamarack_standins.platform_worker import PlatformWorker, Script
 
 # within one answer
@@ -108,6 +111,32 @@
     play(scenario())
 
 
+def test_streams_are_taken_up_at_their_version_in_a_fleet_with_relays() -> None:
+    """Failure: only the relays of a large fleet know of a stream, and nobody asks them."""
+
+    async def scenario() -> None:
+        pool = engines(v1=2, v2=2)
+        async with Fleet({"pool": pool}) as fleet, contextlib.AsyncExitStack() as stack:
+            routers = [
+                await stack.enter_async_context(fleet.router(f"router-{n}", domain="ab"[n % 2]))
+                for n in range(2, SMALL_FLEET + 3)
+            ]
+            await until(lambda: sum(router._peers.relays for router in routers) >= 2)
+            await fleet.until_acquainted(*routers)
+            ended, taker = [router for router in routers if not router._peers.relays][:2]
+            await send_once(fleet, *routers)
+            streams = await begin_streams(fleet, at=ended)
+            relays = [router for router in routers if router._peers.relays]
+            await until(lambda: all(remembered(relay) >= STREAMS for relay in relays))
+            await ended.__aexit__(None, None, None)
+            await end_one_of_each(fleet, pool)
+            await take_all_up(streams, at=taker)
+            assert mixed(streams) == []
+            assert all(stream.whole for stream in streams)
+
+    play(scenario())
+
+
 def test_a_stream_is_taken_up_twice_at_the_version_that_began_it() -> None:
     """Failure: the second take-up names the first attempt, and goes on at another version."""
 
@@ -201,11 +230,11 @@
         async with Fleet({"pool": pool}) as fleet, later_routers(fleet, 2) as (first, second):
             await send_once(fleet, first, second)
             streams = await begin_streams(fleet, at=first)
-            assert second._origins.readings["stream_origins"] == 0
+            assert remembered(second) == 0
             for worker in newer:
                 await fleet._stack.enter_async_context(worker)
                 await fleet.store.put("servers", worker.name, worker.entry("pool"))
-            await until(lambda: second._origins.readings["stream_origins"] >= STREAMS)
+            await until(lambda: remembered(second) >= STREAMS)
             await end_one_of_each(fleet, pool)
             await take_all_up(streams, at=second)
             assert mixed(streams) == []
--- a/tests/versioned_pool.py
+++ b/tests/versioned_pool.py
@@ -118,9 +118,8 @@
             for number, clock in enumerate(clocks)
         ]
         await until(lambda: all(router.state.ready for router in routers))
-        for clock in clocks:
-            clock.ahead_ms = 2 * LONGEST_STREAM_MS
-        await until(lambda: all(router.state.fresh for router in routers))
+        for router in routers:
+            router.state.software_versions._since_ms -= LONGEST_STREAM_MS
         await fleet.until_acquainted(*routers)
         yield routers
 
@@ -155,6 +154,11 @@
     await asyncio.gather(*(stream.take_up(at=at, resumes=resumes) for stream in streams))
 
 
+def remembered(router: Gateway) -> int:
+    """Number of streams whose origin a router remembers."""
+    return router._origins.readings["stream_origins"]
+
+
 def mixed(streams: list[Stream]) -> list[list[str]]:
     """Versions of the streams that hold events of more than one."""
     return [stream.versions for stream in streams if len(set(stream.versions)) > 1]
