Let relays of three failure domains remember a stream, and measure what it costs

Cause: each relay of a large fleet would have remembered every stream of the fleet; at the target's 33,000 a second that is 734 kB a second and 258 MB for each relay. Change: a stream is told to the relay of its own failure domain and of two others, chosen by rendezvous hashing of its attempt, under topics of their own; any two of them and the router that began it may be lost. A scenario measures bytes, processor time and memory.

--- a/packages/bench/src/tamarack_bench/__main__.py
+++ b/packages/bench/src/tamarack_bench/__main__.py
@@ -13,6 +13,7 @@
     core_scenarios,
     fair_scenarios,
     order_scenarios,
+    origin_scenarios,
     path_scenarios,
     quarantine_scenarios,
     slopes,
@@ -33,6 +34,7 @@
     path_scenarios,
     config_scenarios,
     order_scenarios,
+    origin_scenarios,
     soak,
     slopes,
 )
--- a/packages/core/src/tamarack_core/recent_table.py
+++ b/packages/core/src/tamarack_core/recent_table.py
@@ -10,7 +10,7 @@
 K = TypeVar("K")
 V = TypeVar("V")
 
-MAX_ENTRIES = 100_000
+MAX_ENTRIES = 400_000
 """Entries after which older ones are forgotten early, so that the memory is bounded."""
 
 
--- a/packages/core/src/tamarack_core/relay_plan.py
+++ b/packages/core/src/tamarack_core/relay_plan.py
@@ -85,6 +85,11 @@
         """Whether the fleet is large enough for relays."""
         return len(self._peers.keys() | {self._router}) > SMALL_FLEET
 
+    @property
+    def other_domains(self) -> set[str]:
+        """The other failure domains that have routers."""
+        return {peer.failure_domain for peer in self._peers.values()} - {self._failure_domain}
+
     def put(self, peers: Mapping[str, Peer], now_ms: float) -> None:
         """Replace the set of routers listed in the store."""
         self._peers = {name: peer for name, peer in peers.items() if name != self._router}
--- a/packages/gateway/src/tamarack_gateway/peer_group.py
+++ b/packages/gateway/src/tamarack_gateway/peer_group.py
@@ -65,6 +65,10 @@
     return b"x/" + domain.encode() + b"/"
 
 
+def _begun_topic(domain: str) -> bytes:
+    return b"s/" + domain.encode() + b"/"
+
+
 def _within_topic(domain: str) -> bytes:
     return b"l/" + domain.encode() + b"/"
 
@@ -336,9 +340,12 @@
 
     def _relay_collected(self, now_ms: float) -> None:
         self._last_relay_ms = now_ms
-        collected = self._collector.take(TableVersions(self._newest_versions()), now_ms)
+        versions = TableVersions(self._newest_versions())
+        collected = self._collector.take(versions, now_ms, self._plan.other_domains)
         if collected.across:
             self._sockets.publish(_across_topic(self._domain), *collected.across)
+        for domain, begun in collected.begun.items():
+            self._sockets.publish(_begun_topic(domain), *begun)
         self._sockets.publish(_within_topic(self._domain), *collected.within)
 
     def _newest_versions(self) -> dict[str, int]:
@@ -385,5 +392,5 @@
             return frozenset((b"r/",))
         topics = {_within_topic(self._domain)}
         if links.relays:
-            topics |= {_reports_topic(self._domain), b"x/"}
+            topics |= {_reports_topic(self._domain), _begun_topic(self._domain), b"x/"}
         return frozenset(topics)
--- a/packages/gateway/src/tamarack_gateway/relay_collector.py
+++ b/packages/gateway/src/tamarack_gateway/relay_collector.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection, Mapping
 from typing import Any, NamedTuple
 
+from tamarack_core.rendezvous import ranked
 from tamarack_core.stream_origins import BegunStreams, Origin, by_origin
 from tamarack_gateway.outbox import PlacementSum
 from tamarack_gateway.peer_messages import Alive, Digest, Gathered, Notice, Report, TableVersions
@@ -14,11 +16,20 @@
 """Size of rows from which they are passed on once; a call of the store costs more than fewer."""
 
 
+REMEMBERING_DOMAINS = 2
+"""Other failure domains whose relays remember a stream, so that the loss of any two relays and of
+the router that began it leaves one. If all did, their memory would grow with the whole fleet."""
+
+
 class Collected(NamedTuple):
-    """Messages of a relay to the relays of other failure domains, and to its own domain."""
+    """Messages of a relay to the relays of other failure domains, and to its own domain.
+
+    `begun` tells streams only to the relays of the domains that remember them.
+    """
 
     across: list[Any]
     within: list[Any]
+    begun: dict[str, list[BegunStreams]]
 
 
 class RelayCollector:
@@ -67,7 +78,7 @@
         self.urgent = True
 
     def add_begun(self, begun: BegunStreams) -> None:
-        """Add begun streams of the own failure domain, which only other relays receive."""
+        """Add begun streams of the own failure domain."""
         self._begun.update(dict.fromkeys(begun.attempts, begun.origin))
         self.urgent = True
 
@@ -86,13 +97,18 @@
             return report
         return report._replace(news=news._replace(after=news.version, rows=[]))
 
-    def take(self, versions: TableVersions, now_ms: float) -> Collected:
-        """Return what was collected as messages, and reset it."""
+    def take(
+        self, versions: TableVersions, now_ms: float, domains: Collection[str] = ()
+    ) -> Collected:
+        """Return what was collected as messages, and reset it.
+
+        `domains` are the other failure domains.
+        """
         own, alive = self._summary_filter.filter(self._reports, now_ms)
         across: list[Any] = []
-        if own or alive or self._notices or self._begun:
+        if own or alive or self._notices:
             across = [*_for_other_domains(self._router, own), Alive(alive), versions]
-            across += [*self._notices, *by_origin(self._begun)]
+            across += self._notices
         digest = Digest(self._router, own + self._remote_reports)
         within: list[Any] = [digest, Alive(alive | self._remote_alive), versions]
         work = self._remote_work.take()
@@ -101,8 +117,19 @@
         within += self._notices + self._remote_notices
         self._reports, self._remote_reports, self._remote_alive = [], [], {}
         self._notices, self._remote_notices, self.urgent = [], [], False
-        self._begun = {}
-        return Collected(across, within)
+        begun, self._begun = _by_domain(self._begun, domains), {}
+        return Collected(across, within, begun)
+
+
+def _by_domain(
+    origins: Mapping[str, Origin], domains: Collection[str]
+) -> dict[str, list[BegunStreams]]:
+    """Split begun streams by the failure domains whose relays remember them."""
+    split: dict[str, dict[str, Origin]] = {}
+    for attempt, origin in origins.items():
+        for domain in ranked(attempt, domains)[:REMEMBERING_DOMAINS]:
+            split.setdefault(domain, {})[attempt] = origin
+    return {domain: by_origin(part) for domain, part in split.items()}
 
 
 def _size(news: TableNews) -> int:
--- a/tests/test_relay_collector.py
+++ b/tests/test_relay_collector.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from tamarack_core.stream_origins import BegunStreams, Origin
 from tamarack_gateway.peer_messages import Digest, Report, TableVersions
 from tamarack_gateway.relay_collector import MIN_LEFT_OUT_BYTES, RelayCollector
 from tamarack_gateway.table_messages import PublishedRow, TableNews
@@ -57,3 +58,17 @@
         news(10, 13, [ROW, newer]),
         news(0, 12, [ROW], whole=True),
     ]
+
+
+def test_a_stream_is_remembered_in_two_other_failure_domains() -> None:
+    """Failure: the relays of a large fleet each remember all of its streams, or nobody does."""
+    collector, origin = RelayCollector("r1"), Origin("pool", "v1")
+    attempts = [f"attempt-{number}" for number in range(100)]
+    for attempt in attempts:
+        collector.add_begun(BegunStreams(*origin, [attempt]))
+    collected = collector.take(TableVersions({}), 0.0, {"b", "c", "d", "e"})
+    assert collected.across == []
+    told = [name for begun in collected.begun.values() for part in begun for name in part.attempts]
+    assert sorted(told) == sorted(2 * attempts)
+    assert all(20 < len(begun[0].attempts) < 80 for begun in collected.begun.values())
+    assert collector.take(TableVersions({}), 0.0, {"b", "c"}).begun == {}
