Write down how software versions of streams are known, and what it costs

Cause: the mends stood in code and commits only. Figures: those of the reading (bench/readings/stream-origins.json, beside plays).

--- a/packages/bench/src/tamarack_bench/capacity.py
+++ b/packages/bench/src/tamarack_bench/capacity.py
@@ -10,6 +10,7 @@
 from tamarack_bench.platform_slopes import read_sweeps, section
 
 SLOPES = Path("bench/readings/slopes.json")
+ORIGINS = Path("bench/readings/stream-origins.json")
 
 DAEMONS = 1_600
 WORKERS = 12_000
@@ -119,6 +120,7 @@
         *_missing(lines, sizes),
         *_slopes(lines),
         *section(read_sweeps()),
+        *_stream_origins(),
     ]
     return "\n".join([*parts, ""])
 
@@ -319,5 +321,23 @@
     ]
 
 
+def _stream_origins(path: Path = ORIGINS) -> list[str]:
+    figures = json.loads(path.read_text())[0]["figures"]
+    return [
+        "",
+        "### Where streams began",
+        "",
+        f"From `{path}` (`tamarack_bench run stream-origins`), while a service runs several software",
+        f"versions: {figures['bytes_per_stream']} bytes, {figures['tell_us_per_stream']} us to tell,",
+        f"{figures['remember_us_per_stream']} us to read and remember and",
+        f"{figures['memory_bytes_per_stream']} bytes of memory a stream. At the target, with",
+        f"{REQUESTS_PER_S:,} streams a second, a router tells",
+        f"{figures['target_bytes_per_s_of_a_router']:.0f} bytes a second of {BUDGET_BYTES:,}; the relay of a",
+        f"failure domain reads {figures['target_bytes_per_s_of_a_relay'] / 1000:.0f} kB a second, which",
+        "**does not fit**, and keeps at most",
+        f"{figures['target_memory_mb_of_a_relay']:.0f} MB. With one version nothing is told.",
+    ]
+
+
 if __name__ == "__main__":
     print(page(read_lines()), end="")
