Keep which warming endpoints a router has no lease of between its requests

While endpoints warmed up, each request of a large fleet looked at all of them, twice. Cause: what may be sent to each was computed anew for each request, though a router holds leases of few and the others cannot change without one. Evidence: test_a_request_looks_only_at_warming_endpoints_..., 40 looks before, 1 allowed; test_what_may_be_sent_to_warming_endpoints_... guards the changes (lease, its end, a request, a restart, the end of a warm-up) and passes before and after. Change: the warming endpoints are kept in two parts, with and without a lease, until one of them changes or is warm.

--- a/packages/core/src/tamarack_core/warm_up.py
+++ b/packages/core/src/tamarack_core/warm_up.py
@@ -63,6 +63,24 @@
     part: int
 
 
+class _Partition(NamedTuple):
+    """Endpoints that are warming up, by whether this router has a lease.
+
+    Attributes
+    ----------
+    closed
+        Incarnations without a lease, by name.
+    leased
+        Names of the others.
+    valid_until_ms
+        When the first of the closed ones is warm.
+    """
+
+    closed: dict[str, set[int | None]]
+    leased: set[str]
+    valid_until_ms: float
+
+
 class WarmUps:
     """Warm-ups that one router knows of, its leases, and its recent requests to such endpoints.
 
@@ -78,6 +96,7 @@
         self._warm_ups: dict[EndpointIncarnation, _WarmUp] = {}
         self._last_ms = float("-inf")
         self._forget_ms = float("-inf")
+        self._partitioned: _Partition | None = None
         self.sent_count = 0
         self.on_begin: Callable[[], None] = _ignore
 
@@ -98,6 +117,7 @@
         begins = remaining_ms > 0.0 and not self.warming(key, now_ms)
         warm_up = self._begin(key, now_ms, grantable_ms)
         warm_up.listed_until_ms = now_ms + remaining_ms
+        self._partitioned = None
         self._last_ms = max(self._last_ms, warm_up.listed_until_ms)
         return begins
 
@@ -107,6 +127,7 @@
         """Record that an endpoint's failure domain was restored: it may be warming up."""
         self._begin(key, now_ms, grantable_ms).restored_until_ms = until_ms
         self._last_ms = max(self._last_ms, until_ms)
+        self._partitioned = None
 
     def warming(self, key: EndpointIncarnation, now_ms: float) -> bool:
         """Whether an endpoint is warming up."""
@@ -136,6 +157,7 @@
         warm_up = self._warm_ups.get(key)
         if warm_up is not None and until_ms > warm_up.lease_until_ms:
             warm_up.part, warm_up.lease_until_ms = part, until_ms
+            self._partitioned = None
 
     def allows(self, key: EndpointIncarnation, now_ms: float) -> bool:
         """Whether this router may send a request to an endpoint now."""
@@ -150,8 +172,13 @@
         """Those of some endpoints that this router may send a request to now."""
         if not self.any_warming(now_ms):
             return endpoints
-        names = {key.name for key in self._warm_ups}
-        return [e for e in endpoints if e.name not in names or self.allows(e.key, now_ms)]
+        closed, leased, _ = self._partition(now_ms)
+        return [
+            e
+            for e in endpoints
+            if e.life not in closed.get(e.name, ())
+            and (e.name not in leased or self.allows(e.key, now_ms))
+        ]
 
     def sent(self, key: EndpointIncarnation, now_ms: float) -> None:
         """Record that this router sends a request to an endpoint."""
@@ -160,6 +187,25 @@
             warm_up.sent.append(now_ms)
             self.sent_count += 1
 
+    def _partition(self, now_ms: float) -> _Partition:
+        # Kept between requests: of hundreds of endpoints, a router holds leases of few.
+        known = self._partitioned
+        if known is not None and now_ms < known.valid_until_ms:
+            return known
+        closed: dict[str, set[int | None]] = {}
+        leased: set[str] = set()
+        valid_until_ms = float("inf")
+        for key, warm_up in self._warm_ups.items():
+            if now_ms >= warm_up.until_ms:
+                continue
+            if _part(warm_up, now_ms):
+                leased.add(key.name)
+            else:
+                closed.setdefault(key.name, set()).add(key.life)
+                valid_until_ms = min(valid_until_ms, warm_up.until_ms)
+        self._partitioned = _Partition(closed, leased, valid_until_ms)
+        return self._partitioned
+
     def _begin(self, key: EndpointIncarnation, now_ms: float, grantable_ms: float) -> _WarmUp:
         warm_up = self._warm_ups.get(key)
         if warm_up is None or now_ms >= warm_up.until_ms:
--- a/tests/test_many_warm_ups.py
+++ b/tests/test_many_warm_ups.py
@@ -79,3 +79,42 @@
     look_ups = LookUps(monkeypatch)
     assert unavailability(state, "pool") is None
     assert look_ups.count <= warming + 1
+
+
+def test_a_request_looks_only_at_warming_endpoints_that_this_router_may_use(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Failure: each request looks at hundreds of endpoints that other routers hold leases of."""
+    clock = ManualClock(1_000.0)
+    state = state_of_a_pool(clock)
+    warm_all_up(state)
+    leased, *_ = state.registry.usable("pool")
+    state.warm_ups.lease(leased.key, 1, clock.now_ms + 2_000.0)
+    assert state.available("pool") == [leased]
+    look_ups = LookUps(monkeypatch)
+    assert state.available("pool") == [leased]
+    assert look_ups.count <= 1
+
+
+def test_what_may_be_sent_to_warming_endpoints_follows_each_change() -> None:
+    """Failure: a lease, its end, a request, a restart or the end of a warm-up is noticed late."""
+    clock = ManualClock(1_000.0)
+    state = state_of_a_pool(clock)
+    first, second, *others = state.registry.usable("pool")
+    state.record_warm_up(first._replace(warm_up_ms=WARM_UP.duration_ms), unused=True)
+    assert state.available("pool") == [second, *others]
+    state.warm_ups.lease(first.key, 1, clock.now_ms + 1_500.0)
+    assert state.available("pool") == [first, second, *others]
+    state.warm_ups.sent(first.key, clock.now_ms)
+    assert state.available("pool") == [second, *others]
+    clock.advance(warm_up.WINDOW_MS)
+    assert state.available("pool") == [first, second, *others]
+    clock.advance(1_500.0 - warm_up.WINDOW_MS)
+    assert state.available("pool") == [second, *others]
+    restarted = first._replace(life=first.life + 1)
+    state.registry.put(restarted, clock.now_ms)
+    assert set(state.available("pool")) == {restarted, second, *others}
+    state.record_warm_up(second._replace(warm_up_ms=100.0), unused=True)
+    assert set(state.available("pool")) == {restarted, *others}
+    clock.advance(100.0)
+    assert set(state.available("pool")) == {restarted, second, *others}
