Show by tests that no stream is taken up after all routers were lost

Change: two tests, listed: one version and no name; two versions. Conclusion: what must outlast all routers has to lie in the store.

--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -262,6 +262,55 @@
     play(scenario())
 
 
+# all routers lost
+
+
+def test_streams_of_the_only_version_are_taken_up_after_all_routers_were_lost() -> None:
+    """Failure: routers that all start anew refuse what their predecessors began, for seconds."""
+
+    async def scenario() -> None:
+        pool = engines(v1=2)
+        async with Fleet({"pool": pool}) as fleet:
+            await send_once(fleet)
+            async with fleet.router("router-9") as ended:
+                await until(lambda: ended.state.ready)
+                streams = await begin_streams(fleet, at=ended)
+                await until(lambda: "router-9" in fleet.store.rows("versions"))
+                await fleet.gateway.__aexit__(None, None, None)
+            async with fleet.router("router-9") as started:
+                await until(lambda: started.state.ready)
+                await take_all_up(streams, at=started, resumes="")
+                assert all(stream.whole for stream in streams)
+
+    play(scenario())
+
+
+def test_streams_are_taken_up_at_their_version_after_all_routers_were_lost() -> None:
+    """Failure: nobody remembers where streams began once all routers were killed together."""
+
+    async def scenario() -> None:
+        pool = engines(v1=2, v2=2)
+        async with Fleet({"pool": pool}) as fleet:
+            await send_once(fleet)
+            async with fleet.router("router-9") as ended:
+                await until(lambda: ended.state.ready)
+                streams = await begin_streams(fleet, at=ended)
+                names = [f'"stream{number}"'.encode() for number in range(STREAMS)]
+                recorded = fleet.store.rows
+                await until(
+                    lambda: all(name in recorded("versions").get("router-9", b"") for name in names)
+                )
+                await fleet.gateway.__aexit__(None, None, None)
+            await end_one_of_each(fleet, pool)
+            async with fleet.router("router-10") as started:
+                await until(lambda: started.state.ready)
+                await take_all_up(streams, at=started)
+                assert mixed(streams) == []
+                assert all(stream.whole for stream in streams)
+
+    play(scenario())
+
+
 # what goes on as before
 
 
