Record in the store what outlasts all routers about where streams began

Cause: what routers know of versions and streams lay in routers alone. Change: each router keeps one row: the versions of each service at which streams may still go on, and, while a service has several, its newest streams that are not over, once a second in a small fleet. A router reads all rows after its start and after each stall or lapse of touch; its view is then complete at once. A row that cannot be read leaves it to complete itself in time, and to ask the others. Calls of single rows have a module of their own, which the quarantine uses as well. Why it works: a row is written within 0.1 s of a new version and names it for as long as its streams may go on; a router that starts sees the endpoints that are listed besides. One test of restores lost a race that was there before: it now waits until its two routers hear each other before it restores the store, and asserts the same as before at once; the extra read made router-1 notice the restore before it had heard of router-2.

--- a/packages/core/src/tamarack_core/software_versions.py
+++ b/packages/core/src/tamarack_core/software_versions.py
@@ -24,8 +24,8 @@
 class SoftwareVersions:
     """Versions by service, as one router knows them.
 
-    A service's only version is certain to a router that has been in touch for as long as streams
-    may go on, without having seen another one.
+    A service's only version is certain to a router whose view is complete: because it has been in
+    touch for as long as streams may go on, or because it has read what all routers recorded.
 
     Parameters
     ----------
@@ -78,6 +78,18 @@
         self._seen_ms.setdefault(service, {})[version] = self._clock.now_ms
         self._compare(service, before, (version,))
 
+    def recover(self, recorded: Mapping[str, Collection[str]]) -> None:
+        """Complete the view with the versions that all routers had recorded up to now."""
+        for service, versions in recorded.items():
+            for version in versions:
+                self.see(service, version)
+        self._since_ms = self._clock.now_ms - self._retention_ms()
+
+    @property
+    def services(self) -> Collection[str]:
+        """Services of which versions are known."""
+        return self._seen_ms.keys()
+
     def recent(self, service: str) -> set[str]:
         """Versions at which streams may have begun that still go on."""
         past_ms = self._clock.now_ms - self._retention_ms()
@@ -88,13 +100,13 @@
 
     def sole(self, service: str) -> str | None:
         """The version at which every stream that still goes on has begun; None if not certain."""
-        if not self._complete_view:
+        if not self.complete:
             return None
         recent = self.recent(service)
         return recent.pop() if len(recent) == 1 else None
 
     @property
-    def _complete_view(self) -> bool:
+    def complete(self) -> bool:
         """Whether any version is known at which a stream may have begun that still goes on."""
         now_ms = self._clock.now_ms
         return (
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -277,6 +277,7 @@
             running_ms = None if begun_ms is None else state.clock.now_ms - begun_ms
             await self._request_quarantine.lost(endpoint, running_ms, sent_ms)
         if result.outcome is SendOutcome.DONE:
+            self._origins.ended(self._facts.attempt)
             state.log.request(
                 "answered",
                 self._facts.attempt,
--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -15,7 +15,8 @@
 from tamarack_gateway.endpoint_rows import EndpointRows
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.site import Row, Site
-from tamarack_gateway.store_client import StoreClient, StoreError
+from tamarack_gateway.store_client import StoreError
+from tamarack_gateway.store_clients import StoreClients
 from tamarack_gateway.store_epoch import LOST_CHANGES_MS, StoreEpoch, epoch_of, without_epoch
 from tamarack_gateway.table_follower import TableFollower
 from tamarack_gateway.table_messages import CopyWanted, TableChange, TableNews
@@ -112,11 +113,10 @@
         self._registering = False
         self._leaving = False
         self._tasks: list[asyncio.Task[Any]] = []
-        self._clients: list[StoreClient] = []
-        self._closed_client_calls = 0
         self._followers: dict[str, TableFollower] = {}
         self._epoch = StoreEpoch(state.clock)
         self._epoch.on_restore = self._on_restore
+        self._clients = StoreClients(state, site.store, self._epoch)
         self._timers: list[asyncio.TimerHandle] = []
 
     def start(self, peers_address: str, boot: int) -> None:
@@ -136,7 +136,7 @@
             ),
         ):
             follower = TableFollower(
-                self._client(),
+                self._clients.create(),
                 self._state.clock,
                 table,
                 wait_ms=wait_ms,
@@ -162,7 +162,12 @@
     @property
     def calls(self) -> int:
         """Number of calls made to the store."""
-        return self._closed_client_calls + sum(client.calls for client in self._clients)
+        return self._clients.calls
+
+    @property
+    def clients(self) -> StoreClients:
+        """Connections to the store."""
+        return self._clients
 
     def receive(self, news: TableNews, stamp_ms: float) -> None:
         """Apply changes that another router read from the store."""
@@ -192,22 +197,6 @@
         follower = self._followers.get(wanted.table)
         return None if follower is None else follower.copy(wanted.after)
 
-    async def write_quarantine(self, key: str, value: bytes | None) -> bool:
-        """Write or remove the row of a quarantined request; returns whether that succeeded."""
-        client, tables = self._client(), self._site.tables
-        try:
-            await client.call(self._site.store.write(tables.quarantine, key, value))
-        except StoreError as error:
-            self._state.log.event(
-                "writing a quarantined request failed", reason=str(error), row=key
-            )
-            return False
-        finally:
-            client.close()
-            self._clients.remove(client)
-            self._closed_client_calls += client.calls
-        return True
-
     async def deregister(self) -> None:
         """Remove this router from the list of routers.
 
@@ -223,7 +212,7 @@
         call = self._site.store.write(tables.routers, name, None, without_epoch(version))
         with contextlib.suppress(StoreError, TimeoutError):
             async with asyncio.timeout(LEAVE_WRITE_MS / 1000):
-                await self._client().call(call)
+                await self._clients.create().call(call)
 
     async def close(self) -> None:
         """Stop following."""
@@ -232,16 +221,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for client in self._clients:
-            client.close()
-
-    def _client(self) -> StoreClient:
-        state = self._state
-        client = StoreClient(
-            lambda: state.settings.store, self._site.store, state.clock, self._epoch
-        )
-        self._clients.append(client)
-        return client
+        self._clients.close()
 
     def _on_restore(self) -> None:
         versions = {
@@ -288,7 +268,7 @@
         self._tasks.append(asyncio.ensure_future(self._register()))
 
     async def _register(self) -> None:
-        client = self._client()
+        client = self._clients.create()
         tables, name = self._site.tables, self._state.settings.router
         call = self._site.store.write(tables.routers, name, self._own_row)
         for _ in range(MAX_WRITE_ATTEMPTS):
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -26,6 +26,7 @@
 from tamarack_gateway.listeners import Listeners
 from tamarack_gateway.loop_monitor import LoopMonitor
 from tamarack_gateway.origin_feed import OriginFeed
+from tamarack_gateway.origin_records import OriginRecords
 from tamarack_gateway.outbox import Outbox
 from tamarack_gateway.peer_group import PeerGroup
 from tamarack_gateway.peer_inbox import PeerInbox
@@ -151,11 +152,14 @@
             if address:
                 self._site_addresses.append(await listen(address, self._pages.answer_site))
         self._metrics_address = await listen(settings.metrics, self._pages.answer_operator)
+        table = self._site.tables.software_versions
+        records = OriginRecords(self._state, self._origins, self._feeds.clients, table)
         for task in (
             self._inventory.run(),
             self._quarantine.run(),
             self._quarantine.store(),
             self._warm_ups.run(),
+            records.run(),
             self._sweep(),
             self._flush(),
         ):
@@ -243,7 +247,9 @@
             self._state,
             on_evidence=lambda evidence: self._peers.publish_evidence(evidence),
             owns_row=self._state.owns,
-            write=lambda key, value: self._feeds.write_quarantine(key, value),
+            write=lambda key, value: self._feeds.clients.write(
+                self._site.tables.quarantine, key, value, what="a quarantined request"
+            ),
         )
 
     def _make_pages(self) -> RouterPages:
--- a/packages/gateway/src/tamarack_gateway/origin_feed.py
+++ b/packages/gateway/src/tamarack_gateway/origin_feed.py
@@ -40,11 +40,11 @@
 
 
 class _Question:
-    """A question to the other routers, with the answers so far."""
+    """A question to the other routers, with their answers so far."""
 
-    def __init__(self, expected: Collection[str], own: OriginAnswer) -> None:
+    def __init__(self, expected: Collection[str]) -> None:
         self._expected = set(expected)
-        self.answers = [own]
+        self.answers: list[OriginAnswer] = []
         self._complete = asyncio.Event()
 
     def add(self, answer: OriginAnswer) -> None:
@@ -95,6 +95,7 @@
         self._answers_all = answers_all
         self._publish = publish
         self._origins = StreamOrigins(state.clock, lambda: state.longest_stream_ms)
+        self._open: dict[str, tuple[Origin, float]] = {}
         self._questions: dict[int, _Question] = {}
         self._asked = 0
         state.software_versions.on_uncertain = self._tell_all
@@ -107,9 +108,22 @@
     def sent(self, attempt: str, endpoint: Endpoint) -> None:
         """Record that an attempt, whose stream may be taken up, is sent to an endpoint."""
         origin = Origin(endpoint.service, endpoint.software_version)
+        self._open[attempt] = (origin, self._state.clock.now_ms)
         if self._origins.record_own(attempt, origin) and self._sole(endpoint.service) is None:
             self._outbox.began(attempt, origin)
 
+    def ended(self, attempt: str) -> None:
+        """Record that the caller has got the whole stream."""
+        self._open.pop(attempt, None)
+
+    def open_streams(self, count: int) -> dict[str, Origin]:
+        """The newest streams that callers may take up, of services with several versions."""
+        past_ms = self._state.clock.now_ms - self._state.longest_stream_ms
+        self._open = {name: one for name, one in self._open.items() if one[1] > past_ms}
+        several = {s for s in self._state.software_versions.services if self._sole(s) is None}
+        told = [(name, origin) for name, (origin, _) in self._open.items()]
+        return dict([one for one in told if one[1].service in several][-count:])
+
     def receive(self, message: BegunStreams | OriginQuery | OriginAnswer) -> None:
         """Apply a message of another router."""
         if isinstance(message, BegunStreams):
@@ -157,15 +171,18 @@
             return _Finding(None, "no other router")
         self._asked += 1
         query = OriginQuery(self._state.settings.router, self._asked, attempt, service)
-        question = self._questions[query.number] = _Question(routers, self._answer(query))
+        question = self._questions[query.number] = _Question(routers)
         try:
             for _ in range(ASK_TIMES):
                 self._publish(query)
+                # This router may learn by itself meanwhile, as it does after its start.
                 if await question.answered(ASK_MS):
                     break
+                if conclude([self._answer(query)]) is not None:
+                    break
         finally:
             del self._questions[query.number]
-        return _Finding(conclude(question.answers), "asked")
+        return _Finding(conclude([self._answer(query), *question.answers]), "asked")
 
     def _answer(self, query: OriginQuery) -> OriginAnswer:
         origin = self._origins.find(query.attempt)
--- /dev/null
+++ b/packages/gateway/src/tamarack_gateway/origin_records.py
@@ -0,0 +1,126 @@
+"""What outlasts all routers about where streams began: a row of each router in the store."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from tamarack_core.json_input import decode_json
+from tamarack_core.stream_origins import BegunStreams, by_origin
+from tamarack_gateway.fleet_state import FleetState
+from tamarack_gateway.origin_feed import OriginFeed
+from tamarack_gateway.site import Row
+from tamarack_gateway.store_clients import StoreClients
+
+STEP_MS = 100.0
+"""Time between two checks for something to read or write."""
+
+RETRY_MS = 1_000.0
+"""Time after a failed call until the next one."""
+
+STREAMS_GAP_MS = 1_000.0
+STREAMS_GAP_PER_ROUTER_MS = 50.0
+"""Minimum time between two writes of streams, and its increment for each router of the fleet: the
+store takes a few hundred writes a second from all of them."""
+
+MAX_STREAMS = 1_000
+"""Maximum number of streams in a row, the newest ones; it then has about 20 kB of at most 64."""
+
+
+class _Fields(msgspec.Struct):
+    """A router's row.
+
+    Attributes
+    ----------
+    versions
+        Software versions by service at which streams may have begun that still go on.
+    streams
+        Streams that this router has begun, while their service has several versions.
+    """
+
+    versions: dict[str, list[str]]
+    streams: list[BegunStreams] = []
+
+
+_decoder = msgspec.json.Decoder(_Fields)
+
+
+class OriginRecords:
+    """Writes this router's row, and reads those of all after a start or a lapse of touch."""
+
+    def __init__(
+        self, state: FleetState, feed: OriginFeed, clients: StoreClients, table: str
+    ) -> None:
+        self._state = state
+        self._feed = feed
+        self._clients = clients
+        self._table = table
+        self._written = _Fields({})
+        self._written_ms = float("-inf")
+        self._retry_ms = float("-inf")
+
+    async def run(self) -> None:
+        """Read and write until cancelled."""
+        state = self._state
+        while True:
+            await asyncio.sleep(STEP_MS / 1000)
+            if not (state.endpoints_known and state.fresh) or state.clock.now_ms < self._retry_ms:
+                continue
+            if not state.software_versions.complete:
+                await self._recover()
+            elif (row := self._row()) is not None:
+                await self._write(row)
+
+    async def _recover(self) -> None:
+        rows = await self._clients.read(self._table)
+        if rows is None:
+            self._retry_ms = self._state.clock.now_ms + RETRY_MS
+            return
+        recorded: dict[str, set[str]] = {}
+        for row in rows:
+            fields = self._read_row(row)
+            if fields is None:
+                # What that router knew is lost; the view completes itself in time.
+                self._retry_ms = self._state.clock.now_ms + self._state.longest_stream_ms
+                return
+            for service, versions in fields.versions.items():
+                recorded.setdefault(service, set()).update(versions)
+            for begun in fields.streams:
+                self._feed.receive(begun)
+        self._state.software_versions.recover(recorded)
+        self._state.log.change(
+            "software versions recovered",
+            versions={service: sorted(versions) for service, versions in recorded.items()},
+            rows=len(rows),
+        )
+
+    def _read_row(self, row: Row) -> _Fields | None:
+        try:
+            return decode_json(_decoder, row.value or b"")
+        except ValueError as error:
+            self._state.log.event(
+                "software versions in a row cannot be read", row=row.key, reason=str(error)
+            )
+            return None
+
+    def _row(self) -> _Fields | None:
+        """The row to write now; None if the written one is right or was written a moment ago."""
+        versions = self._state.software_versions
+        row = _Fields(
+            {service: sorted(versions.recent(service)) for service in sorted(versions.services)},
+            by_origin(self._feed.open_streams(MAX_STREAMS)),
+        )
+        gap_ms = STREAMS_GAP_MS + STREAMS_GAP_PER_ROUTER_MS * self._state.allowance.routers
+        recent = self._state.clock.now_ms - self._written_ms < gap_ms
+        if row == self._written or (recent and row.versions == self._written.versions):
+            return None
+        return row
+
+    async def _write(self, row: _Fields) -> None:
+        now_ms, value = self._state.clock.now_ms, msgspec.json.encode(row)
+        router = self._state.settings.router
+        if await self._clients.write(self._table, router, value, what="software versions"):
+            self._written, self._written_ms = row, now_ms
+        else:
+            self._retry_ms = self._state.clock.now_ms + RETRY_MS
--- a/packages/gateway/src/tamarack_gateway/site.py
+++ b/packages/gateway/src/tamarack_gateway/site.py
@@ -304,6 +304,7 @@
     endpoints: str
     routers: str
     quarantine: str
+    software_versions: str
 
 
 class Site(NamedTuple):
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -314,6 +314,7 @@
                 value=json.dumps(former).encode()
             )
             await fleet.add_routers(1)
+            await fleet.until_acquainted()
             for _ in range(2):
                 async with away(fleet):
                     await fleet.store.restore(copy)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from typing import Any
 
 import pytest
 from gateway_site import Fleet, play, until
@@ -311,6 +312,23 @@
     play(scenario())
 
 
+@pytest.mark.parametrize("value", [b"\xff", {"versions": 3}, {"versions": {"pool": [1]}}, {}])
+def test_a_row_that_cannot_be_read_leaves_a_router_uncertain(value: Any) -> None:
+    """Failure: a foreign row ends the task, or is taken for a router that knew nothing."""
+
+    async def scenario() -> None:
+        async with Fleet({"pool": engines(v1=2)}) as fleet:
+            await fleet.store.put("versions", "foreign", value)
+            async with fleet.router("router-9") as started:
+                await until(lambda: started.state.ready)
+                await fleet.gateway.__aexit__(None, None, None)
+                (stream,) = [await Stream(1, fleet).begin(at=started)]
+                await stream.take_up(at=started, resumes="never-sent")
+                assert stream.answers[-1].status == 503
+
+    play(scenario())
+
+
 # what goes on as before
 
 
