Write the row of software versions again after the store was restored

Evidence: test_a_row_that_the_store_lost_with_a_restore_is_written_again failed before (no row with the version in 10 s). Change: what was written counts for the epoch in which it was written.

--- a/packages/gateway/src/tamarack_gateway/origin_records.py
+++ b/packages/gateway/src/tamarack_gateway/origin_records.py
@@ -58,6 +58,7 @@
         self._table = table
         self._written = _Fields({})
         self._written_ms = float("-inf")
+        self._written_epoch = 0
         self._retry_ms = float("-inf")
 
     async def run(self) -> None:
@@ -107,6 +108,9 @@
     def _row(self) -> _Fields | None:
         """The row to write now; None if the written one is right or was written a moment ago."""
         versions = self._state.software_versions
+        if self._clients.epoch != self._written_epoch:
+            # The store may have lost the row.
+            self._written = _Fields({})
         row = _Fields(
             {service: sorted(versions.recent(service)) for service in sorted(versions.services)},
             by_origin(self._feed.open_streams(MAX_STREAMS)),
@@ -118,9 +122,10 @@
         return row
 
     async def _write(self, row: _Fields) -> None:
-        now_ms, value = self._state.clock.now_ms, msgspec.json.encode(row)
+        now_ms, epoch = self._state.clock.now_ms, self._clients.epoch
+        value = msgspec.json.encode(row)
         router = self._state.settings.router
         if await self._clients.write(self._table, router, value, what="software versions"):
-            self._written, self._written_ms = row, now_ms
+            self._written, self._written_ms, self._written_epoch = row, now_ms, epoch
         else:
             self._retry_ms = self._state.clock.now_ms + RETRY_MS
--- a/packages/gateway/src/tamarack_gateway/store_clients.py
+++ b/packages/gateway/src/tamarack_gateway/store_clients.py
@@ -29,6 +29,11 @@
         """Number of calls made to the store."""
         return self._closed_calls + sum(client.calls for client in self._clients)
 
+    @property
+    def epoch(self) -> int:
+        """How often the store has been restored from a copy, as far as this router knows."""
+        return self._epoch.current
+
     def create(self) -> StoreClient:
         """A client for one task."""
         state = self._state
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -312,6 +312,25 @@
     play(scenario())
 
 
+def test_a_row_that_the_store_lost_with_a_restore_is_written_again() -> None:
+    """Failure: the store returns to a copy without a version, and all routers are lost after it."""
+
+    async def scenario() -> None:
+        pool = engines(v1=1, v2=1)
+        async with Fleet({"pool": pool[:1]}) as fleet:
+            rows = fleet.store.rows
+            await until(lambda: b"v1" in rows("versions").get("router-1", b""))
+            copy = fleet.store.copy()
+            await fleet._stack.enter_async_context(pool[1])
+            await fleet.store.put("servers", "v2-0", pool[1].entry("pool"))
+            await until(lambda: b"v2" in rows("versions")["router-1"])
+            await fleet.store.restore(copy)
+            assert b"v2" not in rows("versions")["router-1"]
+            await until(lambda: b"v2" in rows("versions")["router-1"])
+
+    play(scenario())
+
+
 @pytest.mark.parametrize("value", [b"\xff", {"versions": 3}, {"versions": {"pool": [1]}}, {}])
 def test_a_row_that_cannot_be_read_leaves_a_router_uncertain(value: Any) -> None:
     """Failure: a foreign row ends the task, or is taken for a router that knew nothing."""
