--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -20,6 +20,7 @@
     remembered,
     send_once,
     take_all_up,
+    versioned_fleet,
 )
 
 from tamarack_core.endpoint_registry import Endpoint, EndpointRegistry
@@ -73,11 +74,7 @@
     """Failure: the router at which a caller goes on knows nothing of the stream's version."""
 
     async def scenario() -> None:
-        pool = engines(v1=2, v2=2)
-        async with Fleet({"pool": pool}) as fleet:
-            await fleet.add_routers(2)
-            await fleet.until_acquainted()
-            await send_once(fleet)
+        async with versioned_fleet(routers=2, v1=2, v2=2) as (fleet, pool):
             streams = await begin_streams(fleet)
             await end_one_of_each(fleet, pool)
             if taker == "one that has just started":
@@ -95,11 +92,7 @@
     """Failure: what a router knew of its streams is lost with it."""
 
     async def scenario() -> None:
-        pool = engines(v1=2, v2=2)
-        async with Fleet({"pool": pool}) as fleet:
-            await fleet.add_routers(2)
-            await fleet.until_acquainted()
-            await send_once(fleet)
+        async with versioned_fleet(routers=2, v1=2, v2=2) as (fleet, pool):
             async with fleet.router("router-9") as ended:
                 await until(lambda: ended.state.ready)
                 await fleet.until_acquainted(ended)
@@ -142,11 +135,7 @@
     """Failure: the second take-up names the first attempt, and goes on at another version."""
 
     async def scenario() -> None:
-        pool = engines(v1=2, v2=2)
-        async with Fleet({"pool": pool}) as fleet:
-            await fleet.add_routers(1)
-            await fleet.until_acquainted()
-            await send_once(fleet)
+        async with versioned_fleet(routers=1, v1=2, v2=2) as (fleet, pool):
             streams = await begin_streams(fleet)
             for worker in pool:
                 worker.breaks_after = 5
@@ -163,9 +152,7 @@
     """Failure: callers go on at another version, or wait for one that is not coming back."""
 
     async def scenario() -> None:
-        pool = engines(v1=2, v2=2)
-        async with Fleet({"pool": pool}) as fleet:
-            await send_once(fleet)
+        async with versioned_fleet(v1=2, v2=2) as (fleet, pool):
             streams = await begin_streams(fleet)
             began = [stream for stream in streams if stream.versions[0] == "v1"]
             for worker in of_version(pool, "v1"):
@@ -188,11 +175,7 @@
     """Failure: a router that does not know where a stream began guesses a version."""
 
     async def scenario() -> None:
-        pool = engines(v1=2, v2=2)
-        async with Fleet({"pool": pool}) as fleet:
-            await fleet.add_routers(1)
-            await fleet.until_acquainted()
-            await send_once(fleet)
+        async with versioned_fleet(routers=1, v1=2, v2=2) as (fleet, pool):
             streams = await begin_streams(fleet)
             await take_all_up(streams, at=fleet.others[0], resumes=resumes)
             assert [stream.answers[-1].status for stream in streams] == [503] * STREAMS
@@ -205,11 +188,7 @@
     """Failure: routers tell each other of streams only by way of the store."""
 
     async def scenario() -> None:
-        pool = engines(v1=2, v2=2)
-        async with Fleet({"pool": pool}) as fleet:
-            await fleet.add_routers(1)
-            await fleet.until_acquainted()
-            await send_once(fleet)
+        async with versioned_fleet(routers=1, v1=2, v2=2) as (fleet, pool):
             fleet.store.silent = True
             streams = await begin_streams(fleet)
             await end_one_of_each(fleet, pool)
@@ -270,9 +249,7 @@
     """Failure: routers that all start anew refuse what their predecessors began, for seconds."""
 
     async def scenario() -> None:
-        pool = engines(v1=2)
-        async with Fleet({"pool": pool}) as fleet:
-            await send_once(fleet)
+        async with versioned_fleet(v1=2) as (fleet, pool):
             async with fleet.router("router-9") as ended:
                 await until(lambda: ended.state.ready)
                 streams = await begin_streams(fleet, at=ended)
@@ -290,9 +267,7 @@
     """Failure: nobody remembers where streams began once all routers were killed together."""
 
     async def scenario() -> None:
-        pool = engines(v1=2, v2=2)
-        async with Fleet({"pool": pool}) as fleet:
-            await send_once(fleet)
+        async with versioned_fleet(v1=2, v2=2) as (fleet, pool):
             async with fleet.router("router-9") as ended:
                 await until(lambda: ended.state.ready)
                 streams = await begin_streams(fleet, at=ended)
@@ -355,11 +330,7 @@
     """Failure: callers of a service that has one version are refused."""
 
     async def scenario() -> None:
-        pool = engines(v1=3)
-        async with Fleet({"pool": pool}) as fleet:
-            await fleet.add_routers(1)
-            await fleet.until_acquainted()
-            await send_once(fleet)
+        async with versioned_fleet(routers=1, v1=3) as (fleet, pool):
             streams = await begin_streams(fleet)
             await take_all_up(streams, at=fleet.others[0])
             assert all(stream.whole for stream in streams)
--- a/tests/versioned_pool.py
+++ b/tests/versioned_pool.py
@@ -132,6 +132,19 @@
         await until(lambda router=router: router.state.rules.version == 2)
 
 
+@contextlib.asynccontextmanager
+async def versioned_fleet(
+    routers: int = 0, **counts: int
+) -> AsyncIterator[tuple[Fleet, list[VersionedWorker]]]:
+    """A fleet with `routers` more routers, and its engines by software version."""
+    pool = engines(**counts)
+    async with Fleet({"pool": pool}) as fleet:
+        await fleet.add_routers(routers)
+        await fleet.until_acquainted()
+        await send_once(fleet)
+        yield fleet, pool
+
+
 async def begin_streams(fleet: Fleet, *, at: Gateway | None = None) -> list[Stream]:
     """Begin streams at a router; all of them break off."""
     streams = [Stream(number, fleet) for number in range(STREAMS)]
