Write streams once a second up to 100 routers

Cause: at 83 routers a row would have been written each 5.2 s, longer than most streams last, so that little of them would outlast all routers. Conclusion: a bound on writes in place of an increment.

--- a/packages/gateway/src/tamarack_gateway/origin_records.py
+++ b/packages/gateway/src/tamarack_gateway/origin_records.py
@@ -20,9 +20,9 @@
 """Time after a failed call until the next one."""
 
 STREAMS_GAP_MS = 1_000.0
-STREAMS_GAP_PER_ROUTER_MS = 50.0
-"""Minimum time between two writes of streams, and its increment for each router of the fleet: the
-store takes a few hundred writes a second from all of them."""
+STREAMS_GAP_PER_ROUTER_MS = 10.0
+"""Minimum time between two writes of streams, in any fleet and for each of its routers: the store
+takes a few hundred writes a second from all of them, and these are to be a hundred at most."""
 
 MAX_STREAMS = 1_000
 """Maximum number of streams in a row, the newest ones; it then has about 20 kB of at most 64."""
@@ -115,7 +115,8 @@
             {service: sorted(versions.recent(service)) for service in sorted(versions.services)},
             by_origin(self._feed.open_streams(MAX_STREAMS)),
         )
-        gap_ms = STREAMS_GAP_MS + STREAMS_GAP_PER_ROUTER_MS * self._state.allowance.routers
+        per_router_ms = STREAMS_GAP_PER_ROUTER_MS * self._state.allowance.routers
+        gap_ms = max(STREAMS_GAP_MS, per_router_ms)
         recent = self._state.clock.now_ms - self._written_ms < gap_ms
         if row == self._written or (recent and row.versions == self._written.versions):
             return None
