--- a/packages/gateway/src/tamarack_gateway/origin_feed.py
+++ b/packages/gateway/src/tamarack_gateway/origin_feed.py
@@ -29,7 +29,7 @@
 """Questions that may be open at a time; all routers process each of them."""
 
 MAX_ATTEMPT_LENGTH = 200
-"""Longest name of an attempt that is asked for, in characters."""
+"""Longest name of an attempt that is remembered or asked for, in characters; callers choose it."""
 
 
 class _Finding(NamedTuple):
@@ -107,6 +107,8 @@
 
     def sent(self, attempt: str, endpoint: Endpoint) -> None:
         """Record that an attempt, whose stream may be taken up, is sent to an endpoint."""
+        if len(attempt) > MAX_ATTEMPT_LENGTH:
+            return
         origin = Origin(endpoint.service, endpoint.software_version)
         self._open[attempt] = (origin, self._state.clock.now_ms)
         if self._origins.record_own(attempt, origin) and self._sole(endpoint.service) is None:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -339,6 +339,18 @@
     play(scenario())
 
 
+def test_an_attempt_with_a_very_long_name_is_served_and_not_remembered() -> None:
+    """Failure: callers that choose long names exhaust the memory of all routers."""
+
+    async def scenario() -> None:
+        async with versioned_fleet(v1=1, v2=1) as (fleet, _):
+            answer = await fleet.ask("/draft/1", X_Attempt_Id="a" * 5_000)
+            assert answer.status == 200
+            assert remembered(fleet.gateway) == 0
+
+    play(scenario())
+
+
 def test_a_stream_without_events_begins_at_any_version() -> None:
     """Failure: a stream is tied to the version of an engine that failed before its first event."""
 
