Log the shared prefix blocks of requests whose endpoint terminated

Cause: a line named an interrupted request by a fingerprint of the whole of it, so that the logs could not tell whether the requests under which engines crashed have a part of their prompts in common (first hypothesis of the incident). Change: 'request: connection lost' tells the names of the prompt's shared blocks, at most eight; the last one belongs to the request itself and is left out. Conclusion: the hypotheses can be told apart by the lines of one crash series. No logic is touched.

--- a/packages/core/src/tamarack_core/prompt.py
+++ b/packages/core/src/tamarack_core/prompt.py
@@ -20,6 +20,11 @@
     key: str
     tokens: int
 
+    @property
+    def name(self) -> str:
+        """The name without the model."""
+        return self.key.rpartition("/")[2]
+
 
 class Prompt(NamedTuple):
     """The prompt of one generation.
@@ -43,6 +48,11 @@
         """The largest block that other requests may share; it selects the preferred engine."""
         return max(self.parts[:-1], key=lambda part: part.tokens, default=None)
 
+    @property
+    def shared_names(self) -> tuple[str, ...]:
+        """Names of all blocks but the last one, whatever the model."""
+        return tuple(dict.fromkeys(part.name for part in self.parts[:-1]))
+
     @property
     def charge(self) -> float:
         """Tokens charged to a workspace's share: prompt tokens once, generated tokens twice."""
--- a/packages/gateway/src/tamarack_gateway/request_quarantine.py
+++ b/packages/gateway/src/tamarack_gateway/request_quarantine.py
@@ -19,6 +19,9 @@
 """A request whose first event is younger than this counts as having just begun to run. Requests
 that crash engines do so 50 to 110 ms after they begin to run."""
 
+MAX_LOGGED_BLOCKS = 8
+"""Maximum number of prefix blocks in one log line."""
+
 
 class RequestQuarantine:
     """Connects one request to the quarantine.
@@ -46,6 +49,7 @@
         self._host = facts.host
         self._attempt = facts.attempt
         self._workspace = workspace
+        self._blocks = facts.prompt.shared_names if facts.prompt is not None else ()
         self._handling = FREE
         self._isolated_at: EndpointIncarnation | None = None
 
@@ -116,6 +120,7 @@
             endpoint=endpoint.name,
             ended=ended,
             fingerprint=self.fingerprint,
+            blocks=self._blocks[:MAX_LOGGED_BLOCKS],
             sent_ms_ago=round(self._state.clock.now_ms - sent_ms),
             running_ms=running_ms and round(running_ms),
         )
