Show by tests that prompt parts go on crashing endpoints

Requests that share one prompt part and are otherwise never alike crash endpoint after endpoint. Change: stand-in workers have prefix blocks that crash them in any request in which they are not the last one, after any number of events, also half of one, and answers without length or chunks, of streams too.

--- a/packages/standins/src/tamarack_standins/platform_worker.py
+++ b/packages/standins/src/tamarack_standins/platform_worker.py
@@ -41,7 +41,8 @@
     extra
         Bytes sent after a complete answer.
     unframed
-        Whether the body has no length and is delimited by the close of the connection.
+        Whether the body, also of a stream, has neither a length nor chunks and is delimited by the
+        close of the connection.
     truncated
         Whether the last byte of the body is missing.
     events
@@ -56,7 +57,8 @@
     early
         Whether the answer is sent before the request's body has been read.
     fatal
-        Whether the worker crashes as it begins to answer, with all requests that it runs.
+        Whether the worker crashes as it begins to answer, with all requests that it runs. With
+        `events` it first sends as many; with `cut_after`, also a part of the next one.
     leaving
         Whether the answer says that the worker leaves.
     retry_after
@@ -129,8 +131,12 @@
         Whether all its answers say that it leaves.
     fatal
         Bodies of requests that crash the worker as it begins to answer them.
+    fatal_blocks
+        Prefix blocks that do so, in any request in which they are not the last one.
+    fatal_script
+        How such requests are answered until the crash.
     on_fatal, on_end
-        Called when such a request arrives, with its body, and when the worker has crashed.
+        Called when such a request arrives, with its body or block, and when the worker has crashed.
     """
 
     def __init__(
@@ -157,6 +163,8 @@
         self.answering.set()
         self.leaving = False
         self.fatal: frozenset[bytes] = frozenset()
+        self.fatal_blocks: frozenset[str] = frozenset()
+        self.fatal_script = FATAL
         self.on_fatal: Callable[[bytes], None] = _ignore_fatal
         self.on_end: Callable[[], None] = _ignore_end
         self._scripts = list(scripts) or [Script()]
@@ -250,9 +258,10 @@
             return True
         self.received.append(received)
         self.received_ms.append(Clock().now_ms)
-        if received.body in self.fatal:
-            self.on_fatal(received.body)
-            script = FATAL
+        culprit = self._culprit(received)
+        if culprit is not None:
+            self.on_fatal(culprit)
+            script = self.fatal_script
         else:
             script = self._next_script(received)
         await self.answering.wait()
@@ -262,6 +271,8 @@
         if script.pause_s:
             await asyncio.sleep(script.pause_s)
         if script.fatal:
+            if script.events is not None:
+                await self._stream(script, received, writer)
             self.crash()
             return False
         if script.reset:
@@ -283,6 +294,14 @@
         """The script for a request; a subclass may choose by the request."""
         return self._scripts.pop(0) if len(self._scripts) > 1 else self._scripts[0]
 
+    def _culprit(self, received: ReceivedRequest) -> bytes | None:
+        if received.body in self.fatal:
+            return received.body
+        entries = received.headers.get("x-prompt-prefix", "").split(",")
+        blocks = [entry.strip().partition(":")[0] for entry in entries]
+        fatal = [block for block in blocks[:-1] if block in self.fatal_blocks]
+        return fatal[0].encode() if fatal else None
+
     async def _until_closed(self, reader: asyncio.StreamReader) -> None:
         with contextlib.suppress(OSError):
             await reader.read(1)
@@ -307,7 +326,9 @@
         self, script: Script, received: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> bool:
         lines = self._head(script, received)
-        lines += ["content-type: text/event-stream", "transfer-encoding: chunked"]
+        lines.append("content-type: text/event-stream")
+        lines += [] if script.unframed else ["transfer-encoding: chunked"]
+        framed = _unchanged if script.unframed else _chunk
         writer.write("\r\n".join([*lines, "", ""]).encode())
         first = int(received.headers.get("last-event-id", "0")) + 1
         for number in range(first, (script.events or 0) + 1):
@@ -315,16 +336,19 @@
                 await asyncio.sleep(script.event_pause_s)
             event = b"id: %d\ndata: %s\n\n" % (number, self._body(script, received))
             if script.cut_after is not None and number > script.cut_after:
-                writer.write(_chunk(event[:-5]))
+                writer.write(framed(event[:-5]))
                 await writer.drain()
                 await asyncio.sleep(0.02)
-                _reset(writer)
+                if not script.fatal:
+                    _reset(writer)
                 return False
-            writer.write(_chunk(event))
+            writer.write(framed(event))
             await writer.drain()
-        writer.write(b"0\r\n\r\n")
+        if script.fatal:
+            return False
+        writer.write(b"" if script.unframed else b"0\r\n\r\n")
         await writer.drain()
-        return True
+        return not script.unframed
 
     def _body(self, script: Script, received: ReceivedRequest) -> bytes:
         parts = [received.headers.get("x-attempt-id", "")] if script.echo else []
@@ -366,9 +390,13 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
+def _unchanged(data: bytes) -> bytes:
+    return data
+
+
 def _ignore_end() -> None:
     """Default of `on_end`: does nothing."""
 
 
-def _ignore_fatal(body: bytes) -> None:
+def _ignore_fatal(culprit: bytes) -> None:
     """Default of `on_fatal`: does nothing."""
--- a/tests/crashing_pool.py
+++ b/tests/crashing_pool.py
@@ -12,13 +12,13 @@
 from gateway_site import Fleet
 
 from tamarack_standins.platform_store import PlatformStore
-from tamarack_standins.platform_worker import PlatformWorker, Script
+from tamarack_standins.platform_worker import FATAL, PlatformWorker, Script
 
 
 class Arrival(NamedTuple):
-    """A fatal request as it reached an engine."""
+    """A fatal request as it reached an engine; `culprit` is its body or prefix block."""
 
-    body: bytes
+    culprit: bytes
     at_s: float
 
 
@@ -33,6 +33,10 @@
         Seconds from a crash until a new engine's entry replaces that of the crashed one.
     script
         How all other requests are answered.
+    fatal_blocks
+        Prefix blocks that crash any engine that begins to answer a request with them.
+    fatal_script
+        How fatal requests are answered until the crash.
     """
 
     def __init__(
@@ -42,8 +46,12 @@
         replacement_s: float = 0.3,
         script: Script | None = None,
         service: str = "pool",
+        fatal_blocks: frozenset[str] = frozenset(),
+        fatal_script: Script = FATAL,
     ) -> None:
         self.fatal = frozenset(fatal)
+        self._fatal_blocks = fatal_blocks
+        self._fatal_script = fatal_script
         self.arrivals: list[Arrival] = []
         self.ended_s: list[float] = []
         self._replacement_s = replacement_s
@@ -73,22 +81,33 @@
         """Write the entries of replacement engines to a fleet's store."""
         self._store = fleet.store
 
-    def ends(self, body: bytes) -> int:
-        """Number of engines that a request has reached, crashed or not."""
-        return sum(arrival.body == body for arrival in self.arrivals)
-
-    def late(self, body: bytes, grace_s: float) -> int:
-        """Number of arrivals of a request later than `grace_s` after its third one."""
-        times = [arrival.at_s for arrival in self.arrivals if arrival.body == body]
-        return sum(at_s > times[2] + grace_s for at_s in times[3:]) if len(times) > 3 else 0
-
-    def arrived(self, body: bytes) -> None:
+    def ends(self, culprit: bytes) -> int:
+        """Number of engines that a culprit has reached, crashed or not."""
+        return sum(arrival.culprit == culprit for arrival in self.arrivals)
+
+    def late(self, culprit: bytes, grace_s: float, *, allowed: int = 3) -> int:
+        """Number of arrivals of a culprit later than `grace_s` after its allowed number."""
+        times = [arrival.at_s for arrival in self.arrivals if arrival.culprit == culprit]
+        if len(times) <= allowed:
+            return 0
+        return sum(at_s > times[allowed - 1] + grace_s for at_s in times[allowed:])
+
+    def late_after_crashes(self, culprit: bytes, grace_s: float, *, crashes: int) -> int:
+        """Number of arrivals of a culprit later than `grace_s` after so many crashes."""
+        if len(self.ended_s) < crashes:
+            return 0
+        known_s = self.ended_s[crashes - 1] + grace_s
+        return sum(a.culprit == culprit and a.at_s > known_s for a in self.arrivals)
+
+    def arrived(self, culprit: bytes) -> None:
         """Record that a fatal request has reached an engine."""
-        self.arrivals.append(Arrival(body, time.monotonic()))
+        self.arrivals.append(Arrival(culprit, time.monotonic()))
 
     def _engine(self) -> PlatformWorker:
         engine = PlatformWorker(next(self._names), self._script)
         engine.fatal = self.fatal
+        engine.fatal_blocks = self._fatal_blocks
+        engine.fatal_script = self._fatal_script
         engine.on_fatal = self.arrived
         engine.on_end = lambda: self._on_crash(engine)
         return engine
