Quarantine the prompt parts that crash endpoints, not only whole requests

Cause: the quarantine knew a request by one name, a hash of the whole of it. Each such request had a new one, so that no name was ever present at three crashes. Its class: what is to blame is looked for under one fixed key.

Change: a request has traits, its fingerprint and one for each shared block of its prompt. A crash makes suspects of all traits aboard; a complete answer clears those of its request, before the decision on the crash too. Requests with the same suspected traits go to one endpoint apart from others, so that each answer or crash tells the culprit from what comes with it. A block is quarantined by its fifth crash, if the requests there had been isolated for the same traits; blocks that could not be told apart yet, as a combination that refuses only requests with all of them. A whole request needs three crashes as before. An error clears only the request, since an engine may fail without using the prompt.

--- a/packages/bench/src/tamarack_bench/quarantine_scenarios.py
+++ b/packages/bench/src/tamarack_bench/quarantine_scenarios.py
@@ -6,8 +6,9 @@
 
 from tamarack_bench.quarantine_model import ModelOptions, ModelResult, QuarantineModel
 from tamarack_bench.scenarios import Options, Reading, scenario
+from tamarack_core.crash_evidence import DECISION_DELAY_MS
 from tamarack_core.fingerprint import fingerprint
-from tamarack_core.quarantine import DECISION_DELAY_MS, Quarantine
+from tamarack_core.quarantine import Quarantine
 from tamarack_core.termination_evidence import InterruptedRequest, Termination
 
 SEEDS = 5
--- a/packages/core/src/tamarack_core/quarantine.py
+++ b/packages/core/src/tamarack_core/quarantine.py
@@ -1,10 +1,14 @@
 """Quarantine of requests that crash endpoints: suspicion, isolated trial and decision.
 
-A crash interrupts all requests on the endpoint, up to 64, of which most are unrelated to it and are
-retried. A single crash therefore quarantines no request: each interrupted one becomes a suspect,
-and one interrupted by several crashes is sent to an endpoint without other such suspects. If that
-endpoint crashes as well, with it as the only suspect, the request is quarantined. A complete answer
-clears a suspect, because a request that crashes every endpoint is never answered.
+A request is recognized by its traits: itself, and each shared prefix block of its prompt. A crash
+interrupts all requests on the endpoint, up to 64, of which most are unrelated to it. A single crash
+therefore quarantines nothing: each trait of the interrupted requests becomes a suspect, and
+requests with traits that were present at several crashes are sent to an endpoint apart from other
+suspects. If that endpoint crashes as well, the suspected traits of the requests that ran there are
+quarantined, as a combination: only requests with all of them are refused. A complete answer clears
+all traits of its request, because a trait that crashes every endpoint is never answered. Requests
+that share only a part of the suspected traits are sent elsewhere, so that each answer or crash
+separates the culprit from what often comes with it.
 
 Routers report to each other the crashes that they detect, and each router decides on its own from
 the same evidence; decisions are also published, and written to the platform's store.
@@ -15,61 +19,41 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from enum import Enum
-from typing import NamedTuple, TypeVar
+from typing import NamedTuple
 
+from tamarack_core.crash_evidence import CrashEvidence
 from tamarack_core.endpoint_registry import EndpointIncarnation
+from tamarack_core.quarantine_entries import QuarantineEntries
 from tamarack_core.quarantine_records import (
     DEFAULT_BOUNDS,
     PendingTermination,
     QuarantineBounds,
-    Quarantined,
     QuarantinedReading,
-    Suspect,
     SuspectReading,
 )
 from tamarack_core.rendezvous import score
-from tamarack_core.termination_evidence import QuarantinedRequest, Termination
-from tamarack_core.workspace_table import WorkspaceTable
-
-Key = TypeVar("Key")
+from tamarack_core.request_traits import combined, is_block
+from tamarack_core.termination_evidence import InterruptedTraits, QuarantinedRequest, Termination
 
 ISOLATION_WEIGHT = 2.0
-"""Weight of crashes from which a suspect is isolated from other suspects. With one, every request
+"""Weight of crashes from which requests with a trait are isolated. With one, every request
 interrupted by a crash would be isolated."""
 
+MORE_BLOCK_ENDS = 2
+"""Crashes that a prefix block needs beyond those of a request: a whole request that crashes
+endpoints is isolated from its blocks by its second one, and a wrong decision refuses all that share
+the block."""
+
 CERTAINTY_FACTOR = 2.0
-"""Multiple of `QuarantineBounds.ends` from which a request is quarantined whatever ran with it:
+"""Multiple of `QuarantineBounds.ends` from which traits are quarantined whatever ran with them:
 suspects that always run together, or crashes that always coincide, must not delay it forever."""
 
-LATE_CRASH_WEIGHT = 0.25
-"""Weight of a crash for a request that had run for a while beside others that had only begun; a
-request that crashes endpoints late is still quarantined after a few more crashes."""
-
-COINCIDENT_CRASH_WEIGHT = 0.5
-"""Weight of a crash that coincides with that of another endpoint, as in a failure of instances.
-Five of these, as in a series of mass failures, stay below the weight that quarantines a request."""
-
-DECISION_DELAY_MS = 400.0
-"""Milliseconds from the first report of a crash to the decision on it: other routers report their
-interrupted requests within some 30 ms, by relays within 0.2 s, and some detect it 0.1 s later."""
-
-FORGET_MS = 3_600_000.0
-"""Milliseconds a suspect is remembered after its last crash; one sent each half hour is found."""
-
 MANY_QUARANTINED = 8
-"""Quarantined requests of one workspace from which its other requests are isolated before their
+"""Quarantined entries of one workspace from which its other requests are isolated before their
 first crash: many different harmful requests must not cost three endpoints each."""
 
-MOST_SUSPECTS, MOST_SUSPECTS_OF_ONE = 4_096, 512
-MOST_QUARANTINED, MOST_QUARANTINED_OF_ONE = 1_024, 64
-"""Entries of the tables, in total and per workspace: some 2 MB in all. A mass failure of eight
-engines with 64 requests each makes 512 suspects."""
-
-MOST_ENDS = 256
-"""Maximum number of undecided crashes; more than the largest site has engines."""
-
 BUSY_WAIT_MS = 50.0
 """Milliseconds until a repeat of a suspect that runs isolated here is evaluated again."""
 
@@ -85,10 +69,19 @@
 
 
 class Handling(NamedTuple):
-    """Treatment of a request; `wait_ms` is the time until it should be evaluated again."""
+    """Treatment of a request.
+
+    Attributes
+    ----------
+    wait_ms
+        Time until it should be evaluated again.
+    suspects
+        Name of the suspected traits for which it is isolated, tried or refused.
+    """
 
     treatment: Treatment
     wait_ms: float = 0.0
+    suspects: str = ""
 
 
 FREE = Handling(Treatment.FREE)
@@ -100,14 +93,12 @@
     Parameters
     ----------
     tries
-        Whether this router runs the trials of a quarantined request, by fingerprint.
+        Whether this router runs the trials of an entry, by its name.
 
     Attributes
     ----------
-    refused, ends_seen
-        Number of refusals of quarantined requests, and number of crashes known to this router.
-    evicted
-        Quarantined requests evicted from the table, until they are deleted from the store.
+    refused
+        Number of refusals of quarantined requests.
     """
 
     def __init__(
@@ -115,84 +106,81 @@
     ) -> None:
         self._tries = tries
         self._bounds = bounds
-        self._ends: dict[EndpointIncarnation, PendingTermination] = {}
-        self._settled: dict[EndpointIncarnation, float] = {}
-        self._suspects: WorkspaceTable[Suspect] = WorkspaceTable(
-            most=MOST_SUSPECTS, most_of_one=MOST_SUSPECTS_OF_ONE
-        )
-        self._entries: WorkspaceTable[Quarantined] = WorkspaceTable(
-            most=MOST_QUARANTINED, most_of_one=MOST_QUARANTINED_OF_ONE
-        )
-        self._waiting: Counter[str] = Counter()
-        self._running: Counter[str] = Counter()
-        self._occupied: Counter[EndpointIncarnation] = Counter()
+        self._evidence = CrashEvidence()
+        self._entries = QuarantineEntries()
+        self._running: dict[EndpointIncarnation, Counter[str]] = {}
         self.refused = 0
-        self.ends_seen = 0
-        self.evicted: list[str] = []
 
     @property
     def watching(self) -> bool:
         """Whether requests have to be checked; otherwise none needs a fingerprint."""
-        return bool(self._suspects or self._entries or self._ends)
+        return bool(self._evidence or self._entries)
+
+    @property
+    def ends_seen(self) -> int:
+        """Number of crashes known to this router."""
+        return self._evidence.ends_seen
 
     # evidence
 
+    def record_requests(self, requests: Mapping[str, InterruptedTraits], now_ms: float) -> None:
+        """Record the block traits of interrupted requests, by fingerprint."""
+        self._evidence.record_requests(requests, now_ms)
+
+    def interrupted(self, fingerprint: str) -> InterruptedTraits | None:
+        """Traits of an interrupted request; None if unknown."""
+        return self._evidence.interrupted(fingerprint)
+
     def ended(self, end: Termination, now_ms: float) -> None:
         """Record a crash reported by a router; several routers may report the same one."""
-        if end.key in self._settled:
-            # A report after the decision: its requests were not part of the evidence.
-            return
-        known = self._ends.get(end.key)
-        if known is None:
-            if len(self._ends) >= MOST_ENDS:
-                return
-            known = self._ends[end.key] = PendingTermination(now_ms)
-            self.ends_seen += 1
-        known.together = known.together or end.together
-        for fingerprint, workspace, early in end.aboard:
-            before = known.aboard.get(fingerprint)
-            if before is None:
-                self._waiting[fingerprint] += 1
-                self._suspect(fingerprint, workspace, now_ms)
-            known.aboard[fingerprint] = early or bool(before)
-
-    def answered(self, fingerprint: str) -> bool:
-        """Record a complete answer; returns whether other routers should be notified."""
-        if fingerprint in self._entries:
-            self._entries.pop(fingerprint)
-            self._clear(fingerprint)
-            return True
-        suspect = self._suspects.get(fingerprint)
-        self._clear(fingerprint)
-        return suspect is not None
-
-    def cleared(self, fingerprints: list[str]) -> None:
-        """Clear suspects that were answered completely through other routers."""
-        for fingerprint in fingerprints:
-            self._entries.pop(fingerprint)
-            self._clear(fingerprint)
+        self._evidence.record(end, now_ms)
+
+    def answered(self, fingerprint: str, blocks: Sequence[str] = ()) -> list[str]:
+        """Record a complete answer.
+
+        Returns
+        -------
+        list of str
+            Suspected traits and entries that it clears; other routers should be notified.
+        """
+        traits = (fingerprint, *blocks)
+        released = self._entries.matching(traits)
+        for name in released:
+            self._entries.pop(name)
+        return list(dict.fromkeys([*released, *self._evidence.clear(traits)]))
+
+    def cleared(self, names: Sequence[str]) -> None:
+        """Clear traits and entries that were answered completely through other routers."""
+        for name in names:
+            self._entries.pop(name)
+        self._evidence.clear(names)
 
     def decide_due(self, now_ms: float) -> list[QuarantinedRequest]:
-        """Decide on the crashes that are due; returns the requests quarantined from now on."""
-        due = [key for key, end in self._ends.items() if now_ms - end.first_ms >= DECISION_DELAY_MS]
+        """Decide on the crashes that are due; returns what is quarantined from now on."""
         decisions: list[QuarantinedRequest] = []
-        for key in due:
-            end = self._ends.pop(key)
-            self._settled[key] = now_ms
+        for end in self._evidence.take_due(now_ms):
             decisions += self._decide(end, now_ms)
-        if due:
-            self._forget(now_ms)
         return decisions
 
     @property
     def next_decision_ms(self) -> float | None:
         """When the next decision is due; None if there is none."""
-        return min((end.first_ms + DECISION_DELAY_MS for end in self._ends.values()), default=None)
+        return self._evidence.next_decision_ms
 
     # decisions
 
+    @property
+    def evicted(self) -> list[str]:
+        """Entries that gave way to others, and are to be deleted from the store."""
+        return self._entries.evicted
+
+    def take_evicted(self) -> list[str]:
+        """Remove and return `evicted`."""
+        evicted, self._entries.evicted = self._entries.evicted, []
+        return evicted
+
     def add(self, request: QuarantinedRequest, now_ms: float, *, stored: bool = False) -> bool:
-        """Quarantine a request by another router's decision; returns whether that is new."""
+        """Quarantine by another router's decision; returns whether that is new."""
         known = self._entries.get(request.fingerprint)
         if known is not None and known.trials >= request.trials:
             known.stored = known.stored or (stored and known.trials == request.trials)
@@ -200,206 +188,210 @@
         self._put(request, now_ms, stored=stored)
         return True
 
-    def contains(self, fingerprint: str) -> bool:
-        """Whether a request is quarantined."""
-        return fingerprint in self._entries
+    def contains(self, name: str) -> bool:
+        """Whether an entry has the given name."""
+        return name in self._entries
 
-    def release(self, fingerprint: str) -> bool:
-        """Release a request; returns whether it was quarantined."""
-        self._clear(fingerprint)
-        return self._entries.pop(fingerprint) is not None
+    def release(self, name: str) -> bool:
+        """Release an entry; returns whether there was one."""
+        self._evidence.clear([name])
+        return self._entries.pop(name)
 
-    def retain_stored(self, fingerprints: set[str]) -> list[str]:
+    def retain_stored(self, names: set[str]) -> list[str]:
         """Release what the store no longer lists, except for what was never stored there."""
-        stale = [f for f, entry in self._entries.items() if entry.stored and f not in fingerprints]
-        for fingerprint in stale:
-            self.release(fingerprint)
-        return stale
+        return self._entries.retain_stored(names)
 
-    def mark_lost(self, fingerprints: set[str]) -> None:
+    def mark_lost(self, names: set[str]) -> None:
         """Record that the store has lost all rows but these; they are to be stored again."""
-        for fingerprint, entry in self._entries.items():
-            entry.stored = entry.stored and fingerprint in fingerprints
+        self._entries.mark_lost(names)
 
     def mark_stored(self, request: QuarantinedRequest) -> None:
-        """Record that the store lists a quarantined request."""
-        entry = self._entries.get(request.fingerprint)
-        if entry is not None and entry.trials == request.trials:
-            entry.stored = True
+        """Record that the store lists an entry."""
+        self._entries.mark_stored(request)
 
     def unstored(self) -> list[QuarantinedRequest]:
-        """Quarantined requests that the store does not list in their current state."""
-        return [
-            QuarantinedRequest(fingerprint, entry.workspace, entry.trials)
-            for fingerprint, entry in self._entries.items()
-            if not entry.stored
-        ]
+        """Entries that the store does not list in their current state."""
+        return self._entries.unstored()
 
     # requests
 
-    def treatment_of(self, fingerprint: str, workspace: str, now_ms: float) -> Handling:
-        """Treatment of a request now; called before each send."""
-        entry = self._entries.get(fingerprint)
-        if entry is not None:
-            return self._treat_entry(fingerprint, entry, now_ms)
-        suspect = self._suspects.get(fingerprint)
-        weight = self._prior(workspace) + (suspect.weight if suspect is not None else 0.0)
-        waiting = self._waiting.get(fingerprint, 0)
-        if weight + waiting < ISOLATION_WEIGHT:
+    def entries_for(self, fingerprint: str, blocks: Sequence[str] = ()) -> list[str]:
+        """Names of the entries that apply to a request."""
+        return self._entries.matching((fingerprint, *blocks))
+
+    def treatment_of(
+        self, fingerprint: str, workspace: str, now_ms: float, blocks: Sequence[str] = ()
+    ) -> Handling:
+        """Treatment of a request now; called before each send.
+
+        Parameters
+        ----------
+        blocks
+            Traits of the shared prefix blocks of its prompt.
+        """
+        traits = (fingerprint, *blocks)
+        entries = self._entries.matching(traits)
+        if entries:
+            return self._treat_entries(entries, now_ms)
+        weights = self._weights(traits, workspace)
+        if not weights:
             return FREE
-        if waiting and weight + waiting >= self._bounds.ends:
-            return Handling(Treatment.WAIT, self._decision_in_ms(fingerprint, now_ms))
-        if self._running[fingerprint]:
+        evidence = self._evidence
+        for trait, weight in weights.items():
+            if evidence.pending(trait) and weight >= self._bounds.ends:
+                return Handling(Treatment.WAIT, evidence.decision_in_ms(trait, now_ms))
+        # Different requests with the same suspected blocks are sent to one endpoint.
+        suspects = combined(weights)
+        if fingerprint in weights and self._runs(suspects):
             return Handling(Treatment.WAIT, BUSY_WAIT_MS)
-        return Handling(Treatment.ISOLATED)
+        return Handling(Treatment.ISOLATED, suspects=suspects)
 
-    def begun(self, fingerprint: str, key: EndpointIncarnation) -> None:
-        """Record that a request is sent isolated from other suspects."""
-        self._running[fingerprint] += 1
-        self._occupied[key] += 1
+    def begun(self, suspects: str, key: EndpointIncarnation) -> None:
+        """Record that a request is sent isolated for its suspected traits."""
+        self._running.setdefault(key, Counter())[suspects] += 1
 
-    def finished(self, fingerprint: str, key: EndpointIncarnation) -> None:
+    def finished(self, suspects: str, key: EndpointIncarnation) -> None:
         """Record that such a request has finished; called once for each `begun`."""
-        _decrement(self._running, fingerprint)
-        _decrement(self._occupied, key)
+        running = self._running[key]
+        running[suspects] -= 1
+        if running[suspects] <= 0:
+            del running[suspects]
+        if not running:
+            del self._running[key]
 
     def choose_endpoint(
-        self, fingerprint: str, keys: list[EndpointIncarnation]
+        self, suspects: str, keys: list[EndpointIncarnation]
     ) -> EndpointIncarnation:
-        """Choose the endpoint for a suspect from the given ones.
+        """Choose the endpoint for suspected traits from the given ones.
 
         Prefers endpoints where this router runs no other suspect; among these it uses rendezvous
         hashing, so that all routers choose different endpoints for different suspects without
-        coordination, and the same one for repeats of a suspect.
+        coordination, and the same one for the same suspect.
         """
-        return max(keys, key=lambda key: (key not in self._occupied, score(fingerprint, key.name)))
+
+        def preference(key: EndpointIncarnation) -> tuple[bool, float]:
+            others = self._running.get(key, Counter()).keys() - {suspects}
+            return not others, score(suspects, key.name)
+
+        return max(keys, key=preference)
 
     # readings
 
     @property
     def quarantined_count(self) -> int:
-        """Number of quarantined requests."""
+        """Number of entries."""
         return len(self._entries)
 
     @property
     def suspect_count(self) -> int:
-        """Number of requests interrupted by crashes and not answered completely since."""
-        return len(self._suspects)
+        """Number of traits present at crashes and not answered completely since."""
+        return self._evidence.suspect_count
 
     def entries(self, now_ms: float) -> list[QuarantinedReading]:
-        """All quarantined requests, newest last."""
-        first_pause_ms = self._bounds.first_pause_ms
-        return [
-            QuarantinedReading(
-                fingerprint,
-                entry.workspace,
-                entry.trials,
-                entry.stored,
-                round(entry.tried_at_ms(first_pause_ms) - now_ms),
-            )
-            for fingerprint, entry in self._entries.items()
-        ]
+        """All entries, newest last."""
+        return self._entries.readings(self._bounds.first_pause_ms, now_ms)
 
     def suspects(self, most: int) -> list[SuspectReading]:
         """The suspects with the highest weight, at most `most`."""
-        readings = [
-            SuspectReading(fingerprint, suspect.workspace, round(suspect.weight, 2), suspect.ends)
-            for fingerprint, suspect in self._suspects.items()
-        ]
-        return sorted(readings, key=lambda reading: reading.weight, reverse=True)[:most]
+        return self._evidence.readings(most)
 
     # internal
 
-    def _suspect(self, fingerprint: str, workspace: str, now_ms: float) -> None:
-        suspect = self._suspects.get(fingerprint) or Suspect(workspace)
-        suspect.last_ms = now_ms
-        for evicted in self._suspects.put(fingerprint, workspace, suspect):
-            self._waiting.pop(evicted, None)
-
-    def _clear(self, fingerprint: str) -> None:
-        # Also from undecided crashes: a complete answer is stronger evidence than an interruption.
-        self._suspects.pop(fingerprint)
-        if self._waiting.pop(fingerprint, 0):
-            for end in self._ends.values():
-                end.aboard.pop(fingerprint, None)
-
-    def _prior(self, workspace: str) -> float:
-        return ISOLATION_WEIGHT if self._entries.count(workspace) >= MANY_QUARANTINED else 0.0
-
-    def _decision_in_ms(self, fingerprint: str, now_ms: float) -> float:
-        times = [end.first_ms for end in self._ends.values() if fingerprint in end.aboard]
-        return max(1.0, max(times, default=now_ms) + DECISION_DELAY_MS - now_ms)
-
-    def _treat_entry(self, fingerprint: str, entry: Quarantined, now_ms: float) -> Handling:
-        paused = now_ms < entry.tried_at_ms(self._bounds.first_pause_ms)
-        if paused or not self._tries(fingerprint):
+    def _runs(self, suspects: str) -> bool:
+        return any(suspects in running for running in self._running.values())
+
+    def _weight(self, trait: str, workspace: str) -> float:
+        many = not is_block(trait) and self._entries.count(workspace) >= MANY_QUARANTINED
+        return self._evidence.weight(trait) + (ISOLATION_WEIGHT if many else 0.0)
+
+    def _weights(self, traits: Sequence[str], workspace: str) -> dict[str, float]:
+        """Weights of the suspected traits, undecided crashes included."""
+        weights = {t: self._weight(t, workspace) + self._evidence.pending(t) for t in traits}
+        return {t: weight for t, weight in weights.items() if weight >= ISOLATION_WEIGHT}
+
+    def _treat_entries(self, names: list[str], now_ms: float) -> Handling:
+        suspects = min(names, key=len)
+        entries = [entry for name in names if (entry := self._entries.get(name)) is not None]
+        first_pause_ms = self._bounds.first_pause_ms
+        paused = any(now_ms < entry.tried_at_ms(first_pause_ms) for entry in entries)
+        if paused or not self._tries(suspects):
             self.refused += 1
-            return Handling(Treatment.QUARANTINED)
-        # This request is the trial; repeats are still refused meanwhile.
-        entry.since_ms, entry.on_trial = now_ms, True
-        return Handling(Treatment.TRIAL)
+            return Handling(Treatment.QUARANTINED, suspects=suspects)
+        # This request is the trial; others are still refused meanwhile.
+        for entry in entries:
+            entry.since_ms, entry.on_trial = now_ms, True
+        return Handling(Treatment.TRIAL, suspects=suspects)
 
     def _decide(self, end: PendingTermination, now_ms: float) -> list[QuarantinedRequest]:
-        for fingerprint in end.aboard:
-            _decrement(self._waiting, fingerprint)
-        known = [(f, entry) for f in end.aboard if (entry := self._entries.get(f)) is not None]
+        traits = {f: self._evidence.traits_of(f) for f in end.aboard}
+        known = {name for own in traits.values() for name in self._entries.matching(own)}
         if known:
             # A quarantined request explains the crash; the others are unrelated.
-            return [self._trial_failed(f, entry, now_ms) for f, entry in known if entry.on_trial]
+            return [request for name in known for request in self._trial_failed(name, now_ms)]
         early = {f for f, is_early in end.aboard.items() if is_early} or set(end.aboard)
-        suspected = {f for f in early if self._weight(f) >= ISOLATION_WEIGHT}
-        for fingerprint in end.aboard:
-            self._add_weight(fingerprint, end, early=fingerprint in early)
-        sole = not end.together and len(suspected) == 1
-        return [
-            self._quarantine(f, now_ms)
-            for f in early
-            if self._weight(f) >= CERTAINTY_FACTOR * self._bounds.ends
-            or (sole and f in suspected and self._weight(f) >= self._bounds.ends)
-        ]
-
-    def _weight(self, fingerprint: str) -> float:
-        suspect = self._suspects.get(fingerprint)
-        return 0.0 if suspect is None else suspect.weight + self._prior(suspect.workspace)
-
-    def _add_weight(self, fingerprint: str, end: PendingTermination, *, early: bool) -> None:
-        suspect = self._suspects.get(fingerprint)
-        if suspect is None:
-            return
-        whole = COINCIDENT_CRASH_WEIGHT if end.together else 1.0
-        suspect.weight += whole * (1.0 if early else LATE_CRASH_WEIGHT)
-        suspect.ends += 1
-
-    def _quarantine(self, fingerprint: str, now_ms: float) -> QuarantinedRequest:
-        suspect = self._suspects.get(fingerprint)
-        workspace = suspect.workspace if suspect is not None else ""
-        return self._put(QuarantinedRequest(fingerprint, workspace, 0), now_ms)
-
-    def _trial_failed(
-        self, fingerprint: str, entry: Quarantined, now_ms: float
-    ) -> QuarantinedRequest:
-        request = QuarantinedRequest(fingerprint, entry.workspace, entry.trials + 1)
-        return self._put(request, now_ms)
+        before = {f: self._suspected(traits[f], f) - end.cleared for f in early}
+        self._evidence.add_weight(end, early)
+        culprits = frozenset() if end.together else self._sole_culprits(before)
+        if culprits:
+            return [self._quarantine(culprits, now_ms)]
+        certain = {self._certain(traits[f], f) for f in early}
+        # The larger combination refuses less, and its parts are told apart later.
+        largest = [c for c in certain if c and not any(c < other for other in certain)]
+        return [self._quarantine(c, now_ms) for c in largest]
+
+    def _suspected(self, traits: Sequence[str], fingerprint: str) -> frozenset[str]:
+        workspace = self._evidence.workspace_of(fingerprint)
+        own = {t for t in traits if self._weight(t, workspace) >= ISOLATION_WEIGHT}
+        return frozenset(own.union(self._evidence.isolated_for(fingerprint)))
+
+    def _certain(self, traits: Sequence[str], fingerprint: str) -> frozenset[str]:
+        workspace = self._evidence.workspace_of(fingerprint)
+        least = CERTAINTY_FACTOR * self._bounds.ends
+        return frozenset(t for t in traits if self._weight(t, workspace) >= least)
+
+    def _sole_culprits(self, suspected: Mapping[str, frozenset[str]]) -> frozenset[str]:
+        """Traits that explain a crash alone; empty if others may have caused it.
+
+        Parameters
+        ----------
+        suspected
+            Suspected traits of each interrupted request, by its fingerprint.
+        """
+        requests = {f for f, traits in suspected.items() if f in traits}
+        if len(requests) == 1:
+            culprits = self._heavy(requests)
+            if culprits:
+                return culprits
+        sets = {traits for traits in suspected.values() if traits}
+        isolated = any(self._evidence.isolated_for(fingerprint) for fingerprint in suspected)
+        # What runs with a block by chance is separated from it only by an isolated endpoint.
+        return self._heavy(sets.pop()) if len(sets) == 1 and isolated else frozenset()
+
+    def _heavy(self, traits: Iterable[str]) -> frozenset[str]:
+        workspace_of = self._evidence.workspace_of
+        return frozenset(
+            t for t in traits if self._weight(t, workspace_of(t)) >= self._least_ends(t)
+        )
+
+    def _least_ends(self, trait: str) -> int:
+        return self._bounds.ends + (MORE_BLOCK_ENDS if is_block(trait) else 0)
+
+    def _quarantine(self, traits: frozenset[str], now_ms: float) -> QuarantinedRequest:
+        # A whole request has the same blocks whenever it is repeated.
+        traits = frozenset(t for t in traits if not is_block(t)) or traits
+        workspace = next(filter(None, map(self._evidence.workspace_of, sorted(traits))), "")
+        return self._put(QuarantinedRequest(combined(traits), workspace, 0), now_ms)
+
+    def _trial_failed(self, name: str, now_ms: float) -> list[QuarantinedRequest]:
+        entry = self._entries.get(name)
+        if entry is None or not entry.on_trial:
+            return []
+        request = QuarantinedRequest(name, entry.workspace, entry.trials + 1)
+        return [self._put(request, now_ms)]
 
     def _put(
         self, request: QuarantinedRequest, now_ms: float, *, stored: bool = False
     ) -> QuarantinedRequest:
-        entry = Quarantined(request.workspace, request.trials, now_ms)
-        entry.stored = stored
-        self._suspects.pop(request.fingerprint)
-        self.evicted += self._entries.put(request.fingerprint, request.workspace, entry)
+        self._evidence.drop_suspect(request.fingerprint)
+        self._entries.put(request, now_ms, stored=stored)
         return request
-
-    def _forget(self, now_ms: float) -> None:
-        past_ms = now_ms - DECISION_DELAY_MS * 10
-        self._settled = {key: at for key, at in self._settled.items() if at > past_ms}
-        for fingerprint, suspect in self._suspects.items():
-            if now_ms - suspect.last_ms > FORGET_MS:
-                self._suspects.pop(fingerprint)
-
-
-def _decrement(counts: Counter[Key], key: Key) -> None:
-    """Decrement the count of a key; a key without a positive count is removed."""
-    counts[key] -= 1
-    if counts[key] <= 0:
-        del counts[key]
--- a/packages/core/src/tamarack_core/quarantine_records.py
+++ b/packages/core/src/tamarack_core/quarantine_records.py
@@ -35,7 +35,7 @@
 
 
 class Suspect:
-    """A request that was interrupted by crashes and not answered completely since."""
+    """A trait of requests that crashes interrupted, and that was not answered since."""
 
     __slots__ = ("ends", "last_ms", "weight", "workspace")
 
@@ -47,7 +47,7 @@
 
 
 class Quarantined:
-    """A quarantined request and the start of its current pause.
+    """A quarantined combination of traits and the start of its current pause.
 
     Attributes
     ----------
@@ -73,14 +73,28 @@
 
 
 class PendingTermination:
-    """An undecided crash; `aboard` maps fingerprints to whether the request had only begun."""
+    """An undecided crash.
 
-    __slots__ = ("aboard", "first_ms", "together")
+    Attributes
+    ----------
+    aboard
+        Whether each interrupted request had only begun, by fingerprint.
+    cleared
+        Traits that were answered completely since.
+    """
+
+    __slots__ = ("aboard", "cleared", "first_ms", "together")
 
     def __init__(self, first_ms: float) -> None:
         self.first_ms = first_ms
         self.together = False
         self.aboard: dict[str, bool] = {}
+        self.cleared: set[str] = set()
+
+    def clear(self, trait: str) -> None:
+        """Record that a trait was answered completely."""
+        self.cleared.add(trait)
+        self.aboard.pop(trait, None)
 
 
 class QuarantinedReading(NamedTuple):
--- a/packages/core/src/tamarack_core/termination_evidence.py
+++ b/packages/core/src/tamarack_core/termination_evidence.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from tamarack_core.endpoint_registry import EndpointIncarnation
+from tamarack_core.wire import message
 
 
 class InterruptedRequest(NamedTuple):
@@ -49,11 +50,38 @@
         return EndpointIncarnation(self.endpoint, self.life)
 
 
+class InterruptedTraits(NamedTuple):
+    """Further traits of an interrupted request.
+
+    Attributes
+    ----------
+    blocks
+        Traits of the shared prefix blocks of its prompt.
+    isolated_for
+        Name of the suspected traits for which it was sent isolated; empty if it was not.
+    """
+
+    blocks: tuple[str, ...]
+    isolated_for: str = ""
+
+
+@message(74)
+class InterruptedRequests(NamedTuple):
+    """Traits of interrupted requests, by fingerprint; sent before the evidence of the crash.
+
+    Routers that recognize only whole requests skip this message and read the evidence.
+    """
+
+    requests: dict[str, InterruptedTraits]
+
+
 class QuarantinedRequest(NamedTuple):
-    """A quarantined request.
+    """A quarantined combination of traits, mostly of one.
 
     Attributes
     ----------
+    fingerprint
+        Its name: that of a whole request is its fingerprint.
     trials
         Number of trials since then in which it crashed another endpoint.
     """
@@ -69,7 +97,7 @@
     Attributes
     ----------
     cleared
-        Fingerprints of suspects that were answered completely.
+        Suspected traits that were answered completely, and entries that are released for it.
     """
 
     ends: list[Termination] = []
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -271,7 +271,7 @@
         took_ms = state.clock.now_ms - sent_ms
         self._recorder.result(endpoint, result, took_ms)
         if result.outcome in (SendOutcome.DONE, SendOutcome.FAILED):
-            self._request_quarantine.answered()
+            self._request_quarantine.answered(generated=result.outcome is SendOutcome.DONE)
         if result.lost:
             begun_ms = self._first_event_ms
             running_ms = None if begun_ms is None else state.clock.now_ms - begun_ms
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -246,6 +246,7 @@
         return QuarantineFeed(
             self._state,
             on_evidence=lambda evidence: self._peers.publish_evidence(evidence),
+            on_requests=lambda requests: self._peers.publish_notice(requests),
             owns_row=self._state.owns,
             write=lambda key, value: self._feeds.clients.write(
                 self._site.tables.quarantine, key, value, what="a quarantined request"
--- a/packages/gateway/src/tamarack_gateway/quarantine_feed.py
+++ b/packages/gateway/src/tamarack_gateway/quarantine_feed.py
@@ -4,13 +4,19 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Annotated
 
 import msgspec
 
 from tamarack_core.json_input import decode_json
-from tamarack_core.termination_evidence import Evidence, QuarantinedRequest, Termination
+from tamarack_core.termination_evidence import (
+    Evidence,
+    InterruptedRequests,
+    InterruptedTraits,
+    QuarantinedRequest,
+    Termination,
+)
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.site import Row
 from tamarack_gateway.table_messages import TableChange
@@ -56,6 +62,8 @@
     ----------
     on_evidence
         Called with evidence to publish to the other routers.
+    on_requests
+        Called before it with further traits of the requests that it names.
     owns_row
         Returns whether this router owns the row of a quarantined request.
     write
@@ -69,13 +77,16 @@
         on_evidence: Callable[[Evidence], None],
         owns_row: Callable[[str], bool],
         write: Callable[[str, bytes | None], Awaitable[bool]],
+        on_requests: Callable[[InterruptedRequests], None] = lambda requests: None,
     ) -> None:
         self._state = state
         self._quarantine = state.quarantine
         self._on_evidence = on_evidence
+        self._on_requests = on_requests
         self._owns_row = owns_row
         self._write_row = write
         self._pending = Evidence([], [], [])
+        self._pending_requests: dict[str, InterruptedTraits] = {}
         self._pending_event = asyncio.Event()
         self._removals: list[str] = []
         self._decision_event = asyncio.Event()
@@ -83,6 +94,14 @@
 
     # observations and updates
 
+    def record_traits(self, fingerprint: str, traits: InterruptedTraits) -> None:
+        """Record the traits of a request of this router before its endpoint's crash."""
+        self._quarantine.record_requests({fingerprint: traits}, self._state.clock.now_ms)
+
+    def receive_requests(self, message: InterruptedRequests) -> None:
+        """Apply the traits of requests of another router."""
+        self._quarantine.record_requests(message.requests, self._state.clock.now_ms)
+
     def record_termination(self, end: Termination) -> None:
         """Record a termination that this router detected."""
         fingerprints = [aboard.fingerprint for aboard in end.aboard]
@@ -97,20 +116,27 @@
             fingerprints=fingerprints[:MAX_LOGGED_FINGERPRINTS],
         )
         self._pending.ends.append(end)
+        for fingerprint in fingerprints:
+            if traits := self._quarantine.interrupted(fingerprint):
+                self._pending_requests[fingerprint] = traits
         self._record_end(end)
 
-    def answered(self, fingerprint: str) -> None:
-        """Record that a request was answered completely."""
-        was_quarantined = self._quarantine.contains(fingerprint)
-        if not self._quarantine.answered(fingerprint):
+    def answered(self, fingerprint: str, blocks: Sequence[str] = ()) -> None:
+        """Record that a request was answered completely, and the traits that this clears."""
+        released = self._quarantine.entries_for(fingerprint, blocks)
+        cleared = self._quarantine.answered(fingerprint, blocks)
+        if not cleared:
             return
         self._state.log.change(
-            "request cleared", fingerprint=fingerprint, was_quarantined=was_quarantined
+            "request cleared",
+            fingerprint=fingerprint,
+            cleared=cleared[:MAX_LOGGED_FINGERPRINTS],
+            was_quarantined=bool(released),
         )
-        if was_quarantined:
-            self._removals.append(fingerprint)
+        if released:
+            self._removals += released
             self._decision_event.set()
-        self._pending.cleared.append(fingerprint)
+        self._pending.cleared.extend(cleared)
         self._pending_event.set()
 
     def receive(self, evidence: Evidence) -> None:
@@ -155,6 +181,9 @@
                 self._log_quarantined(request, "endpoints ended under it")
                 self._pending.quarantined.append(request)
                 self._decision_event.set()
+            if self._pending_requests:
+                requests, self._pending_requests = self._pending_requests, {}
+                self._on_requests(InterruptedRequests(requests))
             if any(self._pending):
                 news, self._pending = self._pending, Evidence([], [], [])
                 self._on_evidence(news)
@@ -183,7 +212,7 @@
     async def _remove_rows(self) -> None:
         # Every router sees an entry evicted, so its owner removes the row; only this router has
         # seen the answers in `_removals`.
-        evicted, self._quarantine.evicted = self._quarantine.evicted, []
+        evicted = self._quarantine.take_evicted()
         due = self._removals + [one for one in evicted if self._owns_row(one)]
         # Reset before the first call: more answers may arrive during the calls.
         self._removals = []
--- a/packages/gateway/src/tamarack_gateway/request_quarantine.py
+++ b/packages/gateway/src/tamarack_gateway/request_quarantine.py
@@ -8,7 +8,8 @@
 from tamarack_core.endpoint_registry import Endpoint, EndpointIncarnation
 from tamarack_core.fingerprint import fingerprint
 from tamarack_core.quarantine import FREE, Handling, Treatment
-from tamarack_core.termination_evidence import InterruptedRequest
+from tamarack_core.request_traits import block_traits
+from tamarack_core.termination_evidence import InterruptedRequest, InterruptedTraits
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.http_messages import Request
 from tamarack_gateway.quarantine_feed import QuarantineFeed
@@ -49,8 +50,9 @@
         self._host = facts.host
         self._attempt = facts.attempt
         self._workspace = workspace
-        self._blocks = facts.prompt.shared_names if facts.prompt is not None else ()
+        self._block_names = facts.prompt.shared_names if facts.prompt is not None else ()
         self._handling = FREE
+        self._isolated_for = ""
         self._isolated_at: EndpointIncarnation | None = None
 
     @cached_property
@@ -61,6 +63,11 @@
             self._workspace, self._host, request.method, request.target, request.body
         )
 
+    @cached_property
+    def blocks(self) -> tuple[str, ...]:
+        """Traits of the shared prefix blocks of its prompt."""
+        return block_traits(self._block_names)
+
     def current_handling(self) -> Handling:
         """Treatment of the request now; checked before each send and after each wait."""
         if self._handling.treatment is Treatment.TRIAL:
@@ -70,7 +77,7 @@
         if self._quarantine.watching:
             now_ms = self._state.clock.now_ms
             self._handling = self._quarantine.treatment_of(
-                self.fingerprint, self._workspace or "", now_ms
+                self.fingerprint, self._workspace or "", now_ms, self.blocks
             )
         return self._handling
 
@@ -79,27 +86,35 @@
         if self._handling.treatment not in (Treatment.ISOLATED, Treatment.TRIAL) or not endpoints:
             return endpoints
         key = self._quarantine.choose_endpoint(
-            self.fingerprint, [endpoint.key for endpoint in endpoints]
+            self._handling.suspects, [endpoint.key for endpoint in endpoints]
         )
         return [endpoint for endpoint in endpoints if endpoint.key == key]
 
     def sent(self, endpoint: Endpoint) -> None:
         """Record that the request is sent to an endpoint."""
+        self._isolated_for = ""
         if self._handling.treatment in (Treatment.ISOLATED, Treatment.TRIAL):
-            self._isolated_at = endpoint.key
-            self._quarantine.begun(self.fingerprint, endpoint.key)
+            self._isolated_for, self._isolated_at = self._handling.suspects, endpoint.key
+            self._quarantine.begun(self._isolated_for, endpoint.key)
         self._handling = FREE
 
     def ended(self) -> None:
         """Record the end of a send, whatever its result; called once for each `sent`."""
         if self._isolated_at is not None:
-            self._quarantine.finished(self.fingerprint, self._isolated_at)
+            self._quarantine.finished(self._isolated_for, self._isolated_at)
             self._isolated_at = None
 
-    def answered(self) -> None:
-        """Record that an endpoint answered with any status and did not crash."""
+    def answered(self, *, generated: bool) -> None:
+        """Record that an endpoint answered with any status and did not crash.
+
+        Parameters
+        ----------
+        generated
+            Whether the answer is a success: an endpoint may fail a request without using its
+            prompt.
+        """
         if self._quarantine.watching:
-            self._feed.answered(self.fingerprint)
+            self._feed.answered(self.fingerprint, self.blocks if generated else ())
 
     async def lost(self, endpoint: Endpoint, running_ms: float | None, sent_ms: float) -> bool:
         """Record that an answer broke off; returns whether its endpoint has terminated.
@@ -112,6 +127,8 @@
             Time at which the request was sent to the endpoint.
         """
         early = running_ms is None or running_ms < EARLY_MS
+        traits = InterruptedTraits(self.blocks, self._isolated_for)
+        self._feed.record_traits(self.fingerprint, traits)
         aboard = InterruptedRequest(self.fingerprint, self._workspace or "", early)
         ended = await self._detector.lost(endpoint, aboard, sent_ms)
         self._state.log.request(
@@ -120,7 +137,7 @@
             endpoint=endpoint.name,
             ended=ended,
             fingerprint=self.fingerprint,
-            blocks=self._blocks[:MAX_LOGGED_BLOCKS],
+            blocks=self._block_names[:MAX_LOGGED_BLOCKS],
             sent_ms_ago=round(self._state.clock.now_ms - sent_ms),
             running_ms=running_ms and round(running_ms),
         )
@@ -133,5 +150,6 @@
             self._attempt,
             reason="endpoints ended under it",
             fingerprint=self.fingerprint,
+            entry=self._handling.suspects,
             sends=sends,
         )
--- a/tests/test_prompt_parts_that_crash_endpoints.py
+++ b/tests/test_prompt_parts_that_crash_endpoints.py
@@ -167,6 +167,7 @@
             crashes = len(pool.ended_s)
             last_s = pool.ended_s[min(KNOWN_CRASHES, crashes) - 1]
             served = load.served_after(last_s + 2 * CONTACT_S)
+            print(f"{name}: {crashes} crashes, {late} late, {served:.2f} served")
             assert late <= MAX_LATE, f"{crashes} crashes, {late} late, {served:.2f} served"
             assert served >= LEAST_SERVED, f"{crashes} crashes, {late} late, {served:.2f} served"
 
