Take an unframed stream that ends inside an event for lost with its endpoint

Callers saw engines crash on and on under one prompt part whose answers come without length or chunks. Cause: the end of such an answer is the end of its connection, so that a crash in the middle of an event was a malformed answer of a sound endpoint: no look at the endpoint followed, and the crash was evidence for nothing. Change: a stream without chunks that ends inside an event is a lost connection; whether the endpoint terminated is looked up as for any other. With chunks it stays a malformed answer.

--- a/packages/gateway/src/tamarack_gateway/endpoint_connection.py
+++ b/packages/gateway/src/tamarack_gateway/endpoint_connection.py
@@ -233,8 +233,7 @@
 
     def _handle_early_close(self, exc: Exception | None) -> None:
         head = self._head
-        unframed = head is not None and head.length is None and not head.chunked
-        if unframed and exc is None and self._error is None:
+        if head is not None and head.unframed and exc is None and self._error is None:
             # Only an orderly close marks the end of a body without a length; after a reset, bytes
             # may be missing.
             self._complete = True
--- a/packages/gateway/src/tamarack_gateway/event_relay.py
+++ b/packages/gateway/src/tamarack_gateway/event_relay.py
@@ -7,7 +7,11 @@
 from tamarack_core.clock import Clock
 from tamarack_gateway.caller_answer import CallerAnswer
 from tamarack_gateway.caller_connection import CallerConnection
-from tamarack_gateway.endpoint_connection import BrokenAnswerError, EndpointConnection
+from tamarack_gateway.endpoint_connection import (
+    BrokenAnswerError,
+    ConnectionLostError,
+    EndpointConnection,
+)
 from tamarack_gateway.event_splitter import EventSplitter
 from tamarack_gateway.http_messages import AnswerHead
 
@@ -66,7 +70,9 @@
     def end(self) -> None:
         """End the caller's answer; raises `BrokenAnswerError` if the last event is incomplete."""
         if self._splitter.rest:
-            raise BrokenAnswerError("the stream ends inside an event")
+            # Without chunks, a crash of the endpoint looks like the end of the answer.
+            error = ConnectionLostError if self._head.unframed else BrokenAnswerError
+            raise error("the stream ends inside an event")
         if not self._caller.begun:
             self._answer.pass_on(self._head, [])
         self._caller.end()
--- a/packages/gateway/src/tamarack_gateway/http_messages.py
+++ b/packages/gateway/src/tamarack_gateway/http_messages.py
@@ -68,6 +68,11 @@
     length: int | None
     chunked: bool
 
+    @property
+    def unframed(self) -> bool:
+        """Whether only the close of the connection delimits the body."""
+        return self.length is None and not self.chunked
+
     def header(self, name: bytes) -> bytes | None:
         """Value of the first header of that name."""
         return _first(self.headers, name)
