Look at the endpoint when an answer without length or chunks ends

Callers could be told the beginning of an answer as the whole of it: where an engine crashes between two events, or before the first, its connection closes as at the end. Such answers also cleared the prompt part under which the engine had crashed. Cause: an orderly close was taken for the end of any answer without length or chunks. Change: at that end the endpoint is looked at, with the check that confirms terminations: nothing if an idle connection to it is open, else a new connection, which is kept for the next request. If it is refused, the answer is lost with its endpoint. A stream that ends before its first event is lost in any case. One that closes new connections may be full, and its answer counts.

--- a/packages/gateway/src/tamarack_gateway/event_relay.py
+++ b/packages/gateway/src/tamarack_gateway/event_relay.py
@@ -73,6 +73,8 @@
             # Without chunks, a crash of the endpoint looks like the end of the answer.
             error = ConnectionLostError if self._head.unframed else BrokenAnswerError
             raise error("the stream ends inside an event")
+        if self._head.unframed and self._splitter.last is None:
+            raise ConnectionLostError("the stream ends before its first event")
         if not self._caller.begun:
             self._answer.pass_on(self._head, [])
         self._caller.end()
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -313,6 +313,7 @@
         body = await connection.body()
         if head.length is not None and len(body) != head.length:
             raise BrokenAnswerError("the body is not whole")
+        await self._request_quarantine.check_end(choice.endpoint, head)
         self._duration_estimate.answered(self._state.clock.now_ms - sent_ms)
         self._caller.answer(head.status, self._dialect.for_caller(head), body)
         return Result(SendOutcome.DONE)
@@ -331,6 +332,7 @@
             connection, self._caller, self._answer, head, self._splitter, clock, on_first_event
         )
         await self._timeouts.whole(relay, choice, self._sends)
+        await self._request_quarantine.check_end(choice.endpoint, head)
         relay.end()
         if relay.first_ms is not None:
             self._duration_estimate.streamed(clock.now_ms - relay.first_ms, resumed_after)
--- a/packages/gateway/src/tamarack_gateway/request_quarantine.py
+++ b/packages/gateway/src/tamarack_gateway/request_quarantine.py
@@ -10,8 +10,9 @@
 from tamarack_core.quarantine import FREE, Handling, Treatment
 from tamarack_core.request_traits import block_traits
 from tamarack_core.termination_evidence import InterruptedRequest, InterruptedTraits
+from tamarack_gateway.endpoint_connection import ConnectionLostError
 from tamarack_gateway.fleet_state import FleetState
-from tamarack_gateway.http_messages import Request
+from tamarack_gateway.http_messages import AnswerHead, Request
 from tamarack_gateway.quarantine_feed import QuarantineFeed
 from tamarack_gateway.site import RequestFacts
 from tamarack_gateway.termination_detector import TerminationDetector
@@ -143,6 +144,14 @@
         )
         return ended
 
+    async def check_end(self, endpoint: Endpoint, head: AnswerHead) -> None:
+        """Raise `ConnectionLostError` if an answer ended with its endpoint and not by itself.
+
+        Only an answer without length or chunks leaves that open.
+        """
+        if head.unframed and await self._detector.has_ended(endpoint):
+            raise ConnectionLostError("the endpoint terminated as the answer ended")
+
     def refused(self, sends: int) -> None:
         """Log that the quarantine rejects the request, before its first send or a retry."""
         self._state.log.request(
--- a/packages/gateway/src/tamarack_gateway/termination_detector.py
+++ b/packages/gateway/src/tamarack_gateway/termination_detector.py
@@ -152,6 +152,14 @@
         check.lost.append(_BrokenAnswer(aboard, now_ms, sent_ms))
         return await asyncio.shield(check.task)
 
+    async def has_ended(self, endpoint: Endpoint) -> bool:
+        """Whether an endpoint refuses connections just after an answer of it ended.
+
+        An endpoint that closes a new connection may be full, and is not taken for ended.
+        """
+        check = self._checks.get(endpoint.key) or self._begin(endpoint, self._state.clock.now_ms)
+        return await asyncio.shield(check.task) and check.refused
+
     async def close(self) -> None:
         """Cancel all checks."""
         tasks = [check.task for check in self._checks.values()]
