Convict no repeated request for a block that it ran beside

Cause: requests with one bad block are new each time, so that the repeated request was the only one whose own fingerprint was suspected at a third crash. Change: a request is convicted as the only suspect if no other request there has suspected traits, or a block that was present at a crash before, that it lacks.

--- a/packages/core/src/tamarack_core/quarantine.py
+++ b/packages/core/src/tamarack_core/quarantine.py
@@ -330,8 +330,9 @@
             return [request for name in known for request in self._trial_failed(name, now_ms)]
         early = {f for f, is_early in end.aboard.items() if is_early} or set(end.aboard)
         before = {f: self._suspected(traits[f], f) - end.cleared for f in early}
+        rivals = {t for f in early for t in traits[f] if self._is_rival(t)} - end.cleared
         self._evidence.add_weight(end, early)
-        culprits = frozenset() if end.together else self._sole_culprits(before)
+        culprits = frozenset() if end.together else self._sole_culprits(before, rivals)
         if culprits:
             return [self._quarantine(culprits, now_ms)]
         certain = {self._certain(traits[f], f) for f in early}
@@ -349,20 +350,30 @@
         least = CERTAINTY_FACTOR * self._bounds.ends
         return frozenset(t for t in traits if self._weight(t, workspace) >= least)
 
-    def _sole_culprits(self, suspected: Mapping[str, frozenset[str]]) -> frozenset[str]:
+    def _is_rival(self, trait: str) -> bool:
+        return is_block(trait) and self._evidence.weight(trait) >= 1.0
+
+    def _sole_culprits(
+        self, suspected: Mapping[str, frozenset[str]], rivals: set[str]
+    ) -> frozenset[str]:
         """Traits that explain a crash alone; empty if others may have caused it.
 
         Parameters
         ----------
         suspected
             Suspected traits of each interrupted request, by its fingerprint.
+        rivals
+            Blocks of these requests that were present at a crash before.
         """
+        sets = {traits for traits in suspected.values() if traits}
         requests = {f for f, traits in suspected.items() if f in traits}
         if len(requests) == 1:
-            culprits = self._heavy(requests)
-            if culprits:
-                return culprits
-        sets = {traits for traits in suspected.values() if traits}
+            # Requests with one bad block are new each time, and only their block is known.
+            own = self._evidence.traits_of(min(requests))
+            if rivals.issubset(own) and all(traits.issubset(own) for traits in sets):
+                culprits = self._heavy(requests)
+                if culprits:
+                    return culprits
         isolated = any(self._evidence.isolated_for(fingerprint) for fingerprint in suspected)
         # What runs with a block by chance is separated from it only by an isolated endpoint.
         return self._heavy(sets.pop()) if len(sets) == 1 and isolated else frozenset()
--- /dev/null
+++ b/tests/test_quarantined_blocks.py
@@ -0,0 +1,170 @@
+"""Quarantine of prefix blocks, step by step."""
+
+from __future__ import annotations
+
+import pytest
+
+from tamarack_core.crash_evidence import DECISION_DELAY_MS
+from tamarack_core.quarantine import Quarantine, Treatment
+from tamarack_core.request_traits import MOST_BLOCKS, block_trait, block_traits, combined, traits_in
+from tamarack_core.termination_evidence import InterruptedRequest, InterruptedTraits, Termination
+
+FIRST, BAD, OTHER = "block-f", "block-bad", "block-other"
+
+
+class Steps:
+    """A quarantine whose crashes are decided at once; each request has a new fingerprint."""
+
+    def __init__(self) -> None:
+        self.now_ms = 1_000.0
+        self.quarantine = Quarantine(lambda name: True)
+        self._number = 0
+
+    def crash(self, *requests: tuple[str, ...], together: bool = False) -> list[str]:
+        """Crash an endpoint under new requests with the given blocks; returns the decisions."""
+        aboard = [(self._new(), blocks) for blocks in requests]
+        return self.crash_under(aboard, together=together)
+
+    def crash_under(
+        self, aboard: list[tuple[str, tuple[str, ...]]], *, together: bool = False
+    ) -> list[str]:
+        """The same under requests with given fingerprints."""
+        quarantine = self.quarantine
+        traits = {
+            name: InterruptedTraits(
+                blocks, quarantine.treatment_of(name, "shop", self.now_ms, blocks).suspects
+            )
+            for name, blocks in aboard
+        }
+        quarantine.record_requests(traits, self.now_ms)
+        self._number += 1
+        interrupted = [InterruptedRequest(name, "shop", True) for name, _ in aboard]
+        end = Termination(f"e{self._number}", self._number, together, interrupted)
+        quarantine.ended(end, self.now_ms)
+        self.now_ms += DECISION_DELAY_MS
+        return [decision.fingerprint for decision in quarantine.decide_due(self.now_ms)]
+
+    def answer(self, *blocks: str) -> list[str]:
+        return self.quarantine.answered(self._new(), blocks)
+
+    def treatment_of(self, *blocks: str) -> Treatment:
+        return self.quarantine.treatment_of(self._new(), "shop", self.now_ms, blocks).treatment
+
+    def _new(self) -> str:
+        self._number += 1
+        return f"{self._number:024x}"
+
+
+def test_a_block_is_quarantined_by_its_fifth_crash_and_others_are_free() -> None:
+    steps = Steps()
+    for _ in range(4):
+        assert steps.crash((FIRST, BAD)) == []
+        steps.answer(FIRST, OTHER)
+    assert steps.crash((FIRST, BAD)) == [BAD]
+    assert steps.treatment_of(BAD) is Treatment.QUARANTINED
+    assert steps.treatment_of(OTHER, BAD) is Treatment.QUARANTINED
+    assert steps.treatment_of(FIRST, OTHER) is Treatment.FREE
+
+
+def test_blocks_that_come_together_are_refused_only_together_until_they_are_told_apart() -> None:
+    """Failure: all requests of a workspace are refused, as they share a block with the culprit."""
+    steps = Steps()
+    decisions = [steps.crash((FIRST, BAD)) for _ in range(5)]
+    both = combined([FIRST, BAD])
+    assert decisions == [[], [], [], [], [both]]
+    assert steps.treatment_of(FIRST, BAD) is Treatment.QUARANTINED
+    assert steps.treatment_of(FIRST) is Treatment.ISOLATED
+    assert steps.answer(FIRST) == [FIRST]
+    assert steps.treatment_of(FIRST) is Treatment.FREE
+    assert steps.crash((OTHER, BAD)) == [BAD]
+    # The entry of one block includes those of combinations with it.
+    assert [entry.fingerprint for entry in steps.quarantine.entries(steps.now_ms)] == [BAD]
+    assert steps.quarantine.take_evicted() == [both]
+
+
+def test_requests_with_a_part_of_the_suspected_blocks_run_at_another_endpoint() -> None:
+    steps = Steps()
+    for _ in range(2):
+        steps.crash((FIRST, BAD))
+    handlings = {
+        steps.quarantine.treatment_of("x", "shop", steps.now_ms, blocks).suspects
+        for blocks in ((FIRST, BAD), (FIRST, BAD, OTHER), (FIRST, OTHER), (BAD,))
+    }
+    assert handlings == {combined([FIRST, BAD]), FIRST, BAD}
+
+
+def test_an_answer_clears_a_block_from_an_undecided_crash() -> None:
+    steps = Steps()
+    end = Termination("e", 1, False, [InterruptedRequest("r", "shop", True)])
+    steps.quarantine.record_requests({"r": InterruptedTraits((FIRST, BAD))}, steps.now_ms)
+    steps.quarantine.ended(end, steps.now_ms)
+    assert steps.answer(FIRST) == [FIRST]
+    # A second router reports the same crash after the answer.
+    steps.quarantine.ended(end, steps.now_ms)
+    steps.quarantine.decide_due(steps.now_ms + DECISION_DELAY_MS)
+    assert {reading.fingerprint for reading in steps.quarantine.suspects(9)} == {"r", BAD}
+
+
+def test_traits_that_arrive_after_the_crash_still_count() -> None:
+    steps = Steps()
+    end = Termination("e", 1, False, [InterruptedRequest("r", "shop", True)])
+    steps.quarantine.ended(end, steps.now_ms)
+    steps.quarantine.record_requests({"r": InterruptedTraits((BAD,))}, steps.now_ms)
+    steps.quarantine.decide_due(steps.now_ms + DECISION_DELAY_MS)
+    assert {reading.fingerprint for reading in steps.quarantine.suspects(9)} == {"r", BAD}
+
+
+def test_an_answer_of_all_its_blocks_releases_a_combination() -> None:
+    steps = Steps()
+    for _ in range(5):
+        steps.crash((FIRST, BAD))
+    assert combined([FIRST, BAD]) in steps.answer(FIRST, BAD, OTHER)
+    assert steps.treatment_of(FIRST, BAD) is Treatment.FREE
+
+
+def test_a_repeated_request_is_not_quarantined_for_a_block_that_it_ran_beside() -> None:
+    """Failure: a popular request is refused, as it met crashes of requests that are new each time.
+
+    Only their block has been seen before; the request's own fingerprint is the only suspected one.
+    """
+    steps = Steps()
+    popular = ("a" * 24, (OTHER,))
+    steps.crash((BAD,))
+    for number in range(3):
+        assert steps.crash_under([popular, (f"{number:024d}", (BAD,))]) == []
+        steps.answer(OTHER)
+
+
+def test_a_repeated_request_that_crashes_endpoints_is_quarantined_without_its_blocks() -> None:
+    steps = Steps()
+    repeated = ("a" * 24, (FIRST, OTHER))
+    decisions = [steps.crash_under([repeated]) for _ in range(3)]
+    assert decisions == [[], [], [repeated[0]]]
+    assert steps.treatment_of(FIRST, OTHER) is not Treatment.QUARANTINED
+
+
+@pytest.mark.parametrize("endpoints", [4, 40])
+def test_a_failure_of_instances_holds_back_no_block(endpoints: int) -> None:
+    """Failure: requests wait for a decision after half of the endpoints failed at once."""
+    steps = Steps()
+    for number in range(endpoints):
+        name = f"{number:024x}"
+        steps.quarantine.record_requests({name: InterruptedTraits((FIRST,))}, steps.now_ms)
+        end = Termination(f"e{number}", 1, True, [InterruptedRequest(name, "shop", True)])
+        steps.quarantine.ended(end, steps.now_ms)
+    assert steps.treatment_of(FIRST) is Treatment.FREE
+    steps.answer(FIRST)
+    assert steps.quarantine.decide_due(steps.now_ms + DECISION_DELAY_MS) == []
+    assert steps.treatment_of(FIRST) is Treatment.FREE
+
+
+def test_traits_of_blocks_are_short_whatever_a_caller_names() -> None:
+    """Failure: a block's name does not fit into the key of a row, or is taken for two traits."""
+    names = ["5c1e07a2", "x" * 10_000, "a+b", "", "\xe9"]
+    traits = block_traits([*names, *map(str, range(100))])
+    assert len(traits) == len(set(traits)) == MOST_BLOCKS
+    assert traits[0] == "block-5c1e07a2"
+    assert all(len(trait) <= 26 and "+" not in trait for trait in traits)
+    assert len(combined(traits)) <= 200
+    assert traits_in(combined(traits[:2])) == set(traits[:2])
+    assert block_trait("a+b") != block_trait("a-b")
