Play prompt parts that crash workers, and unframed answers, in the soak

Cause: the soak knew requests that crash workers only as whole ones, and no answers without length or chunks; its callers named prefix blocks that are not hexadecimal, which the interface does not allow. Change: two blocks crash any worker, in requests that are new each time, after no event, two, or a part of the next one, framed or not; a tenth of the good answers have neither a length nor chunks. Callers name hexadecimal blocks.

--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -5,8 +5,8 @@
 proxies; the store stops responding, refuses calls, loses answers, drops its history and returns to
 a copy of itself; workers fail in every scripted way, request rest, leave, are replaced, also by
 other software versions, and restart under their names; a zone's workers return cold together; zones
-are evacuated and restored; requests crash the workers that run them; keys are revoked; rows are
-overwritten with invalid values.
+are evacuated and restored; requests, and blocks of their prompts, crash the workers that run them;
+keys are revoked; rows are overwritten with invalid values.
 Meanwhile, callers and workers check the promises.
 """
 
@@ -192,7 +192,8 @@
             address = self._routers.address(number % self._count)
             with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
                 async with asyncio.timeout(ANSWER_S):
-                    await self._calls.call(request.path, self._key, [address], request.body)
+                    body = request.body + (b" %d" % number if request.blocks else b"")
+                    await self._calls.call(request.path, self._key, [address], body, request.blocks)
 
     def _fault_free_s(self) -> float:
         return 0.0 if self._active_faults else time.monotonic() - self._last_fault_s
--- a/packages/standins/src/tamarack_standins/soak_callers.py
+++ b/packages/standins/src/tamarack_standins/soak_callers.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from tamarack_standins.platform_worker import SIGNATURE
-from tamarack_standins.soak_crashes import FATAL_BODIES
+from tamarack_standins.soak_crashes import FATAL_PREFIX
 
 HOST = "soak.example"
 ANSWER_S = 8.0
@@ -66,8 +66,17 @@
         self.answered_not_run: set[str] = set()
         self.on_leaving: Callable[[str, str], None] = lambda router, worker: None
 
-    async def call(self, path: str, key: str, addresses: Sequence[str], body: bytes) -> None:
-        """Send a request to the first router; take a broken stream up at the others in turn."""
+    async def call(
+        self, path: str, key: str, addresses: Sequence[str], body: bytes, blocks: str = ""
+    ) -> None:
+        """Send a request to the first router; take a broken stream up at the others in turn.
+
+        Parameters
+        ----------
+        blocks
+            Shared prefix blocks of its prompt; empty for a random one.
+        """
+        blocks = blocks or f"a{self._random.randrange(9)}:200"
         stream = _Stream()
         for address in addresses:
             attempt = f"a{len(self.sent)}"
@@ -77,7 +86,7 @@
                 self._counts["streams taken up"] += 1
                 await asyncio.sleep(self._random.uniform(*TAKE_UP_PAUSE_S))
             try:
-                await self._send(attempt, body, stream)
+                await self._send(attempt, body, stream, blocks)
                 return
             except (OSError, asyncio.IncompleteReadError):
                 if not (stream.events and STREAMS.get(path)):
@@ -87,7 +96,7 @@
                 self._counts["streams gone on"] += 0 < before < len(stream.events)
                 self._check_versions(attempt, stream)
 
-    async def _send(self, attempt: str, body: bytes, stream: _Stream) -> None:
+    async def _send(self, attempt: str, body: bytes, stream: _Stream, blocks: str) -> None:
         path, key, _, address = self.sent[attempt]
         host, _, port = address.partition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
@@ -95,7 +104,7 @@
         lines += ["X-Deadline-Ms: 2500", f"Content-Length: {len(body)}"]
         if path in STREAMS:
             lines += [f"Authorization: Token {key}", "X-Model: m", "X-Token-Usage: 300,40"]
-            lines.append(f"X-Prompt-Prefix: s{self._random.randrange(9)}:200,o{attempt}:100")
+            lines.append(f"X-Prompt-Prefix: {blocks},{len(self.sent):x}:100")
         if stream.events:
             lines += [f"Resumes: {stream.first}", f"Last-Event-Id: {len(stream.events)}"]
         try:
@@ -115,7 +124,7 @@
         if "server-leaving: 1" in head and f"{SIGNATURE}." in head:
             worker = head.split(f"{SIGNATURE}.")[1].split("\r")[0]
             self.on_leaving(self.sent[attempt].router, worker)
-        if "content-type: text/plain" in head and sent not in FATAL_BODIES:
+        if "content-type: text/plain" in head and not sent.startswith(FATAL_PREFIX):
             self._counts["others quarantined"] += 1
         if status != 200:
             return
--- a/packages/standins/src/tamarack_standins/soak_worker.py
+++ b/packages/standins/src/tamarack_standins/soak_worker.py
@@ -12,7 +12,7 @@
     ReceivedRequest,
     Script,
 )
-from tamarack_standins.soak_crashes import FATAL_BODIES
+from tamarack_standins.soak_crashes import FATAL_BLOCKS, FATAL_BODIES, FATAL_SCRIPTS
 
 INCARNATION_STEP_MS = 1_000
 """Milliseconds between the start times of two incarnations of a worker."""
@@ -21,6 +21,9 @@
 """Longest time in seconds between events of streams that may be taken up: many should be under way
 when a router ends."""
 
+UNFRAMED_PROBABILITY = 0.1
+"""Probability that an answer has neither a length nor chunks."""
+
 REST_PROBABILITY = 0.7
 REST_S = (0.8, 2.5)
 """Probability that a rejection requests rest, and the range of its seconds."""
@@ -72,6 +75,10 @@
         self.failure_probability = 0.0
         self.overloaded = False
         self.fatal = FATAL_BODIES
+        if streams:
+            incarnation = (life - BORN_MS) // INCARNATION_STEP_MS
+            self.fatal_blocks = FATAL_BLOCKS
+            self.fatal_script = FATAL_SCRIPTS[incarnation % len(FATAL_SCRIPTS)]
         self.on_arrival: Callable[[SoakWorker, ReceivedRequest], None] = _ignore
         self.on_rest: Callable[[str, ReceivedRequest, float], None] = _ignore_rest
 
@@ -94,7 +101,8 @@
         self.on_arrival(self, received)
         first = int(received.headers.get("last-event-id", "0")) + 1
         events = rng.randint(first, first + 7) if self._streams else None
-        good = Script(echo=True, events=events, pause_s=rng.random() * 0.02)
+        unframed = rng.random() < UNFRAMED_PROBABILITY
+        good = Script(echo=True, events=events, pause_s=rng.random() * 0.02, unframed=unframed)
         if self._streams:
             resumable = received.target.startswith("/draft/")
             pause_s = rng.random() * EVENT_PAUSE_S if resumable else 0.0
--- a/packages/standins/src/tamarack_standins/soak_workers.py
+++ b/packages/standins/src/tamarack_standins/soak_workers.py
@@ -100,7 +100,7 @@
         await self.publish(service, worker, link)
 
     async def _start_worker(self, worker: SoakWorker) -> None:
-        worker.on_fatal = self._ends.arrived
+        worker.on_fatal = lambda culprit: self._ends.arrived(culprit, worker)
         worker.on_end = lambda: self._restart_later(worker)
         worker.on_arrival = self._check_arrival
         worker.on_rest = self._notices.requested_rest
