Count crashes during warm-up against requests that were isolated

Callers would see a bad prompt part crash engines for as long as those that come back are warming up. Cause: a crash during a warm-up, or within a second after it, was evidence against nobody, as too many requests may have caused it; where all endpoints are back from a crash, no crash counted. Change: requests that had been isolated there for suspected traits still count; they had been at crashes of warm endpoints before. Figures: test_a_crash_during_warm_up_is_evidence_only_against_isolated_requests is new (before the change nothing is suspected there).

--- a/packages/core/src/tamarack_core/quarantine.py
+++ b/packages/core/src/tamarack_core/quarantine.py
@@ -131,6 +131,10 @@
         """Traits of an interrupted request; None if unknown."""
         return self._evidence.interrupted(fingerprint)
 
+    def was_isolated(self, fingerprint: str) -> bool:
+        """Whether an interrupted request had been isolated for suspected traits."""
+        return bool(self._evidence.isolated_for(fingerprint))
+
     def ended(self, end: Termination, now_ms: float) -> None:
         """Record a crash reported by a router; several routers may report the same one."""
         self._evidence.record(end, now_ms)
--- a/packages/gateway/src/tamarack_gateway/quarantine_feed.py
+++ b/packages/gateway/src/tamarack_gateway/quarantine_feed.py
@@ -246,8 +246,10 @@
     def _record_end(self, end: Termination) -> None:
         now_ms = self._state.clock.now_ms
         if self._state.warm_ups.warmed_within(end.key, WARM_UP_CRASH_MS, now_ms):
-            # It may have crashed because it got too many requests, whichever they were.
-            end = end._replace(aboard=[])
+            # It may have crashed because it got too many requests, whichever they were. Those that
+            # were isolated had been at crashes before.
+            isolated = [r for r in end.aboard if self._quarantine.was_isolated(r.fingerprint)]
+            end = end._replace(aboard=isolated)
         self._quarantine.ended(end, self._state.clock.now_ms)
         self._state.terminations.record(end.key, refused=end.refused)
         self._pending_event.set()
--- a/tests/test_quarantine_feed.py
+++ b/tests/test_quarantine_feed.py
@@ -6,7 +6,12 @@
 
 from test_foreign_rows_fuzz import Feeds
 
-from tamarack_core.termination_evidence import QuarantinedRequest
+from tamarack_core.termination_evidence import (
+    InterruptedRequest,
+    InterruptedTraits,
+    QuarantinedRequest,
+    Termination,
+)
 from tamarack_gateway.quarantine_feed import TAKEOVER_MS, QuarantineFeed
 
 ROUTERS = 195
@@ -76,3 +81,25 @@
         assert removed == ["f1", "f2"]
 
     asyncio.run(run())
+
+
+def test_a_crash_during_warm_up_is_evidence_only_against_isolated_requests() -> None:
+    """Failure: a block crashes endpoints for good, as those that came back are always warming up.
+
+    A warming endpoint may also crash under too many requests, which blames none of them.
+    """
+    state = Feeds().state
+    state.warm_ups.warmed_within = lambda key, span_ms, now_ms: True  # type: ignore[method-assign]
+
+    async def write(key: str, value: bytes | None) -> bool:
+        return True
+
+    feed = QuarantineFeed(
+        state, on_evidence=lambda evidence: None, owns_row=lambda key: False, write=write
+    )
+    feed.record_traits("isolated", InterruptedTraits(("block-bad",), "block-bad"))
+    feed.record_traits("free", InterruptedTraits(("block-other",)))
+    aboard = [InterruptedRequest(name, "shop", True) for name in ("isolated", "free")]
+    feed.record_termination(Termination("e1", 1, False, aboard))
+    suspects = {reading.fingerprint for reading in state.quarantine.suspects(9)}
+    assert suspects == {"isolated", "block-bad"}
