Split the search for culprits from the quarantine's table of entries

Cause: the quarantine's module had grown to 412 lines with two jobs: handling requests, and finding what explains a crash. Change: culprit_search has the second one, as it was. No behaviour changes.

--- a/packages/core/src/tamarack_core/quarantine.py
+++ b/packages/core/src/tamarack_core/quarantine.py
@@ -19,11 +19,12 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from enum import Enum
 from typing import NamedTuple
 
 from tamarack_core.crash_evidence import CrashEvidence
+from tamarack_core.culprit_search import CulpritSearch
 from tamarack_core.endpoint_registry import EndpointIncarnation
 from tamarack_core.quarantine_entries import QuarantineEntries
 from tamarack_core.quarantine_records import (
@@ -37,19 +38,6 @@
 from tamarack_core.request_traits import combined, is_block
 from tamarack_core.termination_evidence import InterruptedTraits, QuarantinedRequest, Termination
 
-ISOLATION_WEIGHT = 2.0
-"""Weight of crashes from which requests with a trait are isolated. With one, every request
-interrupted by a crash would be isolated."""
-
-MORE_BLOCK_ENDS = 2
-"""Crashes that a prefix block needs beyond those of a request: a whole request that crashes
-endpoints is isolated from its blocks by its second one, and a wrong decision refuses all that share
-the block."""
-
-CERTAINTY_FACTOR = 2.0
-"""Multiple of `QuarantineBounds.ends` from which traits are quarantined whatever ran with them:
-suspects that always run together, or crashes that always coincide, must not delay it forever."""
-
 MANY_QUARANTINED = 8
 """Quarantined entries of one workspace from which its other requests are isolated before their
 first crash: many different harmful requests must not cost three endpoints each."""
@@ -108,6 +96,7 @@
         self._bounds = bounds
         self._evidence = CrashEvidence()
         self._entries = QuarantineEntries()
+        self._search = CulpritSearch(self._evidence, bounds, has_many=self._has_many)
         self._running: dict[EndpointIncarnation, Counter[str]] = {}
         self.refused = 0
 
@@ -237,7 +226,7 @@
         entries = self._entries.matching(traits)
         if entries:
             return self._treat_entries(entries, now_ms)
-        weights = self._weights(traits, workspace)
+        weights = self._search.suspected_now(traits, workspace)
         if not weights:
             return FREE
         evidence = self._evidence
@@ -304,14 +293,8 @@
     def _runs(self, suspects: str) -> bool:
         return any(suspects in running for running in self._running.values())
 
-    def _weight(self, trait: str, workspace: str) -> float:
-        many = not is_block(trait) and self._entries.count(workspace) >= MANY_QUARANTINED
-        return self._evidence.weight(trait) + (ISOLATION_WEIGHT if many else 0.0)
-
-    def _weights(self, traits: Sequence[str], workspace: str) -> dict[str, float]:
-        """Weights of the suspected traits, undecided crashes included."""
-        weights = {t: self._weight(t, workspace) + self._evidence.pending(t) for t in traits}
-        return {t: weight for t, weight in weights.items() if weight >= ISOLATION_WEIGHT}
+    def _has_many(self, workspace: str) -> bool:
+        return self._entries.count(workspace) >= MANY_QUARANTINED
 
     def _treat_entries(self, names: list[str], now_ms: float) -> Handling:
         suspects = min(names, key=len)
@@ -332,64 +315,7 @@
         if known:
             # A quarantined request explains the crash; the others are unrelated.
             return [request for name in known for request in self._trial_failed(name, now_ms)]
-        early = {f for f, is_early in end.aboard.items() if is_early} or set(end.aboard)
-        before = {f: self._suspected(traits[f], f) - end.cleared for f in early}
-        rivals = {t for f in early for t in traits[f] if self._is_rival(t)} - end.cleared
-        self._evidence.add_weight(end, early)
-        culprits = frozenset() if end.together else self._sole_culprits(before, rivals)
-        if culprits:
-            return [self._quarantine(culprits, now_ms)]
-        certain = {self._certain(traits[f], f) for f in early}
-        # The larger combination refuses less, and its parts are told apart later.
-        largest = [c for c in certain if c and not any(c < other for other in certain)]
-        return [self._quarantine(c, now_ms) for c in largest]
-
-    def _suspected(self, traits: Sequence[str], fingerprint: str) -> frozenset[str]:
-        workspace = self._evidence.workspace_of(fingerprint)
-        own = {t for t in traits if self._weight(t, workspace) >= ISOLATION_WEIGHT}
-        return frozenset(own.union(self._evidence.isolated_for(fingerprint)))
-
-    def _certain(self, traits: Sequence[str], fingerprint: str) -> frozenset[str]:
-        workspace = self._evidence.workspace_of(fingerprint)
-        least = CERTAINTY_FACTOR * self._bounds.ends
-        return frozenset(t for t in traits if self._weight(t, workspace) >= least)
-
-    def _is_rival(self, trait: str) -> bool:
-        return is_block(trait) and self._evidence.weight(trait) >= 1.0
-
-    def _sole_culprits(
-        self, suspected: Mapping[str, frozenset[str]], rivals: set[str]
-    ) -> frozenset[str]:
-        """Traits that explain a crash alone; empty if others may have caused it.
-
-        Parameters
-        ----------
-        suspected
-            Suspected traits of each interrupted request, by its fingerprint.
-        rivals
-            Blocks of these requests that were present at a crash before.
-        """
-        sets = {traits for traits in suspected.values() if traits}
-        requests = {f for f, traits in suspected.items() if f in traits}
-        if len(requests) == 1:
-            # Requests with one bad block are new each time, and only their block is known.
-            own = self._evidence.traits_of(min(requests))
-            if rivals.issubset(own) and all(traits.issubset(own) for traits in sets):
-                culprits = self._heavy(requests)
-                if culprits:
-                    return culprits
-        isolated = any(self._evidence.isolated_for(fingerprint) for fingerprint in suspected)
-        # What runs with a block by chance is separated from it only by an isolated endpoint.
-        return self._heavy(sets.pop()) if len(sets) == 1 and isolated else frozenset()
-
-    def _heavy(self, traits: Iterable[str]) -> frozenset[str]:
-        workspace_of = self._evidence.workspace_of
-        return frozenset(
-            t for t in traits if self._weight(t, workspace_of(t)) >= self._least_ends(t)
-        )
-
-    def _least_ends(self, trait: str) -> int:
-        return self._bounds.ends + (MORE_BLOCK_ENDS if is_block(trait) else 0)
+        return [self._quarantine(culprits, now_ms) for culprits in self._search.decide(end)]
 
     def _quarantine(self, traits: frozenset[str], now_ms: float) -> QuarantinedRequest:
         # A whole request has the same blocks whenever it is repeated.
