Spare blocks that requests had used for a while when endpoints crash in series

Callers would be refused for minutes with prompts that share nothing with the culprit. Cause: where endpoints crash faster than an answer takes, nothing is answered and cleared, and after six crashes every block that was present is certain to be guilty. Change: a crash counts a quarter for a block that any request there had used for half a second, even beside new ones: a bad block crashes endpoints as the answer begins. Such a block is quarantined only by the crash of an endpoint where it was isolated. Five bad blocks at once before nine endpoints still cost innocents.

--- a/packages/bench/src/tamarack_bench/quarantine_scenarios.py
+++ b/packages/bench/src/tamarack_bench/quarantine_scenarios.py
@@ -43,6 +43,23 @@
     return Reading("quarantine-model", figures)
 
 
+@scenario("quarantine-blocks", "the same with culprits that are blocks of prompts")
+def quarantine_blocks(options: Options) -> Reading:
+    """Simulate one, two and five bad blocks, in a small fleet and in a large one."""
+    large = ModelOptions(routers=195, engines=78, per_s=400.0, message_latency_ms=250.0)
+    figures = {}
+    for size, fleet in (("6_routers", ModelOptions()), ("195_routers", large)):
+        for culprits in (1, 2, 5):
+            model = fleet._replace(blocks=True, culprits=culprits, seconds=25.0)
+            results = _simulate(options, model)
+            case = f"{culprits}_blocks_{size}"
+            figures[f"ends_{case}"] = _mean([result.ends for result in results])
+            figures[f"late_most_{case}"] = float(max(max(r.late_arrivals) for r in results))
+            figures[f"served_least_{case}"] = min(result.served for result in results)
+            figures[f"quarantined_innocents_{case}"] = _mean([r.quarantined for r in results])
+    return Reading("quarantine-blocks", figures)
+
+
 @scenario("quarantine-cost", "microseconds per request, by number of suspects")
 def quarantine_cost(options: Options) -> Reading:
     """Measure with no, few and as many suspects as the table holds; the best of three runs each."""
--- a/packages/core/src/tamarack_core/crash_evidence.py
+++ b/packages/core/src/tamarack_core/crash_evidence.py
@@ -129,12 +129,15 @@
         """Add the weight of a crash to all traits that were present; `early` had only begun."""
         whole = COINCIDENT_CRASH_WEIGHT if end.together else 1.0
         present = {f: self.traits_of(f) for f in end.aboard}
-        early_traits = {trait for fingerprint in early for trait in present[fingerprint]}
+        # A block that any request had used for a while is a less likely culprit.
+        late_traits = {t for f, traits in present.items() if f not in early for t in traits}
         for trait in {t for traits in present.values() for t in traits} - end.cleared:
             suspect = self._suspects.get(trait)
             if suspect is not None:
-                suspect.weight += whole * (1.0 if trait in early_traits else LATE_CRASH_WEIGHT)
+                late = trait in late_traits
+                suspect.weight += whole * (LATE_CRASH_WEIGHT if late else 1.0)
                 suspect.ends += 1
+                suspect.survived = suspect.survived or late
 
     # evaluation
 
@@ -162,6 +165,11 @@
         suspect = self._suspects.get(trait)
         return 0.0 if suspect is None else suspect.weight
 
+    def has_survived(self, trait: str) -> bool:
+        """Whether a request with a trait had run for a while at a crash, beside new ones."""
+        suspect = self._suspects.get(trait)
+        return suspect is not None and suspect.survived
+
     def pending(self, trait: str) -> int:
         """Number of undecided crashes of a trait.
 
--- a/packages/core/src/tamarack_core/culprit_search.py
+++ b/packages/core/src/tamarack_core/culprit_search.py
@@ -73,7 +73,8 @@
     def _certain(self, traits: Iterable[str], fingerprint: str) -> frozenset[str]:
         workspace = self._evidence.workspace_of(fingerprint)
         least = CERTAINTY_FACTOR * self._bounds.ends
-        return frozenset(t for t in traits if self._weight(t, workspace) >= least)
+        heavy = {t for t in traits if self._weight(t, workspace) >= least}
+        return frozenset(t for t in heavy if not (is_block(t) and self._evidence.has_survived(t)))
 
     def _is_rival(self, trait: str) -> bool:
         return is_block(trait) and self._evidence.weight(trait) >= 1.0
--- a/packages/core/src/tamarack_core/quarantine_records.py
+++ b/packages/core/src/tamarack_core/quarantine_records.py
@@ -37,12 +37,13 @@
 class Suspect:
     """A trait of requests that crashes interrupted, and that was not answered since."""
 
-    __slots__ = ("ends", "last_ms", "weight", "workspace")
+    __slots__ = ("ends", "last_ms", "survived", "weight", "workspace")
 
     def __init__(self, workspace: str) -> None:
         self.workspace = workspace
         self.weight = 0.0
         self.ends = 0
+        self.survived = False
         self.last_ms = 0.0
 
 
