--- a/packages/core/src/tamarack_core/request_traits.py
+++ b/packages/core/src/tamarack_core/request_traits.py
@@ -43,6 +43,11 @@
     return trait.startswith(BLOCK_PREFIX)
 
 
+def trait_kind(name: str) -> str:
+    """Kind of a trait or combination for operators: `request` or `block`."""
+    return "block" if is_block(name) else "request"
+
+
 def combined(traits: Iterable[str]) -> str:
     """Name of a combination of traits, the same in whatever order they are given."""
     return SEPARATOR.join(sorted(traits)[:MOST_COMBINED])
--- a/packages/gateway/src/tamarack_gateway/quarantine_status.py
+++ b/packages/gateway/src/tamarack_gateway/quarantine_status.py
@@ -4,6 +4,7 @@
 
 from typing import TypedDict
 
+from tamarack_core.request_traits import trait_kind
 from tamarack_gateway.fleet_state import FleetState
 
 MOST_SUSPECTS = 50
@@ -12,9 +13,10 @@
 
 
 class QuarantinedStatus(TypedDict):
-    """A quarantined request; `stored` is whether the store lists it."""
+    """A quarantined combination of traits; `stored` is whether the store lists it."""
 
     fingerprint: str
+    kind: str
     workspace: str
     trials: int
     stored: bool
@@ -22,9 +24,10 @@
 
 
 class SuspectStatus(TypedDict):
-    """A request present at endpoint terminations; `weight` is their weighted number."""
+    """A trait present at endpoint terminations; `weight` is their weighted number."""
 
     fingerprint: str
+    kind: str
     workspace: str
     weight: float
     ends: int
@@ -45,6 +48,7 @@
         "quarantined": [
             {
                 "fingerprint": one.fingerprint,
+                "kind": trait_kind(one.fingerprint),
                 "workspace": one.workspace,
                 "trials": one.trials,
                 "stored": one.stored,
@@ -55,6 +59,7 @@
         "suspects": [
             {
                 "fingerprint": one.fingerprint,
+                "kind": trait_kind(one.fingerprint),
                 "workspace": one.workspace,
                 "weight": one.weight,
                 "ends": one.ends,
