--- a/packages/core/src/tamarack_core/software_versions.py
+++ b/packages/core/src/tamarack_core/software_versions.py
@@ -10,17 +10,13 @@
 from collections.abc import Callable, Collection, Mapping
 
 from tamarack_core.clock import Clock
+from tamarack_core.stall_detector import StallDetector
 
 LONGEST_STREAM_MS = 20_000.0
 """Time in milliseconds after its first event for which a caller may go on with a stream, unless a
 route allows a longer time: callers wait 15 s or less."""
 
 
-STALL_MS = 1_500.0
-"""Time in milliseconds between two observations after which a router may have stood still, and
-missed a version."""
-
-
 class SoftwareVersions:
     """Versions by service, as one router knows them.
 
@@ -43,7 +39,7 @@
         self._clock = clock
         self._retention_ms = retention_ms
         self._since_ms: float | None = None
-        self._observed_ms = float("-inf")
+        self._stalls = StallDetector()
         self._seen_ms: dict[str, dict[str, float]] = {}
         self._listed: Mapping[str, Collection[str]] = {}
         self.on_uncertain: Callable[[str], None] = _ignore
@@ -52,7 +48,8 @@
         """Apply the versions of all listed endpoints, by service."""
         now_ms = self._clock.now_ms
         if self._since_ms is None:
-            self._since_ms = self._observed_ms = now_ms
+            self._since_ms = now_ms
+            self._stalls.observe(now_ms)
         before = {service: self.recent(service) for service in listed}
         for service, versions in (*self._listed.items(), *listed.items()):
             self._seen_ms.setdefault(service, {}).update(dict.fromkeys(versions, now_ms))
@@ -64,7 +61,7 @@
     def observe(self, *, in_touch: bool) -> None:
         """Note whether this router learns of changes; called several times in `STALL_MS`."""
         now_ms = self._clock.now_ms
-        stalled, self._observed_ms = now_ms - self._observed_ms > STALL_MS, now_ms
+        stalled = self._stalls.observe(now_ms)
         if self._since_ms is None or (in_touch and not stalled):
             return
         certain = [service for service in self._seen_ms if self.sole(service) is not None]
@@ -98,6 +95,10 @@
             *self._listed.get(service, ())
         }
 
+    def several(self, service: str) -> bool:
+        """Whether streams may go on that began at different versions."""
+        return len(self.recent(service)) > 1
+
     def sole(self, service: str) -> str | None:
         """The version at which every stream that still goes on has begun; None if not certain."""
         if not self.complete:
@@ -112,7 +113,7 @@
         return (
             self._since_ms is not None
             and now_ms - self._since_ms >= self._retention_ms()
-            and now_ms - self._observed_ms <= STALL_MS
+            and not self._stalls.stalled(now_ms)
         )
 
     def _compare(self, service: str, before: set[str], versions: Collection[str]) -> None:
--- a/packages/core/src/tamarack_core/warm_up_dealer.py
+++ b/packages/core/src/tamarack_core/warm_up_dealer.py
@@ -18,6 +18,7 @@
 from typing import NamedTuple
 
 from tamarack_core.endpoint_registry import EndpointIncarnation
+from tamarack_core.stall_detector import StallDetector
 from tamarack_core.warm_up import WINDOW_MS
 from tamarack_core.wire import message
 
@@ -31,10 +32,6 @@
 TAKEOVER_MS = VIEW_MS + LEASE_MS + WINDOW_MS
 """Time in milliseconds that a new dealer waits before its first lease."""
 
-STALL_MS = 1_500.0
-"""Time in milliseconds between two observations after which a dealer may have stood still, and
-another one may have taken over."""
-
 DEMAND_VALID_MS = 2_000.0
 """Time in milliseconds for which a demand is used."""
 
@@ -124,18 +121,17 @@
 
     def __init__(self) -> None:
         self._leading_since_ms: float | None = None
-        self._observed_ms = float("-inf")
+        self._stalls = StallDetector()
         self._demands: dict[_Holder, tuple[Demand, float]] = {}
         self._holdings: dict[EndpointIncarnation, dict[_Holder, _Holding]] = {}
 
     def observe(self, leads: bool, now_ms: float) -> None:
         """Record whether this router is the dealer; called at least each `STALL_MS`."""
-        stalled = now_ms - self._observed_ms > STALL_MS
+        stalled = self._stalls.observe(now_ms)
         if not leads:
             self._leading_since_ms = None
         elif self._leading_since_ms is None or stalled:
             self._leading_since_ms = now_ms
-        self._observed_ms = now_ms
 
     def deals(self, now_ms: float) -> bool:
         """Whether this router may hand out leases now."""
@@ -143,7 +139,7 @@
         return (
             since_ms is not None
             and now_ms - since_ms >= TAKEOVER_MS
-            and now_ms - self._observed_ms <= STALL_MS
+            and not self._stalls.stalled(now_ms)
         )
 
     def hear(self, demand: Demand, now_ms: float) -> None:
--- a/tests/test_warm_up.py
+++ b/tests/test_warm_up.py
@@ -14,11 +14,11 @@
 from tamarack_bench.warm_up_model import WarmUpOptions, simulate
 from tamarack_core.clock import Clock
 from tamarack_core.endpoint_registry import EndpointIncarnation
+from tamarack_core.stall_detector import STALL_MS
 from tamarack_core.warm_up import WINDOW_MS, WarmUps
 from tamarack_core.warm_up_dealer import (
     LEASE_MS,
     MAX_HOLDERS,
-    STALL_MS,
     TAKEOVER_MS,
     Demand,
     Target,
