Forget broken streams of a router also while it writes no row

Change: the one table of own attempts serves both, with a table of those that ended; both forget by time. Streams may be told in a row for up to twice as long as before.

--- a/packages/core/src/tamarack_core/stream_origins.py
+++ b/packages/core/src/tamarack_core/stream_origins.py
@@ -97,6 +97,7 @@
     def __init__(self, clock: Clock, retention_ms: Callable[[], float]) -> None:
         self._own: RecentTable[str, Origin] = RecentTable(clock, retention_ms)
         self._told: RecentTable[str, Origin] = RecentTable(clock, retention_ms)
+        self._ended: RecentTable[str, bool] = RecentTable(clock, retention_ms)
 
     def __len__(self) -> int:
         return len(self._own) + len(self._told)
@@ -108,6 +109,11 @@
         self._own[attempt] = origin
         return True
 
+    def record_ended(self, attempt: str) -> None:
+        """Record that the caller of this router has got the whole stream."""
+        if self._own.get(attempt) is not None:
+            self._ended[attempt] = True
+
     def record_told(self, begun: BegunStreams) -> None:
         """Record what another router tells."""
         for attempt in begun.attempts:
@@ -117,6 +123,10 @@
         """Where an attempt's stream began, as far as this router knows."""
         return self._own.get(attempt) or self._told.get(attempt)
 
+    def open_attempts(self) -> list[tuple[str, Origin]]:
+        """Attempts of this router whose streams callers may take up, the newest last."""
+        return [one for one in self._own.items() if not self._ended.get(one[0])]
+
     def own_attempts(self, service: str) -> list[tuple[str, Origin]]:
         """Attempts that this router has sent to endpoints of a service."""
         return [one for one in self._own.items() if one[1].service == service]
--- a/packages/gateway/src/tamarack_gateway/origin_feed.py
+++ b/packages/gateway/src/tamarack_gateway/origin_feed.py
@@ -95,7 +95,6 @@
         self._answers_all = answers_all
         self._publish = publish
         self._origins = StreamOrigins(state.clock, lambda: state.longest_stream_ms)
-        self._open: dict[str, tuple[Origin, float]] = {}
         self._questions: dict[int, _Question] = {}
         self._asked = 0
         state.software_versions.on_uncertain = self._tell_all
@@ -110,21 +109,18 @@
         if len(attempt) > MAX_ATTEMPT_LENGTH:
             return
         origin = Origin(endpoint.service, endpoint.software_version)
-        self._open[attempt] = (origin, self._state.clock.now_ms)
         if self._origins.record_own(attempt, origin) and self._sole(endpoint.service) is None:
             self._outbox.began(attempt, origin)
 
     def ended(self, attempt: str) -> None:
         """Record that the caller has got the whole stream."""
-        self._open.pop(attempt, None)
+        self._origins.record_ended(attempt)
 
     def open_streams(self, count: int) -> dict[str, Origin]:
         """The newest streams that callers may take up, of services with several versions."""
-        past_ms = self._state.clock.now_ms - self._state.longest_stream_ms
-        self._open = {name: one for name, one in self._open.items() if one[1] > past_ms}
         several = {s for s in self._state.software_versions.services if self._sole(s) is None}
-        told = [(name, origin) for name, (origin, _) in self._open.items()]
-        return dict([one for one in told if one[1].service in several][-count:])
+        told = [one for one in self._origins.open_attempts() if one[1].service in several]
+        return dict(told[-count:])
 
     def receive(self, message: BegunStreams | OriginQuery | OriginAnswer) -> None:
         """Apply a message of another router."""
@@ -160,7 +156,7 @@
             return _Finding(origin.software_version, "known")
         if (sole := self._sole(service)) is not None:
             return _Finding(sole, "the only version")
-        several = len(self._state.software_versions.recent(service)) > 1
+        several = self._state.software_versions.several(service)
         if (several and not attempt) or len(attempt) > MAX_ATTEMPT_LENGTH:
             return _Finding(None, "not named")
         if len(self._questions) >= MAX_QUESTIONS:
@@ -194,7 +190,7 @@
             query.number,
             None if origin is None else origin.software_version,
             self._sole(query.service),
-            len(self._state.software_versions.recent(query.service)) > 1,
+            self._state.software_versions.several(query.service),
         )
 
     def _sole(self, service: str) -> str | None:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -8,7 +8,8 @@
 
 from tamarack_core.clock import ManualClock
 from tamarack_core.recent_table import MAX_ENTRIES, RecentTable
-from tamarack_core.software_versions import STALL_MS, SoftwareVersions
+from tamarack_core.software_versions import SoftwareVersions
+from tamarack_core.stall_detector import STALL_MS
 from tamarack_core.stream_origins import (
     BegunStreams,
     Origin,
@@ -213,3 +214,15 @@
 ) -> None:
     """Failure: a router that knows one version overrules one that knows of several."""
     assert conclude(answers) == version
+
+
+def test_streams_that_broke_are_forgotten_while_no_row_is_written() -> None:
+    """Failure: a router's memory grows with each broken stream while the store is away."""
+    clock = ManualClock()
+    origins = StreamOrigins(clock, lambda: 1_000.0)
+    for number in range(100):
+        origins.record_own(f"a{number}", Origin("pool", "v1"))
+        origins.record_ended(f"a{number}") if number % 2 else None
+        clock.advance(100.0)
+    assert [name for name, _ in origins.open_attempts()][-1] == "a98"
+    assert len(origins.open_attempts()) <= 10
