Claim the ports of a soak, so that two at once do not share addresses

Cause: both had drawn the same addresses from their process ids and seeds; the routers of the later one ended with 'Address already in use' (logs of both kept), and the soak waited in vain until they were ready. Change: a soak binds a socket to a guard address of its range of ports, and takes the next range if that is taken.

--- /dev/null
+++ b/packages/standins/src/tamarack_standins/claimed_ports.py
@@ -0,0 +1,55 @@
+"""Ports of one soak, which no other soak on the same machine uses at the same time."""
+
+from __future__ import annotations
+
+import socket
+from types import TracebackType
+
+FIRST_PORT = 20_000
+RANGES = 5_000
+"""First port, and number of ranges of two ports; all lie below those that connections get."""
+
+HOSTS = 200
+"""Number of loopback networks over which the ranges are spread."""
+
+
+class ClaimedPorts:
+    """Claims a range of ports as a context manager, by binding a socket that nobody connects to.
+
+    Parameters
+    ----------
+    preferred
+        Number of the range that is tried first.
+
+    Attributes
+    ----------
+    first
+        First port of the claimed range.
+    """
+
+    def __init__(self, preferred: int) -> None:
+        self._preferred = preferred
+        self._guard = socket.socket()
+        self.first = 0
+
+    def __enter__(self) -> ClaimedPorts:
+        for number in range(self._preferred, self._preferred + RANGES):
+            self.first = FIRST_PORT + number % RANGES * 2
+            try:
+                self._guard.bind((self.host(1), self.first))
+            except OSError:
+                continue
+            return self
+        raise OSError("all ranges of ports are in use")
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._guard.close()
+
+    def host(self, number: int) -> str:
+        """Loopback address of one member; number 1 is the guard's."""
+        return f"127.0.{1 + self.first % HOSTS}.{number}"
--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -27,6 +27,7 @@
 from pathlib import Path
 from typing import Any
 
+from tamarack_standins.claimed_ports import ClaimedPorts
 from tamarack_standins.platform_store import PlatformStore
 from tamarack_standins.platform_worker import ReceivedRequest
 from tamarack_standins.soak_callers import ANSWER_S, KINDS, STREAMS, SoakCalls
@@ -86,7 +87,7 @@
         self._ends_only = ends_only
         self._seconds = seconds
         self._folder = folder
-        self._port = 20_000 + (os.getpid() + seed * 7) % 5_000 * 2
+        self._ports = ClaimedPorts(os.getpid() + seed * 7)
         self._store = PlatformStore()
         self._stack = contextlib.AsyncExitStack()
         self._count = routers
@@ -118,6 +119,7 @@
     async def run(self) -> None:
         """Run the seed; broken promises are added to `broken`."""
         async with self._stack:
+            self._stack.enter_context(self._ports)
             await self._stack.enter_async_context(self._store)
             await self._stack.enter_async_context(self._workers)
             await self._configure()
@@ -128,7 +130,7 @@
                 SoakRouters(
                     self._count,
                     self._folder,
-                    self._port,
+                    self._ports,
                     self._store.address,
                     rng=self.random,
                     broken=self.broken.append,
--- a/packages/standins/src/tamarack_standins/soak_routers.py
+++ b/packages/standins/src/tamarack_standins/soak_routers.py
@@ -13,6 +13,7 @@
 
 import yaml
 
+from tamarack_standins.claimed_ports import ClaimedPorts
 from tamarack_standins.fault_proxy import FaultProxy
 from tamarack_standins.soak_domains import COLD_FACTOR, COLD_SLACK
 
@@ -37,8 +38,8 @@
     ----------
     folder
         Directory for settings files and logs.
-    port
-        First of ten ports, the same for all routers; each router has its own IP address.
+    ports
+        Ports of the routers, the same for all; each router has its own IP address.
     store
         Address of the store.
     broken
@@ -51,7 +52,7 @@
         self,
         count: int,
         folder: Path,
-        port: int,
+        ports: ClaimedPorts,
         store: str,
         *,
         rng: random.Random,
@@ -60,7 +61,7 @@
     ) -> None:
         self._count = count
         self._folder = folder
-        self._port = port
+        self._ports = ports
         self._random = rng
         self._broken = broken
         self._disturbed = disturbed
@@ -81,7 +82,7 @@
 
     def address(self, number: int, offset: int = 0) -> str:
         """Address of a router; port offset 0 is the one for callers."""
-        return f"127.0.{1 + self._port % 200}.{number + 2}:{self._port + offset}"
+        return f"{self._ports.host(number + 2)}:{self._ports.first + offset}"
 
     async def until_ready(self) -> None:
         """Wait until all routers are ready; raises `TimeoutError` if one is not in time."""
@@ -169,7 +170,7 @@
                 "ready": self.address(number, 1),
                 "directory": self.address(number, 2),
             },
-            "internalPorts": [self._port + 3, self._port + 9],
+            "internalPorts": [self._ports.first + 3, self._ports.first + 9],
             "bounds": {
                 "revokeMs": REVOKE_MS,
                 "graceS": GRACE_S,
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -12,7 +12,8 @@
 
 import pytest
 
-from tamarack_standins.platform_soak import run_seed
+from tamarack_standins.claimed_ports import ClaimedPorts
+from tamarack_standins.platform_soak import Soak, run_seed
 from tamarack_standins.soak_routers import SoakRouters
 
 SECONDS = 4.0
@@ -49,7 +50,7 @@
 
     async def signal_router() -> int:
         routers = SoakRouters(
-            1, tmp_path, 9_000, "", rng=random.Random(1), broken=lambda reason: None
+            1, tmp_path, ClaimedPorts(0), "", rng=random.Random(1), broken=lambda reason: None
         )
         process = await asyncio.create_subprocess_exec(sys.executable, "-c", "input()", stdin=PIPE)
         routers._processes[0] = process
@@ -58,3 +59,34 @@
         return await process.wait()
 
     assert asyncio.run(signal_router()) == -signal.SIGHUP
+
+
+def test_two_soaks_at_once_use_different_addresses(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Failure: routers never become ready, as those of another soak have their addresses."""
+    monkeypatch.setattr("os.getpid", lambda: 1)
+
+    async def run(*seeds: int) -> list[str]:
+        addresses = []
+
+        class StoppedError(Exception):
+            pass
+
+        async def until_ready(routers: SoakRouters) -> None:
+            addresses.append(routers.address(0))
+            while len(addresses) < len(seeds):
+                await asyncio.sleep(0.01)
+            raise StoppedError
+
+        monkeypatch.setattr(SoakRouters, "until_ready", until_ready)
+        soaks = []
+        for seed in seeds:
+            folder = tmp_path / f"{len(soaks)}"
+            folder.mkdir()
+            soaks.append(Soak(seed, 1.0, folder, routers=1).run())
+        ended = await asyncio.gather(*soaks, return_exceptions=True)
+        assert [type(error) for error in ended] == [StoppedError] * len(seeds)
+        return addresses
+
+    assert len(set(asyncio.run(run(5, 5)))) == 2
