--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -126,6 +126,22 @@
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
 
+    async def ended(self, grace_s: float) -> float:
+        """Wait for the end of a process that was asked to stop; kill it after `grace_s`.
+
+        Returns the seconds that it took.
+        """
+        assert self._process is not None
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        try:
+            async with asyncio.timeout(grace_s):
+                await self._process.wait()
+        except TimeoutError:
+            self.signal(signal.SIGKILL)
+            await self._process.wait()
+        return loop.time() - started_s
+
     async def end(self) -> None:
         """Kill the process, if it runs, and wait for its end."""
         if self._process is None:
@@ -164,13 +180,15 @@
         self._count = count
         self._store = store
         self._stack = contextlib.ExitStack()
+        self._folder = Path()
+        self._network = ""
         self.routers: list[Router] = []
 
     async def __aenter__(self) -> Fleet:
-        folder = Path(self._stack.enter_context(tempfile.TemporaryDirectory()))
-        network = _free_network()
-        for number in range(self._count):
-            self.routers.append(Router(number, f"{network}.{number + 2}", self._store, folder))
+        self._folder = Path(self._stack.enter_context(tempfile.TemporaryDirectory()))
+        self._network = _free_network()
+        for _ in range(self._count):
+            self._new()
         try:
             for router in self.routers:
                 await router.start()
@@ -189,6 +207,18 @@
     ) -> None:
         await self._end()
 
+    async def add(self) -> Router:
+        """Add a machine with one more router, and start it."""
+        router = self._new()
+        await router.start()
+        return router
+
+    def _new(self) -> Router:
+        number = len(self.routers)
+        router = Router(number, f"{self._network}.{number + 2}", self._store, self._folder)
+        self.routers.append(router)
+        return router
+
     async def _end(self) -> None:
         for router in self.routers:
             await router.end()
