--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import time
 import traceback
@@ -47,6 +48,8 @@
         async with asyncio.timeout(LONGEST_S):
             return await case(record, trouble)
 
+    # On SIGTERM the case still ends the processes that it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         code = HELD if asyncio.run(limited()) else BROKEN
     except BaseException:
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -17,6 +17,9 @@
 METRICS_PORT = 9464
 PORTS = {"front": 8783, "ready": 8780, "directory": 8789, "peers": 7400}
 READY_S = 20.0
+CONTACT_S = 3.2
+"""Time after which routers that have just started are in touch: `contactMs`, and some more."""
+
 ZONES = ("kitami-hall", "obihiro-hall", "kushiro-hall")
 HOST = "ficu95.example"
 KEY = "asnmgkcuyj8pjbvk9m68"
@@ -194,6 +197,7 @@
                 await router.start()
             for router in self.routers:
                 await router.until_ready()
+            await asyncio.sleep(CONTACT_S)
         except BaseException:
             await self._end()
             raise
