--- a/review/standins-2/case.py
+++ b/review/standins-2/case.py
@@ -13,12 +13,14 @@
 import tempfile
 import time
 import traceback
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
 from . import client
 from .store import Store
+from .wire import read_head as read_head
 from .worker import Worker
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -80,6 +82,11 @@
     }  # fmt: skip
 
 
+def by_status(attempts: list[client.Attempt]) -> dict[int, int]:
+    """Number of attempts by the status of their answers."""
+    return dict(Counter(attempt.status for attempt in attempts))
+
+
 class Case:
     """One run of a case.
 
@@ -191,8 +198,15 @@
         self._calls += 1
         return f"{self._calls:04x}{self.random.getrandbits(48):012x}"
 
-    async def stream(self, router: int, **headers: str) -> client.Attempt:
-        """Ask a router for a stream."""
+    async def stream(
+        self,
+        router: int,
+        *,
+        progress: client.Attempt | None = None,
+        until_events: int | None = None,
+        **headers: str,
+    ) -> client.Attempt:
+        """Ask a router for a stream; see `client.send`."""
         attempt = headers.pop("attempt", "") or self.attempt_id()
         last = f"{self.random.getrandbits(32):x}"
         fields = {
@@ -204,9 +218,16 @@
             **headers,
         }
         self.note(f"client sends {attempt} to router {router} {headers or ''}")
-        result = await client.send(self.front(router), "/replan/2f", attempt, **fields)
+        result = await client.send(
+            self.front(router),
+            "/replan/2f",
+            attempt,
+            progress=progress,
+            until_events=until_events,
+            **fields,
+        )
         ids = [number for number, _ in result.events]
-        done = "complete" if result.complete else f"cut off ({result.error})"
+        done = "complete" if result.complete else f"not complete ({result.error})"
         self.note(f"client got {attempt}: {result.status} {done}, events {ids}")
         return result
 
--- a/review/standins-2/client.py
+++ b/review/standins-2/client.py
@@ -54,10 +54,26 @@
 
 
 async def send(
-    router: str, path: str, attempt: str, *, body: bytes = b"hello", **headers: str
+    router: str,
+    path: str,
+    attempt: str,
+    *,
+    body: bytes = b"hello",
+    progress: Attempt | None = None,
+    until_events: int | None = None,
+    **headers: str,
 ) -> Attempt:
-    """Make one attempt on a new connection; underscores in names stand for hyphens."""
-    result = Attempt(attempt, router, time.monotonic())
+    """Make one attempt on a new connection; underscores in names stand for hyphens.
+
+    Parameters
+    ----------
+    progress
+        Filled while the answer arrives, in place of a new one.
+    until_events
+        The client leaves after so many events of a stream.
+    """
+    result = progress or Attempt(attempt, router)
+    result.attempt, result.router, result.sent_s = attempt, router, time.monotonic()
     named = {name.replace("_", "-"): value for name, value in headers.items()}
     limit = float(named.get("X-Deadline-Ms", "10000")) / 1000
     writer = None
@@ -71,7 +87,7 @@
             if head is None:
                 result.error = "closed without an answer"
             else:
-                await _read_body(reader, head, result)
+                await _read_body(reader, head, result, until_events)
     except (OSError, asyncio.IncompleteReadError, ValueError, TimeoutError) as error:
         result.error = type(error).__name__
     finally:
@@ -81,7 +97,9 @@
     return result
 
 
-async def _read_body(reader: asyncio.StreamReader, head: Message, result: Attempt) -> None:
+async def _read_body(
+    reader: asyncio.StreamReader, head: Message, result: Attempt, until_events: int | None
+) -> None:
     result.status, result.headers = head.status, head.headers
     if head.headers.get("transfer-encoding") != "chunked":
         result.body = await reader.readexactly(int(head.headers.get("content-length", "0")))
@@ -93,6 +111,8 @@
         if not size:
             break
         result.body += data
+        if until_events is not None and len(result.events) >= until_events:
+            return
     result.complete = True
 
 
