--- a/review/standins-2/case.py
+++ b/review/standins-2/case.py
@@ -106,6 +106,7 @@
         self._processes: dict[int, asyncio.subprocess.Process] = {}
         self._calls = 0
         self.store = Store()
+        self.store_links: dict[int, str] = {}
         self.workers: list[Worker] = []
 
     def note(self, line: str) -> None:
@@ -153,7 +154,7 @@
             "dataDir": None, "discovery": "platform", "entry": "registry", "heartbeatMs": 1200,
             "faultTolerance": {"machines": 1, "zones": 0, "regions": 0}, "bounds": BOUNDS,
             "platform": {
-                "address": self.store.server.address, "form": "table", "writesPerS": 400,
+                "address": self.store_links.get(number, self.store.server.address), "form": "table", "writesPerS": 400,
                 "readsPerS": 2000, "rowBytes": 65536, "historyS": 20,
             },
             **changes,
--- a/review/standins-2/store.py
+++ b/review/standins-2/store.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import json
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -19,6 +20,7 @@
         self.version = 1
         self.changed = asyncio.Condition()
         self.server = Server(self._handle)
+        self.on_write: Callable[[str, bytes], bytes] = lambda table, value: value
         self.writes: list[tuple[str, str, bytes | None]] = []
 
     async def start(self, host: str) -> str:
@@ -92,7 +94,7 @@
             if (version if value is not None else 0) != row["ver"]:
                 return 412, self._page([])
         for row in call.get("puts", []):
-            value = base64.b64decode(row["value"])
+            value = self.on_write(row["table"], base64.b64decode(row["value"]))
             self.writes.append((row["table"], row["key"], value))
             await self._change(row["table"], row["key"], value)
         for row in call.get("remove", []):
