A stopping router tells what its callers have not taken

A request whose handler had returned left no line at the exit, and 'left' counted connections only.

Change: 'router: left' counts busy connections, those with unsent bytes, and these bytes, of the transport and of the kernel; a request that the exit cancels tells unsent_bytes.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import contextlib
+import fcntl
+import struct
+import termios
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -223,6 +226,14 @@
         """Whether a request is being read, is waiting or is being answered."""
         return self._task is not None or self._reading
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that the caller's host has not acknowledged: of the transport and of the kernel."""
+        if self._transport is None:
+            return 0
+        buffered: int = self._transport.get_write_buffer_size()
+        return buffered + _unacknowledged_bytes(self._transport.get_extra_info("socket"))
+
     @property
     def unused(self) -> bool:
         """Whether no request has arrived on the connection yet."""
@@ -381,6 +392,16 @@
             self._transport.close()
 
 
+def _unacknowledged_bytes(sock: Any) -> int:
+    try:
+        reply = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
+    except (OSError, ValueError):
+        # The socket is closed, or its system does not tell.
+        return 0
+    (count,) = struct.unpack("i", reply)
+    return int(count)
+
+
 class RejectedConnection(asyncio.Protocol):
     """Protocol of a connection above the connection limit: closes it before anything is read."""
 
--- a/packages/gateway/src/tamarack_gateway/caller_handler.py
+++ b/packages/gateway/src/tamarack_gateway/caller_handler.py
@@ -120,7 +120,7 @@
             self._log.request("caller gone", facts.attempt, reason=str(error))
             caller.cut()
         except asyncio.CancelledError:
-            self._log_cancelled(exchange, request, facts.attempt)
+            self._log_cancelled(exchange, request, facts.attempt, caller)
             raise
         finally:
             self._metrics.ended(route, self._clock.now_ms - request.arrived_ms)
@@ -162,7 +162,9 @@
             self._origins,
         )
 
-    def _log_cancelled(self, exchange: Exchange, request: Request, attempt: str) -> None:
+    def _log_cancelled(
+        self, exchange: Exchange, request: Request, attempt: str, caller: CallerConnection
+    ) -> None:
         # The log must distinguish a request that the exiting router cancels from one whose caller
         # left or whose endpoint failed: the time since the router was asked to stop shows which.
         now_ms, plan = self._clock.now_ms, self._state.leaving
@@ -172,9 +174,14 @@
             self._log.request("abandoned", attempt, reason=sent, waited_ms=ran_ms)
             return
         stopping_ms = None if plan is None else round(now_ms - plan.requested_ms)
-        outcome = exchange.end()
+        unsent_bytes = caller.unsent_bytes
         self._log.request(
-            outcome, attempt, reason=ROUTER_ENDS, stopping_ms=stopping_ms, ran_ms=ran_ms
+            exchange.end(),
+            attempt,
+            reason=ROUTER_ENDS,
+            stopping_ms=stopping_ms,
+            ran_ms=ran_ms,
+            unsent_bytes=unsent_bytes,
         )
 
     def _deny(self, caller: CallerConnection, attempt: str, status: int) -> None:
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -238,7 +238,14 @@
                 if not any(connection.busy for connection in self._connections):
                     break
             await asyncio.sleep(LEAVE_STEP_MS / 1000)
-        self._log.event("left", connections=len(self._connections))
+        unsent = [count for c in self._connections if (count := c.unsent_bytes)]
+        self._log.event(
+            "left",
+            connections=len(self._connections),
+            busy=sum(connection.busy for connection in self._connections),
+            unsent=len(unsent),
+            unsent_bytes=sum(unsent),
+        )
 
     # construction
 
