An answer ends when its caller has taken it, not when it is handed to the transport

Callers saw: an answer that broke off after a SIGTERM of their router, seconds before the end of its grace time, though its worker had long ended it.

Cause: CallerConnection.busy told whether a handler runs. A handler returns when the last bytes are passed to the transport, so that a caller with a full window counted as idle: Gateway.leave ended, and the process with what the transport and the kernel still held. For the same reason the cut left no line, the stream counted as read for take-ups, the next request of the connection began, and the durations that a stopping router compares with its time left held nothing of the time that callers take to read.

Change: a connection is busy until its bytes are taken: handlers wait for an empty write buffer (delivered); a connection that closes after its answer ends its writing direction, and closes when the kernel has nothing unacknowledged, when the caller closes, or after the idle timeout. Durations and the end of a stream are recorded then.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -95,6 +95,7 @@
         self._pending: deque[tuple[Request, bool]] = deque()
         self._task: asyncio.Task[None] | None = None
         self._writable = True
+        self._emptied: asyncio.Future[None] | None = None
         self._headers: Headers = []
         self._target = b""
         self._body: list[bytes] = []
@@ -105,6 +106,7 @@
         self._keep_alive = True
         self._begun = False
         self._refused = False
+        self._finished = False
         self._discarded = 0
         self._changed_ms = clock.now_ms
         self.closing = False
@@ -128,6 +130,8 @@
 
     def resume_writing(self) -> None:
         self._writable = True
+        if self._emptied is not None and not self._emptied.done():
+            self._emptied.set_result(None)
         on_writable, self.on_writable = self.on_writable, None
         if on_writable is not None:
             on_writable()
@@ -206,6 +210,13 @@
 
     # called by handlers
 
+    @property
+    def _delivering(self) -> bool:
+        transport = self._transport
+        if transport is None:
+            return False
+        return self.unsent_bytes > 0 if self._finished else transport.get_write_buffer_size() > 0
+
     @property
     def disconnected(self) -> bool:
         """Whether the caller has closed the connection."""
@@ -223,8 +234,8 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request is being read, is waiting or is being answered."""
-        return self._task is not None or self._reading
+        """Whether a request is being read or answered, or an answer has not been taken yet."""
+        return self._task is not None or self._reading or self._delivering
 
     @property
     def unsent_bytes(self) -> int:
@@ -281,6 +292,20 @@
         if self._transport is not None:
             self._transport.close()
 
+    async def delivered(self) -> None:
+        """Wait until the transport has written what the handler has passed to it."""
+        transport = self._transport
+        if transport is None or not transport.get_write_buffer_size():
+            return
+        self._emptied = asyncio.get_running_loop().create_future()
+        # Calls `resume_writing` once the buffer is empty.
+        transport.set_write_buffer_limits(high=0)
+        try:
+            await self._emptied
+        finally:
+            self._emptied = None
+            transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
+
     async def stop(self) -> None:
         """Cancel the handler of the request in progress, wait for it, and close."""
         task = self._task
@@ -295,7 +320,12 @@
             return
         bounds = self._bounds()
         elapsed_ms = now_ms - self._changed_ms
-        if self._reading and not self._head_done and elapsed_ms > bounds.header_ms:
+        if self._finished:
+            if not self.unsent_bytes:
+                self._transport.close()
+            elif elapsed_ms > bounds.idle_ms:
+                self._transport.abort()
+        elif self._reading and not self._head_done and elapsed_ms > bounds.header_ms:
             self._refuse(408)
         elif not self._reading and elapsed_ms > bounds.idle_ms:
             self._transport.close()
@@ -304,7 +334,7 @@
         """Close the connection now, or after the answer in progress."""
         self.closing = True
         if not self.disconnected and not self.busy:
-            self._transport.close()
+            self._finish()
 
     async def _serve(self) -> None:
         try:
@@ -316,6 +346,7 @@
                 except Exception:
                     self._fail()
                     raise
+                await self.delivered()
                 if not self._begun and not self.disconnected:
                     raise RuntimeError("a request was not answered")
                 if not self._end_request():
@@ -349,9 +380,16 @@
         self._finish()
 
     def _finish(self) -> None:
-        self._refused = True
-        if self._transport is not None:
+        # Closing now would drop what the kernel still holds if the process ends, or if bytes of the
+        # caller are unread: only the writing direction is closed until the caller has all of it.
+        self._refused = self._finished = True
+        if self.disconnected:
+            return
+        if not self.unsent_bytes:
             self._transport.close()
+            return
+        with contextlib.suppress(OSError):
+            self._transport.write_eof()
 
     def _connection_headers(self) -> Headers:
         if self.closing or not self._keep_alive or (not self._answered and self._should_close()):
--- a/packages/gateway/src/tamarack_gateway/caller_handler.py
+++ b/packages/gateway/src/tamarack_gateway/caller_handler.py
@@ -116,6 +116,8 @@
         try:
             with self._loop_monitor.in_progress(workspace):
                 await exchange.run()
+            await caller.delivered()
+            exchange.delivered()
         except ConnectionError as error:
             self._log.request("caller gone", facts.attempt, reason=str(error))
             caller.cut()
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -109,6 +109,9 @@
         self._sends = 0
         self._may_have_run = False
         self._first_event_ms: float | None = None
+        self._answered = False
+        self._began_ms: float | None = None
+        self._resumed_after: int | None = None
 
     @property
     def sends(self) -> int:
@@ -130,6 +133,19 @@
         self._answer.refuse_for_now(self._state.random.random())
         return "refused"
 
+    def delivered(self) -> None:
+        """Record that the caller has taken the answer; a refusal is not recorded."""
+        if not self._answered:
+            return
+        self._origins.ended(self._facts.attempt)
+        if self._began_ms is None:
+            return
+        took_ms = self._state.clock.now_ms - self._began_ms
+        if self._route.streams:
+            self._duration_estimate.streamed(took_ms, self._resumed_after)
+        else:
+            self._duration_estimate.answered(took_ms)
+
     @property
     def _prompt(self) -> Prompt | None:
         return self._facts.prompt if self._route.streams else None
@@ -277,7 +293,7 @@
             running_ms = None if begun_ms is None else state.clock.now_ms - begun_ms
             await self._request_quarantine.lost(endpoint, running_ms, sent_ms)
         if result.outcome is SendOutcome.DONE:
-            self._origins.ended(self._facts.attempt)
+            self._answered = True
             first_event_ms = self._first_event_ms and self._first_event_ms - sent_ms
             self._recorder.answered(choice, took_ms, first_event_ms)
         return result
@@ -314,14 +330,14 @@
         if head.length is not None and len(body) != head.length:
             raise BrokenAnswerError("the body is not whole")
         await self._request_quarantine.check_end(choice.endpoint, head)
-        self._duration_estimate.answered(self._state.clock.now_ms - sent_ms)
+        self._began_ms = sent_ms
         self._caller.answer(head.status, self._dialect.for_caller(head), body)
         return Result(SendOutcome.DONE)
 
     async def _relay_events(
         self, choice: Choice, connection: EndpointConnection, head: AnswerHead
     ) -> Result:
-        clock, resumed_after = self._state.clock, self._splitter.last
+        clock, self._resumed_after = self._state.clock, self._splitter.last
 
         def on_first_event() -> None:
             self._first_event_ms = clock.now_ms
@@ -334,8 +350,7 @@
         await self._timeouts.whole(relay, choice, self._sends)
         await self._request_quarantine.check_end(choice.endpoint, head)
         relay.end()
-        if relay.first_ms is not None:
-            self._duration_estimate.streamed(clock.now_ms - relay.first_ms, resumed_after)
+        self._began_ms = relay.first_ms
         return Result(SendOutcome.DONE)
 
     # after a send
--- a/tests/test_gateway_properties.py
+++ b/tests/test_gateway_properties.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import Any
 
 from gateway_site import play
@@ -168,6 +169,14 @@
     def set_write_buffer_limits(self, high: int) -> None:
         pass
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def get_extra_info(self, name: str) -> socket.socket:
+        closed = socket.socket()
+        closed.close()
+        return closed
+
 
 async def _requests(data: bytes, cuts: list[int]) -> list[tuple[bytes, bytes]]:
     """Targets and bodies of the requests that a connection parses from `data`, split at `cuts`."""
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -40,16 +40,18 @@
     async def scenario() -> None:
         worker = PlatformWorker("w1", script)
         service = "web" if path.startswith("/page") else "pool"
-        async with Fleet({service: [worker]}, address_ttl_ms=50.0) as fleet:
-            async with SlowCaller(fleet.gateway.callers) as caller:
-                await caller.send(fleet.request(path))
-                await caller.read(1_000)
-                leaving = asyncio.ensure_future(fleet.gateway.leave())
-                await past_linger(fleet)
-                await asyncio.wait([leaving], timeout=STEPS_S)
-                ended_early = leaving.done()
-                assert await caller.read_until(end)
-                await leaving
+        async with (
+            Fleet({service: [worker]}, address_ttl_ms=50.0) as fleet,
+            SlowCaller(fleet.gateway.callers) as caller,
+        ):
+            await caller.send(fleet.request(path))
+            await caller.read(1_000)
+            leaving = asyncio.ensure_future(fleet.gateway.leave())
+            await past_linger(fleet)
+            await asyncio.wait([leaving], timeout=STEPS_S)
+            ended_early = leaving.done()
+            assert await caller.read_until(end)
+            await leaving
         assert not ended_early
 
     play(scenario())
@@ -62,12 +64,14 @@
 
     async def scenario() -> None:
         worker = PlatformWorker("w1", ANSWERS["stream"][0])
-        async with Fleet({"pool": [worker]}, grace_ms=1_000.0, address_ttl_ms=50.0) as fleet:
-            async with SlowCaller(fleet.gateway.callers) as caller:
-                await caller.send(fleet.request("/rewrite/1"))
-                await caller.read(1_000)
-                await fleet.gateway.leave()
-                await fleet.gateway.__aexit__(None, None, None)
+        async with (
+            Fleet({"pool": [worker]}, grace_ms=1_000.0, address_ttl_ms=50.0) as fleet,
+            SlowCaller(fleet.gateway.callers) as caller,
+        ):
+            await caller.send(fleet.request("/rewrite/1"))
+            await caller.read(1_000)
+            await fleet.gateway.leave()
+            await fleet.gateway.__aexit__(None, None, None)
 
     play(scenario())
     lines = [json.loads(line) for line in capfd.readouterr().err.splitlines() if line[:1] == "{"]
@@ -100,14 +104,13 @@
 
     async def scenario() -> None:
         worker = PlatformWorker("w1", ANSWERS["plain, in the transport"][0])
-        async with Fleet({"web": [worker]}) as fleet:
-            async with SlowCaller(fleet.gateway.callers) as caller:
-                await caller.send(fleet.request("/page/1") + fleet.request("/page/2"))
-                await caller.read(1_000)
-                await asyncio.sleep(STEPS_S)
-                received = len(worker.received)
-                while len(caller.received) < 3_000_000:
-                    assert await caller.read()
+        async with Fleet({"web": [worker]}) as fleet, SlowCaller(fleet.gateway.callers) as caller:
+            await caller.send(fleet.request("/page/1") + fleet.request("/page/2"))
+            await caller.read(1_000)
+            await asyncio.sleep(STEPS_S)
+            received = len(worker.received)
+            while len(caller.received) < 3_000_000:
+                assert await caller.read()
         assert received == 1
 
     play(scenario())
