At the exit the kernel gets what callers have not taken

Callers saw: an answer of 1.5 MB that a caller reads at 140 kB/s breaks off, though its worker had ended it before the SIGTERM.

Cause: at the last exit a connection was cut with up to 256 KiB in the transport's buffer, and more where reading from the endpoint had been paused for it. The kernel delivers what it has after the process has ended, but its buffer had adapted to a slow caller and held some 0.25 MB.

Change: stop() enlarges the kernel's buffer, as far as the system allows, and gives handler and transport 200 ms to pass the rest on before it cancels.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -5,10 +5,12 @@
 import asyncio
 import contextlib
 import fcntl
+import socket
 import struct
 import termios
 from collections import deque
 from collections.abc import Awaitable, Callable
+from functools import cache
 from typing import Any
 
 import httptools
@@ -32,8 +34,13 @@
 """Bytes buffered for a slow caller from which on its answer is no longer read from the endpoint."""
 
 STOP_TIMEOUT_MS = 200.0
-"""Timeout in milliseconds for a cancelled handler to return; a handler that does not return would
-block the router's exit until the process is killed."""
+"""Timeout in milliseconds for a cancelled handler to return, and before for the kernel to take a
+complete answer; a handler that does not return would block the router's exit until the process is
+killed."""
+
+EXIT_SEND_BUFFER_BYTES = 4 * 1024 * 1024
+"""Requested size of the kernel's send buffer at the exit; the system allows less. What it holds is
+still delivered after the process has ended."""
 
 Handler = Callable[[Request, "CallerConnection"], Awaitable[None]]
 
@@ -307,9 +314,12 @@
             transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
 
     async def stop(self) -> None:
-        """Cancel the handler of the request in progress, wait for it, and close."""
+        """Let the kernel take the rest of an answer, or cancel its handler; then close."""
         task = self._task
-        if task is not None:
+        if task is not None and self._transport is not None and self._delivering:
+            self._enlarge_send_buffer()
+            await asyncio.wait([task], timeout=STOP_TIMEOUT_MS / 1000)
+        if task is not None and not task.done():
             task.cancel()
             await asyncio.wait([task], timeout=STOP_TIMEOUT_MS / 1000)
         self.cut()
@@ -379,6 +389,13 @@
         self.answer(500, [])
         self._finish()
 
+    def _enlarge_send_buffer(self) -> None:
+        sock, size = self._transport.get_extra_info("socket"), largest_send_buffer()
+        with contextlib.suppress(OSError):
+            # Setting a size ends the kernel's own adaptation, which may have grown beyond it.
+            if sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) < size:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+
     def _finish(self) -> None:
         # Closing now would drop what the kernel still holds if the process ends, or if bytes of the
         # caller are unread: only the writing direction is closed until the caller has all of it.
@@ -430,6 +447,15 @@
             self._transport.close()
 
 
+@cache
+def largest_send_buffer() -> int:
+    """Largest send buffer in bytes that the system allows, up to `EXIT_SEND_BUFFER_BYTES`."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, EXIT_SEND_BUFFER_BYTES)
+        # The kernel tells twice the size that it has granted.
+        return probe.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) // 2
+
+
 def _unacknowledged_bytes(sock: Any) -> int:
     try:
         reply = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
