The estimate of a request records its own duration

Cause: the exchange kept two fields for the duration that a stopping router learns from, and nothing tested that it holds the time that callers take to read.

Change: DurationEstimate keeps when the answer began and records it at its end.

--- a/packages/gateway/src/tamarack_gateway/duration_estimate.py
+++ b/packages/gateway/src/tamarack_gateway/duration_estimate.py
@@ -24,6 +24,8 @@
         self._route = route
         self._service = service
         self._prompt = prompt
+        self._began_ms: float | None = None
+        self._resumed_after: int | None = None
 
     def longest_ms(self, choice: Choice, left_ms: float, last_event: int | None) -> float:
         """Longest time that a send is expected to take from now on, or may take at most.
@@ -54,22 +56,26 @@
         longest_ms = self.longest_ms(choice, left_ms, last_event)
         return plan.may_finish(longest_ms, self._state.clock.now_ms)
 
-    def answered(self, took_ms: float) -> None:
-        """Record the duration of a complete plain answer."""
-        self._state.times(self._service).answered(took_ms, self._state.clock.now_ms)
-
-    def streamed(self, took_ms: float, resumed_after: int | None) -> None:
-        """Record the duration of a complete stream, counted from its first event.
+    def began(self, at_ms: float, resumed_after: int | None = None) -> None:
+        """Record when a plain request was sent, or when the first event of a stream arrived.
 
         Parameters
         ----------
         resumed_after
             Id of the event after which this send resumed; None if it started from the beginning.
         """
-        expected = self._expected_tokens(resumed_after)
-        if expected is not None:
-            times = self._state.times(self._service)
-            times.streamed(took_ms, expected, self._state.clock.now_ms)
+        self._began_ms, self._resumed_after = at_ms, resumed_after
+
+    def ended(self) -> None:
+        """Record the duration of a complete answer that its caller has taken."""
+        if self._began_ms is None:
+            return
+        now_ms, times = self._state.clock.now_ms, self._state.times(self._service)
+        took_ms = now_ms - self._began_ms
+        if not self._route.streams:
+            times.answered(took_ms, now_ms)
+        elif (expected := self._expected_tokens(self._resumed_after)) is not None:
+            times.streamed(took_ms, expected, now_ms)
 
     def _expected_tokens(self, last_event: int | None) -> int | None:
         tokens_per_event = self._state.tokens_per_event(self._service)
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -110,8 +110,6 @@
         self._may_have_run = False
         self._first_event_ms: float | None = None
         self._answered = False
-        self._began_ms: float | None = None
-        self._resumed_after: int | None = None
 
     @property
     def sends(self) -> int:
@@ -138,13 +136,7 @@
         if not self._answered:
             return
         self._origins.ended(self._facts.attempt)
-        if self._began_ms is None:
-            return
-        took_ms = self._state.clock.now_ms - self._began_ms
-        if self._route.streams:
-            self._duration_estimate.streamed(took_ms, self._resumed_after)
-        else:
-            self._duration_estimate.answered(took_ms)
+        self._duration_estimate.ended()
 
     @property
     def _prompt(self) -> Prompt | None:
@@ -330,17 +322,18 @@
         if head.length is not None and len(body) != head.length:
             raise BrokenAnswerError("the body is not whole")
         await self._request_quarantine.check_end(choice.endpoint, head)
-        self._began_ms = sent_ms
+        self._duration_estimate.began(sent_ms)
         self._caller.answer(head.status, self._dialect.for_caller(head), body)
         return Result(SendOutcome.DONE)
 
     async def _relay_events(
         self, choice: Choice, connection: EndpointConnection, head: AnswerHead
     ) -> Result:
-        clock, self._resumed_after = self._state.clock, self._splitter.last
+        clock, resumed_after = self._state.clock, self._splitter.last
 
         def on_first_event() -> None:
             self._first_event_ms = clock.now_ms
+            self._duration_estimate.began(clock.now_ms, resumed_after)
             self._selector.software_version = choice.endpoint.software_version
             self._recorder.first_event(choice)
 
@@ -350,7 +343,6 @@
         await self._timeouts.whole(relay, choice, self._sends)
         await self._request_quarantine.check_end(choice.endpoint, head)
         relay.end()
-        self._began_ms = relay.first_ms
         return Result(SendOutcome.DONE)
 
     # after a send
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 
 import pytest
 from gateway_site import Fleet, play, until
 from slow_caller import SlowCaller
 
+from tamarack_core.service_times import MIN_SAMPLES
 from tamarack_standins.platform_worker import PlatformWorker, Script
 
 STEPS_S = 0.3
@@ -146,3 +148,28 @@
         assert received == 1
 
     play(scenario())
+
+
+def test_expected_durations_contain_the_time_that_callers_take_to_read() -> None:
+    """Guards against a stopping router that takes a request whose caller reads beyond its exit."""
+    limit_ms, read_after_s = 4_000.0, 0.2
+
+    async def scenario() -> None:
+        worker = PlatformWorker("w1", ANSWERS["plain, in the transport"][0])
+        async with Fleet({"web": [worker]}) as fleet, contextlib.AsyncExitStack() as stack:
+            state = fleet.gateway.state
+            callers = [SlowCaller(fleet.gateway.callers) for _ in range(MIN_SAMPLES)]
+            for caller in callers:
+                await stack.enter_async_context(caller)
+                await caller.send(fleet.request("/page/1"))
+            await until(lambda: len(worker.received) == MIN_SAMPLES)
+            await asyncio.sleep(read_after_s)
+            await asyncio.gather(*(caller.read_until(b"end") for caller in callers))
+
+            def longest_ms() -> float:
+                return state.times("web").longest_answer_ms(limit_ms, state.clock.now_ms)
+
+            await until(lambda: longest_ms() < limit_ms)
+            assert longest_ms() >= read_after_s * 1_000.0
+
+    play(scenario())
