One owner restarts a router's background tasks, or ends the process

What callers saw: a router whose housekeeping, reports to peers or table follower had ended by an exception stayed ready; its streams were refused elsewhere, changes were not seen, idle connections never closed.

Cause: each part kept its own asyncio tasks and looked at none of them; the exception vanished with the task object. Exceptions of timers and of requests went to asyncio's own log only.

Change: `TaskOwner` starts all long-lived tasks (tables, registration, reports, relay, relay plan, cache inventory, quarantine, warm-ups, stream records, housekeeping, log, settings watcher). An end is logged with a bounded traceback, counted (`task_failures`, `tasks_down`), and restarted with backoff; meanwhile `FleetState.ready` is false. Five quick ends in a row end the process with exit code 70 and the reason. The event loop's exception handler logs and counts what callbacks and requests raise. Restarts lose nothing: a follower that could not apply rows reads the table again, removals from the quarantine stay queued, the samples of the event loop and the expiry of endpoints are rescheduled first, and a failed check of an endpoint is forgotten instead of raised again.

--- a/packages/gateway/src/tamarack_gateway/endpoint_rows.py
+++ b/packages/gateway/src/tamarack_gateway/endpoint_rows.py
@@ -83,10 +83,10 @@
 
     def _expire(self) -> None:
         expired = self._state.registry.expire(self._state.clock.now_ms)
+        self._schedule_expiry()
         self._state.sync_endpoints()
         if expired:
             self._state.log.change("missing endpoints expired", endpoints=expired)
-        self._schedule_expiry()
 
     def _apply_row(self, row: Row, now_ms: float, keep_until_ms: float) -> None:
         registry = self._state.registry
--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -6,7 +6,7 @@
 import contextlib
 from collections.abc import Callable, Collection
 from functools import partial
-from typing import Any, NamedTuple, TypedDict
+from typing import NamedTuple, TypedDict
 
 import msgspec
 
@@ -20,6 +20,7 @@
 from tamarack_gateway.store_epoch import LOST_CHANGES_MS, StoreEpoch, epoch_of, without_epoch
 from tamarack_gateway.table_follower import TableFollower
 from tamarack_gateway.table_messages import CopyWanted, TableChange, TableNews
+from tamarack_gateway.task_owner import OwnedTask, TaskOwner
 from tamarack_gateway.unreadable_rows import RowKind
 
 RULES_WAIT_FRACTION = 0.2
@@ -85,6 +86,8 @@
         Called when another router should send a whole table.
     on_quarantine_change
         Called with changes of the table of quarantined requests.
+    tasks
+        Owns the tasks that follow the store; an owner of its own by default.
     """
 
     def __init__(
@@ -97,6 +100,7 @@
         publish: Callable[[TableNews], None],
         wanted: Callable[[CopyWanted], None],
         on_quarantine_change: Callable[[TableChange], None],
+        tasks: TaskOwner | None = None,
     ) -> None:
         self._site = site
         self._on_quarantine_change = on_quarantine_change
@@ -112,7 +116,8 @@
         self._endpoints = EndpointRows(state, site.read_endpoint)
         self._registering = False
         self._leaving = False
-        self._tasks: list[asyncio.Task[Any]] = []
+        self._owner = tasks or TaskOwner(state.clock, state.log)
+        self._tasks: list[OwnedTask] = []
         self._followers: dict[str, TableFollower] = {}
         self._epoch = StoreEpoch(state.clock)
         self._epoch.on_restore = self._on_restore
@@ -149,7 +154,7 @@
                 epoch=self._epoch,
             )
             self._followers[table] = follower
-            self._tasks.append(asyncio.ensure_future(follower.run()))
+            self._tasks.append(self._owner.start(f"table {table}", follower.run))
         domain = self._state.settings.failure_domain
         self._own_row = msgspec.json.encode(RouterRow(peers_address, boot, domain)._asdict())
         self._start_registration()
@@ -218,9 +223,7 @@
         """Stop following."""
         for timer in self._timers:
             timer.cancel()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._owner.cancel(self._tasks)
         self._clients.close()
 
     def _on_restore(self) -> None:
@@ -265,7 +268,7 @@
 
     def _start_registration(self) -> None:
         self._registering = True
-        self._tasks.append(asyncio.ensure_future(self._register()))
+        self._tasks.append(self._owner.start("registration", self._register, once=True))
 
     async def _register(self) -> None:
         client = self._clients.create()
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -106,6 +106,7 @@
             settled=lambda: clock.now_ms - started_ms >= SETTLED_MS,
         )
         self.quarantine_known = False
+        self.complete: Callable[[], bool] = _always
         self.owns: Callable[[str], bool] = _owns_nothing
         self.on_incarnation_ended: Callable[[EndpointIncarnation, bool], None] = _ignore
         self.leaving: LeavingPlan | None = None
@@ -118,7 +119,7 @@
     @property
     def ready(self) -> bool:
         """Whether callers should be sent here."""
-        return self.initialized and self.leaving is None
+        return self.initialized and self.leaving is None and self.complete()
 
     @property
     def initialized(self) -> bool:
@@ -378,6 +379,11 @@
                 model.resize(service.engine.memory_tokens)
 
 
+def _always() -> bool:
+    """Default of `FleetState.complete`: all tasks run."""
+    return True
+
+
 def _owns_nothing(key: str) -> bool:
     """Default of `FleetState.owns`: no key is owned."""
     return False
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-from typing import Any
 
 from tamarack_core.accept_rate import AcceptRate
 from tamarack_core.clock import Clock
@@ -34,6 +33,7 @@
 from tamarack_gateway.router_pages import RouterPages
 from tamarack_gateway.site import Site
 from tamarack_gateway.table_messages import TableNews
+from tamarack_gateway.task_owner import OwnedTask, TaskOwner
 from tamarack_gateway.termination_detector import TerminationDetector
 from tamarack_gateway.warm_up_feed import WarmUpFeed
 
@@ -74,6 +74,8 @@
         self._boot = seed
         self._settings = site.load_settings()
         self._state = FleetState(self._settings, clock, log, seed=seed, quarantine=quarantine)
+        self._tasks = TaskOwner(clock, log)
+        self._state.complete = lambda: self._tasks.complete
         self._pool = ConnectionPool(clock)
         self._outbox = Outbox()
         self._members = FleetMembers()
@@ -97,6 +99,7 @@
             malformed=lambda: self._peers.malformed,
             store_epoch=lambda: self._feeds.store_epoch,
             origins=lambda: self._origins.readings,
+            tasks=self._tasks,
         )
         self._state.owns = lambda matter: self._members.owns(matter, self._me, clock.now_ms)
         self._quarantine = self._make_quarantine()
@@ -125,7 +128,7 @@
         self._listeners = Listeners(
             self._state, clock, self._connections, self._caller_limit, accept_rate
         )
-        self._tasks: list[asyncio.Task[Any]] = []
+        self._loops: list[OwnedTask] = []
         self._lines_queued = asyncio.Event()
         log.on_line = self._lines_queued.set
         self._stack = contextlib.AsyncExitStack()
@@ -140,6 +143,7 @@
 
     async def __aenter__(self) -> Gateway:
         settings = self._settings
+        await self._stack.enter_async_context(self._tasks)
         await self._stack.enter_async_context(self._peers)
         self._stack.enter_context(self._loop_monitor)
         self._feeds.start(self._peers.address, self._boot)
@@ -154,23 +158,22 @@
         self._metrics_address = await listen(settings.metrics, self._pages.answer_operator)
         table = self._site.tables.software_versions
         records = OriginRecords(self._state, self._origins, self._feeds.clients, table)
-        for task in (
-            self._inventory.run(),
-            self._quarantine.run(),
-            self._quarantine.store(),
-            self._warm_ups.run(),
-            records.run(),
-            self._sweep(),
-            self._flush(),
-        ):
-            self._tasks.append(asyncio.ensure_future(task))
+        start = self._tasks.start
+        self._loops = [
+            start("cache inventory", self._inventory.run, once=True),
+            start("quarantine", self._quarantine.run),
+            start("quarantine writer", self._quarantine.store),
+            start("warm-ups", self._warm_ups.run),
+            start("stream records", records.run),
+            start("housekeeping", self._sweep),
+            start("log", self._flush),
+        ]
         self._log.event("started", callers=self._callers, peers=self._peers.address)
         return self
 
     async def __aexit__(self, *exc: object) -> None:
         self._log.event("stopped")
-        for task in self._tasks:
-            task.cancel()
+        await self._tasks.cancel(self._loops)
         await self._feeds.close()
         self._listeners.close()
         self._handler.ending = True
@@ -186,6 +189,11 @@
         """The router's local state."""
         return self._state
 
+    @property
+    def tasks(self) -> TaskOwner:
+        """The router's background tasks."""
+        return self._tasks
+
     @property
     def callers(self) -> str:
         """Address at which callers are served."""
@@ -289,6 +297,7 @@
             on_versions=lambda versions: self._feeds.record_versions(versions),
             on_notice=self._inbox.receive_notice,
             on_begun=self._origins.receive,
+            tasks=self._tasks,
         )
 
     def _make_origins(self) -> OriginFeed:
@@ -321,6 +330,7 @@
             publish=self._publish_changes,
             wanted=self._peers.publish_copy_request,
             on_quarantine_change=self._quarantine.apply_change,
+            tasks=self._tasks,
         )
 
     def _make_inventory(self) -> CacheInventory:
--- a/packages/gateway/src/tamarack_gateway/gateway_metrics.py
+++ b/packages/gateway/src/tamarack_gateway/gateway_metrics.py
@@ -11,6 +11,7 @@
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.loop_monitor import LoopStatus
 from tamarack_gateway.router_status import workspace_statuses
+from tamarack_gateway.task_owner import TaskOwner
 from tamarack_gateway.unreadable_rows import RowKind
 
 if TYPE_CHECKING:
@@ -36,6 +37,8 @@
         Returns how often the store has been restored from a copy.
     origins
         Returns readings of what the router knows about where streams began.
+    tasks
+        The background tasks, whose failures are counted.
     """
 
     def __init__(
@@ -48,6 +51,7 @@
         malformed: Callable[[], int] = lambda: 0,
         store_epoch: Callable[[], int] = lambda: 0,
         origins: Callable[[], Mapping[str, int]] = dict,
+        tasks: TaskOwner | None = None,
     ) -> None:
         self._state = state
         self._pool = pool
@@ -56,6 +60,7 @@
         self._malformed = malformed
         self._store_epoch = store_epoch
         self._origins = origins
+        self._tasks = tasks
 
     @cached_property
     def _collectors(self) -> MetricCollectors:
@@ -135,9 +140,19 @@
             )
         for (decision, reason), count in state.log.decisions.items():
             self._collectors.decisions.set({"decision": decision, "reason": reason}, count)
+        self._read_tasks()
         self._read_workspaces()
         return self._collectors.render()
 
+    def _read_tasks(self) -> None:
+        if self._tasks is None:
+            return
+        gauges = self._collectors.gauges
+        gauges.set({"name": "tasks_down"}, float(len(self._tasks.down)))
+        gauges.set({"name": "task_failures"}, float(self._tasks.failures.total()))
+        for name, count in self._tasks.failures.items():
+            gauges.set({"name": "task_failures", "task": name}, float(count))
+
     def _read_workspaces(self) -> None:
         # Workspaces that are no longer among the largest are removed: their last values would stay
         # forever, and the page would grow with each workspace that was ever large.
--- a/packages/gateway/src/tamarack_gateway/loop_monitor.py
+++ b/packages/gateway/src/tamarack_gateway/loop_monitor.py
@@ -171,13 +171,14 @@
         self._timer = loop.call_later(sample_ms / 1000, self._sample, due_ms)
 
     def _sample(self, due_ms: float) -> None:
+        # First, so that no exception below ends the samples.
+        self._schedule()
         now_ms = self._clock.now_ms
         starved = self._accept_rate.starved(now_ms)
         self._limit.observe(now_ms - due_ms, self.running, now_ms, starved=starved)
         overload_changed = self._lag.record_lag(now_ms - due_ms, now_ms)
         diverted = self.avoid
         self._diversion.observe(self._lag.overloaded or self._crowded(), now_ms)
-        self._schedule()
         self._report.poll(
             limit=self._most_in_progress,
             running=self.running,
--- a/packages/gateway/src/tamarack_gateway/main.py
+++ b/packages/gateway/src/tamarack_gateway/main.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 from collections.abc import Callable
+from functools import partial
 
 from tamarack_core.clock import BootClock
 from tamarack_gateway.decision_log import DecisionLog
@@ -17,6 +18,9 @@
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
+TASK_FAILED = 70
+"""Exit code of a process whose background task fails again and again: it should be started anew."""
+
 SETTINGS_CHECK_S = 1.0
 """Seconds between two checks of the settings file, which may change without a signal."""
 
@@ -35,8 +39,13 @@
     boot = clock.wall_ms * 1_000 + seed % 1_000
     log = DecisionLog(settings.router, clock)
     gc.freeze()
-    asyncio.run(_run(Gateway(site, clock, log, seed=boot, quarantine=bounds), settings_path))
-    return 0
+    gateway = Gateway(site, clock, log, seed=boot, quarantine=bounds)
+    asyncio.run(_run(gateway, settings_path))
+    reason = gateway.tasks.give_up_reason
+    if reason is None:
+        return 0
+    print(f"tamarackd: {reason}", file=sys.stderr)
+    return TASK_FAILED
 
 
 async def _run(gateway: Gateway, settings_path: str) -> None:
@@ -46,13 +55,16 @@
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, gateway.reload)
     async with gateway:
-        watch = asyncio.ensure_future(_watch_settings(gateway, settings_path))
+        tasks = gateway.tasks
+        tasks.on_give_up = stop.set
+        loop.set_exception_handler(tasks.record_context)
+        tasks.start("settings watcher", partial(_watch_settings, gateway, settings_path))
         await stop.wait()
-        await gateway.leave()
+        if tasks.give_up_reason is None:
+            await gateway.leave()
         # The loop removes its signal handlers as it closes: a second signal would then terminate
         # the process by its default action, and a clean stop would look like a crash.
         signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
-        watch.cancel()
 
 
 async def _watch_settings(gateway: Gateway, path: str) -> None:
--- a/packages/gateway/src/tamarack_gateway/peer_group.py
+++ b/packages/gateway/src/tamarack_gateway/peer_group.py
@@ -25,6 +25,7 @@
 from tamarack_gateway.peer_sockets import PeerSockets
 from tamarack_gateway.relay_collector import RelayCollector
 from tamarack_gateway.table_messages import CopyWanted, TableNews
+from tamarack_gateway.task_owner import OwnedTask, TaskOwner
 
 SUMMARY_MS = 250.0
 SUMMARY_PER_ROUTER_MS = 4.0
@@ -98,6 +99,8 @@
         Called with each notice of another router.
     on_begun
         Called with begun streams of other routers.
+    tasks
+        Owns the tasks of the exchange; an owner of its own by default.
 
     Attributes
     ----------
@@ -123,6 +126,7 @@
         on_versions: Callable[[dict[str, int]], None] = lambda versions: None,
         on_notice: Callable[[Notice], None] = lambda notice: None,
         on_begun: Callable[[BegunStreams], None] = lambda begun: None,
+        tasks: TaskOwner | None = None,
     ) -> None:
         self._router = router
         self._domain = failure_domain
@@ -146,28 +150,29 @@
         self._collector = RelayCollector(router)
         self._heard_versions: dict[str, int] = {}
         self._last_versions_ms = float("-inf")
-        self._relay_task: asyncio.Task[None] | None = None
+        self._relay_task: OwnedTask | None = None
         self._last_relay_ms = float("-inf")
         self._last_summary_ms = float("-inf")
         self._malformed_logged_ms = float("-inf")
         self.malformed = 0
         self._stack = contextlib.ExitStack()
-        self._tasks: list[asyncio.Task[Any]] = []
+        self._owner = tasks or TaskOwner(clock, log)
+        self._tasks: list[OwnedTask] = []
         self._sockets: PeerSockets
 
     async def __aenter__(self) -> PeerGroup:
         sockets = PeerSockets(self._listen, self._receive, self._record_malformed)
         self._sockets = self._stack.enter_context(sockets)
         self._update_subscriptions()
-        for task in (self._report_loop(), self._check_plan()):
-            self._tasks.append(asyncio.ensure_future(task))
+        self._tasks = [
+            self._owner.start("reports to peers", self._report_loop),
+            self._owner.start("relay plan", self._check_plan),
+        ]
         return self
 
     async def __aexit__(self, *exc: object) -> None:
         tasks = self._tasks + ([self._relay_task] if self._relay_task is not None else [])
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._owner.cancel(tasks)
         self._stack.close()
 
     @property
@@ -385,7 +390,7 @@
             self._relay_task = None
         self._collector = RelayCollector(self._router)
         if relays:
-            self._relay_task = asyncio.ensure_future(self._relay_loop())
+            self._relay_task = self._owner.start("relay", self._relay_loop)
 
     def _topics(self, links: Links) -> frozenset[bytes]:
         if links.domains is None:
--- a/packages/gateway/src/tamarack_gateway/quarantine_feed.py
+++ b/packages/gateway/src/tamarack_gateway/quarantine_feed.py
@@ -213,14 +213,11 @@
         # Every router sees an entry evicted, so its owner removes the row; only this router has
         # seen the answers in `_removals`.
         evicted = self._quarantine.take_evicted()
-        due = self._removals + [one for one in evicted if self._owns_row(one)]
-        # Reset before the first call: more answers may arrive during the calls.
-        self._removals = []
-        for fingerprint in due:
-            if not self._quarantine.contains(fingerprint) and not await self._write_row(
-                fingerprint, None
-            ):
-                self._removals.append(fingerprint)
+        self._removals += [one for one in evicted if self._owns_row(one)]
+        # More answers may arrive during the calls, and an exception may end this task.
+        for fingerprint in list(self._removals):
+            if self._quarantine.contains(fingerprint) or await self._write_row(fingerprint, None):
+                self._removals.remove(fingerprint)
 
     async def _store_decisions(self) -> None:
         now_ms = self._state.clock.now_ms
--- a/packages/gateway/src/tamarack_gateway/table_follower.py
+++ b/packages/gateway/src/tamarack_gateway/table_follower.py
@@ -260,7 +260,12 @@
             else:
                 self._rows[row.key] = row
         until_ms = self._recovered_ms + self.RETURN_MS
-        self._on_change(TableChange(rows, whole, asked_ms, until_ms, self._epoch.catching_up))
+        try:
+            self._on_change(TableChange(rows, whole, asked_ms, until_ms, self._epoch.catching_up))
+        except Exception:
+            # Some rows may not have been applied: the next call reads them all again.
+            self._version = None
+            raise
 
     def _listening(self) -> bool:
         if self._version is None or self._gap_found or self._failures or self._reads():
--- a/packages/gateway/src/tamarack_gateway/termination_detector.py
+++ b/packages/gateway/src/tamarack_gateway/termination_detector.py
@@ -85,7 +85,8 @@
     @property
     def ended(self) -> bool:
         """Whether the check confirmed that the endpoint terminated."""
-        return self.task.done() and not self.task.cancelled() and self.task.result()
+        task = self.task
+        return task.done() and not task.cancelled() and task.exception() is None and task.result()
 
     def shares_cause_with(self, other: _Check) -> bool:
         """Whether a request cut by the other termination was sent here later: it may cause both.
@@ -170,8 +171,19 @@
     def _begin(self, endpoint: Endpoint, now_ms: float) -> _Check:
         check = self._checks[endpoint.key] = _Check(endpoint, now_ms)
         check.task = asyncio.ensure_future(self._run_check(check))
+        check.task.add_done_callback(lambda task: self._drop_failed(check, task))
         return check
 
+    def _drop_failed(self, check: _Check, task: asyncio.Task[bool]) -> None:
+        # Otherwise, each later broken answer of this incarnation would get the same exception.
+        error = None if task.cancelled() else task.exception()
+        if error is None:
+            return
+        if self._checks.get(check.endpoint.key) is check:
+            del self._checks[check.endpoint.key]
+        context = {"message": "the check of an endpoint failed", "exception": error}
+        asyncio.get_running_loop().call_exception_handler(context)
+
     async def _run_check(self, check: _Check) -> bool:
         await asyncio.sleep(CHECK_DELAY_MS / 1000)
         endpoint, loop = check.endpoint, asyncio.get_running_loop()
