Events read together with a spoiled one reach the caller

Callers saw: a stream that lacked two events (1 to 9, 12 to 24) and ended as complete.

Cause: EventSplitter counted events as read while it parsed them; at a spoiled one it raised, and the events of the same read were lost with the exception. The take-up went on after the last counted event. Counted as done when handed to the next step, not when the caller had it.

Change: the error carries the events before it, and the relay passes them on. `last` must be what the caller got: an event without an id in a stream with ids (its id may be the spoiled part) is passed on with the next one, if that one follows; two ids in one event are an error (a spoiled separator), as is a complete event over the limit, for any segmentation. A stream goes on at another endpoint only if `last` tells what was passed on: not after events without ids, and not after a first id other than 1 that the second contradicts; these break off.

What stays: a spoiled byte inside an event's data or in the second line feed after it is the worker's own answer and cannot be told; nor a last event whose id is spoiled.

--- a/packages/gateway/src/tamarack_gateway/event_relay.py
+++ b/packages/gateway/src/tamarack_gateway/event_relay.py
@@ -12,7 +12,7 @@
     ConnectionLostError,
     EndpointConnection,
 )
-from tamarack_gateway.event_splitter import EventSplitter
+from tamarack_gateway.event_splitter import BadStreamError, Event, EventSplitter
 from tamarack_gateway.http_messages import AnswerHead
 
 
@@ -69,6 +69,7 @@
 
     def end(self) -> None:
         """End the caller's answer; raises `BrokenAnswerError` if the last event is incomplete."""
+        self._pass_on(self._splitter.finish())
         if self._splitter.rest:
             # Without chunks, a crash of the endpoint looks like the end of the answer.
             error = ConnectionLostError if self._head.unframed else BrokenAnswerError
@@ -81,7 +82,15 @@
 
     def _on_data(self, data: bytes) -> None:
         self._received_ms = self._clock.now_ms
-        events = self._splitter.feed(data)
+        try:
+            events = self._splitter.feed(data)
+        except BadStreamError as error:
+            # `last` counts these events, so that no later endpoint sends them again.
+            self._pass_on(error.events)
+            raise
+        self._pass_on(events)
+
+    def _pass_on(self, events: list[Event]) -> None:
         if not events:
             return
         if self.first_ms is None:
--- a/packages/gateway/src/tamarack_gateway/event_splitter.py
+++ b/packages/gateway/src/tamarack_gateway/event_splitter.py
@@ -13,6 +13,10 @@
 """The `id` line of an event."""
 
 
+FIRST_ID = 1
+"""Id of the first event of a new stream; another one is confirmed by the event that follows it."""
+
+
 class Event(NamedTuple):
     """One event: its id, None if it has none, and its bytes."""
 
@@ -21,12 +25,25 @@
 
 
 class BadStreamError(ValueError):
-    """The bytes are no valid event stream, or its event ids are not consecutive."""
+    """The bytes are no valid event stream, or its event ids are not consecutive.
+
+    Parameters
+    ----------
+    events
+        Valid events that were read together with the invalid bytes, and precede them.
+    """
+
+    def __init__(self, reason: str, events: list[Event]) -> None:
+        super().__init__(reason)
+        self.events = events
 
 
 class EventSplitter:
     """Splits a stream into events and checks that their ids are consecutive.
 
+    In a stream with ids, an event without one is returned together with the next event: if that
+    one's id leaves a gap, the id of the event between was lost.
+
     Parameters
     ----------
     last
@@ -35,6 +52,8 @@
 
     def __init__(self, last: int | None = None) -> None:
         self._last = last
+        self._confirmed = last is not None
+        self._resumable = True
         self._partial = b""
 
     @property
@@ -42,33 +61,64 @@
         """Id of the last complete event."""
         return self._last
 
+    @property
+    def resumable(self) -> bool:
+        """Whether `last` tells which events were returned, so that a stream can go on after it."""
+        return self._resumable
+
     @property
     def rest(self) -> bytes:
         """Bytes of an incomplete event."""
         return self._partial
 
     def feed(self, data: bytes) -> list[Event]:
-        """Add bytes; returns the events that they complete."""
+        """Add bytes; returns the events that they complete.
+
+        Raises `BadStreamError` with the events that precede invalid bytes; they count as returned.
+        """
         data = self._partial + data
-        events = []
-        start = 0
-        while (end := data.find(b"\n\n", start)) >= 0:
-            events.append(self._event(data[start : end + 2]))
-            start = end + 2
+        events: list[Event] = []
+        start = searched = 0
+        while (end := data.find(b"\n\n", searched)) >= 0:
+            searched = end + 2
+            event = self._event(data[start:searched], events)
+            if event is not None:
+                events.append(event)
+                start = searched
         self._partial = data[start:]
         if len(self._partial) > EVENT_BYTES:
-            raise BadStreamError("an event is too large")
+            raise BadStreamError("an event is too large", events)
         return events
 
+    def finish(self) -> list[Event]:
+        """End the stream; returns its last events if they have no ids, `rest` keeps other bytes."""
+        if not self._partial.endswith(b"\n\n"):
+            return []
+        event, self._partial = Event(None, self._partial), b""
+        return [event]
+
     def restart(self) -> None:
         """Discard an incomplete event; the next endpoint sends it again."""
         self._partial = b""
 
-    def _event(self, raw: bytes) -> Event:
+    def _event(self, raw: bytes, before: list[Event]) -> Event | None:
+        if len(raw) > EVENT_BYTES:
+            raise BadStreamError("an event is too large", before)
         ids = ID_LINE.findall(raw)
-        number = int(ids[-1]) if ids else None
-        if number is not None:
-            if self._last is not None and number != self._last + 1:
-                raise BadStreamError(f"event {number} follows {self._last}")
-            self._last = number
+        if len(ids) > 1:
+            raise BadStreamError("an event has several ids", before)
+        number = int(ids[0]) if ids else None
+        if number is None:
+            if self._last is not None:
+                return None
+            self._resumable = False
+        elif self._last is None:
+            self._resumable, self._confirmed = True, number == FIRST_ID
+        elif number == self._last + 1:
+            self._confirmed = True
+        else:
+            # Of the first two ids, either may be the wrong one.
+            self._resumable = self._confirmed
+            raise BadStreamError(f"event {number} follows {self._last}", before)
+        self._last = number if number is not None else self._last
         return Event(number, raw)
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -364,6 +364,8 @@
             return False
         if self._sends >= self._route.max_attempts or self._left_ms < MIN_TIME_LEFT_MS:
             return False
+        if self._caller.begun and not self._splitter.resumable:
+            return False
         state = self._state
         allowed = state.allowance.take(self._service, state.clock.now_ms)
         state.log.request(
