An offered upgrade is ignored, and a refused message waits for its turn

Callers saw: a POST with `Upgrade: h2c` ran with an empty body and was answered 200; a stream on such a connection was closed after 1.0 s.

Cause: the parser ends the message of a request with an upgrade at its head, tells it as complete, and raises then. The request was queued at the first of both; the refusal that the second led to neither took it back nor wrote an answer, and closed the connection a second later. The same close cut the answer in progress after any message that was refused behind it: malformed bytes, CONNECT, bytes after `Connection: close`. Both are the same cause: done when handed on, not when the other side can see it.

Change: a request is queued only when a parser has read all of it. The head of a message with an upgrade is given to another parser without the offer, and then its body; CONNECT is refused. A refusal is an answer like others: written after those before it, once for a connection, and the connection stays open while the caller still takes them.

The tests' reader of answers now also reads the line that ends a chunked body.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -30,6 +30,9 @@
 """Bytes of a refused body that are read and discarded: closing with unread bytes resets the
 connection, and the caller would see a broken pipe instead of the refusal."""
 
+REFUSED_MS = 1_000.0
+"""Time in milliseconds for which the rest of a refused message is read before the close."""
+
 WRITE_HIGH_BYTES = 256 * 1024
 """Bytes buffered for a slow caller from which on its answer is no longer read from the endpoint."""
 
@@ -113,6 +116,7 @@
         self._keep_alive = True
         self._begun = False
         self._refused = False
+        self._refusal: int | None = None
         self._finished = False
         self._discarded = 0
         self._changed_ms = clock.now_ms
@@ -148,9 +152,7 @@
             self._discard(len(data))
             return
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400)
+            self._parse(data)
         except httptools.HttpParserError:
             self._refuse(400)
         else:
@@ -176,6 +178,11 @@
         self._head_done = True
         if self._refused:
             return
+        if self._parser.should_upgrade():
+            # The parser ends the message here, without its body: see `_parse`.
+            if self._parser.get_method() == b"CONNECT":
+                self._refuse(400)
+            return
         if self._head_bytes > self._bounds().header_bytes:
             self._refuse(431)
         elif not has_valid_framing(self._target, self._headers):
@@ -193,6 +200,8 @@
         self._body.append(body)
 
     def on_message_complete(self) -> None:
+        if self._parser.should_upgrade():
+            return
         self._reading = False
         self._changed_ms = self._clock.now_ms
         if self._refused:
@@ -346,6 +355,24 @@
         if not self.disconnected and not self.busy:
             self._finish()
 
+    def _parse(self, data: bytes) -> None:
+        while data and not self._refused:
+            try:
+                return self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as end:
+                # No upgrade that a caller offers is taken. The parser ends such a message with its
+                # head; another one reads it without the offer, and then its body.
+                (position,) = end.args
+                data = self._head_without_upgrade() + data[position:]
+                self._parser = httptools.HttpRequestParser(self)
+        return None
+
+    def _head_without_upgrade(self) -> bytes:
+        version = self._parser.get_http_version().encode()
+        lines = [b"%s %s HTTP/%s\r\n" % (self._parser.get_method(), self._target, version)]
+        lines += [b"%s: %s\r\n" % header for header in self._headers if header[0] != b"upgrade"]
+        return b"".join([*lines, b"\r\n"])
+
     async def _serve(self) -> None:
         try:
             while self._pending and not self.disconnected:
@@ -361,6 +388,8 @@
                     raise RuntimeError("a request was not answered")
                 if not self._end_request():
                     return
+            if self._refusal is not None and not self.disconnected:
+                self._write_refusal(self._refusal)
         finally:
             self._task = None
             self._answered = True
@@ -426,20 +455,33 @@
         )
 
     def _refuse(self, status: int) -> None:
+        """Refuse the message that is read, after the answers before it, and read no further."""
+        if self._refused:
+            return
         self._refused = True
         if self.disconnected:
             return
         if self._task is None:
-            headers: Headers = [(b"content-length", b"0"), (b"connection", b"close")]
-            self._transport.write(head_bytes(status, headers))
+            self._write_refusal(status)
+        else:
+            self._refusal = status
+
+    def _write_refusal(self, status: int) -> None:
+        headers: Headers = [(b"content-length", b"0"), (b"connection", b"close")]
+        self._transport.write(head_bytes(status, headers))
         with contextlib.suppress(OSError, NotImplementedError):
-            if self._transport.can_write_eof() and self._task is None:
+            if self._transport.can_write_eof():
                 self._transport.write_eof()
-        asyncio.get_running_loop().call_later(1.0, self._close_refused)
+        asyncio.get_running_loop().call_later(REFUSED_MS / 1000, self._close_refused)
 
     def _close_refused(self) -> None:
-        if self._transport is not None:
-            self._transport.close()
+        if self._transport is None:
+            return
+        if self.unsent_bytes:
+            # Closed by `close_if_idle`.
+            self._finished = True
+            return
+        self._transport.close()
 
     def _discard(self, received: int) -> None:
         self._discarded += received
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -222,6 +222,7 @@
         while size := int(await reader.readuntil(b"\r\n"), 16):
             body += await reader.readexactly(size)
             await reader.readexactly(2)
+        await reader.readexactly(2)
     except (asyncio.IncompleteReadError, ConnectionError):
         return Answer(status, headers, body, False)
     return Answer(status, headers, body, True)
