A head counts once, however it arrives

Callers saw: 431, which they do not retry, for a proper head of 12 kB in two pieces or of 10 kB in four; the limit is 16,384.

Cause: the bytes of each partial read were added to those that the parser had told of the same head. Bytes of a request before it, in the same read, counted too.

Change: the limit applies to what the parser has told, once the head is complete. Bytes that the parser holds back are counted apart, since the last head, piece of a body or end of a message, and bounded by twice the limit; that also bounds what a caller can send between two pieces of a body.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -111,6 +111,7 @@
         self._body: list[bytes] = []
         self._head_bytes = 0
         self._body_bytes = 0
+        self._unparsed_bytes = 0
         self._reading = False
         self._head_done = False
         self._keep_alive = True
@@ -151,12 +152,14 @@
         if self._refused:
             self._discard(len(data))
             return
+        self._unparsed_bytes += len(data)
         try:
             self._parse(data)
         except httptools.HttpParserError:
             self._refuse(400)
-        else:
-            self._check_head(len(data))
+            return
+        if self._reading and self._unparsed_bytes > 2 * self._bounds().header_bytes:
+            self._refuse(431)
 
     # httptools callbacks
 
@@ -176,6 +179,7 @@
 
     def on_headers_complete(self) -> None:
         self._head_done = True
+        self._unparsed_bytes = 0
         if self._refused:
             return
         if self._parser.should_upgrade():
@@ -192,6 +196,7 @@
 
     def on_body(self, body: bytes) -> None:
         self._body_bytes += len(body)
+        self._unparsed_bytes = 0
         if self._refused:
             return
         if self._body_bytes > self._bounds().body_bytes:
@@ -203,6 +208,7 @@
         if self._parser.should_upgrade():
             return
         self._reading = False
+        self._unparsed_bytes = 0
         self._changed_ms = self._clock.now_ms
         if self._refused:
             return
@@ -443,12 +449,6 @@
             return [(b"connection", b"close")]
         return []
 
-    def _check_head(self, received: int) -> None:
-        if self._reading and not self._head_done and not self._refused:
-            self._head_bytes += received
-            if self._head_bytes > 2 * self._bounds().header_bytes:
-                self._refuse(431)
-
     def _expects_continue(self) -> bool:
         return any(
             name == b"expect" and value.lower() == b"100-continue" for name, value in self._headers
