A stopping router answers all requests that it has read

Callers saw: of two requests sent at once on a connection, the second was read and never answered when SIGTERM came during the first.

Cause: `closing` ended a connection after the answer in progress, without a look at what was read behind it; the head of that answer already said `Connection: close`.

Change: a connection that is to close (a stop, or for want of room) says so in, and closes after, the answer to the last request that it has read. At the last exit those behind the cancelled one are refused (503, `leaving`); they have not run. What arrives after the announced close is not run.

What stays: behind a stream that the exit cuts nothing can be answered.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -386,6 +386,10 @@
                 self._begin_request(keep)
                 try:
                     await self._handler(request, self)
+                except asyncio.CancelledError:
+                    # Requests that were read behind this one are answered, too: by a refusal.
+                    if not self._pending or not self._begun or self.disconnected:
+                        raise
                 except Exception:
                     self._fail()
                     raise
@@ -409,7 +413,7 @@
         """End an answered request; returns whether the connection stays open."""
         self._answered = True
         self._changed_ms = self._clock.now_ms
-        if self._keep_alive and not self.closing:
+        if self._keep_alive and (self._pending or not self.closing):
             return True
         self._finish()
         return False
@@ -444,10 +448,11 @@
             self._transport.write_eof()
 
     def _connection_headers(self) -> Headers:
-        if self.closing or not self._keep_alive or (not self._answered and self._should_close()):
-            self._keep_alive = False
-            return [(b"connection", b"close")]
-        return []
+        # A request that was read behind this one is answered, too.
+        if self._keep_alive and not self._pending:
+            crowded = not self._answered and self._should_close()
+            self._keep_alive = not (self.closing or crowded)
+        return [] if self._keep_alive else [(b"connection", b"close")]
 
     def _expects_continue(self) -> bool:
         return any(
--- a/packages/gateway/src/tamarack_gateway/caller_handler.py
+++ b/packages/gateway/src/tamarack_gateway/caller_handler.py
@@ -91,7 +91,8 @@
             return
         rules = state.rules
         workspace = self._workspace_of(facts.key)
-        if state.leaving is not None and not state.leaving.lingers(self._clock.now_ms):
+        lingers = state.leaving is None or state.leaving.lingers(self._clock.now_ms)
+        if self.ending or not lingers:
             # The TTL of every answer with this address has expired; only running requests remain.
             self._refuse(caller, facts.attempt, "leaving", ELSEWHERE_MS)
             return
