Trailers of requests are dropped, and bounded

Callers could: add headers behind a chunked body, a second `Host`, an attempt id or `X-Model` among them. They were forwarded as headers, checked by nothing, and took precedence at an endpoint that keeps the last of two.

Cause: the head counted as done while its list of headers was still open: the parser tells trailers as it tells headers.

Change: what the parser tells after the head is counted against the limit of the head and dropped; more of it gets 431. A trailer concerns framing or one hop, and PROTOCOL.md names none, so that nothing is lost; `Content-Length` among trailers is still refused by the parser.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -174,8 +174,13 @@
         self._head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name.lower(), value))
         self._head_bytes += len(name) + len(value) + 4
+        if not self._head_done:
+            self._headers.append((name.lower(), value))
+        elif self._head_bytes > self._bounds().header_bytes:
+            # Trailers are bounded with the headers, and dropped: routes, keys and framing were
+            # decided without them.
+            self._refuse(431)
 
     def on_headers_complete(self) -> None:
         self._head_done = True
