--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -30,6 +30,9 @@
 """Bytes of a refused body that are read and discarded: closing with unread bytes resets the
 connection, and the caller would see a broken pipe instead of the refusal."""
 
+REFUSED_MS = 1_000.0
+"""Time in milliseconds for which the rest of a refused message is read before the close."""
+
 WRITE_HIGH_BYTES = 256 * 1024
 """Bytes buffered for a slow caller from which on its answer is no longer read from the endpoint."""
 
@@ -108,11 +111,13 @@
         self._body: list[bytes] = []
         self._head_bytes = 0
         self._body_bytes = 0
+        self._unparsed_bytes = 0
         self._reading = False
         self._head_done = False
         self._keep_alive = True
         self._begun = False
         self._refused = False
+        self._refusal: int | None = None
         self._finished = False
         self._discarded = 0
         self._changed_ms = clock.now_ms
@@ -147,14 +152,14 @@
         if self._refused:
             self._discard(len(data))
             return
+        self._unparsed_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400)
+            self._parse(data)
         except httptools.HttpParserError:
             self._refuse(400)
-        else:
-            self._check_head(len(data))
+            return
+        if self._reading and self._unparsed_bytes > 2 * self._bounds().header_bytes:
+            self._refuse(431)
 
     # httptools callbacks
 
@@ -169,13 +174,24 @@
         self._head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name.lower(), value))
         self._head_bytes += len(name) + len(value) + 4
+        if not self._head_done:
+            self._headers.append((name.lower(), value))
+        elif self._head_bytes > self._bounds().header_bytes:
+            # Trailers are bounded with the headers, and dropped: routes, keys and framing were
+            # decided without them.
+            self._refuse(431)
 
     def on_headers_complete(self) -> None:
         self._head_done = True
+        self._unparsed_bytes = 0
         if self._refused:
             return
+        if self._parser.should_upgrade():
+            # The parser ends the message here, without its body: see `_parse`.
+            if self._parser.get_method() == b"CONNECT":
+                self._refuse(400)
+            return
         if self._head_bytes > self._bounds().header_bytes:
             self._refuse(431)
         elif not has_valid_framing(self._target, self._headers):
@@ -185,6 +201,7 @@
 
     def on_body(self, body: bytes) -> None:
         self._body_bytes += len(body)
+        self._unparsed_bytes = 0
         if self._refused:
             return
         if self._body_bytes > self._bounds().body_bytes:
@@ -193,7 +210,10 @@
         self._body.append(body)
 
     def on_message_complete(self) -> None:
+        if self._parser.should_upgrade():
+            return
         self._reading = False
+        self._unparsed_bytes = 0
         self._changed_ms = self._clock.now_ms
         if self._refused:
             return
@@ -346,6 +366,24 @@
         if not self.disconnected and not self.busy:
             self._finish()
 
+    def _parse(self, data: bytes) -> None:
+        while data and not self._refused:
+            try:
+                return self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as end:
+                # No upgrade that a caller offers is taken. The parser ends such a message with its
+                # head; another one reads it without the offer, and then its body.
+                (position,) = end.args
+                data = self._head_without_upgrade() + data[position:]
+                self._parser = httptools.HttpRequestParser(self)
+        return None
+
+    def _head_without_upgrade(self) -> bytes:
+        version = self._parser.get_http_version().encode()
+        lines = [b"%s %s HTTP/%s\r\n" % (self._parser.get_method(), self._target, version)]
+        lines += [b"%s: %s\r\n" % header for header in self._headers if header[0] != b"upgrade"]
+        return b"".join([*lines, b"\r\n"])
+
     async def _serve(self) -> None:
         try:
             while self._pending and not self.disconnected:
@@ -353,6 +391,10 @@
                 self._begin_request(keep)
                 try:
                     await self._handler(request, self)
+                except asyncio.CancelledError:
+                    # Requests that were read behind this one are answered, too: by a refusal.
+                    if not self._pending or not self._begun or self.disconnected:
+                        raise
                 except Exception:
                     self._fail()
                     raise
@@ -361,6 +403,8 @@
                     raise RuntimeError("a request was not answered")
                 if not self._end_request():
                     return
+            if self._refusal is not None and not self.disconnected:
+                self._write_refusal(self._refusal)
         finally:
             self._task = None
             self._answered = True
@@ -374,7 +418,7 @@
         """End an answered request; returns whether the connection stays open."""
         self._answered = True
         self._changed_ms = self._clock.now_ms
-        if self._keep_alive and not self.closing:
+        if self._keep_alive and (self._pending or not self.closing):
             return True
         self._finish()
         return False
@@ -409,16 +453,11 @@
             self._transport.write_eof()
 
     def _connection_headers(self) -> Headers:
-        if self.closing or not self._keep_alive or (not self._answered and self._should_close()):
-            self._keep_alive = False
-            return [(b"connection", b"close")]
-        return []
-
-    def _check_head(self, received: int) -> None:
-        if self._reading and not self._head_done and not self._refused:
-            self._head_bytes += received
-            if self._head_bytes > 2 * self._bounds().header_bytes:
-                self._refuse(431)
+        # A request that was read behind this one is answered, too.
+        if self._keep_alive and not self._pending:
+            crowded = not self._answered and self._should_close()
+            self._keep_alive = not (self.closing or crowded)
+        return [] if self._keep_alive else [(b"connection", b"close")]
 
     def _expects_continue(self) -> bool:
         return any(
@@ -426,20 +465,33 @@
         )
 
     def _refuse(self, status: int) -> None:
+        """Refuse the message that is read, after the answers before it, and read no further."""
+        if self._refused:
+            return
         self._refused = True
         if self.disconnected:
             return
         if self._task is None:
-            headers: Headers = [(b"content-length", b"0"), (b"connection", b"close")]
-            self._transport.write(head_bytes(status, headers))
+            self._write_refusal(status)
+        else:
+            self._refusal = status
+
+    def _write_refusal(self, status: int) -> None:
+        headers: Headers = [(b"content-length", b"0"), (b"connection", b"close")]
+        self._transport.write(head_bytes(status, headers))
         with contextlib.suppress(OSError, NotImplementedError):
-            if self._transport.can_write_eof() and self._task is None:
+            if self._transport.can_write_eof():
                 self._transport.write_eof()
-        asyncio.get_running_loop().call_later(1.0, self._close_refused)
+        asyncio.get_running_loop().call_later(REFUSED_MS / 1000, self._close_refused)
 
     def _close_refused(self) -> None:
-        if self._transport is not None:
-            self._transport.close()
+        if self._transport is None:
+            return
+        if self.unsent_bytes:
+            # Closed by `close_if_idle`.
+            self._finished = True
+            return
+        self._transport.close()
 
     def _discard(self, received: int) -> None:
         self._discarded += received
