Messages of other routers are dispatched in turns of the event loop

What callers saw: after a freeze of 4 s a router stayed ready and reported nothing any more; streams that it began later were refused everywhere (24 of 24). After all routers were killed, some take-ups got 500.

Cause: `PeerSockets.publish` drained the receiving socket, handlers of what it read published answers, and these drained again: a recursion as deep as the backlog. The RecursionError ended `PeerGroup._report_loop`, or a request that had asked the others. One failing handler also lost the rest of a drain.

Change: only a callback of the event loop dispatches, 32 frames a turn, and schedules the next turn while frames wait; nothing that publishes dispatches. The descriptor is edge-triggered, so each use of the receiving socket (also `subscribe`, which did not look) checks for frames whose event it consumed. An exception of one handler is logged and counted as `messages of peers`; the other messages are dispatched. Queues are bounded by the limits of the sockets.

Not changed: old questions of others are answered, since a question has no time of its own and clocks of routers differ; answers beyond the sending limit of 200 frames a peer are dropped as before.

The same cause elsewhere: none; no other handler is called from where something is sent. `EndpointConnection.deliver` passes on what was queued, without sends.

--- a/packages/gateway/src/tamarack_gateway/peer_group.py
+++ b/packages/gateway/src/tamarack_gateway/peer_group.py
@@ -161,7 +161,12 @@
         self._sockets: PeerSockets
 
     async def __aenter__(self) -> PeerGroup:
-        sockets = PeerSockets(self._listen, self._receive, self._record_malformed)
+        sockets = PeerSockets(
+            self._listen,
+            self._receive,
+            self._record_malformed,
+            lambda error: self._owner.record_failure("messages of peers", error),
+        )
         self._sockets = self._stack.enter_context(sockets)
         self._update_subscriptions()
         self._tasks = [
--- a/packages/gateway/src/tamarack_gateway/peer_sockets.py
+++ b/packages/gateway/src/tamarack_gateway/peer_sockets.py
@@ -24,6 +24,10 @@
 KEEPALIVE_PROBES = 3
 """The publisher relies on TCP keepalive to detect lost subscribers."""
 
+FRAMES_PER_TURN = 32
+"""Received frames that are dispatched before the event loop gets to its other work: after a freeze,
+thousands may wait."""
+
 RECONNECT_MS = 300
 RECONNECT_MAX_MS = 2_000
 
@@ -39,6 +43,8 @@
         Called with the topic and content of each received message.
     on_malformed
         Called with the topic and size in bytes of each frame that cannot be read.
+    on_failure
+        Called with what a message provoked in `on_message`; the others are still dispatched.
     """
 
     def __init__(
@@ -46,9 +52,12 @@
         listen: str,
         on_message: Callable[[bytes, Any], None],
         on_malformed: Callable[[bytes, int], None] = lambda topic, size: None,
+        on_failure: Callable[[Exception], None] = lambda error: None,
     ) -> None:
         self._on_message = on_message
         self._on_malformed = on_malformed
+        self._on_failure = on_failure
+        self._next_turn: asyncio.Handle | None = None
         self._context = zmq.Context()
         self._out = self._socket(zmq.PUB)
         self._in = self._socket(zmq.SUB)
@@ -62,11 +71,14 @@
         self._topics: frozenset[bytes] = frozenset()
 
     def __enter__(self) -> PeerSockets:
-        asyncio.get_running_loop().add_reader(self._in.fileno(), self.drain)
+        asyncio.get_running_loop().add_reader(self._in.fileno(), self._schedule_turn)
+        self._schedule_turn()
         return self
 
     def __exit__(self, *exc: object) -> None:
         asyncio.get_running_loop().remove_reader(self._in.fileno())
+        if self._next_turn is not None:
+            self._next_turn.cancel()
         self._out.close(linger=100)
         self._in.close(linger=0)
         self._context.term()
@@ -90,22 +102,32 @@
         for address in self._peers - wanted:
             self._in.disconnect(f"tcp://{address}")
         self._peers, self._topics = wanted, topics
+        self._schedule_turn()
 
     def publish(self, topic: bytes, *messages: Any) -> None:
         """Send messages to all subscribers without waiting; slow subscribers lose some."""
         with contextlib.suppress(zmq.Again):
             self._out.send_multipart([topic, encode(list(messages))], zmq.NOBLOCK)
-        # The descriptor is edge-triggered: messages that arrived meanwhile are read here.
-        self.drain()
-
-    def drain(self) -> None:
-        """Read and dispatch all received messages."""
-        while int(self._in.getsockopt(zmq.EVENTS)) & zmq.POLLIN:
-            try:
-                parts = self._in.recv_multipart(zmq.NOBLOCK)
-            except zmq.Again:
-                return
-            self._dispatch(parts)
+        self._schedule_turn()
+
+    def _schedule_turn(self) -> None:
+        """Have received frames dispatched, never by the caller: handlers publish in turn.
+
+        The descriptor is edge-triggered. Each use of the receiving socket may consume its event, so
+        that frames would stay unread until the next one arrives.
+        """
+        if self._next_turn is None and int(self._in.getsockopt(zmq.EVENTS)) & zmq.POLLIN:
+            self._next_turn = asyncio.get_running_loop().call_soon(self._dispatch_received)
+
+    def _dispatch_received(self) -> None:
+        self._next_turn = None
+        try:
+            for _ in range(FRAMES_PER_TURN):
+                self._dispatch(self._in.recv_multipart(zmq.NOBLOCK))
+        except zmq.Again:
+            pass
+        finally:
+            self._schedule_turn()
 
     def _dispatch(self, parts: list[bytes]) -> None:
         frame = decode(parts[-1], "", 0, "") if len(parts) == 2 else None
@@ -113,7 +135,10 @@
             self._on_malformed(parts[0], len(parts[-1]))
             return
         for message in frame.messages:
-            self._on_message(parts[0], message)
+            try:
+                self._on_message(parts[0], message)
+            except Exception as error:
+                self._on_failure(error)
 
     def _socket(self, kind: int) -> zmq.Socket[bytes]:
         socket = self._context.socket(kind)
