A request head that is too slow is refused once

What callers saw: nothing at first; a head slower than `headerTimeoutMs` got 408. From then on the router read the table `versions` ten times a second, closed no idle connection and noticed no lost peer.

Change: `CallerConnection._refuse` refuses a connection once.

Evidence: test_a_slow_head_is_refused_once_and_the_housekeeping_goes_on; with the owner of tasks and without this change it failed with `failures` = {'housekeeping': 1} and the RuntimeError. slow_head.py: no read of `versions` in 5 s (48 before).

The same cause elsewhere: no other caller of `_refuse` can come twice, since received bytes of a refused connection are discarded.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -426,6 +426,8 @@
         )
 
     def _refuse(self, status: int) -> None:
+        if self._refused:
+            return
         self._refused = True
         if self.disconnected:
             return
--- a/tests/test_background_tasks.py
+++ b/tests/test_background_tasks.py
@@ -7,7 +7,7 @@
 import sys
 from typing import Any
 
-from gateway_site import Fleet, connect, play, until
+from gateway_site import Fleet, configuration, connect, play, until
 
 from tamarack_core.clock import BootClock
 from tamarack_core.restart_policy import MAX_QUICK_ENDS, QUICK_MS, RestartPolicy
@@ -205,3 +205,24 @@
             assert removed == ["one", "one", "two"]
 
     play(scenario())
+
+
+def test_a_slow_head_is_refused_once_and_the_housekeeping_goes_on() -> None:
+    """Guards against one slow caller that ends a router's housekeeping."""
+
+    async def scenario() -> None:
+        async with Fleet({"web": [PlatformWorker("w1")]}) as fleet:
+            limits = {"maxBodyBytes": 100_000, "tokensPerS": 300_000, "headerTimeoutMs": 300}
+            await fleet.store.put("op", "config", configuration(2, limits=limits))
+            await until(lambda: fleet.gateway.state.bounds.header_ms == 300.0)
+            reader, writer = await connect(fleet.gateway.callers)
+            writer.write(b"GET /page/1 HTTP/1.1\r\nHost: h\r\n")
+            answer = await reader.read()
+            assert answer.startswith(b"HTTP/1.1 408 ")
+            assert answer.count(b"HTTP/1.1") == 1
+            # The caller leaves its side open, and the next sweep meets the refused connection.
+            await until(lambda: not fleet.gateway._connections)
+            assert not fleet.gateway.tasks.failures
+            writer.close()
+
+    play(scenario())
