--- a/packages/gateway/src/tamarack_gateway/decision_log.py
+++ b/packages/gateway/src/tamarack_gateway/decision_log.py
@@ -27,6 +27,9 @@
 and successes are different kinds, so that neither displaces lines of the other."""
 
 
+MAX_TEXT_CHARS = 500
+"""Maximum length of a fact that is written as text, since JSON cannot hold its value."""
+
 MAX_REASONS = 60
 """Maximum number of reasons counted separately; some include text from endpoints, which is
 unbounded."""
@@ -135,9 +138,23 @@
             "message": message,
             **facts,
         }
-        self._lines.append(self._encoder.encode(line) + b"\n")
+        try:
+            encoded = self._encoder.encode(line)
+        except (ValueError, TypeError, OverflowError, RecursionError):
+            # Facts include what others sent; a line must not end what it is about.
+            texts = {name: _text(value) for name, value in facts.items()}
+            encoded = self._encoder.encode(line | texts)
+        self._lines.append(encoded + b"\n")
         self.written += 1
 
 
+def _text(value: Any) -> str:
+    try:
+        return ascii(value)[:MAX_TEXT_CHARS]
+    except (ValueError, RecursionError):
+        # Python writes no integer of thousands of digits.
+        return "not printable"
+
+
 def _ignore() -> None:
     """Default of `DecisionLog.on_line`: does nothing."""
--- a/packages/gateway/src/tamarack_gateway/peer_sockets.py
+++ b/packages/gateway/src/tamarack_gateway/peer_sockets.py
@@ -32,6 +32,14 @@
 RECONNECT_MAX_MS = 2_000
 
 
+def _can_be_encoded(message: Any) -> bool:
+    try:
+        encode([message])
+    except Exception:
+        return False
+    return True
+
+
 class PeerSockets:
     """One router's publishing socket and its subscriptions to others.
 
@@ -44,7 +52,8 @@
     on_malformed
         Called with the topic and size in bytes of each frame that cannot be read.
     on_failure
-        Called with what a message provoked in `on_message`; the others are still dispatched.
+        Called with what one message provoked, in `on_message` or when it was encoded; the others
+        are still dispatched or sent.
     """
 
     def __init__(
@@ -107,9 +116,17 @@
     def publish(self, topic: bytes, *messages: Any) -> None:
         """Send messages to all subscribers without waiting; slow subscribers lose some."""
         with contextlib.suppress(zmq.Again):
-            self._out.send_multipart([topic, encode(list(messages))], zmq.NOBLOCK)
+            self._out.send_multipart([topic, self._encode(messages)], zmq.NOBLOCK)
         self._schedule_turn()
 
+    def _encode(self, messages: tuple[Any, ...]) -> bytes:
+        try:
+            return encode(list(messages))
+        except Exception as error:
+            # A value that no frame can hold: the other messages are still sent.
+            self._on_failure(error)
+            return encode([one for one in messages if _can_be_encoded(one)])
+
     def _schedule_turn(self) -> None:
         """Have received frames dispatched, never by the caller: handlers publish in turn.
 
