A stand-in worker that ends closes the connections that it has just accepted

Cause: a connection is known to the stand-in once its handler has begun. One that was accepted in the loop iteration of the crash was not cancelled, and its handler then answered the router's inventory query: the worker counted as alive, and an unframed stream that ended with its connection as complete. No fault of the product.

Change: after a crash or an end, a handler that begins closes its connection.

Elsewhere: `forwarder` cancels all tasks of its loop, so also such ones; `FaultProxy` has the same gap at its exit, which only the end of a soak or test runs into.

--- a/packages/standins/src/tamarack_standins/fault_proxy.py
+++ b/packages/standins/src/tamarack_standins/fault_proxy.py
@@ -4,10 +4,10 @@
 
 import asyncio
 import contextlib
-import socket
-import struct
 from types import TracebackType
 
+from tamarack_standins.wire import reset
+
 READ_BYTES = 65_536
 POLL_INTERVAL_S = 0.02
 
@@ -76,8 +76,8 @@
     def reset_open(self) -> None:
         """Reset the connections that are open now, at both ends."""
         for pair in self._pairs:
-            _reset(pair.client)
-            _reset(pair.upstream)
+            reset(pair.client)
+            reset(pair.upstream)
 
     def heal(self) -> None:
         """Remove the delay and the cuts; connections that were silenced stay blocked."""
@@ -93,7 +93,7 @@
                 self._host, int(self._port)
             )
         except OSError:
-            _reset(writer)
+            reset(writer)
             return
         pair = _Pair(writer, upstream_writer)
         self._pairs.add(pair)
@@ -127,10 +127,3 @@
                 await writer.drain()
         with contextlib.suppress(OSError):
             writer.close()
-
-
-def _reset(writer: asyncio.StreamWriter) -> None:
-    sock = writer.get_extra_info("socket")
-    with contextlib.suppress(OSError):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
--- a/packages/standins/src/tamarack_standins/platform_worker.py
+++ b/packages/standins/src/tamarack_standins/platform_worker.py
@@ -8,13 +8,12 @@
 import asyncio
 import contextlib
 import json
-import socket
-import struct
 from collections.abc import Callable
 from types import TracebackType
 from typing import NamedTuple
 
 from tamarack_core.clock import Clock
+from tamarack_standins.wire import chunk, reset
 
 SIGNATURE = "3e1b.07.5a2"
 BORN_MS = 1_764_000_000_000
@@ -170,8 +169,10 @@
         self._scripts = list(scripts) or [Script()]
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._ended = False
 
     async def __aenter__(self) -> PlatformWorker:
+        self._ended = False
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
@@ -187,6 +188,7 @@
 
     async def end(self) -> None:
         """Terminate like a killed process: running requests are cut off."""
+        self._ended = True
         if self._server is not None:
             self._server.close()
         for task in self._tasks:
@@ -195,6 +197,7 @@
 
     def crash(self) -> None:
         """Crash from within a request: accept no more connections and break all open ones."""
+        self._ended = True
         if self._server is not None:
             self._server.close()
             self._server = None
@@ -217,6 +220,10 @@
         return entry if self.born is None else {**entry, "born": self.born}
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self._ended:
+            # Accepted just before the end.
+            writer.close()
+            return
         task = asyncio.current_task()
         if task is not None:
             self._tasks.add(task)
@@ -276,7 +283,7 @@
             self.crash()
             return False
         if script.reset:
-            _reset(writer)
+            reset(writer)
             return False
         if script.events is not None:
             return await self._stream(script, received, writer)
@@ -319,7 +326,7 @@
         await writer.drain()
         if script.truncated and script.unframed:
             await asyncio.sleep(0.05)
-            _reset(writer)
+            reset(writer)
         return not (script.unframed or script.truncated)
 
     async def _stream(
@@ -328,7 +335,7 @@
         lines = self._head(script, received)
         lines.append("content-type: text/event-stream")
         lines += [] if script.unframed else ["transfer-encoding: chunked"]
-        framed = _unchanged if script.unframed else _chunk
+        framed = _unchanged if script.unframed else chunk
         writer.write("\r\n".join([*lines, "", ""]).encode())
         first = int(received.headers.get("last-event-id", "0")) + 1
         for number in range(first, (script.events or 0) + 1):
@@ -340,7 +347,7 @@
                 await writer.drain()
                 await asyncio.sleep(0.02)
                 if not script.fatal:
-                    _reset(writer)
+                    reset(writer)
                 return False
             writer.write(framed(event))
             await writer.drain()
@@ -380,16 +387,6 @@
     return ReceivedRequest(method, target, headers, b"")
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
-    sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
-
-
-def _chunk(data: bytes) -> bytes:
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
 def _unchanged(data: bytes) -> bytes:
     return data
 
