Trailers of answers are dropped

Callers saw: headers that the endpoint sent behind a chunked body, among them a signature or an attempt id, since the list of headers stayed open after the head had been checked.

Change: what the parser tells after the head of an answer is dropped.

Evidence: test_trailers_of_an_answer_are_not_its_headers failed before and passes; test_unframed_answers, test_event_relay, test_gateway and test_gateway_silence pass.

--- a/packages/gateway/src/tamarack_gateway/endpoint_connection.py
+++ b/packages/gateway/src/tamarack_gateway/endpoint_connection.py
@@ -98,7 +98,8 @@
         self._headers = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self._complete:
+        # Trailers are dropped: the head has been checked without them.
+        if self._head is None:
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
--- a/tests/test_trailers.py
+++ b/tests/test_trailers.py
@@ -1,10 +1,14 @@
-"""Trailers of chunked requests."""
+"""Trailers of chunked requests and answers."""
 
 from __future__ import annotations
 
+import asyncio
+import socket
+
 import pytest
 from gateway_site import HOST, Fleet, play
 
+from tamarack_gateway.endpoint_connection import EndpointConnection
 from tamarack_standins.platform_worker import PlatformWorker
 
 CHUNK = b"2\r\nhi\r\n0\r\n"
@@ -68,3 +72,41 @@
         assert worker.received == []
 
     play(scenario())
+
+
+class _Pipe(asyncio.Transport):
+    """Transport to an endpoint of which only the answers matter."""
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        pass
+
+    def abort(self) -> None:
+        pass
+
+    def is_closing(self) -> bool:
+        return False
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def resume_reading(self) -> None:
+        pass
+
+
+def test_trailers_of_an_answer_are_not_its_headers() -> None:
+    """Guards against headers of an answer that come after the checks of its head."""
+
+    async def scenario() -> None:
+        connection = EndpointConnection()
+        connection.connection_made(_Pipe({"socket": socket.socket()}))
+        for number in (1, 2):
+            connection.send(b"x")
+            head = b"HTTP/1.1 200 OK\r\nX-Number: %d\r\nTransfer-Encoding: chunked\r\n\r\n" % number
+            connection.data_received(head + CHUNK + b"X-Server-Stamp: late\r\n\r\n")
+            answer = await connection.head()
+            assert await connection.body() == b"hi"
+            assert [name for name, _ in answer.headers] == [b"x-number", b"transfer-encoding"]
+            assert answer.header(b"x-number") == b"%d" % number
+            assert connection.finish(0.0)
+
+    play(scenario())
