A caller is told to continue when its turn comes

Callers saw: `HTTP/1.1 100 Continue` before or in the middle of the answer to the request before, where a request with `Expect: 100-continue` came behind it on its connection.

Cause: the line was written as soon as the head had been read, whatever was being written.

Change: it is written at once if no answer is in progress, and else after the answers before it.

Evidence: test_a_caller_is_told_to_continue_between_two_answers failed before and passes.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -114,6 +114,7 @@
         self._unparsed_bytes = 0
         self._reading = False
         self._head_done = False
+        self._continue_due = False
         self._keep_alive = True
         self._begun = False
         self._refused = False
@@ -197,7 +198,9 @@
         elif not has_valid_framing(self._target, self._headers):
             self._refuse(400)
         elif self._expects_continue():
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._continue_due = True
+            if self._task is None:
+                self._write_continue()
 
     def on_body(self, body: bytes) -> None:
         self._body_bytes += len(body)
@@ -212,7 +215,7 @@
     def on_message_complete(self) -> None:
         if self._parser.should_upgrade():
             return
-        self._reading = False
+        self._reading = self._continue_due = False
         self._unparsed_bytes = 0
         self._changed_ms = self._clock.now_ms
         if self._refused:
@@ -403,8 +406,12 @@
                     raise RuntimeError("a request was not answered")
                 if not self._end_request():
                     return
-            if self._refusal is not None and not self.disconnected:
+            if self.disconnected:
+                return
+            if self._refusal is not None:
                 self._write_refusal(self._refusal)
+            elif self._continue_due:
+                self._write_continue()
         finally:
             self._task = None
             self._answered = True
@@ -476,6 +483,10 @@
         else:
             self._refusal = status
 
+    def _write_continue(self) -> None:
+        self._continue_due = False
+        self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def _write_refusal(self, status: int) -> None:
         headers: Headers = [(b"content-length", b"0"), (b"connection", b"close")]
         self._transport.write(head_bytes(status, headers))
--- a/tests/test_pipelined_requests.py
+++ b/tests/test_pipelined_requests.py
@@ -91,3 +91,23 @@
         assert len(worker.received) == 1
 
     play(scenario())
+
+
+def test_a_caller_is_told_to_continue_between_two_answers() -> None:
+    """Guards against a status line in the middle of the answer before."""
+
+    async def scenario() -> None:
+        worker = PlatformWorker("w1", Script(events=5, event_pause_s=0.05))
+        async with Fleet({"pool": [worker]}) as fleet:
+            reader, writer = await connect(fleet.gateway.callers)
+            second = fleet.request("/rewrite/2", body=b"abc", Expect="100-continue")
+            writer.write(fleet.request("/rewrite/1") + second[:-3])
+            first = await read_answer(reader)
+            assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+            writer.write(second[-3:])
+            answer = await read_answer(reader)
+            writer.close()
+        assert (first.whole, answer.whole) == (True, True)
+        assert [request.body for request in worker.received] == [b"x", b"abc"]
+
+    play(scenario())
