Split reading requests from answering them

RequestReader (request_reader.py) reads a connection's requests within the limits and tells complete ones and refusals; CallerConnection answers them in order; the kernel's buffer has its functions in send_buffer.py, and the protocol of rejected connections goes to its only user, the listeners. No change of behaviour; two tests name the new places of what they watch or replace.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -1,20 +1,13 @@
-"""A caller's HTTP connection: reads each request completely and answers them in order."""
+"""A caller's HTTP connection: answers its requests in order."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import fcntl
-import socket
-import struct
-import termios
 from collections import deque
 from collections.abc import Awaitable, Callable
-from functools import cache
 from typing import Any
 
-import httptools
-
 from tamarack_core.clock import Clock
 from tamarack_core.ruleset import CallerBounds
 from tamarack_gateway.http_messages import (
@@ -24,7 +17,8 @@
     chunk_bytes,
     head_bytes,
 )
-from tamarack_gateway.request_framing import has_valid_framing
+from tamarack_gateway.request_reader import RequestEvents, RequestReader
+from tamarack_gateway.send_buffer import enlarge_send_buffer, unacknowledged_bytes
 
 DRAIN_BYTES = 4_000_000
 """Bytes of a refused body that are read and discarded: closing with unread bytes resets the
@@ -41,10 +35,6 @@
 complete answer; a handler that does not return would block the router's exit until the process is
 killed."""
 
-EXIT_SEND_BUFFER_BYTES = 4 * 1024 * 1024
-"""Requested size of the kernel's send buffer at the exit; the system allows less. What it holds is
-still delivered after the process has ended."""
-
 Handler = Callable[[Request, "CallerConnection"], Awaitable[None]]
 
 Refusal = Callable[[Request, "CallerConnection"], bool]
@@ -101,23 +91,15 @@
         self._bounds = bounds
         self._registry = registry
         self._transport: Any = None
-        self._parser = httptools.HttpRequestParser(self)
+        events = RequestEvents(self._begin_reading, self._expect, self._take, self._refuse)
+        self._reader = RequestReader(clock, bounds, events)
         self._pending: deque[tuple[Request, bool]] = deque()
         self._task: asyncio.Task[None] | None = None
         self._writable = True
         self._emptied: asyncio.Future[None] | None = None
-        self._headers: Headers = []
-        self._target = b""
-        self._body: list[bytes] = []
-        self._head_bytes = 0
-        self._body_bytes = 0
-        self._unparsed_bytes = 0
-        self._reading = False
-        self._head_done = False
         self._continue_due = False
         self._keep_alive = True
         self._begun = False
-        self._refused = False
         self._refusal: int | None = None
         self._finished = False
         self._discarded = 0
@@ -150,85 +132,24 @@
             on_writable()
 
     def data_received(self, data: bytes) -> None:
-        if self._refused:
+        if self._reader.stopped:
             self._discard(len(data))
             return
-        self._unparsed_bytes += len(data)
-        try:
-            self._parse(data)
-        except httptools.HttpParserError:
-            self._refuse(400)
-            return
-        if self._reading and self._unparsed_bytes > 2 * self._bounds().header_bytes:
-            self._refuse(431)
+        self._reader.feed(data)
 
-    # httptools callbacks
+    # events of the reader
 
-    def on_message_begin(self) -> None:
-        self._headers, self._target, self._body = [], b"", []
-        self._head_bytes = self._body_bytes = 0
-        self._reading, self._head_done = True, False
+    def _begin_reading(self) -> None:
         self._changed_ms = self._clock.now_ms
 
-    def on_url(self, url: bytes) -> None:
-        self._target += url
-        self._head_bytes += len(url)
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._head_bytes += len(name) + len(value) + 4
-        if not self._head_done:
-            self._headers.append((name.lower(), value))
-        elif self._head_bytes > self._bounds().header_bytes:
-            # Trailers are bounded with the headers, and dropped: routes, keys and framing were
-            # decided without them.
-            self._refuse(431)
-
-    def on_headers_complete(self) -> None:
-        self._head_done = True
-        self._unparsed_bytes = 0
-        if self._refused:
-            return
-        if self._parser.should_upgrade():
-            # The parser ends the message here, without its body: see `_parse`.
-            if self._parser.get_method() == b"CONNECT":
-                self._refuse(400)
-            return
-        if self._head_bytes > self._bounds().header_bytes:
-            self._refuse(431)
-        elif not has_valid_framing(self._target, self._headers):
-            self._refuse(400)
-        elif self._expects_continue():
-            self._continue_due = True
-            if self._task is None:
-                self._write_continue()
-
-    def on_body(self, body: bytes) -> None:
-        self._body_bytes += len(body)
-        self._unparsed_bytes = 0
-        if self._refused:
-            return
-        if self._body_bytes > self._bounds().body_bytes:
-            self._refuse(413)
-            return
-        self._body.append(body)
+    def _expect(self) -> None:
+        self._continue_due = True
+        if self._task is None:
+            self._write_continue()
 
-    def on_message_complete(self) -> None:
-        if self._parser.should_upgrade():
-            return
-        self._reading = self._continue_due = False
-        self._unparsed_bytes = 0
-        self._changed_ms = self._clock.now_ms
-        if self._refused:
-            return
-        request = Request(
-            self._parser.get_method(),
-            self._target,
-            self._headers,
-            b"".join(self._body),
-            self._clock.now_ms,
-        )
-        self._body = []
-        keep = self._parser.should_keep_alive()
+    def _take(self, request: Request, keep: bool) -> None:
+        self._changed_ms = request.arrived_ms
+        self._continue_due = False
         if self._task is None and not self._pending:
             self._begin_request(keep)
             if self._refuse_early(request, self):
@@ -238,6 +159,15 @@
         if self._task is None:
             self._task = asyncio.ensure_future(self._serve())
 
+    def _refuse(self, status: int) -> None:
+        # An answer like others: it is written after those to the requests before it.
+        if self.disconnected:
+            return
+        if self._task is None:
+            self._write_refusal(status)
+        else:
+            self._refusal = status
+
     # called by handlers
 
     @property
@@ -265,7 +195,7 @@
     @property
     def busy(self) -> bool:
         """Whether a request is being read or answered, or an answer has not been taken yet."""
-        return self._task is not None or self._reading or self._delivering
+        return self._task is not None or self._reader.reading or self._delivering
 
     @property
     def unsent_bytes(self) -> int:
@@ -273,7 +203,7 @@
         if self._transport is None:
             return 0
         buffered: int = self._transport.get_write_buffer_size()
-        return buffered + _unacknowledged_bytes(self._transport.get_extra_info("socket"))
+        return buffered + unacknowledged_bytes(self._transport.get_extra_info("socket"))
 
     @property
     def unused(self) -> bool:
@@ -340,7 +270,7 @@
         """Let the kernel take the rest of an answer, or cancel its handler; then close."""
         task = self._task
         if task is not None and self._transport is not None and self._delivering:
-            self._enlarge_send_buffer()
+            enlarge_send_buffer(self._transport.get_extra_info("socket"))
             await asyncio.wait([task], timeout=STOP_TIMEOUT_MS / 1000)
         if task is not None and not task.done():
             task.cancel()
@@ -358,9 +288,9 @@
                 self._transport.close()
             elif elapsed_ms > bounds.idle_ms:
                 self._transport.abort()
-        elif self._reading and not self._head_done and elapsed_ms > bounds.header_ms:
-            self._refuse(408)
-        elif not self._reading and elapsed_ms > bounds.idle_ms:
+        elif self._reader.in_head and elapsed_ms > bounds.header_ms:
+            self._reader.refuse(408)
+        elif not self._reader.reading and elapsed_ms > bounds.idle_ms:
             self._transport.close()
 
     def close_when_idle(self) -> None:
@@ -369,24 +299,6 @@
         if not self.disconnected and not self.busy:
             self._finish()
 
-    def _parse(self, data: bytes) -> None:
-        while data and not self._refused:
-            try:
-                return self._parser.feed_data(data)
-            except httptools.HttpParserUpgrade as end:
-                # No upgrade that a caller offers is taken. The parser ends such a message with its
-                # head; another one reads it without the offer, and then its body.
-                (position,) = end.args
-                data = self._head_without_upgrade() + data[position:]
-                self._parser = httptools.HttpRequestParser(self)
-        return None
-
-    def _head_without_upgrade(self) -> bytes:
-        version = self._parser.get_http_version().encode()
-        lines = [b"%s %s HTTP/%s\r\n" % (self._parser.get_method(), self._target, version)]
-        lines += [b"%s: %s\r\n" % header for header in self._headers if header[0] != b"upgrade"]
-        return b"".join([*lines, b"\r\n"])
-
     async def _serve(self) -> None:
         try:
             while self._pending and not self.disconnected:
@@ -440,17 +352,11 @@
         self.answer(500, [])
         self._finish()
 
-    def _enlarge_send_buffer(self) -> None:
-        sock, size = self._transport.get_extra_info("socket"), largest_send_buffer()
-        with contextlib.suppress(OSError):
-            # Setting a size ends the kernel's own adaptation, which may have grown beyond it.
-            if sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) < size:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
-
     def _finish(self) -> None:
         # Closing now would drop what the kernel still holds if the process ends, or if bytes of the
         # caller are unread: only the writing direction is closed until the caller has all of it.
-        self._refused = self._finished = True
+        self._reader.stop()
+        self._finished = True
         if self.disconnected:
             return
         if not self.unsent_bytes:
@@ -466,23 +372,6 @@
             self._keep_alive = not (self.closing or crowded)
         return [] if self._keep_alive else [(b"connection", b"close")]
 
-    def _expects_continue(self) -> bool:
-        return any(
-            name == b"expect" and value.lower() == b"100-continue" for name, value in self._headers
-        )
-
-    def _refuse(self, status: int) -> None:
-        """Refuse the message that is read, after the answers before it, and read no further."""
-        if self._refused:
-            return
-        self._refused = True
-        if self.disconnected:
-            return
-        if self._task is None:
-            self._write_refusal(status)
-        else:
-            self._refusal = status
-
     def _write_continue(self) -> None:
         self._continue_due = False
         self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -508,29 +397,3 @@
         self._discarded += received
         if self._discarded > DRAIN_BYTES and self._transport is not None:
             self._transport.close()
-
-
-@cache
-def largest_send_buffer() -> int:
-    """Largest send buffer in bytes that the system allows, up to `EXIT_SEND_BUFFER_BYTES`."""
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, EXIT_SEND_BUFFER_BYTES)
-        # The kernel tells twice the size that it has granted.
-        return probe.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) // 2
-
-
-def _unacknowledged_bytes(sock: Any) -> int:
-    try:
-        reply = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
-    except (OSError, ValueError):
-        # The socket is closed, or its system does not tell.
-        return 0
-    (count,) = struct.unpack("i", reply)
-    return int(count)
-
-
-class RejectedConnection(asyncio.Protocol):
-    """Protocol of a connection above the connection limit: closes it before anything is read."""
-
-    def connection_made(self, transport: Any) -> None:
-        transport.abort()
--- a/packages/gateway/src/tamarack_gateway/listeners.py
+++ b/packages/gateway/src/tamarack_gateway/listeners.py
@@ -12,7 +12,6 @@
     CallerConnection,
     Handler,
     Refusal,
-    RejectedConnection,
     no_refusal,
 )
 from tamarack_gateway.connection_limiter import ConnectionLimiter
@@ -103,6 +102,14 @@
         return connection
 
 
+class RejectedConnection(asyncio.Protocol):
+    """Protocol of a connection above the connection limit: closes it before anything is read."""
+
+    def connection_made(self, transport: Any) -> None:
+        """Close it."""
+        transport.abort()
+
+
 class _Listener(socket.socket):
     """A socket that counts what it accepts, with an accept queue of `BACKLOG` connections.
 
--- /dev/null
+++ b/packages/gateway/src/tamarack_gateway/send_buffer.py
@@ -0,0 +1,44 @@
+"""The kernel's buffer of what is sent on a connection."""
+
+from __future__ import annotations
+
+import contextlib
+import fcntl
+import socket
+import struct
+import termios
+from functools import cache
+from typing import Any
+
+EXIT_SEND_BUFFER_BYTES = 4 * 1024 * 1024
+"""Requested size of the kernel's send buffer at the exit; the system allows less. What it holds is
+still delivered after the process has ended."""
+
+
+@cache
+def largest_send_buffer() -> int:
+    """Largest send buffer in bytes that the system allows, up to `EXIT_SEND_BUFFER_BYTES`."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, EXIT_SEND_BUFFER_BYTES)
+        # The kernel tells twice the size that it has granted.
+        return probe.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) // 2
+
+
+def enlarge_send_buffer(sock: Any) -> None:
+    """Enlarge a connection's buffer as far as the system allows, unless it is larger already."""
+    size = largest_send_buffer()
+    with contextlib.suppress(OSError):
+        # Setting a size ends the kernel's own adaptation, which may have grown beyond it.
+        if sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) < size:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+
+
+def unacknowledged_bytes(sock: Any) -> int:
+    """Bytes that a connection's kernel has taken and its peer has not acknowledged."""
+    try:
+        reply = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
+    except (OSError, ValueError):
+        # The socket is closed, or its system does not tell.
+        return 0
+    (count,) = struct.unpack("i", reply)
+    return int(count)
--- a/tests/test_heads_in_pieces.py
+++ b/tests/test_heads_in_pieces.py
@@ -15,12 +15,13 @@
     """Send bytes in pieces that the router reads one by one, and read the answer."""
     reader, writer = await connect(fleet.gateway.callers)
     (connection,) = fleet.gateway._connections
+    requests = connection._reader
     size = -(-len(data) // pieces)
     for start in range(0, len(data), size):
-        read = connection._unparsed_bytes
+        read = requests.unparsed_bytes
         writer.write(data[start : start + size])
         if start + size < len(data):
-            await until(lambda read=read: connection._refused or connection._unparsed_bytes > read)
+            await until(lambda read=read: requests.stopped or requests.unparsed_bytes > read)
     try:
         return await read_answer(reader)
     finally:
