An exiting router writes the queued lines of its log

Found by the search for the class "counted as done when handed to the next buffer". Operators saw: after an exit under load, no line of the last requests, whose decisions had been counted.

Cause: the exit wrote 64 KiB at most, of up to 2,000 lines, and nothing if the reader had not emptied the pipe at that moment. Counts of dropped lines wait for the next second, which does not come.

Change: at the exit all lines are written, within 100 ms in which the reader may be slow, and dropped ones are told.

--- a/packages/gateway/src/tamarack_gateway/decision_log.py
+++ b/packages/gateway/src/tamarack_gateway/decision_log.py
@@ -26,6 +26,8 @@
 """Maximum lines of one kind in a second, in which a busy router places some 40 requests. Failures
 and successes are different kinds, so that neither displaces lines of the other."""
 
+CLOSE_MS = 100.0
+"""Time in milliseconds for which an exiting router waits for a slow reader of its log."""
 
 MAX_REASONS = 60
 """Maximum number of reasons counted separately; some include text from endpoints, which is
@@ -106,6 +108,15 @@
                 return
             self._partial = block[count:]
 
+    def close(self) -> None:
+        """Write the lines that are queued, for at most `CLOSE_MS`."""
+        self._report_dropped(self._clock.now_ms)
+        until_ms = self._clock.now_ms + CLOSE_MS
+        while self.waiting and (left_ms := until_ms - self._clock.now_ms) > 0.0:
+            if not self._poll.poll(left_ms):
+                return
+            self.flush()
+
     def _line(self, kind: str, message: str, facts: dict[str, Any]) -> None:
         now_ms = self._clock.now_ms
         second = int(now_ms // 1000)
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -182,7 +182,7 @@
         self._pool.close()
         await asyncio.sleep(0)
         await self._stack.aclose()
-        self._log.flush()
+        self._log.close()
 
     @property
     def state(self) -> FleetState:
