The only version of a service is certain by the store's word, or by that of all routers

Cause: a router took the only version that it knew for the only one there was while its configuration had been confirmed within 3 s, and one such router's word was enough for others.

Change: a stream that a caller takes up has begun before, and its version was in the store before that. Where the store does not answer, the version follows only from the answers of all listed routers, this one included, each of which has a complete view: one that is silent may have begun streams at a version that the others have not heard of. Otherwise the caller is refused after 0.6 s as before. What a router hears since when is recorded in FleetState.vouching, for the other users of it to come. In steady state there is no call more.

A router that hears nobody used to conclude from its own view at once; it now needs the store.

--- a/packages/core/src/tamarack_core/software_versions.py
+++ b/packages/core/src/tamarack_core/software_versions.py
@@ -100,7 +100,10 @@
         return len(self.recent(service)) > 1
 
     def sole(self, service: str) -> str | None:
-        """The version at which every stream that still goes on has begun; None if not certain."""
+        """The version at which every stream that still goes on has begun, as of the newest list.
+
+        None if the view is not complete. What began after the list was read is not covered.
+        """
         if not self.complete:
             return None
         recent = self.recent(service)
--- a/packages/core/src/tamarack_core/stream_origins.py
+++ b/packages/core/src/tamarack_core/stream_origins.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import NamedTuple
 
 from tamarack_core.clock import Clock
@@ -61,8 +61,8 @@
     known
         Software version at which the stream began; None if the router does not know the stream.
     sole
-        The version at which every stream of the service that still goes on has begun; None if the
-        router is not certain of it.
+        The version at which every stream of the service that still goes on has begun, as far as
+        the router has learned; None if its view is not complete.
     several
         Whether endpoints of the service have lately run more than one version.
     """
@@ -75,13 +75,20 @@
     several: bool
 
 
-def conclude(answers: Iterable[OriginAnswer]) -> str | None:
-    """The version at which a stream began, by what routers know; None if that leaves it open."""
+def conclude(answers: Iterable[OriginAnswer], needed: Collection[str]) -> str | None:
+    """The version at which a stream began, by what routers know; None if that leaves it open.
+
+    One router that knows the stream is enough. That nobody knows of a second version follows only
+    from the answers of all routers that may have begun a stream, `needed`: one that is missing may
+    have begun streams at a version that the others have not heard of.
+    """
     answers = list(answers)
     known = {answer.known for answer in answers if answer.known is not None}
     if known or any(answer.several for answer in answers):
         return known.pop() if len(known) == 1 else None
-    sole = {answer.sole for answer in answers if answer.sole is not None}
+    if not {answer.router for answer in answers}.issuperset(needed):
+        return None
+    sole = {answer.sole for answer in answers}
     return sole.pop() if len(sole) == 1 else None
 
 
--- a/packages/core/src/tamarack_core/vouching.py
+++ b/packages/core/src/tamarack_core/vouching.py
@@ -11,6 +11,8 @@
 from collections.abc import Collection
 from enum import Enum
 
+from tamarack_core.stall_detector import StallDetector
+
 HEARING_MS = 1_900.0
 """Time in milliseconds without a message after which a router is not heard any more: a summary of a
 large fleet may take that long through a relay that is replaced."""
@@ -46,9 +48,11 @@
         self._listed: frozenset[str] | None = None
         self._heard_ms: dict[str, float] = {}
         self._since_ms: dict[str, float] = {}
-        self._asked_ms = float("-inf")
-        self._trusted_ms = float("inf")
-        self._epoch_ms = float("inf")
+        self._stalls = StallDetector()
+        self._stalls.observe(started_ms)
+        self._asked_ms: dict[str, float] = {}
+        self._trusted_ms = float("-inf")
+        self._epoch_ms = float("-inf")
         self._settled = False
 
     # what is heard of other routers
@@ -68,13 +72,19 @@
             self._since_ms[router] = now_ms
         self._heard_ms[router] = now_ms
 
-    def stood_still(self) -> None:
-        """Record that the router stood still: what it reads now may have been sent before that."""
-        self._heard_ms.clear()
-        self._since_ms.clear()
+    def observe(self, now_ms: float) -> None:
+        """Note that the router runs; called several times in `STALL_MS`.
+
+        After it stood still, what it reads may have been sent before that: nobody counts as heard.
+        """
+        if self._stalls.observe(now_ms):
+            self._heard_ms.clear()
+            self._since_ms.clear()
 
     def heard_since_ms(self, router: str, now_ms: float) -> float | None:
         """Since when a router is heard without a lapse; None if it is not heard now."""
+        if self._stalls.stalled(now_ms):
+            return None
         heard_ms = self._heard_ms.get(router, float("-inf"))
         return self._since_ms[router] if now_ms - heard_ms <= HEARING_MS else None
 
@@ -104,9 +114,9 @@
 
     # what the store says
 
-    def store_answered(self, asked_ms: float) -> None:
-        """Record that the store answered a call which was sent at a time."""
-        self._asked_ms = max(self._asked_ms, asked_ms)
+    def store_answered(self, table: str, asked_ms: float) -> None:
+        """Record that a call which was sent at a time has told all changes of a table."""
+        self._asked_ms[table] = max(asked_ms, self._asked_ms.get(table, float("-inf")))
 
     def epoch_began(self, now_ms: float, *, seen: bool) -> None:
         """Record the first answer of an epoch of the store.
@@ -139,14 +149,15 @@
         early = asked_ms >= self._epoch_ms + LOST_WRITES_MS
         return early and self.hears_all_since_ms(now_ms) is not None
 
-    def store_vouches(self, matter_ms: float, now_ms: float) -> bool:
-        """Whether the store has answered a call that was sent after a time, and is trusted."""
-        return self._asked_ms >= matter_ms and self.store_trusted(self._asked_ms, now_ms)
+    def store_vouches(self, table: str, matter_ms: float, now_ms: float) -> bool:
+        """Whether the store, if trusted, has told all changes of a table up to a time."""
+        asked_ms = self._asked_ms.get(table, float("-inf"))
+        return asked_ms >= matter_ms and self.store_trusted(asked_ms, now_ms)
 
     # what follows
 
     def verdict(
-        self, matter_ms: float, now_ms: float, *, until_ms: float, stored: bool = True
+        self, matter_ms: float, now_ms: float, *, until_ms: float, table: str | None = None
     ) -> Verdict:
         """What this router may do about what the fleet did up to a time.
 
@@ -156,10 +167,10 @@
             Time of the matter: what happened later is not meant.
         until_ms
             Time until which answers may still come.
-        stored
-            Whether the matter lies in the store, so that the store's word alone is enough.
+        table
+            The table of the store whose word alone is enough for it; None if there is none.
         """
-        if stored and self.store_vouches(matter_ms, now_ms):
+        if table is not None and self.store_vouches(table, matter_ms, now_ms):
             return Verdict.VOUCHED
         if self.routers_vouch(matter_ms, now_ms):
             return Verdict.VOUCHED
--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -18,6 +18,7 @@
 from tamarack_gateway.store_client import StoreError
 from tamarack_gateway.store_clients import StoreClients
 from tamarack_gateway.store_epoch import LOST_CHANGES_MS, StoreEpoch, epoch_of, without_epoch
+from tamarack_gateway.table_check import TableCheck
 from tamarack_gateway.table_follower import TableFollower
 from tamarack_gateway.table_messages import CopyWanted, TableChange, TableNews
 from tamarack_gateway.unreadable_rows import RowKind
@@ -114,6 +115,7 @@
         self._leaving = False
         self._tasks: list[asyncio.Task[Any]] = []
         self._followers: dict[str, TableFollower] = {}
+        self._check: TableCheck
         self._epoch = StoreEpoch(state.clock)
         self._epoch.on_restore = self._on_restore
         self._clients = StoreClients(state, site.store, self._epoch)
@@ -141,7 +143,7 @@
                 table,
                 wait_ms=wait_ms,
                 pause_ms=pause_ms,
-                on_change=on_change,
+                on_change=partial(self._on_change, table, on_change),
                 on_status=self._status_reporter(table),
                 reads=partial(self._reads, table),
                 publish=self._publish,
@@ -150,6 +152,8 @@
             )
             self._followers[table] = follower
             self._tasks.append(asyncio.ensure_future(follower.run()))
+        endpoints = self._followers[tables.endpoints]
+        self._check = TableCheck(self._state, self._clients, endpoints, tables.endpoints)
         domain = self._state.settings.failure_domain
         self._own_row = msgspec.json.encode(RouterRow(peers_address, boot, domain)._asdict())
         self._start_registration()
@@ -197,6 +201,10 @@
         follower = self._followers.get(wanted.table)
         return None if follower is None else follower.copy(wanted.after)
 
+    async def endpoints_vouched(self, matter_ms: float, until_ms: float) -> bool:
+        """Whether the store vouches for the list of endpoints as of a time, asked until another."""
+        return await self._check.vouched(matter_ms, until_ms)
+
     async def deregister(self) -> None:
         """Remove this router from the list of routers.
 
@@ -221,8 +229,16 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._check.close()
         self._clients.close()
 
+    def _on_change(
+        self, table: str, apply: Callable[[TableChange], None], change: TableChange
+    ) -> None:
+        apply(change)
+        now_ms = self._state.clock.now_ms
+        self._state.vouching.store_answered(table, min(change.asked_ms, now_ms))
+
     def _on_restore(self) -> None:
         versions = {
             name: without_epoch(follower.version or 0) for name, follower in self._followers.items()
@@ -231,6 +247,7 @@
             "store restored from a copy", epoch=self._epoch.current, versions=versions
         )
         self._state.registry.record_restore(self._state.clock.now_ms)
+        self._state.vouching.epoch_began(self._state.clock.now_ms, seen=True)
         loop = asyncio.get_running_loop()
         # The answer that told of the restore is being read by one of these calls.
         loop.call_soon(self._restart_calls)
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -22,6 +22,7 @@
 from tamarack_core.service_times import ServiceTimes
 from tamarack_core.software_versions import LONGEST_STREAM_MS, SoftwareVersions
 from tamarack_core.terminations import Terminations
+from tamarack_core.vouching import Vouching
 from tamarack_core.warm_up import SETTLE_MS, WarmUps
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.endpoint_notices import EndpointNotices
@@ -87,6 +88,7 @@
         self.endpoints_known = False
         self.evacuations = Evacuations()
         self.warm_ups = WarmUps()
+        self.vouching = Vouching(clock.now_ms)
         self.software_versions = SoftwareVersions(clock, lambda: self.longest_stream_ms)
         self.terminations = Terminations(clock)
         self.notices = EndpointNotices(self.registry, log, clock)
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -284,7 +284,7 @@
             others=lambda: self._members.heard_within(5_000.0, self._clock.now_ms),
             on_report=self._inbox.receive_report,
             on_placements=self._state.apply_placements,
-            on_alive=lambda stamps: self._members.record_unchanged(stamps, self._clock.now_ms),
+            on_alive=self._inbox.receive_unchanged,
             versions=lambda: self._feeds.versions,
             on_versions=lambda versions: self._feeds.record_versions(versions),
             on_notice=self._inbox.receive_notice,
@@ -298,6 +298,7 @@
             routers=self._other_routers,
             answers_all=lambda: self._peers.relays or not self._peers.large,
             publish=lambda message: self._peers.publish_notice(message),
+            vouched=lambda matter_ms, until_ms: self._feeds.endpoints_vouched(matter_ms, until_ms),
         )
 
     def _make_inbox(self) -> PeerInbox:
@@ -352,6 +353,7 @@
 
     def _follow(self, peers: dict[str, Peer]) -> None:
         self._peers.put(peers)
+        self._state.vouching.expect(peers.keys() - {self._settings.router})
         self._state.allowance.seen(len(peers))
 
     def _reads(self, table: str) -> bool:
@@ -389,6 +391,7 @@
         while True:
             await asyncio.sleep(SWEEP_MS / 1000)
             now_ms = self._clock.now_ms
+            self._state.vouching.observe(now_ms)
             self._state.software_versions.observe(in_touch=self._state.fresh)
             for connection in list(self._connections):
                 connection.close_if_idle(now_ms)
--- a/packages/gateway/src/tamarack_gateway/origin_feed.py
+++ b/packages/gateway/src/tamarack_gateway/origin_feed.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Collection
+from collections.abc import Awaitable, Callable, Collection
 from typing import NamedTuple
 
 from tamarack_core.endpoint_registry import Endpoint
@@ -52,7 +52,11 @@
         self.answers.append(answer)
         self._expected.discard(answer.router)
         if answer.known is not None or not self._expected:
-            self._complete.set()
+            self.settle()
+
+    def settle(self) -> None:
+        """Wait for no more answers."""
+        self._complete.set()
 
     async def answered(self, wait_ms: float) -> bool:
         """Wait for the missing answers; returns whether none is missing any more."""
@@ -78,6 +82,9 @@
         large fleet only relays do.
     publish
         Called with questions and answers for the other routers.
+    vouched
+        Asks the store whether this router knows all endpoints that were listed up to a time, until
+        another time; returns whether it does.
     """
 
     def __init__(
@@ -88,12 +95,14 @@
         routers: Callable[[], Collection[str]],
         answers_all: Callable[[], bool],
         publish: Callable[[OriginQuery | OriginAnswer], None],
+        vouched: Callable[[float, float], Awaitable[bool]],
     ) -> None:
         self._state = state
         self._outbox = outbox
         self._routers = routers
         self._answers_all = answers_all
         self._publish = publish
+        self._vouched = vouched
         self._origins = StreamOrigins(state.clock, lambda: state.longest_stream_ms)
         self._questions: dict[int, _Question] = {}
         self._asked = 0
@@ -154,33 +163,63 @@
         origin = self._origins.find(attempt)
         if origin is not None:
             return _Finding(origin.software_version, "known")
-        if (sole := self._sole(service)) is not None:
-            return _Finding(sole, "the only version")
         several = self._state.software_versions.several(service)
         if (several and not attempt) or len(attempt) > MAX_ATTEMPT_LENGTH:
             return _Finding(None, "not named")
-        if len(self._questions) >= MAX_QUESTIONS:
-            return _Finding(None, "too many questions")
-        return await self._ask(attempt, service)
+        # The stream has begun before now. A version is in the store before any router uses it.
+        begun_ms = self._state.clock.now_ms
+        until_ms = begun_ms if several else begun_ms + ASK_MS * ASK_TIMES
+        check = asyncio.ensure_future(self._vouched(begun_ms, until_ms))
+        try:
+            if self._state.software_versions.sole(service) is not None:
+                await asyncio.wait((check,), timeout=ASK_MS / 1000)
+            if (found := self._by_itself(attempt, service, check)) is not None:
+                return found
+            return await self._ask(attempt, service, check)
+        finally:
+            check.cancel()
 
-    async def _ask(self, attempt: str, service: str) -> _Finding:
+    def _by_itself(
+        self, attempt: str, service: str, check: asyncio.Future[bool]
+    ) -> _Finding | None:
+        """What this router can tell without the others; `check` is the store's word."""
+        if (origin := self._origins.find(attempt)) is not None:
+            return _Finding(origin.software_version, "known")
+        sole = self._state.software_versions.sole(service)
+        vouched = check.done() and not check.cancelled() and check.result()
+        if sole is not None and vouched:
+            return _Finding(sole, "the only version")
+        return None
+
+    async def _ask(self, attempt: str, service: str, check: asyncio.Future[bool]) -> _Finding:
         routers = self._routers()
-        if not routers:
-            return _Finding(None, "no other router")
+        if len(self._questions) >= MAX_QUESTIONS:
+            return _Finding(None, "too many questions")
         self._asked += 1
         query = OriginQuery(self._state.settings.router, self._asked, attempt, service)
         question = self._questions[query.number] = _Question(routers)
+
+        def settle(done: asyncio.Future[bool]) -> None:
+            if self._by_itself(attempt, service, done) is not None:
+                question.settle()
+
+        check.add_done_callback(settle)
         try:
             for _ in range(ASK_TIMES):
                 self._publish(query)
                 # This router may learn by itself meanwhile, as it does after its start.
                 if await question.answered(ASK_MS):
                     break
-                if conclude([self._answer(query)]) is not None:
+                if self._by_itself(attempt, service, check) is not None:
                     break
         finally:
             del self._questions[query.number]
-        return _Finding(conclude([self._answer(query), *question.answers]), "asked")
+        if (found := self._by_itself(attempt, service, check)) is not None:
+            return found
+        needed = {query.router, *routers}
+        # Alone it hears nobody who could know better, as in a cut.
+        version = conclude([self._answer(query), *question.answers], needed) if routers else None
+        return _Finding(version, "asked")
 
     def _answer(self, query: OriginQuery) -> OriginAnswer:
         origin = self._origins.find(query.attempt)
--- a/packages/gateway/src/tamarack_gateway/peer_inbox.py
+++ b/packages/gateway/src/tamarack_gateway/peer_inbox.py
@@ -52,6 +52,7 @@
 
     def receive_report(self, report: Report) -> None:
         """Apply a report."""
+        self._state.vouching.hear(report.router, self._state.clock.now_ms)
         if report.summary is not None:
             self._record_summary(report.summary, report.stamp_ms)
         self._members.record_stamp(report.router, report.stamp_ms)
@@ -65,6 +66,13 @@
         if report.evidence is not None:
             self._quarantine.receive(report.evidence)
 
+    def receive_unchanged(self, stamps: dict[str, float]) -> None:
+        """Apply the timestamps of routers whose summaries are unchanged."""
+        now_ms = self._state.clock.now_ms
+        for router in stamps:
+            self._state.vouching.hear(router, now_ms)
+        self._members.record_unchanged(stamps, now_ms)
+
     def receive_notice(self, notice: Notice) -> None:
         """Apply a notice."""
         if isinstance(notice, OriginQuery | OriginAnswer):
--- a/packages/gateway/src/tamarack_gateway/store_clients.py
+++ b/packages/gateway/src/tamarack_gateway/store_clients.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from tamarack_gateway.fleet_state import FleetState
-from tamarack_gateway.site import Row, StoreDialect
+from tamarack_gateway.site import Row, RowsPage, StoreDialect
 from tamarack_gateway.store_client import StoreClient, StoreError
 from tamarack_gateway.store_epoch import StoreEpoch
 
@@ -52,6 +52,16 @@
         finally:
             self._release(client)
 
+    async def changes(self, table: str, after: int) -> RowsPage | None:
+        """Read the changes of a table after a version, without waiting; None if that failed."""
+        client = self.create()
+        try:
+            return await client.watch(table, after, 0.0)
+        except StoreError:
+            return None
+        finally:
+            self._release(client)
+
     async def write(self, table: str, key: str, value: bytes | None, *, what: str) -> bool:
         """Write or remove one row; returns whether that succeeded.
 
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -204,7 +204,8 @@
         ([answer("v1"), answer(several=True)], "v1"),
         ([answer("v1"), answer(sole="v2")], "v1"),
         ([answer("v1"), answer("v2")], None),
-        ([answer(), answer(sole="v1"), answer(sole="v1")], "v1"),
+        ([answer(sole="v1"), answer(sole="v1")], "v1"),
+        ([answer(), answer(sole="v1"), answer(sole="v1")], None),
         ([answer(sole="v1"), answer(several=True)], None),
         ([answer(sole="v1"), answer(sole="v2")], None),
     ],
@@ -213,7 +214,16 @@
     answers: list[OriginAnswer], version: str | None
 ) -> None:
     """Failure: a router that knows one version overrules one that knows of several."""
-    assert conclude(answers) == version
+    assert conclude(answers, {"r2"}) == version
+
+
+@pytest.mark.parametrize(("needed", "version"), [(["r2"], "v1"), (["r2", "r3"], None)])
+def test_the_only_version_follows_only_from_the_answers_of_all(
+    needed: list[str], version: str | None
+) -> None:
+    """Guards against a router that is silent, and has begun streams at another version."""
+    assert conclude([answer(sole="v1")], needed) == version
+    assert conclude([answer("v1")], needed) == "v1"
 
 
 def test_streams_that_broke_are_forgotten_while_no_row_is_written() -> None:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -242,6 +242,38 @@
     play(scenario())
 
 
+def test_a_router_cut_off_a_moment_ago_does_not_take_its_only_version_for_certain() -> None:
+    """Guards against a stream of a new version that goes on at the old one during a cut."""
+
+    async def scenario() -> None:
+        async with Fleet({"pool": engines(v1=2)}) as fleet, later_routers(fleet, 1) as (router,):
+            await send_once(fleet, router)
+            streams = await begin_streams(fleet, at=router)
+            fleet.store.silent = True
+            await fleet.gateway.__aexit__(None, None, None)
+            assert router.state.fresh
+            await take_all_up(streams, at=router, resumes="never-sent")
+            assert router.state.fresh
+            assert [stream.answers[-1].status for stream in streams] == [503] * STREAMS
+
+    play(scenario())
+
+
+def test_the_only_version_is_certain_while_the_store_is_silent_if_all_routers_vouch() -> None:
+    """Guards against take-ups that are refused in each outage of the store."""
+
+    async def scenario() -> None:
+        async with Fleet({"pool": engines(v1=2)}) as fleet, later_routers(fleet, 2) as routers:
+            await send_once(fleet, *routers)
+            streams = await begin_streams(fleet, at=routers[0])
+            await until(lambda: fleet.gateway.state.software_versions.complete)
+            fleet.store.silent = True
+            await take_all_up(streams, at=routers[0], resumes="never-sent")
+            assert all(stream.whole for stream in streams)
+
+    play(scenario())
+
+
 # all routers lost
 
 
