Routers tell each other of streams while a service has one software version, too

Cause: as long as a service had one version, a router told nobody of its streams, since every router took the only version for certain. From the second version's first entry on that follows no more, and a router that has ended by then cannot tell any more.

Change: a router tells of each stream with its next report, which goes out for the placement anyway, within 20 ms and before the first event can have come. Nothing has to be concluded about a router that is gone: what began its streams is known to all others, or in a large fleet to the relays of three failure domains, and outlives the loss of any one of them.

What the target costs was computed for times with several versions (docs/CAPACITY.md) and now holds at all times.

Looked for: what else is told only once something is uncertain: rows in the store hold streams only while a service has several versions, so that streams are still refused if all routers end before the second one comes (docs/design/software-versions.md).

--- a/packages/core/src/tamarack_core/software_versions.py
+++ b/packages/core/src/tamarack_core/software_versions.py
@@ -71,6 +71,9 @@
 
     def see(self, service: str, version: str) -> None:
         """Record that another router has sent requests to endpoints of a version."""
+        if version in self._listed.get(service, ()):
+            self._seen_ms.setdefault(service, {})[version] = self._clock.now_ms
+            return
         before = self.recent(service)
         self._seen_ms.setdefault(service, {})[version] = self._clock.now_ms
         self._compare(service, before, (version,))
--- a/packages/gateway/src/tamarack_gateway/origin_feed.py
+++ b/packages/gateway/src/tamarack_gateway/origin_feed.py
@@ -69,9 +69,9 @@
 class OriginFeed:
     """Remembers where streams began, tells the other routers, and asks them.
 
-    While a service has one software version, nothing is told or asked. Otherwise each router tells
-    the others of its streams before their first events arrive, so that callers can go on with them
-    at any router after this one has stopped.
+    Each router tells the others of its streams before their first events arrive, so that callers
+    can go on with them at any router after this one has stopped. It does so while a service has one
+    software version, too: a router that ends before the second one comes cannot tell any more.
 
     Parameters
     ----------
@@ -118,7 +118,7 @@
         if len(attempt) > MAX_ATTEMPT_LENGTH:
             return
         origin = Origin(endpoint.service, endpoint.software_version)
-        if self._origins.record_own(attempt, origin) and self._sole(endpoint.service) is None:
+        if self._origins.record_own(attempt, origin):
             self._outbox.began(attempt, origin)
 
     def ended(self, attempt: str) -> None:
