A router that has just started asks what the store may have lost before it trusts it

Cause: a router took the first epoch of the store that it saw for an old one. It had not seen the restore, so that nothing counted as lost, and it asked nobody, though the others knew better.

Change: the first epoch counts as a recent one until somebody vouches that it is not: a router's row in the store (which now names the epoch, ten seconds after it began), another router, or the absence of all rows, which says that nothing has run on this store before. Until then - keys are not confirmed before 2.2 s have passed and all listed routers are heard, or ten seconds; - the router asks the others (Briefing) for the configuration that they have in force, if it is newer, and for evacuated failure domains, and takes callers when all listed routers have answered, or after 1.5 s; - what a copy lacks ends nothing, as at routers that saw the restore. All routers tell the version of their configuration with each summary. One that learns of a newer version than the store shows confirms no keys, and asks for it after 0.3 s, so that a change that only one router had read before the restore reaches all. Routers of the version before skip the new messages and the new field of the row. No call more in steady state: the rows that tell the epoch are those that each router reads as it starts, and each writes its own once more after a restore.

The tests of unreadable rows call the configuration's new module; what they assert is unchanged.

Evidence: five new cases in test_restored_store.

Looked for in the same matter: a router that starts does not know of endpoints that drain where the copy says ready; these write again within about two seconds, and it is not mended.

--- a/packages/core/src/tamarack_core/vouching.py
+++ b/packages/core/src/tamarack_core/vouching.py
@@ -62,6 +62,11 @@
         """When the router started."""
         return self._started_ms
 
+    @property
+    def listed(self) -> frozenset[str] | None:
+        """The other routers that the store lists; None if the list is not known yet."""
+        return self._listed
+
     def expect(self, listed: Collection[str]) -> None:
         """Replace the other routers that the store lists; this one is not among them."""
         self._listed = frozenset(listed)
@@ -118,6 +123,11 @@
         """Record that a call which was sent at a time has told all changes of a table."""
         self._asked_ms[table] = max(asked_ms, self._asked_ms.get(table, float("-inf")))
 
+    @property
+    def epoch_ms(self) -> float:
+        """When this router learned of the store's present epoch; minus infinity before."""
+        return self._epoch_ms
+
     def epoch_began(self, now_ms: float, *, seen: bool) -> None:
         """Record the first answer of an epoch of the store.
 
--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -12,6 +12,9 @@
 
 from tamarack_core.json_input import decode_json, is_ip_port
 from tamarack_core.relay_plan import Peer
+from tamarack_core.vouching import LOST_WRITES_MS
+from tamarack_gateway.briefing import Briefing, BriefingAnswer, BriefingQuery
+from tamarack_gateway.configuration_rows import ConfigurationRows
 from tamarack_gateway.endpoint_rows import EndpointRows
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.site import Row, Site
@@ -87,6 +90,8 @@
         Called when another router should send a whole table.
     on_quarantine_change
         Called with changes of the table of quarantined requests.
+    ask
+        Called with questions for other routers, and with answers to theirs.
     tasks
         Owns the tasks that follow the store; an owner of its own by default.
     """
@@ -101,6 +106,7 @@
         publish: Callable[[TableNews], None],
         wanted: Callable[[CopyWanted], None],
         on_quarantine_change: Callable[[TableChange], None],
+        ask: Callable[[BriefingQuery | BriefingAnswer], None],
         tasks: TaskOwner | None = None,
     ) -> None:
         self._site = site
@@ -113,7 +119,7 @@
         self._routers: dict[str, Peer] = {}
         self._own_row = b""
         self._own_version: int | None = None
-        self._rules_version = 0
+        self._configuration = ConfigurationRows(state, site)
         self._endpoints = EndpointRows(state, site.read_endpoint)
         self._registering = False
         self._leaving = False
@@ -121,9 +127,12 @@
         self._tasks: list[OwnedTask] = []
         self._followers: dict[str, TableFollower] = {}
         self._check: TableCheck
-        self._epoch = StoreEpoch(state.clock)
+        self._epoch = StoreEpoch(state.clock, state.vouching)
+        self._epoch.on_begin = self._watch_epoch
         self._epoch.on_restore = self._on_restore
         self._clients = StoreClients(state, site.store, self._epoch)
+        self._briefing = Briefing(state, self._epoch, self._configuration, publish=ask)
+        self._briefing.on_settle = self._on_settle
         self._timers: list[asyncio.TimerHandle] = []
 
     def start(self, peers_address: str, boot: int) -> None:
@@ -132,7 +141,7 @@
         bounds = self._state.settings.bounds
         rules_wait_ms = min(bounds.revoke_ms, bounds.evacuate_ms) * RULES_WAIT_FRACTION
         for table, wait_ms, pause_ms, on_change in (
-            (tables.configuration, rules_wait_ms, RULES_PAUSE_MS, self._apply_rules),
+            (tables.configuration, rules_wait_ms, RULES_PAUSE_MS, self._configuration.apply),
             (tables.endpoints, ENDPOINTS_WAIT_MS, ENDPOINTS_PAUSE_MS, self._endpoints.apply),
             (tables.routers, ROUTERS_WAIT_MS, ROUTERS_PAUSE_MS, self._apply_routers),
             (
@@ -159,6 +168,7 @@
             self._tasks.append(self._owner.start(f"table {table}", follower.run))
         endpoints = self._followers[tables.endpoints]
         self._check = TableCheck(self._state, self._clients, endpoints, tables.endpoints)
+        self._tasks.append(self._owner.start("briefing", self._briefing.run))
         domain = self._state.settings.failure_domain
         self._own_row = msgspec.json.encode(RouterRow(peers_address, boot, domain)._asdict())
         self._start_registration()
@@ -168,6 +178,11 @@
         """How often the store has been restored from a copy, as far as this router knows."""
         return self._epoch.current
 
+    @property
+    def briefing(self) -> Briefing:
+        """What other routers know that the store may have lost."""
+        return self._briefing
+
     @property
     def calls(self) -> int:
         """Number of calls made to the store."""
@@ -193,11 +208,16 @@
 
     @property
     def versions(self) -> dict[str, int]:
-        """Version of the newest change of each table that this router knows."""
-        return {table: follower.changed_version for table, follower in self._followers.items()}
+        """Version of the newest change of each table that this router knows.
+
+        Beside the tables' names stand `CONFIGURATION` and `SETTLED_EPOCH`.
+        """
+        tables = {table: follower.changed_version for table, follower in self._followers.items()}
+        return {**tables, **self._briefing.versions}
 
     def record_versions(self, versions: dict[str, int]) -> None:
         """Record the versions of the newest changes that another router knows."""
+        self._briefing.record_versions(versions)
         for table, follower in self._followers.items():
             follower.record_version(versions.get(table, 0))
 
@@ -250,16 +270,20 @@
             "store restored from a copy", epoch=self._epoch.current, versions=versions
         )
         self._state.registry.record_restore(self._state.clock.now_ms)
-        self._state.vouching.epoch_began(self._state.clock.now_ms, seen=True)
         loop = asyncio.get_running_loop()
         # The answer that told of the restore is being read by one of these calls.
         loop.call_soon(self._restart_calls)
+        self._watch_epoch()
+
+    def _watch_epoch(self) -> None:
+        """Do what is due some time after an epoch of the store has begun."""
+        loop = asyncio.get_running_loop()
         for timer in self._timers:
             timer.cancel()
         # Keys are confirmed by a call sent after that time, which should not wait for a change.
         confirm = self._followers[self._site.tables.configuration].refresh
         self._timers = [
-            loop.call_later(TableFollower.RETURN_MS / 1000, confirm),
+            loop.call_later(LOST_WRITES_MS / 1000, confirm),
             loop.call_later(LOST_CHANGES_MS / 1000, self._reapply),
         ]
 
@@ -267,6 +291,11 @@
         for follower in self._followers.values():
             follower.record_restore()
 
+    def _on_settle(self) -> None:
+        for timer in self._timers:
+            timer.cancel()
+        self._reapply()
+
     def _reapply(self) -> None:
         """Apply all tables as they are: what is still missing has not been written again."""
         self._state.registry.end_restore()
@@ -319,61 +348,6 @@
             self._state.log.event("this router's row is missing")
             self._start_registration()
 
-    def _apply_rules(self, change: TableChange) -> None:
-        state = self._state
-        for row in change.rows:
-            if row.key == self._site.tables.configuration_key and row.value is not None:
-                self._put_rules(row, row.value, catching_up=change.catching_up)
-        self._apply_evacuations(change)
-        if state.rules is not None and state.keys_known and not self._may_lack_keys(change):
-            # Capped at the present: the clock of an earlier incarnation may be ahead, and keys
-            # would be trusted for longer by the difference.
-            state.freshness.confirm(min(change.asked_ms, state.clock.now_ms))
-
-    def _apply_evacuations(self, change: TableChange) -> None:
-        # The row's presence is the order; its value is not read.
-        state, prefix = self._state, self._site.tables.evacuation_prefix
-        rows = {r.key.removeprefix(prefix): r for r in change.rows if r.key.startswith(prefix)}
-        ordered = [domain for domain, row in rows.items() if row.value is not None]
-        ended = [domain for domain, row in rows.items() if row.value is None]
-        if change.whole and not change.catching_up:
-            ended += state.evacuations.missing_from(ordered)
-        for domain in ordered:
-            state.evacuate(domain)
-        for domain in ended:
-            state.restore(domain)
-
-    def _may_lack_keys(self, change: TableChange) -> bool:
-        # The operator may have revoked a key shortly before the restore, which no router has read.
-        return change.asked_ms < self._epoch.restored_ms + TableFollower.RETURN_MS
-
-    def _put_rules(self, row: Row, value: bytes, *, catching_up: bool) -> None:
-        # A read of the whole table may be seconds old. If the newest version cannot be read, an
-        # older row must not restore keys that the newest one revokes.
-        state, outdated = self._state, row.version < self._rules_version
-        try:
-            rules = self._site.read_rules(value)
-        except ValueError as error:
-            if outdated:
-                return
-            self._rules_version = row.version
-            state.unreadable.note(RowKind.CONFIGURATION, row.key, row.version, str(error))
-            state.put_unreadable_rules(str(error), self._read_keys(value))
-            return
-        known = state.rules.version if state.rules is not None else 0
-        from_copy = catching_up and rules.version <= known
-        if state.unreadable_rules is not None and (outdated or from_copy):
-            return
-        self._rules_version = max(self._rules_version, row.version)
-        state.put_rules(rules)
-
-    def _read_keys(self, value: bytes) -> dict[str, str] | None:
-        try:
-            return self._site.read_keys(value)
-        except ValueError as error:
-            self._state.log.event("keys cannot be read and will expire", reason=str(error))
-            return None
-
     def _apply_routers(self, change: TableChange) -> None:
         if change.whole and not change.catching_up:
             self._routers = {}
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -64,6 +64,8 @@
     ----------
     owns
         Returns whether this router owns a key; each key is handled by one router of the fleet.
+    is_briefed
+        Returns whether what only other routers may know has been asked for.
     on_incarnation_ended
         Called with an incarnation of an endpoint that is no longer listed, and whether a new
         incarnation of the same name has replaced it.
@@ -117,6 +119,7 @@
         self.unreadable = UnreadableRows(log, clock)
         self.unreadable_rules: str | None = None
         self.keys_known = True
+        self.is_briefed: Callable[[], bool] = _is_true
 
     @property
     def ready(self) -> bool:
@@ -130,7 +133,8 @@
         A router that accepted callers before it has read the quarantined requests would forward
         these; in a fleet that restarts, each router would.
         """
-        return self.rules is not None and self.endpoints_known and self.quarantine_known
+        read = self.rules is not None and self.endpoints_known and self.quarantine_known
+        return read and self.is_briefed()
 
     @property
     def fresh(self) -> bool:
@@ -386,6 +390,11 @@
     return True
 
 
+def _is_true() -> bool:
+    """Default of `FleetState.is_briefed`: there is nothing to ask for."""
+    return True
+
+
 def _owns_nothing(key: str) -> bool:
     """Default of `FleetState.owns`: no key is owned."""
     return False
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -136,6 +136,8 @@
         self._peers = self._make_peers()
         self._feeds = self._make_feeds()
         self._inventory = self._make_inventory()
+        self._feeds.briefing.answers = self._answers_all
+        self._feeds.briefing.is_large = lambda: self._peers.large
         self._started_ms = clock.now_ms
         self._callers = ""
         self._site_addresses: list[str] = []
@@ -157,7 +159,9 @@
                 self._site_addresses.append(await listen(address, self._pages.answer_site))
         self._metrics_address = await listen(settings.metrics, self._pages.answer_operator)
         table = self._site.tables.software_versions
-        records = OriginRecords(self._state, self._origins, self._feeds.clients, table)
+        records = OriginRecords(
+            self._state, self._origins, self._feeds.clients, table, self._feeds.briefing
+        )
         start = self._tasks.start
         self._loops = [
             start("cache inventory", self._inventory.run, once=True),
@@ -305,7 +309,7 @@
             self._state,
             self._outbox,
             routers=self._other_routers,
-            answers_all=lambda: self._peers.relays or not self._peers.large,
+            answers_all=self._answers_all,
             publish=lambda message: self._peers.publish_notice(message),
             vouched=lambda matter_ms, until_ms: self._feeds.endpoints_vouched(matter_ms, until_ms),
         )
@@ -331,6 +335,7 @@
             publish=self._publish_changes,
             wanted=self._peers.publish_copy_request,
             on_quarantine_change=self._quarantine.apply_change,
+            ask=lambda message: self._peers.publish_notice(message),
             tasks=self._tasks,
         )
 
@@ -374,6 +379,9 @@
         expected = self._feeds.listed_routers if age_ms < JOINED_MS else ()
         return self._members.reads(table, self._me, now_ms, expected=expected)
 
+    def _answers_all(self) -> bool:
+        return self._peers.relays or not self._peers.large
+
     def _queried(self, endpoints: list[str]) -> list[str]:
         now_ms = self._clock.now_ms
         return self._members.queried_by(self._me, endpoints, self._feeds.listed_routers, now_ms)
--- a/packages/gateway/src/tamarack_gateway/origin_records.py
+++ b/packages/gateway/src/tamarack_gateway/origin_records.py
@@ -8,13 +8,16 @@
 
 from tamarack_core.json_input import decode_json
 from tamarack_core.stream_origins import BegunStreams, by_origin
+from tamarack_gateway.briefing import SETTLED_EPOCH, Briefing
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.origin_feed import OriginFeed
 from tamarack_gateway.site import Row
 from tamarack_gateway.store_clients import StoreClients
 
 STEP_MS = 100.0
-"""Time between two checks for something to read or write."""
+START_STEP_MS = 20.0
+"""Time between two checks for something to read or write, and before the first read: a router that
+has just started takes no callers before it."""
 
 RETRY_MS = 1_000.0
 """Time after a failed call until the next one."""
@@ -37,10 +40,13 @@
         Software versions by service at which streams may have begun that still go on.
     streams
         Streams that this router has begun, while their service has several versions.
+    settled
+        Epoch of the store, once everything that its beginning has lost counts as written again.
     """
 
     versions: dict[str, list[str]]
     streams: list[BegunStreams] = []
+    settled: int = 0
 
 
 _decoder = msgspec.json.Decoder(_Fields)
@@ -50,12 +56,19 @@
     """Writes this router's row, and reads those of all after a start or a lapse of touch."""
 
     def __init__(
-        self, state: FleetState, feed: OriginFeed, clients: StoreClients, table: str
+        self,
+        state: FleetState,
+        feed: OriginFeed,
+        clients: StoreClients,
+        table: str,
+        briefing: Briefing,
     ) -> None:
         self._state = state
         self._feed = feed
         self._clients = clients
         self._table = table
+        self._briefing = briefing
+        self._has_read = False
         self._written = _Fields({})
         self._written_ms = float("-inf")
         self._written_epoch = 0
@@ -65,10 +78,11 @@
         """Read and write until cancelled."""
         state = self._state
         while True:
-            await asyncio.sleep(STEP_MS / 1000)
-            if not (state.endpoints_known and state.fresh) or state.clock.now_ms < self._retry_ms:
+            await asyncio.sleep((STEP_MS if self._has_read else START_STEP_MS) / 1000)
+            in_touch = state.fresh or not self._has_read
+            if not (state.endpoints_known and in_touch) or state.clock.now_ms < self._retry_ms:
                 continue
-            if not state.software_versions.complete:
+            if not (state.software_versions.complete and self._has_read):
                 await self._recover()
             elif (row := self._row()) is not None:
                 await self._write(row)
@@ -78,6 +92,10 @@
         if rows is None:
             self._retry_ms = self._state.clock.now_ms + RETRY_MS
             return
+        self._has_read = True
+        if not rows:
+            # Nothing has run on this store before.
+            self._briefing.settle("no router has used the store")
         recorded: dict[str, set[str]] = {}
         for row in rows:
             fields = self._read_row(row)
@@ -85,6 +103,8 @@
                 # What that router knew is lost; the view completes itself in time.
                 self._retry_ms = self._state.clock.now_ms + self._state.longest_stream_ms
                 return
+            if self._clients.epoch and fields.settled == self._clients.epoch:
+                self._briefing.settle("recorded in the store")
             for service, versions in fields.versions.items():
                 recorded.setdefault(service, set()).update(versions)
             for begun in fields.streams:
@@ -114,6 +134,7 @@
         row = _Fields(
             {service: sorted(versions.recent(service)) for service in sorted(versions.services)},
             by_origin(self._feed.open_streams(MAX_STREAMS)),
+            self._briefing.versions[SETTLED_EPOCH],
         )
         per_router_ms = STREAMS_GAP_PER_ROUTER_MS * self._state.allowance.routers
         gap_ms = max(STREAMS_GAP_MS, per_router_ms)
--- a/packages/gateway/src/tamarack_gateway/peer_group.py
+++ b/packages/gateway/src/tamarack_gateway/peer_group.py
@@ -247,12 +247,13 @@
             for streams in begun:
                 self._collector.add_begun(streams)
             return
-        messages = (report, *self._due_versions(now_ms), *begun)
+        messages = (report, *self._due_versions(now_ms, summary is not None), *begun)
         self._sockets.publish(_reports_topic(self._domain), *messages)
 
-    def _due_versions(self, now_ms: float) -> list[TableVersions]:
-        # In a small fleet each router reads the tables itself.
-        if not self._plan.large or now_ms - self._last_versions_ms < VERSIONS_MS:
+    def _due_versions(self, now_ms: float, with_summary: bool) -> list[TableVersions]:
+        # In a small fleet each router reads the tables itself, unless the store has lost a change.
+        due = now_ms - self._last_versions_ms >= VERSIONS_MS if self._plan.large else with_summary
+        if not due:
             return []
         self._last_versions_ms = now_ms
         return [TableVersions(self._versions())]
--- a/packages/gateway/src/tamarack_gateway/peer_inbox.py
+++ b/packages/gateway/src/tamarack_gateway/peer_inbox.py
@@ -6,6 +6,7 @@
 
 from tamarack_core.stream_origins import OriginAnswer, OriginQuery
 from tamarack_core.termination_evidence import InterruptedRequests
+from tamarack_gateway.briefing import BriefingAnswer, BriefingQuery
 from tamarack_gateway.fleet_feeds import FleetFeeds
 from tamarack_gateway.fleet_members import FleetMembers, Member
 from tamarack_gateway.fleet_state import FleetState
@@ -77,6 +78,8 @@
         """Apply a notice."""
         if isinstance(notice, OriginQuery | OriginAnswer):
             self._origins.receive(notice)
+        elif isinstance(notice, BriefingQuery | BriefingAnswer):
+            self._feeds().briefing.receive(notice)
         elif isinstance(notice, InterruptedRequests):
             self._quarantine.receive_requests(notice)
         else:
--- a/tests/test_foreign_rows.py
+++ b/tests/test_foreign_rows.py
@@ -307,7 +307,9 @@
             version = await fleet.store.put("op", "config", gone)
             await until(lambda: state.unreadable_rules is not None)
             outdated = [Row("op", "config", encoded(configuration()), version - 1)]
-            fleet.gateway._feeds._apply_rules(TableChange(outdated, True, state.clock.now_ms, 0.0))
+            fleet.gateway._feeds._configuration.apply(
+                TableChange(outdated, True, state.clock.now_ms, 0.0)
+            )
             assert (await fleet.ask("/draft/1")).status == 503
             assert state.unreadable_rules is not None
 
--- a/tests/test_foreign_rows_fuzz.py
+++ b/tests/test_foreign_rows_fuzz.py
@@ -261,6 +261,7 @@
             publish=lambda news: None,
             wanted=lambda wanted: None,
             on_quarantine_change=lambda change: self.quarantine.apply_change(change),
+            ask=lambda message: None,
         )
         self.evidence: list[Evidence] = []
         self.quarantine = QuarantineFeed(
@@ -289,7 +290,7 @@
         change = TableChange(found, whole, self.clock.now_ms, self.clock.now_ms + 1_000.0)
         take = {
             "servers": self.feeds._endpoints.apply,
-            "op": self.feeds._apply_rules,
+            "op": self.feeds._configuration.apply,
             "routers": self.feeds._apply_routers,
             "quarantine": self.quarantine.apply_change,
         }
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -276,6 +276,96 @@
     play(scenario())
 
 
+async def restore_lost(fleet: Fleet, *, lost: Any) -> None:
+    """Let the store lose what `lost` writes, after the first router has applied it."""
+    copy = fleet.store.copy()
+    await lost()
+    async with away(fleet):
+        await fleet.store.restore(copy)
+    await until_read(fleet, "op")
+
+
+async def revoke_key(fleet: Fleet) -> None:
+    """Take the callers' key away."""
+    await fleet.store.put("op", "config", without_search(2))
+    await follow_all([fleet.gateway], 2)
+
+
+async def evacuate_a(fleet: Fleet) -> None:
+    """Evacuate a failure domain."""
+    await fleet.store.put("op", "evacuate/a", {})
+    await until(lambda: fleet.gateway.state.evacuations.covers("a"))
+
+
+def test_a_router_that_starts_after_a_restore_does_not_serve_a_revoked_key() -> None:
+    """Guards against a router that has just started and believes the copy."""
+
+    async def scenario() -> None:
+        engine = PlatformWorker("e1", Script(events=1))
+        async with Fleet({"pool": [engine]}) as fleet:
+            await restore_lost(fleet, lost=lambda: revoke_key(fleet))
+            async with fleet.router("late") as late:
+                await until(lambda: late.state.ready)
+                for _ in range(20):
+                    assert (await fleet.ask("/draft/1", at=late)).status in (401, 503)
+                    await asyncio.sleep(0.02)
+                await follow_all([late], 2)
+                assert (await fleet.ask("/draft/1", at=late)).status in (401, 503)
+                assert engine.received == []
+
+    play(scenario())
+
+
+def test_a_router_that_starts_after_a_restore_learns_of_an_evacuation_from_others() -> None:
+    """Guards against requests to a failure domain whose evacuation the store has lost."""
+
+    async def scenario() -> None:
+        async with Fleet({"web": [PlatformWorker("w1")]}) as fleet:
+            await restore_lost(fleet, lost=lambda: evacuate_a(fleet))
+            async with fleet.router("late") as late:
+                await until(lambda: late.state.ready)
+                assert late.state.evacuations.covers("a")
+
+    play(scenario())
+
+
+def test_a_router_learns_of_a_configuration_that_only_another_one_has_read() -> None:
+    """Guards against keys of a copy that count although another router knows newer ones."""
+
+    async def scenario() -> None:
+        async with Fleet({"web": [PlatformWorker("w1")]}) as fleet:
+            await fleet.add_routers(1)
+            await fleet.until_acquainted()
+            value = json.dumps(without_search(2)).encode()
+            fleet.gateway._feeds._configuration.put_told(value)
+            await follow_all(fleet.others, 2)
+
+    play(scenario())
+
+
+@pytest.mark.parametrize("restored", [False, True])
+def test_a_router_that_starts_alone_trusts_the_store_as_soon_as_it_may(restored: bool) -> None:
+    """Guards against starts that wait without need, and against trust in a copy."""
+
+    async def scenario() -> None:
+        async with Fleet({"web": [PlatformWorker("w1")]}) as fleet:
+            rows = fleet.store.rows
+            await until(lambda: b'"settled":1' in rows("versions").get("router-1", b""))
+            copy = fleet.store.copy()
+            await fleet.gateway.leave()
+            await fleet.gateway.__aexit__(None, None, None)
+            if restored:
+                await fleet.store.restore(copy)
+                await fleet.store.remove("routers", "router-1")
+            async with fleet.router("late") as late:
+                started_ms = late.state.clock.now_ms
+                await until(lambda: late.state.ready and late.state.fresh)
+                took_ms = late.state.clock.now_ms - started_ms
+                assert (took_ms >= TableFollower.RETURN_MS) is restored
+
+    play(scenario())
+
+
 def test_a_copy_does_not_end_a_warm_up() -> None:
     """Failure: an endpoint that turned cold after the copy was made gets all requests at once."""
 
--- a/tests/test_vouching.py
+++ b/tests/test_vouching.py
@@ -144,3 +144,13 @@
     vouching.settle()
     assert vouching.store_vouches("endpoints", 1.0, 2.0)
     assert vouching.settled(2.0)
+
+
+def test_a_new_epoch_is_not_settled_by_what_was_said_of_the_one_before() -> None:
+    """Guards against a second restore that is taken for the first."""
+    vouching = Vouching(0.0)
+    vouching.epoch_began(0.0, seen=False)
+    vouching.settle()
+    vouching.epoch_began(60_000.0, seen=True)
+    assert vouching.epoch_ms == 60_000.0
+    assert not vouching.settled(60_000.0)
