--- a/packages/core/src/tamarack_core/software_versions.py
+++ b/packages/core/src/tamarack_core/software_versions.py
@@ -71,6 +71,9 @@
 
     def see(self, service: str, version: str) -> None:
         """Record that another router has sent requests to endpoints of a version."""
+        if version in self._listed.get(service, ()):
+            self._seen_ms.setdefault(service, {})[version] = self._clock.now_ms
+            return
         before = self.recent(service)
         self._seen_ms.setdefault(service, {})[version] = self._clock.now_ms
         self._compare(service, before, (version,))
@@ -100,7 +103,10 @@
         return len(self.recent(service)) > 1
 
     def sole(self, service: str) -> str | None:
-        """The version at which every stream that still goes on has begun; None if not certain."""
+        """The version at which every stream that still goes on has begun, as of the newest list.
+
+        None if the view is not complete. What began after the list was read is not covered.
+        """
         if not self.complete:
             return None
         recent = self.recent(service)
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -22,6 +22,7 @@
 from tamarack_core.service_times import ServiceTimes
 from tamarack_core.software_versions import LONGEST_STREAM_MS, SoftwareVersions
 from tamarack_core.terminations import Terminations
+from tamarack_core.vouching import Vouching
 from tamarack_core.warm_up import SETTLE_MS, WarmUps
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.endpoint_notices import EndpointNotices
@@ -63,6 +64,8 @@
     ----------
     owns
         Returns whether this router owns a key; each key is handled by one router of the fleet.
+    is_briefed
+        Returns whether what only other routers may know has been asked for.
     on_incarnation_ended
         Called with an incarnation of an endpoint that is no longer listed, and whether a new
         incarnation of the same name has replaced it.
@@ -87,6 +90,7 @@
         self.endpoints_known = False
         self.evacuations = Evacuations()
         self.warm_ups = WarmUps()
+        self.vouching = Vouching(clock.now_ms)
         self.software_versions = SoftwareVersions(clock, lambda: self.longest_stream_ms)
         self.terminations = Terminations(clock)
         self.notices = EndpointNotices(self.registry, log, clock)
@@ -115,6 +119,7 @@
         self.unreadable = UnreadableRows(log, clock)
         self.unreadable_rules: str | None = None
         self.keys_known = True
+        self.is_briefed: Callable[[], bool] = _is_true
 
     @property
     def ready(self) -> bool:
@@ -128,7 +133,8 @@
         A router that accepted callers before it has read the quarantined requests would forward
         these; in a fleet that restarts, each router would.
         """
-        return self.rules is not None and self.endpoints_known and self.quarantine_known
+        read = self.rules is not None and self.endpoints_known and self.quarantine_known
+        return read and self.is_briefed()
 
     @property
     def fresh(self) -> bool:
@@ -384,6 +390,11 @@
     return True
 
 
+def _is_true() -> bool:
+    """Default of `FleetState.is_briefed`: there is nothing to ask for."""
+    return True
+
+
 def _owns_nothing(key: str) -> bool:
     """Default of `FleetState.owns`: no key is owned."""
     return False
