Suspects outlast restarts of routers, and of all at once

Suspects lay in each router's memory. A router that starts knew of no crash and took that for "there was none".

Evidence is now kept by the crash, so that merging what several routers tell counts each once. A router that starts, or hears another again that ran all the while (it was cut off or frozen), asks the others; whoever leaves tells. A trait that was cleared here is not suspected again for crashes known then. One row in the store holds the heaviest 256 suspects for the cases in which no router that knows is heard: a router that leaves is off the list before the next one starts, and all may be killed at once. Its owner reads, merges and writes it, every two seconds at most and only after a change; each router reads it once after its start.

Not covered: crashes of the last two seconds before all routers are lost, and a loss of all while the store is down.

--- a/packages/core/src/tamarack_core/crash_evidence.py
+++ b/packages/core/src/tamarack_core/crash_evidence.py
@@ -5,8 +5,14 @@
 from collections.abc import Iterable, Mapping
 
 from tamarack_core.endpoint_registry import EndpointIncarnation
-from tamarack_core.quarantine_records import PendingTermination, Suspect, SuspectReading
+from tamarack_core.quarantine_records import (
+    MOST_CRASHES,
+    PendingTermination,
+    Suspect,
+    SuspectReading,
+)
 from tamarack_core.request_traits import is_block, traits_in
+from tamarack_core.suspect_exchange import CrashWeight, SuspectEvidence
 from tamarack_core.termination_evidence import InterruptedTraits, Termination
 from tamarack_core.workspace_table import WorkspaceTable
 
@@ -40,6 +46,8 @@
     ----------
     ends_seen
         Number of crashes known to this router.
+    changes
+        Number of changes of the decided evidence.
     """
 
     def __init__(self) -> None:
@@ -49,8 +57,10 @@
             most=MOST_SUSPECTS, most_of_one=MOST_SUSPECTS_OF_ONE
         )
         self._requests: dict[str, InterruptedTraits] = {}
+        self._explained: dict[str, set[EndpointIncarnation]] = {}
         self._pending: dict[str, set[EndpointIncarnation]] = {}
         self.ends_seen = 0
+        self.changes = 0
 
     def __bool__(self) -> bool:
         return bool(self._suspects or self._ends)
@@ -86,7 +96,7 @@
         if known is None:
             if len(self._ends) >= MOST_ENDS:
                 return
-            known = self._ends[end.key] = PendingTermination(now_ms)
+            known = self._ends[end.key] = PendingTermination(end.key, now_ms)
             self.ends_seen += 1
         known.together = known.together or end.together
         for fingerprint, workspace, early in end.aboard:
@@ -100,11 +110,14 @@
         """Clear traits that were answered completely; returns those that were suspected."""
         cleared = []
         for trait in traits:
-            if self._suspects.pop(trait) is not None:
+            if self.drop_suspect(trait):
                 cleared.append(trait)
             # Also from undecided crashes: an answer is stronger evidence than an interruption.
-            for key in self._pending.pop(trait, ()):
+            keys = self._pending.pop(trait, set())
+            for key in keys:
                 self._ends[key].clear(trait)
+            if keys:
+                self._explained.setdefault(trait, set()).update(keys)
         return cleared
 
     def take_due(self, now_ms: float) -> list[PendingTermination]:
@@ -121,12 +134,21 @@
             self._forget(now_ms)
         return ends
 
-    def drop_suspect(self, trait: str) -> None:
-        """Forget the crashes of a trait."""
-        self._suspects.pop(trait)
+    def drop_suspect(self, trait: str) -> bool:
+        """Forget a suspect, whose crashes are explained; returns whether there was one."""
+        suspect = self._suspects.pop(trait)
+        if suspect is None:
+            return False
+        self.changes += bool(suspect.crashes)
+        explained = self._explained.pop(trait, set())
+        self._explained[trait] = explained.union(suspect.crashes)
+        if len(self._explained) > MOST_SUSPECTS:
+            del self._explained[next(iter(self._explained))]
+        return True
 
     def add_weight(self, end: PendingTermination, early: set[str]) -> None:
         """Add the weight of a crash to all traits that were present; `early` had only begun."""
+        self.changes += 1
         whole = COINCIDENT_CRASH_WEIGHT if end.together else 1.0
         present = {f: self.traits_of(f) for f in end.aboard}
         # A block that any request had used for a while is a less likely culprit.
@@ -135,10 +157,54 @@
             suspect = self._suspects.get(trait)
             if suspect is not None:
                 late = trait in late_traits
-                suspect.weight += whole * (LATE_CRASH_WEIGHT if late else 1.0)
-                suspect.ends += 1
+                suspect.add(end.key, whole * (LATE_CRASH_WEIGHT if late else 1.0))
                 suspect.survived = suspect.survived or late
 
+    # the evidence of other routers
+
+    def suspects_to_tell(self, most: int, now_ms: float) -> list[SuspectEvidence]:
+        """The suspects of decided crashes with the highest weight, at most `most`."""
+        known = [(trait, suspect) for trait, suspect in self._suspects.items() if suspect.crashes]
+        known.sort(key=lambda one: one[1].weight, reverse=True)
+        return [
+            SuspectEvidence(
+                trait,
+                suspect.workspace,
+                now_ms - suspect.last_ms,
+                suspect.survived,
+                [CrashWeight(*key, weight) for key, weight in suspect.crashes.items()],
+            )
+            for trait, suspect in known[:most]
+        ]
+
+    def merge(self, told: Iterable[SuspectEvidence], now_ms: float) -> None:
+        """Add the evidence of a router about crashes that this router has missed.
+
+        Crashes that are undecided here are left out, as are those at which the trait was cleared:
+        the other router may have missed the answer.
+        """
+        for one in told:
+            explained = self._explained.get(one.trait, set())
+            suspect = self._suspects.get(one.trait) or Suspect(one.workspace)
+            crashes = [
+                crash
+                for crash in one.crashes[:MOST_CRASHES]
+                if crash.key not in explained
+                and crash.key not in self._ends
+                and crash.weight > suspect.crashes.get(crash.key, 0.0)
+            ]
+            last_ms = now_ms - max(0.0, one.age_ms)
+            if not crashes or now_ms - last_ms > FORGET_MS:
+                continue
+            self.changes += 1
+            for crash in crashes:
+                suspect.add(crash.key, min(1.0, crash.weight))
+                self._settled[crash.key] = now_ms
+            suspect.survived = suspect.survived or one.survived
+            suspect.last_ms = max(suspect.last_ms, last_ms)
+            for evicted in self._suspects.put(one.trait, suspect.workspace, suspect):
+                self._pending.pop(evicted, None)
+
     # evaluation
 
     def traits_of(self, fingerprint: str) -> tuple[str, ...]:
@@ -189,7 +255,7 @@
     def readings(self, most: int) -> list[SuspectReading]:
         """The suspects with the highest weight, at most `most`."""
         readings = [
-            SuspectReading(trait, suspect.workspace, round(suspect.weight, 2), suspect.ends)
+            SuspectReading(trait, suspect.workspace, round(suspect.weight, 2), len(suspect.crashes))
             for trait, suspect in self._suspects.items()
         ]
         return sorted(readings, key=lambda reading: reading.weight, reverse=True)[:most]
--- a/packages/core/src/tamarack_core/quarantine.py
+++ b/packages/core/src/tamarack_core/quarantine.py
@@ -36,6 +36,7 @@
 )
 from tamarack_core.rendezvous import score
 from tamarack_core.request_traits import combined, is_block
+from tamarack_core.suspect_exchange import SuspectEvidence
 from tamarack_core.termination_evidence import InterruptedTraits, QuarantinedRequest, Termination
 
 MANY_QUARANTINED = 8
@@ -118,6 +119,11 @@
         """Number of crashes known to this router."""
         return self._evidence.ends_seen
 
+    @property
+    def evidence_changes(self) -> int:
+        """Number of changes of the evidence that other routers may need."""
+        return self._evidence.changes
+
     # evidence
 
     def record_requests(self, requests: Mapping[str, InterruptedTraits], now_ms: float) -> None:
@@ -156,6 +162,14 @@
             self._entries.pop(name)
         self._evidence.clear(names)
 
+    def suspects_to_tell(self, most: int, now_ms: float) -> list[SuspectEvidence]:
+        """Evidence for routers that may have missed crashes, at most `most` suspects."""
+        return self._evidence.suspects_to_tell(most, now_ms)
+
+    def merge(self, told: Sequence[SuspectEvidence], now_ms: float) -> None:
+        """Add evidence of another router about crashes that this router has missed."""
+        self._evidence.merge([one for one in told if one.trait not in self._entries], now_ms)
+
     def decide_due(self, now_ms: float) -> list[QuarantinedRequest]:
         """Decide on the crashes that are due; returns what is quarantined from now on."""
         decisions: list[QuarantinedRequest] = []
--- a/packages/core/src/tamarack_core/quarantine_records.py
+++ b/packages/core/src/tamarack_core/quarantine_records.py
@@ -4,12 +4,18 @@
 
 from typing import NamedTuple
 
+from tamarack_core.endpoint_registry import EndpointIncarnation
+
 PAUSE_FACTOR = 5.0
 LONGEST_PAUSE_MS = 6 * 3_600_000.0
 """Factor by which each crash in a trial extends the pause until the next one, and the longest pause
 in milliseconds. With a first pause of two minutes, a harmful request costs an endpoint after 2, 10
 and 50 minutes and 4 hours, and four endpoints a day from then on."""
 
+MOST_CRASHES = 64
+"""Crashes that are remembered for a suspect. Fewer make a decision, unless most of them coincided
+with others and interrupted requests that had run for a while."""
+
 MOST_FACTORS = 9
 """Maximum number of trials that extend the pause; fewer reach the longest pause."""
 
@@ -35,17 +41,32 @@
 
 
 class Suspect:
-    """A trait of requests that crashes interrupted, and that was not answered since."""
+    """A trait of requests that crashes interrupted, and that was not answered since.
 
-    __slots__ = ("ends", "last_ms", "survived", "weight", "workspace")
+    Attributes
+    ----------
+    crashes
+        Weight of each decided crash; two routers' evidence of the same one is counted once.
+    weight
+        Their sum.
+    """
+
+    __slots__ = ("crashes", "last_ms", "survived", "weight", "workspace")
 
     def __init__(self, workspace: str) -> None:
         self.workspace = workspace
+        self.crashes: dict[EndpointIncarnation, float] = {}
         self.weight = 0.0
-        self.ends = 0
         self.survived = False
         self.last_ms = 0.0
 
+    def add(self, key: EndpointIncarnation, weight: float) -> None:
+        """Add a crash, or more evidence of a known one."""
+        self.crashes[key] = max(weight, self.crashes.get(key, 0.0))
+        if len(self.crashes) > MOST_CRASHES:
+            del self.crashes[next(iter(self.crashes))]
+        self.weight = sum(self.crashes.values())
+
 
 class Quarantined:
     """A quarantined combination of traits and the start of its current pause.
@@ -84,9 +105,10 @@
         Traits that were answered completely since.
     """
 
-    __slots__ = ("aboard", "cleared", "first_ms", "together")
+    __slots__ = ("aboard", "cleared", "first_ms", "key", "together")
 
-    def __init__(self, first_ms: float) -> None:
+    def __init__(self, key: EndpointIncarnation, first_ms: float) -> None:
+        self.key = key
         self.first_ms = first_ms
         self.together = False
         self.aboard: dict[str, bool] = {}
--- a/packages/gateway/src/tamarack_gateway/fleet_members.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_members.py
@@ -72,6 +72,7 @@
     def __init__(self) -> None:
         self._members: dict[str, Member] = {}
         self._recently_heard: set[str] = set()
+        self._lost_boots: dict[str, int] = {}
         self._scores: dict[str, dict[str, int]] = {}
 
     def record_stamp(self, router: str, stamp_ms: float) -> None:
@@ -122,6 +123,17 @@
         self._recently_heard = heard
         return lost, regained
 
+    def returned(self, lost: Collection[str], regained: Collection[str]) -> bool:
+        """Whether routers are heard again that ran all the while, given the latest changes.
+
+        One of the two sides was cut off or frozen, and either may have missed messages.
+        """
+        returned = any(
+            self._lost_boots.pop(name, None) == self._members[name].boot for name in regained
+        )
+        self._lost_boots.update((name, self._members[name].boot) for name in lost)
+        return returned
+
     def heard_within(self, span_ms: float, now_ms: float) -> int:
         """Number of other routers with a summary within `span_ms`."""
         return sum(1 for m in self._members.values() if now_ms - m.heard_ms <= span_ms)
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from tamarack_core.clock import Clock
 from tamarack_core.endpoint_record import EndpointRecord
@@ -21,6 +21,7 @@
 from tamarack_core.service_shares import ServiceShares
 from tamarack_core.service_times import ServiceTimes
 from tamarack_core.software_versions import LONGEST_STREAM_MS, SoftwareVersions
+from tamarack_core.suspect_exchange import EvidenceCatchUp, SuspectEvidence
 from tamarack_core.terminations import Terminations
 from tamarack_core.warm_up import SETTLE_MS, WarmUps
 from tamarack_gateway.decision_log import DecisionLog
@@ -51,10 +52,6 @@
 """Longest warm-up in milliseconds of endpoints that are listed before the configuration is known;
 it has no effect on services that the configuration then does not limit."""
 
-SETTLED_MS = 3_000.0
-"""Time after a router's start from which it counts as knowing the evidence of all others: before
-that it may not hear all of them."""
-
 
 class FleetState:
     """State shared by the tasks of one router; only the event loop's thread accesses it.
@@ -99,11 +96,11 @@
         )
         self.shares = ServiceShares(bounds.share_window_ms, clock.now_ms)
         self.retry_detector = RetryDetector()
-        started_ms = clock.now_ms
+        self.catch_up = EvidenceCatchUp(clock.now_ms)
         self.quarantine = Quarantine(
             lambda fingerprint: self.owns(fingerprint),
             quarantine,
-            settled=lambda: clock.now_ms - started_ms >= SETTLED_MS,
+            settled=lambda: not self.catch_up.lacks(clock.now_ms),
         )
         self.quarantine_known = False
         self.owns: Callable[[str], bool] = _owns_nothing
@@ -115,6 +112,18 @@
         self.unreadable_rules: str | None = None
         self.keys_known = True
 
+    def learn_suspects(self, told: Sequence[SuspectEvidence], teller: str) -> None:
+        """Add evidence of crashes that this router has missed."""
+        changes = self.quarantine.evidence_changes
+        self.quarantine.merge(told, self.clock.now_ms)
+        if self.quarantine.evidence_changes > changes:
+            self.log.change(
+                "suspects learned",
+                teller=teller,
+                told=len(told),
+                suspects=self.quarantine.suspect_count,
+            )
+
     @property
     def ready(self) -> bool:
         """Whether callers should be sent here."""
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -33,6 +33,8 @@
 from tamarack_gateway.quarantine_feed import QuarantineFeed
 from tamarack_gateway.router_pages import RouterPages
 from tamarack_gateway.site import Site
+from tamarack_gateway.suspect_feed import SuspectFeed
+from tamarack_gateway.suspect_records import SuspectRecords
 from tamarack_gateway.table_messages import TableNews
 from tamarack_gateway.termination_detector import TerminationDetector
 from tamarack_gateway.warm_up_feed import WarmUpFeed
@@ -100,6 +102,7 @@
         )
         self._state.owns = lambda matter: self._members.owns(matter, self._me, clock.now_ms)
         self._quarantine = self._make_quarantine()
+        self._suspects = self._make_suspects()
         self._warm_ups = WarmUpFeed(
             self._state,
             boot=seed,
@@ -158,6 +161,8 @@
             self._inventory.run(),
             self._quarantine.run(),
             self._quarantine.store(),
+            self._suspects.run(),
+            SuspectRecords(self._state, self._feeds.clients, self._site.tables.suspects).run(),
             self._warm_ups.run(),
             records.run(),
             self._sweep(),
@@ -226,6 +231,7 @@
         state.leaving = plan
         self._log.event("leaving", connections=len(self._connections))
         self._peers.publish_summary()
+        self._suspects.tell()
         for connection in list(self._connections):
             connection.closing = True
         with contextlib.suppress(TimeoutError):
@@ -238,6 +244,8 @@
                 if not any(connection.busy for connection in self._connections):
                     break
             await asyncio.sleep(LEAVE_STEP_MS / 1000)
+        # One that started meanwhile may not have been heard before.
+        self._suspects.tell()
         unsent = [count for c in self._connections if (count := c.unsent_bytes)]
         self._log.event(
             "left",
@@ -260,6 +268,14 @@
             ),
         )
 
+    def _make_suspects(self) -> SuspectFeed:
+        return SuspectFeed(
+            self._state,
+            routers=lambda: self._members.recent_routers(self._clock.now_ms),
+            answers=lambda: self._peers.relays or not self._peers.large,
+            publish=lambda message: self._peers.publish_notice(message),
+        )
+
     def _make_pages(self) -> RouterPages:
         return RouterPages(
             self._state,
@@ -305,6 +321,7 @@
             self._state,
             self._members,
             self._quarantine,
+            self._suspects,
             self._origins,
             self._warm_ups,
             me=lambda: self._me,
@@ -397,6 +414,8 @@
             lost, regained = self._members.poll_changes(now_ms)
             if lost or regained:
                 self._log.event("peers changed", lost=lost, regained=regained)
+            if self._members.returned(lost, regained):
+                self._suspects.catch_up()
 
     async def _flush(self) -> None:
         while True:
--- a/packages/gateway/src/tamarack_gateway/peer_inbox.py
+++ b/packages/gateway/src/tamarack_gateway/peer_inbox.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from tamarack_core.stream_origins import OriginAnswer, OriginQuery
+from tamarack_core.suspect_exchange import KnownSuspects, SuspectsQuery
 from tamarack_core.termination_evidence import InterruptedRequests
 from tamarack_gateway.fleet_feeds import FleetFeeds
 from tamarack_gateway.fleet_members import FleetMembers, Member
@@ -12,6 +13,7 @@
 from tamarack_gateway.origin_feed import OriginFeed
 from tamarack_gateway.peer_messages import Notice, Report, Summary
 from tamarack_gateway.quarantine_feed import QuarantineFeed
+from tamarack_gateway.suspect_feed import SuspectFeed
 from tamarack_gateway.table_messages import CopyWanted, TableNews
 from tamarack_gateway.warm_up_feed import WarmUpFeed
 
@@ -34,6 +36,7 @@
         state: FleetState,
         members: FleetMembers,
         quarantine: QuarantineFeed,
+        suspects: SuspectFeed,
         origins: OriginFeed,
         warm_ups: WarmUpFeed,
         *,
@@ -44,6 +47,7 @@
         self._state = state
         self._members = members
         self._quarantine = quarantine
+        self._suspects = suspects
         self._origins = origins
         self._warm_ups = warm_ups
         self._me = me
@@ -71,6 +75,8 @@
             self._origins.receive(notice)
         elif isinstance(notice, InterruptedRequests):
             self._quarantine.receive_requests(notice)
+        elif isinstance(notice, SuspectsQuery | KnownSuspects):
+            self._suspects.receive(notice)
         else:
             self._warm_ups.receive(notice)
 
--- a/packages/gateway/src/tamarack_gateway/peer_messages.py
+++ b/packages/gateway/src/tamarack_gateway/peer_messages.py
@@ -5,13 +5,22 @@
 from typing import NamedTuple
 
 from tamarack_core.stream_origins import OriginAnswer, OriginQuery
+from tamarack_core.suspect_exchange import KnownSuspects, SuspectsQuery
 from tamarack_core.termination_evidence import Evidence, InterruptedRequests
 from tamarack_core.warm_up_dealer import Demand, Leases
 from tamarack_core.wire import message
 from tamarack_gateway.outbox import Placements
 from tamarack_gateway.table_messages import CopyWanted, TableNews
 
-Notice = Demand | Leases | OriginQuery | OriginAnswer | InterruptedRequests
+Notice = (
+    Demand
+    | Leases
+    | OriginQuery
+    | OriginAnswer
+    | InterruptedRequests
+    | SuspectsQuery
+    | KnownSuspects
+)
 """Messages that reach all routers, and that relays pass on as they are."""
 
 
--- a/packages/gateway/src/tamarack_gateway/site.py
+++ b/packages/gateway/src/tamarack_gateway/site.py
@@ -305,6 +305,7 @@
     routers: str
     quarantine: str
     software_versions: str
+    suspects: str
 
 
 class Site(NamedTuple):
