Soak: callers that read slowly, while routers are stopped

Callers saw: answers that broke off after a SIGTERM of their router (docs/incidents/answers-cut-by-a-stop.md). The soak's callers read everything at once and closed, so that it could not see this.

Change: callers read streams of up to 3 MB and plain answers of up to 1.5 MB over a window of 8 KiB, at 0.4 MB/s and more (4.5 s at most, grace time 6 s), half of them stop reading for up to 2 s; they keep their connections until the router closes them and ask again at once.

--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -6,7 +6,7 @@
 a copy of itself; workers fail in every scripted way, request rest, leave, are replaced, also by
 other software versions, and restart under their names; a zone's workers return cold together; zones
 are evacuated and restored; requests, and blocks of their prompts, crash the workers that run them;
-keys are revoked; rows are overwritten with invalid values.
+keys are revoked; rows are overwritten with invalid values. Some callers read slowly.
 Meanwhile, callers and workers check the promises.
 """
 
@@ -25,7 +25,6 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
 
 from tamarack_standins.claimed_ports import ClaimedPorts
 from tamarack_standins.platform_store import PlatformStore
@@ -38,8 +37,11 @@
     CrashCounts,
 )
 from tamarack_standins.soak_domains import ZONES, DomainChecks
+from tamarack_standins.soak_losses import LossChecks
 from tamarack_standins.soak_notices import NoticeChecks
-from tamarack_standins.soak_routers import FAULT_PERIOD_S, REVOKE_MS, SoakRouters
+from tamarack_standins.soak_routers import FAULT_PERIOD_S, GRACE_S, REVOKE_MS, SoakRouters
+from tamarack_standins.soak_slow_callers import SlowCallers
+from tamarack_standins.soak_store import StoreFaults
 from tamarack_standins.soak_workers import SoakWorkers
 
 EXIT_TERMINATED = 143
@@ -47,6 +49,10 @@
 ENGINES = 3
 ENGINES_ENDS_ONLY = 8
 CALLERS = 12
+SLOW_CALLERS = 6
+SLOW_CALLERS_STOPS_ONLY = 6
+"""Callers that read slowly; where routers are only stopped, so many more for each router."""
+
 TRIES = 3
 """Attempts of a caller, the first one included; only broken streams are taken up."""
 
@@ -56,13 +62,6 @@
 """Shortest and longest evacuation in seconds; some last longer than keys are valid without news."""
 
 
-COPY_AGE_S = (0.5, 4.0)
-AWAY_S = (0.1, 1.0)
-WRITE_AGAIN_S = (0.0, 1.5)
-"""Ranges in seconds of the age of a copy to which the store returns, of its absence, and of the
-time until lost rows are written again."""
-
-
 class Soak:
     """One seeded run.
 
@@ -82,9 +81,11 @@
         *,
         routers: int = ROUTERS,
         ends_only: bool = False,
+        stops_only: bool = False,
     ) -> None:
         self.random = random.Random(seed)
         self._ends_only = ends_only
+        self._stops_only = stops_only
         self._seconds = seconds
         self._folder = folder
         self._ports = ClaimedPorts(os.getpid() + seed * 7)
@@ -106,6 +107,10 @@
         self._calls = SoakCalls(self.random, self.counts, self.broken)
         self._notices = NoticeChecks(self._calls)
         self._calls.on_leaving = self._notices.told_leaving
+        self._losses = LossChecks(GRACE_S)
+        self._slow = SlowCallers(
+            self._store, random.Random(seed + 2), self._losses, self.counts, self.broken
+        )
         self._workers = SoakWorkers(
             self._store,
             self.random,
@@ -122,6 +127,7 @@
             self._stack.enter_context(self._ports)
             await self._stack.enter_async_context(self._store)
             await self._stack.enter_async_context(self._workers)
+            await self._stack.enter_async_context(self._slow)
             await self._configure()
             engines = ENGINES_ENDS_ONLY if self._ends_only else ENGINES
             for service in ("web", "web", *["pool"] * engines):
@@ -134,6 +140,7 @@
                     self._store.address,
                     rng=self.random,
                     broken=self.broken.append,
+                    losses=self._losses,
                     disturbed=self._notices.disturbed,
                 )
             )
@@ -141,8 +148,12 @@
             self._workers.start_cold = True
             callers = [asyncio.ensure_future(self._run_caller(n)) for n in range(CALLERS)]
             callers.append(asyncio.ensure_future(self._send_fatal()))
-            inject_faults = self._kill_all_once if self._ends_only else self._faults
-            faults = asyncio.ensure_future(inject_faults())
+            slow = SLOW_CALLERS + (SLOW_CALLERS_STOPS_ONLY * self._count if self._stops_only else 0)
+            addresses = [self._routers.address(number) for number in range(self._count)]
+            for _ in range(slow):
+                calls = self._slow.call_until(lambda: self._stopping, addresses, lambda: self._key)
+                callers.append(asyncio.ensure_future(calls))
+            faults = asyncio.ensure_future(self._inject_faults())
             await asyncio.sleep(self._seconds)
             self._stopping = True
             await asyncio.gather(*callers, faults)
@@ -174,6 +185,8 @@
         if not self.counts["200"]:
             self.broken.append("no request was served")
         self.broken += self.ends.broken() + self._domains.broken + self._notices.broken
+        self.broken += self._losses.broken()
+        self.counts["slow lost"] = len(self._losses.broken())
         self.counts["rests requested"] = self._notices.rests
         self.counts["leaving known"] = self._notices.departures
         self.counts["most while cold"] = self._domains.most_while_cold
@@ -212,18 +225,28 @@
         await asyncio.sleep(self._seconds / 2)
         await self._run_fault(self._routers.kill_all)
 
+    async def _inject_faults(self) -> None:
+        if self._ends_only:
+            await self._kill_all_once()
+        elif self._stops_only:
+            await self._stop_routers()
+        else:
+            await self._faults()
+
+    async def _stop_routers(self) -> None:
+        while not self._stopping:
+            await asyncio.sleep(self.random.uniform(*FAULT_PERIOD_S))
+            await self._run_fault(self.random.choice((self._routers.terminate, self._routers.roll)))
+            self.counts["stops"] += 1
+
     # faults
 
     async def _faults(self) -> None:
         fleet = self._routers
         routers = (fleet.kill, fleet.kill_all, fleet.terminate, fleet.roll, fleet.pause)
         links = (fleet.hang_up, fleet.disturb_link, self._workers.disturb_link)
-        store = (
-            self._disturb_store,
-            self._store.forget_history,
-            self._restore_store,
-            self._revoke,
-        )
+        rows = StoreFaults(self._store, self.random, self._workers, self._configure)
+        store = (rows.disturb, self._store.forget_history, rows.restore, self._revoke)
         workers = (
             self._workers.spoil_worker,
             self._workers.overload_worker,
@@ -232,7 +255,7 @@
             self._workers.restart_worker,
         )
         domains = (self._evacuate, self._workers.return_cold)
-        faults = (*routers, *links, *store, *workers, *domains, self._write_badly)
+        faults = (*routers, *links, *store, *workers, *domains, rows.write_badly)
         running: list[asyncio.Future[None]] = []
         while not self._stopping:
             await asyncio.sleep(self.random.uniform(*FAULT_PAUSE_S))
@@ -242,27 +265,6 @@
             running.append(asyncio.ensure_future(self._run_fault(fault) if disturbs else fault()))
         await asyncio.gather(*running)
 
-    async def _wait_fault_period(self) -> None:
-        await asyncio.sleep(self.random.uniform(*FAULT_PERIOD_S))
-
-    async def _disturb_store(self) -> None:
-        mode = self.random.choice(("silent", "refusing", "dropping_write_answers"))
-        setattr(self._store, mode, 503 if mode == "refusing" else True)
-        await self._wait_fault_period()
-        setattr(self._store, mode, 0 if mode == "refusing" else False)
-
-    async def _restore_store(self) -> None:
-        """Return the store to a copy some seconds old; others than routers write again."""
-        copy = self._store.copy()
-        await asyncio.sleep(self.random.uniform(*COPY_AGE_S))
-        self._store.refusing = 503
-        await self._store.forget_history()
-        await asyncio.sleep(self.random.uniform(*AWAY_S))
-        lost = await self._store.restore(copy)
-        self._store.refusing = 0
-        await asyncio.sleep(self.random.uniform(*WRITE_AGAIN_S))
-        await self._store.write_again(lost, copy, ("op", "servers"))
-
     async def _evacuate(self) -> None:
         """Evacuate a zone, and restore it after a while."""
         zone = self.random.choice(ZONES)
@@ -274,27 +276,6 @@
         self._domains.restored(zone)
         await self._store.remove("op", f"evacuate/{zone}")
 
-    async def _write_badly(self) -> None:
-        """Overwrite or add a worker's entry, or corrupt the configuration, as a foreign writer."""
-        service, worker, link = self.random.choice(self._workers.all)
-        entry = {**worker.entry(service), "address": link.address}
-        bad: tuple[Any, ...] = (
-            b"\xff",
-            {},
-            {**entry, "slots": "4"},
-            {**entry, "born": 1.5},
-            {"born": 1},
-        )
-        name = self.random.choice((worker.name, "i-foreign"))
-        await self._store.put("servers", name, self.random.choice(bad))
-        if self.random.random() < 0.3:
-            await self._store.put("op", "config", self.random.choice((b"{", {"tenants": []})))
-        await self._wait_fault_period()
-        await self._configure()
-        await self._store.remove("servers", "i-foreign")
-        if (service, worker, link) in self._workers.all:
-            await self._workers.publish(service, worker, link)
-
     async def _revoke(self) -> None:
         old, self._key = self._key, f"key-{self._version}"
         await self._configure()
@@ -321,10 +302,24 @@
             await asyncio.sleep(0.05)
 
 
-def run_seed(seed: int, seconds: float, *, routers: int = ROUTERS, ends_only: bool = False) -> Soak:
+def run_seed(
+    seed: int,
+    seconds: float,
+    *,
+    routers: int = ROUTERS,
+    ends_only: bool = False,
+    stops_only: bool = False,
+) -> Soak:
     """Run one seed; return the soak with its counts and broken promises."""
     with tempfile.TemporaryDirectory() as folder:
-        soak = Soak(seed, seconds, Path(folder), routers=routers, ends_only=ends_only)
+        soak = Soak(
+            seed,
+            seconds,
+            Path(folder),
+            routers=routers,
+            ends_only=ends_only,
+            stops_only=stops_only,
+        )
         whole = False
         try:
             asyncio.run(soak.run())
@@ -357,6 +352,11 @@
         action="store_true",
         help="no faults except requests that crash workers, and one kill of all routers",
     )
+    parser.add_argument(
+        "--stops-only",
+        action="store_true",
+        help="no faults except SIGTERM of single routers and of all in turn; more slow callers",
+    )
     arguments = parser.parse_args()
     failed = 0
     for seed in range(arguments.first, arguments.first + arguments.seeds):
@@ -365,6 +365,7 @@
             arguments.seconds,
             routers=arguments.routers,
             ends_only=arguments.ends_only,
+            stops_only=arguments.stops_only,
         )
         print(
             json.dumps({"seed": seed, "broken": soak.broken[:5], **dict(soak.counts)}), flush=True
--- a/packages/standins/src/tamarack_standins/soak_configuration.py
+++ b/packages/standins/src/tamarack_standins/soak_configuration.py
@@ -6,6 +6,7 @@
 
 from tamarack_standins.soak_callers import HOST, KINDS, STREAMS
 from tamarack_standins.soak_domains import COLD_MS, COLD_PER_S
+from tamarack_standins.soak_slow_callers import DEADLINE_S, SLOTS
 
 
 def soak_configuration(version: int, key: str) -> dict[str, Any]:
@@ -15,11 +16,19 @@
         _route(path, "streaming", "pool", maxAttempts=2, resumeStreams=resume)
         for path, resume in STREAMS.items()
     ]
+    large = {"maxAttempts": 2, "timeoutMs": DEADLINE_S * 1000}
+    plain.append(_route("/file/", "non_idempotent", "files", public=True, **large))
+    streams.append(_route("/bulk/", "streaming", "bulk", resumeStreams=False, **large))
     pool = {"name": "pool", "coldStartS": COLD_MS / 1000, "coldPerS": COLD_PER_S}
     return {
         "version": version,
         "routes": plain + streams,
-        "services": [{"name": "web"}, {**pool, "engine": {"slots": 64}}],
+        "services": [
+            {"name": "web"},
+            {"name": "files"},
+            {**pool, "engine": {"slots": 64}},
+            {"name": "bulk", "engine": {"slots": SLOTS}},
+        ],
         "limits": {"tokensPerS": 300_000},
         "tenants": [{"name": "shop", "apiKeys": [key]}],
     }
--- a/packages/standins/src/tamarack_standins/soak_routers.py
+++ b/packages/standins/src/tamarack_standins/soak_routers.py
@@ -16,6 +16,7 @@
 from tamarack_standins.claimed_ports import ClaimedPorts
 from tamarack_standins.fault_proxy import FaultProxy
 from tamarack_standins.soak_domains import COLD_FACTOR, COLD_SLACK
+from tamarack_standins.soak_losses import LossChecks
 
 GRACE_S = 6.0
 REVOKE_MS = 3_000.0
@@ -44,6 +45,8 @@
         Address of the store.
     broken
         Called with a sentence for each promise that a router broke.
+    losses
+        Told of stops and of unplanned faults of routers.
     disturbed
         Called with a router's address when it starts, is paused or wakes up.
     """
@@ -57,6 +60,7 @@
         *,
         rng: random.Random,
         broken: Callable[[str], None],
+        losses: LossChecks | None = None,
         disturbed: Callable[[str], None] = lambda address: None,
     ) -> None:
         self._count = count
@@ -64,8 +68,10 @@
         self._ports = ports
         self._random = rng
         self._broken = broken
+        self._losses = losses or LossChecks(GRACE_S)
         self._disturbed = disturbed
         self._processes: dict[int, asyncio.subprocess.Process] = {}
+        self._told: set[asyncio.subprocess.Process] = set()
         self._log_bytes: dict[int, int] = {}
         self._stack = contextlib.AsyncExitStack()
         self.links = [FaultProxy(store) for _ in range(count)]
@@ -96,15 +102,17 @@
         picked = self._pick_alive()
         if picked is not None:
             number, process = picked
-            send_signal(process, signal.SIGKILL)
-            await process.wait()
+            with self._losses.faulty(self.address(number)):
+                send_signal(process, signal.SIGKILL)
+                await process.wait()
             await self._restart(number, process)
 
     async def kill_all(self) -> None:
         """Kill all routers at once and restart them."""
         alive = [(n, p) for n, p in self._processes.items() if p.returncode is None]
-        for _, process in alive:
-            send_signal(process, signal.SIGKILL)
+        for number, process in alive:
+            with self._losses.faulty(self.address(number)):
+                send_signal(process, signal.SIGKILL)
         for number, process in alive:
             await process.wait()
             await self._restart(number, process)
@@ -130,10 +138,11 @@
         if picked is None:
             return
         number, process = picked
-        send_signal(process, signal.SIGSTOP)
-        self._disturbed(self.address(number))
-        await self._wait_fault_period()
-        send_signal(process, signal.SIGCONT)
+        with self._losses.faulty(self.address(number)):
+            send_signal(process, signal.SIGSTOP)
+            self._disturbed(self.address(number))
+            await self._wait_fault_period()
+            send_signal(process, signal.SIGCONT)
         self._disturbed(self.address(number))
 
     async def hang_up(self) -> None:
@@ -143,7 +152,9 @@
 
     async def disturb_link(self) -> None:
         """Delay, reset, block or block in one direction one router's connections to the store."""
-        await disturb(self._random.choice(self.links), self._random)
+        link = self._random.choice(self.links)
+        with self._losses.faulty(self.address(self.links.index(link))):
+            await disturb(link, self._random)
 
     async def _is_ready(self, number: int) -> bool:
         host, _, port = self.address(number, 1).partition(":")
@@ -194,6 +205,9 @@
         log.close()
 
     async def _stop(self, number: int, process: asyncio.subprocess.Process) -> None:
+        if process not in self._told:
+            self._told.add(process)
+            self._losses.stopped(self.address(number))
         send_signal(process, signal.SIGTERM)
         try:
             async with asyncio.timeout(GRACE_S + 2):
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -26,6 +26,14 @@
     assert soak.counts["200"] > 0
 
 
+def test_callers_that_read_slowly_get_whole_answers_while_routers_stop() -> None:
+    """Guards against answers that the exit of a router cuts before their callers have them."""
+    soak = run_seed(4, 15.0, stops_only=True)
+    assert soak.broken == []
+    assert soak.counts["slow 200"] > 0
+    assert soak.counts["stops"] > 0
+
+
 def test_requests_that_crash_workers_stay_quarantined_after_all_routers_are_killed() -> None:
     """Failure: after all routers were replaced, quarantined requests crash workers again.
 
