An exiting router tells the others what it has collected

Found by the search for the class "counted as done when handed to the next buffer". Callers would see: a stream that began in the last 20 ms before its router ended can go on nowhere, as no other router knows where it began; a crash that an ending router has seen counts for nothing.

Cause: begun streams, placements and evidence are collected for up to 20 ms (40 ms at a relay, for its whole failure domain) and then published by tasks; the exit cancelled the tasks and dropped what they had collected. The sockets themselves have 100 ms to deliver what was published.

Change: the exit publishes the rest, after the last request has ended and before the sockets close; an error there does not keep the log's lines back.

Evidence: test_a_router_that_exits_tells_what_it_has_collected (a relay and another router) and test_evidence_of_a_crash_just_before_an_exit_is_told_to_other_routers failed before, and pass in 3 of 3 runs, with test_peer_group, test_quarantine_feed, test_relay, test_relay_collector and test_slow_callers.

Other buffers that were read, without a fault found: connections given back to the pool (only after a complete answer, with nothing left in the transport; what the kernel still holds of a request goes out before the next one on that connection); request bodies (a request counts as possibly run before its first byte is written); store calls (done when the answer is whole, rows kept until then, and written again after a lost answer); OriginRecords (its row is written every second at most, and peers know the rest). Found and left: quarantine rows whose removal waits for the store at the moment of the exit stay listed; only that router had seen the answer that cleared them.

--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -181,8 +181,11 @@
         await self._detector.close()
         self._pool.close()
         await asyncio.sleep(0)
-        await self._stack.aclose()
-        self._log.close()
+        self._quarantine.publish()
+        try:
+            await self._stack.aclose()
+        finally:
+            self._log.close()
 
     @property
     def state(self) -> FleetState:
--- a/packages/gateway/src/tamarack_gateway/peer_group.py
+++ b/packages/gateway/src/tamarack_gateway/peer_group.py
@@ -163,6 +163,7 @@
     async def __aenter__(self) -> PeerGroup:
         sockets = PeerSockets(self._listen, self._receive, self._record_malformed)
         self._sockets = self._stack.enter_context(sockets)
+        self._stack.callback(self._publish_rest)
         self._update_subscriptions()
         self._tasks = [
             self._owner.start("reports to peers", self._report_loop),
@@ -331,9 +332,17 @@
             if self._clock.now_ms - self._last_summary_ms >= interval_ms:
                 self._last_summary_ms = self._clock.now_ms
                 summary = self._summary()
-            placements, begun = self._outbox.take(), self._outbox.take_begun()
-            if summary is not None or placements is not None or begun:
-                self._publish(summary=summary, placements=placements, begun=begun)
+            self._publish_collected(summary)
+
+    def _publish_rest(self) -> None:
+        self._publish_collected()
+        if self._links.relays:
+            self._relay_collected(self._clock.now_ms)
+
+    def _publish_collected(self, summary: Summary | None = None) -> None:
+        placements, begun = self._outbox.take(), self._outbox.take_begun()
+        if summary is not None or placements is not None or begun:
+            self._publish(summary=summary, placements=placements, begun=begun)
 
     async def _relay_loop(self) -> None:
         while True:
--- a/packages/gateway/src/tamarack_gateway/quarantine_feed.py
+++ b/packages/gateway/src/tamarack_gateway/quarantine_feed.py
@@ -181,12 +181,16 @@
                 self._log_quarantined(request, "endpoints ended under it")
                 self._pending.quarantined.append(request)
                 self._decision_event.set()
-            if self._pending_requests:
-                requests, self._pending_requests = self._pending_requests, {}
-                self._on_requests(InterruptedRequests(requests))
-            if any(self._pending):
-                news, self._pending = self._pending, Evidence([], [], [])
-                self._on_evidence(news)
+            self.publish()
+
+    def publish(self) -> None:
+        """Publish the evidence that was collected."""
+        if self._pending_requests:
+            requests, self._pending_requests = self._pending_requests, {}
+            self._on_requests(InterruptedRequests(requests))
+        if any(self._pending):
+            news, self._pending = self._pending, Evidence([], [], [])
+            self._on_evidence(news)
 
     async def store(self) -> None:
         """Write decisions to the store until it lists them; runs until cancelled."""
--- a/tests/test_exit.py
+++ b/tests/test_exit.py
@@ -6,9 +6,10 @@
 import threading
 
 import pytest
-from gateway_site import Fleet, play
+from gateway_site import Fleet, play, until
 
 from tamarack_core.clock import BootClock, ManualClock
+from tamarack_core.termination_evidence import Evidence
 from tamarack_gateway.decision_log import QUEUE_LINES, DecisionLog
 from tamarack_standins.platform_worker import PlatformWorker
 
@@ -63,3 +64,20 @@
     assert log.waiting
     os.close(reader)
     os.close(writer)
+
+
+def test_evidence_of_a_crash_just_before_an_exit_is_told_to_other_routers() -> None:
+    """Guards against a crash that counts for nothing since the router that saw it has ended."""
+
+    async def scenario() -> None:
+        async with Fleet({"web": [PlatformWorker("w1")]}) as fleet:
+            await fleet.add_routers(1)
+            await fleet.until_acquainted()
+            (other,) = fleet.others
+            heard: list[Evidence] = []
+            other._quarantine.receive = heard.append  # type: ignore[method-assign]
+            fleet.gateway._quarantine._pending.cleared.append("f1")
+            await fleet.gateway.__aexit__(None, None, None)
+            await until(lambda: any("f1" in evidence.cleared for evidence in heard))
+
+    play(scenario())
--- a/tests/test_peer_group.py
+++ b/tests/test_peer_group.py
@@ -133,6 +133,25 @@
     play(scenario())
 
 
+@pytest.mark.parametrize("relaying", [True, False], ids=["relay", "other"])
+def test_a_router_that_exits_tells_what_it_has_collected(*, relaying: bool) -> None:
+    """Guards against a stream that can go on nowhere, since the router it began at has ended."""
+
+    async def scenario() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            members = await start(stack)
+            ended = next(member for member in members if member.group.relays == relaying)
+            others = [member for member in members if member is not ended]
+            ended.outbox.placed("engine", 7.0, [])
+            ended.outbox.began("late", Origin("pool", "v1"))
+            await ended.group.__aexit__(None, None, None)
+            await until(lambda: all(member.total == 7.0 for member in others))
+            told = BegunStreams("pool", "v1", ["late"])
+            await until(lambda: any(told in member.begun for member in others))
+
+    play(scenario())
+
+
 def test_relays_alone_remember_begun_streams_and_all_routers_hear_questions() -> None:
     """Failure: each router of a large fleet remembers all streams, or a question gets lost."""
 
