A table that is read in pages has the version of its first page

No caller was seen to suffer; found by reading.

Cause: StoreClient.read_all returned the version of the last page. A row of an earlier page that had changed between the two was read as it was before, and changes were asked for from after that.

Change: the version is that of the first page. Rows of later pages that are newer come once more with the next changes, which does no harm.

Evidence: the new test failed before (20 in place of 10).

--- a/packages/gateway/src/tamarack_gateway/store_client.py
+++ b/packages/gateway/src/tamarack_gateway/store_client.py
@@ -86,18 +86,22 @@
             raise StoreError(str(error) or "no answer") from error
 
     async def read_all(self, table: str) -> RowsPage:
-        """Read all rows of a table."""
+        """Read all rows of a table.
+
+        The version is that of the first page: a row of it may change before the last is read, and
+        the changes after that version contain this one.
+        """
         rows: list[Row] = []
-        start, nameless, epoch = "", 0, None
+        start, nameless, version = "", 0, None
         while True:
             page = self._page(await self._call(self._dialect.read(table, start)))
-            if epoch not in (None, epoch_of(page.version)):
+            version = page.version if version is None else version
+            if epoch_of(version) != epoch_of(page.version):
                 raise StoreError("the store was restored between two pages")
-            epoch = epoch_of(page.version)
             rows.extend(page.rows)
             nameless += page.nameless
             if not page.more or not page.rows:
-                return RowsPage(rows, page.version, False, nameless)
+                return RowsPage(rows, version, False, nameless)
             start = page.rows[-1].key + "\0"
 
     async def watch(self, table: str, after: int, wait_ms: float) -> RowsPage:
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from typing import Any, cast
 
 import pytest
@@ -12,10 +13,12 @@
 from tamarack_core.relay_plan import SMALL_FLEET
 from tamarack_gateway.fleet_members import READERS, FleetMembers, Member
 from tamarack_gateway.fleet_state import RETAINED_FRACTION
-from tamarack_gateway.site import Row, RowsPage
-from tamarack_gateway.store_client import StoreError
+from tamarack_gateway.site import Row, RowsPage, StoreCall
+from tamarack_gateway.store_client import StoreClient, StoreError, _Answer
+from tamarack_gateway.store_epoch import StoreEpoch
 from tamarack_gateway.table_follower import BEHIND_MS, TableFollower
 from tamarack_gateway.table_messages import CopyWanted, PublishedRow, TableChange, TableNews
+from tamarack_platform.store import PlatformStore
 from tamarack_standins.fault_proxy import FaultProxy
 from tamarack_standins.platform_worker import PlatformWorker, Script
 
@@ -55,6 +58,30 @@
     assert listener.follower.version == 14
 
 
+class PagedClient(StoreClient):
+    """A client whose reads of a table are answered by given pages."""
+
+    def __init__(self, *pages: dict[str, Any]) -> None:
+        clock = ManualClock(0.0)
+        super().__init__(lambda: "", PlatformStore(), clock, StoreEpoch(clock))
+        self._pages = list(pages)
+
+    async def _call(self, call: StoreCall, wait_ms: float = 0.0) -> _Answer:
+        return _Answer(json.dumps(self._pages.pop(0)).encode(), 0)
+
+
+def test_a_table_that_is_read_in_pages_has_the_version_of_the_first() -> None:
+    """Guards against a change of a row of an earlier page, between two pages, that is missed."""
+    row = {"table": "op", "key": "a", "ver": 3, "value": "MQ=="}
+    client = PagedClient(
+        {"rows": [row], "ver": 10, "hasMore": True},
+        {"rows": [{**row, "key": "b", "ver": 15}], "ver": 20, "hasMore": False},
+    )
+    page = asyncio.run(client.read_all("op"))
+    assert [(found.key, found.version) for found in page.rows] == [("a", 3), ("b", 15)]
+    assert page.version == 10
+
+
 def test_the_store_is_called_after_a_lost_message() -> None:
     """Failure: a router misses a change permanently.
 
