Who vouches for the store's epoch is read past unreadable rows, and an empty copy vouches for nothing

One unreadable row in the table of versions hid the rows after it, so that each start waited for 2.2 s or ten before it confirmed keys. A copy from before the first router has no rows, which a router that had seen the restore itself took for a new store, and so for trust in the copy.

Change: all readable rows count for the epoch. That the table is empty counts only at the first read.

Evidence: two new cases in test_restored_store; both failed before.

--- a/packages/gateway/src/tamarack_gateway/origin_records.py
+++ b/packages/gateway/src/tamarack_gateway/origin_records.py
@@ -92,23 +92,23 @@
         if rows is None:
             self._retry_ms = self._state.clock.now_ms + RETRY_MS
             return
-        self._has_read = True
-        if not rows:
+        if not (rows or self._has_read):
             # Nothing has run on this store before.
             self._briefing.settle("no router has used the store")
+        self._has_read = True
+        read = [self._read_row(row) for row in rows]
         recorded: dict[str, set[str]] = {}
-        for row in rows:
-            fields = self._read_row(row)
-            if fields is None:
-                # What that router knew is lost; the view completes itself in time.
-                self._retry_ms = self._state.clock.now_ms + self._state.longest_stream_ms
-                return
+        for fields in filter(None, read):
             if self._clients.epoch and fields.settled == self._clients.epoch:
                 self._briefing.settle("recorded in the store")
             for service, versions in fields.versions.items():
                 recorded.setdefault(service, set()).update(versions)
             for begun in fields.streams:
                 self._feed.receive(begun)
+        if None in read:
+            # What that router knew is lost; the view completes itself in time.
+            self._retry_ms = self._state.clock.now_ms + self._state.longest_stream_ms
+            return
         self._state.software_versions.recover(recorded)
         self._state.log.change(
             "software versions recovered",
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -366,6 +366,42 @@
     play(scenario())
 
 
+def test_a_foreign_row_does_not_hide_that_the_epoch_is_old() -> None:
+    """Guards against starts that wait because one row among those of the routers is unreadable."""
+
+    async def scenario() -> None:
+        async with Fleet({"web": [PlatformWorker("w1")]}) as fleet:
+            rows = fleet.store.rows
+            await until(lambda: b'"settled":1' in rows("versions").get("router-1", b""))
+            await fleet.store.put("versions", "a-foreign-row", b"\xff")
+            await fleet.gateway.leave()
+            await fleet.gateway.__aexit__(None, None, None)
+            async with fleet.router("late") as late:
+                started_ms = late.state.clock.now_ms
+                await until(lambda: late.state.ready and late.state.fresh)
+                assert late.state.clock.now_ms - started_ms < TableFollower.RETURN_MS
+
+    play(scenario())
+
+
+def test_a_copy_from_before_the_first_router_ends_no_doubt() -> None:
+    """Guards against a router that saw the restore, and takes an empty copy for a new store."""
+
+    async def scenario() -> None:
+        async with Fleet({"web": [PlatformWorker("w1")]}) as fleet:
+            feeds, state = fleet.gateway._feeds, fleet.gateway.state
+            await until(lambda: b'"settled":1' in fleet.store.rows("versions").get("router-1", b""))
+            copy = fleet.store.copy()
+            copy.tables.pop("versions")
+            await fleet.store.restore(copy)
+            await until(lambda: feeds.store_epoch == 2)
+            state.software_versions._since_ms = state.clock.now_ms
+            await until(lambda: state.software_versions.complete)
+            assert not state.vouching.settled(state.clock.now_ms)
+
+    play(scenario())
+
+
 def test_a_copy_does_not_end_a_warm_up() -> None:
     """Failure: an endpoint that turned cold after the copy was made gets all requests at once."""
 
