A started router earns its slack of the retry budget with time

A router that starts took its whole part of the slack, which it, or the one in whose place it starts, may have used a moment before; and all of the fleet's slack until it had read how many routers there are.

For one window after its start a router now has of its slack only what no router can have used: the three tenths of its part that a settled one leaves, earned with time. In any window, all that settled routers used before and all that started ones earn is at most the slack, however often and whichever routers start. Without the number of routers it has none. Requests since its start count as before; none of them has a share that is used.

The same cause was looked for elsewhere. Sound: leases of warm-ups (a new dealer waits for all leases of the one before, and one that stood still as well; a lease names the holder's incarnation; the demand of a started router is too low, not too high); verdicts (read from the store before callers are taken; the pause before a trial begins anew at a start); writes of verdicts by several routers (the same row). Not mended: a router that hears no other owns every name, so that each part of a split fleet tries a quarantined request once; a router that starts while the list of routers is incomplete (a store back from a copy) divides the slack by too few once its window is over; rests that endpoints asked for are known to the router that was told alone, and forgotten at its start; shares of workspaces and the limit on requests in progress begin without bounds at a start; the burst of ten repeats of the own interface (`RetryBudget`) is new at each start.

--- a/packages/core/src/tamarack_core/retry_allowance.py
+++ b/packages/core/src/tamarack_core/retry_allowance.py
@@ -15,28 +15,38 @@
     All routers together may retry no more than `ratio` of a service's requests plus `slack` within
     any window. A router applies the ratio to its own requests and takes an equal part of the slack,
     divided by the highest number of routers that it has seen: a partitioned router that sees fewer
-    must not take a larger part. Without a budget, endpoints that fail under load would receive
-    every request several times.
+    must not take a larger part, and one that does not know their number yet takes none. Without a
+    budget, endpoints that fail under load would receive every request several times.
+
+    A router that has just started does not know what it used before, or what the router in whose
+    place it starts used. That may be the whole `SAFETY` part of its slack, so for one window it
+    earns only the rest, with time: however often routers start, and whichever of them, their
+    retries stay within the slack. Requests since its start are certain to be unused.
 
     Parameters
     ----------
     ratio, slack, window_ms
         The fleet-wide budget.
+    started_ms
+        When the router started.
     """
 
-    def __init__(self, ratio: float, slack: float, window_ms: float) -> None:
+    def __init__(
+        self, ratio: float, slack: float, window_ms: float, *, started_ms: float = float("-inf")
+    ) -> None:
         self._ratio = ratio
         self._slack = slack
         self._window_ms = window_ms
-        self._routers = 1
+        self._started_ms = started_ms
+        self._routers = 0
         self._requests: dict[str, deque[float]] = {}
         self._retries: dict[str, deque[float]] = {}
         self.taken = 0
 
     @property
     def routers(self) -> int:
-        """Highest number of routers seen."""
-        return self._routers
+        """Highest number of routers seen, this one included."""
+        return max(1, self._routers)
 
     def seen(self, routers: int) -> None:
         """Record the current number of routers; the highest one counts."""
@@ -60,13 +70,20 @@
         retries = self._retries.setdefault(service, deque())
         self._expire(requests, now_ms)
         self._expire(retries, now_ms)
-        allowed = SAFETY * (self._ratio * len(requests) + self._slack / self._routers)
+        allowed = SAFETY * self._ratio * len(requests) + self._slack_part(now_ms)
         if len(retries) + 1 > allowed:
             return False
         retries.append(now_ms)
         self.taken += 1
         return True
 
+    def _slack_part(self, now_ms: float) -> float:
+        if not self._routers:
+            return 0.0
+        age_ms = now_ms - self._started_ms
+        unused = SAFETY if age_ms >= self._window_ms else (1.0 - SAFETY) * age_ms / self._window_ms
+        return unused * self._slack / self._routers
+
     def _expire(self, times: deque[float], now_ms: float) -> None:
         while times and times[0] < now_ms - self._window_ms:
             times.popleft()
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -92,7 +92,10 @@
         self._incarnations: dict[str, int | None] = {}
         self.freshness = KeyFreshness(bounds.revoke_ms - KEY_MARGIN_MS)
         self.allowance = RetryAllowance(
-            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            bounds.retry_window_ms,
+            started_ms=clock.now_ms,
         )
         self.shares = ServiceShares(bounds.share_window_ms, clock.now_ms)
         self.retry_detector = RetryDetector()
