Soak: a notice of a worker that its router did not know yet does not count

Cause, traced in trials: a worker starts again while the store is silent, so that a router has its former incarnation's row. Its answers ask for rest, or say that it leaves; they name no incarnation, and the router relates them to the one it knows. When the row comes ('endpoint restarted', in one log 350 ms after three rests were asked for), it is another incarnation, to which nothing applies. The router is not in touch at that time (the core is disturbed), and the rule allows it; carried over, a notice of leaving of the former incarnation would take the new one out of service.

Change: a late request counts unless the router's own log says that it learned of the worker's incarnation after the notice. One that it knew, one that it never learned of, and one of a worker that has not restarted count as before.

How late a router learns of a restart while the store is undisturbed is checked by nothing here.

--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -184,8 +184,8 @@
                 self.broken.append(f"{attempt} was refused as not run and ran")
         if not self.counts["200"]:
             self.broken.append("no request was served")
-        self.broken += self.ends.broken() + self._domains.broken + self._notices.broken
-        self.broken += self._losses.broken()
+        self.broken += self.ends.broken() + self._domains.broken + self._losses.broken()
+        self.broken += self._notices.broken(self._routers.learned_s)
         self.counts["slow lost"] = len(self._losses.broken())
         self.counts["rests requested"] = self._notices.rests
         self.counts["leaving known"] = self._notices.departures
--- a/packages/standins/src/tamarack_standins/soak_notices.py
+++ b/packages/standins/src/tamarack_standins/soak_notices.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
+from typing import NamedTuple
 
 from tamarack_standins.platform_worker import ReceivedRequest
 from tamarack_standins.soak_callers import SoakCalls
@@ -26,6 +28,16 @@
         self.arrivals = 0
 
 
+class _Late(NamedTuple):
+    """A request that came too late after a notice, and the incarnation that gave the notice."""
+
+    router: str
+    worker: str
+    life: int | None
+    told_s: float
+    description: str
+
+
 class NoticeChecks:
     """What each router has been told by workers, and what it sends them since.
 
@@ -45,7 +57,8 @@
         self._calls = calls
         self._left_s: dict[tuple[str, str], float] = {}
         self._rests: dict[tuple[str, str], list[_Rest]] = {}
-        self.broken: list[str] = []
+        self._lives: dict[str, int] = {}
+        self._late: list[_Late] = []
         self.rests = 0
         self.departures = 0
 
@@ -70,29 +83,48 @@
             return
         key = sent.router, worker
         left_s = self._left_s.get(key)
+        life = self._lives.get(worker)
         if left_s is not None and sent.sent_s > left_s + DRAIN_S:
             late_s = sent.sent_s - left_s
-            self.broken.append(
-                f"{attempt} reaches leaving {worker} {late_s:.2f} s after its notice"
-            )
+            description = f"{attempt} reaches leaving {worker} {late_s:.2f} s after its notice"
+            self._late.append(_Late(sent.router, worker, life, left_s, description))
         now_s = time.monotonic()
         self._rests[key] = [r for r in self._rests.get(key, []) if r.until_s > now_s]
         for rest in self._rests[key]:
             rest.arrivals += now_s >= rest.counted_s
             if rest.arrivals > REST_ARRIVALS:
-                self.broken.append(
+                description = (
                     f"resting {worker} gets {rest.arrivals} requests of {sent.router}: {attempt},"
                     f" {now_s - rest.asked_s:.2f} s after it asked for rest,"
                     f" sent by its caller {now_s - sent.sent_s:.2f} s ago"
                 )
+                self._late.append(_Late(sent.router, worker, life, rest.asked_s, description))
+
+    def broken(self, learned_s: Callable[[str, str, int], float]) -> list[str]:
+        """Requests that came too late, a sentence for each.
+
+        An answer does not say which incarnation gave it. A notice of one that the router learned of
+        only afterwards does not count: the router related it to the former one.
+
+        Parameters
+        ----------
+        learned_s
+            Returns when a router learned of a worker's incarnation while it ran.
+        """
+        return [
+            late.description
+            for late in self._late
+            if late.life is None or learned_s(late.router, late.worker, late.life) <= late.told_s
+        ]
 
     def disturbed(self, router: str) -> None:
         """Forget what a router was told: it starts again, is paused, or wakes up."""
         self._left_s = {key: at_s for key, at_s in self._left_s.items() if key[0] != router}
         self._rests = {key: rests for key, rests in self._rests.items() if key[0] != router}
 
-    def restarted(self, worker: str) -> None:
-        """Forget what a worker's former incarnation told."""
+    def restarted(self, worker: str, life: int) -> None:
+        """Forget what a worker's former incarnation told; `life` is the start of the new one."""
+        self._lives[worker] = life
         self._left_s = {key: at_s for key, at_s in self._left_s.items() if key[1] != worker}
         self.cut_off(worker)
 
--- a/packages/standins/src/tamarack_standins/soak_routers.py
+++ b/packages/standins/src/tamarack_standins/soak_routers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import random
 import signal
@@ -97,6 +98,23 @@
                 while not await self._is_ready(number):
                     await asyncio.sleep(0.05)
 
+    def learned_s(self, address: str, worker: str, life: int) -> float:
+        """When a router logged that a worker had restarted as `life`, on the monotonic clock.
+
+        Returns minus infinity if it did not: it had not run with the former incarnation, or has not
+        learned of this one.
+        """
+        number = [self.address(n) for n in range(self._count)].index(address)
+        with (self._folder / f"router-{number}.log").open() as lines:
+            for line in lines:
+                if '"belief: endpoint restarted"' not in line:
+                    continue
+                with contextlib.suppress(ValueError):  # The last line of a killed process.
+                    told = json.loads(line)
+                    if (told["endpoint"], told["life"]) == (worker, life):
+                        return float(told["at_ms"]) / 1000
+        return float("-inf")
+
     async def kill(self) -> None:
         """Kill one router and restart it."""
         picked = self._pick_alive()
--- a/packages/standins/src/tamarack_standins/soak_worker.py
+++ b/packages/standins/src/tamarack_standins/soak_worker.py
@@ -45,6 +45,8 @@
 
     Attributes
     ----------
+    life
+        As the parameter.
     on_arrival
         Called with each request that arrives, whatever becomes of it.
     on_rest
@@ -68,7 +70,7 @@
         software_version: str = SOFTWARE_VERSION,
     ) -> None:
         super().__init__(name, born=life, port=port, zone=zone, software_version=software_version)
-        self._life = life
+        self.life = life
         self._streams = streams
         self._rng = rng
         self._ran = ran
@@ -90,7 +92,7 @@
             streams=self._streams,
             rng=self._rng,
             ran=self._ran,
-            life=self._life + INCARNATION_STEP_MS,
+            life=self.life + INCARNATION_STEP_MS,
             port=port,
             zone=self.zone,
             software_version=self.software_version,
--- a/packages/standins/src/tamarack_standins/soak_workers.py
+++ b/packages/standins/src/tamarack_standins/soak_workers.py
@@ -126,7 +126,7 @@
                 restarted = ended.next_incarnation()
                 self.all[index] = Placed(service, restarted, link)
                 self._domains.restarted(restarted)
-                self._notices.restarted(restarted.name)
+                self._notices.restarted(restarted.name, restarted.life)
                 await self._start_worker(restarted)
                 await self.publish(service, restarted, link)
                 return
@@ -172,7 +172,7 @@
         await asyncio.sleep(self._random.uniform(0.0, 0.3))
         worker = old.next_incarnation()
         self._domains.restarted(worker)
-        self._notices.restarted(worker.name)
+        self._notices.restarted(worker.name, worker.life)
         await self._start_worker(worker)
         self.all.append(Placed(service, worker, link))
         await self.publish(service, worker, link)
