Soak: large request heads that come in pieces

The soak's heads were small and came in one piece, so that it could not see heads of 10 kB and more that got 431.

Change: three of ten requests of the slow callers have a head of 9 to 15 kB, in pieces of 1,500 bytes; 400, 413 and 431 break a promise.

--- a/packages/standins/src/tamarack_standins/soak_slow_callers.py
+++ b/packages/standins/src/tamarack_standins/soak_slow_callers.py
@@ -39,6 +39,16 @@
 ANSWER_PAUSE_S = 0.5
 REFUSED_PAUSE_S = 0.05
 
+HEAD_BYTES = (9_000, 15_000)
+PIECES_PROBABILITY = 0.3
+PIECE_BYTES = 1_500
+PIECE_PAUSE_S = 0.005
+"""Bytes of large request heads, how often a head is large and comes in pieces, and the pieces. The
+limit of a head is 16,384 bytes."""
+
+HEAD_STATUSES = (400, 413, 431)
+"""Statuses of which none is due to a proper head."""
+
 MAX_SEGMENT = 1_460
 RECEIVE_BUFFER = 8_192
 READ_BYTES = 16_384
@@ -173,10 +183,14 @@
         if path == "/bulk/":
             lines += [f"Authorization: Token {key}", "X-Model: m", "X-Token-Usage: 300,40"]
             lines.append(f"X-Prompt-Prefix: a{rng.randrange(9)}:200,{attempt}:100")
+        in_pieces = rng.random() < PIECES_PROBABILITY
+        if in_pieces:
+            lines.append(f"X-Filler: {'f' * rng.randint(*HEAD_BYTES)}")
+        request = "\r\n".join([*lines, "", ""]).encode() + b"{}"
         sent_s, answer = time.monotonic(), bytearray()
         try:
-            request = "\r\n".join([*lines, "", ""]).encode() + b"{}"
-            await asyncio.get_running_loop().sock_sendall(sock, request)
+            await _send(sock, request, PIECE_BYTES if in_pieces else len(request))
+            sent_s = time.monotonic()
             async with asyncio.timeout(DEADLINE_S + 1):
                 await _read(sock, answer, self._pace(size))
         except (OSError, EOFError):
@@ -199,6 +213,8 @@
         head, _, body = answer.partition(b"\r\n\r\n")
         status = int(head.split(b" ")[1])
         self._counts[f"slow {status}"] += 1
+        if status in HEAD_STATUSES:
+            self._broken.append(f"{attempt} got {status} for a proper head")
         if status != 200:
             await asyncio.sleep(REFUSED_PAUSE_S)
         elif path == "/bulk/" and body.count(b"x") != size // EVENTS * EVENTS:
@@ -208,6 +224,13 @@
         return b"connection: close" not in head.lower()
 
 
+async def _send(sock: socket.socket, request: bytes, piece: int) -> None:
+    for start in range(0, len(request), piece):
+        if start:
+            await asyncio.sleep(PIECE_PAUSE_S)
+        await asyncio.get_running_loop().sock_sendall(sock, request[start : start + piece])
+
+
 async def _read(sock: socket.socket, answer: bytearray, pace: Pace) -> None:
     loop = asyncio.get_running_loop()
     began_s = 0.0
