--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -184,8 +184,8 @@
                 self.broken.append(f"{attempt} was refused as not run and ran")
         if not self.counts["200"]:
             self.broken.append("no request was served")
-        self.broken += self.ends.broken() + self._domains.broken + self._notices.broken
-        self.broken += self._losses.broken()
+        self.broken += self.ends.broken() + self._domains.broken + self._losses.broken()
+        self.broken += self._notices.broken(self._routers.learned_s)
         self.counts["slow lost"] = len(self._losses.broken())
         self.counts["rests requested"] = self._notices.rests
         self.counts["leaving known"] = self._notices.departures
@@ -367,9 +367,7 @@
             ends_only=arguments.ends_only,
             stops_only=arguments.stops_only,
         )
-        print(
-            json.dumps({"seed": seed, "broken": soak.broken[:5], **dict(soak.counts)}), flush=True
-        )
+        print(json.dumps({"seed": seed, "broken": soak.broken, **dict(soak.counts)}), flush=True)
         failed += bool(soak.broken)
     return 1 if failed else 0
 
