Heads and answers of any content are fuzzed against a whole router; event ids are bounded

What callers saw: 500, or a stream cut without a further send, if an engine sent an event id of more than 4,300 digits.

Cause: `int` raises a plain ValueError for such a number, which is no answer's fault for `Exchange`, so that it ended the request.

Change: an event id has up to 15 digits; a longer one makes the stream broken, as an id out of order does.

--- a/packages/gateway/src/tamarack_gateway/event_splitter.py
+++ b/packages/gateway/src/tamarack_gateway/event_splitter.py
@@ -8,6 +8,8 @@
 EVENT_BYTES = 1_000_000
 """Maximum size of an event; without a limit a faulty endpoint could exhaust the memory."""
 
+ID_DIGITS = 15
+"""Maximum digits of an event id; Python reads no number of thousands of digits."""
 
 ID_LINE = re.compile(rb"^id:[ \t\r\f\v]*([0-9]+)[ \t\r\f\v]*$", re.MULTILINE)
 """The `id` line of an event."""
@@ -66,6 +68,8 @@
 
     def _event(self, raw: bytes) -> Event:
         ids = ID_LINE.findall(raw)
+        if ids and len(ids[-1]) > ID_DIGITS:
+            raise BadStreamError("an event id is too long")
         number = int(ids[-1]) if ids else None
         if number is not None:
             if self._last is not None and number != self._last + 1:
--- /dev/null
+++ b/tests/test_router_inputs_fuzz.py
@@ -0,0 +1,188 @@
+"""Inputs of any content to a whole router: no task ends, and it still answers afterwards."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import gc
+from collections.abc import AsyncIterator
+
+from gateway_site import Fleet, connect, play, read_answer
+from hypothesis import HealthCheck, example, given, settings
+from hypothesis import strategies as st
+
+from tamarack_gateway.gateway import Gateway
+from tamarack_standins.platform_worker import PlatformWorker, ReceivedRequest, Script
+
+# The same examples in each run, so that the result is reproducible.
+reproducible = settings(
+    max_examples=25,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
+)
+
+NUMBERS = ["0", "-1", "5", "1e999", "nan", "99999999999999999999", "9" * 5_000, "0x5", "", "٣"]
+
+token = st.sampled_from(
+    [
+        *("Host", "Content-Length", "Transfer-Encoding", "Expect", "Connection", "Upgrade"),
+        *("X-Attempt-Id", "X-Deadline-Ms", "X-Token-Usage", "X-Prompt-Prefix", "X-Length-Hint"),
+        *("Last-Event-Id", "Resumes", "X-Model", "Authorization", "X-Target-Instance"),
+    ]
+)
+value = st.one_of(
+    st.sampled_from(NUMBERS),
+    st.sampled_from(["shop.example", "chunked", "100-continue", "close", "Token key-one", "a:1,b"]),
+    st.sampled_from([f"{one},{other}" for one in NUMBERS for other in NUMBERS[:4]]),
+    st.text(st.characters(max_codepoint=255), max_size=20),
+)
+path = st.sampled_from(["/page/1", "/search/1", "/draft/1", "/rewrite/1", "*", "http://[/", "//"])
+
+
+def settled(gateway: Gateway) -> None:
+    """Check that nothing has failed that only the event loop would see."""
+    gc.collect()
+    assert not gateway.tasks.failures, gateway.tasks.failures
+    assert not gateway.tasks.down
+
+
+@contextlib.asynccontextmanager
+async def a_fleet(*pool: PlatformWorker) -> AsyncIterator[Fleet]:
+    async with Fleet({"web": [PlatformWorker("w1")], "pool": list(pool)}) as fleet:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(fleet.gateway.tasks.record_context)
+        yield fleet
+
+
+async def served(fleet: Fleet, target: str) -> None:
+    """Check that the router answers requests and operators."""
+    async with asyncio.timeout(10):
+        while (await fleet.ask(target)).status != 200:
+            await asyncio.sleep(0.05)
+        for page in ("/metrics", "/status", "/quarantine"):
+            reader, writer = await connect(fleet.gateway.metrics_address)
+            writer.write(f"GET {page} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+            assert (await read_answer(reader)).status == 200
+            writer.close()
+
+
+# callers
+
+
+def head(method: str, target: str, fields: list[tuple[str, str]]) -> bytes:
+    lines = [f"{method} {target} HTTP/1.1", *(f"{name}: {text}" for name, text in fields)]
+    return "\r\n".join([*lines, "", ""]).encode("utf-8", "replace")
+
+
+near_valid = st.builds(
+    lambda target, fields: head(
+        "POST", target, [("Host", "shop.example"), ("X-Attempt-Id", "a"), *fields]
+    ),
+    path,
+    st.lists(st.tuples(token, value), max_size=5),
+)
+heads = st.one_of(near_valid, near_valid, st.binary(max_size=80))
+
+
+@reproducible
+@given(st.lists(st.lists(heads, min_size=1, max_size=3), max_size=25))
+@example([[head("POST", "/draft/1", [("X-Attempt-Id", "a"), ("X-Token-Usage", "9" * 5_000)])]])
+def test_heads_of_any_content_end_no_task(connections: list[list[bytes]]) -> None:
+    async def scenario() -> None:
+        async with a_fleet(PlatformWorker("w2", Script(events=2))) as fleet:
+            for pieces in connections:
+                reader, writer = await connect(fleet.gateway.callers)
+                writer.writelines(pieces)
+                writer.write_eof()
+                with contextlib.suppress(OSError, TimeoutError):
+                    async with asyncio.timeout(0.1):
+                        await reader.read()
+                writer.close()
+            await served(fleet, "/draft/1")
+            settled(fleet.gateway)
+
+    play(scenario())
+
+
+# endpoints
+
+
+class RawWorker(PlatformWorker):
+    """Answers each request with bytes of the test, closes, and serves properly without any left."""
+
+    def __init__(self, name: str, answers: list[bytes]) -> None:
+        super().__init__(name, Script(events=2))
+        self._raw = answers
+
+    async def _stream(
+        self, script: Script, received: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        if not self._raw:
+            return await super()._stream(script, received, writer)
+        attempt = received.headers.get("x-attempt-id", "").encode()
+        writer.write(self._raw.pop().replace(b"ATTEMPT", attempt))
+        await writer.drain()
+        return False
+
+
+answer_names = st.sampled_from(
+    [
+        *("Content-Length", "Transfer-Encoding", "Keep-Alive", "Connection", "Retry-After"),
+        *("Server-Leaving", "X-Not-Executed", "X-Attempt-Id", "Content-Encoding", "Date"),
+    ]
+)
+answer_values = value | st.sampled_from(["timeout=" + "9" * 400, "timeout=nan", "ATTEMPT"])
+events = st.one_of(
+    st.sampled_from(NUMBERS).map(lambda number: f"id: {number}\ndata: x\n\n".encode()),
+    st.binary(max_size=40),
+    st.just(b"id: 1\ndata: x\n\n"),
+)
+bodies = st.one_of(
+    st.lists(events, max_size=4).map(
+        lambda parts: b"".join(b"%x\r\n%s\r\n" % (len(p), p) for p in parts if p) + b"0\r\n\r\n"
+    ),
+    st.binary(max_size=60),
+    st.sampled_from([b"ffffffffffffffffff\r\n", b"5;" + b"x" * 70_000, b"0\r\nA: b\r\n\r\n"]),
+)
+
+
+def answer(status: str, fields: list[tuple[str, str]], body: bytes, *, chunked: bool) -> bytes:
+    framing = [("Transfer-Encoding", "chunked")] if chunked else []
+    signed = [("X-Attempt-Id", "ATTEMPT"), ("X-Server-Stamp", "s"), *framing]
+    lines = [f"HTTP/1.1 {status} X", *(f"{name}: {text}" for name, text in [*signed, *fields])]
+    return "\r\n".join([*lines, "", ""]).encode("utf-8", "replace") + body
+
+
+answers = st.one_of(
+    st.builds(
+        answer,
+        st.sampled_from(["200", "200", "200", "503", "421", "100", "204", "999", "99999", "x"]),
+        st.lists(st.tuples(answer_names, answer_values), max_size=3),
+        bodies,
+        chunked=st.booleans(),
+    ),
+    st.binary(max_size=80),
+)
+HUGE_ID = b"%x\r\nid: %s\n\n\r\n" % (5_006, b"9" * 5_000)
+
+
+@reproducible
+@given(st.lists(answers, max_size=20))
+@example([answer("200", [], HUGE_ID, chunked=True)])
+@example([answer("503", [("Retry-After", "1e999")], b"", chunked=False)])
+def test_answers_of_any_content_end_no_task(raw: list[bytes]) -> None:
+    async def scenario() -> None:
+        async with a_fleet(RawWorker("w2", raw)) as fleet:
+            while raw:
+                before = len(raw)
+                reply = await fleet.try_ask("/draft/1", X_Deadline_Ms="1000")
+                assert reply is None or reply.status != 500
+                if len(raw) == before:
+                    # It rests, as one of the answers asked for.
+                    break
+            raw.clear()
+            await served(fleet, "/page/1")
+            settled(fleet.gateway)
+
+    play(scenario())
