Numbers of other routers are checked before they enter predictions

What callers saw, if a peer sent them: no answer to any request for an engine.

Cause: messages between routers may hold every number that msgpack can. Not a number or an infinite prefill time stays in the sum of an engine's model for good, and each later request fails where the prediction is rounded.

Change: `EngineModel` ignores prefill and queueing times of others that are not between 0 and 10 minutes, speeds that are no number, and blocks of impossible size; `FleetState` ignores negative counts of tokens.

The same cause elsewhere, not changed: a peer that names a far too high version of a table, or an epoch of the store, is believed (suspected, not played).

--- a/packages/core/src/tamarack_core/engine_model.py
+++ b/packages/core/src/tamarack_core/engine_model.py
@@ -31,6 +31,11 @@
 """Weight of a queueing delay that another router reports. The report is some 80 ms old and lacks
 the requests sent since, so it corrects the local sum and does not replace it."""
 
+MAX_PEER_MS = 600_000.0
+MAX_PEER_TOKENS = 10**9
+"""Largest prefill or queueing time, and prefix block, that is accepted from another router. A
+broken one may send any number; not a number would stay in all later predictions."""
+
 SHORT_MS = 25.0
 """Prefill time in milliseconds up to which a first event is a sample of the time to a first token
 beyond prefill."""
@@ -161,7 +166,8 @@
 
     def add_peer_work(self, reading_ms: float, now_ms: float) -> None:
         """Add the prefill time of requests sent by another router."""
-        self._add(reading_ms, now_ms)
+        if 0.0 <= reading_ms <= MAX_PEER_MS:
+            self._add(reading_ms, now_ms)
 
     def first_event(self, request: str, now_ms: float) -> None:
         """Record the first event of a request: all prompts sent before it have been prefilled.
@@ -186,6 +192,8 @@
         the observations of other routers, the sum of all sent work drifts away from the real queue,
         and requests are refused or sent to engines that do not cache their prefix.
         """
+        if not 0.0 <= wait_ms <= MAX_PEER_MS or not 0.0 <= pace <= MAX_PEER_MS:
+            return
         self._free_ms += PEER_GAIN * (now_ms + wait_ms - max(now_ms, self._free_ms))
         own = self.pace(now_ms)
         self._pace = own + PACE_GAIN * (pace - own)
@@ -223,9 +231,10 @@
 
     def add_peer_blocks(self, parts: list[tuple[str, int]], now_ms: float) -> None:
         """Record blocks that another router reported, by key and size."""
-        for key, _ in parts:
-            self._reported_ms[key] = now_ms
-        self.add_blocks(tuple(PrefixBlock(key, tokens) for key, tokens in parts))
+        blocks = [PrefixBlock(key, n) for key, n in parts if 0 <= n <= MAX_PEER_TOKENS]
+        for block in blocks:
+            self._reported_ms[block.key] = now_ms
+        self.add_blocks(tuple(blocks))
 
     def blocks_to_report(self, prompt: Prompt, now_ms: float) -> list[PrefixBlock]:
         """Shared blocks of a prompt sent to this engine that other routers may not know of."""
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -220,7 +220,8 @@
             if service in known:
                 shares = self.shares.of(service)
                 for workspace, asked, served in rows:
-                    shares.count(workspace, asked, served, now_ms)
+                    if asked >= 0 and served >= 0:
+                        shares.count(workspace, asked, served, now_ms)
 
     def record(self, key: EndpointIncarnation) -> EndpointRecord | None:
         """The record of an endpoint's answers; None if not listed or of another incarnation."""
--- a/tests/test_router_inputs_fuzz.py
+++ b/tests/test_router_inputs_fuzz.py
@@ -5,14 +5,21 @@
 import asyncio
 import contextlib
 import gc
+import types
+import typing
 from collections.abc import AsyncIterator
+from typing import Any
 
+import msgspec
 from gateway_site import Fleet, connect, play, read_answer
 from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
 
+from tamarack_core.stream_origins import BegunStreams
+from tamarack_core.wire import _KINDS
 from tamarack_gateway.gateway import Gateway
-from tamarack_standins.platform_worker import PlatformWorker, ReceivedRequest, Script
+from tamarack_gateway.peer_messages import Alive, Digest, Gathered, Notice, Report, TableVersions
+from tamarack_standins.platform_worker import BORN_MS, PlatformWorker, ReceivedRequest, Script
 
 # The same examples in each run, so that the result is reproducible.
 reproducible = settings(
@@ -186,3 +193,92 @@
             settled(fleet.gateway)
 
     play(scenario())
+
+
+# peers
+
+FLOATS = [0.0, -1.0, 5.0, 1e308, -1e308, float("nan"), float("inf"), float("-inf")]
+INTS = [0, -1, 5, 2**31, 2**53, 2**63 - 1, -(2**63), BORN_MS, BORN_MS]
+NAMES = ["w2", "pool", "shop", "router-1", "router-9", "a", "", "servers", "op", "v1", "x" * 300]
+
+
+def values_of(kind: Any) -> st.SearchStrategy[Any]:
+    """Values of a type in messages between routers, extreme ones among them."""
+    origin, inner = typing.get_origin(kind), typing.get_args(kind)
+    simple: dict[Any, st.SearchStrategy[Any]] = {
+        float: st.sampled_from(FLOATS),
+        int: st.sampled_from(INTS),
+        str: st.sampled_from(NAMES),
+        bool: st.booleans(),
+        bytes: st.binary(max_size=20),
+        type(None): st.none(),
+    }
+    if kind in simple:
+        return simple[kind]
+    if origin in (typing.Union, types.UnionType):
+        return st.one_of([values_of(one) for one in inner])
+    if origin is typing.Annotated:
+        return values_of(inner[0])
+    if origin is list:
+        return st.lists(values_of(inner[0]), max_size=2)
+    if origin is dict:
+        return st.dictionaries(values_of(inner[0]), values_of(inner[1]), max_size=2)
+    if origin is tuple and inner[-1] is not ...:
+        return st.tuples(*map(values_of, inner))
+    if origin in (tuple, frozenset, set):
+        return st.lists(values_of(inner[0]), max_size=2)
+    fields = typing.get_type_hints(kind, include_extras=True)
+    return st.tuples(*(values_of(field) for field in fields.values()))
+
+
+KINDS = (Report, Digest, Gathered, TableVersions, Alive, BegunStreams, *typing.get_args(Notice))
+messages = st.one_of([st.tuples(st.just(_KINDS[kind]), values_of(kind)) for kind in KINDS])
+frames = st.one_of(
+    st.lists(messages, max_size=3).map(msgspec.msgpack.encode),
+    st.binary(max_size=60),
+    st.just(b"\x91" * 100_000),
+)
+topics = st.sampled_from([b"r/a/", b"l/a/", b"x/a/", b"s/a/", b"", b"\xff"])
+
+
+def news_of(age_ms: float, stamp_ms: float) -> list[tuple[bytes, bytes]]:
+    """Frames with empty changes of all tables, of extreme times."""
+    frames = []
+    for table in ("op", "servers", "routers", "quarantine"):
+        news = [table, 0, 0, age_ms, [], {"router-1": stamp_ms}, False]
+        report = ["router-9", stamp_ms, None, None, news, None, None]
+        frames.append((b"r/a/", msgspec.msgpack.encode([[64, report]])))
+    return frames
+
+
+def work_of(number: float, count: int) -> list[tuple[bytes, bytes]]:
+    """Frames with one extreme number at each place that concerns an engine or a workspace."""
+    placed = [["w2", number, [["aa", count], ["b", count]], BORN_MS]]
+    seen = [["w2", number, number, BORN_MS]]
+    placements = [placed, {"pool": [["shop", count, count]]}, seen]
+    summary = ["router-9", 1, "a", "127.0.0.1:1", True, True, False]
+    report = ["router-9", number, summary, placements, None, None, None]
+    kinds = [[64, report], [65, ["router-8", [report]]], [66, [placements]]]
+    return [(topic, msgspec.msgpack.encode(kinds)) for topic in (b"r/a/", b"l/a/")]
+
+
+@reproducible
+@given(st.lists(st.tuples(topics, frames), max_size=40))
+@example(work_of(float("nan"), 2**63 - 1))
+@example(work_of(float("inf"), -(2**63)))
+@example(work_of(float("-inf"), 0))
+@example(work_of(1e308, 2**63 - 1) * 3)
+@example(news_of(float("nan"), float("nan")))
+@example(news_of(float("-inf"), float("inf")))
+def test_messages_of_peers_of_any_content_end_no_task(
+    received: list[tuple[bytes, bytes]],
+) -> None:
+    async def scenario() -> None:
+        async with a_fleet(PlatformWorker("w2", Script(events=2))) as fleet:
+            for topic, frame in received:
+                fleet.gateway._peers._sockets._dispatch([topic, frame])
+                await asyncio.sleep(0)
+            await served(fleet, "/draft/1")
+            settled(fleet.gateway)
+
+    play(scenario())
