An address that no connection can have is a failed connection

What callers saw: nothing at first; with such a store address in the settings, each task that called the store ended at its next connection.

Cause: `create_connection` raises OverflowError for a port above 65,535 and UnicodeError for a host name such as `a..b`; `open_connection` expected OSError and timeouts only.

Change: both are a `ConnectError`, whatever the address comes from.

--- a/packages/gateway/src/tamarack_gateway/endpoint_connection.py
+++ b/packages/gateway/src/tamarack_gateway/endpoint_connection.py
@@ -269,7 +269,8 @@
             _, connection = await loop.create_connection(EndpointConnection, host, int(port))
     except ConnectionRefusedError as error:
         raise RefusedError(str(error)) from error
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, ValueError, OverflowError) as error:
+        # The last two are for a name or a port that no address has.
         raise ConnectError(str(error) or "no answer") from error
     return connection
 
--- a/tests/test_router_inputs_fuzz.py
+++ b/tests/test_router_inputs_fuzz.py
@@ -19,6 +19,7 @@
 from tamarack_core.wire import _KINDS
 from tamarack_gateway.gateway import Gateway
 from tamarack_gateway.peer_messages import Alive, Digest, Gathered, Notice, Report, TableVersions
+from tamarack_platform.settings import settings_from
 from tamarack_standins.platform_worker import BORN_MS, PlatformWorker, ReceivedRequest, Script
 
 # The same examples in each run, so that the result is reproducible.
@@ -282,3 +283,72 @@
             settled(fleet.gateway)
 
     play(scenario())
+
+
+# settings
+
+FIELDS: dict[str, Any] = {
+    "nodeName": "router-1",
+    "ip": "127.0.0.1",
+    "zone": "a",
+    "listen": {"front": "127.0.0.1:1", "ready": "127.0.0.1:2", "directory": "127.0.0.1:3"},
+    "internalPorts": [0],
+    "bounds": {"revokeMs": 5_000, "evacuateMs": 5_000, "graceS": 8, "ttl_max_s": 5},
+    "platform": {"address": "127.0.0.1:9"},
+    "zones": {"a": "r"},
+    "limits": {"maxFds": 1_224},
+}
+odd = st.one_of(
+    st.sampled_from([*FLOATS, *INTS, *NUMBERS, None, True, [], {}]),
+    st.sampled_from(["127.0.0.1:99999", "[::1]:x", "a..b:1", "\x00:1", ":", "x" * 300 + ":1"]),
+)
+changes = st.tuples(
+    st.sampled_from(
+        [
+            *((name,) for name in FIELDS),
+            *(("bounds", name) for name in ("revokeMs", "evacuateMs", "drainMs", "retrySlack")),
+            *(
+                ("bounds", name)
+                for name in ("graceS", "quotaWindowS", "budgetWindowS", "coldSlack")
+            ),
+            *(("platform", "address"), ("limits", "maxFds"), ("zones", "a")),
+        ]
+    ),
+    odd,
+)
+
+
+@settings(reproducible, max_examples=10)
+@given(st.lists(changes, min_size=1, max_size=4))
+@example([(("platform", "address"), "127.0.0.1:99999")])
+@example([(("platform", "address"), "a..b:1")])
+def test_settings_of_any_content_end_no_task(
+    changed: list[tuple[tuple[str, ...], Any]],
+) -> None:
+    async def scenario() -> None:
+        async with a_fleet(PlatformWorker("w2", Script(events=2))) as fleet:
+            gateway = fleet.gateway
+            for names, other in changed:
+                fields = {**FIELDS, "platform": {"address": fleet.store.address}}
+                fields = {n: dict(v) if isinstance(v, dict) else v for n, v in fields.items()}
+                inner = fields
+                for name in names[:-1]:
+                    inner = inner[name]
+                inner[names[-1]] = other
+
+                def load(fields: Any = fields) -> Any:
+                    return settings_from(fields)
+
+                gateway._site = gateway._site._replace(load_settings=load)
+                gateway.reload()
+                for follower in gateway._feeds._followers.values():
+                    follower._client.close()
+                await asyncio.sleep(0.2)
+                await fleet.try_ask("/draft/1")
+            good = {**FIELDS, "platform": {"address": fleet.store.address}}
+            gateway._site = gateway._site._replace(load_settings=lambda: settings_from(good))
+            gateway.reload()
+            await served(fleet, "/draft/1")
+            settled(gateway)
+
+    play(scenario())
