Soak: a notice is excused only beside a fault

Cause: a notice of a worker that its router did not know yet was excused whenever the router's log said so; the trace that allows it is one of a store that was silent. A router in touch has to learn in time.

Change: the excuse holds only within the time of contact after a fault of routers, links or the store, as for crashes.

--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -105,7 +105,7 @@
         self.counts: Counter[str] = Counter()
         self.broken: list[str] = []
         self._calls = SoakCalls(self.random, self.counts, self.broken)
-        self._notices = NoticeChecks(self._calls)
+        self._notices = NoticeChecks(self._calls, self._fault_free_s)
         self._calls.on_leaving = self._notices.told_leaving
         self._losses = LossChecks(GRACE_S)
         self._slow = SlowCallers(
--- a/packages/standins/src/tamarack_standins/soak_notices.py
+++ b/packages/standins/src/tamarack_standins/soak_notices.py
@@ -8,6 +8,7 @@
 
 from tamarack_standins.platform_worker import ReceivedRequest
 from tamarack_standins.soak_callers import SoakCalls
+from tamarack_standins.soak_crashes import CONTACT_S
 
 DRAIN_S = 2.0
 """Seconds after an answer that says a worker leaves in which its router may still send there."""
@@ -35,6 +36,7 @@
     worker: str
     life: int | None
     told_s: float
+    in_contact: bool
     description: str
 
 
@@ -45,6 +47,8 @@
     ----------
     calls
         Tells which router a request was sent to, and when.
+    fault_free_s
+        Returns the seconds since the last fault of routers, links or the store.
 
     Attributes
     ----------
@@ -53,8 +57,9 @@
         router that their worker leaves.
     """
 
-    def __init__(self, calls: SoakCalls) -> None:
+    def __init__(self, calls: SoakCalls, fault_free_s: Callable[[], float]) -> None:
         self._calls = calls
+        self._fault_free_s = fault_free_s
         self._left_s: dict[tuple[str, str], float] = {}
         self._rests: dict[tuple[str, str], list[_Rest]] = {}
         self._lives: dict[str, int] = {}
@@ -84,10 +89,11 @@
         key = sent.router, worker
         left_s = self._left_s.get(key)
         life = self._lives.get(worker)
+        in_contact = self._fault_free_s() >= CONTACT_S
         if left_s is not None and sent.sent_s > left_s + DRAIN_S:
             late_s = sent.sent_s - left_s
             description = f"{attempt} reaches leaving {worker} {late_s:.2f} s after its notice"
-            self._late.append(_Late(sent.router, worker, life, left_s, description))
+            self._late.append(_Late(sent.router, worker, life, left_s, in_contact, description))
         now_s = time.monotonic()
         self._rests[key] = [r for r in self._rests.get(key, []) if r.until_s > now_s]
         for rest in self._rests[key]:
@@ -98,13 +104,15 @@
                     f" {now_s - rest.asked_s:.2f} s after it asked for rest,"
                     f" sent by its caller {now_s - sent.sent_s:.2f} s ago"
                 )
-                self._late.append(_Late(sent.router, worker, life, rest.asked_s, description))
+                self._late.append(
+                    _Late(sent.router, worker, life, rest.asked_s, in_contact, description)
+                )
 
     def broken(self, learned_s: Callable[[str, str, int], float]) -> list[str]:
         """Requests that came too late, a sentence for each.
 
-        An answer does not say which incarnation gave it. A notice of one that the router learned of
-        only afterwards does not count: the router related it to the former one.
+        An answer does not say which incarnation gave it. Beside a fault, a notice of one that the
+        router learned of only afterwards does not count: the router related it to the former one.
 
         Parameters
         ----------
@@ -114,7 +122,9 @@
         return [
             late.description
             for late in self._late
-            if late.life is None or learned_s(late.router, late.worker, late.life) <= late.told_s
+            if late.in_contact
+            or late.life is None
+            or learned_s(late.router, late.worker, late.life) <= late.told_s
         ]
 
     def disturbed(self, router: str) -> None:
