--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from tamarack_core.clock import Clock
 from tamarack_core.endpoint_record import EndpointRecord
@@ -21,7 +21,9 @@
 from tamarack_core.service_shares import ServiceShares
 from tamarack_core.service_times import ServiceTimes
 from tamarack_core.software_versions import LONGEST_STREAM_MS, SoftwareVersions
+from tamarack_core.suspect_exchange import EvidenceCatchUp, SuspectEvidence
 from tamarack_core.terminations import Terminations
+from tamarack_core.vouching import Vouching
 from tamarack_core.warm_up import SETTLE_MS, WarmUps
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.endpoint_notices import EndpointNotices
@@ -51,10 +53,6 @@
 """Longest warm-up in milliseconds of endpoints that are listed before the configuration is known;
 it has no effect on services that the configuration then does not limit."""
 
-SETTLED_MS = 3_000.0
-"""Time after a router's start from which it counts as knowing the evidence of all others: before
-that it may not hear all of them."""
-
 
 class FleetState:
     """State shared by the tasks of one router; only the event loop's thread accesses it.
@@ -63,6 +61,8 @@
     ----------
     owns
         Returns whether this router owns a key; each key is handled by one router of the fleet.
+    is_briefed
+        Returns whether what only other routers may know has been asked for.
     on_incarnation_ended
         Called with an incarnation of an endpoint that is no longer listed, and whether a new
         incarnation of the same name has replaced it.
@@ -87,6 +87,7 @@
         self.endpoints_known = False
         self.evacuations = Evacuations()
         self.warm_ups = WarmUps()
+        self.vouching = Vouching(clock.now_ms)
         self.software_versions = SoftwareVersions(clock, lambda: self.longest_stream_ms)
         self.terminations = Terminations(clock)
         self.notices = EndpointNotices(self.registry, log, clock)
@@ -95,15 +96,18 @@
         self._incarnations: dict[str, int | None] = {}
         self.freshness = KeyFreshness(bounds.revoke_ms - KEY_MARGIN_MS)
         self.allowance = RetryAllowance(
-            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            bounds.retry_window_ms,
+            started_ms=clock.now_ms,
         )
         self.shares = ServiceShares(bounds.share_window_ms, clock.now_ms)
         self.retry_detector = RetryDetector()
-        started_ms = clock.now_ms
+        self.catch_up = EvidenceCatchUp(clock.now_ms)
         self.quarantine = Quarantine(
             lambda fingerprint: self.owns(fingerprint),
             quarantine,
-            settled=lambda: clock.now_ms - started_ms >= SETTLED_MS,
+            settled=lambda: not self.catch_up.lacks(clock.now_ms),
         )
         self.quarantine_known = False
         self.complete: Callable[[], bool] = _always
@@ -115,6 +119,19 @@
         self.unreadable = UnreadableRows(log, clock)
         self.unreadable_rules: str | None = None
         self.keys_known = True
+        self.is_briefed: Callable[[], bool] = _is_true
+
+    def learn_suspects(self, told: Sequence[SuspectEvidence], teller: str) -> None:
+        """Add evidence of crashes that this router has missed."""
+        changes = self.quarantine.evidence_changes
+        self.quarantine.merge(told, self.clock.now_ms)
+        if self.quarantine.evidence_changes > changes:
+            self.log.change(
+                "suspects learned",
+                teller=teller,
+                told=len(told),
+                suspects=self.quarantine.suspect_count,
+            )
 
     @property
     def ready(self) -> bool:
@@ -128,7 +145,8 @@
         A router that accepted callers before it has read the quarantined requests would forward
         these; in a fleet that restarts, each router would.
         """
-        return self.rules is not None and self.endpoints_known and self.quarantine_known
+        read = self.rules is not None and self.endpoints_known and self.quarantine_known
+        return read and self.is_briefed()
 
     @property
     def fresh(self) -> bool:
@@ -220,7 +238,8 @@
             if service in known:
                 shares = self.shares.of(service)
                 for workspace, asked, served in rows:
-                    shares.count(workspace, asked, served, now_ms)
+                    if asked >= 0 and served >= 0:
+                        shares.count(workspace, asked, served, now_ms)
 
     def record(self, key: EndpointIncarnation) -> EndpointRecord | None:
         """The record of an endpoint's answers; None if not listed or of another incarnation."""
@@ -384,6 +403,11 @@
     return True
 
 
+def _is_true() -> bool:
+    """Default of `FleetState.is_briefed`: there is nothing to ask for."""
+    return True
+
+
 def _owns_nothing(key: str) -> bool:
     """Default of `FleetState.owns`: no key is owned."""
     return False
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -32,6 +32,8 @@
 from tamarack_gateway.quarantine_feed import QuarantineFeed
 from tamarack_gateway.router_pages import RouterPages
 from tamarack_gateway.site import Site
+from tamarack_gateway.suspect_feed import SuspectFeed
+from tamarack_gateway.suspect_records import SuspectRecords
 from tamarack_gateway.table_messages import TableNews
 from tamarack_gateway.task_owner import OwnedTask, TaskOwner
 from tamarack_gateway.termination_detector import TerminationDetector
@@ -103,6 +105,7 @@
         )
         self._state.owns = lambda matter: self._members.owns(matter, self._me, clock.now_ms)
         self._quarantine = self._make_quarantine()
+        self._suspects = self._make_suspects()
         self._warm_ups = WarmUpFeed(
             self._state,
             boot=seed,
@@ -136,6 +139,8 @@
         self._peers = self._make_peers()
         self._feeds = self._make_feeds()
         self._inventory = self._make_inventory()
+        self._feeds.briefing.answers = self._answers_all
+        self._feeds.briefing.is_large = lambda: self._peers.large
         self._started_ms = clock.now_ms
         self._callers = ""
         self._site_addresses: list[str] = []
@@ -157,12 +162,17 @@
                 self._site_addresses.append(await listen(address, self._pages.answer_site))
         self._metrics_address = await listen(settings.metrics, self._pages.answer_operator)
         table = self._site.tables.software_versions
-        records = OriginRecords(self._state, self._origins, self._feeds.clients, table)
+        records = OriginRecords(
+            self._state, self._origins, self._feeds.clients, table, self._feeds.briefing
+        )
+        suspects = SuspectRecords(self._state, self._feeds.clients, self._site.tables.suspects)
         start = self._tasks.start
         self._loops = [
             start("cache inventory", self._inventory.run, once=True),
             start("quarantine", self._quarantine.run),
             start("quarantine writer", self._quarantine.store),
+            start("suspects", self._suspects.run),
+            start("suspects writer", suspects.run),
             start("warm-ups", self._warm_ups.run),
             start("stream records", records.run),
             start("housekeeping", self._sweep),
@@ -237,6 +247,7 @@
         state.leaving = plan
         self._log.event("leaving", connections=len(self._connections))
         self._peers.publish_summary()
+        self._suspects.tell()
         for connection in list(self._connections):
             connection.closing = True
         with contextlib.suppress(TimeoutError):
@@ -249,6 +260,8 @@
                 if not any(connection.busy for connection in self._connections):
                     break
             await asyncio.sleep(LEAVE_STEP_MS / 1000)
+        # One that started meanwhile may not have been heard before.
+        self._suspects.tell()
         unsent = [count for c in self._connections if (count := c.unsent_bytes)]
         self._log.event(
             "left",
@@ -271,6 +284,14 @@
             ),
         )
 
+    def _make_suspects(self) -> SuspectFeed:
+        return SuspectFeed(
+            self._state,
+            routers=lambda: self._members.recent_routers(self._clock.now_ms),
+            answers=lambda: self._peers.relays or not self._peers.large,
+            publish=lambda message: self._peers.publish_notice(message),
+        )
+
     def _make_pages(self) -> RouterPages:
         return RouterPages(
             self._state,
@@ -295,7 +316,7 @@
             others=lambda: self._members.heard_within(5_000.0, self._clock.now_ms),
             on_report=self._inbox.receive_report,
             on_placements=self._state.apply_placements,
-            on_alive=lambda stamps: self._members.record_unchanged(stamps, self._clock.now_ms),
+            on_alive=self._inbox.receive_unchanged,
             versions=lambda: self._feeds.versions,
             on_versions=lambda versions: self._feeds.record_versions(versions),
             on_notice=self._inbox.receive_notice,
@@ -308,8 +329,9 @@
             self._state,
             self._outbox,
             routers=self._other_routers,
-            answers_all=lambda: self._peers.relays or not self._peers.large,
+            answers_all=self._answers_all,
             publish=lambda message: self._peers.publish_notice(message),
+            vouched=lambda matter_ms, until_ms: self._feeds.endpoints_vouched(matter_ms, until_ms),
         )
 
     def _make_inbox(self) -> PeerInbox:
@@ -317,6 +339,7 @@
             self._state,
             self._members,
             self._quarantine,
+            self._suspects,
             self._origins,
             self._warm_ups,
             me=lambda: self._me,
@@ -333,6 +356,7 @@
             publish=self._publish_changes,
             wanted=self._peers.publish_copy_request,
             on_quarantine_change=self._quarantine.apply_change,
+            ask=lambda message: self._peers.publish_notice(message),
             tasks=self._tasks,
         )
 
@@ -365,6 +389,7 @@
 
     def _follow(self, peers: dict[str, Peer]) -> None:
         self._peers.put(peers)
+        self._state.vouching.expect(peers.keys() - {self._settings.router})
         self._state.allowance.seen(len(peers))
 
     def _reads(self, table: str) -> bool:
@@ -375,6 +400,9 @@
         expected = self._feeds.listed_routers if age_ms < JOINED_MS else ()
         return self._members.reads(table, self._me, now_ms, expected=expected)
 
+    def _answers_all(self) -> bool:
+        return self._peers.relays or not self._peers.large
+
     def _queried(self, endpoints: list[str]) -> list[str]:
         now_ms = self._clock.now_ms
         return self._members.queried_by(self._me, endpoints, self._feeds.listed_routers, now_ms)
@@ -402,6 +430,7 @@
         while True:
             await asyncio.sleep(SWEEP_MS / 1000)
             now_ms = self._clock.now_ms
+            self._state.vouching.observe(now_ms)
             self._state.software_versions.observe(in_touch=self._state.fresh)
             for connection in list(self._connections):
                 connection.close_if_idle(now_ms)
@@ -410,6 +439,8 @@
             lost, regained = self._members.poll_changes(now_ms)
             if lost or regained:
                 self._log.event("peers changed", lost=lost, regained=regained)
+            if self._members.returned(lost, regained):
+                self._suspects.catch_up()
 
     async def _flush(self) -> None:
         while True:
