The check of a table asks and refuses by the verdict of the core

No change of what callers see: TableCheck repeated the rule of Vouching.verdict, which now is the only one. A matter that lies in the store is vouched for by the store alone; that all others are heard may be true of a message that was sent before it.

--- a/packages/core/src/tamarack_core/vouching.py
+++ b/packages/core/src/tamarack_core/vouching.py
@@ -178,10 +178,12 @@
         until_ms
             Time until which answers may still come.
         table
-            The table of the store whose word alone is enough for it; None if there is none.
+            The table of the store that tells of it; None if only the other routers can.
         """
-        if table is not None and self.store_vouches(table, matter_ms, now_ms):
-            return Verdict.VOUCHED
-        if self.routers_vouch(matter_ms, now_ms):
+        if table is None:
+            vouched = self.routers_vouch(matter_ms, now_ms)
+        else:
+            vouched = self.store_vouches(table, matter_ms, now_ms)
+        if vouched:
             return Verdict.VOUCHED
         return Verdict.ASK if now_ms < until_ms else Verdict.REFUSE
--- a/packages/gateway/src/tamarack_gateway/table_check.py
+++ b/packages/gateway/src/tamarack_gateway/table_check.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 
+from tamarack_core.vouching import Verdict
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.store_clients import StoreClients
 from tamarack_gateway.table_follower import TableFollower
@@ -43,17 +44,17 @@
 
     async def vouched(self, matter_ms: float, until_ms: float) -> bool:
         """Whether all changes up to `matter_ms` are known; asks the store up to `until_ms`."""
-        clock, vouching = self._state.clock, self._state.vouching
-        while not vouching.store_vouches(self._table, matter_ms, clock.now_ms):
-            left_ms = until_ms - clock.now_ms
-            if left_ms <= 0.0:
-                return False
+        while (verdict := self._verdict(matter_ms, until_ms)) is Verdict.ASK:
             if self._call is None or self._call.done():
                 self._call = asyncio.ensure_future(self._ask())
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(left_ms / 1000):
+                async with asyncio.timeout((until_ms - self._state.clock.now_ms) / 1000):
                     await asyncio.shield(self._call)
-        return True
+        return verdict is Verdict.VOUCHED
+
+    def _verdict(self, matter_ms: float, until_ms: float) -> Verdict:
+        now_ms = self._state.clock.now_ms
+        return self._state.vouching.verdict(matter_ms, now_ms, until_ms=until_ms, table=self._table)
 
     async def close(self) -> None:
         """End a call in progress."""
