--- a/packages/gateway/src/tamarack_gateway/endpoint_connection.py
+++ b/packages/gateway/src/tamarack_gateway/endpoint_connection.py
@@ -98,7 +98,8 @@
         self._headers = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self._complete:
+        # Trailers are dropped: the head has been checked without them.
+        if self._head is None:
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -269,7 +270,8 @@
             _, connection = await loop.create_connection(EndpointConnection, host, int(port))
     except ConnectionRefusedError as error:
         raise RefusedError(str(error)) from error
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, ValueError, OverflowError) as error:
+        # The last two are for a name or a port that no address has.
         raise ConnectError(str(error) or "no answer") from error
     return connection
 
--- a/packages/gateway/src/tamarack_gateway/peer_messages.py
+++ b/packages/gateway/src/tamarack_gateway/peer_messages.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from tamarack_core.stream_origins import OriginAnswer, OriginQuery
+from tamarack_core.suspect_exchange import KnownSuspects, SuspectsQuery
 from tamarack_core.termination_evidence import Evidence, InterruptedRequests
 from tamarack_core.warm_up_dealer import Demand, Leases
 from tamarack_core.wire import message
@@ -20,6 +21,8 @@
     | InterruptedRequests
     | BriefingQuery
     | BriefingAnswer
+    | SuspectsQuery
+    | KnownSuspects
 )
 """Messages that reach all routers, and that relays pass on as they are."""
 
