Soak: proxies pass a reset on as one

Seen in a trial in which workers failed all the time: callers got 'a112' for a1127, an answer without a length of which the worker left out a byte and then reset its connection.

Cause: the proxy turned a reset into an ordinary close, by which such an answer looks whole. No fault of the product.

--- a/packages/standins/src/tamarack_standins/fault_proxy.py
+++ b/packages/standins/src/tamarack_standins/fault_proxy.py
@@ -115,7 +115,7 @@
         *,
         to_target: bool,
     ) -> None:
-        with contextlib.suppress(OSError):
+        try:
             while data := await reader.read(READ_BYTES):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
@@ -125,5 +125,8 @@
                     await asyncio.sleep(POLL_INTERVAL_S)
                 writer.write(data)
                 await writer.drain()
+        except OSError:
+            # A reset is told as one: the end of an answer without a length would look whole.
+            reset(writer)
         with contextlib.suppress(OSError):
             writer.close()
