Soak: workers that spoil an event in the middle of a read, and streams that end as whole too early

The soak's workers wrote events one by one and reset after a part of one; a stream that ended as whole with events missing at its end was no broken promise.

A stream with a length or chunks that is told as whole must have all events of its last run, and none that is spoiled may be whole.

--- a/packages/standins/src/tamarack_standins/soak_callers.py
+++ b/packages/standins/src/tamarack_standins/soak_callers.py
@@ -52,6 +52,9 @@
     ----------
     sent
         All requests by attempt id.
+    last_events
+        Last event of the last run of a stream, by attempt id; zero if it must not end as whole,
+        None if that isn't known.
     answered_not_run
         Ids of attempts whose answer states that they did not run.
     on_leaving
@@ -63,6 +66,7 @@
         self._counts = counts
         self._broken = broken
         self.sent: dict[str, Sent] = {}
+        self.last_events: dict[str, int | None] = {}
         self.answered_not_run: set[str] = set()
         self.on_leaving: Callable[[str, str], None] = lambda router, worker: None
 
@@ -140,6 +144,11 @@
                 text += (await reader.readexactly(size + 2))[:-2].decode()
         finally:
             self._add_events(text, attempt, stream or _Stream())
+        last = self.last_events.get(attempt)
+        if stream is not None and last not in (None, len(stream.events)):
+            self._broken.append(
+                f"{attempt} ends as whole after {len(stream.events)} events of {last}"
+            )
 
     def _add_events(self, text: str, attempt: str, stream: _Stream) -> None:
         events, _, rest = text.rpartition("\n\n")
--- a/packages/standins/src/tamarack_standins/soak_notices.py
+++ b/packages/standins/src/tamarack_standins/soak_notices.py
@@ -48,13 +48,15 @@
 
     Attributes
     ----------
+    calls
+        As the parameter.
     rests, departures
         Number of rest periods requested, and of answers passed on that were the first to tell a
         router that their worker leaves.
     """
 
     def __init__(self, calls: SoakCalls) -> None:
-        self._calls = calls
+        self.calls = calls
         self._left_s: dict[tuple[str, str], float] = {}
         self._rests: dict[tuple[str, str], list[_Rest]] = {}
         self._lives: dict[str, int] = {}
@@ -70,7 +72,7 @@
 
     def requested_rest(self, worker: str, received: ReceivedRequest, rest_s: float) -> None:
         """Record that a worker answers a request with a request for rest."""
-        sent = self._calls.sent.get(received.headers.get("x-attempt-id", ""))
+        sent = self.calls.sent.get(received.headers.get("x-attempt-id", ""))
         if sent is not None:
             self.rests += 1
             self._rests.setdefault((sent.router, worker), []).append(_Rest(rest_s))
@@ -78,7 +80,7 @@
     def arrived(self, worker: str, received: ReceivedRequest) -> None:
         """Check a request that has reached a worker."""
         attempt = received.headers.get("x-attempt-id", "")
-        sent = self._calls.sent.get(attempt)
+        sent = self.calls.sent.get(attempt)
         if sent is None:
             return
         key = sent.router, worker
--- a/packages/standins/src/tamarack_standins/soak_workers.py
+++ b/packages/standins/src/tamarack_standins/soak_workers.py
@@ -104,6 +104,7 @@
         worker.on_end = lambda: self._restart_later(worker)
         worker.on_arrival = self._check_arrival
         worker.on_rest = self._notices.requested_rest
+        worker.on_stream = self._notices.calls.last_events.__setitem__
         await self._stack.enter_async_context(worker)
 
     async def publish(
