--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -96,7 +96,10 @@
         self._incarnations: dict[str, int | None] = {}
         self.freshness = KeyFreshness(bounds.revoke_ms - KEY_MARGIN_MS)
         self.allowance = RetryAllowance(
-            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            bounds.retry_window_ms,
+            started_ms=clock.now_ms,
         )
         self.shares = ServiceShares(bounds.share_window_ms, clock.now_ms)
         self.retry_detector = RetryDetector()
@@ -235,7 +238,8 @@
             if service in known:
                 shares = self.shares.of(service)
                 for workspace, asked, served in rows:
-                    shares.count(workspace, asked, served, now_ms)
+                    if asked >= 0 and served >= 0:
+                        shares.count(workspace, asked, served, now_ms)
 
     def record(self, key: EndpointIncarnation) -> EndpointRecord | None:
         """The record of an endpoint's answers; None if not listed or of another incarnation."""
