Soak: routers frozen for four seconds, and exceptions that nothing handled

Change: a fault 'freeze' of 3.5 to 4.5 s; a line 'a background task failed' in a router's log breaks a promise.

The line is newer than the fault, so that a trial on the code before was not possible; a freeze alone is not shown to bring that fault about."

--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -186,6 +186,7 @@
             self.broken.append("no request was served")
         self.broken += self.ends.broken() + self._domains.broken + self._losses.broken()
         self.broken += self._notices.broken(self._routers.learned_s)
+        self.broken += self._routers.failed_tasks()
         self.counts["slow lost"] = len(self._losses.broken())
         self.counts["rests requested"] = self._notices.rests
         self.counts["leaving known"] = self._notices.departures
@@ -243,7 +244,8 @@
 
     async def _faults(self) -> None:
         fleet = self._routers
-        routers = (fleet.kill, fleet.kill_all, fleet.terminate, fleet.roll, fleet.pause)
+        ends = (fleet.kill, fleet.kill_all, fleet.terminate, fleet.roll)
+        routers = (*ends, fleet.pause, fleet.freeze)
         links = (fleet.hang_up, fleet.disturb_link, self._workers.disturb_link)
         rows = StoreFaults(self._store, self.random, self._workers, self._configure)
         store = (rows.disturb, self._store.forget_history, rows.restore, self._revoke)
--- a/packages/standins/src/tamarack_standins/soak_routers.py
+++ b/packages/standins/src/tamarack_standins/soak_routers.py
@@ -27,6 +27,12 @@
 ROLL_INTERVAL_S = (0.0, 1.0)
 """Range of the time between two routers of a rolling restart, in seconds."""
 
+FREEZE_S = (3.5, 4.5)
+"""Range of the duration of a freeze in seconds: others give up what they ask a router meanwhile."""
+
+FAILED_TASK = '"a background task failed"'
+"""Line of a router's log on an exception that nothing handles."""
+
 READY_TIMEOUT_S = 30.0
 """Timeout in seconds for all routers to become ready before faults begin; on an idle machine they
 take one. A fault while they load their libraries would be invisible to callers, and a run that ends
@@ -115,6 +121,14 @@
                         return float(told["at_ms"]) / 1000
         return float("-inf")
 
+    def failed_tasks(self) -> list[str]:
+        """Lines of the routers' logs on exceptions that nothing handled."""
+        found = []
+        for log in sorted(self._folder.glob("router-*.log")):
+            with log.open(errors="replace") as lines:
+                found += [f"{log.stem}: {line[:400]}" for line in lines if FAILED_TASK in line]
+        return found
+
     async def kill(self) -> None:
         """Kill one router and restart it."""
         picked = self._pick_alive()
@@ -152,6 +166,13 @@
 
     async def pause(self) -> None:
         """Suspend one router's process for a while."""
+        await self._suspend(self._random.uniform(*FAULT_PERIOD_S))
+
+    async def freeze(self) -> None:
+        """Suspend one router's process for longer, while others ask it about streams."""
+        await self._suspend(self._random.uniform(*FREEZE_S))
+
+    async def _suspend(self, seconds: float) -> None:
         picked = self._pick_alive()
         if picked is None:
             return
@@ -159,7 +180,7 @@
         with self._losses.faulty(self.address(number)):
             send_signal(process, signal.SIGSTOP)
             self._disturbed(self.address(number))
-            await self._wait_fault_period()
+            await asyncio.sleep(seconds)
             send_signal(process, signal.SIGCONT)
         self._disturbed(self.address(number))
 
