Soak: one router cut off from the store, and another one killed a second later

Change: a fault that blocks one router's link in both directions, kills another router after 1 s, and heals the link.

--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -246,7 +246,12 @@
         fleet = self._routers
         ends = (fleet.kill, fleet.kill_all, fleet.terminate, fleet.roll)
         routers = (*ends, fleet.pause, fleet.freeze)
-        links = (fleet.hang_up, fleet.disturb_link, self._workers.disturb_link)
+        links = (
+            fleet.hang_up,
+            fleet.disturb_link,
+            fleet.cut_off_and_kill,
+            self._workers.disturb_link,
+        )
         rows = StoreFaults(self._store, self.random, self._workers, self._configure)
         store = (rows.disturb, self._store.forget_history, rows.restore, self._revoke)
         workers = (
--- a/packages/standins/src/tamarack_standins/soak_routers.py
+++ b/packages/standins/src/tamarack_standins/soak_routers.py
@@ -30,6 +30,9 @@
 FREEZE_S = (3.5, 4.5)
 """Range of the duration of a freeze in seconds: others give up what they ask a router meanwhile."""
 
+CUT_OFF_S = 1.0
+"""Seconds from the cut of one router's link to the kill of another router."""
+
 FAILED_TASK = '"a background task failed"'
 """Line of a router's log on an exception that nothing handles."""
 
@@ -133,11 +136,7 @@
         """Kill one router and restart it."""
         picked = self._pick_alive()
         if picked is not None:
-            number, process = picked
-            with self._losses.faulty(self.address(number)):
-                send_signal(process, signal.SIGKILL)
-                await process.wait()
-            await self._restart(number, process)
+            await self._kill_and_restart(picked[0])
 
     async def kill_all(self) -> None:
         """Kill all routers at once and restart them."""
@@ -195,6 +194,19 @@
         with self._losses.faulty(self.address(self.links.index(link))):
             await disturb(link, self._random)
 
+    async def cut_off_and_kill(self) -> None:
+        """Cut one router off from the store, and kill another one a second later."""
+        number = self._random.randrange(self._count)
+        link = self.links[number]
+        with self._losses.faulty(self.address(number)):
+            link.block_to_target = link.block_from_target = True
+            await asyncio.sleep(CUT_OFF_S)
+            others = [n for n in self._processes if n != number]
+            if others:
+                await self._kill_and_restart(self._random.choice(others))
+            await self._wait_fault_period()
+            link.heal()
+
     async def _is_ready(self, number: int) -> bool:
         host, _, port = self.address(number, 1).partition(":")
         try:
@@ -271,6 +283,13 @@
         send_signal(process, signal.SIGKILL)
         await process.wait()
 
+    async def _kill_and_restart(self, number: int) -> None:
+        process = self._processes[number]
+        with self._losses.faulty(self.address(number)):
+            send_signal(process, signal.SIGKILL)
+            await process.wait()
+        await self._restart(number, process)
+
     async def _restart(self, number: int, process: asyncio.subprocess.Process) -> None:
         # Faults overlap: if several ended the same process, only the first starts the next one.
         if self._processes.get(number) is process:
