An answer without end is a broken one, bounded in memory

Cause: `EndpointConnection` bounded neither heads, interim answers, chunk extensions and trailers nor bodies that are read whole; only an event had a limit. `StoreClient.read_all` collected pages for as long as they came.

Change: 64 KiB without the end of a head or a byte of a body, or a body of over 16 MiB that is read whole, make the answer broken (sent again where the route allows, 502 otherwise; the store counts as unavailable). The pages of a table must advance, up to 200,000 rows. Time was bounded before, by the request's deadline, the query's and the call's timeout.

The same cause elsewhere, not changed: a caller's chunk extensions and trailers without end are bounded by no count of bytes in `CallerConnection`.

--- a/packages/gateway/src/tamarack_gateway/endpoint_connection.py
+++ b/packages/gateway/src/tamarack_gateway/endpoint_connection.py
@@ -24,6 +24,14 @@
 three seconds."""
 
 
+MAX_FRAMING_BYTES = 65_536
+"""Received bytes without any of a body, in which an answer's head must be complete: heads, interim
+answers, chunk extensions and trailers may come without end from a server in trouble."""
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+"""Maximum size of a body that is read whole; a router has some 300 MB of memory."""
+
+
 class ConnectError(ConnectionError):
     """No connection could be made; nothing was sent."""
 
@@ -49,6 +57,7 @@
         self._headers: Headers = []
         self._head: AnswerHead | None = None
         self._chunks: deque[bytes] = deque()
+        self._framing_bytes = 0
         self._complete = False
         self._error: Exception | None = None
         self._waiter: asyncio.Future[None] | None = None
@@ -76,12 +85,16 @@
             # the answer to another request.
             self.abort()
             return
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             if not self._complete:
                 self._error = BrokenAnswerError(str(error) or "not an answer")
             self.abort()
+        if self._framing_bytes > MAX_FRAMING_BYTES and not self._complete:
+            self._error = self._error or BrokenAnswerError("bytes that are no answer, without end")
+            self.abort()
         if self._consumer is None:
             self._wake()
             return
@@ -117,9 +130,11 @@
             elif name == b"keep-alive":
                 self.keep_alive_ms = _keep_alive_ms(value) or self.keep_alive_ms
         self._head = AnswerHead(status, self._headers, length, chunked)
+        self._framing_bytes = 0
 
     def on_body(self, body: bytes) -> None:
         if not self._complete:
+            self._framing_bytes = 0
             self._chunks.append(body)
 
     def on_message_complete(self) -> None:
@@ -143,6 +158,7 @@
             raise BrokenAnswerError("the connection is closed")
         self._head, self._complete, self._error = None, False, None
         self._chunks.clear()
+        self._framing_bytes = 0
         self._consumer = None
         self._expecting = True
         self._transport.write(data)
@@ -191,10 +207,14 @@
             self._transport.resume_reading()
 
     async def body(self) -> bytes:
-        """Wait for the whole body."""
-        chunks = []
+        """Wait for the whole body; raises `BrokenAnswerError` if it is too large."""
+        chunks, size = [], 0
         while (chunk := await self.next_chunk()) is not None:
             chunks.append(chunk)
+            size += len(chunk)
+            if size > MAX_BODY_BYTES:
+                self.abort()
+                raise BrokenAnswerError("the body is too large")
         return b"".join(chunks)
 
     def finish(self, now_ms: float) -> bool:
--- a/packages/gateway/src/tamarack_gateway/store_client.py
+++ b/packages/gateway/src/tamarack_gateway/store_client.py
@@ -30,6 +30,9 @@
 """Timeout of an answer: the store answers in 4 ms, and within a third of a second when it is sixty
 times slower, as its operators report."""
 
+MAX_ROWS = 200_000
+"""Maximum rows of a table that is read whole; a fleet of 3,000 endpoints has some 10,000."""
+
 HISTORY_GONE = 410
 
 
@@ -98,6 +101,8 @@
             nameless += page.nameless
             if not page.more or not page.rows:
                 return RowsPage(rows, page.version, False, nameless)
+            if page.rows[-1].key < start or len(rows) > MAX_ROWS:
+                raise StoreError("pages of a table without end")
             start = page.rows[-1].key + "\0"
 
     async def watch(self, table: str, after: int, wait_ms: float) -> RowsPage:
