The first routers of a store have their slack of the retry budget at once

Cause: a router that starts earns its slack with time, since one before it may have used it; on a store that no router has used, none has.

Change: where the store has no router's row, which settles its epoch as well, the budget counts as unused.

--- a/packages/core/src/tamarack_core/retry_allowance.py
+++ b/packages/core/src/tamarack_core/retry_allowance.py
@@ -48,6 +48,10 @@
         """Highest number of routers seen, this one included."""
         return max(1, self._routers)
 
+    def settle(self) -> None:
+        """Record that nothing was used before this router's start: no router has run before."""
+        self._started_ms = float("-inf")
+
     def seen(self, routers: int) -> None:
         """Record the current number of routers; the highest one counts."""
         self._routers = max(self._routers, routers)
--- a/packages/gateway/src/tamarack_gateway/origin_records.py
+++ b/packages/gateway/src/tamarack_gateway/origin_records.py
@@ -95,6 +95,7 @@
         if not (rows or self._has_read):
             # Nothing has run on this store before.
             self._briefing.settle("no router has used the store")
+            self._state.allowance.settle()
         self._has_read = True
         read = [self._read_row(row) for row in rows]
         recorded: dict[str, set[str]] = {}
--- a/tests/test_retry_allowance.py
+++ b/tests/test_retry_allowance.py
@@ -117,3 +117,12 @@
     assert allowance.take("pool", WINDOW_MS / 2)
     taken = sum(allowance.take("pool", WINDOW_MS) for _ in range(100))
     assert taken >= 0.6 * SLACK / 2
+
+
+def test_the_first_routers_of_a_store_have_their_slack_at_once() -> None:
+    """Guards against a new fleet that retries nothing, though nobody has used its budget."""
+    allowance = RetryAllowance(RATIO, SLACK, WINDOW_MS, started_ms=0.0)
+    allowance.seen(2)
+    assert not allowance.take("pool", 1.0)
+    allowance.settle()
+    assert allowance.take("pool", 1.0)
