--- a/packages/bench/src/tamarack_bench/capacity.py
+++ b/packages/bench/src/tamarack_bench/capacity.py
@@ -327,15 +327,15 @@
         "",
         "### Where streams began",
         "",
-        f"From `{path}` (`tamarack_bench run stream-origins`), while a service runs several software",
-        f"versions: {figures['bytes_per_stream']} bytes, {figures['tell_us_per_stream']} us to tell,",
+        f"From `{path}` (`tamarack_bench run stream-origins`), told of each stream that callers may",
+        f"take up: {figures['bytes_per_stream']} bytes, {figures['tell_us_per_stream']} us to tell,",
         f"{figures['remember_us_per_stream']} us to read and remember and",
         f"{figures['memory_bytes_per_stream']} bytes of memory a stream. At the target, with",
         f"{REQUESTS_PER_S:,} streams a second, a router tells",
         f"{figures['target_bytes_per_s_of_a_router']:.0f} bytes a second of {BUDGET_BYTES:,}; the relay of a",
         f"failure domain reads {figures['target_bytes_per_s_of_a_relay'] / 1000:.0f} kB a second, which",
         "**does not fit**, and keeps at most",
-        f"{figures['target_memory_mb_of_a_relay']:.0f} MB. With one version nothing is told.",
+        f"{figures['target_memory_mb_of_a_relay']:.0f} MB.",
     ]
 
 
