Soak: a router that starts at some moment of a drill of the store

A router that started after the store had come back from a copy served a key that was taken away; in the soak, a start within a drill was left to chance.

Change: a fault that returns the store to a copy, and kills a router and starts a new one at a moment drawn over the whole drill.

--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -1,12 +1,13 @@
 """Seeded soak test of the platform's path: real router processes with injected faults.
 
-Routers are killed, stopped, paused and restarted by signals, singly, all at once and in turn; their
-connections to the store and to workers are delayed, reset, or blocked in one or both directions by
-proxies; the store stops responding, refuses calls, loses answers, drops its history and returns to
-a copy of itself; workers fail in every scripted way, request rest, leave, are replaced, also by
-other software versions, and restart under their names; a zone's workers return cold together; zones
-are evacuated and restored; requests, and blocks of their prompts, crash the workers that run them;
-keys are revoked; rows are overwritten with invalid values. Some callers read slowly.
+Routers are killed, stopped, paused, frozen and restarted by signals, singly, all at once and in
+turn, also while another one is cut off or the store returns to a copy; their connections to the
+store and to workers are delayed, reset, or blocked in one or both directions by proxies; the store
+stops responding, refuses calls, loses answers, drops its history and returns to a copy of itself;
+workers fail in every scripted way, spoil events, request rest, leave, are replaced, also by other
+software versions, and restart under their names; a zone's workers return cold together; zones are
+evacuated and restored; requests, and blocks of their prompts, crash the workers that run them; keys
+are revoked; rows are overwritten with invalid values. Some callers read slowly or send large heads.
 Meanwhile, callers and workers check the promises.
 """
 
@@ -252,8 +253,14 @@
             fleet.cut_off_and_kill,
             self._workers.disturb_link,
         )
-        rows = StoreFaults(self._store, self.random, self._workers, self._configure)
-        store = (rows.disturb, self._store.forget_history, rows.restore, self._revoke)
+        rows = StoreFaults(self._store, self.random, self._workers, self._configure, fleet.kill)
+        store = (
+            rows.disturb,
+            self._store.forget_history,
+            rows.restore,
+            rows.start_during_restore,
+            self._revoke,
+        )
         workers = (
             self._workers.spoil_worker,
             self._workers.overload_worker,
--- a/packages/standins/src/tamarack_standins/soak_store.py
+++ b/packages/standins/src/tamarack_standins/soak_store.py
@@ -17,6 +17,9 @@
 """Ranges in seconds of the age of a copy to which the store returns, of its absence, and of the
 time until lost rows are written again."""
 
+RESTORE_S = COPY_AGE_S[1] + AWAY_S[1] + WRITE_AGAIN_S[1]
+"""Longest time in seconds from a copy until what it lacks is written again."""
+
 
 class StoreFaults:
     """Faults of a store, drawn from `rng`.
@@ -27,6 +30,8 @@
         The workers whose rows are overwritten.
     configure
         Writes a sound configuration.
+    start_router
+        Kills a router and starts a new one in its place.
     """
 
     def __init__(
@@ -35,11 +40,13 @@
         rng: random.Random,
         workers: SoakWorkers,
         configure: Callable[[], Awaitable[None]],
+        start_router: Callable[[], Awaitable[None]],
     ) -> None:
         self._store = store
         self._random = rng
         self._workers = workers
         self._configure = configure
+        self._start_router = start_router
 
     async def disturb(self) -> None:
         """Let the store stop responding, refuse calls or lose answers for a while."""
@@ -60,6 +67,15 @@
         await asyncio.sleep(self._random.uniform(*WRITE_AGAIN_S))
         await self._store.write_again(lost, copy, ("op", "servers"))
 
+    async def start_during_restore(self) -> None:
+        """Return the store to a copy, and start a router anew at some moment of that."""
+
+        async def start() -> None:
+            await asyncio.sleep(self._random.uniform(0.0, RESTORE_S))
+            await self._start_router()
+
+        await asyncio.gather(self.restore(), start())
+
     async def write_badly(self) -> None:
         """Overwrite or add a worker's entry, or corrupt the configuration, as a foreign writer."""
         rng = self._random
