--- a/packages/gateway/src/tamarack_gateway/decision_log.py
+++ b/packages/gateway/src/tamarack_gateway/decision_log.py
@@ -26,6 +26,8 @@
 """Maximum lines of one kind in a second, in which a busy router places some 40 requests. Failures
 and successes are different kinds, so that neither displaces lines of the other."""
 
+CLOSE_MS = 100.0
+"""Time in milliseconds for which an exiting router waits for a slow reader of its log."""
 
 MAX_TEXT_CHARS = 500
 """Maximum length of a fact that is written as text, since JSON cannot hold its value."""
@@ -109,6 +111,15 @@
                 return
             self._partial = block[count:]
 
+    def close(self) -> None:
+        """Write the lines that are queued, for at most `CLOSE_MS`."""
+        self._report_dropped(self._clock.now_ms)
+        until_ms = self._clock.now_ms + CLOSE_MS
+        while self.waiting and (left_ms := until_ms - self._clock.now_ms) > 0.0:
+            if not self._poll.poll(left_ms):
+                return
+            self.flush()
+
     def _line(self, kind: str, message: str, facts: dict[str, Any]) -> None:
         now_ms = self._clock.now_ms
         second = int(now_ms // 1000)
--- a/packages/gateway/src/tamarack_gateway/peer_group.py
+++ b/packages/gateway/src/tamarack_gateway/peer_group.py
@@ -168,6 +168,7 @@
             lambda error: self._owner.record_failure("messages of peers", error),
         )
         self._sockets = self._stack.enter_context(sockets)
+        self._stack.callback(self._publish_rest)
         self._update_subscriptions()
         self._tasks = [
             self._owner.start("reports to peers", self._report_loop),
@@ -252,12 +253,13 @@
             for streams in begun:
                 self._collector.add_begun(streams)
             return
-        messages = (report, *self._due_versions(now_ms), *begun)
+        messages = (report, *self._due_versions(now_ms, summary is not None), *begun)
         self._sockets.publish(_reports_topic(self._domain), *messages)
 
-    def _due_versions(self, now_ms: float) -> list[TableVersions]:
-        # In a small fleet each router reads the tables itself.
-        if not self._plan.large or now_ms - self._last_versions_ms < VERSIONS_MS:
+    def _due_versions(self, now_ms: float, with_summary: bool) -> list[TableVersions]:
+        # In a small fleet each router reads the tables itself, unless the store has lost a change.
+        due = now_ms - self._last_versions_ms >= VERSIONS_MS if self._plan.large else with_summary
+        if not due:
             return []
         self._last_versions_ms = now_ms
         return [TableVersions(self._versions())]
@@ -336,9 +338,17 @@
             if self._clock.now_ms - self._last_summary_ms >= interval_ms:
                 self._last_summary_ms = self._clock.now_ms
                 summary = self._summary()
-            placements, begun = self._outbox.take(), self._outbox.take_begun()
-            if summary is not None or placements is not None or begun:
-                self._publish(summary=summary, placements=placements, begun=begun)
+            self._publish_collected(summary)
+
+    def _publish_rest(self) -> None:
+        self._publish_collected()
+        if self._links.relays:
+            self._relay_collected(self._clock.now_ms)
+
+    def _publish_collected(self, summary: Summary | None = None) -> None:
+        placements, begun = self._outbox.take(), self._outbox.take_begun()
+        if summary is not None or placements is not None or begun:
+            self._publish(summary=summary, placements=placements, begun=begun)
 
     async def _relay_loop(self) -> None:
         while True:
