Received frames are dispatched in the event's own turn of the loop

The turn that a readable descriptor started was scheduled for the next iteration, one more wake-up for each batch of messages. It runs at once now, unless one is scheduled, so that there is still one turn an iteration.

--- a/packages/gateway/src/tamarack_gateway/peer_sockets.py
+++ b/packages/gateway/src/tamarack_gateway/peer_sockets.py
@@ -80,7 +80,7 @@
         self._topics: frozenset[bytes] = frozenset()
 
     def __enter__(self) -> PeerSockets:
-        asyncio.get_running_loop().add_reader(self._in.fileno(), self._schedule_turn)
+        asyncio.get_running_loop().add_reader(self._in.fileno(), self._on_event)
         self._schedule_turn()
         return self
 
@@ -127,6 +127,11 @@
             self._on_failure(error)
             return encode([one for one in messages if _can_be_encoded(one)])
 
+    def _on_event(self) -> None:
+        # At once, not in the next iteration of the loop, which would cost one more wake-up.
+        if self._next_turn is None:
+            self._dispatch_received()
+
     def _schedule_turn(self) -> None:
         """Have received frames dispatched, never by the caller: handlers publish in turn.
 
