--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -46,7 +46,8 @@
     """Guards against an endless answer that costs a request that another worker can serve."""
 
     async def scenario() -> None:
-        async with Fleet({"web": [EndlessWorker("w1", endless), PlatformWorker("w2")]}) as fleet:
+        workers = [EndlessWorker("w1", endless), PlatformWorker("w2")]
+        async with Fleet({"web": workers}) as fleet:
             for _ in range(3):
                 assert (await fleet.ask("/search/1")).status == 200
 
