A caller that takes or sends nothing is given up

Seen: a caller that stops reading for good keeps its connection, a task and the unsent bytes (1.5 MB and more) at a running router for as long as its host confirms the full window. A waiting answer has had no limit since a request ends with its delivery; an answer that was cut at its deadline had none before, as closing a transport waits for its buffer. A caller that stops in the middle of a body had none either: only heads and idle connections were timed. Such connections are busy, so that the connection limit can't make room, and a stopping router waits for each until its last exit.

Cause: limits belonged to stages (head, idle, deadline of the request), and the stages between had none.

Any progress starts the time anew, so that slow callers keep their answers. What waits for the router itself is not timed.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -19,6 +19,7 @@
 )
 from tamarack_gateway.request_reader import RequestEvents, RequestReader
 from tamarack_gateway.send_buffer import enlarge_send_buffer, unacknowledged_bytes
+from tamarack_gateway.stall_timer import StallTimer
 
 DRAIN_BYTES = 4_000_000
 """Bytes of a refused body that are read and discarded: closing with unread bytes resets the
@@ -30,6 +31,10 @@
 WRITE_HIGH_BYTES = 256 * 1024
 """Bytes buffered for a slow caller from which on its answer is no longer read from the endpoint."""
 
+STALLED_MS = 30_000.0
+"""Time in milliseconds after which a caller that takes nothing of an answer, or sends nothing of a
+body, is given up; its system confirms an unread connection for as long as it runs."""
+
 STOP_TIMEOUT_MS = 200.0
 """Timeout in milliseconds for a cancelled handler to return, and before for the kernel to take a
 complete answer; a handler that does not return would block the router's exit until the process is
@@ -104,6 +109,7 @@
         self._finished = False
         self._discarded = 0
         self._changed_ms = clock.now_ms
+        self._stall_timer = StallTimer()
         self.closing = False
         self.on_writable: Callable[[], None] | None = None
 
@@ -278,7 +284,9 @@
         self.cut()
 
     def close_if_idle(self, now_ms: float) -> None:
-        """Close the connection after the idle timeout, or if a request head arrives too slowly."""
+        """Close the connection after the idle timeout, or if its caller is slow or has stalled."""
+        if self._stall_timer.stalled_ms(self._outstanding, now_ms) > STALLED_MS:
+            self._end_stalled()
         if self.disconnected or self._task is not None:
             return
         bounds = self._bounds()
@@ -299,6 +307,20 @@
         if not self.disconnected and not self.busy:
             self._finish()
 
+    @property
+    def _outstanding(self) -> tuple[int, int] | None:
+        """Bytes that the caller has to take, and those read of a body; None if it owes nothing."""
+        unsent = self.unsent_bytes if self._delivering else 0
+        if not unsent and (self._task is not None or not self._reader.reading):
+            return None
+        return unsent, self._reader.body_bytes
+
+    def _end_stalled(self) -> None:
+        if self.unsent_bytes:
+            self._transport.abort()
+        else:
+            self._reader.refuse(408)
+
     async def _serve(self) -> None:
         try:
             while self._pending and not self.disconnected:
--- a/packages/gateway/src/tamarack_gateway/request_reader.py
+++ b/packages/gateway/src/tamarack_gateway/request_reader.py
@@ -75,6 +75,11 @@
         """Whether further bytes are no requests of this connection."""
         return self._stopped
 
+    @property
+    def body_bytes(self) -> int:
+        """Bytes that have been read of the body of the current message."""
+        return self._body_bytes
+
     @property
     def unparsed_bytes(self) -> int:
         """Bytes since the last complete head, piece of a body or message."""
--- /dev/null
+++ b/tests/test_stalled_callers.py
@@ -0,0 +1,63 @@
+"""Callers that stop reading or sending, for good or for a while, at a router that runs."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from gateway_site import Fleet, play, until
+from slow_caller import SlowCaller
+
+from tamarack_gateway import caller_connection
+from tamarack_standins.platform_worker import PlatformWorker, Script
+
+STALLED_MS = 1_500.0
+"""Time without progress after which a router gives a connection up, in these tests."""
+
+LARGE = b"y" * 1_500_000
+
+
+@pytest.fixture(autouse=True)
+def _short_limit(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(caller_connection, "STALLED_MS", STALLED_MS)
+
+
+STALLED = {
+    "whole answer": (Script(body=LARGE), "/page/1", "4000"),
+    "stream cut at its deadline": (Script(events=1_500, body=b"x" * 1_000), "/rewrite/1", "300"),
+}
+
+
+@pytest.mark.parametrize(("script", "path", "deadline"), STALLED.values(), ids=STALLED.keys())
+def test_a_caller_that_never_reads_its_answer_is_given_up(
+    script: Script, path: str, deadline: str
+) -> None:
+    """Guards against a connection and its buffers that a caller keeps forever by not reading."""
+
+    async def scenario() -> None:
+        service = "web" if path.startswith("/page") else "pool"
+        worker = PlatformWorker("w1", script)
+        async with Fleet({service: [worker]}) as fleet, SlowCaller(fleet.gateway.callers) as caller:
+            await caller.send(fleet.request(path, X_Deadline_Ms=deadline))
+            await until(lambda: bool(worker.received))
+            await until(lambda: not fleet.gateway._connections)
+
+    play(scenario())
+
+
+def test_a_caller_that_stops_in_a_body_is_refused() -> None:
+    """Guards against a connection that a caller keeps forever by not sending the rest."""
+
+    async def scenario() -> None:
+        async with (
+            Fleet({"web": [PlatformWorker("w1")]}) as fleet,
+            SlowCaller(fleet.gateway.callers) as caller,
+        ):
+            await caller.send(fleet.request("/page/1", body=b"y" * 100)[:-1])
+            await until(lambda: bool(fleet.gateway._connections))
+            async with asyncio.timeout(10):
+                assert await caller.read_until(b"\r\n\r\n")
+            assert caller.received.startswith(b"HTTP/1.1 408 ")
+            await until(lambda: not fleet.gateway._connections)
+
+    play(scenario())
