At the exit the kernel gets the rest: the test sees what the log says

The test asked whether a request was logged as cut by the exit, without telling the handler of the exit, so that the line could not be written: with no wait for the kernel in `CallerConnection.stop` it passed.

--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -81,6 +81,7 @@
             await caller.read(1_000)
             await fleet.gateway.leave()
             (connection,) = fleet.gateway._connections
+            fleet.gateway._handler.ending = True
             await connection.stop()
             held = connection._transport.get_write_buffer_size() if connection._transport else 0
             assert await caller.read_until(end)
