Requests behind one in progress are read only up to a bound

Seen: a caller that sends on without waiting for answers fills the router's memory: all that it sends behind a request in progress is read and kept, up to the largest body each (4 MB), for as long as that request runs or its answer isn't taken.

Cause: nothing told the caller to wait; reading never paused.

Change: with 8 complete requests behind the one in progress no more is read, until the next one begins. Up to that bound a caller's close is noticed at once, as before; beyond it, when the next request begins.

Evidence: 28 requests of 90 kB were held after 0.5 s in the new test and more came; now at most the bound and what one read brings. The second new test (40 requests of 60 kB each answered) guards against reading that isn't taken up again.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -31,6 +31,9 @@
 WRITE_HIGH_BYTES = 256 * 1024
 """Bytes buffered for a slow caller from which on its answer is no longer read from the endpoint."""
 
+MAX_PENDING = 8
+"""Complete requests behind the one in progress from which on no more are read."""
+
 STALLED_MS = 30_000.0
 """Time in milliseconds after which a caller that takes nothing of an answer, or sends nothing of a
 body, is given up; its system confirms an unread connection for as long as it runs."""
@@ -162,6 +165,8 @@
                 self._end_request()
                 return
         self._pending.append((request, keep))
+        if len(self._pending) >= MAX_PENDING:
+            self._transport.pause_reading()
         if self._task is None:
             self._task = asyncio.ensure_future(self._serve())
 
@@ -325,6 +330,8 @@
         try:
             while self._pending and not self.disconnected:
                 request, keep = self._pending.popleft()
+                if len(self._pending) < MAX_PENDING:
+                    self._transport.resume_reading()
                 self._begin_request(keep)
                 try:
                     await self._handler(request, self)
--- a/tests/test_stalled_callers.py
+++ b/tests/test_stalled_callers.py
@@ -5,15 +5,19 @@
 import asyncio
 
 import pytest
-from gateway_site import Fleet, play, until
+from gateway_site import Fleet, connect, play, read_answer, until
 from slow_caller import SlowCaller
 
 from tamarack_gateway import caller_connection
+from tamarack_gateway.caller_connection import MAX_PENDING
 from tamarack_standins.platform_worker import PlatformWorker, Script
 
 STALLED_MS = 1_500.0
 """Time without progress after which a router gives a connection up, in these tests."""
 
+TAKEN_S = 0.5
+"""Time in which a router that reads takes a request."""
+
 LARGE = b"y" * 1_500_000
 
 
@@ -61,3 +65,50 @@
             await until(lambda: not fleet.gateway._connections)
 
     play(scenario())
+
+
+async def fill(caller: SlowCaller, data: bytes, pieces: int) -> int:
+    """Send pieces one after another, as far as the other end takes them; returns how many it took.
+
+    The kernel takes some of them, too.
+    """
+    for sent in range(pieces):
+        try:
+            async with asyncio.timeout(TAKEN_S):
+                await caller.send(data)
+        except TimeoutError:
+            return sent
+    return pieces
+
+
+def test_requests_that_are_read_behind_one_in_progress_are_bounded() -> None:
+    """Guards against memory that a caller fills with requests behind one that runs."""
+    body = b"y" * 90_000
+
+    async def scenario() -> None:
+        worker = PlatformWorker("w1", Script(silent=True))
+        async with Fleet({"web": [worker]}) as fleet, SlowCaller(fleet.gateway.callers) as caller:
+            await caller.send(fleet.request("/page/1"))
+            await until(lambda: bool(worker.received))
+            (connection,) = fleet.gateway._connections
+            await fill(caller, fleet.request("/page/2", body=body), 100)
+            assert len(connection._pending) <= 2 * MAX_PENDING
+
+    play(scenario())
+
+
+def test_requests_behind_a_full_queue_are_all_answered() -> None:
+    """Guards against requests that are not read again after a pause."""
+    count = 5 * MAX_PENDING
+
+    async def scenario() -> None:
+        worker = PlatformWorker("w1", Script(pause_s=0.01))
+        async with Fleet({"web": [worker]}) as fleet:
+            reader, writer = await connect(fleet.gateway.callers)
+            body = b"y" * 60_000
+            writer.writelines(fleet.request("/page/1", body=body) for _ in range(count))
+            answers = [await read_answer(reader) for _ in range(count)]
+            writer.close()
+        assert {answer.status for answer in answers} == {200}
+
+    play(scenario())
