Early refusals wait for a caller that does not read

Seen: a caller of an overloaded router that sends requests on one connection and doesn't read fills the router's memory with refusals: 0.9 MB of one connection in the new test, as many as it sends.

Cause: a refusal that needs no task is written at once, whatever the transport still holds; other answers wait for it.

Change: such a request takes the way of the others (a task, the bound on requests that wait) while the transport holds bytes. A caller that reads pays one look at the buffer's size a request.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -159,7 +159,7 @@
     def _take(self, request: Request, keep: bool) -> None:
         self._changed_ms = request.arrived_ms
         self._continue_due = False
-        if self._task is None and not self._pending:
+        if self._task is None and not self._pending and not self._delivering:
             self._begin_request(keep)
             if self._refuse_early(request, self):
                 self._end_request()
--- a/tests/test_stalled_callers.py
+++ b/tests/test_stalled_callers.py
@@ -9,7 +9,7 @@
 from slow_caller import SlowCaller
 
 from tamarack_gateway import caller_connection
-from tamarack_gateway.caller_connection import MAX_PENDING
+from tamarack_gateway.caller_connection import MAX_PENDING, WRITE_HIGH_BYTES
 from tamarack_standins.platform_worker import PlatformWorker, Script
 
 STALLED_MS = 1_500.0
@@ -112,3 +112,20 @@
         assert {answer.status for answer in answers} == {200}
 
     play(scenario())
+
+
+def test_early_refusals_do_not_pile_up_for_a_caller_that_does_not_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against memory that a caller of an overloaded router fills with its refusals."""
+
+    async def scenario() -> None:
+        worker = PlatformWorker("w1")
+        async with Fleet({"web": [worker]}) as fleet, SlowCaller(fleet.gateway.callers) as caller:
+            monkeypatch.setattr(fleet.gateway._loop_monitor._limit, "_limit", -1.0)
+            requests = b"".join(fleet.request("/page/1") for _ in range(200))
+            await fill(caller, requests, 100)
+            (connection,) = fleet.gateway._connections
+            assert connection._transport.get_write_buffer_size() < WRITE_HIGH_BYTES
+
+    play(scenario())
