--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -19,6 +19,7 @@
 )
 from tamarack_gateway.request_reader import RequestEvents, RequestReader
 from tamarack_gateway.send_buffer import enlarge_send_buffer, unacknowledged_bytes
+from tamarack_gateway.stall_timer import StallTimer
 
 DRAIN_BYTES = 4_000_000
 """Bytes of a refused body that are read and discarded: closing with unread bytes resets the
@@ -30,6 +31,13 @@
 WRITE_HIGH_BYTES = 256 * 1024
 """Bytes buffered for a slow caller from which on its answer is no longer read from the endpoint."""
 
+MAX_PENDING = 8
+"""Complete requests behind the one in progress from which on no more are read."""
+
+STALLED_MS = 30_000.0
+"""Time in milliseconds after which a caller that takes nothing of an answer, or sends nothing of a
+body, is given up; its system confirms an unread connection for as long as it runs."""
+
 STOP_TIMEOUT_MS = 200.0
 """Timeout in milliseconds for a cancelled handler to return, and before for the kernel to take a
 complete answer; a handler that does not return would block the router's exit until the process is
@@ -104,6 +112,7 @@
         self._finished = False
         self._discarded = 0
         self._changed_ms = clock.now_ms
+        self._stall_timer = StallTimer()
         self.closing = False
         self.on_writable: Callable[[], None] | None = None
 
@@ -150,12 +159,14 @@
     def _take(self, request: Request, keep: bool) -> None:
         self._changed_ms = request.arrived_ms
         self._continue_due = False
-        if self._task is None and not self._pending:
+        if self._task is None and not self._pending and not self._delivering:
             self._begin_request(keep)
             if self._refuse_early(request, self):
                 self._end_request()
                 return
         self._pending.append((request, keep))
+        if len(self._pending) >= MAX_PENDING:
+            self._transport.pause_reading()
         if self._task is None:
             self._task = asyncio.ensure_future(self._serve())
 
@@ -278,7 +289,9 @@
         self.cut()
 
     def close_if_idle(self, now_ms: float) -> None:
-        """Close the connection after the idle timeout, or if a request head arrives too slowly."""
+        """Close the connection after the idle timeout, or if its caller is slow or has stalled."""
+        if self._stall_timer.stalled_ms(self._outstanding, now_ms) > STALLED_MS:
+            self._end_stalled()
         if self.disconnected or self._task is not None:
             return
         bounds = self._bounds()
@@ -299,10 +312,26 @@
         if not self.disconnected and not self.busy:
             self._finish()
 
+    @property
+    def _outstanding(self) -> tuple[int, int] | None:
+        """Bytes that the caller has to take, and those read of a body; None if it owes nothing."""
+        unsent = self.unsent_bytes if self._delivering else 0
+        if not unsent and (self._task is not None or not self._reader.reading):
+            return None
+        return unsent, self._reader.body_bytes
+
+    def _end_stalled(self) -> None:
+        if self.unsent_bytes:
+            self._transport.abort()
+        else:
+            self._reader.refuse(408)
+
     async def _serve(self) -> None:
         try:
             while self._pending and not self.disconnected:
                 request, keep = self._pending.popleft()
+                if len(self._pending) < MAX_PENDING:
+                    self._transport.resume_reading()
                 self._begin_request(keep)
                 try:
                     await self._handler(request, self)
