Reading is resumed only where it was paused

Cause: each request that began resumed reading, also on connections that had never paused; a transport of a test without that method failed with it.

Change: reading is resumed as the queue falls below its bound.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -330,7 +330,7 @@
         try:
             while self._pending and not self.disconnected:
                 request, keep = self._pending.popleft()
-                if len(self._pending) < MAX_PENDING:
+                if len(self._pending) == MAX_PENDING - 1:
                     self._transport.resume_reading()
                 self._begin_request(keep)
                 try:
