A refused body of any size waits for the answer before it

Change: while a request is being answered, the bound pauses reading; the connection closes after the refusal, as before. A caller that leaves meanwhile is then seen by the writes to it only.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -385,15 +385,17 @@
         asyncio.get_running_loop().call_later(REFUSED_MS / 1000, self._close_refused)
 
     def _close_refused(self) -> None:
-        if self._transport is None:
-            return
         if self.unsent_bytes:
             # Closed by `close_if_idle`.
             self._finished = True
-            return
-        self._transport.close()
+        else:
+            self.cut()
 
     def _discard(self, received: int) -> None:
         self._discarded += received
-        if self._discarded > DRAIN_BYTES and self._transport is not None:
-            self._transport.close()
+        if self._discarded > DRAIN_BYTES:
+            if self._task is None:
+                self.cut()
+            else:
+                # The answers to the requests before come first.
+                self._transport.pause_reading()
--- a/tests/test_upgrade_offers.py
+++ b/tests/test_upgrade_offers.py
@@ -8,6 +8,7 @@
 import pytest
 from gateway_site import Fleet, connect, play, read_answer
 
+from tamarack_gateway.caller_connection import DRAIN_BYTES
 from tamarack_standins.platform_worker import PlatformWorker, Script
 
 BODY = b'{"order": 1, "litres": 700}'
@@ -98,6 +99,23 @@
     play(scenario())
 
 
+def test_a_refused_body_of_any_size_leaves_the_answer_before_it_whole() -> None:
+    """Guards against an answer that is cut by what its caller sends behind its request."""
+
+    async def scenario() -> None:
+        worker = PlatformWorker("w1", Script(events=5, event_pause_s=0.3))
+        async with Fleet({"pool": [worker]}) as fleet:
+            reader, writer = await connect(fleet.gateway.callers)
+            large = fleet.request("/rewrite/2", body=b"x" * (2 * DRAIN_BYTES))
+            writer.write(fleet.request("/rewrite/1") + large)
+            stream = await read_answer(reader)
+            writer.transport.abort()
+        assert stream.whole
+        assert len(worker.received) == 1
+
+    play(scenario())
+
+
 def test_bytes_after_the_last_request_of_a_connection_do_not_cut_its_answer() -> None:
     """Guards against an answer that is cut since its caller sent more after `Connection: close`."""
 
