--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -97,11 +97,9 @@
         self._task: asyncio.Task[None] | None = None
         self._writable = True
         self._emptied: asyncio.Future[None] | None = None
-        self._continue_due = False
         self._keep_alive = True
-        self._begun = False
+        self._begun = self._finished = self._continue_due = False
         self._refusal: int | None = None
-        self._finished = False
         self._discarded = 0
         self._changed_ms = clock.now_ms
         self.closing = False
