--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -105,7 +105,7 @@
         self.counts: Counter[str] = Counter()
         self.broken: list[str] = []
         self._calls = SoakCalls(self.random, self.counts, self.broken)
-        self._notices = NoticeChecks(self._calls)
+        self._notices = NoticeChecks(self._calls, self._fault_free_s)
         self._calls.on_leaving = self._notices.told_leaving
         self._losses = LossChecks(GRACE_S)
         self._slow = SlowCallers(
@@ -186,6 +186,7 @@
             self.broken.append("no request was served")
         self.broken += self.ends.broken() + self._domains.broken + self._losses.broken()
         self.broken += self._notices.broken(self._routers.learned_s)
+        self.broken += self._routers.failed_tasks()
         self.counts["slow lost"] = len(self._losses.broken())
         self.counts["rests requested"] = self._notices.rests
         self.counts["leaving known"] = self._notices.departures
@@ -243,8 +244,14 @@
 
     async def _faults(self) -> None:
         fleet = self._routers
-        routers = (fleet.kill, fleet.kill_all, fleet.terminate, fleet.roll, fleet.pause)
-        links = (fleet.hang_up, fleet.disturb_link, self._workers.disturb_link)
+        ends = (fleet.kill, fleet.kill_all, fleet.terminate, fleet.roll)
+        routers = (*ends, fleet.pause, fleet.freeze)
+        links = (
+            fleet.hang_up,
+            fleet.disturb_link,
+            fleet.cut_off_and_kill,
+            self._workers.disturb_link,
+        )
         rows = StoreFaults(self._store, self.random, self._workers, self._configure)
         store = (rows.disturb, self._store.forget_history, rows.restore, self._revoke)
         workers = (
