--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -23,6 +23,7 @@
 from tamarack_core.software_versions import LONGEST_STREAM_MS, SoftwareVersions
 from tamarack_core.suspect_exchange import EvidenceCatchUp, SuspectEvidence
 from tamarack_core.terminations import Terminations
+from tamarack_core.vouching import Vouching
 from tamarack_core.warm_up import SETTLE_MS, WarmUps
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.endpoint_notices import EndpointNotices
@@ -60,6 +61,8 @@
     ----------
     owns
         Returns whether this router owns a key; each key is handled by one router of the fleet.
+    is_briefed
+        Returns whether what only other routers may know has been asked for.
     on_incarnation_ended
         Called with an incarnation of an endpoint that is no longer listed, and whether a new
         incarnation of the same name has replaced it.
@@ -84,6 +87,7 @@
         self.endpoints_known = False
         self.evacuations = Evacuations()
         self.warm_ups = WarmUps()
+        self.vouching = Vouching(clock.now_ms)
         self.software_versions = SoftwareVersions(clock, lambda: self.longest_stream_ms)
         self.terminations = Terminations(clock)
         self.notices = EndpointNotices(self.registry, log, clock)
@@ -106,6 +110,7 @@
             settled=lambda: not self.catch_up.lacks(clock.now_ms),
         )
         self.quarantine_known = False
+        self.complete: Callable[[], bool] = _always
         self.owns: Callable[[str], bool] = _owns_nothing
         self.on_incarnation_ended: Callable[[EndpointIncarnation, bool], None] = _ignore
         self.leaving: LeavingPlan | None = None
@@ -114,6 +119,7 @@
         self.unreadable = UnreadableRows(log, clock)
         self.unreadable_rules: str | None = None
         self.keys_known = True
+        self.is_briefed: Callable[[], bool] = _is_true
 
     def learn_suspects(self, told: Sequence[SuspectEvidence], teller: str) -> None:
         """Add evidence of crashes that this router has missed."""
@@ -130,7 +136,7 @@
     @property
     def ready(self) -> bool:
         """Whether callers should be sent here."""
-        return self.initialized and self.leaving is None
+        return self.initialized and self.leaving is None and self.complete()
 
     @property
     def initialized(self) -> bool:
@@ -139,7 +145,8 @@
         A router that accepted callers before it has read the quarantined requests would forward
         these; in a fleet that restarts, each router would.
         """
-        return self.rules is not None and self.endpoints_known and self.quarantine_known
+        read = self.rules is not None and self.endpoints_known and self.quarantine_known
+        return read and self.is_briefed()
 
     @property
     def fresh(self) -> bool:
@@ -231,7 +238,8 @@
             if service in known:
                 shares = self.shares.of(service)
                 for workspace, asked, served in rows:
-                    shares.count(workspace, asked, served, now_ms)
+                    if asked >= 0 and served >= 0:
+                        shares.count(workspace, asked, served, now_ms)
 
     def record(self, key: EndpointIncarnation) -> EndpointRecord | None:
         """The record of an endpoint's answers; None if not listed or of another incarnation."""
@@ -390,6 +398,16 @@
                 model.resize(service.engine.memory_tokens)
 
 
+def _always() -> bool:
+    """Default of `FleetState.complete`: all tasks run."""
+    return True
+
+
+def _is_true() -> bool:
+    """Default of `FleetState.is_briefed`: there is nothing to ask for."""
+    return True
+
+
 def _owns_nothing(key: str) -> bool:
     """Default of `FleetState.owns`: no key is owned."""
     return False
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-from typing import Any
 
 from tamarack_core.accept_rate import AcceptRate
 from tamarack_core.clock import Clock
@@ -36,6 +35,7 @@
 from tamarack_gateway.suspect_feed import SuspectFeed
 from tamarack_gateway.suspect_records import SuspectRecords
 from tamarack_gateway.table_messages import TableNews
+from tamarack_gateway.task_owner import OwnedTask, TaskOwner
 from tamarack_gateway.termination_detector import TerminationDetector
 from tamarack_gateway.warm_up_feed import WarmUpFeed
 
@@ -76,6 +76,8 @@
         self._boot = seed
         self._settings = site.load_settings()
         self._state = FleetState(self._settings, clock, log, seed=seed, quarantine=quarantine)
+        self._tasks = TaskOwner(clock, log)
+        self._state.complete = lambda: self._tasks.complete
         self._pool = ConnectionPool(clock)
         self._outbox = Outbox()
         self._members = FleetMembers()
@@ -99,6 +101,7 @@
             malformed=lambda: self._peers.malformed,
             store_epoch=lambda: self._feeds.store_epoch,
             origins=lambda: self._origins.readings,
+            tasks=self._tasks,
         )
         self._state.owns = lambda matter: self._members.owns(matter, self._me, clock.now_ms)
         self._quarantine = self._make_quarantine()
@@ -128,7 +131,7 @@
         self._listeners = Listeners(
             self._state, clock, self._connections, self._caller_limit, accept_rate
         )
-        self._tasks: list[asyncio.Task[Any]] = []
+        self._loops: list[OwnedTask] = []
         self._lines_queued = asyncio.Event()
         log.on_line = self._lines_queued.set
         self._stack = contextlib.AsyncExitStack()
@@ -136,6 +139,8 @@
         self._peers = self._make_peers()
         self._feeds = self._make_feeds()
         self._inventory = self._make_inventory()
+        self._feeds.briefing.answers = self._answers_all
+        self._feeds.briefing.is_large = lambda: self._peers.large
         self._started_ms = clock.now_ms
         self._callers = ""
         self._site_addresses: list[str] = []
@@ -143,6 +148,7 @@
 
     async def __aenter__(self) -> Gateway:
         settings = self._settings
+        await self._stack.enter_async_context(self._tasks)
         await self._stack.enter_async_context(self._peers)
         self._stack.enter_context(self._loop_monitor)
         self._feeds.start(self._peers.address, self._boot)
@@ -156,26 +162,28 @@
                 self._site_addresses.append(await listen(address, self._pages.answer_site))
         self._metrics_address = await listen(settings.metrics, self._pages.answer_operator)
         table = self._site.tables.software_versions
-        records = OriginRecords(self._state, self._origins, self._feeds.clients, table)
-        for task in (
-            self._inventory.run(),
-            self._quarantine.run(),
-            self._quarantine.store(),
-            self._suspects.run(),
-            SuspectRecords(self._state, self._feeds.clients, self._site.tables.suspects).run(),
-            self._warm_ups.run(),
-            records.run(),
-            self._sweep(),
-            self._flush(),
-        ):
-            self._tasks.append(asyncio.ensure_future(task))
+        records = OriginRecords(
+            self._state, self._origins, self._feeds.clients, table, self._feeds.briefing
+        )
+        suspects = SuspectRecords(self._state, self._feeds.clients, self._site.tables.suspects)
+        start = self._tasks.start
+        self._loops = [
+            start("cache inventory", self._inventory.run, once=True),
+            start("quarantine", self._quarantine.run),
+            start("quarantine writer", self._quarantine.store),
+            start("suspects", self._suspects.run),
+            start("suspects writer", suspects.run),
+            start("warm-ups", self._warm_ups.run),
+            start("stream records", records.run),
+            start("housekeeping", self._sweep),
+            start("log", self._flush),
+        ]
         self._log.event("started", callers=self._callers, peers=self._peers.address)
         return self
 
     async def __aexit__(self, *exc: object) -> None:
         self._log.event("stopped")
-        for task in self._tasks:
-            task.cancel()
+        await self._tasks.cancel(self._loops)
         await self._feeds.close()
         self._listeners.close()
         self._handler.ending = True
@@ -183,14 +191,22 @@
         await self._detector.close()
         self._pool.close()
         await asyncio.sleep(0)
-        await self._stack.aclose()
-        self._log.flush()
+        self._quarantine.publish()
+        try:
+            await self._stack.aclose()
+        finally:
+            self._log.close()
 
     @property
     def state(self) -> FleetState:
         """The router's local state."""
         return self._state
 
+    @property
+    def tasks(self) -> TaskOwner:
+        """The router's background tasks."""
+        return self._tasks
+
     @property
     def callers(self) -> str:
         """Address at which callers are served."""
@@ -300,11 +316,12 @@
             others=lambda: self._members.heard_within(5_000.0, self._clock.now_ms),
             on_report=self._inbox.receive_report,
             on_placements=self._state.apply_placements,
-            on_alive=lambda stamps: self._members.record_unchanged(stamps, self._clock.now_ms),
+            on_alive=self._inbox.receive_unchanged,
             versions=lambda: self._feeds.versions,
             on_versions=lambda versions: self._feeds.record_versions(versions),
             on_notice=self._inbox.receive_notice,
             on_begun=self._origins.receive,
+            tasks=self._tasks,
         )
 
     def _make_origins(self) -> OriginFeed:
@@ -312,8 +329,9 @@
             self._state,
             self._outbox,
             routers=self._other_routers,
-            answers_all=lambda: self._peers.relays or not self._peers.large,
+            answers_all=self._answers_all,
             publish=lambda message: self._peers.publish_notice(message),
+            vouched=lambda matter_ms, until_ms: self._feeds.endpoints_vouched(matter_ms, until_ms),
         )
 
     def _make_inbox(self) -> PeerInbox:
@@ -338,6 +356,8 @@
             publish=self._publish_changes,
             wanted=self._peers.publish_copy_request,
             on_quarantine_change=self._quarantine.apply_change,
+            ask=lambda message: self._peers.publish_notice(message),
+            tasks=self._tasks,
         )
 
     def _make_inventory(self) -> CacheInventory:
@@ -369,6 +389,7 @@
 
     def _follow(self, peers: dict[str, Peer]) -> None:
         self._peers.put(peers)
+        self._state.vouching.expect(peers.keys() - {self._settings.router})
         self._state.allowance.seen(len(peers))
 
     def _reads(self, table: str) -> bool:
@@ -379,6 +400,9 @@
         expected = self._feeds.listed_routers if age_ms < JOINED_MS else ()
         return self._members.reads(table, self._me, now_ms, expected=expected)
 
+    def _answers_all(self) -> bool:
+        return self._peers.relays or not self._peers.large
+
     def _queried(self, endpoints: list[str]) -> list[str]:
         now_ms = self._clock.now_ms
         return self._members.queried_by(self._me, endpoints, self._feeds.listed_routers, now_ms)
@@ -406,6 +430,7 @@
         while True:
             await asyncio.sleep(SWEEP_MS / 1000)
             now_ms = self._clock.now_ms
+            self._state.vouching.observe(now_ms)
             self._state.software_versions.observe(in_touch=self._state.fresh)
             for connection in list(self._connections):
                 connection.close_if_idle(now_ms)
--- a/packages/gateway/src/tamarack_gateway/peer_group.py
+++ b/packages/gateway/src/tamarack_gateway/peer_group.py
@@ -25,6 +25,7 @@
 from tamarack_gateway.peer_sockets import PeerSockets
 from tamarack_gateway.relay_collector import RelayCollector
 from tamarack_gateway.table_messages import CopyWanted, TableNews
+from tamarack_gateway.task_owner import OwnedTask, TaskOwner
 
 SUMMARY_MS = 250.0
 SUMMARY_PER_ROUTER_MS = 4.0
@@ -98,6 +99,8 @@
         Called with each notice of another router.
     on_begun
         Called with begun streams of other routers.
+    tasks
+        Owns the tasks of the exchange; an owner of its own by default.
 
     Attributes
     ----------
@@ -123,6 +126,7 @@
         on_versions: Callable[[dict[str, int]], None] = lambda versions: None,
         on_notice: Callable[[Notice], None] = lambda notice: None,
         on_begun: Callable[[BegunStreams], None] = lambda begun: None,
+        tasks: TaskOwner | None = None,
     ) -> None:
         self._router = router
         self._domain = failure_domain
@@ -146,28 +150,35 @@
         self._collector = RelayCollector(router)
         self._heard_versions: dict[str, int] = {}
         self._last_versions_ms = float("-inf")
-        self._relay_task: asyncio.Task[None] | None = None
+        self._relay_task: OwnedTask | None = None
         self._last_relay_ms = float("-inf")
         self._last_summary_ms = float("-inf")
         self._malformed_logged_ms = float("-inf")
         self.malformed = 0
         self._stack = contextlib.ExitStack()
-        self._tasks: list[asyncio.Task[Any]] = []
+        self._owner = tasks or TaskOwner(clock, log)
+        self._tasks: list[OwnedTask] = []
         self._sockets: PeerSockets
 
     async def __aenter__(self) -> PeerGroup:
-        sockets = PeerSockets(self._listen, self._receive, self._record_malformed)
+        sockets = PeerSockets(
+            self._listen,
+            self._receive,
+            self._record_malformed,
+            lambda error: self._owner.record_failure("messages of peers", error),
+        )
         self._sockets = self._stack.enter_context(sockets)
+        self._stack.callback(self._publish_rest)
         self._update_subscriptions()
-        for task in (self._report_loop(), self._check_plan()):
-            self._tasks.append(asyncio.ensure_future(task))
+        self._tasks = [
+            self._owner.start("reports to peers", self._report_loop),
+            self._owner.start("relay plan", self._check_plan),
+        ]
         return self
 
     async def __aexit__(self, *exc: object) -> None:
         tasks = self._tasks + ([self._relay_task] if self._relay_task is not None else [])
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._owner.cancel(tasks)
         self._stack.close()
 
     @property
@@ -242,12 +253,13 @@
             for streams in begun:
                 self._collector.add_begun(streams)
             return
-        messages = (report, *self._due_versions(now_ms), *begun)
+        messages = (report, *self._due_versions(now_ms, summary is not None), *begun)
         self._sockets.publish(_reports_topic(self._domain), *messages)
 
-    def _due_versions(self, now_ms: float) -> list[TableVersions]:
-        # In a small fleet each router reads the tables itself.
-        if not self._plan.large or now_ms - self._last_versions_ms < VERSIONS_MS:
+    def _due_versions(self, now_ms: float, with_summary: bool) -> list[TableVersions]:
+        # In a small fleet each router reads the tables itself, unless the store has lost a change.
+        due = now_ms - self._last_versions_ms >= VERSIONS_MS if self._plan.large else with_summary
+        if not due:
             return []
         self._last_versions_ms = now_ms
         return [TableVersions(self._versions())]
@@ -326,9 +338,17 @@
             if self._clock.now_ms - self._last_summary_ms >= interval_ms:
                 self._last_summary_ms = self._clock.now_ms
                 summary = self._summary()
-            placements, begun = self._outbox.take(), self._outbox.take_begun()
-            if summary is not None or placements is not None or begun:
-                self._publish(summary=summary, placements=placements, begun=begun)
+            self._publish_collected(summary)
+
+    def _publish_rest(self) -> None:
+        self._publish_collected()
+        if self._links.relays:
+            self._relay_collected(self._clock.now_ms)
+
+    def _publish_collected(self, summary: Summary | None = None) -> None:
+        placements, begun = self._outbox.take(), self._outbox.take_begun()
+        if summary is not None or placements is not None or begun:
+            self._publish(summary=summary, placements=placements, begun=begun)
 
     async def _relay_loop(self) -> None:
         while True:
@@ -385,7 +405,7 @@
             self._relay_task = None
         self._collector = RelayCollector(self._router)
         if relays:
-            self._relay_task = asyncio.ensure_future(self._relay_loop())
+            self._relay_task = self._owner.start("relay", self._relay_loop)
 
     def _topics(self, links: Links) -> frozenset[bytes]:
         if links.domains is None:
--- a/packages/gateway/src/tamarack_gateway/peer_inbox.py
+++ b/packages/gateway/src/tamarack_gateway/peer_inbox.py
@@ -7,6 +7,7 @@
 from tamarack_core.stream_origins import OriginAnswer, OriginQuery
 from tamarack_core.suspect_exchange import KnownSuspects, SuspectsQuery
 from tamarack_core.termination_evidence import InterruptedRequests
+from tamarack_gateway.briefing import BriefingAnswer, BriefingQuery
 from tamarack_gateway.fleet_feeds import FleetFeeds
 from tamarack_gateway.fleet_members import FleetMembers, Member
 from tamarack_gateway.fleet_state import FleetState
@@ -56,6 +57,7 @@
 
     def receive_report(self, report: Report) -> None:
         """Apply a report."""
+        self._state.vouching.hear(report.router, self._state.clock.now_ms)
         if report.summary is not None:
             self._record_summary(report.summary, report.stamp_ms)
         self._members.record_stamp(report.router, report.stamp_ms)
@@ -69,10 +71,19 @@
         if report.evidence is not None:
             self._quarantine.receive(report.evidence)
 
+    def receive_unchanged(self, stamps: dict[str, float]) -> None:
+        """Apply the timestamps of routers whose summaries are unchanged."""
+        now_ms = self._state.clock.now_ms
+        for router in stamps:
+            self._state.vouching.hear(router, now_ms)
+        self._members.record_unchanged(stamps, now_ms)
+
     def receive_notice(self, notice: Notice) -> None:
         """Apply a notice."""
         if isinstance(notice, OriginQuery | OriginAnswer):
             self._origins.receive(notice)
+        elif isinstance(notice, BriefingQuery | BriefingAnswer):
+            self._feeds().briefing.receive(notice)
         elif isinstance(notice, InterruptedRequests):
             self._quarantine.receive_requests(notice)
         elif isinstance(notice, SuspectsQuery | KnownSuspects):
--- a/packages/gateway/src/tamarack_gateway/peer_messages.py
+++ b/packages/gateway/src/tamarack_gateway/peer_messages.py
@@ -9,6 +9,7 @@
 from tamarack_core.termination_evidence import Evidence, InterruptedRequests
 from tamarack_core.warm_up_dealer import Demand, Leases
 from tamarack_core.wire import message
+from tamarack_gateway.briefing import BriefingAnswer, BriefingQuery
 from tamarack_gateway.outbox import Placements
 from tamarack_gateway.table_messages import CopyWanted, TableNews
 
@@ -18,6 +19,8 @@
     | OriginQuery
     | OriginAnswer
     | InterruptedRequests
+    | BriefingQuery
+    | BriefingAnswer
     | SuspectsQuery
     | KnownSuspects
 )
--- a/packages/gateway/src/tamarack_gateway/store_client.py
+++ b/packages/gateway/src/tamarack_gateway/store_client.py
@@ -30,6 +30,9 @@
 """Timeout of an answer: the store answers in 4 ms, and within a third of a second when it is sixty
 times slower, as its operators report."""
 
+MAX_ROWS = 200_000
+"""Maximum rows of a table that is read whole; a fleet of 3,000 endpoints has some 10,000."""
+
 HISTORY_GONE = 410
 
 
@@ -86,18 +89,24 @@
             raise StoreError(str(error) or "no answer") from error
 
     async def read_all(self, table: str) -> RowsPage:
-        """Read all rows of a table."""
+        """Read all rows of a table.
+
+        The version is that of the first page: a row of it may change before the last is read, and
+        the changes after that version contain this one.
+        """
         rows: list[Row] = []
-        start, nameless, epoch = "", 0, None
+        start, nameless, version = "", 0, None
         while True:
             page = self._page(await self._call(self._dialect.read(table, start)))
-            if epoch not in (None, epoch_of(page.version)):
+            version = page.version if version is None else version
+            if epoch_of(version) != epoch_of(page.version):
                 raise StoreError("the store was restored between two pages")
-            epoch = epoch_of(page.version)
             rows.extend(page.rows)
             nameless += page.nameless
             if not page.more or not page.rows:
-                return RowsPage(rows, page.version, False, nameless)
+                return RowsPage(rows, version, False, nameless)
+            if page.rows[-1].key < start or len(rows) > MAX_ROWS:
+                raise StoreError("pages of a table without end")
             start = page.rows[-1].key + "\0"
 
     async def watch(self, table: str, after: int, wait_ms: float) -> RowsPage:
--- a/packages/standins/src/tamarack_standins/soak_routers.py
+++ b/packages/standins/src/tamarack_standins/soak_routers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import random
 import signal
@@ -16,6 +17,7 @@
 from tamarack_standins.claimed_ports import ClaimedPorts
 from tamarack_standins.fault_proxy import FaultProxy
 from tamarack_standins.soak_domains import COLD_FACTOR, COLD_SLACK
+from tamarack_standins.soak_losses import LossChecks
 
 GRACE_S = 6.0
 REVOKE_MS = 3_000.0
@@ -25,6 +27,15 @@
 ROLL_INTERVAL_S = (0.0, 1.0)
 """Range of the time between two routers of a rolling restart, in seconds."""
 
+FREEZE_S = (3.5, 4.5)
+"""Range of the duration of a freeze in seconds: others give up what they ask a router meanwhile."""
+
+CUT_OFF_S = 1.0
+"""Seconds from the cut of one router's link to the kill of another router."""
+
+FAILED_TASK = '"a background task failed"'
+"""Line of a router's log on an exception that nothing handles."""
+
 READY_TIMEOUT_S = 30.0
 """Timeout in seconds for all routers to become ready before faults begin; on an idle machine they
 take one. A fault while they load their libraries would be invisible to callers, and a run that ends
@@ -44,6 +55,8 @@
         Address of the store.
     broken
         Called with a sentence for each promise that a router broke.
+    losses
+        Told of stops and of unplanned faults of routers.
     disturbed
         Called with a router's address when it starts, is paused or wakes up.
     """
@@ -57,6 +70,7 @@
         *,
         rng: random.Random,
         broken: Callable[[str], None],
+        losses: LossChecks | None = None,
         disturbed: Callable[[str], None] = lambda address: None,
     ) -> None:
         self._count = count
@@ -64,8 +78,10 @@
         self._ports = ports
         self._random = rng
         self._broken = broken
+        self._losses = losses or LossChecks(GRACE_S)
         self._disturbed = disturbed
         self._processes: dict[int, asyncio.subprocess.Process] = {}
+        self._told: set[asyncio.subprocess.Process] = set()
         self._log_bytes: dict[int, int] = {}
         self._stack = contextlib.AsyncExitStack()
         self.links = [FaultProxy(store) for _ in range(count)]
@@ -91,20 +107,43 @@
                 while not await self._is_ready(number):
                     await asyncio.sleep(0.05)
 
+    def learned_s(self, address: str, worker: str, life: int) -> float:
+        """When a router logged that a worker had restarted as `life`, on the monotonic clock.
+
+        Returns minus infinity if it did not: it had not run with the former incarnation, or has not
+        learned of this one.
+        """
+        number = [self.address(n) for n in range(self._count)].index(address)
+        with (self._folder / f"router-{number}.log").open() as lines:
+            for line in lines:
+                if '"belief: endpoint restarted"' not in line:
+                    continue
+                with contextlib.suppress(ValueError):  # The last line of a killed process.
+                    told = json.loads(line)
+                    if (told["endpoint"], told["life"]) == (worker, life):
+                        return float(told["at_ms"]) / 1000
+        return float("-inf")
+
+    def failed_tasks(self) -> list[str]:
+        """Lines of the routers' logs on exceptions that nothing handled."""
+        found = []
+        for log in sorted(self._folder.glob("router-*.log")):
+            with log.open(errors="replace") as lines:
+                found += [f"{log.stem}: {line[:400]}" for line in lines if FAILED_TASK in line]
+        return found
+
     async def kill(self) -> None:
         """Kill one router and restart it."""
         picked = self._pick_alive()
         if picked is not None:
-            number, process = picked
-            send_signal(process, signal.SIGKILL)
-            await process.wait()
-            await self._restart(number, process)
+            await self._kill_and_restart(picked[0])
 
     async def kill_all(self) -> None:
         """Kill all routers at once and restart them."""
         alive = [(n, p) for n, p in self._processes.items() if p.returncode is None]
-        for _, process in alive:
-            send_signal(process, signal.SIGKILL)
+        for number, process in alive:
+            with self._losses.faulty(self.address(number)):
+                send_signal(process, signal.SIGKILL)
         for number, process in alive:
             await process.wait()
             await self._restart(number, process)
@@ -126,14 +165,22 @@
 
     async def pause(self) -> None:
         """Suspend one router's process for a while."""
+        await self._suspend(self._random.uniform(*FAULT_PERIOD_S))
+
+    async def freeze(self) -> None:
+        """Suspend one router's process for longer, while others ask it about streams."""
+        await self._suspend(self._random.uniform(*FREEZE_S))
+
+    async def _suspend(self, seconds: float) -> None:
         picked = self._pick_alive()
         if picked is None:
             return
         number, process = picked
-        send_signal(process, signal.SIGSTOP)
-        self._disturbed(self.address(number))
-        await self._wait_fault_period()
-        send_signal(process, signal.SIGCONT)
+        with self._losses.faulty(self.address(number)):
+            send_signal(process, signal.SIGSTOP)
+            self._disturbed(self.address(number))
+            await asyncio.sleep(seconds)
+            send_signal(process, signal.SIGCONT)
         self._disturbed(self.address(number))
 
     async def hang_up(self) -> None:
@@ -143,7 +190,22 @@
 
     async def disturb_link(self) -> None:
         """Delay, reset, block or block in one direction one router's connections to the store."""
-        await disturb(self._random.choice(self.links), self._random)
+        link = self._random.choice(self.links)
+        with self._losses.faulty(self.address(self.links.index(link))):
+            await disturb(link, self._random)
+
+    async def cut_off_and_kill(self) -> None:
+        """Cut one router off from the store, and kill another one a second later."""
+        number = self._random.randrange(self._count)
+        link = self.links[number]
+        with self._losses.faulty(self.address(number)):
+            link.block_to_target = link.block_from_target = True
+            await asyncio.sleep(CUT_OFF_S)
+            others = [n for n in self._processes if n != number]
+            if others:
+                await self._kill_and_restart(self._random.choice(others))
+            await self._wait_fault_period()
+            link.heal()
 
     async def _is_ready(self, number: int) -> bool:
         host, _, port = self.address(number, 1).partition(":")
@@ -194,6 +256,9 @@
         log.close()
 
     async def _stop(self, number: int, process: asyncio.subprocess.Process) -> None:
+        if process not in self._told:
+            self._told.add(process)
+            self._losses.stopped(self.address(number))
         send_signal(process, signal.SIGTERM)
         try:
             async with asyncio.timeout(GRACE_S + 2):
@@ -218,6 +283,13 @@
         send_signal(process, signal.SIGKILL)
         await process.wait()
 
+    async def _kill_and_restart(self, number: int) -> None:
+        process = self._processes[number]
+        with self._losses.faulty(self.address(number)):
+            send_signal(process, signal.SIGKILL)
+            await process.wait()
+        await self._restart(number, process)
+
     async def _restart(self, number: int, process: asyncio.subprocess.Process) -> None:
         # Faults overlap: if several ended the same process, only the first starts the next one.
         if self._processes.get(number) is process:
