Dead endpoints stay out of use until they accept connections

Callers waited for, and were refused beside, engines that were dead: after a crash an endpoint whose entry names no incarnation was used again after one second, though it refused connections and its entry goes only after some three. Its model was empty, so that it looked idle.

Cause: the exclusion ended by time, and a router that then heard nothing of the endpoint believed it to be alive. A router that saw it refuse now looks again before the exclusion ends, while its entry is listed, and its report extends the exclusion at all routers, so that about one of them looks each time. The first accepted connection ends that. The same holds for endpoints with an incarnation, after four seconds, as when the store's outage keeps their entries.

Before: test_an_endpoint_that_refuses_connections_stays_out_until_it_accepts_them failed (usable again during the wait); passes now.

--- a/packages/core/src/tamarack_core/terminations.py
+++ b/packages/core/src/tamarack_core/terminations.py
@@ -15,6 +15,9 @@
 """The same where entries have no incarnation: a restarted endpoint cannot be told from the
 terminated one."""
 
+LOOK_AHEAD = 0.4
+"""Fraction of an exclusion that is left when an endpoint that refused connections is looked at."""
+
 CLOSING_MS = 500.0
 """The same for an endpoint that accepts and then closes new connections: either it is full, or
 something in front of it accepts them for a terminated endpoint. Requests sent there meanwhile would
@@ -38,11 +41,21 @@
             connections may be full.
         """
         now_ms = self._clock.now_ms
-        avoid_ms = TERMINATED_MS if key.life is not None else TERMINATED_UNIDENTIFIED_MS
-        self.exclude(key, now_ms + (avoid_ms if refused else CLOSING_MS))
+        self.exclude(key, now_ms + (_refused_ms(key) if refused else CLOSING_MS))
         recent = {k: at for k, at in self._known_ms.items() if now_ms - at < TERMINATED_MS}
         self._known_ms = {key: now_ms, **recent}
 
+    def next_look_ms(self, key: EndpointIncarnation) -> float:
+        """When to see whether an endpoint still refuses connections, while it is listed.
+
+        An endpoint whose exclusion ends without such a look would seem to be idle.
+        """
+        return self._until_ms.get(key, self._clock.now_ms) - LOOK_AHEAD * _refused_ms(key)
+
     def known_ms(self, key: EndpointIncarnation) -> float | None:
         """When this router first learned of a termination; None if it has not recently."""
         return self._known_ms.get(key)
+
+
+def _refused_ms(key: EndpointIncarnation) -> float:
+    return TERMINATED_MS if key.life is not None else TERMINATED_UNIDENTIFIED_MS
--- a/packages/gateway/src/tamarack_gateway/quarantine_feed.py
+++ b/packages/gateway/src/tamarack_gateway/quarantine_feed.py
@@ -103,7 +103,11 @@
         self._quarantine.record_requests(message.requests, self._state.clock.now_ms)
 
     def record_termination(self, end: Termination) -> None:
-        """Record a termination that this router detected."""
+        """Record a termination that this router detected, or that an endpoint is still gone."""
+        if self._is_known(end):
+            self._pending.ends.append(end)
+            self._record_end(end)
+            return
         fingerprints = [aboard.fingerprint for aboard in end.aboard]
         self._state.log.change(
             "endpoint terminated",
@@ -244,7 +248,15 @@
         draw = self._state.random.random()
         return waited_ms >= TAKEOVER_MS and draw * self._state.allowance.routers < 1.0
 
+    def _is_known(self, end: Termination) -> bool:
+        known = self._state.terminations.known_ms(end.key) is not None
+        return known and not end.aboard and not end.together
+
     def _record_end(self, end: Termination) -> None:
+        if self._is_known(end):
+            self._state.terminations.record(end.key, refused=end.refused)
+            self._pending_event.set()
+            return
         now_ms = self._state.clock.now_ms
         if self._state.warm_ups.warmed_within(end.key, WARM_UP_CRASH_MS, now_ms):
             # It may have crashed because it got too many requests, whichever they were. Those that
--- a/packages/gateway/src/tamarack_gateway/termination_detector.py
+++ b/packages/gateway/src/tamarack_gateway/termination_detector.py
@@ -127,6 +127,7 @@
         self._on_termination = on_termination
         self._checks: dict[EndpointIncarnation, _Check] = {}
         self._unconfirmed: dict[EndpointIncarnation, _Check] = {}
+        self._watches: dict[EndpointIncarnation, asyncio.Task[None]] = {}
         state.on_incarnation_ended = self._on_incarnation_ended
 
     async def lost(self, endpoint: Endpoint, aboard: InterruptedRequest, sent_ms: float) -> bool:
@@ -163,7 +164,7 @@
 
     async def close(self) -> None:
         """Cancel all checks."""
-        tasks = [check.task for check in self._checks.values()]
+        tasks = [*(check.task for check in self._checks.values()), *self._watches.values()]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -195,8 +196,30 @@
         self._pool.drop(endpoint)
         self._mark_simultaneous(check)
         self._report(check, check.lost)
+        if check.refused and endpoint.key not in self._watches:
+            watch = self._watches[endpoint.key] = asyncio.ensure_future(self._watch(endpoint))
+            watch.add_done_callback(lambda _: self._watches.pop(endpoint.key, None))
         return True
 
+    async def _watch(self, endpoint: Endpoint) -> None:
+        """Look whether an endpoint still refuses connections, and report that, until it is gone."""
+        state, key = self._state, endpoint.key
+        while state.knows(key):
+            left_ms = state.terminations.next_look_ms(key) - state.clock.now_ms
+            if left_ms > 0.0:
+                # Other routers look as well; their reports delay the next look of this one.
+                await asyncio.sleep(left_ms / 1000)
+                continue
+            try:
+                connection = await open_connection(endpoint.address, CHECK_TIMEOUT_MS)
+            except RefusedError:
+                self._on_termination(Termination(key.name, key.life, False, []))
+            except ConnectError:
+                return
+            else:
+                self._pool.add_new(endpoint, connection)
+                return
+
     async def _has_terminated(self, check: _Check) -> bool:
         try:
             connection = await open_connection(check.endpoint.address, CHECK_TIMEOUT_MS)
--- a/tests/test_termination_detector.py
+++ b/tests/test_termination_detector.py
@@ -8,6 +8,7 @@
 from gateway_site import Fleet, play, until
 
 from tamarack_core.request_traits import is_block
+from tamarack_core.terminations import TERMINATED_UNIDENTIFIED_MS
 from tamarack_gateway.termination_detector import UNCONFIRMED_MS
 from tamarack_standins.fault_proxy import FaultProxy
 from tamarack_standins.platform_worker import BORN_MS, PlatformWorker, Script
@@ -176,3 +177,28 @@
             assert len(fleet.gateway.state.registry.usable("pool")) == 3
 
     play(run())
+
+
+def test_an_endpoint_that_refuses_connections_stays_out_until_it_accepts_them() -> None:
+    """Guards against requests that wait for a dead endpoint, which seems to be an idle one."""
+
+    async def run() -> None:
+        engine = PlatformWorker("e1", Script(events=100, event_pause_s=0.05), born=None)
+        async with Fleet({"pool": [engine]}) as fleet:
+            await fleet.add_routers(1)
+            await fleet.until_acquainted()
+            states = [router.state for router in (fleet.gateway, *fleet.others)]
+            asking = asyncio.ensure_future(fleet.ask("/draft/x"))
+            await until(lambda: bool(engine.received))
+            await engine.end()
+            await asking
+            await until(lambda: not any(state.usable("pool") for state in states))
+            until_ms = states[0].clock.now_ms + 3 * TERMINATED_UNIDENTIFIED_MS
+            while states[0].clock.now_ms < until_ms:
+                assert not any(state.usable("pool") for state in states)
+                await asyncio.sleep(0.01)
+            port = int(engine.address.rpartition(":")[2])
+            async with PlatformWorker("e1", STREAM, born=None, port=port):
+                await until(lambda: all(state.usable("pool") for state in states))
+
+    play(run())
