A stopping router removes its row until it is gone

Seen: a router that is told to stop as it starts, or while the store doesn't answer, stays in the list of routers after it has ended. The others go on to subscribe to it, count it in shares of the retry budget and in the size of the fleet, and wait for it as one of the listed, until another of its name starts.

Cause: the removal was tried once, right at the request to stop, with the version known then. A row that is written or learned of a moment later, or a call that failed, was left alone, though the router runs for seconds more.

Change: a stopping router tries again, every 0.4 s up to its exit, while a row of its own is known. The removal is conditional on the version as before, and the row of a next incarnation is not taken for its own.

--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -18,7 +18,7 @@
 from tamarack_gateway.endpoint_rows import EndpointRows
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.site import Row, Site
-from tamarack_gateway.store_client import StoreError
+from tamarack_gateway.store_client import StoreClient, StoreError
 from tamarack_gateway.store_clients import StoreClients
 from tamarack_gateway.store_epoch import LOST_CHANGES_MS, StoreEpoch, epoch_of, without_epoch
 from tamarack_gateway.table_check import TableCheck
@@ -56,6 +56,9 @@
 LEAVE_WRITE_MS = 1_000.0
 """Time that a leaving router waits for its row to be removed; its summary also announces it."""
 
+REMOVAL_STEP_MS = 400.0
+"""Time between two attempts of a leaving router to remove its row."""
+
 
 class RouterFields(TypedDict, total=False):
     """A router's row as decoded; rows of earlier versions have no failure domain."""
@@ -231,13 +234,25 @@
         return await self._check.vouched(matter_ms, until_ms)
 
     async def deregister(self) -> None:
-        """Remove this router from the list of routers.
+        """Remove this router from the list of routers, and keep it removed until `close`.
 
+        The store may not answer, and a router that has just started learns of its row only later.
         The removal is conditional on the row's version: a write whose answer is lost may take
         effect seconds later, and would otherwise remove the row of this router's next incarnation,
         which no other router would then subscribe to.
         """
         self._leaving = True
+        client = self._clients.create()
+        await self._remove_row(client)
+
+        async def keep_removed() -> None:
+            while True:
+                await asyncio.sleep(REMOVAL_STEP_MS / 1000)
+                await self._remove_row(client)
+
+        self._tasks.append(self._owner.start("removal of the row", keep_removed))
+
+    async def _remove_row(self, client: StoreClient) -> None:
         version = self._own_version
         if version is None or epoch_of(version) < self._epoch.current:
             return
@@ -245,7 +260,9 @@
         call = self._site.store.write(tables.routers, name, None, without_epoch(version))
         with contextlib.suppress(StoreError, TimeoutError):
             async with asyncio.timeout(LEAVE_WRITE_MS / 1000):
-                await self._clients.create().call(call)
+                await client.call(call)
+                if self._own_version == version:
+                    self._own_version = None
 
     async def close(self) -> None:
         """Stop following."""
@@ -336,7 +353,9 @@
         # store may list that of an earlier incarnation.
         own = [row for row in change.rows if row.key == self._state.settings.router]
         if own:
-            value, outdated = own[-1].value, change.catching_up and own[-1].value != self._own_row
+            # A leaving router keeps off the row of its next incarnation.
+            value, foreign = own[-1].value, own[-1].value != self._own_row
+            outdated = foreign and (change.catching_up or self._leaving)
             self._own_version = None if value is None or outdated else own[-1].version
         elif change.whole:
             self._own_version = None
