At the exit a buffer of any size below the largest is enlarged

Seen: a connection whose kernel buffer has grown to between half of and all of what the system grants is left as it is at the exit, and what its caller doesn't take within 0.2 s is cut, though the kernel would have held it.

Cause: the kernel tells twice the size that is requested. The size to request was compared with the size that it tells.

Change: both are sizes that the kernel tells.

--- a/packages/gateway/src/tamarack_gateway/send_buffer.py
+++ b/packages/gateway/src/tamarack_gateway/send_buffer.py
@@ -17,20 +17,22 @@
 
 @cache
 def largest_send_buffer() -> int:
-    """Largest send buffer in bytes that the system allows, up to `EXIT_SEND_BUFFER_BYTES`."""
+    """Size that the kernel tells of the largest buffer that it grants at the exit.
+
+    That is twice the requested one: it counts its own needs, too.
+    """
     with socket.socket() as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, EXIT_SEND_BUFFER_BYTES)
-        # The kernel tells twice the size that it has granted.
-        return probe.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) // 2
+        return probe.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
 
 
 def enlarge_send_buffer(sock: Any) -> None:
     """Enlarge a connection's buffer as far as the system allows, unless it is larger already."""
-    size = largest_send_buffer()
+    largest = largest_send_buffer()
     with contextlib.suppress(OSError):
         # Setting a size ends the kernel's own adaptation, which may have grown beyond it.
-        if sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) < size:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+        if sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) < largest:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, EXIT_SEND_BUFFER_BYTES)
 
 
 def unacknowledged_bytes(sock: Any) -> int:
