An endpoint is not blamed for a caller that reads too slowly

Seen: a caller that stops reading a long stream makes its endpoint wait; at the request's deadline the endpoint counts as failed (`endpoint failed`, `no answer in time`). A few such callers push work away from sound endpoints.

Cause: the time limit of a send contains the time that the caller takes, since a slow caller pauses reading from the endpoint; its end was taken for the endpoint's.

Change: if the endpoint had to wait for the caller, the reason is `the caller read too slowly`, and no failure is recorded.

Evidence: one failure was recorded in the new test before, none now; the second test guards that an endpoint whose stream is late is still blamed.

--- a/packages/gateway/src/tamarack_gateway/event_relay.py
+++ b/packages/gateway/src/tamarack_gateway/event_relay.py
@@ -34,6 +34,8 @@
     ----------
     first_ms
         Time at which the first event arrived; None before.
+    paused
+        Whether the endpoint had to wait for a slow caller.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         self._on_first = on_first
         self._received_ms = clock.now_ms
         self.first_ms: float | None = None
+        self.paused = False
         splitter.restart()
 
     @property
@@ -98,6 +101,7 @@
             self._on_first()
         self._answer.pass_on(self._head, events)
         if not self._caller.writable:
+            self.paused = True
             self._connection.pause()
             self._caller.on_writable = self._resume
 
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -60,6 +60,8 @@
         Workspace of the caller's key; None for a request without a key.
     """
 
+    _relay: EventRelay | None = None
+
     def __init__(
         self,
         state: FleetState,
@@ -256,7 +258,7 @@
         if self._route.resumable:
             self._origins.sent(self._facts.attempt, endpoint)
         self._request_quarantine.sent(endpoint)
-        self._first_event_ms = None
+        self._first_event_ms = self._relay = None
         sent_ms = state.clock.now_ms
         whole = False
         try:
@@ -264,7 +266,9 @@
                 result = await self._transfer(choice, connection)
             whole = result.outcome in (SendOutcome.DONE, SendOutcome.NOT_RUN, SendOutcome.FAILED)
         except TimeoutError:
-            result = Result(SendOutcome.TIMED_OUT, "no answer in time")
+            slow = self._relay is not None and self._relay.paused
+            reason = "the caller read too slowly" if slow else "no answer in time"
+            result = Result(SendOutcome.TIMED_OUT, reason, caller_slow=slow)
         except (BrokenAnswerError, BadStreamError) as error:
             lost = isinstance(error, ConnectionLostError)
             result = Result(SendOutcome.BROKEN, str(error), lost=lost)
@@ -337,7 +341,7 @@
             self._selector.software_version = choice.endpoint.software_version
             self._recorder.first_event(choice)
 
-        relay = EventRelay(
+        self._relay = relay = EventRelay(
             connection, self._caller, self._answer, head, self._splitter, clock, on_first_event
         )
         await self._timeouts.whole(relay, choice, self._sends)
--- a/packages/gateway/src/tamarack_gateway/send_recorder.py
+++ b/packages/gateway/src/tamarack_gateway/send_recorder.py
@@ -175,6 +175,8 @@
             if result.head.status not in CALLER_ERROR_STATUSES:
                 self.failure(endpoint, result.reason)
             return
+        if result.caller_slow:
+            return
         rejected = result.outcome is SendOutcome.NOT_RUN
         self.failure(endpoint, result.reason, weight=REJECTED_WEIGHT if rejected else 1.0)
 
--- a/packages/gateway/src/tamarack_gateway/send_result.py
+++ b/packages/gateway/src/tamarack_gateway/send_result.py
@@ -25,6 +25,8 @@
     ----------
     lost
         Whether the connection closed before the answer was complete, as in a crash of the endpoint.
+    caller_slow
+        Whether the endpoint had to wait for the caller, so that the time says nothing about it.
     """
 
     outcome: SendOutcome
@@ -32,3 +34,4 @@
     head: AnswerHead | None = None
     body: bytes = b""
     lost: bool = False
+    caller_slow: bool = False
--- a/tests/test_stalled_callers.py
+++ b/tests/test_stalled_callers.py
@@ -129,3 +129,32 @@
             assert connection._transport.get_write_buffer_size() < WRITE_HIGH_BYTES
 
     play(scenario())
+
+
+def test_an_endpoint_does_not_count_as_failed_for_a_caller_that_does_not_read() -> None:
+    """Guards against endpoints that get less work since callers of theirs stop reading."""
+
+    async def scenario() -> None:
+        script, path, deadline = STALLED["stream cut at its deadline"]
+        worker = PlatformWorker("w1", script)
+        async with Fleet({"pool": [worker]}) as fleet, SlowCaller(fleet.gateway.callers) as caller:
+            decisions = fleet.gateway.state.log.decisions
+            await caller.send(fleet.request(path, X_Deadline_Ms=deadline))
+            await until(lambda: any(kind == "cut" for kind, _ in decisions))
+            assert not [reason for kind, reason in decisions if kind == "endpoint failed"]
+
+    play(scenario())
+
+
+def test_an_endpoint_counts_as_failed_for_a_stream_that_ends_too_late() -> None:
+    """Guards against an endpoint that is excused though its caller has read all that came."""
+
+    async def scenario() -> None:
+        worker = PlatformWorker("w1", Script(events=100, event_pause_s=0.05))
+        async with Fleet({"pool": [worker]}) as fleet:
+            answer = await fleet.ask("/rewrite/1", X_Deadline_Ms="300")
+            decisions = fleet.gateway.state.log.decisions
+            assert not answer.whole
+            assert decisions["endpoint failed", "no answer in time"] == 1
+
+    play(scenario())
