Exchange sets its relay where it sets its other state

A class attribute stood for an instance's initial value. No change of behaviour; the tests of slow and stalled callers, of relays and of the gateway pass.

--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -60,8 +60,6 @@
         Workspace of the caller's key; None for a request without a key.
     """
 
-    _relay: EventRelay | None = None
-
     def __init__(
         self,
         state: FleetState,
@@ -111,6 +109,7 @@
         self._sends = 0
         self._may_have_run = False
         self._first_event_ms: float | None = None
+        self._relay: EventRelay | None = None
         self._answered = False
 
     @property
