An answer that may have crashed its endpoint clears no suspicion

Cause: an answer without length or chunks ends with its connection. Where a proxy accepts connections for a dead endpoint, the check after such an answer finds a new connection closed at once; the endpoint may have crashed or be full, and the answer is told as whole. It also counted as a complete answer of the request: the suspicion was cleared by the very crash. The class: what is uncertain was used as evidence.

Change: the check tells both, whether the endpoint may have terminated and whether that is certain. A certain one breaks the answer off as before; an uncertain one leaves it whole and clears nothing.

Evidence: test_an_answer_that_ended_with_its_endpoint_clears_no_suspicion failed in 3 of 3 runs before and passes in 3 of 3. Tests of quarantine, terminations, crashes, suspects and answers without a length pass but test_others_learn_of_a_request_while_the_store_is_down, which fails without this change as well (2 of 2 each).

What stays: such an answer is still told as whole. Elsewhere: `answered` is called in `Exchange` alone, after `check_end`.

--- a/packages/gateway/src/tamarack_gateway/request_quarantine.py
+++ b/packages/gateway/src/tamarack_gateway/request_quarantine.py
@@ -55,6 +55,7 @@
         self._handling = FREE
         self._isolated_for = ""
         self._isolated_at: EndpointIncarnation | None = None
+        self._may_have_crashed = False
 
     @cached_property
     def fingerprint(self) -> str:
@@ -94,6 +95,7 @@
     def sent(self, endpoint: Endpoint) -> None:
         """Record that the request is sent to an endpoint."""
         self._isolated_for = ""
+        self._may_have_crashed = False
         if self._handling.treatment in (Treatment.ISOLATED, Treatment.TRIAL):
             self._isolated_for, self._isolated_at = self._handling.suspects, endpoint.key
             self._quarantine.begun(self._isolated_for, endpoint.key)
@@ -114,7 +116,7 @@
             Whether the answer is a success: an endpoint may fail a request without using its
             prompt.
         """
-        if self._quarantine.watching:
+        if self._quarantine.watching and not self._may_have_crashed:
             self._feed.answered(self.fingerprint, self.blocks if generated else ())
 
     async def lost(self, endpoint: Endpoint, running_ms: float | None, sent_ms: float) -> bool:
@@ -149,7 +151,10 @@
 
         Only an answer without length or chunks leaves that open.
         """
-        if head.unframed and await self._detector.has_ended(endpoint):
+        if not head.unframed:
+            return
+        self._may_have_crashed, certain = await self._detector.after_end(endpoint)
+        if certain:
             raise ConnectionLostError("the endpoint terminated as the answer ended")
 
     def refused(self, sends: int) -> None:
--- a/packages/gateway/src/tamarack_gateway/termination_detector.py
+++ b/packages/gateway/src/tamarack_gateway/termination_detector.py
@@ -153,13 +153,18 @@
         check.lost.append(_BrokenAnswer(aboard, now_ms, sent_ms))
         return await asyncio.shield(check.task)
 
-    async def has_ended(self, endpoint: Endpoint) -> bool:
-        """Whether an endpoint refuses connections just after an answer of it ended.
-
-        An endpoint that closes a new connection may be full, and is not taken for ended.
+    async def after_end(self, endpoint: Endpoint) -> tuple[bool, bool]:
+        """Check an endpoint just after an answer of it ended with its connection.
+
+        Returns
+        -------
+        tuple of bool
+            Whether it may have terminated, and whether that is certain, as it refuses connections:
+            one that closes a new connection may be full.
         """
         check = self._checks.get(endpoint.key) or self._begin(endpoint, self._state.clock.now_ms)
-        return await asyncio.shield(check.task) and check.refused
+        terminated = await asyncio.shield(check.task)
+        return terminated, terminated and check.refused
 
     async def close(self) -> None:
         """Cancel all checks."""
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from types import TracebackType
+
 import pytest
 from gateway_site import Answer, Fleet, play
 
+from tamarack_standins.fault_proxy import FaultProxy
 from tamarack_standins.platform_worker import PlatformWorker, Script
 
 WHOLE = Script(events=4, unframed=True)
@@ -81,3 +84,42 @@
             assert (await fleet.ask("/page/x")).status == 502
 
     play(run())
+
+
+class ProxiedWorker(PlatformWorker):
+    """A worker behind a proxy, which accepts connections also when the worker has crashed."""
+
+    async def __aenter__(self) -> PlatformWorker:
+        await super().__aenter__()
+        self._link = FaultProxy(self.address)
+        await self._link.__aenter__()
+        self.address = self._link.address
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self._link.__aexit__(kind, error, traceback)
+        await super().__aexit__(kind, error, traceback)
+
+
+def test_an_answer_that_ended_with_its_endpoint_clears_no_suspicion(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against a request that crashes endpoints and is cleared by an answer that it cut."""
+
+    async def run() -> None:
+        workers = [ProxiedWorker("w1"), ProxiedWorker("w2")]
+        scripts = [CRASHES._replace(unframed=False), CRASHES]
+        for worker in workers:
+            worker._scripts = scripts
+        async with Fleet({"pool": list(workers)}) as fleet:
+            for _ in workers:
+                await fleet.ask("/rewrite/x")
+            assert [len(worker.received) for worker in workers] == [1, 1]
+
+    play(run())
+    assert "request cleared" not in capfd.readouterr().err
