--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -1,12 +1,13 @@
 """Seeded soak test of the platform's path: real router processes with injected faults.
 
-Routers are killed, stopped, paused and restarted by signals, singly, all at once and in turn; their
-connections to the store and to workers are delayed, reset, or blocked in one or both directions by
-proxies; the store stops responding, refuses calls, loses answers, drops its history and returns to
-a copy of itself; workers fail in every scripted way, request rest, leave, are replaced, also by
-other software versions, and restart under their names; a zone's workers return cold together; zones
-are evacuated and restored; requests, and blocks of their prompts, crash the workers that run them;
-keys are revoked; rows are overwritten with invalid values. Some callers read slowly.
+Routers are killed, stopped, paused, frozen and restarted by signals, singly, all at once and in
+turn, also while another one is cut off or the store returns to a copy; their connections to the
+store and to workers are delayed, reset, or blocked in one or both directions by proxies; the store
+stops responding, refuses calls, loses answers, drops its history and returns to a copy of itself;
+workers fail in every scripted way, spoil events, request rest, leave, are replaced, also by other
+software versions, and restart under their names; a zone's workers return cold together; zones are
+evacuated and restored; requests, and blocks of their prompts, crash the workers that run them; keys
+are revoked; rows are overwritten with invalid values. Some callers read slowly or send large heads.
 Meanwhile, callers and workers check the promises.
 """
 
@@ -105,7 +106,7 @@
         self.counts: Counter[str] = Counter()
         self.broken: list[str] = []
         self._calls = SoakCalls(self.random, self.counts, self.broken)
-        self._notices = NoticeChecks(self._calls)
+        self._notices = NoticeChecks(self._calls, self._fault_free_s)
         self._calls.on_leaving = self._notices.told_leaving
         self._losses = LossChecks(GRACE_S)
         self._slow = SlowCallers(
@@ -186,6 +187,7 @@
             self.broken.append("no request was served")
         self.broken += self.ends.broken() + self._domains.broken + self._losses.broken()
         self.broken += self._notices.broken(self._routers.learned_s)
+        self.broken += self._routers.failed_tasks()
         self.counts["slow lost"] = len(self._losses.broken())
         self.counts["rests requested"] = self._notices.rests
         self.counts["leaving known"] = self._notices.departures
@@ -243,10 +245,22 @@
 
     async def _faults(self) -> None:
         fleet = self._routers
-        routers = (fleet.kill, fleet.kill_all, fleet.terminate, fleet.roll, fleet.pause)
-        links = (fleet.hang_up, fleet.disturb_link, self._workers.disturb_link)
-        rows = StoreFaults(self._store, self.random, self._workers, self._configure)
-        store = (rows.disturb, self._store.forget_history, rows.restore, self._revoke)
+        ends = (fleet.kill, fleet.kill_all, fleet.terminate, fleet.roll)
+        routers = (*ends, fleet.pause, fleet.freeze)
+        links = (
+            fleet.hang_up,
+            fleet.disturb_link,
+            fleet.cut_off_and_kill,
+            self._workers.disturb_link,
+        )
+        rows = StoreFaults(self._store, self.random, self._workers, self._configure, fleet.kill)
+        store = (
+            rows.disturb,
+            self._store.forget_history,
+            rows.restore,
+            rows.start_during_restore,
+            self._revoke,
+        )
         workers = (
             self._workers.spoil_worker,
             self._workers.overload_worker,
