Routers wake less while they have nothing to learn

Change: checks are 250 and 500 ms apart while there is nothing to learn; versions are told with a summary if they changed, or once a second.

--- a/packages/gateway/src/tamarack_gateway/briefing.py
+++ b/packages/gateway/src/tamarack_gateway/briefing.py
@@ -21,7 +21,9 @@
 that they have in force, and the epoch of the store that is settled."""
 
 STEP_MS = 50.0
-"""Time between two checks for something to ask."""
+IDLE_STEP_MS = 250.0
+"""Time between two checks for something to ask, and while there is nothing to learn: each check
+wakes the event loop."""
 
 ASK_GAP_MS = 200.0
 ASK_GAP_PER_ROUTER_MS = 5.0
@@ -170,13 +172,18 @@
     async def run(self) -> None:
         """Ask while there is something to learn; runs until cancelled."""
         while True:
-            await asyncio.sleep(STEP_MS / 1000)
+            await asyncio.sleep((STEP_MS if self._may_learn else IDLE_STEP_MS) / 1000)
             now_ms = self._state.clock.now_ms
             if self._is_due(now_ms):
                 self._asked, self._asked_ms = self._asked + 1, now_ms
                 router = self._state.settings.router
                 self._publish(BriefingQuery(router, self._asked, self._version))
 
+    @property
+    def _may_learn(self) -> bool:
+        behind = self._version < self._configuration.newest_told
+        return behind or not self._epoch.known or self._epoch.catching_up
+
     def _is_due(self, now_ms: float) -> bool:
         if self._version >= self._configuration.newest_told:
             self._behind_since_ms = None
--- a/packages/gateway/src/tamarack_gateway/peer_group.py
+++ b/packages/gateway/src/tamarack_gateway/peer_group.py
@@ -54,6 +54,9 @@
 VERSIONS_MS = 200.0
 """Minimum time between two messages with the versions of the followed tables."""
 
+UNCHANGED_VERSIONS_MS = 1_000.0
+"""The same in a small fleet while they do not change."""
+
 PLAN_CHECK_MS = 100.0
 """Time between two checks of the relay plan."""
 
@@ -150,6 +153,7 @@
         self._collector = RelayCollector(router)
         self._heard_versions: dict[str, int] = {}
         self._last_versions_ms = float("-inf")
+        self._told_versions: dict[str, int] = {}
         self._relay_task: OwnedTask | None = None
         self._last_relay_ms = float("-inf")
         self._last_summary_ms = float("-inf")
@@ -258,11 +262,14 @@
 
     def _due_versions(self, now_ms: float, with_summary: bool) -> list[TableVersions]:
         # In a small fleet each router reads the tables itself, unless the store has lost a change.
-        due = now_ms - self._last_versions_ms >= VERSIONS_MS if self._plan.large else with_summary
-        if not due:
+        if not (self._plan.large or with_summary):
+            return []
+        versions, elapsed_ms = self._versions(), now_ms - self._last_versions_ms
+        gap_ms = VERSIONS_MS if self._plan.large else UNCHANGED_VERSIONS_MS
+        if elapsed_ms < gap_ms and (self._plan.large or versions == self._told_versions):
             return []
-        self._last_versions_ms = now_ms
-        return [TableVersions(self._versions())]
+        self._last_versions_ms, self._told_versions = now_ms, versions
+        return [TableVersions(versions)]
 
     def _receive(self, topic: bytes, message: Any) -> None:
         if isinstance(message, Report):
--- a/packages/gateway/src/tamarack_gateway/suspect_records.py
+++ b/packages/gateway/src/tamarack_gateway/suspect_records.py
@@ -14,8 +14,10 @@
 KEY = "suspects"
 """Key of the row; its owner writes it, for all routers have the same evidence."""
 
-STEP_MS = 100.0
-"""Time between two checks for something to read or write."""
+START_STEP_MS = 100.0
+STEP_MS = 500.0
+"""Time between two checks until the row has been read, and from then on for something to write:
+each check wakes the event loop."""
 
 RETRY_MS = 1_000.0
 """Time after a failed call until the next one."""
@@ -54,7 +56,7 @@
         """Read and write until cancelled."""
         state = self._state
         while True:
-            await asyncio.sleep(STEP_MS / 1000)
+            await asyncio.sleep((STEP_MS if self._read else START_STEP_MS) / 1000)
             if not state.fresh or state.clock.now_ms < self._wait_until_ms:
                 continue
             if not self._read:
