A stream's software version counts from its first event

Callers saw (reported of a similar system; shown here by a test): streams that were taken up after the loss of all routers were answered 200 and joined from two versions.

Cause: OriginFeed recorded, told and wrote where an attempt was sent. An attempt that is rejected before its first event may be sent again at another version. A row of the store is up to a second old, so that the routers that start read the first send and go on there, reason "known". A router that is cut off between the two sends does the same.

Change: the version is recorded, told and written with the first event. From then on it never changes, so that old knowledge may be missing, not wrong.

Evidence: the three tests of a rejected first send fail on the code before (7 of 7 streams that began at their second send are joined in the first two) and pass now; the two of streams that are taken up at their second send pass before and after.

--- a/packages/core/src/tamarack_core/software_versions.py
+++ b/packages/core/src/tamarack_core/software_versions.py
@@ -70,7 +70,7 @@
             self.on_uncertain(service)
 
     def see(self, service: str, version: str) -> None:
-        """Record that another router has sent requests to endpoints of a version."""
+        """Record that streams of another router have begun at endpoints of a version."""
         if version in self._listed.get(service, ()):
             self._seen_ms.setdefault(service, {})[version] = self._clock.now_ms
             return
--- a/packages/core/src/tamarack_core/stream_origins.py
+++ b/packages/core/src/tamarack_core/stream_origins.py
@@ -19,7 +19,7 @@
 
 @message(71)
 class BegunStreams(NamedTuple):
-    """Attempts that were sent to endpoints of one software version of a service."""
+    """Attempts whose streams began at endpoints of one software version of a service."""
 
     service: str
     software_version: str
@@ -110,7 +110,7 @@
         return len(self._own) + len(self._told)
 
     def record_own(self, attempt: str, origin: Origin) -> bool:
-        """Record where an attempt is sent by this router; returns whether that is new."""
+        """Record where a stream of this router began; returns whether that is new."""
         if self._own.get(attempt) == origin:
             return False
         self._own[attempt] = origin
@@ -135,5 +135,5 @@
         return [one for one in self._own.items() if not self._ended.get(one[0])]
 
     def own_attempts(self, service: str) -> list[tuple[str, Origin]]:
-        """Attempts that this router has sent to endpoints of a service."""
+        """Attempts of this router whose streams began at endpoints of a service."""
         return [one for one in self._own.items() if one[1].service == service]
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -254,8 +254,6 @@
             placement, self._route, self._sends, self._left_ms, self._splitter.last
         )
         self._recorder.sent(choice)
-        if self._route.resumable:
-            self._origins.sent(self._facts.attempt, endpoint)
         self._request_quarantine.sent(endpoint)
         self._first_event_ms = self._relay = None
         sent_ms = state.clock.now_ms
@@ -338,6 +336,8 @@
             self._first_event_ms = clock.now_ms
             self._duration_estimate.began(clock.now_ms, resumed_after)
             self._selector.software_version = choice.endpoint.software_version
+            if self._route.resumable:
+                self._origins.began(self._facts.attempt, choice.endpoint)
             self._recorder.first_event(choice)
 
         self._relay = relay = EventRelay(
--- a/packages/gateway/src/tamarack_gateway/origin_feed.py
+++ b/packages/gateway/src/tamarack_gateway/origin_feed.py
@@ -69,9 +69,11 @@
 class OriginFeed:
     """Remembers where streams began, tells the other routers, and asks them.
 
-    Each router tells the others of its streams before their first events arrive, so that callers
-    can go on with them at any router after this one has stopped. It does so while a service has one
-    software version, too: a router that ends before the second one comes cannot tell any more.
+    Each router tells the others of its streams with their first events, so that callers can go on
+    with them at any router after this one has stopped. It does so while a service has one software
+    version, too: a router that ends before the second one comes cannot tell any more. Nothing is
+    told of an attempt before its first event: until then it may be sent again at another version,
+    and whoever missed the second message would go on at the first.
 
     Parameters
     ----------
@@ -113,8 +115,8 @@
         """Number of streams whose origin is remembered, and of questions to other routers."""
         return {"stream_origins": len(self._origins), "stream_origins_asked": self._asked}
 
-    def sent(self, attempt: str, endpoint: Endpoint) -> None:
-        """Record that an attempt, whose stream may be taken up, is sent to an endpoint."""
+    def began(self, attempt: str, endpoint: Endpoint) -> None:
+        """Record the first event of an attempt, whose stream may be taken up, at an endpoint."""
         if len(attempt) > MAX_ATTEMPT_LENGTH:
             return
         origin = Origin(endpoint.service, endpoint.software_version)
--- a/packages/gateway/src/tamarack_gateway/outbox.py
+++ b/packages/gateway/src/tamarack_gateway/outbox.py
@@ -165,7 +165,7 @@
         self._sum.add_seen(Seen(key.name, round(wait_ms, 1), round(pace, 2), key.life))
 
     def began(self, attempt: str, origin: Origin) -> None:
-        """Record where an attempt is sent, whose stream may be taken up at another router."""
+        """Record where a stream began that may be taken up at another router."""
         self._pending_event.set()
         self._begun[attempt] = origin
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -12,11 +12,13 @@
     STREAMS,
     Stream,
     begin_streams,
+    begun_after,
     end_one_of_each,
     engines,
     later_routers,
     mixed,
     of_version,
+    rejecting_fleet,
     remembered,
     send_once,
     take_all_up,
@@ -298,6 +300,48 @@
     play(scenario())
 
 
+# a stream that begins at its second send
+
+
+def test_a_router_cut_off_between_two_sends_does_not_go_on_at_the_first() -> None:
+    """Guards against a router that takes what it was told of a rejected send for the origin."""
+
+    async def scenario() -> None:
+        async with rejecting_fleet(routers=1, after_s=0.5) as (fleet, first):
+            (cut_off,) = fleet.others
+            begun = asyncio.ensure_future(begin_streams(fleet))
+            await until(lambda: len(first.received) > 0)
+            # The report that tells of the send has arrived; from now on it hears nothing.
+            await asyncio.sleep(0.2)
+            cut_off._peers._on_begun = lambda begun: None
+            cut_off._inbox.receive_notice = lambda notice: None
+            cut_off._peers._on_notice = lambda notice: None
+            streams = begun_after(first, await begun)
+            assert streams and all(set(stream.versions) == {"v2"} for stream in streams)
+            await take_all_up(streams, at=cut_off)
+            assert mixed(streams) == []
+
+    play(scenario())
+
+
+@pytest.mark.parametrize("held_s", [0.0, 0.5])
+def test_streams_that_began_at_their_second_send_are_taken_up_there(held_s: float) -> None:
+    """Guards against streams that nobody knows, as only their first sends were told."""
+
+    async def scenario() -> None:
+        async with rejecting_fleet(routers=1, after_s=held_s) as (fleet, first):
+            streams = begun_after(first, await begin_streams(fleet))
+            assert streams
+            (other,) = fleet.others
+            await until(lambda: remembered(other) >= len(streams))
+            await fleet.gateway.__aexit__(None, None, None)
+            await take_all_up(streams, at=other)
+            assert mixed(streams) == []
+            assert all(stream.whole for stream in streams)
+
+    play(scenario())
+
+
 # all routers lost
 
 
@@ -343,6 +387,49 @@
     play(scenario())
 
 
+def test_a_row_does_not_name_the_version_of_a_send_that_was_rejected() -> None:
+    """Guards against a stream that goes on at the version of a first send that was rejected."""
+
+    async def scenario() -> None:
+        async with rejecting_fleet(after_s=0.5) as (fleet, first):
+            async with fleet.router("router-9") as ended:
+                await until(lambda: ended.state.ready)
+                streams = await begin_streams(fleet, at=ended)
+                await fleet.gateway.__aexit__(None, None, None)
+            streams = begun_after(first, streams)
+            assert streams and all(set(stream.versions) == {"v2"} for stream in streams)
+            async with fleet.router("router-10") as started:
+                await until(lambda: started.state.ready)
+                await take_all_up(streams, at=started)
+                assert mixed(streams) == []
+
+    play(scenario())
+
+
+def test_a_row_names_the_version_at_which_a_rejected_stream_began() -> None:
+    """Guards against streams that are refused for good, as they were first sent elsewhere."""
+
+    async def scenario() -> None:
+        async with rejecting_fleet(after_s=0.1) as (fleet, first):
+            async with fleet.router("router-9") as ended:
+                await until(lambda: ended.state.ready)
+                streams = begun_after(first, await begin_streams(fleet, at=ended))
+                assert streams
+                names = [f'"{stream.first}"'.encode() for stream in streams]
+                recorded = fleet.store.rows
+                await until(
+                    lambda: all(name in recorded("versions").get("router-9", b"") for name in names)
+                )
+                await fleet.gateway.__aexit__(None, None, None)
+            async with fleet.router("router-10") as started:
+                await until(lambda: started.state.ready)
+                await take_all_up(streams, at=started)
+                assert mixed(streams) == []
+                assert all(stream.whole for stream in streams)
+
+    play(scenario())
+
+
 def test_a_row_that_the_store_lost_with_a_restore_is_written_again() -> None:
     """Failure: the store returns to a copy without a version, and all routers are lost after it."""
 
--- a/tests/versioned_pool.py
+++ b/tests/versioned_pool.py
@@ -26,9 +26,12 @@
     ----------
     breaks_after
         Event after which a stream breaks off; one that goes on after it is completed.
+    rejects_after_s
+        Time in seconds after which it rejects new streams as not run; None if it accepts them.
     """
 
     breaks_after = BREAK_AFTER
+    rejects_after_s: float | None = None
 
     @property
     def resumed(self) -> int:
@@ -36,6 +39,8 @@
         return sum("last-event-id" in received.headers for received in self.received)
 
     def _next_script(self, received: ReceivedRequest) -> Script:
+        if self.rejects_after_s is not None and "last-event-id" not in received.headers:
+            return Script(status=503, not_run=True, pause_s=self.rejects_after_s)
         whole = Script(events=EVENTS, tells_version=True)
         if int(received.headers.get("last-event-id", "0")) >= self.breaks_after:
             return whole
@@ -62,21 +67,21 @@
     def __init__(self, number: int, fleet: Fleet) -> None:
         self._fleet = fleet
         self._prompt = {"X_Prompt_Prefix": f"{number:x}:200,b:100"}
-        self._first = f"stream{number}"
+        self.first = f"stream{number}"
         self._attempts = 0
         self.answers: list[Answer] = []
 
     async def begin(self, *, at: Gateway | None = None) -> Stream:
         """Send the first attempt."""
-        await self._send(at, X_Attempt_Id=self._first)
+        await self._send(at, X_Attempt_Id=self.first)
         return self
 
     async def take_up(self, *, at: Gateway | None = None, resumes: str | None = None) -> Stream:
         """Go on after the last event, as a caller whose connection has broken."""
         self._attempts += 1
-        resumes = self._first if resumes is None else resumes
+        resumes = self.first if resumes is None else resumes
         headers = {"Resumes": resumes} if resumes else {}
-        attempt = f"{self._first}-{self._attempts}"
+        attempt = f"{self.first}-{self._attempts}"
         await self._send(at, X_Attempt_Id=attempt, Last_Event_Id=str(len(self.versions)), **headers)
         return self
 
@@ -152,6 +157,19 @@
     return streams
 
 
+@contextlib.asynccontextmanager
+async def rejecting_fleet(
+    *, routers: int = 0, after_s: float
+) -> AsyncIterator[tuple[Fleet, VersionedWorker]]:
+    """A fleet with an engine of v1 that rejects new streams, which then begin at one of v2."""
+    first, second = engines(v1=1, v2=1)
+    first.rejects_after_s = after_s
+    async with Fleet({"pool": [first, second]}) as fleet:
+        await fleet.add_routers(routers)
+        await fleet.until_acquainted()
+        yield fleet, first
+
+
 async def end_one_of_each(fleet: Fleet, pool: list[VersionedWorker]) -> None:
     """End the first engine of each version, so that its streams have to go on elsewhere."""
     for worker in pool:
@@ -160,6 +178,12 @@
             await fleet.store.remove("servers", worker.name)
 
 
+def begun_after(worker: VersionedWorker, streams: list[Stream]) -> list[Stream]:
+    """Those of some streams that a worker has rejected, and that have begun at another one."""
+    rejected = {received.headers["x-attempt-id"] for received in worker.received}
+    return [stream for stream in streams if stream.first in rejected and stream.versions]
+
+
 async def take_all_up(
     streams: list[Stream], *, at: Gateway | None = None, resumes: str | None = None
 ) -> None:
