Streams stand in the store while there is one version, too

Callers would see (shown by a test): all routers are lost while a service has one version, the second one comes before they are back, and every stream is refused at every router.

Change: a router's row names its streams at all times.

Evidence: the new test fails without the change (no stream goes on) and passes with it.

--- a/packages/gateway/src/tamarack_gateway/origin_feed.py
+++ b/packages/gateway/src/tamarack_gateway/origin_feed.py
@@ -128,10 +128,8 @@
         self._origins.record_ended(attempt)
 
     def open_streams(self, count: int) -> dict[str, Origin]:
-        """The newest streams that callers may take up, of services with several versions."""
-        several = {s for s in self._state.software_versions.services if self._sole(s) is None}
-        told = [one for one in self._origins.open_attempts() if one[1].service in several]
-        return dict(told[-count:])
+        """The newest streams that callers may take up."""
+        return dict(self._origins.open_attempts()[-count:])
 
     def receive(self, message: BegunStreams | OriginQuery | OriginAnswer) -> None:
         """Apply a message of another router."""
--- a/packages/gateway/src/tamarack_gateway/origin_records.py
+++ b/packages/gateway/src/tamarack_gateway/origin_records.py
@@ -23,9 +23,11 @@
 """Time after a failed call until the next one."""
 
 STREAMS_GAP_MS = 1_000.0
+SEVERAL_GAP_MS = 500.0
 STREAMS_GAP_PER_ROUTER_MS = 10.0
-"""Minimum time between two writes of streams, in any fleet and for each of its routers: the store
-takes a few hundred writes a second from all of them, and these are to be a hundred at most."""
+"""Minimum time between two writes of streams, in any fleet, while a service has several versions,
+and for each router: the store takes a few hundred writes a second from all of them, and these are
+to be a hundred at most. While a service has one version, most streams go on without their row."""
 
 MAX_STREAMS = 1_000
 """Maximum number of streams in a row, the newest ones; it then has about 20 kB of at most 64."""
@@ -39,7 +41,8 @@
     versions
         Software versions by service at which streams may have begun that still go on.
     streams
-        Streams that this router has begun, while their service has several versions.
+        Streams that this router has begun and callers may take up. They are recorded while their
+        service has one version, too: the second may come while all routers are down.
     settled
         Epoch of the store, once everything that its beginning has lost counts as written again.
     """
@@ -138,7 +141,8 @@
             self._briefing.versions[SETTLED_EPOCH],
         )
         per_router_ms = STREAMS_GAP_PER_ROUTER_MS * self._state.allowance.routers
-        gap_ms = max(STREAMS_GAP_MS, per_router_ms)
+        several = any(map(versions.several, versions.services))
+        gap_ms = max(SEVERAL_GAP_MS if several else STREAMS_GAP_MS, per_router_ms)
         recent = self._state.clock.now_ms - self._written_ms < gap_ms
         if row == self._written or (recent and row.versions == self._written.versions):
             return None
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -22,6 +22,7 @@
     remembered,
     send_once,
     take_all_up,
+    until_recorded,
     versioned_fleet,
 )
 
@@ -371,11 +372,7 @@
             async with fleet.router("router-9") as ended:
                 await until(lambda: ended.state.ready)
                 streams = await begin_streams(fleet, at=ended)
-                names = [f'"stream{number}"'.encode() for number in range(STREAMS)]
-                recorded = fleet.store.rows
-                await until(
-                    lambda: all(name in recorded("versions").get("router-9", b"") for name in names)
-                )
+                await until_recorded(fleet, "router-9", streams)
                 await fleet.gateway.__aexit__(None, None, None)
             await end_one_of_each(fleet, pool)
             async with fleet.router("router-10") as started:
@@ -387,6 +384,32 @@
     play(scenario())
 
 
+def test_streams_of_one_version_are_taken_up_after_all_routers_were_lost_and_another_came() -> None:
+    """Guards against streams refused everywhere: the second version came while no router ran."""
+
+    async def scenario() -> None:
+        pool, newer = engines(v1=2), engines(v2=1)
+        async with Fleet({"pool": pool}) as fleet:
+            await send_once(fleet)
+            async with fleet.router("router-9") as ended:
+                await until(lambda: ended.state.ready)
+                streams = await begin_streams(fleet, at=ended)
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(2.0):
+                        await until_recorded(fleet, "router-9", streams)
+                await fleet.gateway.__aexit__(None, None, None)
+            for worker in newer:
+                await fleet._stack.enter_async_context(worker)
+                await fleet.store.put("servers", worker.name, worker.entry("pool"))
+            async with fleet.router("router-10") as started:
+                await until(lambda: started.state.ready)
+                await take_all_up(streams, at=started)
+                assert mixed(streams) == []
+                assert all(stream.whole for stream in streams)
+
+    play(scenario())
+
+
 def test_a_row_does_not_name_the_version_of_a_send_that_was_rejected() -> None:
     """Guards against a stream that goes on at the version of a first send that was rejected."""
 
@@ -415,11 +438,7 @@
                 await until(lambda: ended.state.ready)
                 streams = begun_after(first, await begin_streams(fleet, at=ended))
                 assert streams
-                names = [f'"{stream.first}"'.encode() for stream in streams]
-                recorded = fleet.store.rows
-                await until(
-                    lambda: all(name in recorded("versions").get("router-9", b"") for name in names)
-                )
+                await until_recorded(fleet, "router-9", streams)
                 await fleet.gateway.__aexit__(None, None, None)
             async with fleet.router("router-10") as started:
                 await until(lambda: started.state.ready)
--- a/tests/versioned_pool.py
+++ b/tests/versioned_pool.py
@@ -191,6 +191,14 @@
     await asyncio.gather(*(stream.take_up(at=at, resumes=resumes) for stream in streams))
 
 
+async def until_recorded(fleet: Fleet, router: str, streams: list[Stream]) -> None:
+    """Wait until a router's row in the store names some streams."""
+    names = [f'"{stream.first}"'.encode() for stream in streams]
+    await until(
+        lambda: all(name in fleet.store.rows("versions").get(router, b"") for name in names)
+    )
+
+
 def remembered(router: Gateway) -> int:
     """Number of streams whose origin a router remembers."""
     return router._origins.readings["stream_origins"]
