A router that takes callers keeps taking them when the store is restored

Callers saw: 503, "no configuration is known yet", from running routers for 0.15 s after the store came back from an older copy.

Cause: Briefing.complete counts the answers of the others for the store's present epoch. A new epoch clears them, and a router younger than 1.5 s counts as one that has just started.

Change: once complete, it stays complete: what it read before the restore is no older than the copy.

--- a/packages/gateway/src/tamarack_gateway/briefing.py
+++ b/packages/gateway/src/tamarack_gateway/briefing.py
@@ -102,6 +102,7 @@
         self._behind_since_ms: float | None = None
         self._answered: set[str] = set()
         self._briefed_epoch = 0
+        self._was_complete = False
         self.answers: Callable[[], bool] = lambda: True
         self.is_large: Callable[[], bool] = lambda: False
         self.on_settle: Callable[[], None] = lambda: None
@@ -121,12 +122,19 @@
     def complete(self) -> bool:
         """Whether this router knows what it may learn from others before it takes callers.
 
-        It asks only as long as the store may have been restored just before its start.
+        It asks only as long as the store may have been restored just before its start. One that
+        takes callers keeps taking them when it sees a restore: what it read before is no older.
         """
-        if not self._epoch.catching_up:
-            return True
-        age_ms = self._state.clock.now_ms - self._state.vouching.started_ms
-        return age_ms >= START_MS or self._is_answered()
+        if not self._was_complete:
+            complete = not self._epoch.catching_up or self._has_waited or self._is_answered()
+            if not self._epoch.known:
+                return complete
+            self._was_complete = complete
+        return self._was_complete
+
+    @property
+    def _has_waited(self) -> bool:
+        return self._state.clock.now_ms - self._state.vouching.started_ms >= START_MS
 
     def _is_answered(self) -> bool:
         if self._epoch.current != self._briefed_epoch:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -254,6 +254,43 @@
     play(scenario())
 
 
+def test_routers_keep_serving_by_their_configuration_when_an_older_copy_comes_back() -> None:
+    """Guards against a running router that refuses callers as if it knew no configuration."""
+
+    async def scenario() -> None:
+        async with Fleet({"web": [PlatformWorker("w1")]}) as fleet:
+            await fleet.add_routers(1)
+            await fleet.until_acquainted()
+            routers = [fleet.gateway, *fleet.others]
+            copy = fleet.store.copy()
+            for version in range(2, 8):
+                await fleet.store.put("op", "config", configuration(version))
+            await follow_all(routers, 7)
+            statuses: list[set[int]] = [set() for _ in routers]
+            over = asyncio.Event()
+
+            async def call(router: Gateway, seen: set[int]) -> None:
+                while not over.is_set():
+                    seen.add((await fleet.ask("/page/1", at=router, method="GET")).status)
+
+            calls = [
+                asyncio.ensure_future(call(*one)) for one in zip(routers, statuses, strict=True)
+            ]
+            fleet.store.silent = True
+            await asyncio.sleep(0.1)
+            await fleet.store.restore(copy)
+            fleet.store.silent = False
+            await until(lambda: all(r._feeds._epoch.current == fleet.store.era for r in routers))
+            await asyncio.sleep(0.3)
+            await fleet.store.put("op", "config", configuration(8))
+            await follow_all(routers, 8)
+            over.set()
+            await asyncio.gather(*calls)
+            assert statuses == [{200}] * 2
+
+    play(scenario())
+
+
 def test_a_copy_does_not_confirm_keys() -> None:
     """Failure: a key whose revocation the store has lost is accepted past the bound.
 
