A router of a store without epochs checks for news twice a second

Briefing._may_learn took a store that names no epoch for one that has not answered yet, so that the loop woke twenty times a second for good. Now the first read of a configuration ends that, and with nothing to learn it checks each half second. The new test fails before.

--- a/packages/gateway/src/tamarack_gateway/briefing.py
+++ b/packages/gateway/src/tamarack_gateway/briefing.py
@@ -21,7 +21,7 @@
 that they have in force, and the epoch of the store that is settled."""
 
 STEP_MS = 50.0
-IDLE_STEP_MS = 250.0
+IDLE_STEP_MS = 500.0
 """Time between two checks for something to ask, and while there is nothing to learn: each check
 wakes the event loop."""
 
@@ -190,7 +190,9 @@
     @property
     def _may_learn(self) -> bool:
         behind = self._version < self._configuration.newest_told
-        return behind or not self._epoch.known or self._epoch.catching_up
+        # Not every store names epochs.
+        unanswered = self._state.rules is None and not self._epoch.known
+        return behind or unanswered or self._epoch.catching_up
 
     def _is_due(self, now_ms: float) -> bool:
         if self._version >= self._configuration.newest_told:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -20,6 +20,7 @@
 from tamarack_gateway.table_follower import TableFollower
 from tamarack_gateway.table_messages import PublishedRow, TableNews
 from tamarack_platform.store import PlatformStore as StoreDialect
+from tamarack_standins.platform_store import PlatformStore
 from tamarack_standins.platform_worker import PlatformWorker, Script
 
 DRAIN_MS = 2_000.0
@@ -291,6 +292,23 @@
     play(scenario())
 
 
+def test_a_router_of_a_store_without_epochs_has_nothing_to_learn(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against processor time for checks twenty times a second, for good."""
+
+    async def names_no_epoch(store: PlatformStore, request: Any, response: Any) -> None:
+        pass
+
+    async def scenario() -> None:
+        async with Fleet({"web": [PlatformWorker("w1")]}) as fleet:
+            assert not fleet.gateway._feeds._epoch.known
+            assert not fleet.gateway._feeds.briefing._may_learn
+
+    monkeypatch.setattr(PlatformStore, "_name_era", names_no_epoch)
+    play(scenario())
+
+
 def test_a_copy_does_not_confirm_keys() -> None:
     """Failure: a key whose revocation the store has lost is accepted past the bound.
 
