--- a/packages/gateway/src/tamarack_gateway/outbox.py
+++ b/packages/gateway/src/tamarack_gateway/outbox.py
@@ -10,6 +10,10 @@
 from tamarack_core.prompt import PrefixBlock
 from tamarack_core.stream_origins import BegunStreams, Origin, by_origin
 
+BEGUN_GAP_MS = 100.0
+"""Longest time in milliseconds for which a begun stream waits for a report that goes out anyway: a
+report of its own wakes all routers. What has not been told is lost with this router."""
+
 
 class Placed(NamedTuple):
     """Work sent to one endpoint since the last message.
@@ -136,6 +140,7 @@
     def __init__(self) -> None:
         self._sum = PlacementSum()
         self._begun: dict[str, Origin] = {}
+        self._begun_timer: asyncio.TimerHandle | None = None
         self._pending_event = asyncio.Event()
 
     async def wait(self) -> None:
@@ -166,8 +171,10 @@
 
     def began(self, attempt: str, origin: Origin) -> None:
         """Record where a stream began that may be taken up at another router."""
-        self._pending_event.set()
         self._begun[attempt] = origin
+        if self._begun_timer is None:
+            loop = asyncio.get_running_loop()
+            self._begun_timer = loop.call_later(BEGUN_GAP_MS / 1000, self._pending_event.set)
 
     def take(self) -> Placements | None:
         """Return and reset the placements; None if there were none."""
@@ -176,4 +183,7 @@
     def take_begun(self) -> list[BegunStreams]:
         """Return and reset the begun streams."""
         begun, self._begun = by_origin(self._begun), {}
+        if self._begun_timer is not None:
+            self._begun_timer.cancel()
+            self._begun_timer = None
         return begun
