Rows of streams are built when they are due, and new versions are written at once

Now it wakes when a write is due, when a version appears, when its view lapses and when the store was restored, and keeps its connection. That a new version is written at once also narrows the time in which its streams could begin before any row names it, from 100 ms to some 10.

Evidence: test_each_new_version_is_told_at_once; without the wake-up at a restore two tests of test_restored_store fail (a router that starts takes the empty table for a store that no router has used).

--- a/packages/core/src/tamarack_core/software_versions.py
+++ b/packages/core/src/tamarack_core/software_versions.py
@@ -33,6 +33,8 @@
     on_uncertain
         Called with a service of which a second version has appeared, or whose only version is no
         longer certain.
+    on_change
+        Called when a version has appeared, or when the view is no longer complete.
     """
 
     def __init__(self, clock: Clock, retention_ms: Callable[[], float]) -> None:
@@ -43,6 +45,7 @@
         self._seen_ms: dict[str, dict[str, float]] = {}
         self._listed: Mapping[str, Collection[str]] = {}
         self.on_uncertain: Callable[[str], None] = _ignore
+        self.on_change: Callable[[], None] = _do_nothing
 
     def update(self, listed: Mapping[str, Collection[str]]) -> None:
         """Apply the versions of all listed endpoints, by service."""
@@ -68,6 +71,7 @@
         self._since_ms = now_ms
         for service in certain:
             self.on_uncertain(service)
+        self.on_change()
 
     def see(self, service: str, version: str) -> None:
         """Record that streams of another router have begun at endpoints of a version."""
@@ -123,7 +127,10 @@
         )
 
     def _compare(self, service: str, before: set[str], versions: Collection[str]) -> None:
-        if len(before) == 1 and not before.issuperset(versions):
+        if before.issuperset(versions):
+            return
+        self.on_change()
+        if len(before) == 1:
             self.on_uncertain(service)
 
     def _forget(self, now_ms: float) -> None:
@@ -138,3 +145,7 @@
 
 def _ignore(service: str) -> None:
     """Default of `SoftwareVersions.on_uncertain`: does nothing."""
+
+
+def _do_nothing() -> None:
+    """Default of `SoftwareVersions.on_change`."""
--- a/packages/core/src/tamarack_core/stream_origins.py
+++ b/packages/core/src/tamarack_core/stream_origins.py
@@ -132,7 +132,8 @@
 
     def open_attempts(self) -> list[tuple[str, Origin]]:
         """Attempts of this router whose streams callers may take up, the newest last."""
-        return [one for one in self._own.items() if not self._ended.get(one[0])]
+        ended = dict(self._ended.items())
+        return [one for one in self._own.items() if one[0] not in ended]
 
     def own_attempts(self, service: str) -> list[tuple[str, Origin]]:
         """Attempts of this router whose streams began at endpoints of a service."""
--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -97,6 +97,11 @@
         Called with questions for other routers, and with answers to theirs.
     tasks
         Owns the tasks that follow the store; an owner of its own by default.
+
+    Attributes
+    ----------
+    on_restore
+        Called when the store has been restored from a copy.
     """
 
     def __init__(
@@ -137,6 +142,7 @@
         self._briefing = Briefing(state, self._epoch, self._configuration, publish=ask)
         self._briefing.on_settle = self._on_settle
         self._timers: list[asyncio.TimerHandle] = []
+        self.on_restore: Callable[[], None] = _do_nothing
 
     def start(self, peers_address: str, boot: int) -> None:
         """Start to follow all tables, and add this router to the list of routers."""
@@ -287,6 +293,7 @@
             "store restored from a copy", epoch=self._epoch.current, versions=versions
         )
         self._state.registry.record_restore(self._state.clock.now_ms)
+        self.on_restore()
         loop = asyncio.get_running_loop()
         # The answer that told of the restore is being read by one of these calls.
         loop.call_soon(self._restart_calls)
@@ -390,3 +397,7 @@
             self._state.unreadable.note(RowKind.ROUTER, row.key, row.version, str(error))
             return None
         return Peer(row.key, address, listed.get("failure_domain", ""))
+
+
+def _do_nothing() -> None:
+    """Default of `FleetFeeds.on_restore`."""
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -165,6 +165,7 @@
         records = OriginRecords(
             self._state, self._origins, self._feeds.clients, table, self._feeds.briefing
         )
+        self._feeds.on_restore = records.check_soon
         suspects = SuspectRecords(self._state, self._feeds.clients, self._site.tables.suspects)
         start = self._tasks.start
         self._loops = [
--- a/packages/gateway/src/tamarack_gateway/origin_records.py
+++ b/packages/gateway/src/tamarack_gateway/origin_records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import msgspec
 
@@ -16,8 +17,8 @@
 
 STEP_MS = 100.0
 START_STEP_MS = 20.0
-"""Time between two checks for something to read or write, and before the first read: a router that
-has just started takes no callers before it."""
+"""Minimum time between two checks for something to read or write, and time before the first read: a
+router that has just started takes no callers before it."""
 
 RETRY_MS = 1_000.0
 """Time after a failed call until the next one."""
@@ -69,6 +70,7 @@
         self._state = state
         self._feed = feed
         self._clients = clients
+        self._client = clients.create()
         self._table = table
         self._briefing = briefing
         self._has_read = False
@@ -76,12 +78,18 @@
         self._written_ms = float("-inf")
         self._written_epoch = 0
         self._retry_ms = float("-inf")
+        self._changed = asyncio.Event()
+        state.software_versions.on_change = self.check_soon
+
+    def check_soon(self) -> None:
+        """Read or write at once: a version has appeared, or the store may have lost the row."""
+        self._changed.set()
 
     async def run(self) -> None:
         """Read and write until cancelled."""
         state = self._state
         while True:
-            await asyncio.sleep((STEP_MS if self._has_read else START_STEP_MS) / 1000)
+            await self._next_check()
             in_touch = state.fresh or not self._has_read
             if not (state.endpoints_known and in_touch) or state.clock.now_ms < self._retry_ms:
                 continue
@@ -90,6 +98,18 @@
             elif (row := self._row()) is not None:
                 await self._write(row)
 
+    async def _next_check(self) -> None:
+        """Wait until there may be something to read or write: at once if a version has appeared."""
+        wait_ms = START_STEP_MS
+        if self._has_read:
+            due_ms = self._streams_due_ms - self._state.clock.now_ms
+            complete = self._state.software_versions.complete
+            wait_ms = min(max(STEP_MS, due_ms), STREAMS_GAP_MS) if complete else STEP_MS
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_ms / 1000):
+                await self._changed.wait()
+        self._changed.clear()
+
     async def _recover(self) -> None:
         rows = await self._clients.read(self._table)
         if rows is None:
@@ -135,24 +155,32 @@
         if self._clients.epoch != self._written_epoch:
             # The store may have lost the row.
             self._written = _Fields({})
-        row = _Fields(
-            {service: sorted(versions.recent(service)) for service in sorted(versions.services)},
-            by_origin(self._feed.open_streams(MAX_STREAMS)),
-            self._briefing.versions[SETTLED_EPOCH],
-        )
+        recent = {
+            service: sorted(versions.recent(service)) for service in sorted(versions.services)
+        }
+        is_due = self._state.clock.now_ms >= self._streams_due_ms
+        if recent == self._written.versions and not is_due:
+            return None
+        streams = by_origin(self._feed.open_streams(MAX_STREAMS))
+        row = _Fields(recent, streams, self._briefing.versions[SETTLED_EPOCH])
+        return None if row == self._written else row
+
+    @property
+    def _streams_due_ms(self) -> float:
+        """Time from which streams may be written again."""
+        versions = self._state.software_versions
         per_router_ms = STREAMS_GAP_PER_ROUTER_MS * self._state.allowance.routers
         several = any(map(versions.several, versions.services))
         gap_ms = max(SEVERAL_GAP_MS if several else STREAMS_GAP_MS, per_router_ms)
-        recent = self._state.clock.now_ms - self._written_ms < gap_ms
-        if row == self._written or (recent and row.versions == self._written.versions):
-            return None
-        return row
+        return self._written_ms + gap_ms
 
     async def _write(self, row: _Fields) -> None:
         now_ms, epoch = self._state.clock.now_ms, self._clients.epoch
         value = msgspec.json.encode(row)
         router = self._state.settings.router
-        if await self._clients.write(self._table, router, value, what="software versions"):
+        if await self._clients.write(
+            self._table, router, value, what="software versions", client=self._client
+        ):
             self._written, self._written_ms, self._written_epoch = row, now_ms, epoch
         else:
             self._retry_ms = self._state.clock.now_ms + RETRY_MS
--- a/packages/gateway/src/tamarack_gateway/store_clients.py
+++ b/packages/gateway/src/tamarack_gateway/store_clients.py
@@ -62,19 +62,29 @@
         finally:
             self._release(client)
 
-    async def write(self, table: str, key: str, value: bytes | None, *, what: str) -> bool:
+    async def write(
+        self,
+        table: str,
+        key: str,
+        value: bytes | None,
+        *,
+        what: str,
+        client: StoreClient | None = None,
+    ) -> bool:
         """Write or remove one row; returns whether that succeeded.
 
-        `what` names the row in the log.
+        `what` names the row in the log. Without a client of the caller's, the call has a connection
+        of its own.
         """
-        client = self.create()
+        used = client or self.create()
         try:
-            await client.call(self._dialect.write(table, key, value))
+            await used.call(self._dialect.write(table, key, value))
         except StoreError as error:
             self._state.log.event(f"writing {what} failed", reason=str(error), row=key)
             return False
         finally:
-            self._release(client)
+            if client is None:
+                self._release(used)
         return True
 
     def close(self) -> None:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -151,6 +151,23 @@
 # what is remembered
 
 
+def test_each_new_version_is_told_at_once() -> None:
+    """Guards against streams of a version that no row names yet when all routers are lost."""
+    clock = ManualClock()
+    versions = SoftwareVersions(clock, lambda: RETENTION_MS)
+    changes: list[int] = []
+    versions.on_change = lambda: changes.append(1)
+    for number, listed in enumerate(({"v1"}, {"v1"}, {"v1", "v2"}, {"v2"}, {"v2", "v3"})):
+        versions.update({"pool": listed})
+        assert len(changes) == (1, 1, 2, 2, 3)[number]
+    versions.see("pool", "v1")
+    assert len(changes) == 3
+    versions.see("pool", "v4")
+    assert len(changes) == 4
+    versions.observe(in_touch=False)
+    assert len(changes) == 5
+
+
 def test_an_origin_is_remembered_for_as_long_as_its_stream_may_go_on() -> None:
     """Failure: a stream's version is forgotten before its caller takes it up."""
     clock = ManualClock()
