A soak's workers listen where no connection can get their port

Workers now have addresses of the soak's claimed range, below those. The test holds the ports against the kernel's range and starts a worker again at its address. The test of a worker without an incarnation names its whole address in place of its port.

--- a/packages/standins/src/tamarack_standins/claimed_ports.py
+++ b/packages/standins/src/tamarack_standins/claimed_ports.py
@@ -9,6 +9,9 @@
 RANGES = 5_000
 """First port, and number of ranges of two ports; all lie below those that connections get."""
 
+WORKER_HOSTS = range(100, 250)
+"""Loopback addresses of workers; routers have the ones below."""
+
 HOSTS = 200
 """Number of loopback networks over which the ranges are spread."""
 
@@ -53,3 +56,8 @@
     def host(self, number: int) -> str:
         """Loopback address of one member; number 1 is the guard's."""
         return f"127.0.{1 + self.first % HOSTS}.{number}"
+
+    def worker(self, number: int) -> str:
+        """Address of a worker as `IP:PORT`; no connection gets its port while the worker is down."""
+        again, place = divmod(number, len(WORKER_HOSTS))
+        return f"{self.host(WORKER_HOSTS[place])}:{self.first + again}"
--- a/packages/standins/src/tamarack_standins/platform_soak.py
+++ b/packages/standins/src/tamarack_standins/platform_soak.py
@@ -115,6 +115,7 @@
         self._workers = SoakWorkers(
             self._store,
             self.random,
+            ports=self._ports,
             restart_rng=random.Random(seed + 1),
             ends=self.ends,
             domains=self._domains,
--- a/packages/standins/src/tamarack_standins/platform_worker.py
+++ b/packages/standins/src/tamarack_standins/platform_worker.py
@@ -108,8 +108,8 @@
         Its id; a request that targets another id is answered 421.
     scripts
         Scripts for successive requests; the last one is reused for all further requests.
-    port
-        Port to listen on; zero takes a free one.
+    address
+        Address to listen on as `IP:PORT`; port zero takes a free one.
     zone
         Failure domain that its entry names.
     software_version
@@ -143,15 +143,15 @@
         name: str,
         *scripts: Script,
         born: int | None = BORN_MS,
-        port: int = 0,
+        address: str = "127.0.0.1:0",
         zone: str = "a",
         software_version: str = SOFTWARE_VERSION,
     ) -> None:
         self.name = name
         self.address = ""
+        self._listen = address
         self.born = born
         self.software_version = software_version
-        self._port = port
         self.zone = zone
         self.received: list[ReceivedRequest] = []
         self.received_ms: list[float] = []
@@ -173,7 +173,7 @@
 
     async def __aenter__(self) -> PlatformWorker:
         self._ended = False
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
+        self._server = await asyncio.start_server(self._serve, *self._listen.split(":"))
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
         return self
--- a/packages/standins/src/tamarack_standins/soak_worker.py
+++ b/packages/standins/src/tamarack_standins/soak_worker.py
@@ -76,11 +76,13 @@
         rng: random.Random,
         ran: Callable[[ReceivedRequest, bool], None],
         life: int = BORN_MS,
-        port: int = 0,
+        address: str = "127.0.0.1:0",
         zone: str = "a",
         software_version: str = SOFTWARE_VERSION,
     ) -> None:
-        super().__init__(name, born=life, port=port, zone=zone, software_version=software_version)
+        super().__init__(
+            name, born=life, address=address, zone=zone, software_version=software_version
+        )
         self.life = life
         self._streams = streams
         self._rng = rng
@@ -99,14 +101,13 @@
 
     def next_incarnation(self) -> SoakWorker:
         """The next incarnation of this worker, with the same name and address."""
-        port = int(self.address.rpartition(":")[2])
         return SoakWorker(
             self.name,
             streams=self._streams,
             rng=self._rng,
             ran=self._ran,
             life=self.life + INCARNATION_STEP_MS,
-            port=port,
+            address=self.address,
             zone=self.zone,
             software_version=self.software_version,
         )
--- a/packages/standins/src/tamarack_standins/soak_workers.py
+++ b/packages/standins/src/tamarack_standins/soak_workers.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from tamarack_standins.claimed_ports import ClaimedPorts
 from tamarack_standins.fault_proxy import FaultProxy
 from tamarack_standins.platform_store import PlatformStore
 from tamarack_standins.platform_worker import ReceivedRequest
@@ -34,6 +35,8 @@
 
     Parameters
     ----------
+    ports
+        Ports of the soak; a worker that starts again listens on its former one.
     ran
         Called with each request that a worker runs, and whether the answer is a stream.
 
@@ -50,6 +53,7 @@
         store: PlatformStore,
         rng: random.Random,
         *,
+        ports: ClaimedPorts,
         restart_rng: random.Random,
         ends: CrashCounts,
         domains: DomainChecks,
@@ -58,6 +62,7 @@
     ) -> None:
         self._store = store
         self._random = rng
+        self._ports = ports
         self._restart_random = restart_rng
         self._ends = ends
         self._domains = domains
@@ -89,6 +94,7 @@
             streams=streams,
             rng=self._random,
             ran=self._ran,
+            address=self._ports.worker(self._count),
             zone=ZONES[self._count % len(ZONES)],
             software_version=f"v{self._random.randint(max(1, self._release - 1), self._release)}",
         )
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -15,9 +15,13 @@
 from tamarack_standins.claimed_ports import ClaimedPorts
 from tamarack_standins.platform_soak import Soak, run_seed
 from tamarack_standins.soak_routers import SoakRouters
+from tamarack_standins.soak_worker import SoakWorker
 
 SECONDS = 4.0
 
+PORT_RANGE = Path("/proc/sys/net/ipv4/ip_local_port_range")
+"""First and last port that the kernel gives to connections."""
+
 
 @pytest.mark.parametrize("seed", [1, 3])
 def test_the_promises_hold_in_a_short_soak(seed: int) -> None:
@@ -69,6 +73,26 @@
     assert asyncio.run(signal_router()) == -signal.SIGHUP
 
 
+def test_no_connection_gets_the_address_of_a_worker_that_is_down() -> None:
+    """Guards against a soak that ends with "Address already in use" as a worker starts again."""
+    first_of_connections = int(PORT_RANGE.read_text().split()[0])
+
+    async def restart_often(address: str) -> None:
+        worker = SoakWorker(
+            "i-1", streams=False, rng=random.Random(1), ran=lambda *run: None, address=address
+        )
+        for _ in range(3):
+            async with worker:
+                assert worker.address == address
+            worker = worker.next_incarnation()
+
+    with ClaimedPorts(0) as ports, ClaimedPorts(0) as others:
+        addresses = [one.worker(number) for one in (ports, others) for number in range(1, 200)]
+        assert len(set(addresses)) == len(addresses)
+        assert max(int(address.split(":")[1]) for address in addresses) < first_of_connections
+        asyncio.run(restart_often(addresses[0]))
+
+
 def test_two_soaks_at_once_use_different_addresses(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/test_termination_detector.py
+++ b/tests/test_termination_detector.py
@@ -197,8 +197,7 @@
             while states[0].clock.now_ms < until_ms:
                 assert not any(state.usable("pool") for state in states)
                 await asyncio.sleep(0.01)
-            port = int(engine.address.rpartition(":")[2])
-            async with PlatformWorker("e1", STREAM, born=None, port=port):
+            async with PlatformWorker("e1", STREAM, born=None, address=engine.address):
                 await until(lambda: all(state.usable("pool") for state in states))
 
     play(run())
