--- a/packages/standins/src/tamarack_standins/claimed_ports.py
+++ b/packages/standins/src/tamarack_standins/claimed_ports.py
@@ -58,6 +58,6 @@
         return f"127.0.{1 + self.first % HOSTS}.{number}"
 
     def worker(self, number: int) -> str:
-        """Address of a worker as `IP:PORT`; no connection gets its port while the worker is down."""
+        """Address of a worker as `IP:PORT`; no connection gets the port while it is down."""
         again, place = divmod(number, len(WORKER_HOSTS))
         return f"{self.host(WORKER_HOSTS[place])}:{self.first + again}"
