Soak notes the signals that it sends beside the routers' logs

It may have been frozen for up to 4.5 s while it stopped, or have hung: the logs can't tell, since the soak named no signals. Now signals.log does.

--- a/packages/standins/src/tamarack_standins/soak_routers.py
+++ b/packages/standins/src/tamarack_standins/soak_routers.py
@@ -9,6 +9,7 @@
 import random
 import signal
 import sys
+import time
 from collections.abc import Callable
 from pathlib import Path
 
@@ -143,7 +144,7 @@
         alive = [(n, p) for n, p in self._processes.items() if p.returncode is None]
         for number, process in alive:
             with self._losses.faulty(self.address(number)):
-                send_signal(process, signal.SIGKILL)
+                self._send_signal(number, process, signal.SIGKILL)
         for number, process in alive:
             await process.wait()
             await self._restart(number, process)
@@ -177,16 +178,16 @@
             return
         number, process = picked
         with self._losses.faulty(self.address(number)):
-            send_signal(process, signal.SIGSTOP)
+            self._send_signal(number, process, signal.SIGSTOP)
             self._disturbed(self.address(number))
             await asyncio.sleep(seconds)
-            send_signal(process, signal.SIGCONT)
+            self._send_signal(number, process, signal.SIGCONT)
         self._disturbed(self.address(number))
 
     async def hang_up(self) -> None:
         """Send one router SIGHUP, on which it reloads its settings."""
         if picked := self._pick_alive():
-            send_signal(picked[1], signal.SIGHUP)
+            self._send_signal(*picked, signal.SIGHUP)
 
     async def disturb_link(self) -> None:
         """Delay, reset, block or block in one direction one router's connections to the store."""
@@ -259,13 +260,13 @@
         if process not in self._told:
             self._told.add(process)
             self._losses.stopped(self.address(number))
-        send_signal(process, signal.SIGTERM)
+        self._send_signal(number, process, signal.SIGTERM)
         try:
             async with asyncio.timeout(GRACE_S + 2):
                 code = await process.wait()
         except TimeoutError:
             self._broken(f"router-{number} did not exit within its grace period")
-            send_signal(process, signal.SIGKILL)
+            self._send_signal(number, process, signal.SIGKILL)
             code = await process.wait()
         if code not in (0, -signal.SIGKILL) and not self._ended_before_start(number, code):
             self._broken(f"router-{number} exited with {code}")
@@ -279,14 +280,14 @@
 
     async def _kill(self, number: int) -> None:
         process = self._processes[number]
-        send_signal(process, signal.SIGCONT)
-        send_signal(process, signal.SIGKILL)
+        self._send_signal(number, process, signal.SIGCONT)
+        self._send_signal(number, process, signal.SIGKILL)
         await process.wait()
 
     async def _kill_and_restart(self, number: int) -> None:
         process = self._processes[number]
         with self._losses.faulty(self.address(number)):
-            send_signal(process, signal.SIGKILL)
+            self._send_signal(number, process, signal.SIGKILL)
             await process.wait()
         await self._restart(number, process)
 
@@ -296,6 +297,15 @@
             del self._processes[number]
             await self._start(number)
 
+    def _send_signal(
+        self, number: int, process: asyncio.subprocess.Process, sent: signal.Signals
+    ) -> None:
+        """Send a signal to a router, and note it beside the routers' logs."""
+        line = {"wall_ms": round(time.time() * 1_000), "router": number, "signal": sent.name}
+        with (self._folder / "signals.log").open("a") as log:
+            log.write(json.dumps(line) + "\n")
+        send_signal(process, sent)
+
     def _pick_alive(self) -> tuple[int, asyncio.subprocess.Process] | None:
         alive = [(n, p) for n, p in self._processes.items() if p.returncode is None]
         return self._random.choice(alive) if alive else None
