A stream that was admitted when it began goes on beyond its workspace's share

The logs: nearly all take-ups of streams that routers remembered were refused as "beyond its share".

Cause: admission decided on a take-up as on a new request, though the stream had been admitted and charged when it began. After a loss of all routers shares are counted anew, and a workspace of high demand is far beyond its own within moments.

Change: a take-up of a stream that a router remembers counts as within its share, so that the queue alone decides. What callers merely claim to go on with is decided on as before.

--- a/packages/gateway/src/tamarack_gateway/endpoint_selector.py
+++ b/packages/gateway/src/tamarack_gateway/endpoint_selector.py
@@ -33,6 +33,8 @@
     ----------
     software_version
         The only software version whose endpoints are selected; None for any.
+    was_admitted
+        Whether the request goes on with a stream that was admitted when it began.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         self._request_quarantine = request_quarantine
         self._tried: set[EndpointIncarnation] = set()
         self.software_version: str | None = None
+        self.was_admitted = False
 
     def exclude(self, endpoint: Endpoint) -> None:
         """Record that the request was sent to an endpoint, or could not be."""
@@ -77,7 +80,9 @@
         if not fresh:
             return None
         if not retries and self._prompt is not None:
-            return self._engine_admission.place(fresh, self._prompt, left_ms)
+            return self._engine_admission.place(
+                fresh, self._prompt, left_ms, was_admitted=self.was_admitted
+            )
         choice = self._choose(fresh)
         return AdmittedPlacement(choice, NOT_LIMITED) if choice is not None else None
 
--- a/packages/gateway/src/tamarack_gateway/engine_admission.py
+++ b/packages/gateway/src/tamarack_gateway/engine_admission.py
@@ -46,7 +46,12 @@
         self._workspace = workspace
 
     def place(
-        self, endpoints: Sequence[Endpoint], prompt: Prompt, left_ms: float
+        self,
+        endpoints: Sequence[Endpoint],
+        prompt: Prompt,
+        left_ms: float,
+        *,
+        was_admitted: bool = False,
     ) -> AdmittedPlacement | None:
         """Pick an engine and decide on admission there.
 
@@ -54,6 +59,9 @@
         ----------
         left_ms
             Time left until the request's deadline.
+        was_admitted
+            Whether its stream was admitted when it began: the workspace's share was decided on
+            then, and only the queue counts now. A refusal would waste what the caller has.
         """
         state, now_ms = self._state, self._state.clock.now_ms
         aim_ms = self._route.aim_ms
@@ -65,7 +73,7 @@
             retried=state.retry_detector.is_retry(self._route.name, self._facts.wait_ms),
             draw=state.random.random(),
         )
-        position = self._position(now_ms)
+        position = Position(standing=1.0) if was_admitted else self._position(now_ms)
         engines = Engines(endpoints, state.models, state.records)
         placement = place_admitted(prompt, engines, position, requirements, now_ms)
         if placement is not None and placement.decision.admission is not Admission.ADMITTED:
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -153,10 +153,11 @@
         state.allowance.record_request(self._service, state.clock.now_ms)
         self._recorder.asked()
         if self._route.resumable and self._facts.takes_up:
-            version = await self._origins.find(self._facts, self._service)
-            if version is None:
+            found = await self._origins.find(self._facts, self._service)
+            if found.software_version is None:
                 return self._give_up(UNKNOWN_ORIGIN)
-            self._selector.software_version = version
+            self._selector.software_version = found.software_version
+            self._selector.was_admitted = found.remembered
         return await self._attempts()
 
     async def _attempts(self) -> None:
--- a/packages/gateway/src/tamarack_gateway/origin_feed.py
+++ b/packages/gateway/src/tamarack_gateway/origin_feed.py
@@ -32,11 +32,18 @@
 """Longest name of an attempt that is remembered or asked for, in characters; callers choose it."""
 
 
-class _Finding(NamedTuple):
-    """The software version at which a stream began, None if not certain, and how it was found."""
+class Finding(NamedTuple):
+    """The software version at which a stream began, None if not certain, and how it was found.
+
+    Attributes
+    ----------
+    remembered
+        Whether a router knows the stream; otherwise only the versions of its service are known.
+    """
 
     software_version: str | None
     reason: str
+    remembered: bool = False
 
 
 class _Question:
@@ -143,10 +150,10 @@
         elif message.asker == self._state.settings.router and message.number in self._questions:
             self._questions[message.number].add(message)
 
-    async def find(self, facts: RequestFacts, service: str) -> str | None:
+    async def find(self, facts: RequestFacts, service: str) -> Finding:
         """Find out at which software version the stream began that a request takes up.
 
-        Returns None if no router is certain. `service` is the one of which it is now requested.
+        `service` is the one of which it is now requested.
         """
         found = await self._find(facts.resumes or "", service)
         self._state.log.request(
@@ -157,15 +164,15 @@
             last_event=facts.last_event,
             software_version=found.software_version,
         )
-        return found.software_version
+        return found
 
-    async def _find(self, attempt: str, service: str) -> _Finding:
+    async def _find(self, attempt: str, service: str) -> Finding:
         origin = self._origins.find(attempt)
         if origin is not None:
-            return _Finding(origin.software_version, "known")
+            return Finding(origin.software_version, "known", remembered=True)
         several = self._state.software_versions.several(service)
         if (several and not attempt) or len(attempt) > MAX_ATTEMPT_LENGTH:
-            return _Finding(None, "not named")
+            return Finding(None, "not named")
         # The stream has begun before now. A version is in the store before any router uses it.
         begun_ms = self._state.clock.now_ms
         until_ms = begun_ms if several else begun_ms + ASK_MS * ASK_TIMES
@@ -179,22 +186,20 @@
         finally:
             check.cancel()
 
-    def _by_itself(
-        self, attempt: str, service: str, check: asyncio.Future[bool]
-    ) -> _Finding | None:
+    def _by_itself(self, attempt: str, service: str, check: asyncio.Future[bool]) -> Finding | None:
         """What this router can tell without the others; `check` is the store's word."""
         if (origin := self._origins.find(attempt)) is not None:
-            return _Finding(origin.software_version, "known")
+            return Finding(origin.software_version, "known", remembered=True)
         sole = self._state.software_versions.sole(service)
         vouched = check.done() and not check.cancelled() and check.result()
         if sole is not None and vouched:
-            return _Finding(sole, "the only version")
+            return Finding(sole, "the only version")
         return None
 
-    async def _ask(self, attempt: str, service: str, check: asyncio.Future[bool]) -> _Finding:
+    async def _ask(self, attempt: str, service: str, check: asyncio.Future[bool]) -> Finding:
         routers = self._routers()
         if len(self._questions) >= MAX_QUESTIONS:
-            return _Finding(None, "too many questions")
+            return Finding(None, "too many questions")
         self._asked += 1
         query = OriginQuery(self._state.settings.router, self._asked, attempt, service)
         question = self._questions[query.number] = _Question(routers)
@@ -219,7 +224,8 @@
         needed = {query.router, *routers}
         # Alone it hears nobody who could know better, as in a cut.
         version = conclude([self._answer(query), *question.answers], needed) if routers else None
-        return _Finding(version, "asked")
+        remembered = any(answer.known is not None for answer in question.answers)
+        return Finding(version, "asked", remembered)
 
     def _answer(self, query: OriginQuery) -> OriginAnswer:
         origin = self._origins.find(query.attempt)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -488,6 +488,32 @@
 # what goes on as before
 
 
+def test_a_stream_that_was_admitted_goes_on_though_its_workspace_is_beyond_its_share() -> None:
+    """Guards against streams that are refused at each take-up while new ones begin."""
+
+    async def scenario() -> None:
+        async with versioned_fleet(v1=2) as (fleet, pool):
+            streams = await begin_streams(fleet)
+            await end_one_of_each(fleet, pool)
+            state = fleet.gateway.state
+            await until(lambda: len(state.usable("pool")) == 1)
+            now_ms = state.clock.now_ms
+            shares = state.shares.of("pool")
+            shares.record_service("shop", 1e9, now_ms)
+            shares.count("other", 1e9, 1.0, now_ms)
+            for model in state.models.values():
+                model.add_peer_work(300.0, now_ms)
+            new = await fleet.ask("/draft/1", X_Prompt_Prefix="ff:200,b:100")
+            assert new.status == 503
+            stranger = Stream(STREAMS, fleet)
+            await stranger.take_up(resumes="never-sent")
+            assert stranger.answers[-1].status == 503
+            await streams[0].take_up()
+            assert streams[0].whole
+
+    play(scenario())
+
+
 def test_streams_of_one_version_are_taken_up_at_any_endpoint() -> None:
     """Failure: callers of a service that has one version are refused."""
 
