A stream keeps the name of the attempt that began it when it is taken up

Callers saw (shown by a test): a stream is taken up after all routers were lost, all are lost again, and its second take-up is refused.

Cause: a router that goes on with a stream recorded, told and wrote it under the attempt that took it up. Callers name the attempt that brought the first event, which stands in no row once the routers that started have written theirs anew.

Change: the stream is recorded under the first attempt's name, and ends under it.

Evidence: the new test fails before (no stream goes on) and passes now.

--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -84,8 +84,9 @@
         self._workspace = workspace
         self._request_quarantine = request_quarantine
         self._origins = origins
+        self._stream = facts.resumes or facts.attempt
         # A take-up of a stream is routed to the same service of a split route.
-        self._service = route.service_for(draw(facts.resumes or facts.attempt))
+        self._service = route.service_for(draw(self._stream))
         self._recorder = SendRecorder(
             state, outbox, facts.attempt, self._service, workspace, self._prompt
         )
@@ -136,7 +137,7 @@
         """Record that the caller has taken the answer; a refusal is not recorded."""
         if not self._answered:
             return
-        self._origins.ended(self._facts.attempt)
+        self._origins.ended(self._stream)
         self._duration_estimate.ended()
 
     @property
@@ -338,7 +339,7 @@
             self._duration_estimate.began(clock.now_ms, resumed_after)
             self._selector.software_version = choice.endpoint.software_version
             if self._route.resumable:
-                self._origins.began(self._facts.attempt, choice.endpoint)
+                self._origins.began(self._stream, choice.endpoint)
             self._recorder.first_event(choice)
 
         self._relay = relay = EventRelay(
--- a/packages/gateway/src/tamarack_gateway/origin_feed.py
+++ b/packages/gateway/src/tamarack_gateway/origin_feed.py
@@ -123,7 +123,10 @@
         return {"stream_origins": len(self._origins), "stream_origins_asked": self._asked}
 
     def began(self, attempt: str, endpoint: Endpoint) -> None:
-        """Record the first event of an attempt, whose stream may be taken up, at an endpoint."""
+        """Record the first event of a stream, which may be taken up, at an endpoint.
+
+        The stream has the name of the attempt that began it, as callers who take it up name it.
+        """
         if len(attempt) > MAX_ATTEMPT_LENGTH:
             return
         origin = Origin(endpoint.service, endpoint.software_version)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -384,6 +384,38 @@
     play(scenario())
 
 
+def test_a_stream_that_was_taken_up_outlasts_a_second_loss_of_all_routers() -> None:
+    """Guards against streams whose second take-up is refused, as no router names them any more."""
+
+    async def scenario() -> None:
+        async with versioned_fleet(v1=2, v2=2) as (fleet, pool):
+            for worker in pool:
+                worker.breaks_after = 2
+            async with fleet.router("router-9") as ended:
+                await until(lambda: ended.state.ready)
+                streams = await begin_streams(fleet, at=ended)
+                await until_recorded(fleet, "router-9", streams)
+                await fleet.gateway.__aexit__(None, None, None)
+            for worker in pool:
+                worker.breaks_after = 4
+            async with fleet.router("router-9") as ended:
+                await until(lambda: ended.state.ready)
+                await until(lambda: b'"stream0"' not in fleet.store.rows("versions")["router-9"])
+                await take_all_up(streams, at=ended)
+                begun = [stream for stream in streams if len(stream.versions) == 4]
+                assert begun
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(2.0):
+                        await until_recorded(fleet, "router-9", begun)
+            async with fleet.router("router-9") as started:
+                await until(lambda: started.state.ready)
+                await take_all_up(begun, at=started)
+                assert mixed(begun) == []
+                assert all(stream.whole for stream in begun)
+
+    play(scenario())
+
+
 def test_streams_of_one_version_are_taken_up_after_all_routers_were_lost_and_another_came() -> None:
     """Guards against streams refused everywhere: the second version came while no router ran."""
 
