A stream goes on beyond its workspace's share once at each router

Without a bound a caller could take one remembered stream up again and again, each time ahead of others.

--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -256,6 +256,8 @@
             placement, self._route, self._sends, self._left_ms, self._splitter.last
         )
         self._recorder.sent(choice)
+        if self._selector.was_admitted:
+            self._origins.went_on(self._stream)
         self._request_quarantine.sent(endpoint)
         self._first_event_ms = self._relay = None
         sent_ms = state.clock.now_ms
--- a/packages/gateway/src/tamarack_gateway/origin_feed.py
+++ b/packages/gateway/src/tamarack_gateway/origin_feed.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from tamarack_core.endpoint_registry import Endpoint
+from tamarack_core.recent_table import RecentTable
 from tamarack_core.stream_origins import (
     BegunStreams,
     Origin,
@@ -38,7 +39,8 @@
     Attributes
     ----------
     remembered
-        Whether a router knows the stream; otherwise only the versions of its service are known.
+        Whether a router knows the stream, and it has not gone on at this router before; otherwise
+        only the versions of its service are known.
     """
 
     software_version: str | None
@@ -113,6 +115,9 @@
         self._publish = publish
         self._vouched = vouched
         self._origins = StreamOrigins(state.clock, lambda: state.longest_stream_ms)
+        self._gone_on: RecentTable[str, bool] = RecentTable(
+            state.clock, lambda: state.longest_stream_ms
+        )
         self._questions: dict[int, _Question] = {}
         self._asked = 0
         state.software_versions.on_uncertain = self._tell_all
@@ -133,6 +138,10 @@
         if self._origins.record_own(attempt, origin):
             self._outbox.began(attempt, origin)
 
+    def went_on(self, attempt: str) -> None:
+        """Record that a request which takes a stream up is sent to an endpoint."""
+        self._gone_on[attempt] = True
+
     def ended(self, attempt: str) -> None:
         """Record that the caller has got the whole stream."""
         self._origins.record_ended(attempt)
@@ -167,6 +176,9 @@
             last_event=facts.last_event,
             software_version=found.software_version,
         )
+        if self._gone_on.get(facts.resumes or ""):
+            # Otherwise a caller could take one stream up again and again, beyond any share.
+            return found._replace(remembered=False)
         return found
 
     async def _find(self, attempt: str, service: str) -> Finding:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -542,6 +542,8 @@
             assert stranger.answers[-1].status == 503
             await streams[0].take_up()
             assert streams[0].whole
+            await streams[0].take_up()
+            assert streams[0].answers[-1].status == 503
 
     play(scenario())
 
