--- a/packages/core/src/tamarack_core/software_versions.py
+++ b/packages/core/src/tamarack_core/software_versions.py
@@ -45,7 +45,7 @@
         self._seen_ms: dict[str, dict[str, float]] = {}
         self._listed: Mapping[str, Collection[str]] = {}
         self.on_uncertain: Callable[[str], None] = _ignore
-        self.on_change: Callable[[], None] = _do_nothing
+        self.on_change: Callable[[], None] = lambda: None
 
     def update(self, listed: Mapping[str, Collection[str]]) -> None:
         """Apply the versions of all listed endpoints, by service."""
@@ -145,7 +145,3 @@
 
 def _ignore(service: str) -> None:
     """Default of `SoftwareVersions.on_uncertain`: does nothing."""
-
-
-def _do_nothing() -> None:
-    """Default of `SoftwareVersions.on_change`."""
--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -142,7 +142,7 @@
         self._briefing = Briefing(state, self._epoch, self._configuration, publish=ask)
         self._briefing.on_settle = self._on_settle
         self._timers: list[asyncio.TimerHandle] = []
-        self.on_restore: Callable[[], None] = _do_nothing
+        self.on_restore: Callable[[], None] = lambda: None
 
     def start(self, peers_address: str, boot: int) -> None:
         """Start to follow all tables, and add this router to the list of routers."""
@@ -397,7 +397,3 @@
             self._state.unreadable.note(RowKind.ROUTER, row.key, row.version, str(error))
             return None
         return Peer(row.key, address, listed.get("failure_domain", ""))
-
-
-def _do_nothing() -> None:
-    """Default of `FleetFeeds.on_restore`."""
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -289,7 +289,7 @@
         return SuspectFeed(
             self._state,
             routers=lambda: self._members.recent_routers(self._clock.now_ms),
-            answers=lambda: self._peers.relays or not self._peers.large,
+            answers=self._answers_all,
             publish=lambda message: self._peers.publish_notice(message),
         )
 
