--- a/packages/gateway/src/tamarack_gateway/caller_handler.py
+++ b/packages/gateway/src/tamarack_gateway/caller_handler.py
@@ -18,7 +18,7 @@
 from tamarack_gateway.outbox import Outbox
 from tamarack_gateway.quarantine_feed import QuarantineFeed
 from tamarack_gateway.request_quarantine import RequestQuarantine
-from tamarack_gateway.site import RequestDialect, RequestFacts
+from tamarack_gateway.site import RequestDialect, RequestFacts, Sender
 from tamarack_gateway.termination_detector import TerminationDetector
 
 DENY_AGE_MS = 3_600.0
@@ -77,7 +77,7 @@
         if not self._loop_monitor.may_refuse:
             return False
         sender = self._dialect.sender(request)
-        return sender is not None and self._refuse_overload(caller, sender.attempt, sender.key)
+        return sender is not None and self._refuse_overload(caller, sender)
 
     async def answer(self, request: Request, caller: CallerConnection) -> None:
         """Answer one request."""
@@ -87,7 +87,7 @@
             caller.answer(400, [])
             return
         # Checked again: requests that were read together have begun since.
-        if self._refuse_overload(caller, facts.attempt, facts.key):
+        if self._refuse_overload(caller, facts):
             return
         rules = state.rules
         workspace = self._workspace_of(facts.key)
@@ -115,7 +115,8 @@
         self._metrics.began(route)
         exchange = self._exchange(request, caller, facts, route, workspace)
         try:
-            with self._loop_monitor.in_progress(workspace):
+            tokens = facts.prompt.charge if facts.prompt else 0.0
+            with self._loop_monitor.in_progress(workspace, route.name, tokens):
                 await exchange.run()
             await caller.delivered()
             exchange.delivered()
@@ -132,11 +133,16 @@
         rules = self._state.rules
         return rules.workspace_of(key) if rules is not None and key is not None else None
 
-    def _refuse_overload(self, caller: CallerConnection, attempt: str, key: str | None) -> bool:
-        workspace = self._workspace_of(key)
-        if not self._loop_monitor.should_refuse(workspace):
+    def _refuse_overload(self, caller: CallerConnection, sender: Sender | RequestFacts) -> bool:
+        if not self._loop_monitor.may_refuse:
+            return False
+        rules = self._state.rules
+        workspace = self._workspace_of(sender.key)
+        route = rules.route_for(sender.host, sender.path) if rules is not None else None
+        name = route.name if route is not None else ""
+        if not self._loop_monitor.should_refuse(workspace, name, sender.wait_ms):
             return False
-        self._refuse(caller, attempt, "overloaded", OVERLOAD_RETRY_MS, workspace=workspace)
+        self._refuse(caller, sender.attempt, "overloaded", OVERLOAD_RETRY_MS, workspace=workspace)
         return True
 
     def _exchange(
@@ -163,6 +169,7 @@
             workspace,
             request_quarantine,
             self._origins,
+            self._loop_monitor.load(route.name),
         )
 
     def _log_cancelled(
--- a/packages/gateway/src/tamarack_gateway/event_relay.py
+++ b/packages/gateway/src/tamarack_gateway/event_relay.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from tamarack_core.clock import Clock
+from tamarack_core.route_load import RouteLoad
 from tamarack_gateway.caller_answer import CallerAnswer
 from tamarack_gateway.caller_connection import CallerConnection
 from tamarack_gateway.endpoint_connection import (
@@ -29,6 +30,8 @@
         Head of the endpoint's answer.
     on_first
         Called with the first event.
+    load
+        Counts of the stream's route.
 
     Attributes
     ----------
@@ -47,6 +50,7 @@
         splitter: EventSplitter,
         clock: Clock,
         on_first: Callable[[], None],
+        load: RouteLoad,
     ) -> None:
         self._connection = connection
         self._caller = caller
@@ -55,6 +59,7 @@
         self._splitter = splitter
         self._clock = clock
         self._on_first = on_first
+        self._load = load
         self._received_ms = clock.now_ms
         self.first_ms: float | None = None
         self.paused = False
@@ -99,6 +104,7 @@
         if self.first_ms is None:
             self.first_ms = self._received_ms
             self._on_first()
+        self._load.events += len(events)
         self._answer.pass_on(self._head, events)
         if not self._caller.writable:
             self.paused = True
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -10,6 +10,7 @@
 from tamarack_core.prompt import Prompt
 from tamarack_core.quarantine import Treatment
 from tamarack_core.rendezvous import draw
+from tamarack_core.route_load import RouteLoad
 from tamarack_core.ruleset import Route
 from tamarack_gateway.answer_timeouts import AnswerTimeouts
 from tamarack_gateway.caller_answer import CallerAnswer
@@ -58,6 +59,8 @@
     ----------
     workspace
         Workspace of the caller's key; None for a request without a key.
+    load
+        Counts of the route.
     """
 
     def __init__(
@@ -73,6 +76,7 @@
         workspace: str | None,
         request_quarantine: RequestQuarantine,
         origins: OriginFeed,
+        load: RouteLoad,
     ) -> None:
         self._state = state
         self._dialect = dialect
@@ -84,6 +88,7 @@
         self._workspace = workspace
         self._request_quarantine = request_quarantine
         self._origins = origins
+        self._load = load
         self._stream = facts.resumes or facts.attempt
         # A take-up of a stream is routed to the same service of a split route.
         self._service = route.service_for(draw(self._stream))
@@ -345,7 +350,14 @@
             self._recorder.first_event(choice)
 
         self._relay = relay = EventRelay(
-            connection, self._caller, self._answer, head, self._splitter, clock, on_first_event
+            connection,
+            self._caller,
+            self._answer,
+            head,
+            self._splitter,
+            clock,
+            on_first_event,
+            self._load,
         )
         await self._timeouts.whole(relay, choice, self._sends)
         await self._request_quarantine.check_end(choice.endpoint, head)
--- a/packages/gateway/src/tamarack_gateway/loop_monitor.py
+++ b/packages/gateway/src/tamarack_gateway/loop_monitor.py
@@ -15,6 +15,8 @@
 from tamarack_core.clock import Clock
 from tamarack_core.concurrency_limit import ConcurrencyLimit
 from tamarack_core.loop_lag import SAMPLE_MS, LoopLag
+from tamarack_core.retry_detector import RetryDetector
+from tamarack_core.route_load import RouteLoad
 from tamarack_gateway.caller_connection import CallerConnection
 from tamarack_gateway.decision_log import DecisionLog
 from tamarack_gateway.refusal_report import ConnectionCounts, RefusalReport
@@ -81,6 +83,7 @@
         self._lag = LoopLag()
         self._diversion = CallerDiversion()
         self._limit = ConcurrencyLimit()
+        self._retries = RetryDetector()
         self._running: Counter[str | None] = Counter()
         self._timer: asyncio.TimerHandle | None = None
 
@@ -117,8 +120,20 @@
         """Whether some new requests are refused; False means that none is."""
         return self.running >= self._limit.limit or self._lag.overloaded
 
-    def should_refuse(self, workspace: str | None) -> bool:
-        """Whether a new request of a workspace is to be refused at once."""
+    def load(self, route: str) -> RouteLoad:
+        """Counts of the work for a route."""
+        return self._report.load(route)
+
+    def should_refuse(
+        self, workspace: str | None, route: str = "", wait_ms: float | None = None
+    ) -> bool:
+        """Whether a new request is to be refused at once.
+
+        Parameters
+        ----------
+        wait_ms
+            Milliseconds that its caller waits; None if not known.
+        """
         own = self._running[workspace]
         workspaces = len(self._running) + (own == 0)
         refuse = not self._limit.admits(own, self.running, workspaces) or self._lag.should_refuse(
@@ -126,15 +141,17 @@
         )
         if refuse:
             self._diversion.record_request()
-            self._report.refuse(workspace)
+            self._report.refuse(workspace, route, retry=self._retries.is_retry(route, wait_ms))
         return refuse
 
     @contextmanager
-    def in_progress(self, workspace: str | None) -> Iterator[None]:
+    def in_progress(
+        self, workspace: str | None, route: str = "", tokens: float = 0.0
+    ) -> Iterator[None]:
         """Count a request of a workspace as in progress within the context."""
         self._running[workspace] += 1
         self._diversion.record_request()
-        self._report.admit()
+        self._report.admit(route, tokens)
         try:
             yield
         finally:
--- a/packages/gateway/src/tamarack_gateway/refusal_report.py
+++ b/packages/gateway/src/tamarack_gateway/refusal_report.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from typing import NamedTuple
 
 from tamarack_core.clock import Clock
+from tamarack_core.route_load import RouteCounts, RouteLoad
 from tamarack_gateway.decision_log import DecisionLog
 
 REPORT_INTERVAL_MS = 1_000.0
@@ -15,6 +16,9 @@
 LARGEST = 3
 """Number of workspaces that a report names; an overload is caused by a few of them."""
 
+MAX_ROUTES = 8
+"""Number of routes that a report names, those with most requests first."""
+
 
 class ConnectionCounts(NamedTuple):
     """Callers' connections since the router started.
@@ -55,20 +59,26 @@
         self._log = log
         self._counts = counts
         self._refused: Counter[str] = Counter()
-        self._admitted = 0
+        self._loads: defaultdict[str, RouteLoad] = defaultdict(RouteLoad)
+        self._reported: dict[str, RouteCounts] = {}
         self._since_ms = clock.now_ms
         self._processor_ms = clock.processor_ms
         self._connections = counts()
         self.refused = 0
 
-    def refuse(self, workspace: str | None) -> None:
+    def load(self, route: str) -> RouteLoad:
+        """Counts of a route."""
+        return self._loads[route]
+
+    def refuse(self, workspace: str | None, route: str = "", *, retry: bool = False) -> None:
         """Count a refused request."""
         self.refused += 1
         self._refused[workspace or ""] += 1
+        self._loads[route].refuse(retry=retry)
 
-    def admit(self) -> None:
+    def admit(self, route: str = "", tokens: float = 0.0) -> None:
         """Count an admitted request."""
-        self._admitted += 1
+        self._loads[route].admit(tokens)
 
     def poll(self, **load: float) -> None:
         """Write a report if requests were refused and none was written in the last second.
@@ -82,11 +92,12 @@
         if now_ms - self._since_ms < REPORT_INTERVAL_MS:
             return
         processor_ms, connections = self._clock.processor_ms, self._counts()
+        routes = self._since_report()
         if self._refused:
             self._log.event(
                 "requests refused for overload",
                 refused=self._refused.total(),
-                admitted=self._admitted,
+                admitted=sum(counts.admitted for counts in routes.values()),
                 largest=dict(self._refused.most_common(LARGEST)),
                 accepted=connections.accepted - self._connections.accepted,
                 closed_after_answer=(
@@ -94,9 +105,24 @@
                 ),
                 processor_ms=round(processor_ms - self._processor_ms),
                 took_ms=round(now_ms - self._since_ms),
+                routes=_largest(routes),
                 **load,
             )
         self._refused.clear()
-        self._admitted = 0
         self._since_ms, self._processor_ms = now_ms, processor_ms
         self._connections = connections
+
+    def _since_report(self) -> dict[str, RouteCounts]:
+        none = RouteCounts()
+        counts = {route: load.counts for route, load in self._loads.items()}
+        since = {route: now.since(self._reported.get(route, none)) for route, now in counts.items()}
+        for route in [route for route, change in since.items() if change == none]:
+            # Routes come and go with the configuration.
+            del self._loads[route], counts[route], since[route]
+        self._reported = counts
+        return since
+
+
+def _largest(routes: dict[str, RouteCounts]) -> dict[str, dict[str, int]]:
+    largest = sorted(routes, key=lambda route: -routes[route].requests)[:MAX_ROUTES]
+    return {route: routes[route]._asdict() for route in largest}
--- a/packages/gateway/src/tamarack_gateway/site.py
+++ b/packages/gateway/src/tamarack_gateway/site.py
@@ -84,15 +84,18 @@
 
 
 class Sender(NamedTuple):
-    """Who sent a request.
+    """Who sent a request, and where.
 
     Attributes
     ----------
-    attempt, key
+    attempt, host, path, wait_ms, key
         As in `RequestFacts`.
     """
 
     attempt: str
+    host: str
+    path: str
+    wait_ms: float | None
     key: str | None
 
 
--- a/tests/relayed_stream.py
+++ b/tests/relayed_stream.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from tamarack_core.clock import BootClock
+from tamarack_core.route_load import RouteLoad
 from tamarack_core.ruleset import CallerBounds
 from tamarack_gateway.caller_answer import CallerAnswer
 from tamarack_gateway.caller_connection import CallerConnection
@@ -78,6 +79,7 @@
             EventSplitter(),
             clock,
             self._first,
+            RouteLoad(),
         )
         self.whole = asyncio.ensure_future(self.relay.whole())
 
--- a/tests/test_refusal_report.py
+++ b/tests/test_refusal_report.py
@@ -26,9 +26,11 @@
     log = DecisionLog("r", clock, output=writer)
     counts = ConnectionCounts(accepted=5)
     report = RefusalReport(clock, log, lambda: counts)
-    for workspace in ("large", "large", None):
-        report.refuse(workspace)
-    report.admit()
+    report.refuse("large", "/draft/")
+    report.refuse("large", "/draft/", retry=True)
+    report.refuse(None, "/page/")
+    report.admit("/draft/", tokens=900.0)
+    report.load("/draft/").events += 17
     report.poll(limit=32)
     assert not log.waiting
     clock.advance(REPORT_INTERVAL_MS)
@@ -39,6 +41,10 @@
     assert line["message"] == "router: requests refused for overload"
     assert (line["refused"], line["admitted"], line["limit"]) == (3, 1, 32)
     assert line["largest"] == {"large": 2, "": 1}
+    assert line["routes"] == {
+        "/draft/": {"refused": 2, "retries": 1, "admitted": 1, "tokens": 900, "events": 17},
+        "/page/": {"refused": 1, "retries": 0, "admitted": 0, "tokens": 0, "events": 0},
+    }
     assert (line["accepted"], line["closed_after_answer"]) == (7, 4)
     assert (line["processor_ms"], line["took_ms"]) == (480, REPORT_INTERVAL_MS)
     assert report.refused == 3
