An answer cut inside its head is no answer

Reported of another system, and shown here on paths of our own: where the connection closes inside an answer's head, the standard library takes the end of the bytes for the end of the head. Without the length that would have followed, Client.complete returned a 200 with an empty body, Client.stream ended as complete, TableService.transact told a write as applied, ObjectStore.get returned an empty object.

All blocking calls (client, admin client, table service, object store, instance list, load reports, orders, tamarackctl, fleet) now take their connections from HttpPool, whose responses raise where the lines of a head end before its empty line, whatever headers came before. Answers without a length stay valid. Besides, the table service and the instance list raise PlatformError for answers of another form.

The path of the platform reads heads by httptools, which ends no head at a close.

--- a/packages/bench/src/tamarack_bench/slopes.py
+++ b/packages/bench/src/tamarack_bench/slopes.py
@@ -12,13 +12,13 @@
 from typing import NamedTuple
 
 import aiohttp
-import urllib3
 
 from tamarack_bench.core_bench import measure_decisions
 from tamarack_bench.member_bench import measure_member_cpu, measure_membership
 from tamarack_bench.path_scenarios import RELAY_DEPLOYMENT, cpu_seconds
 from tamarack_bench.scenarios import Options, Reading, scenario
 from tamarack_bench.stream_client import run_streams
+from tamarack_client.http_pool import HttpPool
 from tamarack_core.claim_messages import Claim
 from tamarack_core.configuration import Configuration
 from tamarack_core.configuration_entries import Change, EntryPut, hash_key
@@ -280,7 +280,7 @@
     with Fleet(quick, 4) as fleet:
         key = fleet.keys["one"]
         url = f"http://{fleet.addresses[0]}/v1/addresses"
-        answer = urllib3.request("GET", url, headers={"Authorization": f"Bearer {key}"})
+        answer = HttpPool().request("GET", url, headers={"Authorization": f"Bearer {key}"})
         token = json.loads(answer.data)["keeper_token"]
         routers = list(fleet.routers.values())
         for rate in (5.0, 10.0, 20.0, 40.0, 80.0):
--- a/packages/client/src/tamarack_client/address_book.py
+++ b/packages/client/src/tamarack_client/address_book.py
@@ -9,6 +9,8 @@
 
 import urllib3
 
+from tamarack_client.http_pool import HttpPool
+
 QUERY_TIMEOUT = urllib3.Timeout(connect=0.5, read=1.0)
 AVOID_S = 2.0
 """Seconds for which an address that failed is tried only after the others."""
@@ -38,7 +40,7 @@
         `IP:PORT` of some routers, for the first query.
     """
 
-    def __init__(self, http: urllib3.PoolManager, seeds: list[str], key: str, scheme: str) -> None:
+    def __init__(self, http: HttpPool, seeds: list[str], key: str, scheme: str) -> None:
         self._http = http
         self._seeds = list(seeds)
         self._headers = {"Authorization": f"Bearer {key}"}
--- a/packages/client/src/tamarack_client/admin.py
+++ b/packages/client/src/tamarack_client/admin.py
@@ -9,6 +9,8 @@
 
 import urllib3
 
+from tamarack_client.http_pool import HttpPool
+
 
 class AdminError(Exception):
     """The fleet rejected an operator's call, or no router answered it.
@@ -56,7 +58,7 @@
         ca_certs: str | None = None,
     ) -> None:
         options: dict[str, Any] = {"ca_certs": ca_certs} if ca_certs else {}
-        self._http = urllib3.PoolManager(
+        self._http = HttpPool(
             retries=False, timeout=urllib3.Timeout(connect=1.0, read=30.0), **options
         )
         self._addresses = addresses
--- a/packages/client/src/tamarack_client/client.py
+++ b/packages/client/src/tamarack_client/client.py
@@ -14,6 +14,7 @@
 
 from tamarack_client.address_book import AddressBook, NoRouterError
 from tamarack_client.answer import Answer, OutcomeUnknownError, RefusedError
+from tamarack_client.http_pool import HttpPool
 
 DEADLINE_S = 60.0
 CONNECT_TIMEOUT_S = 1.0
@@ -79,7 +80,7 @@
         self._key = key
         self._scheme = scheme
         options: dict[str, Any] = {"ca_certs": ca_certs} if ca_certs else {}
-        self._http = urllib3.PoolManager(
+        self._http = HttpPool(
             num_pools=POOL_SIZE,
             maxsize=POOL_SIZE,
             retries=False,
--- a/packages/ctl/src/tamarack_ctl/quarantine_view.py
+++ b/packages/ctl/src/tamarack_ctl/quarantine_view.py
@@ -8,6 +8,7 @@
 
 import urllib3
 
+from tamarack_client.http_pool import HttpPool
 from tamarack_ctl.commands import (
     EXIT_REFUSED,
     Context,
@@ -45,7 +46,7 @@
     address, fingerprint = context.arguments.address, context.arguments.fingerprint
     url = f"http://{address}/quarantine/release/{quote(fingerprint, safe='')}"
     try:
-        answer = urllib3.request("POST", url, timeout=TIMEOUT_S, retries=False)
+        answer = HttpPool().request("POST", url, timeout=TIMEOUT_S, retries=False)
     except urllib3.exceptions.HTTPError as error:
         return unreachable(address, error)
     message = answer.data.decode(errors="replace").strip()
--- a/packages/ctl/src/tamarack_ctl/router_view.py
+++ b/packages/ctl/src/tamarack_ctl/router_view.py
@@ -9,6 +9,7 @@
 
 import urllib3
 
+from tamarack_client.http_pool import HttpPool
 from tamarack_ctl.commands import EXIT_UNREACHABLE, Context, Outcome, command
 
 TIMEOUT_S = 3.0
@@ -29,7 +30,9 @@
 def show_page(address: str, path: str, lines: Callable[[dict[str, Any]], list[str]]) -> Outcome:
     """Read a page of one router and format it as lines."""
     try:
-        answer = urllib3.request("GET", f"http://{address}{path}", timeout=TIMEOUT_S, retries=False)
+        answer = HttpPool().request(
+            "GET", f"http://{address}{path}", timeout=TIMEOUT_S, retries=False
+        )
         page = json.loads(answer.data)
         return Outcome(lines(page), page)
     except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError) as error:
--- a/packages/router/src/tamarack_router/load_task.py
+++ b/packages/router/src/tamarack_router/load_task.py
@@ -7,6 +7,7 @@
 
 import urllib3
 
+from tamarack_client.http_pool import HttpPool
 from tamarack_core.endpoint_pool import LoadReport
 from tamarack_router.mailbox import Mailbox
 from tamarack_router.messages import LoadPolled
@@ -26,7 +27,7 @@
         self._interval_s = interval_ms / 1000
         self._watched: dict[str, str] = {}
         self._pool = ThreadPoolExecutor(WORKERS, thread_name_prefix="load")
-        self._http = urllib3.PoolManager(
+        self._http = HttpPool(
             num_pools=256,
             maxsize=1,
             retries=False,
--- a/packages/router/src/tamarack_router/order_task.py
+++ b/packages/router/src/tamarack_router/order_task.py
@@ -6,6 +6,7 @@
 
 import urllib3
 
+from tamarack_client.http_pool import HttpPool
 from tamarack_core.clock import Clock
 from tamarack_core.configuration import Configuration
 from tamarack_core.membership import ALIVE
@@ -38,7 +39,7 @@
         self._counts = {"sent": 0, "refused": 0, "failed": 0, "leases": 0, "holds": 0}
         self._log = PartLog("orders")
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=LONGEST_ORDER_MS / 1000 / 2)
-        self._http = urllib3.PoolManager(num_pools=256, retries=False, timeout=timeout)
+        self._http = HttpPool(num_pools=256, retries=False, timeout=timeout)
 
     @property
     def counts(self) -> dict[str, int]:
--- a/packages/router/src/tamarack_router/platform.py
+++ b/packages/router/src/tamarack_router/platform.py
@@ -8,6 +8,8 @@
 
 import urllib3
 
+from tamarack_client.http_pool import HttpPool
+
 READ_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 0.5
 
@@ -55,7 +57,7 @@
 
     def __init__(self, base_url: str, *, pool_size: int = 4) -> None:
         self._base_url = base_url.rstrip("/")
-        self._http = urllib3.PoolManager(
+        self._http = HttpPool(
             maxsize=pool_size,
             retries=False,
             timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S),
@@ -67,14 +69,16 @@
         if status == 404:
             return None
         _check_status(status, 200)
-        return Row(body["key"], body["version"], body["value"])
+        return _row(body)
 
     def scan(self, table: str, after: str, limit: int = 200) -> list[Row]:
         """Read rows whose keys sort after `after`, in key order."""
         path = f"/tables/{table}/rows?after={quote(after, safe='')}&limit={limit}"
         status, body = self._call("GET", path)
         _check_status(status, 200)
-        return [Row(row["key"], row["version"], row["value"]) for row in body["rows"]]
+        if not isinstance(body, dict) or not isinstance(body.get("rows"), list):
+            raise PlatformError("The answer holds no rows.")
+        return [_row(row) for row in body["rows"]]
 
     def transact(self, conditions: list[Condition], writes: list[Write]) -> bool:
         """Write all rows if all conditions hold; return False if one does not.
@@ -115,7 +119,7 @@
 
     def __init__(self, base_url: str) -> None:
         self._base_url = base_url.rstrip("/")
-        self._http = urllib3.PoolManager(
+        self._http = HttpPool(
             retries=False,
             timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S),
         )
@@ -145,7 +149,7 @@
 
     def __init__(self, base_url: str) -> None:
         self._url = f"{base_url.rstrip('/')}/instances"
-        self._http = urllib3.PoolManager(
+        self._http = HttpPool(
             retries=False,
             timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S),
         )
@@ -156,11 +160,18 @@
             response = self._http.request("GET", self._url)
             _check_status(response.status, 200)
             instances: list[dict[str, str]] = json.loads(response.data)["instances"]
-        except (urllib3.exceptions.HTTPError, ValueError, KeyError) as error:
+        except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError) as error:
             raise PlatformError("The instance list did not answer.") from error
         return instances
 
 
+def _row(value: Any) -> Row:
+    try:
+        return Row(value["key"], value["version"], value["value"])
+    except (KeyError, TypeError) as error:
+        raise PlatformError("The answer holds no row.") from error
+
+
 def _check_status(status: int, wanted: int) -> None:
     if status != wanted:
         raise PlatformError(f"The platform answered {status}.", effect_unknown=status >= 500)
--- a/packages/standins/src/tamarack_standins/fleet.py
+++ b/packages/standins/src/tamarack_standins/fleet.py
@@ -19,6 +19,7 @@
 import urllib3
 
 from tamarack_client.admin import AdminClient
+from tamarack_client.http_pool import HttpPool
 from tamarack_standins.deployments import (
     ADMIN_TOKEN,
     DEPLOYMENTS,
@@ -86,7 +87,7 @@
         self._store_forwarders: dict[str, Forwarder] = {}
         self._stack = contextlib.ExitStack()
         self._processes = Processes()
-        self._http = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(2.0))
+        self._http = HttpPool(retries=False, timeout=urllib3.Timeout(2.0))
         self.routers: dict[str, RouterProcess] = {}
         self.endpoints: list[dict[str, Any]] = []
         self.keys = {name: f"key-{name}-{secrets.token_hex(8)}" for name in deployment.workspaces}
