A saturated router divides its processor between routes

Cause: at its limit a router admitted in order of arrival. Short replies, with most events and fewest tokens, took over half of the processor: 0.55 to 0.70 of the events, 0.08 to 0.15 of the tokens, by the counts by route. The class: a bottleneck that is given out by another measure than the one that binds there (requests, where events cost).

Change: work is counted by route (requests, and events as they are relayed); a route that had more than its max-min share of the last second is admitted up to 0.85 of the limit, the rest is for those that had less. Without others that wait a route has all of the limit.

--- a/packages/core/src/tamarack_core/concurrency_limit.py
+++ b/packages/core/src/tamarack_core/concurrency_limit.py
@@ -29,6 +29,10 @@
 """Multiple of the limit up to which requests of workspaces below an equal share of it are admitted:
 it bounds the case of many workspaces with a few requests each."""
 
+AHEAD_FACTOR = 0.85
+"""Fraction of the limit up to which a route is admitted that had more than its share; the rest is
+for routes that had less, and is not so much that the router idles without them."""
+
 
 class ConcurrencyLimit:
     """Adaptive limit that keeps a router within the capacity of its processor.
@@ -49,7 +53,12 @@
         """Current limit on requests in progress; infinite until it first decreases."""
         return self._limit
 
-    def admits(self, own: int, running: int, workspaces: int) -> bool:
+    @property
+    def least(self) -> float:
+        """Requests in progress up to which every request is admitted."""
+        return AHEAD_FACTOR * self._limit
+
+    def admits(self, own: int, running: int, workspaces: int, *, route_ahead: bool = False) -> bool:
         """Whether one more request is admitted.
 
         Beyond the limit, only workspaces below an equal share of it are admitted. Otherwise a
@@ -61,10 +70,13 @@
             Requests in progress of the requesting workspace.
         running, workspaces
             Requests in progress in total, and the number of workspaces including this one.
+        route_ahead
+            Whether the route had more than its share of the router while others had less.
         """
-        if running < self._limit:
+        limit = self.least if route_ahead else self._limit
+        if running < limit:
             return True
-        return running < OVER_LIMIT_FACTOR * self._limit and own < self._limit / workspaces
+        return running < OVER_LIMIT_FACTOR * self._limit and own < limit / workspaces
 
     def observe(
         self, late_ms: float, running: int, now_ms: float, *, starved: bool = False
--- a/packages/core/src/tamarack_core/workspace_shares.py
+++ b/packages/core/src/tamarack_core/workspace_shares.py
@@ -5,6 +5,8 @@
 from collections import deque
 from typing import NamedTuple
 
+from tamarack_core.max_min import max_min_share
+
 SLICE_MS = 250.0
 """Width in milliseconds of the slices of the sliding window; a window has some sixteen of them."""
 
@@ -119,7 +121,7 @@
     def share(self, tokens_per_s: float, now_ms: float) -> float:
         """Fair share of the configured throughput in tokens; infinite if it covers all demand."""
         self._slice(now_ms)
-        return self._max_min_share(tokens_per_s * self._counted_ms(now_ms) / 1000)
+        return max_min_share(tokens_per_s * self._counted_ms(now_ms) / 1000, self._asked.values())
 
     def level(self, tokens_per_s: float, now_ms: float) -> float:
         """Fair share in tokens of the actual or the configured throughput, whichever is higher.
@@ -127,17 +129,7 @@
         With prefix cache hits, engines serve several times the configured throughput.
         """
         nominal = tokens_per_s * self._counted_ms(now_ms) / 1000
-        return self._max_min_share(max(nominal, sum(self._served.values())))
-
-    def _max_min_share(self, tokens: float) -> float:
-        left = tokens
-        asked = sorted(self._asked.values())
-        for position, wanted in enumerate(asked):
-            even = left / (len(asked) - position)
-            if wanted > even:
-                return even
-            left -= wanted
-        return float("inf")
+        return max_min_share(max(nominal, sum(self._served.values())), self._asked.values())
 
     def standing(self, workspace: str, tokens_per_s: float, now_ms: float) -> float:
         """Service of a workspace in this window, relative to its fair share."""
--- a/packages/gateway/src/tamarack_gateway/loop_monitor.py
+++ b/packages/gateway/src/tamarack_gateway/loop_monitor.py
@@ -16,6 +16,7 @@
 from tamarack_core.concurrency_limit import ConcurrencyLimit
 from tamarack_core.loop_lag import SAMPLE_MS, LoopLag
 from tamarack_core.retry_detector import RetryDetector
+from tamarack_core.route_fairness import RouteFairness
 from tamarack_core.route_load import RouteLoad
 from tamarack_gateway.caller_connection import CallerConnection
 from tamarack_gateway.decision_log import DecisionLog
@@ -83,6 +84,7 @@
         self._lag = LoopLag()
         self._diversion = CallerDiversion()
         self._limit = ConcurrencyLimit()
+        self._routes = RouteFairness()
         self._retries = RetryDetector()
         self._running: Counter[str | None] = Counter()
         self._timer: asyncio.TimerHandle | None = None
@@ -118,7 +120,7 @@
     @property
     def may_refuse(self) -> bool:
         """Whether some new requests are refused; False means that none is."""
-        return self.running >= self._limit.limit or self._lag.overloaded
+        return self.running >= self._limit.least or self._lag.overloaded
 
     def load(self, route: str) -> RouteLoad:
         """Counts of the work for a route."""
@@ -134,11 +136,14 @@
         wait_ms
             Milliseconds that its caller waits; None if not known.
         """
+        now_ms = self._clock.now_ms
         own = self._running[workspace]
         workspaces = len(self._running) + (own == 0)
-        refuse = not self._limit.admits(own, self.running, workspaces) or self._lag.should_refuse(
-            self._clock.now_ms
+        self._routes.observe(self._report.loads, now_ms)
+        admits = self._limit.admits(
+            own, self.running, workspaces, route_ahead=self._routes.ahead(route)
         )
+        refuse = not admits or self._lag.should_refuse(now_ms)
         if refuse:
             self._diversion.record_request()
             self._report.refuse(workspace, route, retry=self._retries.is_retry(route, wait_ms))
--- a/packages/gateway/src/tamarack_gateway/refusal_report.py
+++ b/packages/gateway/src/tamarack_gateway/refusal_report.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from tamarack_core.clock import Clock
@@ -66,6 +66,11 @@
         self._connections = counts()
         self.refused = 0
 
+    @property
+    def loads(self) -> Mapping[str, RouteLoad]:
+        """Counts by route."""
+        return self._loads
+
     def load(self, route: str) -> RouteLoad:
         """Counts of a route."""
         return self._loads[route]
