The tests' forwarder closes its connections before its loop

Seen twice here: pytest tests/test_security.py tests/test_partition.py tests/test_demo.py passed its 16 tests and then ended with SystemError: AST constructor recursion depth mismatch, inside the import of a plugin at the end of the run. Traced: connections that a stopped forwarder left open were closed by the collector, on a loop that had ended; the report of that error parses source while the import parses source, which this version of the interpreter cannot do.

--- a/packages/standins/src/tamarack_standins/forwarder.py
+++ b/packages/standins/src/tamarack_standins/forwarder.py
@@ -99,22 +99,21 @@
         for task in tasks:
             task.cancel()
         self._loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        # Transports that were closed last are released in one more iteration.
+        self._loop.run_until_complete(asyncio.sleep(0))
         self._loop.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         connection = _Connection()
         self._connections.add(connection)
-        try:
-            host, _, port = self._target
+        host, _, port = self._target
+        with contextlib.closing(writer), contextlib.suppress(OSError):
             target_reader, target_writer = await asyncio.open_connection(host, int(port))
-        except OSError:
-            writer.close()
-            self._connections.discard(connection)
-            return
-        await asyncio.gather(
-            self._pump(reader, target_writer, connection, from_opener=True),
-            self._pump(target_reader, writer, connection, from_opener=False),
-        )
+            with contextlib.closing(target_writer):
+                await asyncio.gather(
+                    self._pump(reader, target_writer, connection, from_opener=True),
+                    self._pump(target_reader, writer, connection, from_opener=False),
+                )
         self._connections.discard(connection)
 
     async def _pump(
