Readers that the store turns away are replaced, and leaving told in an answer is told to all

The class: an owner chosen by who is there, and not by who can do the work.

Change: a router tells of a failed call to the store, at once and through relays, and counts as no reader for 10 s where others can be; the others check at once whether they read now. If all are turned away, as many try as before. A router whose last call failed asks for an answer at once, so that a silent store costs 1.5 s and not a held call. And what an endpoint says in an answer about leaving goes to all routers, by incarnation and with its age, and again to those that are newly heard.

tests/test_routers_without_the_store.py: seven tests, with 14 real routers, with 66 and 195 simulated ones; the three with real routers fail without the change. A router that is turned away in silence is noticed after its held call of up to 4 s (configuration: 1 s) and 1.5 s.

--- a/packages/gateway/src/tamarack_gateway/endpoint_notices.py
+++ b/packages/gateway/src/tamarack_gateway/endpoint_notices.py
@@ -1,33 +1,89 @@
-"""What endpoints say about themselves in their answers."""
+"""What endpoints say about themselves in their answers, to this router or to another one."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from tamarack_core.clock import Clock
-from tamarack_core.endpoint_registry import Endpoint, EndpointRegistry
+from tamarack_core.endpoint_registry import (
+    LEAVING_RETAINED_MS,
+    Endpoint,
+    EndpointIncarnation,
+    EndpointRegistry,
+)
 from tamarack_core.rest_periods import RestPeriods
 from tamarack_gateway.decision_log import DecisionLog
+from tamarack_gateway.leaving_messages import LeavingEndpoint, LeavingEndpoints
 from tamarack_gateway.site import AnswerFacts
 
+MAX_TOLD = 512
+"""Maximum number of endpoints in a message, some 20 kB: those that said so last."""
+
 
 class EndpointNotices:
     """Records that endpoints leave, or request a rest period.
 
-    An endpoint that leaves also says so in the store, which may be unavailable at that time.
+    An endpoint that leaves also says so in the store, which may be unavailable at that time. Only
+    the router that it answers hears it, and tells the others.
+
+    Parameters
+    ----------
+    router
+        Name of this router.
+
+    Attributes
+    ----------
+    publish
+        Called with messages for the other routers.
     """
 
-    def __init__(self, registry: EndpointRegistry, log: DecisionLog, clock: Clock) -> None:
+    def __init__(
+        self, registry: EndpointRegistry, log: DecisionLog, clock: Clock, router: str
+    ) -> None:
         self._registry = registry
         self._log = log
         self._clock = clock
+        self._router = router
+        self._said_ms: dict[EndpointIncarnation, float] = {}
         self.rests = RestPeriods(clock)
+        self.publish: Callable[[LeavingEndpoints], None] = _ignore
 
     def record(self, endpoint: Endpoint, facts: AnswerFacts) -> None:
         """Record the notices in an answer of an endpoint."""
         now_ms = self._clock.now_ms
         if facts.leaving and self._registry.record_leaving(endpoint.key, now_ms):
+            self._said_ms[endpoint.key] = now_ms
             self._log.change("endpoint says that it is leaving", endpoint=endpoint.name)
+            self.publish(LeavingEndpoints(self._router, [LeavingEndpoint(*endpoint.key, 0.0)]))
         if facts.rest_ms is not None:
             self.rests.request(endpoint.key, facts.rest_ms)
             self._log.change(
                 "endpoint requests a rest period", endpoint=endpoint.name, rest_ms=facts.rest_ms
             )
+
+    def learn(self, message: LeavingEndpoints) -> None:
+        """Apply what another router knows."""
+        now_ms = self._clock.now_ms
+        for endpoint in message.endpoints:
+            if self._registry.record_leaving(endpoint.key, now_ms):
+                self._said_ms[endpoint.key] = now_ms - endpoint.age_ms
+                self._log.change(
+                    "endpoint leaves, another router says",
+                    endpoint=endpoint.name,
+                    router=message.router,
+                    age_ms=round(endpoint.age_ms),
+                )
+
+    def tell(self) -> None:
+        """Tell the other routers what this one knows; some may have missed it."""
+        now_ms = self._clock.now_ms
+        past_ms = now_ms - LEAVING_RETAINED_MS
+        self._said_ms = {key: said for key, said in self._said_ms.items() if said > past_ms}
+        newest = sorted(self._said_ms, key=lambda key: -self._said_ms[key])[:MAX_TOLD]
+        if newest:
+            known = [LeavingEndpoint(*key, now_ms - self._said_ms[key]) for key in newest]
+            self.publish(LeavingEndpoints(self._router, known))
+
+
+def _ignore(message: LeavingEndpoints) -> None:
+    """Default of `EndpointNotices.publish`: does nothing."""
--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -91,6 +91,8 @@
         Called with changes read from the store, to be published to the other routers.
     wanted
         Called when another router should send a whole table.
+    on_failure
+        Called with each failed call for changes of a table.
     on_quarantine_change
         Called with changes of the table of quarantined requests.
     ask
@@ -113,6 +115,7 @@
         reads: Callable[[str], bool],
         publish: Callable[[TableNews], None],
         wanted: Callable[[CopyWanted], None],
+        on_failure: Callable[[], None],
         on_quarantine_change: Callable[[TableChange], None],
         ask: Callable[[BriefingQuery | BriefingAnswer], None],
         tasks: TaskOwner | None = None,
@@ -124,6 +127,7 @@
         self._reads = reads
         self._publish = publish
         self._request_copy = wanted
+        self._on_failure = on_failure
         self._routers: dict[str, Peer] = {}
         self._own_row = b""
         self._own_version: int | None = None
@@ -171,6 +175,7 @@
                 reads=partial(self._reads, table),
                 publish=self._publish,
                 wanted=self._request_copy,
+                on_failure=self._on_failure,
                 epoch=self._epoch,
             )
             self._followers[table] = follower
@@ -210,6 +215,11 @@
                 self._epoch.observe(epoch)
             follower.receive(news, stamp_ms)
 
+    def readers_changed(self) -> None:
+        """Check at once which tables this router reads now."""
+        for follower in self._followers.values():
+            follower.readers_changed()
+
     @property
     def listed_routers(self) -> Collection[str]:
         """Names of the routers in the store's list."""
--- a/packages/gateway/src/tamarack_gateway/fleet_members.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_members.py
@@ -39,6 +39,11 @@
 """Maximum number of addresses that callers accept in one answer."""
 
 
+STORE_LOST_MS = 10_000.0
+"""Time after a failed call to the store in which a router is no reader if others can be. It tries
+again after that, and a silent store costs the other routers the time of that call."""
+
+
 class Member(NamedTuple):
     """A router according to its last summary."""
 
@@ -74,6 +79,7 @@
         self._recently_heard: set[str] = set()
         self._lost_boots: dict[str, int] = {}
         self._scores: dict[str, dict[str, int]] = {}
+        self._store_lost_ms: dict[str, float] = {}
 
     def record_stamp(self, router: str, stamp_ms: float) -> None:
         """Record a newer timestamp of a router's own clock."""
@@ -99,6 +105,15 @@
         self._members[member.router] = member
         return True
 
+    def record_store_lost(self, router: str, now_ms: float) -> bool:
+        """Record a failed call of a router to the store; returns whether that is new."""
+        new = not self._lost_store(router, now_ms)
+        self._store_lost_ms[router] = now_ms
+        return new
+
+    def _lost_store(self, router: str, now_ms: float) -> bool:
+        return now_ms - self._store_lost_ms.get(router, float("-inf")) < STORE_LOST_MS
+
     def known(self) -> list[Member]:
         """All routers that ever sent a summary, by name."""
         return sorted(self._members.values())
@@ -203,7 +218,9 @@
             return len(order) <= SMALL_FLEET or me.router in order[:READERS]
         readers: list[str] = []
         domains: set[str] = set()
-        order = self._ranked(table, [name for name, member in recent.items() if member.ready])
+        ready = [name for name, member in recent.items() if member.ready]
+        able = [name for name in ready if not self._lost_store(name, now_ms)]
+        order = self._ranked(table, able or ready)
         for name in order:
             if recent[name].failure_domain not in domains and len(readers) < READERS:
                 readers.append(name)
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -90,7 +90,7 @@
         self.vouching = Vouching(clock.now_ms)
         self.software_versions = SoftwareVersions(clock, lambda: self.longest_stream_ms)
         self.terminations = Terminations(clock)
-        self.notices = EndpointNotices(self.registry, log, clock)
+        self.notices = EndpointNotices(self.registry, log, clock, settings.router)
         self.models: dict[str, EngineModel] = {}
         self.records: dict[str, EndpointRecord] = {}
         self._incarnations: dict[str, int | None] = {}
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -34,7 +34,7 @@
 from tamarack_gateway.site import Site
 from tamarack_gateway.suspect_feed import SuspectFeed
 from tamarack_gateway.suspect_records import SuspectRecords
-from tamarack_gateway.table_messages import TableNews
+from tamarack_gateway.table_messages import StoreLost, TableNews
 from tamarack_gateway.task_owner import OwnedTask, TaskOwner
 from tamarack_gateway.termination_detector import TerminationDetector
 from tamarack_gateway.warm_up_feed import WarmUpFeed
@@ -51,6 +51,9 @@
 SWEEP_MS = 500.0
 """Time between two checks for idle connections and silent peers."""
 
+ACQUAINTED_MS = 2_000.0
+"""Time after a router is heard for the first time, or again, until it surely hears this one."""
+
 LEAVE_STEP_MS = 50.0
 """Time between two checks of a leaving router for requests in progress."""
 
@@ -137,11 +140,13 @@
         self._stack = contextlib.AsyncExitStack()
         self._inbox = self._make_inbox()
         self._peers = self._make_peers()
+        self._state.notices.publish = self._peers.publish_notice
         self._feeds = self._make_feeds()
         self._inventory = self._make_inventory()
         self._feeds.briefing.answers = self._answers_all
         self._feeds.briefing.is_large = lambda: self._peers.large
         self._started_ms = clock.now_ms
+        self._tell_until_ms = float("-inf")
         self._callers = ""
         self._site_addresses: list[str] = []
         self._metrics_address = ""
@@ -356,6 +361,7 @@
             reads=self._reads,
             publish=self._publish_changes,
             wanted=self._peers.publish_copy_request,
+            on_failure=self._record_store_failure,
             on_quarantine_change=self._quarantine.apply_change,
             ask=lambda message: self._peers.publish_notice(message),
             tasks=self._tasks,
@@ -419,6 +425,12 @@
         listed = len(self._feeds.listed_routers)
         return self._members.leads("warm-up", self._me, listed, self._clock.now_ms)
 
+    def _record_store_failure(self) -> None:
+        # In a small fleet each router reads for itself.
+        router = self._settings.router
+        if self._members.record_store_lost(router, self._clock.now_ms) and self._peers.large:
+            self._peers.publish_notice(StoreLost(router))
+
     def _publish_changes(self, news: TableNews) -> None:
         if self._members.heard_within(5_000.0, self._clock.now_ms):
             if news.table == self._site.tables.configuration:
@@ -442,6 +454,15 @@
                 self._log.event("peers changed", lost=lost, regained=regained)
             if self._members.returned(lost, regained):
                 self._suspects.catch_up()
+            self._tell_newly_heard(regained)
+
+    def _tell_newly_heard(self, regained: list[str]) -> None:
+        # Told repeatedly: they may hear this router only some time after it hears them.
+        now_ms = self._clock.now_ms
+        if regained:
+            self._tell_until_ms = now_ms + ACQUAINTED_MS
+        if now_ms < self._tell_until_ms and self._answers_all():
+            self._state.notices.tell()
 
     async def _flush(self) -> None:
         while True:
--- a/packages/gateway/src/tamarack_gateway/peer_inbox.py
+++ b/packages/gateway/src/tamarack_gateway/peer_inbox.py
@@ -11,11 +11,12 @@
 from tamarack_gateway.fleet_feeds import FleetFeeds
 from tamarack_gateway.fleet_members import FleetMembers, Member
 from tamarack_gateway.fleet_state import FleetState
+from tamarack_gateway.leaving_messages import LeavingEndpoints
 from tamarack_gateway.origin_feed import OriginFeed
 from tamarack_gateway.peer_messages import Notice, Report, Summary
 from tamarack_gateway.quarantine_feed import QuarantineFeed
 from tamarack_gateway.suspect_feed import SuspectFeed
-from tamarack_gateway.table_messages import CopyWanted, TableNews
+from tamarack_gateway.table_messages import CopyWanted, StoreLost, TableNews
 from tamarack_gateway.warm_up_feed import WarmUpFeed
 
 
@@ -88,6 +89,11 @@
             self._quarantine.receive_requests(notice)
         elif isinstance(notice, SuspectsQuery | KnownSuspects):
             self._suspects.receive(notice)
+        elif isinstance(notice, LeavingEndpoints):
+            self._state.notices.learn(notice)
+        elif isinstance(notice, StoreLost):
+            if self._members.record_store_lost(notice.router, self._state.clock.now_ms):
+                self._feeds().readers_changed()
         else:
             self._warm_ups.receive(notice)
 
--- a/packages/gateway/src/tamarack_gateway/peer_messages.py
+++ b/packages/gateway/src/tamarack_gateway/peer_messages.py
@@ -10,8 +10,9 @@
 from tamarack_core.warm_up_dealer import Demand, Leases
 from tamarack_core.wire import message
 from tamarack_gateway.briefing import BriefingAnswer, BriefingQuery
+from tamarack_gateway.leaving_messages import LeavingEndpoints
 from tamarack_gateway.outbox import Placements
-from tamarack_gateway.table_messages import CopyWanted, TableNews
+from tamarack_gateway.table_messages import CopyWanted, StoreLost, TableNews
 
 Notice = (
     Demand
@@ -23,6 +24,8 @@
     | BriefingAnswer
     | SuspectsQuery
     | KnownSuspects
+    | StoreLost
+    | LeavingEndpoints
 )
 """Messages that reach all routers, and that relays pass on as they are."""
 
--- a/packages/gateway/src/tamarack_gateway/table_follower.py
+++ b/packages/gateway/src/tamarack_gateway/table_follower.py
@@ -58,6 +58,8 @@
         Called with the result of a call, to be published to other routers.
     wanted
         Called when another router should send this one the whole table.
+    on_failure
+        Called with each failed call.
     epoch
         Epoch of the store; changes of different epochs are never combined.
     """
@@ -79,6 +81,7 @@
         reads: Callable[[], bool] = lambda: True,
         publish: Callable[[TableNews], None] = lambda news: None,
         wanted: Callable[[CopyWanted], None] = lambda wanted: None,
+        on_failure: Callable[[], None] = lambda: None,
         epoch: StoreEpoch | None = None,
     ) -> None:
         self._client = client
@@ -91,6 +94,7 @@
         self._reads = reads
         self._on_result = publish
         self._request_copy = wanted
+        self._on_failure = on_failure
         self._epoch = epoch or StoreEpoch(clock)
         self._applied_epoch: int | None = None
         self._call_after: int | None = None
@@ -105,6 +109,7 @@
         self._known_newer = 0
         self._behind_since_ms = float("-inf")
         self._failures = 0
+        self._last_call_failed = False
         self._restarting_call = False
         self._recovered_ms = float("-inf")
         self._recovery_known = False
@@ -142,6 +147,10 @@
         self._recovery_known = True
         self._end_call()
 
+    def readers_changed(self) -> None:
+        """Check at once whether this router reads the table now."""
+        self._gap_event.set()
+
     def refresh(self) -> None:
         """Call the store now, if this router does, and have it answer at once."""
         if self._reads() and not self._failures:
@@ -311,8 +320,9 @@
         else:
             # After an outage the store must answer at once: a call that waits for a change would
             # detect the recovery only with that change, and take its time for the recovery's.
-            at_once = self._failures or self._gap_found
+            at_once = self._last_call_failed or self._gap_found
             page = await self._client.watch(self._table, after, 0.0 if at_once else self._wait_ms)
+        self._last_call_failed = False
         self._store_answered()
         if page.nameless:
             self._on_status("returned rows without a key", f"{page.nameless} rows")
@@ -355,6 +365,8 @@
             self._on_status("lost", str(error))
         pause_ms = BACKOFF_MS[min(self._failures, len(BACKOFF_MS) - 1)]
         self._failures += 1
+        self._last_call_failed = True
+        self._on_failure()
         if self._gap_found or self._version is None:
             # The store may reject only this router. Without a copy it would not get a large change
             # until it is admitted again, and would refuse requests that need a fresh one.
--- a/packages/gateway/src/tamarack_gateway/table_messages.py
+++ b/packages/gateway/src/tamarack_gateway/table_messages.py
@@ -69,6 +69,13 @@
     whole: bool = False
 
 
+@message(80)
+class StoreLost(NamedTuple):
+    """A call of the sender to the store has failed: another router should read in its place."""
+
+    router: str
+
+
 @message(61)
 class CopyWanted(NamedTuple):
     """Request of a router that has missed changes of a table and cannot read the store.
--- /dev/null
+++ b/tests/test_routers_without_the_store.py
@@ -0,0 +1,193 @@
+"""Routers that the store turns away learn what others know."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+from gateway_site import Fleet, configuration, play, until
+
+from tamarack_core.relay_plan import SMALL_FLEET
+from tamarack_gateway import table_follower
+from tamarack_gateway.fleet_members import READERS, STORE_LOST_MS, FleetMembers, Member
+from tamarack_gateway.gateway import Gateway
+from tamarack_standins.fault_proxy import FaultProxy
+from tamarack_standins.platform_store import PlatformStore
+from tamarack_standins.platform_worker import PlatformWorker, Script
+
+ENDPOINTS = "servers"
+NEVER = 1_000.0
+"""Waits without a message after which a listener calls the store: longer than a test."""
+
+
+def members_of(count: int) -> tuple[FleetMembers, list[Member]]:
+    """Members of a fleet as the first of them knows the others."""
+    everyone = [Member(f"r{n}", 1, f"domain-{n % 4}", f"c{n}", True, 0.0) for n in range(count)]
+    members = FleetMembers()
+    for member in everyone[1:]:
+        members.record_summary(member)
+    return members, everyone
+
+
+def readers(count: int, lost: set[str], *, now_ms: float) -> list[str]:
+    """Routers that read a table, each by its own view; the `lost` have told a failure at 0 ms."""
+    found = []
+    _, everyone = members_of(count)
+    for me in everyone:
+        members = FleetMembers()
+        for member in everyone:
+            if member is not me:
+                members.record_summary(member)
+        for name in lost:
+            members.record_store_lost(name, 0.0)
+        if members.reads(ENDPOINTS, me, now_ms):
+            found.append(me.router)
+    return found
+
+
+def test_routers_that_the_store_turns_away_are_replaced_as_readers() -> None:
+    """Failure: all readers of a table are turned away, and nobody reads it."""
+    first = readers(66, set(), now_ms=100.0)
+    assert len(first) == READERS
+    second = readers(66, set(first), now_ms=100.0)
+    assert len(second) == READERS
+    assert not set(first) & set(second)
+
+
+def test_of_195_routers_of_which_most_are_turned_away_others_read() -> None:
+    """Failure: readers are chosen among routers that cannot read while some can."""
+    _, everyone = members_of(195)
+    lost = {member.router for member in everyone[5:]}
+    assert set(readers(195, lost, now_ms=100.0)) <= {m.router for m in everyone[:5]}
+
+
+def test_a_store_that_is_away_for_all_is_tried_by_a_few() -> None:
+    """Failure: nobody tries a store that has turned everybody away, or everybody does."""
+    _, everyone = members_of(66)
+    assert len(readers(66, {member.router for member in everyone}, now_ms=100.0)) == READERS
+
+
+def test_a_router_that_was_turned_away_may_read_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Failure: a router that the store once failed never reads again."""
+    monkeypatch.setattr("tamarack_gateway.fleet_members.RELAYED_SILENCE_MS", 1e9)
+    first = readers(66, set(), now_ms=100.0)
+    assert readers(66, set(first), now_ms=STORE_LOST_MS) == first
+
+
+class LargeFleet:
+    """Routers of a fleet with relays, each with its own link to the store, and two workers."""
+
+    def __init__(self) -> None:
+        self._fleet = Fleet({})
+        self.workers = [PlatformWorker(name, Script(events=1)) for name in ("e1", "e2")]
+        self._stack = contextlib.AsyncExitStack()
+        self.routers: list[Gateway] = []
+        self.links: dict[Gateway, FaultProxy] = {}
+
+    async def __aenter__(self) -> LargeFleet:
+        enter, store = self._stack.enter_async_context, self.store
+        await enter(store)
+        await store.put("op", "config", configuration())
+        for worker in self.workers:
+            await enter(worker)
+            await store.put(ENDPOINTS, worker.name, worker.entry("pool"))
+        for number in range(SMALL_FLEET + 2):
+            link = await enter(FaultProxy(store.address))
+            domain = f"d{number % 2}"
+            router = self._fleet.router(f"r{number}", store=link.address, domain=domain)
+            self.routers.append(await enter(router))
+            self.links[router] = link
+        for router in self.routers:
+            await until(lambda router=router: router.state.ready and router._peers.large)
+        await until(lambda: len(self.readers()) == READERS)
+        # Ends the calls that routers made before they had heard of the readers.
+        await store.forget_history()
+        await until(lambda: all(self._waits_for_messages(router) for router in self._listeners()))
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self._stack.aclose()
+
+    @property
+    def store(self) -> PlatformStore:
+        """The store."""
+        return self._fleet.store
+
+    def readers(self) -> list[Gateway]:
+        """Routers that read the table of endpoints by their own views."""
+        heard = len(self.routers) - 1
+        if any(len(r._members.recent_routers(r._clock.now_ms)) < heard for r in self.routers):
+            return []
+        return [router for router in self.routers if router._reads(ENDPOINTS)]
+
+    def _listeners(self) -> list[Gateway]:
+        readers = self.readers()
+        return [router for router in self.routers if router not in readers]
+
+    @staticmethod
+    def _waits_for_messages(router: Gateway) -> bool:
+        follower = router._feeds._followers[ENDPOINTS]
+        call = follower._call_task
+        return follower._listening() and (call is None or call.done())
+
+    def turn_away(self, routers: list[Gateway]) -> None:
+        """Reset the calls of some routers to the store, and those that they make from now on."""
+        for router in routers:
+            link = self.links[router]
+            link.block_to_target = link.block_from_target = True
+            link.reset_open()
+
+    def usable_at(self, name: str) -> list[str]:
+        """Routers that may send requests to an endpoint."""
+        found = [(router, router.state.registry.find(name)) for router in self.routers]
+        return [r.state.settings.router for r, e in found if e is not None and not e.draining]
+
+
+def test_a_change_reaches_all_routers_though_the_store_turns_all_readers_away(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Failure: requests reach an endpoint seconds after its entry said that it leaves."""
+    monkeypatch.setattr(table_follower, "SILENCE_WAITS", NEVER)
+
+    async def scenario() -> None:
+        async with LargeFleet() as large:
+            large.turn_away(large.readers())
+            entry = large.workers[0].entry("pool", state="draining")
+            await large.store.put(ENDPOINTS, "e1", entry)
+            await until(lambda: not large.usable_at("e1"))
+
+    play(scenario())
+
+
+def test_what_an_endpoint_says_in_an_answer_reaches_routers_without_the_store() -> None:
+    """Failure: that an endpoint leaves is known to the one router that it answered."""
+
+    async def scenario() -> None:
+        leaving = PlatformWorker("w1", Script(leaving=True))
+        async with Fleet({"web": [leaving, PlatformWorker("w2")]}) as fleet:
+            await fleet.add_routers(2)
+            await fleet.until_acquainted()
+            fleet.store.silent = True
+            while not leaving.received:
+                await fleet.ask("/page/1")
+            for other in fleet.others:
+                await until(lambda other=other: other.state.registry.find("w1").draining)
+
+    play(scenario())
+
+
+def test_a_router_that_joins_learns_which_endpoints_said_that_they_leave() -> None:
+    """Failure: a router that starts, or was cut off, sends requests to leaving endpoints."""
+
+    async def scenario() -> None:
+        leaving = PlatformWorker("w1", Script(leaving=True))
+        async with Fleet({"web": [leaving, PlatformWorker("w2")]}) as fleet:
+            while not leaving.received:
+                await fleet.ask("/page/1")
+            await asyncio.sleep(0)
+            await fleet.add_routers(1)
+            (other,) = fleet.others
+            await until(lambda: other.state.registry.find("w1").draining)
+
+    play(scenario())
