One router of each failure domain writes where streams began

Seen: since rows name streams while a service has one version, too, each router writes once a second.

Cause: what is to outlive all routers was written by each of them, so that writes grow with the fleet.

Change: a relay, or in a small fleet a router of the failure domain by rendezvous hashing, writes the streams that it has begun or heard of, once a second, twice with several versions. A router writes its own streams until its writer surely hears it: for 2 s after a start and after a change of the writer, and as long as it hears none. A writer that the store turns away is replaced as readers are. Versions are written by each router at once, as before. Rows are bounded in bytes, too, as callers choose the names of attempts.

--- a/packages/core/src/tamarack_core/stream_origins.py
+++ b/packages/core/src/tamarack_core/stream_origins.py
@@ -104,6 +104,7 @@
     def __init__(self, clock: Clock, retention_ms: Callable[[], float]) -> None:
         self._own: RecentTable[str, Origin] = RecentTable(clock, retention_ms)
         self._told: RecentTable[str, Origin] = RecentTable(clock, retention_ms)
+        self._all: RecentTable[str, Origin] = RecentTable(clock, retention_ms)
         self._ended: RecentTable[str, bool] = RecentTable(clock, retention_ms)
 
     def __len__(self) -> int:
@@ -113,7 +114,7 @@
         """Record where a stream of this router began; returns whether that is new."""
         if self._own.get(attempt) == origin:
             return False
-        self._own[attempt] = origin
+        self._own[attempt] = self._all[attempt] = origin
         return True
 
     def record_ended(self, attempt: str) -> None:
@@ -124,7 +125,7 @@
     def record_told(self, begun: BegunStreams) -> None:
         """Record what another router tells."""
         for attempt in begun.attempts:
-            self._told[attempt] = begun.origin
+            self._told[attempt] = self._all[attempt] = begun.origin
 
     def find(self, attempt: str) -> Origin | None:
         """Where an attempt's stream began, as far as this router knows."""
@@ -132,8 +133,15 @@
 
     def open_attempts(self) -> list[tuple[str, Origin]]:
         """Attempts of this router whose streams callers may take up, the newest last."""
+        return self._open(self._own)
+
+    def known_open_attempts(self) -> list[tuple[str, Origin]]:
+        """The same with those that others have told of; which of these have ended is not known."""
+        return self._open(self._all)
+
+    def _open(self, attempts: RecentTable[str, Origin]) -> list[tuple[str, Origin]]:
         ended = dict(self._ended.items())
-        return [one for one in self._own.items() if one[0] not in ended]
+        return [one for one in attempts.items() if one[0] not in ended]
 
     def own_attempts(self, service: str) -> list[tuple[str, Origin]]:
         """Attempts of this router whose streams began at endpoints of a service."""
--- a/packages/gateway/src/tamarack_gateway/fleet_members.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_members.py
@@ -178,6 +178,16 @@
         """Whether this router owns a key, by rendezvous hashing."""
         return winner(key, {*self._recent(now_ms), me.router}) == me.router
 
+    def domain_writer(self, key: str, me: Member, now_ms: float) -> str:
+        """Router that writes to the store for this one's failure domain, by rendezvous hashing.
+
+        Two parts of a fleet that do not hear each other have a writer each.
+        """
+        members = [me, *self._recent(now_ms).values()]
+        names = [m.router for m in members if m.failure_domain == me.failure_domain]
+        able = [name for name in names if not self._lost_store(name, now_ms)]
+        return self._ranked(key, able or names)[0]
+
     def leads(self, key: str, me: Member, listed: int, now_ms: float) -> bool:
         """Whether this router does a task for the whole fleet, by rendezvous hashing.
 
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -32,6 +32,7 @@
 from tamarack_gateway.quarantine_feed import QuarantineFeed
 from tamarack_gateway.router_pages import RouterPages
 from tamarack_gateway.site import Site
+from tamarack_gateway.stream_writer import ACQUAINTED_MS, StreamWriter, StreamWrites
 from tamarack_gateway.suspect_feed import SuspectFeed
 from tamarack_gateway.suspect_records import SuspectRecords
 from tamarack_gateway.table_messages import StoreLost, TableNews
@@ -51,9 +52,6 @@
 SWEEP_MS = 500.0
 """Time between two checks for idle connections and silent peers."""
 
-ACQUAINTED_MS = 2_000.0
-"""Time after a router is heard for the first time, or again, until it surely hears this one."""
-
 LEAVE_STEP_MS = 50.0
 """Time between two checks of a leaving router for requests in progress."""
 
@@ -107,6 +105,7 @@
             tasks=self._tasks,
         )
         self._state.owns = lambda matter: self._members.owns(matter, self._me, clock.now_ms)
+        self._stream_writer = StreamWriter(self._settings.router, clock)
         self._quarantine = self._make_quarantine()
         self._suspects = self._make_suspects()
         self._warm_ups = WarmUpFeed(
@@ -168,7 +167,12 @@
         self._metrics_address = await listen(settings.metrics, self._pages.answer_operator)
         table = self._site.tables.software_versions
         records = OriginRecords(
-            self._state, self._origins, self._feeds.clients, table, self._feeds.briefing
+            self._state,
+            self._origins,
+            self._feeds.clients,
+            table,
+            self._feeds.briefing,
+            writes=self._stream_writes,
         )
         self._feeds.on_restore = records.check_soon
         suspects = SuspectRecords(self._state, self._feeds.clients, self._site.tables.suspects)
@@ -414,6 +418,14 @@
         now_ms = self._clock.now_ms
         return self._members.queried_by(self._me, endpoints, self._feeds.listed_routers, now_ms)
 
+    def _stream_writes(self) -> StreamWrites:
+        if self._peers.large:
+            # Only relays hear of the streams of others.
+            return self._stream_writer.update(self._peers.relay)
+        table = self._site.tables.software_versions
+        writer = self._members.domain_writer(table, self._me, self._clock.now_ms)
+        return self._stream_writer.update(writer)
+
     def _other_routers(self) -> set[str]:
         heard = self._members.recent_routers(self._clock.now_ms)
         return {*heard, *self._feeds.listed_routers} - {self._settings.router}
@@ -426,9 +438,8 @@
         return self._members.leads("warm-up", self._me, listed, self._clock.now_ms)
 
     def _record_store_failure(self) -> None:
-        # In a small fleet each router reads for itself.
         router = self._settings.router
-        if self._members.record_store_lost(router, self._clock.now_ms) and self._peers.large:
+        if self._members.record_store_lost(router, self._clock.now_ms):
             self._peers.publish_notice(StoreLost(router))
 
     def _publish_changes(self, news: TableNews) -> None:
--- a/packages/gateway/src/tamarack_gateway/origin_feed.py
+++ b/packages/gateway/src/tamarack_gateway/origin_feed.py
@@ -146,9 +146,16 @@
         """Record that the caller has got the whole stream."""
         self._origins.record_ended(attempt)
 
-    def open_streams(self, count: int) -> dict[str, Origin]:
-        """The newest streams that callers may take up."""
-        return dict(self._origins.open_attempts()[-count:])
+    def open_streams(self, *, of_others: bool) -> list[tuple[str, Origin]]:
+        """Streams that callers may take up, the newest last.
+
+        Parameters
+        ----------
+        of_others
+            Whether to include those that other routers have told of.
+        """
+        origins = self._origins
+        return origins.known_open_attempts() if of_others else origins.open_attempts()
 
     def receive(self, message: BegunStreams | OriginQuery | OriginAnswer) -> None:
         """Apply a message of another router."""
--- a/packages/gateway/src/tamarack_gateway/origin_records.py
+++ b/packages/gateway/src/tamarack_gateway/origin_records.py
@@ -1,19 +1,26 @@
-"""What outlasts all routers about where streams began: a row of each router in the store."""
+"""What outlasts all routers about where streams began: rows in the store.
+
+Each router has a row with the software versions that it has seen. One router of each failure domain
+also writes the streams that it has begun or heard of, so that the number of writes does not grow
+with the fleet.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 
 import msgspec
 
 from tamarack_core.json_input import decode_json
-from tamarack_core.stream_origins import BegunStreams, by_origin
+from tamarack_core.stream_origins import BegunStreams, Origin, by_origin
 from tamarack_gateway.briefing import SETTLED_EPOCH, Briefing
 from tamarack_gateway.fleet_state import FleetState
 from tamarack_gateway.origin_feed import OriginFeed
 from tamarack_gateway.site import Row
 from tamarack_gateway.store_clients import StoreClients
+from tamarack_gateway.stream_writer import StreamWrites
 
 STEP_MS = 100.0
 START_STEP_MS = 20.0
@@ -25,13 +32,13 @@
 
 STREAMS_GAP_MS = 1_000.0
 SEVERAL_GAP_MS = 500.0
-STREAMS_GAP_PER_ROUTER_MS = 10.0
-"""Minimum time between two writes of streams, in any fleet, while a service has several versions,
-and for each router: the store takes a few hundred writes a second from all of them, and these are
-to be a hundred at most. While a service has one version, most streams go on without their row."""
+"""Minimum time between two writes of streams by one router, and while a service has several
+versions. While it has one, most streams go on without their row."""
 
-MAX_STREAMS = 1_000
-"""Maximum number of streams in a row, the newest ones; it then has about 20 kB of at most 64."""
+MAX_STREAMS = 1_500
+MAX_NAME_BYTES = 45_000
+"""Maximum number of streams in a row, the newest ones, and of the bytes of their names, which
+callers choose; the store takes rows of 64 kB."""
 
 
 class _Fields(msgspec.Struct):
@@ -42,8 +49,9 @@
     versions
         Software versions by service at which streams may have begun that still go on.
     streams
-        Streams that this router has begun and callers may take up. They are recorded while their
-        service has one version, too: the second may come while all routers are down.
+        Streams that callers may take up: those that this router has begun, and those that it has
+        heard of if it writes for others. They are recorded while their service has one version,
+        too: the second may come while all routers are down.
     settled
         Epoch of the store, once everything that its beginning has lost counts as written again.
     """
@@ -57,7 +65,13 @@
 
 
 class OriginRecords:
-    """Writes this router's row, and reads those of all after a start or a lapse of touch."""
+    """Writes this router's row, and reads those of all after a start or a lapse of touch.
+
+    Parameters
+    ----------
+    writes
+        Returns which streams this router writes.
+    """
 
     def __init__(
         self,
@@ -66,7 +80,10 @@
         clients: StoreClients,
         table: str,
         briefing: Briefing,
+        *,
+        writes: Callable[[], StreamWrites],
     ) -> None:
+        self._writes = writes
         self._state = state
         self._feed = feed
         self._clients = clients
@@ -103,6 +120,8 @@
         wait_ms = START_STEP_MS
         if self._has_read:
             due_ms = self._streams_due_ms - self._state.clock.now_ms
+            if self._writes() is StreamWrites.NONE:
+                due_ms = STREAMS_GAP_MS
             complete = self._state.software_versions.complete
             wait_ms = min(max(STEP_MS, due_ms), STREAMS_GAP_MS) if complete else STEP_MS
         with contextlib.suppress(TimeoutError):
@@ -158,21 +177,24 @@
         recent = {
             service: sorted(versions.recent(service)) for service in sorted(versions.services)
         }
-        is_due = self._state.clock.now_ms >= self._streams_due_ms
-        if recent == self._written.versions and not is_due:
+        settled = self._briefing.versions[SETTLED_EPOCH]
+        writes = self._writes()
+        is_due = (
+            writes is not StreamWrites.NONE and self._state.clock.now_ms >= self._streams_due_ms
+        )
+        changed = (recent, settled) != (self._written.versions, self._written.settled)
+        if not (changed or is_due):
             return None
-        streams = by_origin(self._feed.open_streams(MAX_STREAMS))
-        row = _Fields(recent, streams, self._briefing.versions[SETTLED_EPOCH])
+        newest = _newest(self._feed.open_streams(of_others=writes is StreamWrites.ALL))
+        row = _Fields(recent, by_origin(newest), settled)
         return None if row == self._written else row
 
     @property
     def _streams_due_ms(self) -> float:
         """Time from which streams may be written again."""
         versions = self._state.software_versions
-        per_router_ms = STREAMS_GAP_PER_ROUTER_MS * self._state.allowance.routers
         several = any(map(versions.several, versions.services))
-        gap_ms = max(SEVERAL_GAP_MS if several else STREAMS_GAP_MS, per_router_ms)
-        return self._written_ms + gap_ms
+        return self._written_ms + (SEVERAL_GAP_MS if several else STREAMS_GAP_MS)
 
     async def _write(self, row: _Fields) -> None:
         now_ms, epoch = self._state.clock.now_ms, self._clients.epoch
@@ -184,3 +206,15 @@
             self._written, self._written_ms, self._written_epoch = row, now_ms, epoch
         else:
             self._retry_ms = self._state.clock.now_ms + RETRY_MS
+
+
+def _newest(streams: list[tuple[str, Origin]]) -> dict[str, Origin]:
+    """The newest streams that fit into a row."""
+    kept: dict[str, Origin] = {}
+    left_bytes = MAX_NAME_BYTES
+    for attempt, origin in reversed(streams[-MAX_STREAMS:]):
+        left_bytes -= len(attempt.encode())
+        if left_bytes < 0:
+            break
+        kept[attempt] = origin
+    return kept
--- a/packages/gateway/src/tamarack_gateway/peer_group.py
+++ b/packages/gateway/src/tamarack_gateway/peer_group.py
@@ -154,6 +154,7 @@
         self._heard_versions: dict[str, int] = {}
         self._last_versions_ms = float("-inf")
         self._told_versions: dict[str, int] = {}
+        self._relay: str | None = None
         self._relay_task: OwnedTask | None = None
         self._last_relay_ms = float("-inf")
         self._last_summary_ms = float("-inf")
@@ -195,6 +196,11 @@
         """Whether this router relays the reports of its failure domain."""
         return self._links.relays
 
+    @property
+    def relay(self) -> str | None:
+        """The relay of this router's failure domain that was heard last; None if none was."""
+        return self._router if self._links.relays else self._relay
+
     @property
     def large(self) -> bool:
         """Whether the fleet is large, so that some routers do shared tasks for all."""
@@ -285,6 +291,7 @@
             self._receive_begun(topic, message)
         elif topic == _within_topic(self._domain):
             if isinstance(message, Digest):
+                self._relay = message.relay
                 self._plan.record_relay(message.relay, self._clock.now_ms)
             if not self._links.relays:
                 self._deliver(message)
