The same routers read all tables

A store that turns a router away in silence shows when a held call is not answered: after 5.5 s for the list of endpoints, after 2.5 s for the configuration. Each table had readers of its own, so that a silent store kept changes of endpoints from all routers for the longer time, beyond the 3 s in which they have to be in force. Now three routers read all tables, and a failed call of one table replaces them for all.

--- a/packages/gateway/src/tamarack_gateway/fleet_feeds.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_feeds.py
@@ -86,7 +86,7 @@
     follow
         Called with all listed routers when the list changes.
     reads
-        Returns whether this router reads a table from the store itself.
+        Returns whether this router reads tables from the store itself.
     publish
         Called with changes read from the store, to be published to the other routers.
     wanted
@@ -112,7 +112,7 @@
         state: FleetState,
         *,
         follow: Callable[[dict[str, Peer]], None],
-        reads: Callable[[str], bool],
+        reads: Callable[[], bool],
         publish: Callable[[TableNews], None],
         wanted: Callable[[CopyWanted], None],
         on_failure: Callable[[], None],
@@ -172,7 +172,7 @@
                 pause_ms=pause_ms,
                 on_change=partial(self._on_change, table, on_change),
                 on_status=self._status_reporter(table),
-                reads=partial(self._reads, table),
+                reads=self._reads,
                 publish=self._publish,
                 wanted=self._request_copy,
                 on_failure=self._on_failure,
--- a/packages/gateway/src/tamarack_gateway/fleet_members.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_members.py
@@ -28,6 +28,7 @@
 MIN_ADDRESSES = 3
 """Minimum number of addresses in an answer, if available, so that a caller has alternatives."""
 
+READERS_KEY = "tables"
 READERS = 3
 """Routers of a large fleet that read the store and publish changes to the others; they are in
 different failure domains, and any two may fail."""
@@ -211,10 +212,11 @@
             return me.router in able
         return bool(able) and winner(key, able) == me.router
 
-    def reads(
-        self, table: str, me: Member, now_ms: float, *, expected: Collection[str] = ()
-    ) -> bool:
-        """Whether this router reads a table from the store rather than receiving it from others.
+    def reads(self, me: Member, now_ms: float, *, expected: Collection[str] = ()) -> bool:
+        """Whether this router reads tables from the store rather than receiving them from others.
+
+        The same routers read all tables: the one whose calls are held for the shortest time shows
+        first that the store does not answer a reader.
 
         Parameters
         ----------
@@ -224,13 +226,13 @@
         """
         recent = {**self._recent(now_ms), me.router: me}
         if len(recent) <= SMALL_FLEET:
-            order = self._ranked(table, list({*expected, me.router}))
+            order = self._ranked(READERS_KEY, list({*expected, me.router}))
             return len(order) <= SMALL_FLEET or me.router in order[:READERS]
         readers: list[str] = []
         domains: set[str] = set()
         ready = [name for name, member in recent.items() if member.ready]
         able = [name for name in ready if not self._lost_store(name, now_ms)]
-        order = self._ranked(table, able or ready)
+        order = self._ranked(READERS_KEY, able or ready)
         for name in order:
             if recent[name].failure_domain not in domains and len(readers) < READERS:
                 readers.append(name)
@@ -239,12 +241,12 @@
         readers += [name for name in order if name not in readers][:lacking]
         return me.router in readers
 
-    def _ranked(self, table: str, names: list[str]) -> list[str]:
+    def _ranked(self, key: str, names: list[str]) -> list[str]:
         # Each follower calls this several times a second; hashing all names would dominate it.
-        scores = self._scores.setdefault(table, {})
+        scores = self._scores.setdefault(key, {})
         for name in names:
             if name not in scores:
-                scores[name] = score(table, name)
+                scores[name] = score(key, name)
         return sorted(names, key=scores.__getitem__, reverse=True)
 
     def addresses(
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -403,13 +403,13 @@
         self._state.vouching.expect(peers.keys() - {self._settings.router})
         self._state.allowance.seen(len(peers))
 
-    def _reads(self, table: str) -> bool:
+    def _reads(self) -> bool:
         now_ms = self._clock.now_ms
         age_ms = now_ms - self._started_ms
         if self._peers.large and age_ms < READERS_SETTLE_MS:
             return False
         expected = self._feeds.listed_routers if age_ms < JOINED_MS else ()
-        return self._members.reads(table, self._me, now_ms, expected=expected)
+        return self._members.reads(self._me, now_ms, expected=expected)
 
     def _answers_all(self) -> bool:
         return self._peers.relays or not self._peers.large
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -111,7 +111,7 @@
         async with Fleet({"web": web}) as fleet:
             await fleet.add_routers(SMALL_FLEET)
             everyone = [fleet.gateway, *fleet.others]
-            await until(lambda: sum(not r._reads("servers") for r in everyone) == SMALL_FLEET - 2)
+            await until(lambda: sum(not r._reads() for r in everyone) == SMALL_FLEET - 2)
             copy = fleet.store.copy()
             await write_much(fleet, 20)
             await fleet.store.put("servers", "w2", web[1].entry("web", slots=5))
--- a/tests/test_routers_without_the_store.py
+++ b/tests/test_routers_without_the_store.py
@@ -41,7 +41,7 @@
                 members.record_summary(member)
         for name in lost:
             members.record_store_lost(name, 0.0)
-        if members.reads(ENDPOINTS, me, now_ms):
+        if members.reads(me, now_ms):
             found.append(me.router)
     return found
 
@@ -119,7 +119,7 @@
         heard = len(self.routers) - 1
         if any(len(r._members.recent_routers(r._clock.now_ms)) < heard for r in self.routers):
             return []
-        return [router for router in self.routers if router._reads(ENDPOINTS)]
+        return [router for router in self.routers if router._reads()]
 
     def _listeners(self) -> list[Gateway]:
         readers = self.readers()
@@ -160,6 +160,23 @@
     play(scenario())
 
 
+def test_the_shortest_held_call_shows_that_a_silent_store_does_not_answer_a_reader() -> None:
+    """Failure: a change is read when the longest held calls end, though another table is down."""
+
+    async def scenario() -> None:
+        async with LargeFleet() as large:
+            silent = large.readers()
+            for router in silent:
+                large.links[router].block_to_target = True
+                large.links[router].block_from_target = True
+            await until(lambda: bool(large.readers()) and not set(silent) & set(large.readers()))
+            followers = [router._feeds._followers for router in silent]
+            assert all(by_table["op"]._last_call_failed for by_table in followers)
+            assert not any(by_table[ENDPOINTS]._last_call_failed for by_table in followers)
+
+    play(scenario())
+
+
 def test_what_an_endpoint_says_in_an_answer_reaches_routers_without_the_store() -> None:
     """Failure: that an endpoint leaves is known to the one router that it answered."""
 
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -186,7 +186,7 @@
             for other in everyone:
                 if other is not me:
                     members.record_summary(other)
-            if members.reads("op", me, 100.0):
+            if members.reads(me, 100.0):
                 readers.append(me)
         if count <= SMALL_FLEET:
             assert len(readers) == count
@@ -375,8 +375,8 @@
         async with Fleet({"pool": [worker]}, drain_ms=drain_ms) as fleet:
             await fleet.add_routers(SMALL_FLEET)
             everyone = [fleet.gateway, *fleet.others]
-            await until(lambda: sum(not r._reads("servers") for r in everyone) == SMALL_FLEET - 2)
-            listener = next(r for r in everyone if not r._reads("servers"))
+            await until(lambda: sum(not r._reads() for r in everyone) == SMALL_FLEET - 2)
+            listener = next(r for r in everyone if not r._reads())
             follower = listener._feeds._followers["servers"]
             # Ends the calls that routers began before they knew the others.
             await fleet.store.put("servers", "e1", worker.entry("pool", slots=5))
@@ -434,10 +434,10 @@
     reading = []
     for name in listed:
         me = Member(name, 1, "a", "x:1", True, 0.0)
-        if FleetMembers().reads("servers", me, 0.0, expected=listed):
+        if FleetMembers().reads(me, 0.0, expected=listed):
             reading.append(name)
     assert len(reading) == READERS
-    assert FleetMembers().reads("servers", Member("r", 1, "a", "x:1", True, 0.0), 0.0)
+    assert FleetMembers().reads(Member("r", 1, "a", "x:1", True, 0.0), 0.0)
 
 
 def test_a_version_that_rose_without_a_change_of_the_table_is_not_told() -> None:
