A row of streams is bounded by its bytes as they are written

Found by reading: callers choose the names of attempts, and a name of quotes takes twice its bytes in a row. With 1,500 of 200 characters a row had 89,792 bytes, more than the store takes, and none of the failure domain's streams would have been written. The test of the longest names has such names now, and failed before.

--- a/packages/gateway/src/tamarack_gateway/origin_records.py
+++ b/packages/gateway/src/tamarack_gateway/origin_records.py
@@ -37,8 +37,8 @@
 
 MAX_STREAMS = 1_500
 MAX_NAME_BYTES = 45_000
-"""Maximum number of streams in a row, the newest ones, and of the bytes of their names, which
-callers choose; the store takes rows of 64 kB."""
+"""Maximum number of streams in a row, the newest ones, and of the bytes of their names as they
+are written; callers choose them. The store takes rows of 64 kB."""
 
 
 class _Fields(msgspec.Struct):
@@ -213,7 +213,7 @@
     kept: dict[str, Origin] = {}
     left_bytes = MAX_NAME_BYTES
     for attempt, origin in reversed(streams[-MAX_STREAMS:]):
-        left_bytes -= len(attempt.encode())
+        left_bytes -= len(msgspec.json.encode(attempt))
         if left_bytes < 0:
             break
         kept[attempt] = origin
--- a/tests/test_stream_writers.py
+++ b/tests/test_stream_writers.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
+import msgspec
 from gateway_site import Fleet, play, until
 from test_routers_without_the_store import members_of
 from versioned_pool import begin_streams, engines, until_recorded
 
 from tamarack_core.clock import ManualClock
-from tamarack_core.stream_origins import Origin
+from tamarack_core.stream_origins import Origin, by_origin
 from tamarack_gateway.fleet_members import FleetMembers
 from tamarack_gateway.origin_records import MAX_NAME_BYTES, MAX_STREAMS, _newest
 from tamarack_gateway.stream_writer import ACQUAINTED_MS, StreamWriter, StreamWrites
 
 TABLE = "versions"
+ROW_BYTES = 64_000
+"""Bytes of a row that the store takes, less what else stands in it."""
 
 
 def writers(count: int, lost: set[str]) -> set[str]:
@@ -60,10 +63,11 @@
 def test_a_row_of_the_longest_names_fits_the_store() -> None:
     """Failure: callers choose long names, and the row is too large to be written."""
     origin = Origin("pool", "v1")
-    streams = [(f"{number:0>200}", origin) for number in range(2 * MAX_STREAMS)]
-    kept = _newest(streams)
-    assert sum(map(len, kept)) <= MAX_NAME_BYTES
-    assert streams[-1][0] in kept
+    for fill in ("0", '"', "é"):
+        streams = [(f"{number:{fill}>200}", origin) for number in range(2 * MAX_STREAMS)]
+        kept = _newest(streams)
+        assert streams[-1][0] in kept
+        assert MAX_NAME_BYTES / 2 < len(msgspec.json.encode(by_origin(kept))) <= ROW_BYTES
     assert len(_newest([(f"{number}", origin) for number in range(5_000)])) == MAX_STREAMS
 
 
