--- a/tests/test_foreign_rows_fuzz.py
+++ b/tests/test_foreign_rows_fuzz.py
@@ -257,9 +257,10 @@
             platform_site(),
             self.state,
             follow=self._follow,
-            reads=lambda table: True,
+            reads=lambda: True,
             publish=lambda news: None,
             wanted=lambda wanted: None,
+            on_failure=lambda: None,
             on_quarantine_change=lambda change: self.quarantine.apply_change(change),
             ask=lambda message: None,
         )
