--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -16,7 +16,7 @@
 from tamarack_client.admin import AdminClient, AdminError
 from tamarack_client.client import Client, OutcomeUnknownError
 from tamarack_client.http_pool import HttpPool
-from tamarack_ctl.router_view import show_page
+from tamarack_ctl.main import main
 from tamarack_router.platform import InstanceList, ObjectStore, PlatformError, TableService
 
 BODY = b'{"key": "a", "version": 1, "value": 2, "rows": [], "instances": []}'
@@ -173,4 +173,4 @@
         with pytest.raises(AdminError) as error:
             AdminClient([server.address], "token").call("POST", "changes", {})
         assert error.value.code == "unknown"
-        assert show_page(server.address, "/status", lambda page: []).code != 0
+        assert main(["router", server.address]) != 0
