Tests of fleets' views share their construction

Three files built the routers of a simulated fleet and each one's view of the others in the same loops. fleet_views.py does it for all; assertions are as they were. A wait of zero seconds that waited for nothing is gone.

--- a/tests/test_routers_without_the_store.py
+++ b/tests/test_routers_without_the_store.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
 
 import pytest
+from fleet_views import members_of, views
 from gateway_site import Fleet, configuration, play, until
 
 from tamarack_core.relay_plan import SMALL_FLEET
 from tamarack_gateway import table_follower
-from tamarack_gateway.fleet_members import READERS, STORE_LOST_MS, FleetMembers, Member
+from tamarack_gateway.fleet_members import READERS, STORE_LOST_MS
 from tamarack_gateway.gateway import Gateway
 from tamarack_standins.fault_proxy import FaultProxy
 from tamarack_standins.platform_store import PlatformStore
@@ -21,29 +21,9 @@
 """Waits without a message after which a listener calls the store: longer than a test."""
 
 
-def members_of(count: int) -> tuple[FleetMembers, list[Member]]:
-    """Members of a fleet as the first of them knows the others."""
-    everyone = [Member(f"r{n}", 1, f"domain-{n % 4}", f"c{n}", True, 0.0) for n in range(count)]
-    members = FleetMembers()
-    for member in everyone[1:]:
-        members.record_summary(member)
-    return members, everyone
-
-
 def readers(count: int, lost: set[str], *, now_ms: float) -> list[str]:
-    """Routers that read a table, each by its own view; the `lost` have told a failure at 0 ms."""
-    found = []
-    _, everyone = members_of(count)
-    for me in everyone:
-        members = FleetMembers()
-        for member in everyone:
-            if member is not me:
-                members.record_summary(member)
-        for name in lost:
-            members.record_store_lost(name, 0.0)
-        if members.reads(me, now_ms):
-            found.append(me.router)
-    return found
+    """Routers that read tables, each by its own view; the `lost` have told a failure at 0 ms."""
+    return [me.router for me, members in views(count, lost) if members.reads(me, now_ms)]
 
 
 def test_routers_that_the_store_turns_away_are_replaced_as_readers() -> None:
@@ -57,14 +37,14 @@
 
 def test_of_195_routers_of_which_most_are_turned_away_others_read() -> None:
     """Failure: readers are chosen among routers that cannot read while some can."""
-    _, everyone = members_of(195)
+    everyone = members_of(195)
     lost = {member.router for member in everyone[5:]}
     assert set(readers(195, lost, now_ms=100.0)) <= {m.router for m in everyone[:5]}
 
 
 def test_a_store_that_is_away_for_all_is_tried_by_a_few() -> None:
     """Failure: nobody tries a store that has turned everybody away, or everybody does."""
-    _, everyone = members_of(66)
+    everyone = members_of(66)
     assert len(readers(66, {member.router for member in everyone}, now_ms=100.0)) == READERS
 
 
@@ -202,7 +182,6 @@
         async with Fleet({"web": [leaving, PlatformWorker("w2")]}) as fleet:
             while not leaving.received:
                 await fleet.ask("/page/1")
-            await asyncio.sleep(0)
             await fleet.add_routers(1)
             (other,) = fleet.others
             await until(lambda: other.state.registry.find("w1").draining)
--- a/tests/test_stream_writers.py
+++ b/tests/test_stream_writers.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import msgspec
+from fleet_views import views
 from gateway_site import Fleet, play, until
-from test_routers_without_the_store import members_of
 from versioned_pool import begin_streams, engines, until_recorded
 
 from tamarack_core.clock import ManualClock
 from tamarack_core.stream_origins import Origin, by_origin
-from tamarack_gateway.fleet_members import FleetMembers
 from tamarack_gateway.origin_records import MAX_NAME_BYTES, MAX_STREAMS, _newest
 from tamarack_gateway.stream_writer import ACQUAINTED_MS, StreamWriter, StreamWrites
 
@@ -20,17 +19,7 @@
 
 def writers(count: int, lost: set[str]) -> set[str]:
     """Writers of all failure domains, by the views of all routers."""
-    _, everyone = members_of(count)
-    found = set()
-    for me in everyone:
-        members = FleetMembers()
-        for member in everyone:
-            if member is not me:
-                members.record_summary(member)
-        for name in lost:
-            members.record_store_lost(name, 0.0)
-        found.add(members.domain_writer(TABLE, me, 100.0))
-    return found
+    return {members.domain_writer(TABLE, me, 100.0) for me, members in views(count, lost)}
 
 
 def test_each_failure_domain_has_one_writer() -> None:
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -7,6 +7,7 @@
 from typing import Any, cast
 
 import pytest
+from fleet_views import members_of, views
 from gateway_site import Fleet, configuration, play, until
 
 from tamarack_core.clock import ManualClock
@@ -170,24 +171,9 @@
     assert follower._recovered_ms == 100_000.0
 
 
-def members_of(count: int) -> list[Member]:
-    return [
-        Member(f"r{number}", 1, f"domain-{number % 4}", f"c{number}", True, 0.0)
-        for number in range(count)
-    ]
-
-
 def test_a_few_readers_in_different_domains_serve_a_large_fleet() -> None:
     for count in (SMALL_FLEET, 66):
-        everyone = members_of(count)
-        readers = []
-        for me in everyone:
-            members = FleetMembers()
-            for other in everyone:
-                if other is not me:
-                    members.record_summary(other)
-            if members.reads(me, 100.0):
-                readers.append(me)
+        readers = [me for me, members in views(count) if members.reads(me, 100.0)]
         if count <= SMALL_FLEET:
             assert len(readers) == count
         else:
