--- a/packages/gateway/src/tamarack_gateway/caller_handler.py
+++ b/packages/gateway/src/tamarack_gateway/caller_handler.py
@@ -87,7 +87,7 @@
             caller.answer(400, [])
             return
         # Checked again: requests that were read together have begun since.
-        if self._refuse_overload(caller, facts):
+        if self._loop_monitor.may_refuse and self._refuse_overload(caller, facts):
             return
         rules = state.rules
         workspace = self._workspace_of(facts.key)
@@ -134,8 +134,6 @@
         return rules.workspace_of(key) if rules is not None and key is not None else None
 
     def _refuse_overload(self, caller: CallerConnection, sender: Sender | RequestFacts) -> bool:
-        if not self._loop_monitor.may_refuse:
-            return False
         rules = self._state.rules
         workspace = self._workspace_of(sender.key)
         route = rules.route_for(sender.host, sender.path) if rules is not None else None
--- a/packages/gateway/src/tamarack_gateway/fleet_members.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_members.py
@@ -115,6 +115,11 @@
     def _lost_store(self, router: str, now_ms: float) -> bool:
         return now_ms - self._store_lost_ms.get(router, float("-inf")) < STORE_LOST_MS
 
+    def _ranked_for_store(self, key: str, names: list[str], now_ms: float) -> list[str]:
+        """Rank routers for a task at the store: those that reach it, or all if none does."""
+        able = [name for name in names if not self._lost_store(name, now_ms)]
+        return self._ranked(key, able or names)
+
     def known(self) -> list[Member]:
         """All routers that ever sent a summary, by name."""
         return sorted(self._members.values())
@@ -186,8 +191,7 @@
         """
         members = [me, *self._recent(now_ms).values()]
         names = [m.router for m in members if m.failure_domain == me.failure_domain]
-        able = [name for name in names if not self._lost_store(name, now_ms)]
-        return self._ranked(key, able or names)[0]
+        return self._ranked_for_store(key, names, now_ms)[0]
 
     def leads(self, key: str, me: Member, listed: int, now_ms: float) -> bool:
         """Whether this router does a task for the whole fleet, by rendezvous hashing.
@@ -231,8 +235,7 @@
         readers: list[str] = []
         domains: set[str] = set()
         ready = [name for name, member in recent.items() if member.ready]
-        able = [name for name in ready if not self._lost_store(name, now_ms)]
-        order = self._ranked(READERS_KEY, able or ready)
+        order = self._ranked_for_store(READERS_KEY, ready, now_ms)
         for name in order:
             if recent[name].failure_domain not in domains and len(readers) < READERS:
                 readers.append(name)
--- a/packages/gateway/src/tamarack_gateway/origin_records.py
+++ b/packages/gateway/src/tamarack_gateway/origin_records.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -120,8 +121,6 @@
         wait_ms = START_STEP_MS
         if self._has_read:
             due_ms = self._streams_due_ms - self._state.clock.now_ms
-            if self._writes() is StreamWrites.NONE:
-                due_ms = STREAMS_GAP_MS
             complete = self._state.software_versions.complete
             wait_ms = min(max(STEP_MS, due_ms), STREAMS_GAP_MS) if complete else STEP_MS
         with contextlib.suppress(TimeoutError):
@@ -178,20 +177,20 @@
             service: sorted(versions.recent(service)) for service in sorted(versions.services)
         }
         settled = self._briefing.versions[SETTLED_EPOCH]
-        writes = self._writes()
-        is_due = (
-            writes is not StreamWrites.NONE and self._state.clock.now_ms >= self._streams_due_ms
-        )
+        is_due = self._state.clock.now_ms >= self._streams_due_ms
         changed = (recent, settled) != (self._written.versions, self._written.settled)
         if not (changed or is_due):
             return None
-        newest = _newest(self._feed.open_streams(of_others=writes is StreamWrites.ALL))
+        of_others = self._writes() is StreamWrites.ALL
+        newest = _newest(self._feed.open_streams(of_others=of_others))
         row = _Fields(recent, by_origin(newest), settled)
         return None if row == self._written else row
 
     @property
     def _streams_due_ms(self) -> float:
-        """Time from which streams may be written again."""
+        """Time from which streams may be written again; infinite if others write them."""
+        if self._writes() is StreamWrites.NONE:
+            return math.inf
         versions = self._state.software_versions
         several = any(map(versions.several, versions.services))
         return self._written_ms + (SEVERAL_GAP_MS if several else STREAMS_GAP_MS)
--- a/packages/gateway/src/tamarack_gateway/site.py
+++ b/packages/gateway/src/tamarack_gateway/site.py
@@ -84,7 +84,7 @@
 
 
 class Sender(NamedTuple):
-    """Who sent a request, and where.
+    """Who sent a request, and where: the first of its `RequestFacts`.
 
     Attributes
     ----------
