What other routers told of leaving endpoints is forgotten in time

Found by reading: the incarnations that said they leave were dropped only when a router was newly heard, so that a fleet that runs undisturbed keeps each of them. They are dropped as new ones are noted.

--- a/packages/gateway/src/tamarack_gateway/endpoint_notices.py
+++ b/packages/gateway/src/tamarack_gateway/endpoint_notices.py
@@ -52,7 +52,7 @@
         """Record the notices in an answer of an endpoint."""
         now_ms = self._clock.now_ms
         if facts.leaving and self._registry.record_leaving(endpoint.key, now_ms):
-            self._said_ms[endpoint.key] = now_ms
+            self._remember(endpoint.key, now_ms)
             self._log.change("endpoint says that it is leaving", endpoint=endpoint.name)
             self.publish(LeavingEndpoints(self._router, [LeavingEndpoint(*endpoint.key, 0.0)]))
         if facts.rest_ms is not None:
@@ -66,7 +66,7 @@
         now_ms = self._clock.now_ms
         for endpoint in message.endpoints:
             if self._registry.record_leaving(endpoint.key, now_ms):
-                self._said_ms[endpoint.key] = now_ms - endpoint.age_ms
+                self._remember(endpoint.key, now_ms - endpoint.age_ms)
                 self._log.change(
                     "endpoint leaves, another router says",
                     endpoint=endpoint.name,
@@ -76,14 +76,20 @@
 
     def tell(self) -> None:
         """Tell the other routers what this one knows; some may have missed it."""
-        now_ms = self._clock.now_ms
-        past_ms = now_ms - LEAVING_RETAINED_MS
-        self._said_ms = {key: said for key, said in self._said_ms.items() if said > past_ms}
-        newest = sorted(self._said_ms, key=lambda key: -self._said_ms[key])[:MAX_TOLD]
+        now_ms, recent = self._clock.now_ms, self._recent
+        newest = sorted(recent, key=lambda key: -recent[key])[:MAX_TOLD]
         if newest:
-            known = [LeavingEndpoint(*key, now_ms - self._said_ms[key]) for key in newest]
+            known = [LeavingEndpoint(*key, now_ms - recent[key]) for key in newest]
             self.publish(LeavingEndpoints(self._router, known))
 
+    @property
+    def _recent(self) -> dict[EndpointIncarnation, float]:
+        past_ms = self._clock.now_ms - LEAVING_RETAINED_MS
+        return {key: said_ms for key, said_ms in self._said_ms.items() if said_ms > past_ms}
+
+    def _remember(self, key: EndpointIncarnation, said_ms: float) -> None:
+        self._said_ms = {**self._recent, key: said_ms}
+
 
 def _ignore(message: LeavingEndpoints) -> None:
     """Default of `EndpointNotices.publish`: does nothing."""
--- a/tests/test_leaving_endpoints.py
+++ b/tests/test_leaving_endpoints.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import os
 
 import pytest
 from gateway_site import Fleet, play, until
 
+from tamarack_core.clock import ManualClock
 from tamarack_core.endpoint_registry import LEAVING_RETAINED_MS, Endpoint, EndpointRegistry
+from tamarack_gateway.decision_log import DecisionLog
+from tamarack_gateway.endpoint_notices import EndpointNotices
+from tamarack_gateway.leaving_messages import LeavingEndpoint, LeavingEndpoints
 from tamarack_standins.platform_worker import PlatformWorker, Script
 
 PAGE = Script(leaving=True)
@@ -143,6 +148,17 @@
     assert len(registry._leaving_ms) == 2
 
 
+def test_what_other_routers_told_of_endpoints_that_are_gone_is_forgotten() -> None:
+    """Failure: a router that runs for months keeps each endpoint of which it was ever told."""
+    clock = ManualClock()
+    log = DecisionLog("r", clock, output=os.open(os.devnull, os.O_WRONLY))
+    notices = EndpointNotices(EndpointRegistry(kept_ms=0.0), log, clock, "r")
+    for life in range(1, 100):
+        clock.advance(LEAVING_RETAINED_MS)
+        notices.learn(LeavingEndpoints("r2", [LeavingEndpoint("e1", life, 0.0)]))
+    assert len(notices._said_ms) == 1
+
+
 def test_a_query_of_an_engines_cache_also_tells_that_it_leaves() -> None:
     """Failure: a router that has just started sends its first requests to a leaving engine."""
 
