An overloaded router's report tells the time spent on reading requests

The hypotheses of the incident differ in what the busy router's processor is spent on; its report had one sum. reading_ms is the time in which requests were read and, if they were refused early, answered.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -53,6 +53,10 @@
     return False
 
 
+def no_record(took_ms: float) -> None:
+    """Record nothing."""
+
+
 class CallerDisconnectedError(ConnectionError):
     """The caller has closed its connection."""
 
@@ -73,6 +77,8 @@
         The set of open connections, to which this one adds itself.
     should_close
         Returns whether the connection closes after its first answer, for want of room.
+    record_read
+        Called with the milliseconds that reading some bytes took, early refusals included.
 
     Attributes
     ----------
@@ -90,8 +96,10 @@
         registry: set[CallerConnection],
         should_close: Callable[[], bool] = lambda: False,
         refuse_early: Refusal = no_refusal,
+        record_read: Callable[[float], None] = no_record,
     ) -> None:
         self._should_close = should_close
+        self._record_read = record_read
         self._refuse_early = refuse_early
         self._answered = False
         self._handler = handler
@@ -142,7 +150,9 @@
         if self._reader.stopped:
             self._discard(len(data))
             return
+        began_ms = self._clock.now_ms
         self._reader.feed(data)
+        self._record_read(self._clock.now_ms - began_ms)
 
     # events of the reader
 
--- a/packages/gateway/src/tamarack_gateway/connection_limiter.py
+++ b/packages/gateway/src/tamarack_gateway/connection_limiter.py
@@ -56,6 +56,7 @@
         self._freed = 0
         self._accepted = 0
         self._closed_after_answer = 0
+        self._reading_ms = 0.0
         self.turned_away = 0
         self._logged_ms = float("-inf")
         self.closed = 0
@@ -73,7 +74,13 @@
     @property
     def counts(self) -> ConnectionCounts:
         """Counts of callers' connections since the start."""
-        return ConnectionCounts(self._accepted, self.turned_away, self._closed_after_answer)
+        return ConnectionCounts(
+            self._accepted, self.turned_away, self._closed_after_answer, self._reading_ms
+        )
+
+    def record_read(self, took_ms: float) -> None:
+        """Add to the time for which requests were read."""
+        self._reading_ms += took_ms
 
     def should_close(self) -> bool:
         """Whether a new connection closes after its first answer, for want of room."""
--- a/packages/gateway/src/tamarack_gateway/listeners.py
+++ b/packages/gateway/src/tamarack_gateway/listeners.py
@@ -97,6 +97,7 @@
             self._connections,
             self._limiter.should_close,
             refuse_early,
+            self._limiter.record_read,
         )
         connection.closing = state.leaving is not None
         return connection
--- a/packages/gateway/src/tamarack_gateway/refusal_report.py
+++ b/packages/gateway/src/tamarack_gateway/refusal_report.py
@@ -31,11 +31,20 @@
         New connections that were closed unread because the limit was reached.
     closed_after_answer
         Connections that the router closed after an answer because so many were open.
+    reading_ms
+        Milliseconds for which requests were read, or refused where they were read. A pause of the
+        process counts where it falls.
     """
 
     accepted: int = 0
     turned_away: int = 0
     closed_after_answer: int = 0
+    reading_ms: float = 0.0
+
+    def since(self, earlier: ConnectionCounts) -> ConnectionCounts:
+        """Difference to earlier counts."""
+        pairs = zip(self, earlier, strict=True)
+        return ConnectionCounts._make(now - before for now, before in pairs)
 
 
 class RefusalReport:
@@ -96,7 +105,8 @@
         now_ms = self._clock.now_ms
         if now_ms - self._since_ms < REPORT_INTERVAL_MS:
             return
-        processor_ms, connections = self._clock.processor_ms, self._counts()
+        processor_ms, counts = self._clock.processor_ms, self._counts()
+        connections = counts.since(self._connections)
         routes = self._since_report()
         if self._refused:
             self._log.event(
@@ -104,10 +114,9 @@
                 refused=self._refused.total(),
                 admitted=sum(counts.admitted for counts in routes.values()),
                 largest=dict(self._refused.most_common(LARGEST)),
-                accepted=connections.accepted - self._connections.accepted,
-                closed_after_answer=(
-                    connections.closed_after_answer - self._connections.closed_after_answer
-                ),
+                accepted=connections.accepted,
+                closed_after_answer=connections.closed_after_answer,
+                reading_ms=round(connections.reading_ms),
                 processor_ms=round(processor_ms - self._processor_ms),
                 took_ms=round(now_ms - self._since_ms),
                 routes=_largest(routes),
@@ -115,7 +124,7 @@
             )
         self._refused.clear()
         self._since_ms, self._processor_ms = now_ms, processor_ms
-        self._connections = connections
+        self._connections = counts
 
     def _since_report(self) -> dict[str, RouteCounts]:
         none = RouteCounts()
--- a/tests/test_refusal_report.py
+++ b/tests/test_refusal_report.py
@@ -34,7 +34,8 @@
     report.poll(limit=32)
     assert not log.waiting
     clock.advance(REPORT_INTERVAL_MS)
-    clock.used_ms, counts = 480.0, ConnectionCounts(accepted=12, closed_after_answer=4)
+    clock.used_ms = 480.0
+    counts = ConnectionCounts(accepted=12, closed_after_answer=4, reading_ms=130.4)
     report.poll(limit=32)
     log.flush()
     line = json.loads(os.read(reader, 4_096))
@@ -45,7 +46,7 @@
         "/draft/": {"refused": 2, "retries": 1, "admitted": 1, "tokens": 900, "events": 17},
         "/page/": {"refused": 1, "retries": 0, "admitted": 0, "tokens": 0, "events": 0},
     }
-    assert (line["accepted"], line["closed_after_answer"]) == (7, 4)
+    assert (line["accepted"], line["closed_after_answer"], line["reading_ms"]) == (7, 4, 130)
     assert (line["processor_ms"], line["took_ms"]) == (480, REPORT_INTERVAL_MS)
     assert report.refused == 3
     os.close(reader)
