--- a/packages/gateway/src/tamarack_gateway/event_loop.py
+++ b/packages/gateway/src/tamarack_gateway/event_loop.py
@@ -14,7 +14,7 @@
 def new_event_loop() -> asyncio.AbstractEventLoop:
     """Make the event loop on which a router runs.
 
-    Connecting and refusing take less than half of the processor time that they take on asyncio's
-    own loop, which is what an instance spends most on while callers ask for more than it can do.
+    A connection takes half of the processor time that it takes on asyncio's own loop; while callers
+    ask for more than a router can do, most of them connect again for each request.
     """
     return uvloop.new_event_loop()
