Failing test: a stopping router closes a connection whose request it has not read

The test holds the loop between the caller's send and the close: the connection counts as idle, and its caller gets a reset.

--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -172,3 +172,22 @@
     (ended,) = [line for line in lines if line.get("reason") == "the router ends"]
     assert (ended["message"], ended["request"]) == (f"request: {became}", "attempt1")
     assert min(ended["stopping_ms"], ended["ran_ms"]) >= 0
+
+
+def test_a_request_that_the_kernel_holds_unread_is_answered_before_its_connection_closes() -> None:
+    """Failure: a stopping router that lags cuts requests which it has not read yet."""
+
+    async def run() -> None:
+        async with Fleet({"web": [PlatformWorker("w1")]}) as fleet:
+            reader, writer = await connect(fleet.gateway.callers)
+            writer.write(fleet.request("/page/1"))
+            assert (await read_answer(reader)).status == 200
+            (connection,) = fleet.gateway._connections
+            # Written to the kernel at once; the router's loop does not run before the close.
+            writer.get_extra_info("socket").dup().send(fleet.request("/page/2"))
+            connection.close_when_idle()
+            answer = await read_answer(reader)
+            assert answer.whole and answer.headers["connection"] == "close"
+            writer.close()
+
+    play(run())
