An answer without a length that is reset with its last bytes is not complete

At the end of a connection the router now asks its socket whether it was reset. Evidence: the test sends a part and resets the connection within one turn of the loop; it did not raise before, and does now.

--- a/packages/gateway/src/tamarack_gateway/endpoint_connection.py
+++ b/packages/gateway/src/tamarack_gateway/endpoint_connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -64,6 +65,7 @@
         self._consumer: Callable[[bytes], None] | None = None
         self._expecting = False
         self._reusable = False
+        self._reset = False
         self.idle_since_ms = 0.0
         self.keep_alive_ms: float | None = None
 
@@ -73,6 +75,10 @@
         self._transport = transport
         enable_keepalive(transport.get_extra_info("socket"))
 
+    def eof_received(self) -> None:
+        # The loop reports a reset that it finds together with the last bytes as an orderly close.
+        self._reset = was_reset(self._transport.get_extra_info("socket"))
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         if self._expecting and not self._complete:
@@ -257,7 +263,8 @@
 
     def _handle_early_close(self, exc: Exception | None) -> None:
         head = self._head
-        if head is not None and head.unframed and exc is None and self._error is None:
+        orderly = exc is None and not self._reset
+        if head is not None and head.unframed and orderly and self._error is None:
             # Only an orderly close marks the end of a body without a length; after a reset, bytes
             # may be missing.
             self._complete = True
@@ -299,6 +306,17 @@
     return connection
 
 
+def was_reset(sock: Any) -> bool:
+    """Whether a connection that has reached its end was reset by its peer."""
+    try:
+        with socket.socket(fileno=os.dup(sock.fileno())) as copy:
+            copy.setblocking(False)
+            copy.recv(1)
+    except OSError:
+        return True
+    return False
+
+
 def enable_keepalive(sock: socket.socket) -> None:
     """Enable TCP keepalive and the user timeout, which detect a peer that stopped responding."""
     with contextlib.suppress(OSError):
--- a/tests/test_event_loop.py
+++ b/tests/test_event_loop.py
@@ -6,6 +6,7 @@
 import errno
 import os
 import socket
+import struct
 from pathlib import Path
 from typing import Any
 
@@ -13,6 +14,7 @@
 from gateway_site import Fleet, connect, play, until
 
 from tamarack_gateway import accepting_socket
+from tamarack_gateway.endpoint_connection import ConnectionLostError, open_connection
 from tamarack_gateway.event_loop import new_event_loop
 
 
@@ -61,3 +63,28 @@
             writer.close()
 
     play(run())
+
+
+def reset_inside_an_answer(listener: socket.socket) -> None:
+    """Accept a connection, send a part of an answer without a length, and reset it."""
+    peer, _ = listener.accept()
+    peer.send(b"HTTP/1.1 200 OK\r\n\r\nhel")
+    peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    peer.close()
+
+
+def test_an_answer_without_a_length_that_is_reset_with_its_last_bytes_is_not_complete() -> None:
+    """Failure: a caller gets a part of an answer, framed as if it were the whole."""
+
+    async def run() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            host, port = listener.getsockname()
+            connection = await open_connection(f"{host}:{port}", 1_000.0)
+            connection.send(b"GET / HTTP/1.1\r\n\r\n")
+            await until(lambda: not connection._transport.get_write_buffer_size())
+            # Without a turn of the loop between: it finds the bytes and the reset together.
+            reset_inside_an_answer(listener)
+            with pytest.raises(ConnectionLostError):
+                await connection.body()
+
+    play(run())
