Less work at the end of a connection; an accepting socket takes the log it writes to

Whether a connection was reset is asked only while an answer is incomplete, where it decides something, and not each time that an endpoint closes an idle connection. AcceptingSocket had the whole state of the fleet for its log alone. Behaviour is the same.

--- a/packages/gateway/src/tamarack_gateway/accepting_socket.py
+++ b/packages/gateway/src/tamarack_gateway/accepting_socket.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from tamarack_core.accept_rate import AcceptRate
-from tamarack_gateway.fleet_state import FleetState
+from tamarack_gateway.decision_log import DecisionLog
 
 BACKLOG = 384
 """Length of the accept queue; when it is full, callers lose seconds until they connect. Callers
@@ -43,14 +43,14 @@
     def __init__(
         self,
         listener: socket.socket,
-        state: FleetState,
+        log: DecisionLog,
         accept_rate: AcceptRate,
         *,
         admit: Callable[[], bool],
         connection: Callable[[], asyncio.Protocol],
     ) -> None:
         self._listener = listener
-        self._state = state
+        self._log = log
         self._accept_rate = accept_rate
         self._admit = admit
         self._connection = connection
@@ -104,9 +104,9 @@
     def _opened(self, task: asyncio.Task[Any]) -> None:
         self._opening.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
-            self._state.log.event("cannot open an accepted connection", reason=str(error))
+            self._log.event("cannot open an accepted connection", reason=str(error))
 
     def _pause(self, error: OSError) -> None:
-        self._state.log.event("cannot accept connections", reason=str(error))
+        self._log.event("cannot accept connections", reason=str(error))
         self._loop.remove_reader(self._listener.fileno())
         self._retry = self._loop.call_later(RETRY_MS / 1_000, self._watch)
--- a/packages/gateway/src/tamarack_gateway/endpoint_connection.py
+++ b/packages/gateway/src/tamarack_gateway/endpoint_connection.py
@@ -77,7 +77,8 @@
 
     def eof_received(self) -> None:
         # The loop reports a reset that it finds together with the last bytes as an orderly close.
-        self._reset = was_reset(self._transport.get_extra_info("socket"))
+        if self._expecting and not self._complete:
+            self._reset = was_reset(self._transport.get_extra_info("socket"))
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
--- a/packages/gateway/src/tamarack_gateway/listeners.py
+++ b/packages/gateway/src/tamarack_gateway/listeners.py
@@ -60,7 +60,7 @@
     ) -> str:
         listener = AcceptingSocket(
             _bind(address),
-            self._state,
+            self._state.log,
             accept_rate,
             admit=self._limiter.admit,
             connection=lambda: self._connection(handler, refuse_early),
