A timer of the router's loop is never called before its time

Callers: after the store was restored from a copy, a router went on without confirming its keys until the next call of the configuration's table, a whole wait later; with a bound of some seconds it would have refused callers.

Cause: uvloop rounds a delay to whole milliseconds and counts milliseconds of a clock of which it drops the fraction, so that a timer may be called up to 2.5 ms early. The call that confirms keys is sent by a timer at the end of the time in which the store vouches for nothing, compares its time with that end, found itself early and counted for nothing; no second one follows. asyncio's own loop rounds up.

--- a/tests/test_event_loop.py
+++ b/tests/test_event_loop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import os
 import socket
@@ -13,6 +14,7 @@
 import pytest
 from gateway_site import Fleet, connect, play, until
 
+from tamarack_core.clock import BootClock
 from tamarack_gateway import accepting_socket
 from tamarack_gateway.endpoint_connection import ConnectionLostError, open_connection
 from tamarack_gateway.event_loop import new_event_loop
@@ -27,6 +29,31 @@
     assert not [target for target in opened if "io_uring" in target]
 
 
+def test_no_timer_is_called_before_its_time() -> None:
+    """Failure: what is due at a time is omitted when its timer is called, as it isn't due yet."""
+    clock = BootClock()
+
+    async def wait_for_call(delay_ms: float) -> None:
+        called = asyncio.Event()
+        asyncio.get_running_loop().call_later(delay_ms / 1_000, called.set)
+        await called.wait()
+
+    async def wait_for_timeout(delay_ms: float) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(delay_ms / 1_000):
+                await asyncio.Event().wait()
+
+    async def run() -> None:
+        for step in range(200):
+            delay_ms = 0.3 + 0.017 * step
+            for wait in (wait_for_call, wait_for_timeout):
+                started_ms = clock.now_ms
+                await wait(delay_ms)
+                assert clock.now_ms - started_ms >= delay_ms
+
+    play(run())
+
+
 def test_a_router_without_free_descriptors_accepts_again_later(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
