A connection whose request the kernel holds unread is not idle

Callers: a request sent on a kept connection while the router lagged was cut without an answer: by a router that stops, by one without room for connections, or by the idle timeout.

Cause: a connection counted as idle from what the process had read of it. What the caller's host had delivered to the kernel was not asked for, and a stopping router ended once all connections were idle in that sense.

Change: the three places ask the kernel for unread bytes before they close, and the stop waits for such connections as for busy ones. A request that arrives between the question and the close is still cut; nothing on one connection can exclude that.

`send_buffer` is named `kernel_buffers`, as it tells of both now.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -17,8 +17,8 @@
     chunk_bytes,
     head_bytes,
 )
+from tamarack_gateway.kernel_buffers import enlarge_send_buffer, unacknowledged_bytes, unread_bytes
 from tamarack_gateway.request_reader import RequestEvents, RequestReader
-from tamarack_gateway.send_buffer import enlarge_send_buffer, unacknowledged_bytes
 from tamarack_gateway.stall_timer import StallTimer
 
 DRAIN_BYTES = 4_000_000
@@ -216,6 +216,17 @@
         """Whether a request is being read or answered, or an answer has not been taken yet."""
         return self._task is not None or self._reader.reading or self._delivering
 
+    @property
+    def idle(self) -> bool:
+        """Whether the connection may close: it is not busy, and the kernel holds no request."""
+        return not self.busy and not self._has_unread
+
+    @property
+    def _has_unread(self) -> bool:
+        if self.disconnected or self._reader.stopped:
+            return False
+        return unread_bytes(self._transport.get_extra_info("socket")) > 0
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes that the caller's host has not acknowledged: of the transport and of the kernel."""
@@ -312,13 +323,13 @@
                 self._transport.abort()
         elif self._reader.in_head and elapsed_ms > bounds.header_ms:
             self._reader.refuse(408)
-        elif not self._reader.reading and elapsed_ms > bounds.idle_ms:
+        elif not self._reader.reading and elapsed_ms > bounds.idle_ms and not self._has_unread:
             self._transport.close()
 
     def close_when_idle(self) -> None:
-        """Close the connection now, or after the answer in progress."""
+        """Close the connection now, or after the request in progress or not read yet."""
         self.closing = True
-        if not self.disconnected and not self.busy:
+        if not self.disconnected and self.idle:
             self._finish()
 
     @property
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -267,7 +267,7 @@
             if not plan.lingers(clock.now_ms):
                 for connection in list(self._connections):
                     connection.close_when_idle()
-                if not any(connection.busy for connection in self._connections):
+                if all(connection.idle for connection in self._connections):
                     break
             await asyncio.sleep(LEAVE_STEP_MS / 1000)
         # One that started meanwhile may not have been heard before.
--- a/packages/gateway/src/tamarack_gateway/send_buffer.py
+++ b/packages/gateway/src/tamarack_gateway/kernel_buffers.py
@@ -1,4 +1,4 @@
-"""The kernel's buffer of what is sent on a connection."""
+"""The kernel's buffers of a connection."""
 
 from __future__ import annotations
 
@@ -37,8 +37,17 @@
 
 def unacknowledged_bytes(sock: Any) -> int:
     """Bytes that a connection's kernel has taken and its peer has not acknowledged."""
+    return _queued_bytes(sock, termios.TIOCOUTQ)
+
+
+def unread_bytes(sock: Any) -> int:
+    """Bytes that a connection's kernel has received and its process has not read."""
+    return _queued_bytes(sock, termios.FIONREAD)
+
+
+def _queued_bytes(sock: Any, request: int) -> int:
     try:
-        reply = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
+        reply = fcntl.ioctl(sock.fileno(), request, struct.pack("i", 0))
     except (OSError, ValueError):
         # The socket is closed, or its system does not tell.
         return 0
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -191,3 +191,43 @@
             writer.close()
 
     play(run())
+
+
+def test_a_connection_with_an_unread_request_does_not_end_by_its_idle_timeout() -> None:
+    """Failure: a router that lags closes a connection whose caller has just sent a request."""
+
+    async def run() -> None:
+        async with Fleet({"web": [PlatformWorker("w1")]}) as fleet:
+            reader, writer = await connect(fleet.gateway.callers)
+            writer.write(fleet.request("/page/1"))
+            assert (await read_answer(reader)).status == 200
+            (connection,) = fleet.gateway._connections
+            writer.get_extra_info("socket").dup().send(fleet.request("/page/2"))
+            connection.close_if_idle(fleet.gateway.state.clock.now_ms + 1e6)
+            assert (await read_answer(reader)).status == 200
+            writer.close()
+
+    play(run())
+
+
+def test_a_router_does_not_leave_before_requests_that_the_kernel_holds() -> None:
+    """Failure: a stopping router finds no connection busy, and exits with unread requests."""
+
+    async def run() -> None:
+        async with Fleet({"web": []}, grace_ms=3_000.0, address_ttl_ms=50.0) as fleet:
+            reader, writer = await connect(fleet.gateway.callers)
+            await until(lambda: bool(fleet.gateway._connections))
+            (connection,) = fleet.gateway._connections
+            connection._transport.pause_reading()
+            writer.write(fleet.request("/page/1"))
+            await until(lambda: not connection.idle)
+            leaving = asyncio.ensure_future(fleet.gateway.leave())
+            await asyncio.sleep(0.8)
+            assert not leaving.done()
+            connection._transport.resume_reading()
+            answer = await read_answer(reader)
+            assert answer.whole and answer.headers["connection"] == "close"
+            await leaving
+            writer.close()
+
+    play(run())
--- a/tests/test_send_buffer.py
+++ b/tests/test_kernel_buffers.py
@@ -4,7 +4,7 @@
 
 import socket
 
-from tamarack_gateway.send_buffer import EXIT_SEND_BUFFER_BYTES, enlarge_send_buffer
+from tamarack_gateway.kernel_buffers import EXIT_SEND_BUFFER_BYTES, enlarge_send_buffer
 
 
 def size_after(requested: int) -> int:
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -95,7 +95,7 @@
     capfd: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a request that is cut at the exit without a line that names it."""
-    monkeypatch.setattr("tamarack_gateway.send_buffer.largest_send_buffer", lambda: 0)
+    monkeypatch.setattr("tamarack_gateway.kernel_buffers.largest_send_buffer", lambda: 0)
 
     async def scenario() -> None:
         worker = PlatformWorker("w1", ANSWERS["stream"][0])
