A connection whose caller was promised to keep it is not closed behind its answer

Callers: a request sent to a router that stops on a kept connection was cut without an answer, although the router still served others for seconds.

Cause: an answer that had begun before the stop tells its caller nothing of a close, but the connection was closed at the end of that answer, while its caller was sending the next request on it.

Change: such a connection stays open; the next answer says that it closes, and idle ones are closed once callers have newer addresses.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -83,7 +83,8 @@
     Attributes
     ----------
     closing
-        Whether the connection closes after the answer in progress.
+        Whether the next answer to begin tells its caller that the connection closes. Before that,
+        only `close_when_idle` closes it: its caller may be sending a request.
     on_writable
         Called once when the write buffer of a slow caller has drained.
     """
@@ -327,7 +328,7 @@
             self._transport.close()
 
     def close_when_idle(self) -> None:
-        """Close the connection now, or after the request in progress or not read yet."""
+        """Close the connection now, or tell its caller to in the next answer that begins."""
         self.closing = True
         if not self.disconnected and self.idle:
             self._finish()
@@ -386,7 +387,7 @@
         """End an answered request; returns whether the connection stays open."""
         self._answered = True
         self._changed_ms = self._clock.now_ms
-        if self._keep_alive and (self._pending or not self.closing):
+        if self._keep_alive:
             return True
         self._finish()
         return False
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -231,3 +231,24 @@
             writer.close()
 
     play(run())
+
+
+def test_a_connection_that_was_promised_to_be_kept_serves_while_callers_may_come() -> None:
+    """Failure: a stopping router closes a connection while its caller sends the next request."""
+
+    async def run() -> None:
+        worker = PlatformWorker("w1", Script(events=4, event_pause_s=0.05))
+        async with Fleet({"pool": [worker]}, grace_ms=3_000.0, address_ttl_ms=200.0) as fleet:
+            reader, writer = await connect(fleet.gateway.callers)
+            writer.write(fleet.request("/rewrite/1"))
+            await until(lambda: any(c.begun for c in fleet.gateway._connections))
+            leaving = asyncio.ensure_future(fleet.gateway.leave())
+            first = await read_answer(reader)
+            assert first.whole and "connection" not in first.headers
+            writer.write(fleet.request("/rewrite/2"))
+            second = await read_answer(reader)
+            assert second.whole and second.headers["connection"] == "close"
+            await leaving
+            writer.close()
+
+    play(run())
