Timeouts of the router's loop are never early either

Cause: the loop's time is in whole milliseconds and advances between the moment at which a timeout's end is computed from it and that at which its timer is set; a timeout of less than a millisecond was then over at once, up to 0.94 ms early.

--- a/packages/gateway/src/tamarack_gateway/event_loop.py
+++ b/packages/gateway/src/tamarack_gateway/event_loop.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import time
 from collections.abc import Callable
 from contextvars import Context
 from typing import TypeVarTuple
@@ -27,6 +28,21 @@
     omitted if that were earlier.
     """
 
+    def time(self) -> float:
+        """Monotonic time in seconds, now: the library's is that of the iteration's start."""
+        return time.monotonic()
+
+    def call_at(
+        self,
+        when: float,
+        callback: Callable[[*_Args], object],
+        *args: *_Args,
+        context: Context | None = None,
+    ) -> asyncio.TimerHandle:
+        """Call a function at a time of the loop."""
+        delay = max(0.0, when - self.time()) + TIMER_RESOLUTION_S
+        return super().call_later(delay, callback, *args, context=context)
+
     def call_later(
         self,
         delay: float,
