Listening needs no await; a test's caller notices an ended connection

Found by reading the whole change again. Sockets that the router listens on are opened without the loop's server now, so that the three functions that open them had nothing to wait for. Two tests of kept connections began with the same lines (`use_once`). The caller of the tests of refusals read an ended connection for ever, as a trial showed; it fails at once now.

No behaviour changes.

--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -158,13 +158,13 @@
         self._feeds.start(self._peers.address, self._boot)
         listen = self._listeners.listen
         handler = self._handler
-        self._callers = await self._listeners.listen_to_callers(
+        self._callers = self._listeners.listen_to_callers(
             settings.callers, handler.answer, refuse_early=handler.refuse_early
         )
         for address in dict.fromkeys((settings.readiness, settings.directory)):
             if address:
-                self._site_addresses.append(await listen(address, self._pages.answer_site))
-        self._metrics_address = await listen(settings.metrics, self._pages.answer_operator)
+                self._site_addresses.append(listen(address, self._pages.answer_site))
+        self._metrics_address = listen(settings.metrics, self._pages.answer_operator)
         table = self._site.tables.software_versions
         records = OriginRecords(
             self._state,
--- a/packages/gateway/src/tamarack_gateway/listeners.py
+++ b/packages/gateway/src/tamarack_gateway/listeners.py
@@ -45,17 +45,15 @@
         self._accept_rate = accept_rate
         self._sockets: list[AcceptingSocket] = []
 
-    async def listen_to_callers(
-        self, address: str, handler: Handler, *, refuse_early: Refusal
-    ) -> str:
+    def listen_to_callers(self, address: str, handler: Handler, *, refuse_early: Refusal) -> str:
         """Listen on the address for callers' requests; returns the bound address."""
-        return await self._listen(address, handler, refuse_early, self._accept_rate)
+        return self._listen(address, handler, refuse_early, self._accept_rate)
 
-    async def listen(self, address: str, handler: Handler) -> str:
+    def listen(self, address: str, handler: Handler) -> str:
         """Listen on another address; returns the bound address."""
-        return await self._listen(address, handler, no_refusal, AcceptRate())
+        return self._listen(address, handler, no_refusal, AcceptRate())
 
-    async def _listen(
+    def _listen(
         self, address: str, handler: Handler, refuse_early: Refusal, accept_rate: AcceptRate
     ) -> str:
         listener = AcceptingSocket(
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import json
+from asyncio import StreamReader, StreamWriter
 
 import pytest
 from gateway_site import Fleet, connect, play, read_answer, until
 
 from tamarack_core.service_times import MIN_SAMPLES
+from tamarack_gateway.caller_connection import CallerConnection
 from tamarack_standins.platform_worker import PlatformWorker, ReceivedRequest, Script
 
 TOKENS_PER_EVENT = 5
@@ -174,15 +176,21 @@
     assert min(ended["stopping_ms"], ended["ran_ms"]) >= 0
 
 
+async def use_once(fleet: Fleet) -> tuple[StreamReader, StreamWriter, CallerConnection]:
+    """A caller's kept connection after one answer, and the router's side of it."""
+    reader, writer = await connect(fleet.gateway.callers)
+    writer.write(fleet.request("/page/1"))
+    assert (await read_answer(reader)).status == 200
+    (connection,) = fleet.gateway._connections
+    return reader, writer, connection
+
+
 def test_a_request_that_the_kernel_holds_unread_is_answered_before_its_connection_closes() -> None:
     """Failure: a stopping router that lags cuts requests which it has not read yet."""
 
     async def run() -> None:
         async with Fleet({"web": [PlatformWorker("w1")]}) as fleet:
-            reader, writer = await connect(fleet.gateway.callers)
-            writer.write(fleet.request("/page/1"))
-            assert (await read_answer(reader)).status == 200
-            (connection,) = fleet.gateway._connections
+            reader, writer, connection = await use_once(fleet)
             # Written to the kernel at once; the router's loop does not run before the close.
             writer.get_extra_info("socket").dup().send(fleet.request("/page/2"))
             connection.close_when_idle()
@@ -198,10 +206,7 @@
 
     async def run() -> None:
         async with Fleet({"web": [PlatformWorker("w1")]}) as fleet:
-            reader, writer = await connect(fleet.gateway.callers)
-            writer.write(fleet.request("/page/1"))
-            assert (await read_answer(reader)).status == 200
-            (connection,) = fleet.gateway._connections
+            reader, writer, connection = await use_once(fleet)
             writer.get_extra_info("socket").dup().send(fleet.request("/page/2"))
             connection.close_if_idle(fleet.gateway.state.clock.now_ms + 1e6)
             assert (await read_answer(reader)).status == 200
--- a/tests/test_refusal_cost.py
+++ b/tests/test_refusal_cost.py
@@ -136,7 +136,9 @@
                 caller.sendall(request)
                 answer = b""
                 while b"\r\n\r\n" not in answer:
-                    answer += caller.recv(4_096)
+                    received = caller.recv(4_096)
+                    assert received, (connection, answer)
+                    answer += received
                 assert answer.startswith(b"HTTP/1.1 503"), (connection, answer)
 
 
