Sight: a stop tells unread, half read and unanswered requests; cuts tell the silence and the time since the stop

Connections that a stop closes now close their writing direction first, for up to 300 ms, and count what still arrives (unanswered); left tells half_read and unread; leaving tells the loop's lag when the signal was handled.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -57,6 +57,10 @@
     """Record nothing."""
 
 
+def no_count() -> None:
+    """Count nothing."""
+
+
 class CallerDisconnectedError(ConnectionError):
     """The caller has closed its connection."""
 
@@ -79,6 +83,9 @@
         Returns whether the connection closes after its first answer, for want of room.
     record_read
         Called with the milliseconds that reading some bytes took, early refusals included.
+    record_unanswered
+        Called once if bytes arrive after the router has closed its direction: a request that its
+        caller had sent meanwhile, and that is not read.
 
     Attributes
     ----------
@@ -98,9 +105,11 @@
         should_close: Callable[[], bool] = lambda: False,
         refuse_early: Refusal = no_refusal,
         record_read: Callable[[float], None] = no_record,
+        record_unanswered: Callable[[], None] = no_count,
     ) -> None:
         self._should_close = should_close
         self._record_read = record_read
+        self._record_unanswered = record_unanswered
         self._refuse_early = refuse_early
         self._answered = False
         self._handler = handler
@@ -220,10 +229,11 @@
     @property
     def idle(self) -> bool:
         """Whether the connection may close: it is not busy, and the kernel holds no request."""
-        return not self.busy and not self._has_unread
+        return not self.busy and not self.has_unread
 
     @property
-    def _has_unread(self) -> bool:
+    def has_unread(self) -> bool:
+        """Whether the kernel holds bytes of the caller that the router would still read."""
         if self.disconnected or self._reader.stopped:
             return False
         return unread_bytes(self._transport.get_extra_info("socket")) > 0
@@ -236,6 +246,11 @@
         buffered: int = self._transport.get_write_buffer_size()
         return buffered + unacknowledged_bytes(self._transport.get_extra_info("socket"))
 
+    @property
+    def half_read(self) -> bool:
+        """Whether a part of a request has been read."""
+        return self._reader.reading
+
     @property
     def unused(self) -> bool:
         """Whether no request has arrived on the connection yet."""
@@ -324,14 +339,21 @@
                 self._transport.abort()
         elif self._reader.in_head and elapsed_ms > bounds.header_ms:
             self._reader.refuse(408)
-        elif not self._reader.reading and elapsed_ms > bounds.idle_ms and not self._has_unread:
+        elif not self._reader.reading and elapsed_ms > bounds.idle_ms and not self.has_unread:
             self._transport.close()
 
-    def close_when_idle(self) -> None:
-        """Close the connection now, or tell its caller to in the next answer that begins."""
+    def close_when_idle(self, *, linger: bool = False) -> None:
+        """Close the connection now, or tell its caller to in the next answer that begins.
+
+        Parameters
+        ----------
+        linger
+            Whether only the writing direction is closed until the caller closes too, so that a
+            request that its caller sent meanwhile is recorded.
+        """
         self.closing = True
-        if not self.disconnected and self.idle:
-            self._finish()
+        if not self.disconnected and not self._finished and self.idle:
+            self._finish(linger=linger)
 
     @property
     def _outstanding(self) -> tuple[int, int] | None:
@@ -402,14 +424,14 @@
         self.answer(500, [])
         self._finish()
 
-    def _finish(self) -> None:
+    def _finish(self, *, linger: bool = False) -> None:
         # Closing now would drop what the kernel still holds if the process ends, or if bytes of the
         # caller are unread: only the writing direction is closed until the caller has all of it.
         self._reader.stop()
         self._finished = True
         if self.disconnected:
             return
-        if not self.unsent_bytes:
+        if not linger and not self.unsent_bytes:
             self._transport.close()
             return
         with contextlib.suppress(OSError):
@@ -442,6 +464,8 @@
             self.cut()
 
     def _discard(self, received: int) -> None:
+        if self._finished and not self._discarded:
+            self._record_unanswered()
         self._discarded += received
         if self._discarded > DRAIN_BYTES:
             if self._task is None:
--- a/packages/gateway/src/tamarack_gateway/caller_handler.py
+++ b/packages/gateway/src/tamarack_gateway/caller_handler.py
@@ -175,19 +175,17 @@
     ) -> None:
         # The log must distinguish a request that the exiting router cancels from one whose caller
         # left or whose endpoint failed: the time since the router was asked to stop shows which.
-        now_ms, plan = self._clock.now_ms, self._state.leaving
-        ran_ms = round(now_ms - request.arrived_ms)
+        ran_ms = round(self._clock.now_ms - request.arrived_ms)
         if not self.ending:
             sent = "after it was sent" if exchange.sends else "before it was sent"
             self._log.request("abandoned", attempt, reason=sent, waited_ms=ran_ms)
             return
-        stopping_ms = None if plan is None else round(now_ms - plan.requested_ms)
         unsent_bytes = caller.unsent_bytes
         self._log.request(
             exchange.end(),
             attempt,
             reason=ROUTER_ENDS,
-            stopping_ms=stopping_ms,
+            stopping_ms=self._state.stopping_ms,
             ran_ms=ran_ms,
             unsent_bytes=unsent_bytes,
         )
--- a/packages/gateway/src/tamarack_gateway/connection_limiter.py
+++ b/packages/gateway/src/tamarack_gateway/connection_limiter.py
@@ -48,6 +48,8 @@
         Idle connections that were closed to make room.
     turned_away
         New connections that were closed unread because the limit was reached.
+    unanswered
+        Connections on which a request arrived after the router had closed its direction.
     """
 
     def __init__(self, state: FleetState, connections: set[CallerConnection]) -> None:
@@ -58,6 +60,7 @@
         self._closed_after_answer = 0
         self._reading_ms = 0.0
         self.turned_away = 0
+        self.unanswered = 0
         self._logged_ms = float("-inf")
         self.closed = 0
 
@@ -82,6 +85,10 @@
         """Add to the time for which requests were read."""
         self._reading_ms += took_ms
 
+    def record_unanswered(self) -> None:
+        """Count a connection on which a request arrived too late."""
+        self.unanswered += 1
+
     def should_close(self) -> bool:
         """Whether a new connection closes after its first answer, for want of room."""
         self._closed_after_answer += self.near_limit
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -406,6 +406,7 @@
                 reason=last.reason,
                 sends=self._sends,
                 software_version=self._selector.software_version,
+                **self._silence(),
             )
             self._caller.cut()
             return
@@ -419,5 +420,15 @@
             self._answer.refuse(503, wait_ms)
             return
         status = 504 if last.outcome is SendOutcome.TIMED_OUT else 502
-        state.log.request("failed", self._facts.attempt, reason=last.reason, status=status)
+        state.log.request(
+            "failed", self._facts.attempt, reason=last.reason, status=status, **self._silence()
+        )
         self._answer.refuse(status, None)
+
+    def _silence(self) -> dict[str, int | None]:
+        # Tells an answer that the router gave up from one that its endpoint or the stop ended.
+        relay = self._relay
+        return {
+            "stopping_ms": self._state.stopping_ms,
+            "silent_ms": None if relay is None else round(relay.silent_ms),
+        }
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -138,6 +138,12 @@
         """Whether callers should be sent here."""
         return self.initialized and self.leaving is None and self.complete()
 
+    @property
+    def stopping_ms(self) -> int | None:
+        """Milliseconds since the request to stop; None if the router is not stopping."""
+        plan = self.leaving
+        return None if plan is None else round(self.clock.now_ms - plan.requested_ms)
+
     @property
     def initialized(self) -> bool:
         """Whether everything that decisions about requests depend on has been read.
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -8,7 +8,7 @@
 from tamarack_core.accept_rate import AcceptRate
 from tamarack_core.clock import Clock
 from tamarack_core.endpoint_registry import Endpoint
-from tamarack_core.leaving import plan_leaving
+from tamarack_core.leaving import LeavingPlan, plan_leaving
 from tamarack_core.quarantine_records import DEFAULT_BOUNDS, QuarantineBounds
 from tamarack_core.relay_plan import Peer
 from tamarack_gateway.cache_inventory import CacheInventory
@@ -55,6 +55,10 @@
 LEAVE_STEP_MS = 50.0
 """Time between two checks of a leaving router for requests in progress."""
 
+CLOSE_LINGER_MS = 300.0
+"""Longest time in milliseconds for which a leaving router waits for callers to close the
+connections that it has closed: the log tells how many had sent another request meanwhile."""
+
 FLUSH_MS = 100.0
 """Delay from a log line to its writing, and minimum time between two writes."""
 
@@ -255,7 +259,9 @@
             address_ttl_ms=state.address_ttl_ms,
         )
         state.leaving = plan
-        self._log.event("leaving", connections=len(self._connections))
+        # The signal was handled this much later than it could have been, as far as is known.
+        lag_ms = self._loop_monitor.status()["lag_ms"]
+        self._log.event("leaving", connections=len(self._connections), lag_ms=lag_ms)
         self._peers.publish_summary()
         self._suspects.tell()
         for connection in list(self._connections):
@@ -263,20 +269,38 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(plan.left_ms(clock.now_ms) / 1000):
                 await self._feeds.deregister()
+        await self._finish_requests(plan)
+        # One that started meanwhile may not have been heard before.
+        self._suspects.tell()
+        self._log_left()
+
+    async def _finish_requests(self, plan: LeavingPlan) -> None:
+        clock, connections = self._clock, self._connections
+        closed_ms: float | None = None
         while plan.left_ms(clock.now_ms) > 0.0:
             if not plan.lingers(clock.now_ms):
-                for connection in list(self._connections):
-                    connection.close_when_idle()
-                if all(connection.idle for connection in self._connections):
-                    break
+                for connection in list(connections):
+                    connection.close_when_idle(linger=True)
+                if not connections:
+                    return
+                if not all(connection.idle for connection in connections):
+                    closed_ms = None
+                elif closed_ms is None:
+                    closed_ms = clock.now_ms
+                elif clock.now_ms - closed_ms >= CLOSE_LINGER_MS:
+                    return
             await asyncio.sleep(LEAVE_STEP_MS / 1000)
-        # One that started meanwhile may not have been heard before.
-        self._suspects.tell()
-        unsent = [count for c in self._connections if (count := c.unsent_bytes)]
+
+    def _log_left(self) -> None:
+        connections = self._connections
+        unsent = [count for c in connections if (count := c.unsent_bytes)]
         self._log.event(
             "left",
-            connections=len(self._connections),
-            busy=sum(connection.busy for connection in self._connections),
+            connections=len(connections),
+            busy=sum(connection.busy for connection in connections),
+            half_read=sum(connection.half_read for connection in connections),
+            unread=sum(connection.has_unread for connection in connections),
+            unanswered=self._caller_limit.unanswered,
             unsent=len(unsent),
             unsent_bytes=sum(unsent),
         )
--- a/packages/gateway/src/tamarack_gateway/listeners.py
+++ b/packages/gateway/src/tamarack_gateway/listeners.py
@@ -81,6 +81,7 @@
             self._limiter.should_close,
             refuse_early,
             self._limiter.record_read,
+            self._limiter.record_unanswered,
         )
         connection.closing = state.leaving is not None
         return connection
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -257,3 +257,47 @@
             writer.close()
 
     play(run())
+
+
+def test_a_request_sent_as_its_connection_closes_is_told_apart_from_one_that_was_read(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against a stop whose log does not tell whether callers' last requests were read."""
+
+    async def scenario() -> None:
+        bounds = {"grace_ms": 3_000.0, "address_ttl_ms": 200.0}
+        async with Fleet({"web": [PlatformWorker("w1")]}, **bounds) as fleet:
+            reader, writer = await connect(fleet.gateway.callers)
+            writer.write(fleet.request("/page/1"))
+            assert (await read_answer(reader)).status == 200
+            (connection,) = fleet.gateway._connections
+            leaving = asyncio.ensure_future(fleet.gateway.leave())
+            await until(lambda: connection._finished)
+            writer.write(fleet.request("/page/2"))
+            await leaving
+            assert await reader.read() == b""
+            writer.close()
+
+    play(scenario())
+    lines = [json.loads(line) for line in capfd.readouterr().err.splitlines() if line[:1] == "{"]
+    (left,) = [line for line in lines if line["message"] == "router: left"]
+    assert (left["unanswered"], left["half_read"], left["unread"]) == (1, 0, 0)
+
+
+def test_a_cut_stream_tells_how_long_its_endpoint_was_silent_and_the_router_stopping(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against a cut around a stop whose cause the log does not tell."""
+
+    async def scenario() -> None:
+        engine = PlatformWorker("e1", Script(events=5, cut_after=2))
+        async with Fleet({"pool": [engine]}, grace_ms=3_000.0) as fleet:
+            leaving = asyncio.ensure_future(fleet.gateway.leave())
+            await until(lambda: fleet.gateway.state.leaving is not None)
+            assert not (await fleet.ask("/rewrite/1", X_Deadline_Ms="1000")).whole
+            await leaving
+
+    play(scenario())
+    lines = [json.loads(line) for line in capfd.readouterr().err.splitlines() if line[:1] == "{"]
+    (cut,) = [line for line in lines if line["message"] == "request: cut"]
+    assert 0 <= cut["silent_ms"] <= cut["stopping_ms"] < 3_000
