A silent answer is given up only where another endpoint can take it over

Callers saw: a stream that pauses for 1.7 s at its endpoint ends without its last events (200, not whole), a plain answer becomes 502, while the endpoint is sound. Cause: AnswerTimeouts closed the silent connection first; whether the retry budget, the time left and another endpoint allow a further send was asked afterwards. Class: what is had is given up before its replacement is certain. Around a stop such a request counts as lost.

--- a/packages/core/src/tamarack_core/retry_allowance.py
+++ b/packages/core/src/tamarack_core/retry_allowance.py
@@ -68,16 +68,20 @@
         self._expire(times, now_ms)
         return 1_000.0 * len(times) / self._window_ms
 
-    def take(self, service: str, now_ms: float) -> bool:
-        """Consume one retry for a service; False if the budget of this window is used up."""
-        requests = self._requests.setdefault(service, deque())
-        retries = self._retries.setdefault(service, deque())
+    def available(self, service: str, now_ms: float) -> bool:
+        """Whether the budget of this window has a retry left for a service."""
+        requests = self._requests.get(service, deque())
+        retries = self._retries.get(service, deque())
         self._expire(requests, now_ms)
         self._expire(retries, now_ms)
         allowed = SAFETY * self._ratio * len(requests) + self._slack_part(now_ms)
-        if len(retries) + 1 > allowed:
+        return len(retries) + 1 <= allowed
+
+    def take(self, service: str, now_ms: float) -> bool:
+        """Consume one retry for a service; False if the budget of this window is used up."""
+        if not self.available(service, now_ms):
             return False
-        retries.append(now_ms)
+        self._retries.setdefault(service, deque()).append(now_ms)
         self.taken += 1
         return True
 
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -111,7 +111,7 @@
         if facts.wait_ms is not None:
             limit_ms = min(limit_ms, facts.wait_ms)
         self._deadline_ms = request.arrived_ms + limit_ms
-        self._timeouts = AnswerTimeouts(state, route, lambda: self._left_ms)
+        self._timeouts = AnswerTimeouts(state, route)
         self._sends = 0
         self._may_have_run = False
         self._first_event_ms: float | None = None
@@ -150,7 +150,8 @@
         return self._facts.prompt if self._route.streams else None
 
     @property
-    def _left_ms(self) -> float:
+    def left_ms(self) -> float:
+        """Time left until the request's deadline."""
         return self._deadline_ms - self._state.clock.now_ms
 
     async def run(self) -> None:
@@ -173,12 +174,12 @@
             standing = self._request_quarantine.current_handling()
             if standing.treatment is Treatment.QUARANTINED:
                 return self._quarantine()
-            if standing.treatment is Treatment.WAIT and self._left_ms >= MIN_TIME_LEFT_MS:
-                await asyncio.sleep(min(standing.wait_ms, self._left_ms) / 1000)
+            if standing.treatment is Treatment.WAIT and self.left_ms >= MIN_TIME_LEFT_MS:
+                await asyncio.sleep(min(standing.wait_ms, self.left_ms) / 1000)
                 continue
             placement = None
             if self._key_is_valid():
-                placement = self._selector.select(self._left_ms, retries=self._sends > 0)
+                placement = self._selector.select(self.left_ms, retries=self._sends > 0)
             if placement is None:
                 return self._give_up(last)
             choice, decision, _ = placement
@@ -202,7 +203,7 @@
                 if connect_failures >= MAX_CONNECT_FAILURES:
                     return self._give_up(last)
                 continue
-            if self._left_ms < MIN_TIME_LEFT_MS or not self._key_is_valid():
+            if self.left_ms < MIN_TIME_LEFT_MS or not self._key_is_valid():
                 connection.abort()
                 return self._give_up(last)
             if not self._may_finish(choice):
@@ -232,14 +233,14 @@
         # Checked again after each wait, like the key. An answer that has begun is cut in any case
         # unless it is sent again, so that a further send is always allowed.
         return self._caller.begun or self._duration_estimate.fits(
-            choice, self._left_ms, self._splitter.last
+            choice, self.left_ms, self._splitter.last
         )
 
     def _refuse_outlasting(self, choice: Choice, last: Result) -> None:
         state, plan = self._state, self._state.leaving
         if plan is None or self._may_have_run:
             return self._give_up(last)
-        longest_ms = self._duration_estimate.longest_ms(choice, self._left_ms, self._splitter.last)
+        longest_ms = self._duration_estimate.longest_ms(choice, self.left_ms, self._splitter.last)
         state.log.request(
             "refused",
             self._facts.attempt,
@@ -258,7 +259,7 @@
         self._sends += 1
         self._selector.exclude(endpoint)
         self._recorder.placed(
-            placement, self._route, self._sends, self._left_ms, self._splitter.last
+            placement, self._route, self._sends, self.left_ms, self._splitter.last
         )
         self._recorder.sent(choice)
         if self._selector.was_admitted:
@@ -268,7 +269,7 @@
         sent_ms = state.clock.now_ms
         whole = False
         try:
-            async with asyncio.timeout(max(0.0, self._left_ms) / 1000):
+            async with asyncio.timeout(max(0.0, self.left_ms) / 1000):
                 result = await self._transfer(choice, connection)
             whole = result.outcome in (SendOutcome.DONE, SendOutcome.NOT_RUN, SendOutcome.FAILED)
         except TimeoutError:
@@ -305,14 +306,14 @@
             self._request,
             endpoint=choice.endpoint,
             workspace=self._workspace,
-            left_ms=max(1.0, self._left_ms - DEADLINE_MARGIN_MS),
+            left_ms=max(1.0, self.left_ms - DEADLINE_MARGIN_MS),
             last_event=self._splitter.last,
         )
         # Once the first byte is written the request may run, whatever the endpoint answers.
         sent_ms = self._state.clock.now_ms
         ran_before, self._may_have_run = self._may_have_run, True
         connection.send(data)
-        head = await self._timeouts.head(connection.head(), choice, self._sends)
+        head = await self._timeouts.head(connection.head, choice, self)
         facts = self._dialect.read_answer(head)
         if facts.attempt is not None and facts.attempt != self._facts.attempt:
             raise BrokenAnswerError("the answer belongs to another request")
@@ -359,7 +360,7 @@
             on_first_event,
             self._load,
         )
-        await self._timeouts.whole(relay, choice, self._sends)
+        await self._timeouts.whole(relay, choice, self)
         await self._request_quarantine.check_end(choice.endpoint, head)
         relay.end()
         return Result(SendOutcome.DONE)
@@ -367,15 +368,13 @@
     # after a send
 
     def _may_retry(self, last: Result) -> bool:
-        if last.outcome is SendOutcome.TIMED_OUT or self._caller.disconnected:
+        if last.outcome is SendOutcome.TIMED_OUT:
             return False
         if last.outcome is not SendOutcome.NOT_RUN and not self._route.repeatable:
             return False
         if last.head is not None and last.head.status == 504 and self._route.streams:
             return False
-        if self._sends >= self._route.max_attempts or self._left_ms < MIN_TIME_LEFT_MS:
-            return False
-        if self._caller.begun and not self._splitter.resumable:
+        if not self._can_be_sent_again:
             return False
         state = self._state
         allowed = state.allowance.take(self._service, state.clock.now_ms)
@@ -388,6 +387,23 @@
         )
         return allowed
 
+    @property
+    def _can_be_sent_again(self) -> bool:
+        if self._caller.disconnected or self.left_ms < MIN_TIME_LEFT_MS:
+            return False
+        resumable = self._splitter.resumable or not self._caller.begun
+        return resumable and self._sends < self._route.max_attempts
+
+    def may_send_elsewhere(self) -> bool:
+        """Whether another endpoint could take the request over now."""
+        state = self._state
+        if not self._can_be_sent_again or not self._key_is_valid():
+            return False
+        if not state.allowance.available(self._service, state.clock.now_ms):
+            return False
+        placement = self._selector.select(self.left_ms, retries=True)
+        return placement is not None and self._may_finish(placement.choice)
+
     def _quarantine(self) -> None:
         self._request_quarantine.refused(self._sends)
         if self._caller.begun:
--- a/tests/test_pausing_endpoints.py
+++ b/tests/test_pausing_endpoints.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 from gateway_site import Fleet, play
 
@@ -53,3 +55,18 @@
                 assert (await fleet.ask("/search/1")).status == 200
 
     play(scenario())
+
+
+def test_a_silent_endpoint_is_replaced_as_soon_as_another_is_there() -> None:
+    """Guards against a request that stays at a silent endpoint since there was no other at first."""
+
+    async def scenario() -> None:
+        silent, other = PlatformWorker("e1", Script(silent=True)), PlatformWorker("e2")
+        async with Fleet({"web": [silent]}) as fleet, other:
+            asked = asyncio.ensure_future(fleet.ask("/search/1"))
+            await asyncio.sleep(2.0 * SILENCE_MS / 1000)
+            assert not asked.done()
+            await fleet.store.put("servers", "e2", other.entry("web"))
+            assert (await asked).status == 200
+
+    play(scenario())
