--- a/tests/test_pausing_endpoints.py
+++ b/tests/test_pausing_endpoints.py
@@ -58,7 +58,7 @@
 
 
 def test_a_silent_endpoint_is_replaced_as_soon_as_another_is_there() -> None:
-    """Guards against a request that stays at a silent endpoint since there was no other at first."""
+    """Guards against a request that stays at a silent endpoint since it had no other at first."""
 
     async def scenario() -> None:
         silent, other = PlatformWorker("e1", Script(silent=True)), PlatformWorker("e2")
