--- a/packages/standins/src/tamarack_standins/endless_worker.py
+++ b/packages/standins/src/tamarack_standins/endless_worker.py
@@ -12,12 +12,21 @@
 """Bytes of filling that are written at a time."""
 
 
+SMALL_PIECE = 64
+"""Bytes of a small chunk."""
+
+
 class _Shape(NamedTuple):
     """What comes once, after the signed head if there is one, and what is repeated without end."""
 
     signed: bool
     once: bytes
     again: bytes
+    chunked: bool = True
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
 
 
 class Endless(Enum):
@@ -29,7 +38,16 @@
     CHUNK_EXTENSION = _Shape(True, b"5;x=", b"x" * PIECE)
     CHUNK_SIZE = _Shape(True, b"", b"0" * PIECE)
     TRAILERS = _Shape(True, b"0\r\n", b"X-Fill: %s\r\n" % (b"x" * PIECE))
-    EVENT = _Shape(True, b"", b"%x\r\n%s\r\n" % (PIECE, b"x" * PIECE))
+    EVENT = _Shape(True, b"", _chunk(b"x" * PIECE))
+    SMALL_CHUNKS = _Shape(True, b"", _chunk(b"x" * SMALL_PIECE) * 256)
+    COMMENTS = _Shape(True, b"", _chunk(b": fill\n" * 2_000))
+    UNFRAMED = _Shape(True, b"", b"x" * PIECE, chunked=False)
+
+    @property
+    def is_body(self) -> bool:
+        """Whether the endless bytes are those of the answer's body."""
+        bodies = (Endless.EVENT, Endless.SMALL_CHUNKS, Endless.COMMENTS, Endless.UNFRAMED)
+        return self in bodies
 
 
 class EndlessWorker(PlatformWorker):
@@ -50,7 +68,8 @@
         self, script: Script, received: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> bool:
         if self._shape.signed:
-            lines = [*self._head(script, received), "transfer-encoding: chunked"]
+            framing = ["transfer-encoding: chunked"] if self._shape.chunked else []
+            lines = [*self._head(script, received), *framing]
             writer.write("\r\n".join([*lines, "", ""]).encode())
         writer.write(self._shape.once)
         while True:
--- a/packages/standins/src/tamarack_standins/soak_routers.py
+++ b/packages/standins/src/tamarack_standins/soak_routers.py
@@ -60,6 +60,8 @@
         Told of stops and of unplanned faults of routers.
     disturbed
         Called with a router's address when it starts, is paused or wakes up.
+    memory_mb
+        Memory in MB that the settings allow each router; None for all that the host has.
     """
 
     def __init__(
@@ -73,8 +75,10 @@
         broken: Callable[[str], None],
         losses: LossChecks | None = None,
         disturbed: Callable[[str], None] = lambda address: None,
+        memory_mb: int | None = None,
     ) -> None:
         self._count = count
+        self._memory_mb = memory_mb
         self._folder = folder
         self._ports = ports
         self._random = rng
@@ -101,6 +105,12 @@
         """Address of a router; port offset 0 is the one for callers."""
         return f"{self._ports.host(number + 2)}:{self._ports.first + offset}"
 
+    def peak_memory_bytes(self, number: int) -> int:
+        """Largest resident memory of a router's process since its start."""
+        status = Path(f"/proc/{self._processes[number].pid}/status").read_text()
+        (line,) = [line for line in status.splitlines() if line.startswith("VmHWM:")]
+        return int(line.split()[1]) * 1_024
+
     async def until_ready(self) -> None:
         """Wait until all routers are ready; raises `TimeoutError` if one is not in time."""
         async with asyncio.timeout(READY_TIMEOUT_S):
@@ -241,6 +251,7 @@
                 "coldSlack": COLD_SLACK,
             },
             "platform": {"address": self.links[number].address},
+            "limits": {"memoryMb": self._memory_mb} if self._memory_mb else {},
         }
         path = self._folder / f"router-{number}.yaml"
         path.write_text(yaml.safe_dump(settings))
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -34,7 +34,7 @@
             answer = await fleet.ask(path)
             assert answer.status == 502
             await until(lambda: worker.closed_early == 1)
-            plain_body = endless is Endless.EVENT and service == "web"
+            plain_body = endless.is_body and service == "web"
             assert worker.sent < BUFFERS + (MAX_BODY_BYTES if plain_body else 0)
             assert not fleet.gateway.tasks.failures
 
@@ -65,7 +65,7 @@
             with pytest.raises(StoreError):
                 await client.call(StoreCall(b"GET", b"/x"), wait_ms=8_000.0)
             await until(lambda: store.closed_early == 1)
-            assert store.sent < BUFFERS + (MAX_BODY_BYTES if endless is Endless.EVENT else 0)
+            assert store.sent < BUFFERS + (MAX_BODY_BYTES if endless.is_body else 0)
 
     play(scenario())
 
