A test's server closes its connections

tests/test_endless_answers.py run alone passed and then ended with SystemError: AST constructor recursion depth mismatch, four of four times (also with the cases of before): the server of endless pages left its writers to the collector, which closes them on a loop that has ended; the report of that error parses source inside the import of a plugin.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import pytest
 from gateway_site import Fleet, play, until
@@ -78,8 +79,10 @@
         page = b'{"rows":[{"table":"t","key":"k","value":"eA==","ver":1}],"ver":1,"hasMore":true}'
 
         async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            while await reader.readuntil(b"\r\n\r\n"):
-                writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(page) + page)
+            head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(page)
+            with contextlib.closing(writer), contextlib.suppress(asyncio.IncompleteReadError):
+                while await reader.readuntil(b"\r\n\r\n"):
+                    writer.write(head + page)
 
         async with await asyncio.start_server(answer, "127.0.0.1", 0) as server:
             host, port = server.sockets[0].getsockname()[:2]
@@ -88,5 +91,6 @@
             with pytest.raises(StoreError):
                 await client.read_all("t")
             client.close()
+            await asyncio.sleep(0)
 
     play(scenario())
