What an ended request held is freed at once, not by the collector of cycles

Operators saw: a router before endpoints that answer without end holds 300 to 500 MB although its bounds allow some 30. Cause: each connection and its parser, each reader and its connection, each exchange, its timeouts and its relay refer to each other, and a kept error refers by its traceback to the connection that keeps it and to the bytes that were read. All of it waited for the collector. Class: memory that is over but not given back. Why it works: a closed connection drops its parser and its consumer, a closed reader its events; an error is kept without its traceback and given away when it is raised.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -142,6 +142,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._registry.discard(self)
         self._transport = None
+        self._reader.close()
+        self.on_writable = None
         if self._task is not None:
             self._task.cancel()
 
--- a/packages/gateway/src/tamarack_gateway/endpoint_connection.py
+++ b/packages/gateway/src/tamarack_gateway/endpoint_connection.py
@@ -54,7 +54,7 @@
 
     def __init__(self) -> None:
         self._transport: Any = None
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: Any = httptools.HttpResponseParser(self)
         self._headers: Headers = []
         self._head: AnswerHead | None = None
         self._chunks: deque[bytes] = deque()
@@ -84,6 +84,8 @@
         self._transport = None
         if self._expecting and not self._complete:
             self._handle_early_close(exc)
+        # Both refer to this connection: it would be freed only by the collector of cycles.
+        self._parser = self._consumer = None
         self._wake()
 
     def data_received(self, data: bytes) -> None:
@@ -259,7 +261,8 @@
         try:
             take(chunks)
         except (ConnectionError, ValueError) as error:
-            self._error = error
+            # Its traceback refers to this connection and to the bytes that were read.
+            self._error = error.with_traceback(None)
             self.abort()
 
     def _handle_early_close(self, exc: Exception | None) -> None:
@@ -276,10 +279,15 @@
 
     def _check(self) -> None:
         if self._error is not None:
-            raise self._error
+            raise self._pop_error(self._error)
         if self._transport is None:
             raise ConnectionLostError("the connection was closed")
 
+    def _pop_error(self, error: Exception) -> Exception:
+        # Kept here, a raised error would refer to this connection by its traceback.
+        self._error = ConnectionLostError("the connection was closed")
+        return error
+
     async def _wait(self) -> None:
         self._waiter = asyncio.get_running_loop().create_future()
         try:
--- a/packages/gateway/src/tamarack_gateway/event_relay.py
+++ b/packages/gateway/src/tamarack_gateway/event_relay.py
@@ -88,6 +88,10 @@
             self._answer.pass_on(self._head, [])
         self._caller.end()
 
+    def close(self) -> None:
+        """Drop the function for the first event: its owner refers to this relay."""
+        self._on_first = _ignore
+
     def _on_data(self, data: bytes) -> None:
         self._received_ms = self._clock.now_ms
         try:
@@ -114,3 +118,7 @@
     def _resume(self) -> None:
         self._received_ms = self._clock.now_ms
         self._connection.resume()
+
+
+def _ignore() -> None:
+    """Do nothing."""
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -282,6 +282,8 @@
         finally:
             self._recorder.ended()
             self._request_quarantine.ended()
+            if self._relay is not None:
+                self._relay.close()
             if whole:
                 self._pool.give_back(endpoint, connection)
             else:
--- a/packages/gateway/src/tamarack_gateway/request_reader.py
+++ b/packages/gateway/src/tamarack_gateway/request_reader.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import httptools
 
@@ -34,6 +34,15 @@
     refused: Callable[[int], None]
 
 
+NO_EVENTS = RequestEvents(
+    begun=lambda: None,
+    expecting=lambda: None,
+    complete=lambda request, keep: None,
+    refused=lambda status: None,
+)
+"""Events of a reader that is closed."""
+
+
 class RequestReader:
     """Parses bytes into requests, until `refuse` or `stop`.
 
@@ -49,7 +58,7 @@
         self._clock = clock
         self._bounds = bounds
         self._events = events
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: Any = httptools.HttpRequestParser(self)
         self._headers: Headers = []
         self._target = b""
         self._body: list[bytes] = []
@@ -107,6 +116,11 @@
         """Read no further."""
         self._stopped = True
 
+    def close(self) -> None:
+        """Read no further, and drop what refers to this reader or to its connection."""
+        self.stop()
+        self._parser, self._events, self._body = None, NO_EVENTS, []
+
     # httptools callbacks
 
     def on_message_begin(self) -> None:
