All requests of a router share one budget of memory

Operators saw: a worker that sends without end fills the memory of the router that called it, and the requests of other callers end with the process. Class: a limit for one where the resource belongs to all. Change: MemoryBudget counts what is held of requests, of answers and of what callers have not taken. A request that does not fit is answered 503 before it is complete, an answer is broken, and a stream is read only as fast as its caller takes it. A body is read no further while 128 KiB of it wait.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from tamarack_core.clock import Clock
+from tamarack_core.memory_budget import SMALL_BYTES, UNLIMITED, MemoryBudget
 from tamarack_core.ruleset import CallerBounds
 from tamarack_gateway.http_messages import (
     LAST_CHUNK,
@@ -86,6 +87,9 @@
     record_unanswered
         Called once if bytes arrive after the router has closed its direction: a request that its
         caller had sent meanwhile, and that is not read.
+    memory
+        Budget for the bytes of requests that are read or answered, and of answers that the caller
+        has not taken.
 
     Attributes
     ----------
@@ -106,7 +110,10 @@
         refuse_early: Refusal = no_refusal,
         record_read: Callable[[float], None] = no_record,
         record_unanswered: Callable[[], None] = no_count,
+        memory: MemoryBudget = UNLIMITED,
     ) -> None:
+        self._held_requests, self._held_answers = memory.holding(), memory.holding()
+        self._pending_bytes = self._request_bytes = 0
         self._should_close = should_close
         self._record_read = record_read
         self._record_unanswered = record_unanswered
@@ -117,7 +124,9 @@
         self._bounds = bounds
         self._registry = registry
         self._transport: Any = None
-        events = RequestEvents(self._begin_reading, self._expect, self._take, self._refuse)
+        events = RequestEvents(
+            self._begin_reading, self._expect, self._take, self._refuse, self._reserve
+        )
         self._reader = RequestReader(clock, bounds, events)
         self._pending: deque[tuple[Request, bool]] = deque()
         self._task: asyncio.Task[None] | None = None
@@ -144,6 +153,8 @@
         self._transport = None
         self._reader.close()
         self.on_writable = None
+        self._held_requests.release()
+        self._held_answers.release()
         if self._task is not None:
             self._task.cancel()
 
@@ -152,6 +163,10 @@
 
     def resume_writing(self) -> None:
         self._writable = True
+        self._count_unsent()
+        if self._emptied is None and self._transport is not None:
+            # They are lower after what the caller had not taken did not fit into the budget.
+            self._transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
         if self._emptied is not None and not self._emptied.done():
             self._emptied.set_result(None)
         on_writable, self.on_writable = self.on_writable, None
@@ -176,11 +191,17 @@
         if self._task is None:
             self._write_continue()
 
+    def _reserve(self, reading_bytes: int) -> bool:
+        return self._held_requests.resize(self._pending_bytes + self._request_bytes + reading_bytes)
+
     def _take(self, request: Request, keep: bool) -> None:
         self._changed_ms = request.arrived_ms
         self._continue_due = False
+        if request.body:
+            self._pending_bytes += len(request.body)
+            self._held_requests.charge(self._pending_bytes + self._request_bytes)
         if self._task is None and not self._pending and not self._delivering:
-            self._begin_request(keep)
+            self._begin_request(request, keep)
             if self._refuse_early(request, self):
                 self._end_request()
                 return
@@ -273,6 +294,7 @@
         self._begun = True
         framed = [*headers, (b"content-length", b"%d" % len(body)), *self._connection_headers()]
         self._transport.write(head_bytes(status, framed) + body)
+        self._count_unsent()
 
     def begin(self, status: int, headers: Headers, first: bytes) -> None:
         """Write the head and the first bytes of an answer of unknown length."""
@@ -289,6 +311,7 @@
         if self.disconnected:
             raise CallerDisconnectedError
         self._transport.write(chunk_bytes(data))
+        self._count_unsent()
 
     def end(self) -> None:
         """Write the end of an answer that has begun."""
@@ -315,6 +338,19 @@
             if not transport.is_closing():
                 transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
 
+    def _count_unsent(self) -> None:
+        if self._transport is None:
+            return
+        buffered = self._transport.get_write_buffer_size()
+        if buffered <= SMALL_BYTES and not self._held_answers.held_bytes:
+            return
+        if not self._held_answers.resize(buffered):
+            # What the endpoint has sent is delivered in any case; no more is read from it until the
+            # caller has taken this.
+            self._held_answers.charge(buffered)
+            if self._writable:
+                self._transport.set_write_buffer_limits(high=0)
+
     async def stop(self) -> None:
         """Let the kernel take the rest of an answer, or cancel its handler; then close."""
         task = self._task
@@ -377,7 +413,7 @@
                 request, keep = self._pending.popleft()
                 if len(self._pending) == MAX_PENDING - 1:
                     self._transport.resume_reading()
-                self._begin_request(keep)
+                self._begin_request(request, keep)
                 try:
                     await self._handler(request, self)
                 except asyncio.CancelledError:
@@ -403,12 +439,17 @@
             self._answered = True
             self._changed_ms = self._clock.now_ms
 
-    def _begin_request(self, keep: bool) -> None:
+    def _begin_request(self, request: Request, keep: bool) -> None:
+        self._request_bytes = len(request.body)
+        self._pending_bytes -= self._request_bytes
         self._keep_alive = keep
         self._begun = False
 
     def _end_request(self) -> bool:
         """End an answered request; returns whether the connection stays open."""
+        if self._request_bytes:
+            self._request_bytes = 0
+            self._held_requests.charge(self._pending_bytes)
         self._answered = True
         self._changed_ms = self._clock.now_ms
         if self._keep_alive:
--- a/packages/gateway/src/tamarack_gateway/connection_pool.py
+++ b/packages/gateway/src/tamarack_gateway/connection_pool.py
@@ -7,6 +7,7 @@
 
 from tamarack_core.clock import Clock
 from tamarack_core.endpoint_registry import Endpoint, EndpointIncarnation
+from tamarack_core.memory_budget import UNLIMITED, MemoryBudget
 from tamarack_gateway.endpoint_connection import EndpointConnection, open_connection
 
 CONNECT_MS = 600.0
@@ -38,6 +39,11 @@
     terminated process breaks only when a request is sent on it, and leaves it unknown whether the
     request ran.
 
+    Parameters
+    ----------
+    memory
+        Budget for the bytes of answers on all connections.
+
     Attributes
     ----------
     opened, reused
@@ -47,8 +53,9 @@
         had closed.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, memory: MemoryBudget = UNLIMITED) -> None:
         self._clock = clock
+        self._memory = memory
         self._idle: dict[_Target, list[EndpointConnection]] = {}
         self.opened = 0
         self.reused = 0
@@ -78,7 +85,7 @@
                 self.reused += 1
                 return connection
             self._discard(connection)
-        connection = await open_connection(endpoint.address, CONNECT_MS)
+        connection = await open_connection(endpoint.address, CONNECT_MS, self._memory)
         self.opened += 1
         return connection
 
--- a/packages/gateway/src/tamarack_gateway/endpoint_connection.py
+++ b/packages/gateway/src/tamarack_gateway/endpoint_connection.py
@@ -12,6 +12,7 @@
 
 import httptools
 
+from tamarack_core.memory_budget import UNLIMITED, MemoryBudget
 from tamarack_gateway.http_messages import AnswerHead, Headers
 
 USER_TIMEOUT_MS = 2_500
@@ -30,7 +31,10 @@
 answers, chunk extensions and trailers may come without end from a server in trouble."""
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
-"""Maximum size of a body that is read whole; a router has some 300 MB of memory."""
+"""Maximum size of a body that is read whole."""
+
+MAX_PENDING_BYTES = 128 * 1024
+"""Received bytes of a body from which on no more are read until some are taken."""
 
 
 class ConnectError(ConnectionError):
@@ -49,10 +53,22 @@
     """The connection closed before the answer was complete: the endpoint may have terminated."""
 
 
+class NoMemoryError(BrokenAnswerError):
+    """The answer does not fit beside what other requests of this process hold."""
+
+
 class EndpointConnection(asyncio.Protocol):
-    """One persistent connection; opened with `open_connection`."""
+    """One persistent connection; opened with `open_connection`.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    memory
+        Budget for the bytes of answers that have not been passed on.
+    """
+
+    def __init__(self, memory: MemoryBudget = UNLIMITED) -> None:
+        self._holding = memory.holding()
+        self._pending_bytes = self._taken_bytes = 0
         self._transport: Any = None
         self._parser: Any = httptools.HttpResponseParser(self)
         self._headers: Headers = []
@@ -86,6 +102,7 @@
             self._handle_early_close(exc)
         # Both refer to this connection: it would be freed only by the collector of cycles.
         self._parser = self._consumer = None
+        self._holding.release()
         self._wake()
 
     def data_received(self, data: bytes) -> None:
@@ -105,6 +122,8 @@
             self._error = self._error or BrokenAnswerError("bytes that are no answer, without end")
             self.abort()
         if self._consumer is None:
+            if self._pending_bytes and not self._complete:
+                self._bound_pending()
             self._wake()
             return
         self._deliver_pending(self._consumer)
@@ -145,6 +164,7 @@
     def on_body(self, body: bytes) -> None:
         if not self._complete:
             self._framing_bytes = 0
+            self._pending_bytes += len(body)
             self._chunks.append(body)
 
     def on_message_complete(self) -> None:
@@ -171,7 +191,7 @@
             raise BrokenAnswerError("the connection is closed")
         self._head, self._complete, self._error = None, False, None
         self._chunks.clear()
-        self._framing_bytes = 0
+        self._framing_bytes = self._pending_bytes = self._taken_bytes = 0
         self._consumer = None
         self._expecting = True
         self._transport.write(data)
@@ -190,8 +210,10 @@
                 return None
             self._check()
             await self._wait()
-        chunks = b"".join(self._chunks)
-        self._chunks.clear()
+        paused = self._pending_bytes > MAX_PENDING_BYTES
+        chunks = self._pop_chunks()
+        if paused:
+            self.resume()
         return chunks
 
     def deliver(self, take: Callable[[bytes], None]) -> None:
@@ -219,13 +241,20 @@
         if self._open:
             self._transport.resume_reading()
 
+    def hold(self, held_bytes: int) -> bool:
+        """Count bytes that a consumer keeps of the answer; False if the budget has no room."""
+        return self._holding.resize(held_bytes)
+
     async def body(self) -> bytes:
-        """Wait for the whole body; raises `BrokenAnswerError` if it is too large."""
-        chunks, size = [], 0
+        """Wait for the whole body; raises `BrokenAnswerError` if it is too large.
+
+        What it takes of the budget is given back by `finish`, or when the connection closes.
+        """
+        chunks = []
         while (chunk := await self.next_chunk()) is not None:
             chunks.append(chunk)
-            size += len(chunk)
-            if size > MAX_BODY_BYTES:
+            self._taken_bytes += len(chunk)
+            if self._taken_bytes > MAX_BODY_BYTES:
                 self.abort()
                 raise BrokenAnswerError("the body is too large")
         return b"".join(chunks)
@@ -238,6 +267,7 @@
             return False
         # A slow caller may have paused reading at the last bytes of the answer.
         self.resume()
+        self._holding.release()
         self._consumer = None
         self._expecting = False
         self.idle_since_ms = now_ms
@@ -256,15 +286,26 @@
     def _deliver_pending(self, take: Callable[[bytes], None]) -> None:
         if not self._chunks:
             return
-        chunks = b"".join(self._chunks)
-        self._chunks.clear()
         try:
-            take(chunks)
+            take(self._pop_chunks())
         except (ConnectionError, ValueError) as error:
             # Its traceback refers to this connection and to the bytes that were read.
             self._error = error.with_traceback(None)
             self.abort()
 
+    def _pop_chunks(self) -> bytes:
+        chunks = b"".join(self._chunks)
+        self._chunks.clear()
+        self._pending_bytes = 0
+        return chunks
+
+    def _bound_pending(self) -> None:
+        if not self._holding.resize(self._taken_bytes + self._pending_bytes):
+            self._error = self._error or NoMemoryError("no memory for the answer")
+            self.abort()
+        elif self._pending_bytes > MAX_PENDING_BYTES:
+            self.pause()
+
     def _handle_early_close(self, exc: Exception | None) -> None:
         head = self._head
         orderly = exc is None and not self._reset
@@ -300,13 +341,17 @@
             self._waiter.set_result(None)
 
 
-async def open_connection(address: str, timeout_ms: float) -> EndpointConnection:
+async def open_connection(
+    address: str, timeout_ms: float, memory: MemoryBudget = UNLIMITED
+) -> EndpointConnection:
     """Connect to `IP:PORT`; raises `ConnectError`."""
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_ms / 1000):
-            _, connection = await loop.create_connection(EndpointConnection, host, int(port))
+            _, connection = await loop.create_connection(
+                lambda: EndpointConnection(memory), host, int(port)
+            )
     except ConnectionRefusedError as error:
         raise RefusedError(str(error)) from error
     except (OSError, TimeoutError, ValueError, OverflowError) as error:
--- a/packages/gateway/src/tamarack_gateway/event_relay.py
+++ b/packages/gateway/src/tamarack_gateway/event_relay.py
@@ -12,6 +12,7 @@
     BrokenAnswerError,
     ConnectionLostError,
     EndpointConnection,
+    NoMemoryError,
 )
 from tamarack_gateway.event_splitter import BadStreamError, Event, EventSplitter
 from tamarack_gateway.http_messages import AnswerHead
@@ -101,6 +102,8 @@
             self._pass_on(error.events)
             raise
         self._pass_on(events)
+        if not self._connection.hold(self._splitter.rest_bytes):
+            raise NoMemoryError("no memory for an event")
 
     def _pass_on(self, events: list[Event]) -> None:
         if not events:
--- a/packages/gateway/src/tamarack_gateway/exchange.py
+++ b/packages/gateway/src/tamarack_gateway/exchange.py
@@ -116,6 +116,7 @@
         self._may_have_run = False
         self._first_event_ms: float | None = None
         self._relay: EventRelay | None = None
+        self._held_failure = state.memory.holding()
         self._answered = False
 
     @property
@@ -165,7 +166,10 @@
                 return self._give_up(UNKNOWN_ORIGIN)
             self._selector.software_version = found.software_version
             self._selector.was_admitted = found.remembered
-        return await self._attempts()
+        try:
+            return await self._attempts()
+        finally:
+            self._held_failure.release()
 
     async def _attempts(self) -> None:
         connect_failures = 0
@@ -214,6 +218,7 @@
                 connection.abort()
                 continue
             last = await self._send(placement, connection)
+            self._held_failure.charge(len(last.body))
             if last.outcome is SendOutcome.DONE:
                 return None
             if not self._may_retry(last):
--- a/packages/gateway/src/tamarack_gateway/fleet_state.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_state.py
@@ -13,6 +13,7 @@
 from tamarack_core.first_token import FirstTokenTime
 from tamarack_core.key_freshness import KeyFreshness
 from tamarack_core.leaving import LeavingPlan
+from tamarack_core.memory_budget import BUDGET_FRACTION, MemoryBudget
 from tamarack_core.quarantine import Quarantine
 from tamarack_core.quarantine_records import DEFAULT_BOUNDS, QuarantineBounds
 from tamarack_core.retry_allowance import RetryAllowance
@@ -82,6 +83,7 @@
         self.clock = clock
         self.log = log
         self.random = random.Random(seed)
+        self.memory = MemoryBudget(BUDGET_FRACTION * settings.memory_bytes)
         self.rules: Ruleset | None = None
         self.registry = EndpointRegistry(kept_ms=bounds.drain_ms * RETAINED_FRACTION)
         self.endpoints_known = False
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -83,7 +83,7 @@
         self._state = FleetState(self._settings, clock, log, seed=seed, quarantine=quarantine)
         self._tasks = TaskOwner(clock, log)
         self._state.complete = lambda: self._tasks.complete
-        self._pool = ConnectionPool(clock)
+        self._pool = ConnectionPool(clock, self._state.memory)
         self._outbox = Outbox()
         self._members = FleetMembers()
         self._connections: set[CallerConnection] = set()
--- a/packages/gateway/src/tamarack_gateway/listeners.py
+++ b/packages/gateway/src/tamarack_gateway/listeners.py
@@ -82,6 +82,7 @@
             refuse_early,
             self._limiter.record_read,
             self._limiter.record_unanswered,
+            state.memory,
         )
         connection.closing = state.leaving is not None
         return connection
--- a/packages/gateway/src/tamarack_gateway/request_reader.py
+++ b/packages/gateway/src/tamarack_gateway/request_reader.py
@@ -26,12 +26,15 @@
         Called with each complete request, and whether its connection may stay open after it.
     refused
         Called at most once, with a status, for a message that is not accepted; none follows.
+    reserve
+        Called with the bytes that are held of an incomplete message; returns whether they may be.
     """
 
     begun: Callable[[], None]
     expecting: Callable[[], None]
     complete: Callable[[Request, bool], None]
     refused: Callable[[int], None]
+    reserve: Callable[[int], bool]
 
 
 NO_EVENTS = RequestEvents(
@@ -39,6 +42,7 @@
     expecting=lambda: None,
     complete=lambda request, keep: None,
     refused=lambda status: None,
+    reserve=lambda held_bytes: True,
 )
 """Events of a reader that is closed."""
 
@@ -105,11 +109,14 @@
             return
         if self._reading and self._unparsed_bytes > 2 * self._bounds().header_bytes:
             self.refuse(431)
+        if self._reading and not self._events.reserve(self._body_bytes + self._unparsed_bytes):
+            self.refuse(503)
 
     def refuse(self, status: int) -> None:
         """Refuse the message that is read, and read no further."""
         if not self._stopped:
             self._stopped = True
+            self._body = []
             self._events.refused(status)
 
     def stop(self) -> None:
--- a/packages/gateway/src/tamarack_gateway/site.py
+++ b/packages/gateway/src/tamarack_gateway/site.py
@@ -52,6 +52,10 @@
     warm_up_slack: float = 0.0
 
 
+DEFAULT_MEMORY_BYTES = 300_000_000
+"""Memory of an ordinary instance."""
+
+
 class GatewaySettings(NamedTuple):
     """Settings of one router.
 
@@ -66,6 +70,8 @@
         Address of the platform's store.
     descriptors
         Maximum number of sockets that the process may have open.
+    memory_bytes
+        Memory that the process may use; a fraction of it is for requests and answers.
     regions
         Region of each failure domain.
     """
@@ -80,6 +86,7 @@
     store: str
     bounds: FleetBounds
     descriptors: int = 1_024
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
     regions: Mapping[str, str] = {}
 
 
