A frame of a peer has a largest size

Nothing bounded the messages between gateways: one frame of any size was received whole. Frames of more than 4 MB end their connection now, are not sent, and a connection to a router that is not heard any more is opened anew, since the library does not after such a frame. The number of queued frames is bounded as before, their sum in bytes is not.

--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -487,6 +487,7 @@
             lost, regained = self._members.poll_changes(now_ms)
             if lost or regained:
                 self._log.event("peers changed", lost=lost, regained=regained)
+                self._peers.reconnect(lost)
             if self._members.returned(lost, regained):
                 self._suspects.catch_up()
             self._tell_newly_heard(regained)
--- a/packages/gateway/src/tamarack_gateway/peer_group.py
+++ b/packages/gateway/src/tamarack_gateway/peer_group.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any
 
 from tamarack_core.clock import Clock
@@ -206,6 +206,12 @@
         """Whether the fleet is large, so that some routers do shared tasks for all."""
         return self._plan.large
 
+    def reconnect(self, routers: Iterable[str]) -> None:
+        """Open the connections to routers that are not heard any more anew."""
+        for router in routers:
+            if (peer := self._listed.get(router)) is not None:
+                self._sockets.reconnect(peer.address)
+
     def put(self, peers: Mapping[str, Peer]) -> None:
         """Apply a new list of routers.
 
--- a/packages/gateway/src/tamarack_gateway/peer_sockets.py
+++ b/packages/gateway/src/tamarack_gateway/peer_sockets.py
@@ -14,6 +14,9 @@
 SEND_LIMIT = 200
 """Messages queued for a slow peer; more would only be outdated on arrival."""
 
+MAX_FRAME_BYTES = 4_000_000
+"""Maximum size of a frame; a peer that sends a larger one is disconnected."""
+
 HEARTBEAT_MS = 1_000
 HEARTBEAT_TIMEOUT_MS = 2_500
 """A silent connection between routers is reopened after this time. Only the subscriber sends
@@ -113,14 +116,35 @@
         for address in wanted - self._peers:
             self._in.connect(f"tcp://{address}")
         for address in self._peers - wanted:
-            self._in.disconnect(f"tcp://{address}")
+            self._disconnect(address)
         self._peers, self._topics = wanted, topics
         self._schedule_turn()
 
+    def reconnect(self, address: str) -> None:
+        """Open the connection to a subscribed peer anew.
+
+        The library opens a broken connection again by itself, but not one whose peer has sent a
+        frame that is too large.
+        """
+        if address in self._peers:
+            self._disconnect(address)
+            self._in.connect(f"tcp://{address}")
+            self._schedule_turn()
+
+    def _disconnect(self, address: str) -> None:
+        # There is no connection any more to a peer that has sent too large a frame.
+        with contextlib.suppress(zmq.ZMQError):
+            self._in.disconnect(f"tcp://{address}")
+
     def publish(self, topic: bytes, *messages: Any) -> None:
         """Send messages to all subscribers without waiting; slow subscribers lose some."""
-        with contextlib.suppress(zmq.Again):
-            self._out.send_multipart([topic, self._encode(messages)], zmq.NOBLOCK)
+        data = self._encode(messages)
+        if len(data) > MAX_FRAME_BYTES:
+            # Its subscribers would disconnect, and lose other messages with it.
+            self._on_failure(ValueError(f"a frame has {len(data)} bytes"))
+        else:
+            with contextlib.suppress(zmq.Again):
+                self._out.send_multipart([topic, data], zmq.NOBLOCK)
         self._schedule_turn()
 
     def _encode(self, messages: tuple[Any, ...]) -> bytes:
@@ -179,6 +203,7 @@
         socket.setsockopt(zmq.SNDHWM, SEND_LIMIT)
         socket.setsockopt(zmq.RCVHWM, SEND_LIMIT * 10)
         if kind == zmq.SUB:
+            socket.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
             socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
             socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
             socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
