The own interface and the client library read answers within limits

Change: 64 KiB without any of a body, 16 MiB an answer, held-memory-bytes (96 MB) for all held requests and running answers, refused with queue_full (not run) where a request does not fit; mirrors of other routers' answers likewise.

--- a/packages/client/src/tamarack_client/address_book.py
+++ b/packages/client/src/tamarack_client/address_book.py
@@ -9,7 +9,7 @@
 
 import urllib3
 
-from tamarack_client.http_pool import HttpPool
+from tamarack_client.http_pool import MAX_ERROR_BYTES, HttpPool
 
 QUERY_TIMEOUT = urllib3.Timeout(connect=0.5, read=1.0)
 AVOID_S = 2.0
@@ -94,8 +94,13 @@
     def _query(self, address: str) -> Addresses | None:
         url = f"{self._scheme}://{address}/v1/addresses"
         try:
-            response = self._http.request(
-                "GET", url, headers=self._headers, timeout=QUERY_TIMEOUT, retries=False
+            response = self._http.fetch(
+                "GET",
+                url,
+                limit_bytes=MAX_ERROR_BYTES,
+                headers=self._headers,
+                timeout=QUERY_TIMEOUT,
+                retries=False,
             )
             if response.status != 200:
                 return None
--- a/packages/client/src/tamarack_client/admin.py
+++ b/packages/client/src/tamarack_client/admin.py
@@ -84,7 +84,7 @@
         for address in self._addresses:
             url = f"{self._scheme}://{address}/admin/v1/{path}"
             try:
-                response = self._http.request(method, url, body=data, headers=headers)
+                response = self._http.fetch(method, url, body=data, headers=headers)
             except (
                 urllib3.exceptions.NewConnectionError,
                 urllib3.exceptions.ConnectTimeoutError,
--- a/packages/client/src/tamarack_client/client.py
+++ b/packages/client/src/tamarack_client/client.py
@@ -14,7 +14,13 @@
 
 from tamarack_client.address_book import AddressBook, NoRouterError
 from tamarack_client.answer import Answer, OutcomeUnknownError, RefusedError
-from tamarack_client.http_pool import HttpPool
+from tamarack_client.http_pool import (
+    MAX_ANSWER_BYTES,
+    MAX_ERROR_BYTES,
+    AnswerTooLargeError,
+    HttpPool,
+    read_bounded,
+)
 
 DEADLINE_S = 60.0
 CONNECT_TIMEOUT_S = 1.0
@@ -23,6 +29,12 @@
 POOL_SIZE = 64
 READ_BYTES = 16_384
 
+LOST_PAUSE_S = 0.05
+"""Pause in seconds before a broken answer is asked for again: the next may break at once, too."""
+
+TOO_LARGE = "answer_too_large"
+"""Code of the error for an answer that is larger than this process reads."""
+
 
 class CallOptions(TypedDict, total=False):
     """Options of a request.
@@ -135,14 +147,15 @@
         while True:
             response = exchange.open()
             try:
-                data = response.read()
+                data = read_bounded(response, MAX_ANSWER_BYTES)
+            except AnswerTooLargeError as error:
+                raise OutcomeUnknownError(TOO_LARGE, str(error), _request_id(response)) from error
             except urllib3.exceptions.HTTPError:
                 exchange.lost(response)
                 continue
             finally:
                 response.close()
-            request_id = response.headers.get("Tamarack-Request-Id", "")
-            return Answer(response.status, data, request_id, exchange.attempts)
+            return Answer(response.status, data, _request_id(response), exchange.attempts)
 
     def call_stream(
         self,
@@ -158,7 +171,8 @@
         while True:
             position = 0
             try:
-                for data in response.stream(READ_BYTES, decode_content=False):
+                # `stream` reads a chunk's size line of any length.
+                while data := response.read1(READ_BYTES, decode_content=False):
                     fresh = data[max(0, received - position) :]
                     position += len(data)
                     if fresh:
@@ -175,7 +189,8 @@
         for address in self._address_book.ordered():
             attempt = self.send(address, "GET", f"/v1/requests/{request_id}", None, {})
             if attempt.response is not None and attempt.response.status == 200:
-                state: dict[str, Any] = json.loads(attempt.response.data)
+                data = read_bounded(attempt.response, MAX_ANSWER_BYTES)
+                state: dict[str, Any] = json.loads(data)
                 return state
         raise NoRouterError("no router returned the request's state")
 
@@ -245,6 +260,7 @@
             self._give_up()
         self._maybe_received = True
         self._client.address_book.renew()
+        self._pause(LOST_PAUSE_S)
 
     def _try(self, address: str) -> BaseHTTPResponse | None:
         remaining_ms = int((self.deadline - time.monotonic()) * 1000)
@@ -280,7 +296,7 @@
 
     def _refused(self, response: BaseHTTPResponse, address: str) -> None:
         code, message, outcome = _read_error(response)
-        request_id = response.headers.get("Tamarack-Request-Id", "")
+        request_id = _request_id(response)
         retry_after_ms = int(response.headers.get("Tamarack-Retry-After-Ms", "0"))
         if outcome != "not-run":
             raise OutcomeUnknownError(code, message, request_id)
@@ -313,11 +329,15 @@
     return {"model": model, "prompt": prompt, "max_tokens": max_tokens}
 
 
+def _request_id(response: BaseHTTPResponse) -> str:
+    return response.headers.get("Tamarack-Request-Id", "")
+
+
 def _read_error(response: BaseHTTPResponse) -> tuple[str, str, str]:
     """Code, message and outcome of a refusal."""
     outcome = response.headers.get("Tamarack-Outcome", "unknown")
     try:
-        error = json.loads(response.read())["error"]
+        error = json.loads(read_bounded(response, MAX_ERROR_BYTES))["error"]
         return str(error["code"]), str(error["message"]), outcome
     except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError):
         return "unknown", f"The router answered {response.status}.", outcome
--- a/packages/router/src/tamarack_router/endpoint_connection.py
+++ b/packages/router/src/tamarack_router/endpoint_connection.py
@@ -16,6 +16,8 @@
 
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
+"""Maximum size of a head, and received bytes without any of a body in which it must be complete:
+interim answers, chunk extensions and trailers may come without end, too."""
 
 
 class Head(NamedTuple):
@@ -67,7 +69,7 @@
         self._ended = False
         self._events: list[ConnectionEvent] = []
         self._headers: dict[str, str] = {}
-        self._head_bytes = 0
+        self._head_bytes = self._framing_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
 
     @property
@@ -132,7 +134,10 @@
         if not data:
             self._broke("closed early")
             return
+        self._framing_bytes += len(data)
         self._parser.feed_data(data)
+        if self._framing_bytes > MAX_HEAD_BYTES:
+            self._broke("bytes that are no answer, without end")
 
     def _broke(self, reason: str) -> None:
         if not self._ended:
@@ -155,10 +160,12 @@
             self._broke("the head is too large")
         elif status >= 200:
             self._events.append(Head(status, self._headers))
+            self._framing_bytes = 0
         self._headers = {}
 
     def on_body(self, data: bytes) -> None:
         """Handle a part of the body."""
+        self._framing_bytes = 0
         self._events.append(Body(data))
 
     def on_message_complete(self) -> None:
--- a/packages/router/src/tamarack_router/held_request.py
+++ b/packages/router/src/tamarack_router/held_request.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from tamarack_core.memory_budget import Holding
 from tamarack_core.request_spec import RequestSpec
 from tamarack_router.messages import EndpointCall
 from tamarack_router.run import Run
@@ -17,6 +18,8 @@
     ----------
     span, wait
         Trace spans of the whole request and of its wait for a slot.
+    holding
+        Part of the router's budget that holds the request and its answer.
     run
         The run in progress; None while the request waits.
     claimed_again
@@ -24,8 +27,14 @@
     """
 
     def __init__(
-        self, spec: RequestSpec, call: EndpointCall, answer: StoredAnswer, span: Any
+        self,
+        spec: RequestSpec,
+        call: EndpointCall,
+        answer: StoredAnswer,
+        span: Any,
+        holding: Holding,
     ) -> None:
+        self.holding = holding
         self.spec = spec
         self.call = call
         self.answer = answer
--- a/packages/router/src/tamarack_router/main.py
+++ b/packages/router/src/tamarack_router/main.py
@@ -11,6 +11,7 @@
 
 from tamarack_core.clock import Clock
 from tamarack_core.membership import ALIVE
+from tamarack_core.memory_budget import MemoryBudget
 from tamarack_core.protocol import MemberUpdate
 from tamarack_core.router_core import RouterCore
 from tamarack_router.admin_app import AdminApp
@@ -87,7 +88,10 @@
         held = ShareLimiter(settings.max_held, settings.share_alpha)
         answers = AnswerStore(settings.answer_memory_bytes, settings.answer_lifetime_ms)
         limits = RunLimits(settings.stream_silence_ms, settings.whole_silence_ms)
-        self.relay = stack.enter_context(Relay(clock, mailbox, answers, held, tracing, limits))
+        memory = MemoryBudget(settings.held_memory_bytes)
+        self.relay = stack.enter_context(
+            Relay(clock, mailbox, answers, held, tracing, limits, memory)
+        )
         self.caller_app = CallerApp(
             settings.router,
             boot,
--- a/packages/router/src/tamarack_router/platform.py
+++ b/packages/router/src/tamarack_router/platform.py
@@ -101,7 +101,7 @@
     def _call(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
         data = None if body is None else json.dumps(body).encode()
         try:
-            response = self._http.request(method, self._base_url + path, body=data)
+            response = self._http.fetch(method, self._base_url + path, body=data)
         except urllib3.exceptions.NewConnectionError as error:
             raise PlatformError("The table service cannot be reached.") from error
         except urllib3.exceptions.HTTPError as error:
@@ -135,7 +135,7 @@
     def _call(self, method: str, name: str, data: bytes | None) -> bytes | None:
         url = f"{self._base_url}/objects/{quote(name, safe='/')}"
         try:
-            response = self._http.request(method, url, body=data)
+            response = self._http.fetch(method, url, body=data)
         except urllib3.exceptions.HTTPError as error:
             raise PlatformError("The object store did not answer.") from error
         if response.status == 404:
@@ -157,7 +157,7 @@
     def read(self) -> list[dict[str, str]]:
         """Read the instances with name, kind, address, peer_address and state."""
         try:
-            response = self._http.request("GET", self._url)
+            response = self._http.fetch("GET", self._url)
             _check_status(response.status, 200)
             instances: list[dict[str, str]] = json.loads(response.data)["instances"]
         except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError) as error:
--- a/packages/router/src/tamarack_router/relay.py
+++ b/packages/router/src/tamarack_router/relay.py
@@ -15,6 +15,7 @@
 from tamarack_core.dispatch_messages import USAGE_FAILED, USAGE_FINISHED, USAGE_RETURNED
 from tamarack_core.errors import ErrorCode, Outcome, Refusal
 from tamarack_core.key_owner import DONE, ORPHAN, RELEASED, UNKNOWN
+from tamarack_core.memory_budget import UNLIMITED, MemoryBudget
 from tamarack_router.caller_sockets import CallerSockets
 from tamarack_router.endpoint_cancel import cancel_at_endpoint
 from tamarack_router.followed_requests import FollowedRequests
@@ -48,6 +49,9 @@
 
 CHECK_INTERVAL_MS = 100.0
 
+NO_MEMORY = "The router holds as many bytes of requests as it may; ask again later."
+NO_MEMORY_RETRY_MS = 200
+
 _HANDLERS = Handlers()
 handles = _HANDLERS.handles
 
@@ -61,6 +65,8 @@
         Mailbox of the control task.
     limiter
         Limits the held requests per workspace; a request's place is released when it ends.
+    memory
+        Budget for the bytes of held requests and of their answers until they end.
     """
 
     def __init__(
@@ -71,6 +77,7 @@
         limiter: ShareLimiter,
         tracing: Tracing,
         limits: RunLimits,
+        memory: MemoryBudget = UNLIMITED,
     ) -> None:
         super().__init__("relay", self._loop, Mailbox())
         self._clock = clock
@@ -79,6 +86,7 @@
         self._limiter = limiter
         self._tracing = tracing
         self._limits = limits
+        self._memory = memory
         self._selector = selectors.DefaultSelector()
         self._held: dict[str, HeldRequest] = {}
         self._callers = CallerSockets(self._selector, self._on_unfollowed)
@@ -102,6 +110,7 @@
             "requests_held": self.held,
             "callers_connected": self.followers,
             "answers_kept_bytes": self._answers.stored_bytes,
+            "held_bytes": self._memory.held_bytes,
             "answers_evicted": self._answers.evicted,
         }
 
@@ -179,10 +188,19 @@
         spec = message.spec
         answer = StoredAnswer(spec.request, spec.workspace, stream=message.call.stream)
         self._answers.add(answer)
-        held = self._held[spec.request] = HeldRequest(spec, message.call, answer, message.span)
+        holding = self._memory.holding()
+        held = self._held[spec.request] = HeldRequest(
+            spec, message.call, answer, message.span, holding
+        )
         held.wait = self._tracing.start("wait", parent=message.span)
         self._counts["held"] += 1
         self._callers.attach(Follower(message.sock, answer))
+        if not holding.resize(len(message.call.body)):
+            self._counts["refused_for_memory"] += 1
+            refusal = Refusal(ErrorCode.QUEUE_FULL, NO_MEMORY, Outcome.NOT_RUN, NO_MEMORY_RETRY_MS)
+            answer.refuse(refusal)
+            self._complete(held)
+            return
         self._control.put(SubmitRequest(spec))
 
     @handles(FollowAnswer)
@@ -222,6 +240,7 @@
             self._limits,
             traceparent_of(span),
             self._clock.now_ms,
+            holding=held.holding,
             charged=charged,
             adopted=adopted,
         )
@@ -394,6 +413,7 @@
     def _release_held(self, held: HeldRequest) -> None:
         """Stop holding a request: release its place in the share limiter and end its spans."""
         self._held.pop(held.spec.request, None)
+        held.holding.release()
         self._limiter.release(held.spec.workspace)
         held.end_wait()
         held.span.end()
--- a/packages/router/src/tamarack_router/remote_answers.py
+++ b/packages/router/src/tamarack_router/remote_answers.py
@@ -8,6 +8,7 @@
 from tamarack_core.errors import ErrorCode, Outcome, Refusal
 from tamarack_router.mailbox import Mailbox
 from tamarack_router.messages import PeerMessage, ProbeRouter
+from tamarack_router.run import MAX_ANSWER_BYTES
 from tamarack_router.stored_answer import AnswerState, StoredAnswer
 
 SILENCE_MS = 700.0
@@ -15,6 +16,7 @@
 PROBE_AFTER_MS = 150.0
 PART_BYTES = 262_144
 LOST_MESSAGE = "The router that held the request does not answer; it will not run again."
+TOO_LARGE_MESSAGE = "The answer is larger than a router holds."
 GONE_MESSAGE = "The answer is no longer kept."
 
 
@@ -94,6 +96,9 @@
             return answer
         if part.offset != len(answer.body):
             return None
+        if len(answer.body) + len(part.data) > MAX_ANSWER_BYTES:
+            answer.refuse(Refusal(ErrorCode.ENDPOINT_FAILED, TOO_LARGE_MESSAGE, Outcome.UNKNOWN))
+            return answer
         answer.stream = part.stream
         if part.status and not answer.status:
             answer.begin(part.status, part.content_type)
--- a/packages/router/src/tamarack_router/run.py
+++ b/packages/router/src/tamarack_router/run.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from tamarack_core.defaults import PROGRESS_STEP
+from tamarack_core.memory_budget import Holding
 from tamarack_router.endpoint_connection import (
     Body,
     ConnectionEvent,
@@ -51,6 +52,10 @@
     whole_silence_ms: float
 
 
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Maximum size of an answer's body."""
+
+
 class Run:
     """State of one run.
 
@@ -58,6 +63,8 @@
     ----------
     answer
         Buffer that collects the answer.
+    holding
+        Part of the router's budget that holds the request and its answer.
     traceparent
         W3C trace context forwarded to the endpoint, empty if not traced.
     charged
@@ -76,11 +83,13 @@
         traceparent: str,
         now_ms: float,
         *,
+        holding: Holding,
         charged: float = 0.0,
         adopted: str = "",
     ) -> None:
         self.call = call
         self.answer = answer
+        self._holding = holding
         self.address = address
         self.started_ms = now_ms
         self.last_event_ms = now_ms
@@ -215,6 +224,12 @@
         return Step.DATA
 
     def _body(self, data: bytes) -> Step:
+        size = len(self.answer.body) + len(data)
+        held_bytes = len(self.call.body) + size
+        if size > MAX_ANSWER_BYTES or not self._holding.resize(held_bytes):
+            # It would be as large on a new connection.
+            self._resumes = RESUME_TRIES
+            return self.lost()
         self.answer.body += data
         self._tokens += data.count(SSE_DATA_PREFIX)
         if self._resuming and self._resumes > 1:
--- a/packages/router/src/tamarack_router/settings.py
+++ b/packages/router/src/tamarack_router/settings.py
@@ -46,6 +46,7 @@
     stream_silence_ms: int
     whole_silence_ms: int
     answer_memory_bytes: int
+    held_memory_bytes: int
     answer_lifetime_ms: int
     shard_size: int
     exchange_ms: int
@@ -232,6 +233,12 @@
         "the same for answers that are not streams",
     ),
     Setting("answer_memory_bytes", _integer(0, 10**10), "48000000", "memory for stored answers"),
+    Setting(
+        "held_memory_bytes",
+        _integer(1_000_000, 10**10),
+        "96000000",
+        "memory for requests that are held and for their answers until they end",
+    ),
     Setting("answer_lifetime_ms", _integer(0, 86_400_000), "120000", "how long answers are stored"),
     Setting("shard_size", _integer(1, 4_096), "64", "maximum number of endpoints per dispatcher"),
     Setting("exchange_ms", _integer(50, 60_000), "1000", "how often shards exchange counters"),
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -6,6 +6,7 @@
 import selectors
 import socket
 
+from tamarack_core.memory_budget import UNLIMITED
 from tamarack_router.endpoint_connection import ConnectionEvent, EndpointConnection
 from tamarack_router.messages import EndpointCall
 from tamarack_router.run import Run, RunLimits, Step
@@ -17,7 +18,7 @@
 
 def make_run(address: str) -> Run:
     answer = StoredAnswer("r1~1~1", "w", stream=False)
-    return Run(CALL, answer, address, RunLimits(1_000, 1_000), "", 0.0)
+    return Run(CALL, answer, address, RunLimits(1_000, 1_000), "", 0.0, holding=UNLIMITED.holding())
 
 
 def until_event(
