A stopping router of the own interface answers all that it has taken, and takes only what ends in time

Operators saw: requests that came late in the grace time were passed on and cut at its end without an answer, among them ones that may not be repeated. Cause: packages/router knew no grace time. It served until its addresses had expired, then waited without a bound, and its supervisor's kill cut what was left. Class: work is taken without asking whether it can end before the one who takes it. Change: grace-ms (30 s; 0 is as before). A model's run goes on at its endpoint, and its caller gets it from another router.

--- a/packages/router/src/tamarack_router/held_request.py
+++ b/packages/router/src/tamarack_router/held_request.py
@@ -20,6 +20,8 @@
         Trace spans of the whole request and of its wait for a slot.
     holding
         Part of the router's budget that holds the request and its answer.
+    held_since_ms
+        Router clock time at which the relay got the request, in milliseconds.
     run
         The run in progress; None while the request waits.
     claimed_again
@@ -33,7 +35,9 @@
         answer: StoredAnswer,
         span: Any,
         holding: Holding,
+        held_since_ms: float,
     ) -> None:
+        self.held_since_ms = held_since_ms
         self.holding = holding
         self.spec = spec
         self.call = call
--- a/packages/router/src/tamarack_router/main.py
+++ b/packages/router/src/tamarack_router/main.py
@@ -4,12 +4,14 @@
 
 import contextlib
 import gc
+import math
 import signal
 import sys
 import threading
 from typing import Any
 
 from tamarack_core.clock import Clock
+from tamarack_core.leaving import plan_leaving
 from tamarack_core.membership import ALIVE
 from tamarack_core.memory_budget import MemoryBudget
 from tamarack_core.protocol import MemberUpdate
@@ -23,7 +25,7 @@
 from tamarack_router.load_task import LoadTask
 from tamarack_router.logs import PartLog, start_logs
 from tamarack_router.mailbox import Mailbox
-from tamarack_router.messages import Leave
+from tamarack_router.messages import EndHeld, Leave, PlanExit
 from tamarack_router.metrics_app import MetricsApp
 from tamarack_router.order_task import OrderTask
 from tamarack_router.peer_links import CurveKeys, PeerLinks
@@ -191,17 +193,34 @@
     def drain(self, signals: _Signals) -> None:
         """Shut down gracefully: announce it, serve until addresses expire, finish all requests."""
         self.control.mailbox.put(Leave())
+        settings, now_ms = self._settings, self._clock.now_ms
+        linger_ms, last_exit_ms = float(settings.address_ttl_ms), math.inf
+        if settings.grace_ms:
+            plan = plan_leaving(
+                now_ms, grace_ms=settings.grace_ms, address_ttl_ms=settings.address_ttl_ms
+            )
+            self.relay.mailbox.put(PlanExit(plan))
+            last_exit_ms = plan.last_exit_ms
+            linger_ms = min(linger_ms, plan.left_ms(now_ms))
         # Callers may use this router's address until its time to live has passed.
-        signals.wait_second(self._settings.address_ttl_ms / 1000)
+        signals.wait_second(linger_ms / 1000)
         self.caller_app.close()
+        self._wait_for_requests(last_exit_ms)
+        threading.Event().wait(FINAL_GOSSIP_WAIT_S)
+
+    def _wait_for_requests(self, last_exit_ms: float) -> None:
         polls = 0
         while self.relay.busy:
+            if self._clock.now_ms >= last_exit_ms:
+                held, followers = self.relay.held, self.relay.followers
+                self._log.warning("Requests outlast the router.", held=held, followers=followers)
+                self.relay.mailbox.put(EndHeld())
+                return
             threading.Event().wait(DRAIN_POLL_S)
             polls += 1
             if polls % LOG_EVERY_POLLS == 0:
                 held, followers = self.relay.held, self.relay.followers
                 self._log.info("Waiting for requests in progress.", held=held, followers=followers)
-        threading.Event().wait(FINAL_GOSSIP_WAIT_S)
         self._log.info("All requests have finished.")
 
 
--- a/packages/router/src/tamarack_router/messages.py
+++ b/packages/router/src/tamarack_router/messages.py
@@ -10,6 +10,7 @@
 from tamarack_core.configuration import Configuration
 from tamarack_core.endpoint_pool import LoadReport
 from tamarack_core.errors import Refusal
+from tamarack_core.leaving import LeavingPlan
 from tamarack_core.request_spec import RequestSpec
 
 
@@ -167,5 +168,15 @@
     """Main to control: announce that this router is leaving."""
 
 
+class PlanExit(NamedTuple):
+    """Main to relay: the router stops; take only requests that end before `plan.last_exit_ms`."""
+
+    plan: LeavingPlan
+
+
+class EndHeld(NamedTuple):
+    """Main to relay: answer all requests that have not ended, since the process ends now."""
+
+
 class Stop(NamedTuple):
     """Any task: end the loop."""
--- a/packages/router/src/tamarack_router/relay.py
+++ b/packages/router/src/tamarack_router/relay.py
@@ -8,14 +8,16 @@
 from __future__ import annotations
 
 import selectors
-from collections import Counter
+from collections import Counter, defaultdict
 
 from tamarack_core.actions import FollowRequest, StartRun
 from tamarack_core.clock import Clock
 from tamarack_core.dispatch_messages import USAGE_FAILED, USAGE_FINISHED, USAGE_RETURNED
 from tamarack_core.errors import ErrorCode, Outcome, Refusal
 from tamarack_core.key_owner import DONE, ORPHAN, RELEASED, UNKNOWN
+from tamarack_core.leaving import LeavingPlan
 from tamarack_core.memory_budget import UNLIMITED, MemoryBudget
+from tamarack_core.service_times import ServiceTimes
 from tamarack_router.caller_sockets import CallerSockets
 from tamarack_router.endpoint_cancel import cancel_at_endpoint
 from tamarack_router.followed_requests import FollowedRequests
@@ -27,12 +29,14 @@
 from tamarack_router.mailbox_task import MailboxTask
 from tamarack_router.messages import (
     CancelRequest,
+    EndHeld,
     EndRequest,
     FollowAnswer,
     HoldRequest,
     PeerAnswer,
     PeerMessage,
     PeerQuery,
+    PlanExit,
     RunFailed,
     RunFinished,
     RunProgress,
@@ -49,8 +53,19 @@
 
 CHECK_INTERVAL_MS = 100.0
 
-NO_MEMORY = "The router holds as many bytes of requests as it may; ask again later."
-NO_MEMORY_RETRY_MS = 200
+NO_MEMORY = Refusal(
+    ErrorCode.QUEUE_FULL,
+    "The router holds as many bytes of requests as it may; ask again later.",
+    Outcome.NOT_RUN,
+    200,
+)
+
+LEAVING = Refusal(
+    ErrorCode.LEAVING,
+    "The router is leaving before the request would end; use another address.",
+    Outcome.NOT_RUN,
+    1,
+)
 
 _HANDLERS = Handlers()
 handles = _HANDLERS.handles
@@ -87,6 +102,8 @@
         self._tracing = tracing
         self._limits = limits
         self._memory = memory
+        self._exit_plan: LeavingPlan | None = None
+        self._times: defaultdict[str, ServiceTimes] = defaultdict(ServiceTimes)
         self._selector = selectors.DefaultSelector()
         self._held: dict[str, HeldRequest] = {}
         self._callers = CallerSockets(self._selector, self._on_unfollowed)
@@ -190,19 +207,50 @@
         self._answers.add(answer)
         holding = self._memory.holding()
         held = self._held[spec.request] = HeldRequest(
-            spec, message.call, answer, message.span, holding
+            spec, message.call, answer, message.span, holding, self._clock.now_ms
         )
         held.wait = self._tracing.start("wait", parent=message.span)
         self._counts["held"] += 1
         self._callers.attach(Follower(message.sock, answer))
-        if not holding.resize(len(message.call.body)):
-            self._counts["refused_for_memory"] += 1
-            refusal = Refusal(ErrorCode.QUEUE_FULL, NO_MEMORY, Outcome.NOT_RUN, NO_MEMORY_RETRY_MS)
-            answer.refuse(refusal)
-            self._complete(held)
+        refusal = self._refusal(held)
+        if refusal is not None:
+            self._refuse(held, refusal)
             return
         self._control.put(SubmitRequest(spec))
 
+    def _refusal(self, held: HeldRequest) -> Refusal | None:
+        now_ms, plan = self._clock.now_ms, self._exit_plan
+        if plan is not None:
+            left_ms = held.spec.deadline_ms - now_ms
+            times = self._times[held.spec.service]
+            if not plan.may_finish(times.longest_answer_ms(left_ms, now_ms), now_ms):
+                return LEAVING
+        if not held.holding.resize(len(held.call.body)):
+            return NO_MEMORY
+        return None
+
+    def _refuse(self, held: HeldRequest, refusal: Refusal) -> None:
+        self._counts[f"refused_{refusal.code}"] += 1
+        held.answer.refuse(refusal)
+        self._complete(held)
+
+    @handles(PlanExit)
+    def _on_plan_exit(self, message: PlanExit) -> None:
+        self._exit_plan = message.plan
+
+    @handles(EndHeld)
+    def _on_end_held(self, message: EndHeld) -> None:
+        for held in list(self._held.values()):
+            self._counts["ended_by_exit"] += 1
+            if held.run is None:
+                self._control.put(CancelRequest(held.spec.request))
+                self._refuse(held, LEAVING)
+            elif held.run.call.kind == "plain":
+                message_text = "The router ends while the request is running."
+                self._abort(held, Refusal(ErrorCode.LEAVING, message_text, Outcome.UNKNOWN))
+            # The endpoint goes on with a model's run: its caller gets it from another router, to
+            # which the end of this connection sends it.
+
     @handles(FollowAnswer)
     def _on_follow_answer(self, message: FollowAnswer) -> None:
         state_only = message.offset < 0
@@ -351,6 +399,7 @@
         elif step == Step.FINISHED:
             cost = run.cost(now_ms)
             self._drop_run(held)
+            self._times[held.spec.service].answered(now_ms - held.held_since_ms, now_ms)
             self._counts["finished"] += 1
             self._control.put(RunFinished(request, cost, USAGE_FINISHED, DONE))
             self._complete(held)
--- a/packages/router/src/tamarack_router/settings.py
+++ b/packages/router/src/tamarack_router/settings.py
@@ -40,6 +40,7 @@
     max_body_bytes: int
     send_ms: int
     address_ttl_ms: int
+    grace_ms: int
     config_poll_ms: int
     load_poll_ms: int
     order_interval_ms: int
@@ -208,6 +209,12 @@
     ),
     Setting("send_ms", _integer(50, 600_000), "10000", "time limit for a caller to send a request"),
     Setting("address_ttl_ms", _integer(100, 600_000), "5000", "how long callers cache addresses"),
+    Setting(
+        "grace_ms",
+        _integer(0, 3_600_000),
+        "30000",
+        "time from the signal to stop until the supervisor kills the process; 0: without limit",
+    ),
     Setting(
         "config_poll_ms",
         _integer(50, 60_000),
