A router that the store turned away is no reader for itself no longer than for the others

Each told of its first failure only, but counted its ten seconds from its last. Class: two views of one fact that end at different times, with the work left undone in between.

--- a/packages/gateway/src/tamarack_gateway/fleet_members.py
+++ b/packages/gateway/src/tamarack_gateway/fleet_members.py
@@ -44,6 +44,13 @@
 """Time after a failed call to the store in which a router is no reader if others can be. It tries
 again after that, and a silent store costs the other routers the time of that call."""
 
+STORE_LOSS_RETELL_MS = 1_000.0
+"""Minimum time between two messages of a router about failed calls to the store."""
+
+STORE_BACK_MS = 3_000.0
+"""Time for which others go on reading in place of a router that tries again, in case that they have
+missed its last messages: two readers too many cost less than one too few."""
+
 
 class Member(NamedTuple):
     """A router according to its last summary."""
@@ -80,7 +87,8 @@
         self._recently_heard: set[str] = set()
         self._lost_boots: dict[str, int] = {}
         self._scores: dict[str, dict[str, int]] = {}
-        self._store_lost_ms: dict[str, float] = {}
+        self._store_lost_until_ms: dict[str, float] = {}
+        self._store_loss_told_ms = float("-inf")
 
     def record_stamp(self, router: str, stamp_ms: float) -> None:
         """Record a newer timestamp of a router's own clock."""
@@ -107,13 +115,25 @@
         return True
 
     def record_store_lost(self, router: str, now_ms: float) -> bool:
-        """Record a failed call of a router to the store; returns whether that is new."""
+        """Record that another router has told of a failed call; returns whether that is new."""
         new = not self._lost_store(router, now_ms)
-        self._store_lost_ms[router] = now_ms
+        self._store_lost_until_ms[router] = now_ms + STORE_LOST_MS + STORE_BACK_MS
         return new
 
+    def record_own_store_lost(self, router: str, now_ms: float) -> bool:
+        """Record a failed call of this router; returns whether the others have to be told.
+
+        Failures in between count for neither: the time in which this router is no reader must not
+        last longer for itself than for the others, or nobody would read.
+        """
+        if now_ms - self._store_loss_told_ms < STORE_LOSS_RETELL_MS:
+            return False
+        self._store_loss_told_ms = now_ms
+        self._store_lost_until_ms[router] = now_ms + STORE_LOST_MS
+        return True
+
     def _lost_store(self, router: str, now_ms: float) -> bool:
-        return now_ms - self._store_lost_ms.get(router, float("-inf")) < STORE_LOST_MS
+        return now_ms < self._store_lost_until_ms.get(router, float("-inf"))
 
     def _ranked_for_store(self, key: str, names: list[str], now_ms: float) -> list[str]:
         """Rank routers for a task at the store: those that reach it, or all if none does."""
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -463,7 +463,7 @@
 
     def _record_store_failure(self) -> None:
         router = self._settings.router
-        if self._members.record_store_lost(router, self._clock.now_ms):
+        if self._members.record_own_store_lost(router, self._clock.now_ms):
             self._peers.publish_notice(StoreLost(router))
 
     def _publish_changes(self, news: TableNews) -> None:
--- a/tests/fleet_views.py
+++ b/tests/fleet_views.py
@@ -24,5 +24,8 @@
             if other is not me:
                 members.record_summary(other)
         for name in lost:
-            members.record_store_lost(name, 0.0)
+            if name == me.router:
+                members.record_own_store_lost(name, 0.0)
+            else:
+                members.record_store_lost(name, 0.0)
         yield me, members
