--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -197,9 +197,9 @@
     def _take(self, request: Request, keep: bool) -> None:
         self._changed_ms = request.arrived_ms
         self._continue_due = False
-        if request.body:
+        if request.body or self._held_requests.held_bytes:
             self._pending_bytes += len(request.body)
-            self._held_requests.charge(self._pending_bytes + self._request_bytes)
+            self._count_requests()
         if self._task is None and not self._pending and not self._delivering:
             self._begin_request(request, keep)
             if self._refuse_early(request, self):
@@ -213,6 +213,7 @@
 
     def _refuse(self, status: int) -> None:
         # An answer like others: it is written after those to the requests before it.
+        self._count_requests()
         if self.disconnected:
             return
         if self._task is None:
@@ -338,6 +339,9 @@
             if not transport.is_closing():
                 transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
 
+    def _count_requests(self) -> None:
+        self._held_requests.charge(self._pending_bytes + self._request_bytes)
+
     def _count_unsent(self) -> None:
         if self._transport is None:
             return
@@ -449,7 +453,7 @@
         """End an answered request; returns whether the connection stays open."""
         if self._request_bytes:
             self._request_bytes = 0
-            self._held_requests.charge(self._pending_bytes)
+            self._count_requests()
         self._answered = True
         self._changed_ms = self._clock.now_ms
         if self._keep_alive:
--- a/packages/gateway/src/tamarack_gateway/endpoint_connection.py
+++ b/packages/gateway/src/tamarack_gateway/endpoint_connection.py
@@ -69,6 +69,7 @@
     def __init__(self, memory: MemoryBudget = UNLIMITED) -> None:
         self._holding = memory.holding()
         self._pending_bytes = self._taken_bytes = 0
+        self._held_back = False
         self._transport: Any = None
         self._parser: Any = httptools.HttpResponseParser(self)
         self._headers: Headers = []
@@ -210,11 +211,7 @@
                 return None
             self._check()
             await self._wait()
-        paused = self._pending_bytes > MAX_PENDING_BYTES
-        chunks = self._pop_chunks()
-        if paused:
-            self.resume()
-        return chunks
+        return self._pop_chunks()
 
     def deliver(self, take: Callable[[bytes], None]) -> None:
         """Pass the body to `take` as it arrives, not to `next_chunk`; `whole` waits for its end.
@@ -297,6 +294,9 @@
         chunks = b"".join(self._chunks)
         self._chunks.clear()
         self._pending_bytes = 0
+        if self._held_back:
+            self._held_back = False
+            self.resume()
         return chunks
 
     def _bound_pending(self) -> None:
@@ -304,6 +304,7 @@
             self._error = self._error or NoMemoryError("no memory for the answer")
             self.abort()
         elif self._pending_bytes > MAX_PENDING_BYTES:
+            self._held_back = True
             self.pause()
 
     def _handle_early_close(self, exc: Exception | None) -> None:
--- a/packages/gateway/src/tamarack_gateway/gateway.py
+++ b/packages/gateway/src/tamarack_gateway/gateway.py
@@ -485,9 +485,9 @@
             self._pool.sweep(self._state.knows)
             self._warm_ups.observe()
             lost, regained = self._members.poll_changes(now_ms)
+            self._peers.observe(lost, regained)
             if lost or regained:
                 self._log.event("peers changed", lost=lost, regained=regained)
-                self._peers.reconnect(lost)
             if self._members.returned(lost, regained):
                 self._suspects.catch_up()
             self._tell_newly_heard(regained)
--- a/packages/gateway/src/tamarack_gateway/peer_group.py
+++ b/packages/gateway/src/tamarack_gateway/peer_group.py
@@ -43,6 +43,10 @@
 """Interval between a relay's messages when it has nothing or only summaries to pass on: with 195
 routers there is always a summary, and each message wakes all of them."""
 
+RECONNECT_MS = 5_000.0
+"""Time in milliseconds without a message of a router after which the connection to it is opened
+anew, which drops what it has queued: a router that wakes from a freeze first reads what it has."""
+
 DEPARTED_MS = 10_000.0
 """Time for which a router stays subscribed to after it has left the list: it finishes its requests
 within its grace period, 8 s here. Without it, its observations of endpoint terminations would be
@@ -164,6 +168,7 @@
         self._owner = tasks or TaskOwner(clock, log)
         self._tasks: list[OwnedTask] = []
         self._sockets: PeerSockets
+        self._unheard_ms: dict[str, float] = {}
 
     async def __aenter__(self) -> PeerGroup:
         sockets = PeerSockets(
@@ -206,9 +211,23 @@
         """Whether the fleet is large, so that some routers do shared tasks for all."""
         return self._plan.large
 
-    def reconnect(self, routers: Iterable[str]) -> None:
-        """Open the connections to routers that are not heard any more anew."""
-        for router in routers:
+    def observe(self, lost: Iterable[str], regained: Iterable[str]) -> None:
+        """Open the connections anew to routers that have not been heard for `RECONNECT_MS`.
+
+        Parameters
+        ----------
+        lost, regained
+            Routers that are not heard any more, and those that are heard again, since the last
+            call.
+        """
+        now_ms = self._clock.now_ms
+        self._unheard_ms.update((router, now_ms) for router in lost)
+        for router in regained:
+            self._unheard_ms.pop(router, None)
+        for router, since_ms in list(self._unheard_ms.items()):
+            if now_ms - since_ms < RECONNECT_MS:
+                continue
+            del self._unheard_ms[router]
             if (peer := self._listed.get(router)) is not None:
                 self._sockets.reconnect(peer.address)
 
--- a/tests/test_event_relay.py
+++ b/tests/test_event_relay.py
@@ -119,3 +119,18 @@
 
     # Sixteen times as many pieces took 256 times as long when each was searched from the start.
     assert work_s(4_800) < 64 * work_s(300)
+
+
+def test_a_stream_whose_first_bytes_are_many_goes_on() -> None:
+    """Guards against a stream that is not read on after more than a reader holds came at once."""
+
+    async def scenario() -> None:
+        streaming = Streaming()
+        for number in range(1, 9):
+            streaming.receive(b"id: %d\ndata: %s\n\n" % (number, b"x" * 60_000))
+        assert not streaming.to_engine.reading
+        await asyncio.sleep(0)
+        assert streaming.to_engine.reading
+        assert streaming.to_caller.written.count(b"id: ") == 8
+
+    play(scenario())
