--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -9,8 +9,9 @@
 from typing import Any
 
 from tamarack_core.clock import Clock
-from tamarack_core.memory_budget import SMALL_BYTES, UNLIMITED, MemoryBudget
+from tamarack_core.memory_budget import UNLIMITED, MemoryBudget
 from tamarack_core.ruleset import CallerBounds
+from tamarack_gateway.caller_memory import CallerMemory
 from tamarack_gateway.http_messages import (
     LAST_CHUNK,
     Headers,
@@ -112,8 +113,7 @@
         record_unanswered: Callable[[], None] = no_count,
         memory: MemoryBudget = UNLIMITED,
     ) -> None:
-        self._held_requests, self._held_answers = memory.holding(), memory.holding()
-        self._pending_bytes = self._request_bytes = 0
+        self._memory = CallerMemory(memory)
         self._should_close = should_close
         self._record_read = record_read
         self._record_unanswered = record_unanswered
@@ -125,7 +125,7 @@
         self._registry = registry
         self._transport: Any = None
         events = RequestEvents(
-            self._begin_reading, self._expect, self._take, self._refuse, self._reserve
+            self._begin_reading, self._expect, self._take, self._refuse, self._memory.reserve
         )
         self._reader = RequestReader(clock, bounds, events)
         self._pending: deque[tuple[Request, bool]] = deque()
@@ -153,8 +153,7 @@
         self._transport = None
         self._reader.close()
         self.on_writable = None
-        self._held_requests.release()
-        self._held_answers.release()
+        self._memory.release()
         if self._task is not None:
             self._task.cancel()
 
@@ -191,15 +190,10 @@
         if self._task is None:
             self._write_continue()
 
-    def _reserve(self, reading_bytes: int) -> bool:
-        return self._held_requests.resize(self._pending_bytes + self._request_bytes + reading_bytes)
-
     def _take(self, request: Request, keep: bool) -> None:
         self._changed_ms = request.arrived_ms
         self._continue_due = False
-        if request.body or self._held_requests.held_bytes:
-            self._pending_bytes += len(request.body)
-            self._count_requests()
+        self._memory.received(len(request.body))
         if self._task is None and not self._pending and not self._delivering:
             self._begin_request(request, keep)
             if self._refuse_early(request, self):
@@ -213,7 +207,7 @@
 
     def _refuse(self, status: int) -> None:
         # An answer like others: it is written after those to the requests before it.
-        self._count_requests()
+        self._memory.dropped()
         if self.disconnected:
             return
         if self._task is None:
@@ -339,21 +333,13 @@
             if not transport.is_closing():
                 transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
 
-    def _count_requests(self) -> None:
-        self._held_requests.charge(self._pending_bytes + self._request_bytes)
-
     def _count_unsent(self) -> None:
-        if self._transport is None:
-            return
-        buffered = self._transport.get_write_buffer_size()
-        if buffered <= SMALL_BYTES and not self._held_answers.held_bytes:
+        transport = self._transport
+        if transport is None:
             return
-        if not self._held_answers.resize(buffered):
-            # What the endpoint has sent is delivered in any case; no more is read from it until the
-            # caller has taken this.
-            self._held_answers.charge(buffered)
-            if self._writable:
-                self._transport.set_write_buffer_limits(high=0)
+        if not self._memory.buffered(transport.get_write_buffer_size()) and self._writable:
+            # No more is read from the endpoint until the caller has taken all of it.
+            transport.set_write_buffer_limits(high=0)
 
     async def stop(self) -> None:
         """Let the kernel take the rest of an answer, or cancel its handler; then close."""
@@ -444,16 +430,13 @@
             self._changed_ms = self._clock.now_ms
 
     def _begin_request(self, request: Request, keep: bool) -> None:
-        self._request_bytes = len(request.body)
-        self._pending_bytes -= self._request_bytes
+        self._memory.began(len(request.body))
         self._keep_alive = keep
         self._begun = False
 
     def _end_request(self) -> bool:
         """End an answered request; returns whether the connection stays open."""
-        if self._request_bytes:
-            self._request_bytes = 0
-            self._count_requests()
+        self._memory.ended()
         self._answered = True
         self._changed_ms = self._clock.now_ms
         if self._keep_alive:
