--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -162,12 +162,12 @@
 
     def resume_writing(self) -> None:
         self._writable = True
-        self._count_unsent()
-        if self._emptied is None and self._transport is not None:
-            # They are lower after what the caller had not taken did not fit into the budget.
-            self._transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
         if self._emptied is not None and not self._emptied.done():
             self._emptied.set_result(None)
+        elif not self.disconnected:
+            # They are lower after what the caller had not taken did not fit into the budget.
+            self._transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
+        self._count_unsent()
         on_writable, self.on_writable = self.on_writable, None
         if on_writable is not None:
             on_writable()
