--- a/packages/gateway/src/tamarack_gateway/caller_memory.py
+++ b/packages/gateway/src/tamarack_gateway/caller_memory.py
@@ -57,6 +57,7 @@
 
     def release(self) -> None:
         """Count nothing any more: the connection is closed."""
+        self._pending_bytes = self._answered_bytes = 0
         self._requests.release()
         self._unsent.release()
 
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from tamarack_core.memory_budget import HOLDER_SHARE, SMALL_BYTES, SMALL_RESERVE, MemoryBudget
+from tamarack_gateway.caller_memory import CallerMemory
 
 LIMIT = 1_000_000
 
@@ -43,3 +44,15 @@
         assert holdings[number].held_bytes == (size if fits else before)
         assert fits or size > before
         assert budget.held_bytes == sum(holding.held_bytes for holding in holdings) <= LIMIT
+
+
+def test_requests_that_end_after_their_connection_are_not_counted_again() -> None:
+    """Guards against a budget that shrinks with each caller that leaves behind pending requests."""
+    budget = MemoryBudget(LIMIT)
+    caller = CallerMemory(budget)
+    for size in (1_000, 2_000):
+        caller.received(size)
+    caller.began(1_000)
+    caller.release()
+    caller.ended()
+    assert budget.held_bytes == 0
