What a request took of the budget is given back

A request that began to be answered at once was subtracted twice, so that the budget grew with each body; what was counted of an answer that the kernel had taken by the time of its end stayed counted until the connection's next write; what a consumer kept of a closed connection's last bytes was counted for good.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -321,7 +321,10 @@
     async def delivered(self) -> None:
         """Wait until the transport has written what the handler has passed to it."""
         transport = self._transport
-        if transport is None or not transport.get_write_buffer_size():
+        if transport is None:
+            return
+        if not transport.get_write_buffer_size():
+            self._count_unsent()
             return
         self._emptied = asyncio.get_running_loop().create_future()
         # Calls `resume_writing` once the buffer is empty.
--- a/packages/gateway/src/tamarack_gateway/caller_memory.py
+++ b/packages/gateway/src/tamarack_gateway/caller_memory.py
@@ -16,7 +16,7 @@
 
     def __init__(self, budget: MemoryBudget) -> None:
         self._requests, self._unsent = budget.holding(), budget.holding()
-        self._pending_bytes = self._answered_bytes = 0
+        self._complete_bytes = self._answered_bytes = 0
 
     def reserve(self, reading_bytes: int) -> bool:
         """Count the read part of a request that is not complete; False if it does not fit."""
@@ -25,7 +25,7 @@
     def received(self, body_bytes: int) -> None:
         """Count a complete request, which is not refused for its size any more."""
         if body_bytes or self._requests.held_bytes:
-            self._pending_bytes += body_bytes
+            self._complete_bytes += body_bytes
             self._requests.charge(self._complete_bytes)
 
     def dropped(self) -> None:
@@ -35,11 +35,11 @@
     def began(self, body_bytes: int) -> None:
         """Record that the next request in order is being answered."""
         self._answered_bytes = body_bytes
-        self._pending_bytes -= body_bytes
 
     def ended(self) -> None:
         """Count the request that has been answered no more."""
         if self._answered_bytes:
+            self._complete_bytes -= self._answered_bytes
             self._answered_bytes = 0
             self._requests.charge(self._complete_bytes)
 
@@ -57,10 +57,6 @@
 
     def release(self) -> None:
         """Count nothing any more: the connection is closed."""
-        self._pending_bytes = self._answered_bytes = 0
+        self._complete_bytes = self._answered_bytes = 0
         self._requests.release()
         self._unsent.release()
-
-    @property
-    def _complete_bytes(self) -> int:
-        return self._pending_bytes + self._answered_bytes
--- a/packages/gateway/src/tamarack_gateway/endpoint_connection.py
+++ b/packages/gateway/src/tamarack_gateway/endpoint_connection.py
@@ -240,7 +240,8 @@
 
     def hold(self, held_bytes: int) -> bool:
         """Count bytes that a consumer keeps of the answer; False if the budget has no room."""
-        return self._holding.resize(held_bytes)
+        # What a closed connection has left is no more than one read, and nobody would release it.
+        return self._transport is None or self._holding.resize(held_bytes)
 
     async def body(self) -> bytes:
         """Wait for the whole body; raises `BrokenAnswerError` if it is too large.
--- a/tests/test_freed_objects.py
+++ b/tests/test_freed_objects.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 
 import pytest
-from gateway_site import Fleet, play
+from gateway_site import Fleet, connect, play, read_answer, until
 
 from tamarack_gateway.caller_connection import CallerConnection
 from tamarack_gateway.endpoint_connection import EndpointConnection
@@ -56,3 +57,32 @@
             assert not cyclic
 
     play(scenario())
+
+
+RETURNED = {
+    "large body": Script(body=bytes(60_000)),
+    "large events": Script(body=bytes(20_000), events=8),
+    "unframed": Script(body=bytes(60_000), events=2, unframed=True),
+    "failure": Script(status=500, body=bytes(60_000)),
+    "cut": Script(body=bytes(60_000), events=3, cut_after=1),
+}
+
+
+@pytest.mark.parametrize("path", ["/draft/1", "/search/1"])
+@pytest.mark.parametrize("case", RETURNED)
+def test_what_a_request_took_of_the_budget_is_given_back(case: str, path: str) -> None:
+    """Guards against a router that refuses more and more, for bytes that it holds no longer."""
+
+    async def scenario() -> None:
+        service = "pool" if path == "/draft/1" else "web"
+        async with Fleet({service: [PlatformWorker("e1", RETURNED[case])]}) as fleet:
+            reader, writer = await connect(fleet.gateway.callers)
+            for _ in range(3):
+                with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                    writer.write(fleet.request(path, body=bytes(50_000)))
+                    await read_answer(reader)
+            # The connection stays open, where its answers allow that.
+            await until(lambda: fleet.gateway.state.memory.held_bytes == 0)
+            writer.close()
+
+    play(scenario())
