--- a/packages/standins/src/tamarack_standins/claimed_ports.py
+++ b/packages/standins/src/tamarack_standins/claimed_ports.py
@@ -15,9 +15,12 @@
 HOSTS = 200
 """Number of loopback networks over which the ranges are spread."""
 
+METRICS_PORT = 9_464
+"""Port that each router serves metrics on at its own address, whatever its range."""
+
 
 class ClaimedPorts:
-    """Claims a range of ports as a context manager, by binding a socket that nobody connects to.
+    """Claims a range of ports and its network, by binding sockets that nobody connects to.
 
     Parameters
     ----------
@@ -32,17 +35,15 @@
 
     def __init__(self, preferred: int) -> None:
         self._preferred = preferred
-        self._guard = socket.socket()
+        self._guards: list[socket.socket] = []
         self.first = 0
 
     def __enter__(self) -> ClaimedPorts:
         for number in range(self._preferred, self._preferred + RANGES):
             self.first = FIRST_PORT + number % RANGES * 2
-            try:
-                self._guard.bind((self.host(1), self.first))
-            except OSError:
-                continue
-            return self
+            if self._claim(self.first) and self._claim(METRICS_PORT):
+                return self
+            self._release()
         raise OSError("all ranges of ports are in use")
 
     def __exit__(
@@ -51,7 +52,21 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        self._guard.close()
+        self._release()
+
+    def _claim(self, port: int) -> bool:
+        guard = socket.socket()
+        self._guards.append(guard)
+        try:
+            guard.bind((self.host(1), port))
+        except OSError:
+            return False
+        return True
+
+    def _release(self) -> None:
+        for guard in self._guards:
+            guard.close()
+        self._guards.clear()
 
     def host(self, number: int) -> str:
         """Loopback address of one member; number 1 is the guard's."""
--- a/tests/test_router_memory.py
+++ b/tests/test_router_memory.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
@@ -53,7 +54,7 @@
 async def router(folder: Path, **services: list[PlatformWorker]) -> AsyncIterator[Router]:
     """Run a router as a process."""
     async with contextlib.AsyncExitStack() as stack:
-        ports = stack.enter_context(ClaimedPorts(random.randrange(5_000)))
+        ports = stack.enter_context(ClaimedPorts(os.getpid()))
         store = await stack.enter_async_context(PlatformStore())
         limits = {"maxBodyBytes": BODY_BYTES, "tokensPerS": 300_000}
         await store.put("op", "config", configuration(limits=limits))
