--- a/tests/test_own_interface_leaving.py
+++ b/tests/test_own_interface_leaving.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import socket
-import threading
 from typing import Any
 
 import pytest
@@ -98,7 +97,6 @@
     with socket.create_server(("127.0.0.1", 0)) as endpoint:
         running = relaying.hold(60_000.0)
         address = f"127.0.0.1:{endpoint.getsockname()[1]}"
-        threading.Thread(target=endpoint.accept, daemon=True).start()
         relaying.relay._on_start(StartRun("r1~1~2", "e1", address, 0.0))
         relaying.relay._on_end_held(EndHeld())
     assert b"not-run" in waiting.recv(65_536)
