--- a/packages/gateway/src/tamarack_gateway/event_splitter.py
+++ b/packages/gateway/src/tamarack_gateway/event_splitter.py
@@ -96,18 +96,20 @@
             searched = end + 2
             if searched - start > EVENT_BYTES:
                 raise BadStreamError("an event is too large", events)
-            number = self._number(bytes(buffer[unit:searched]), events)
-            unit = searched
+            last_part = bytes(buffer[unit:searched])
+            number = self._number(last_part, events)
+            follows_parts, unit = unit > start, searched
             if number is None and self._last is not None:
                 continue
-            self._last = number if number is not None else self._last
-            events.append(Event(number, bytes(buffer[start:searched])))
+            self._last = number
+            raw = bytes(buffer[start:searched]) if follows_parts else last_part
+            events.append(Event(number, raw))
             start = searched
         if len(buffer) - start > EVENT_BYTES:
             raise BadStreamError("an event is too large", events)
         if buffer is self._partial:
             del self._partial[:start]
-        else:
+        elif start < len(buffer):
             self._partial = bytearray(buffer[start:])
         self._unit, self._searched = unit - start, len(self._partial)
         return events
--- a/packages/standins/src/tamarack_standins/endless_worker.py
+++ b/packages/standins/src/tamarack_standins/endless_worker.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from tamarack_standins.platform_worker import PlatformWorker, ReceivedRequest, Script
+from tamarack_standins.wire import chunk
 
 PIECE = 16_384
 """Bytes of filling that are written at a time."""
@@ -25,10 +26,6 @@
     chunked: bool = True
 
 
-def _chunk(data: bytes) -> bytes:
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
 class Endless(Enum):
     """Where the endless bytes of an answer are."""
 
@@ -38,9 +35,9 @@
     CHUNK_EXTENSION = _Shape(True, b"5;x=", b"x" * PIECE)
     CHUNK_SIZE = _Shape(True, b"", b"0" * PIECE)
     TRAILERS = _Shape(True, b"0\r\n", b"X-Fill: %s\r\n" % (b"x" * PIECE))
-    EVENT = _Shape(True, b"", _chunk(b"x" * PIECE))
-    SMALL_CHUNKS = _Shape(True, b"", _chunk(b"x" * SMALL_PIECE) * 256)
-    COMMENTS = _Shape(True, b"", _chunk(b": fill\n" * 2_000))
+    EVENT = _Shape(True, b"", chunk(b"x" * PIECE))
+    SMALL_CHUNKS = _Shape(True, b"", chunk(b"x" * SMALL_PIECE) * 256)
+    COMMENTS = _Shape(True, b"", chunk(b": fill\n" * 2_000))
     UNFRAMED = _Shape(True, b"", b"x" * PIECE, chunked=False)
 
     @property
--- a/packages/standins/src/tamarack_standins/soak_routers.py
+++ b/packages/standins/src/tamarack_standins/soak_routers.py
@@ -61,7 +61,7 @@
     disturbed
         Called with a router's address when it starts, is paused or wakes up.
     memory_mb
-        Memory in MB that the settings allow each router; None for all that the host has.
+        Memory in MB that the settings allow each router; None for their default.
     """
 
     def __init__(
