--- a/packages/standins/src/tamarack_standins/soak_routers.py
+++ b/packages/standins/src/tamarack_standins/soak_routers.py
@@ -17,6 +17,7 @@
 
 from tamarack_standins.claimed_ports import ClaimedPorts
 from tamarack_standins.fault_proxy import FaultProxy
+from tamarack_standins.process_usage import ProcessUsage, process_usage
 from tamarack_standins.soak_domains import COLD_FACTOR, COLD_SLACK
 from tamarack_standins.soak_losses import LossChecks
 
@@ -60,8 +61,9 @@
         Told of stops and of unplanned faults of routers.
     disturbed
         Called with a router's address when it starts, is paused or wakes up.
-    memory_mb
-        Memory in MB that the settings allow each router; None for their default.
+    limits
+        Memory, descriptors and the like that the settings allow each router; none for their
+        defaults.
     """
 
     def __init__(
@@ -75,10 +77,10 @@
         broken: Callable[[str], None],
         losses: LossChecks | None = None,
         disturbed: Callable[[str], None] = lambda address: None,
-        memory_mb: int | None = None,
+        limits: dict[str, int] | None = None,
     ) -> None:
         self._count = count
-        self._memory_mb = memory_mb
+        self._limits = limits or {}
         self._folder = folder
         self._ports = ports
         self._random = rng
@@ -105,11 +107,10 @@
         """Address of a router; port offset 0 is the one for callers."""
         return f"{self._ports.host(number + 2)}:{self._ports.first + offset}"
 
-    def peak_memory_bytes(self, number: int) -> int:
-        """Largest resident memory of a router's process since its start."""
-        status = Path(f"/proc/{self._processes[number].pid}/status").read_text()
-        (line,) = [line for line in status.splitlines() if line.startswith("VmHWM:")]
-        return int(line.split()[1]) * 1_024
+    def usage(self, number: int) -> ProcessUsage | None:
+        """What a router's process holds; None if it has ended."""
+        process = self._processes[number]
+        return process_usage(process.pid) if process.returncode is None else None
 
     async def until_ready(self) -> None:
         """Wait until all routers are ready; raises `TimeoutError` if one is not in time."""
@@ -251,7 +252,7 @@
                 "coldSlack": COLD_SLACK,
             },
             "platform": {"address": self.links[number].address},
-            "limits": {"memoryMb": self._memory_mb} if self._memory_mb else {},
+            "limits": self._limits,
         }
         path = self._folder / f"router-{number}.yaml"
         path.write_text(yaml.safe_dump(settings))
--- a/tests/test_router_memory.py
+++ b/tests/test_router_memory.py
@@ -71,11 +71,17 @@
                 store.address,
                 rng=random.Random(1),
                 broken=broken.append,
-                memory_mb=MEMORY_MB,
+                limits={"memoryMb": MEMORY_MB},
             )
         )
         await routers.until_ready()
-        yield Router(routers.address(0), Fleet({}), lambda: routers.peak_memory_bytes(0))
+
+        def peak_bytes() -> int:
+            usage = routers.usage(0)
+            assert usage is not None, "the router has ended"
+            return usage.peak_bytes
+
+        yield Router(routers.address(0), Fleet({}), peak_bytes)
         assert not broken
 
 
