Routers refuse peers without a handshake, whose bytes would be parts of one endless message

What callers saw: nothing until the process ended. Bytes sent to the address for other routers took 4,115 MB in the gateway (160 allowed) and 4,121 MB in tamarackd (256), from 24 connections of plain HTTP heads without end.

Cause: the first versions of ZeroMQ's protocol begin without a handshake. Any bytes then are frames; one whose flags are odd has more to come, and limits count whole messages only. The publishing socket of the gateway had no largest message either.

Change: a ZAP domain on the bound sockets, with which libzmq refuses the first versions (without an authenticator it changes nothing else; CURVE refuses them by itself), and 4,096 bytes for a subscription.

Left: a peer with a sound handshake may still send a message of any number of parts.

--- a/packages/gateway/src/tamarack_gateway/peer_sockets.py
+++ b/packages/gateway/src/tamarack_gateway/peer_sockets.py
@@ -17,6 +17,13 @@
 MAX_FRAME_BYTES = 4_000_000
 """Maximum size of a frame; a peer that sends a larger one is disconnected."""
 
+ZAP_DOMAIN = b"peers"
+"""With a domain, connections of the protocol's first versions are refused: they begin without a
+handshake, so that any bytes count as parts of a message, which may have any number."""
+
+MAX_SUBSCRIPTION_BYTES = 4_096
+"""The same for what subscribers send: topics, which are names."""
+
 HEARTBEAT_MS = 1_000
 HEARTBEAT_TIMEOUT_MS = 2_500
 """A silent connection between routers is reopened after this time. Only the subscriber sends
@@ -209,6 +216,8 @@
             socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
             socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
         else:
+            socket.setsockopt(zmq.MAXMSGSIZE, MAX_SUBSCRIPTION_BYTES)
+            socket.setsockopt(zmq.ZAP_DOMAIN, ZAP_DOMAIN)
             socket.setsockopt(zmq.TCP_KEEPALIVE, 1)
             socket.setsockopt(zmq.TCP_KEEPALIVE_IDLE, KEEPALIVE_IDLE_S)
             socket.setsockopt(zmq.TCP_KEEPALIVE_INTVL, 1)
--- a/packages/router/src/tamarack_router/peer_links.py
+++ b/packages/router/src/tamarack_router/peer_links.py
@@ -17,6 +17,11 @@
 IDLE_CONNECTION_MS = 5_000.0
 MAX_FRAME_BYTES = 4_000_000
 
+ZAP_DOMAIN = b"peers"
+"""With a domain, connections of the protocol's first versions are refused: they begin without a
+handshake, so that any bytes count as parts of a message, which may have any number. CURVE refuses
+them by itself."""
+
 
 class CurveKeys(NamedTuple):
     """CURVE key pair that all routers of a fleet share, in Z85."""
@@ -61,6 +66,8 @@
         self._inbound.setsockopt(zmq.RCVHWM, QUEUE_LIMIT_MESSAGES)
         if curve is not None:
             self._secure(self._inbound, curve, server=True)
+        else:
+            self._inbound.setsockopt(zmq.ZAP_DOMAIN, ZAP_DOMAIN)
         host, _, port = listen.rpartition(":")
         if port == "0":
             port = str(self._inbound.bind_to_random_port(f"tcp://{host}"))
