What callers send is counted as the memory and the time that it takes

What callers saw: 24 connections with chunks of two bytes held 160 MB and more, made the loop lag 1.7 s and had an ordinary request refused; 100 heads of short header lines took 186 MB, header lines without end 242 MB (160 allowed); empty lines and chunk extensions were read for ever.

Cause: a body was a list of its pieces, headers were counted by their text, complete requests by their bodies; a packet of 256 KiB was parsed at once; limits looked at heads and bodies, not at framing or at what comes before a request; and they were checked after a whole packet.

Change: a body is one piece or one buffer; each header counts 200 bytes beside its text, in complete requests too, and pipelined ones are refused (503, not run) when they do not fit; packets are parsed in slices of 8 KiB, the first at once, the others in turn with those of other connections and for 5 ms of a loop iteration; framing has a limit of 8 bytes for each byte of a body and 2 x maxHeaderBytes, empty lines 2 x maxHeaderBytes; an announced body over maxBodyBytes is refused at its head; headers over the limit are not kept. The writing half of a caller's connection is a module of its own.

New tests after the users' evidence: complete heads whose bodies stop short (186 MB before), three single requests inside the limits (a guard: 1 MB in chunks of one byte passed before here, the users saw 4 MB refused).

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -4,22 +4,22 @@
 
 import asyncio
 import contextlib
-from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from tamarack_core.clock import Clock
 from tamarack_core.memory_budget import UNLIMITED, MemoryBudget
 from tamarack_core.ruleset import CallerBounds
+from tamarack_gateway.answer_writer import WRITE_HIGH_BYTES, AnswerWriter
 from tamarack_gateway.caller_memory import CallerMemory
 from tamarack_gateway.http_messages import (
-    LAST_CHUNK,
     Headers,
     Request,
-    chunk_bytes,
     head_bytes,
 )
-from tamarack_gateway.kernel_buffers import enlarge_send_buffer, unacknowledged_bytes, unread_bytes
+from tamarack_gateway.kernel_buffers import enlarge_send_buffer, unread_bytes
+from tamarack_gateway.reading_turns import ReadingTurns
+from tamarack_gateway.request_queue import PendingRequest, RequestQueue
 from tamarack_gateway.request_reader import RequestEvents, RequestReader
 from tamarack_gateway.stall_timer import StallTimer
 
@@ -30,11 +30,8 @@
 REFUSED_MS = 1_000.0
 """Time in milliseconds for which the rest of a refused message is read before the close."""
 
-WRITE_HIGH_BYTES = 256 * 1024
-"""Bytes buffered for a slow caller from which on its answer is no longer read from the endpoint."""
-
-MAX_PENDING = 8
-"""Complete requests behind the one in progress from which on no more are read."""
+WAITING_HIGH_BYTES = 65_536
+"""Bytes that have arrived and are not parsed yet, from which on no more are read."""
 
 STALLED_MS = 30_000.0
 """Time in milliseconds after which a caller that takes nothing of an answer, or sends nothing of a
@@ -63,11 +60,7 @@
     """Count nothing."""
 
 
-class CallerDisconnectedError(ConnectionError):
-    """The caller has closed its connection."""
-
-
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(AnswerWriter):
     """One connection of a caller.
 
     Parameters
@@ -91,14 +84,14 @@
     memory
         Budget for the bytes of requests that are read or answered, and of answers that the caller
         has not taken.
+    turns
+        Order in which bytes are parsed that take long; None for a connection by itself.
 
     Attributes
     ----------
     closing
         Whether the next answer to begin tells its caller that the connection closes. Before that,
         only `close_when_idle` closes it: its caller may be sending a request.
-    on_writable
-        Called once when the write buffer of a slow caller has drained.
     """
 
     def __init__(
@@ -112,8 +105,9 @@
         record_read: Callable[[float], None] = no_record,
         record_unanswered: Callable[[], None] = no_count,
         memory: MemoryBudget = UNLIMITED,
+        turns: ReadingTurns | None = None,
     ) -> None:
-        self._memory = CallerMemory(memory)
+        super().__init__(CallerMemory(memory))
         self._should_close = should_close
         self._record_read = record_read
         self._record_unanswered = record_unanswered
@@ -123,23 +117,24 @@
         self._clock = clock
         self._bounds = bounds
         self._registry = registry
-        self._transport: Any = None
         events = RequestEvents(
-            self._begin_reading, self._expect, self._take, self._refuse, self._memory.reserve
+            self._begin_reading,
+            self._expect,
+            self._take,
+            self._refuse,
+            self._memory.reserve,
+            self._read_waiting,
         )
-        self._reader = RequestReader(clock, bounds, events)
-        self._pending: deque[tuple[Request, bool]] = deque()
+        self._reader = RequestReader(clock, bounds, events, turns or ReadingTurns(clock))
+        self._pending = RequestQueue(self._memory)
         self._task: asyncio.Task[None] | None = None
-        self._writable = True
-        self._emptied: asyncio.Future[None] | None = None
         self._keep_alive = True
-        self._begun = self._finished = self._continue_due = False
+        self._continue_due = False
         self._refusal: int | None = None
         self._discarded = 0
         self._changed_ms = clock.now_ms
         self._stall_timer = StallTimer()
         self.closing = False
-        self.on_writable: Callable[[], None] | None = None
 
     # asyncio.Protocol
 
@@ -157,21 +152,6 @@
         if self._task is not None:
             self._task.cancel()
 
-    def pause_writing(self) -> None:
-        self._writable = False
-
-    def resume_writing(self) -> None:
-        self._writable = True
-        if self._emptied is not None and not self._emptied.done():
-            self._emptied.set_result(None)
-        elif not self.disconnected:
-            # They are lower after what the caller had not taken did not fit into the budget.
-            self._transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
-        self._count_unsent()
-        on_writable, self.on_writable = self.on_writable, None
-        if on_writable is not None:
-            on_writable()
-
     def data_received(self, data: bytes) -> None:
         if self._reader.stopped:
             self._discard(len(data))
@@ -179,9 +159,19 @@
         began_ms = self._clock.now_ms
         self._reader.feed(data)
         self._record_read(self._clock.now_ms - began_ms)
+        if self._reader.waiting_bytes >= WAITING_HIGH_BYTES:
+            self._transport.pause_reading()
 
     # events of the reader
 
+    def _read_waiting(self, took_ms: float) -> None:
+        self._record_read(took_ms)
+        self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        if not (self.disconnected or self._pending.full or self._reader.waiting_bytes):
+            self._transport.resume_reading()
+
     def _begin_reading(self) -> None:
         self._changed_ms = self._clock.now_ms
 
@@ -193,14 +183,19 @@
     def _take(self, request: Request, keep: bool) -> None:
         self._changed_ms = request.arrived_ms
         self._continue_due = False
-        self._memory.received(len(request.body))
-        if self._task is None and not self._pending and not self._delivering:
-            self._begin_request(request, keep)
+        pending = PendingRequest(request, keep, self._reader.held_bytes)
+        first = self._task is None and not self._pending
+        if not self._pending.receive(pending.held_bytes, first=first):
+            self._reader.refuse(503)
+            return
+        if first and not self._delivering:
+            self._begin_request(pending)
             if self._refuse_early(request, self):
                 self._end_request()
                 return
-        self._pending.append((request, keep))
-        if len(self._pending) >= MAX_PENDING:
+        self._pending.put(pending)
+        if self._pending.full:
+            self._reader.pause()
             self._transport.pause_reading()
         if self._task is None:
             self._task = asyncio.ensure_future(self._serve())
@@ -215,30 +210,6 @@
         else:
             self._refusal = status
 
-    # called by handlers
-
-    @property
-    def _delivering(self) -> bool:
-        transport = self._transport
-        if transport is None:
-            return False
-        return self.unsent_bytes > 0 if self._finished else transport.get_write_buffer_size() > 0
-
-    @property
-    def disconnected(self) -> bool:
-        """Whether the caller has closed the connection."""
-        return self._transport is None or self._transport.is_closing()
-
-    @property
-    def begun(self) -> bool:
-        """Whether the head of the answer in progress has been written."""
-        return self._begun
-
-    @property
-    def writable(self) -> bool:
-        """Whether the write buffer has room; `on_writable` is called when it has room again."""
-        return self._writable
-
     @property
     def busy(self) -> bool:
         """Whether a request is being read or answered, or an answer has not been taken yet."""
@@ -256,14 +227,6 @@
             return False
         return unread_bytes(self._transport.get_extra_info("socket")) > 0
 
-    @property
-    def unsent_bytes(self) -> int:
-        """Bytes that the caller's host has not acknowledged: of the transport and of the kernel."""
-        if self._transport is None:
-            return 0
-        buffered: int = self._transport.get_write_buffer_size()
-        return buffered + unacknowledged_bytes(self._transport.get_extra_info("socket"))
-
     @property
     def half_read(self) -> bool:
         """Whether a part of a request has been read."""
@@ -280,70 +243,6 @@
         idle = self._answered and not self.busy and not self.disconnected
         return self._changed_ms if idle else None
 
-    def answer(self, status: int, headers: Headers, body: bytes = b"") -> None:
-        """Write a complete answer."""
-        if self._begun:
-            raise RuntimeError("an answer has begun already")
-        if self.disconnected:
-            return
-        self._begun = True
-        framed = [*headers, (b"content-length", b"%d" % len(body)), *self._connection_headers()]
-        self._transport.write(head_bytes(status, framed) + body)
-        self._count_unsent()
-
-    def begin(self, status: int, headers: Headers, first: bytes) -> None:
-        """Write the head and the first bytes of an answer of unknown length."""
-        if self._begun:
-            raise RuntimeError("an answer has begun already")
-        if self.disconnected:
-            raise CallerDisconnectedError
-        self._begun = True
-        framed = [*headers, (b"transfer-encoding", b"chunked"), *self._connection_headers()]
-        self._transport.write(head_bytes(status, framed) + (chunk_bytes(first) if first else b""))
-
-    def write(self, data: bytes) -> None:
-        """Write more of an answer that has begun."""
-        if self.disconnected:
-            raise CallerDisconnectedError
-        self._transport.write(chunk_bytes(data))
-        self._count_unsent()
-
-    def end(self) -> None:
-        """Write the end of an answer that has begun."""
-        if not self.disconnected:
-            self._transport.write(LAST_CHUNK)
-
-    def cut(self) -> None:
-        """Close the connection so that the caller detects that its answer is incomplete."""
-        if self._transport is not None:
-            self._transport.close()
-
-    async def delivered(self) -> None:
-        """Wait until the transport has written what the handler has passed to it."""
-        transport = self._transport
-        if transport is None:
-            return
-        if not transport.get_write_buffer_size():
-            self._count_unsent()
-            return
-        self._emptied = asyncio.get_running_loop().create_future()
-        # Calls `resume_writing` once the buffer is empty.
-        transport.set_write_buffer_limits(high=0)
-        try:
-            await self._emptied
-        finally:
-            self._emptied = None
-            if not transport.is_closing():
-                transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
-
-    def _count_unsent(self) -> None:
-        transport = self._transport
-        if transport is None:
-            return
-        if not self._memory.buffered(transport.get_write_buffer_size()) and self._writable:
-            # No more is read from the endpoint until the caller has taken all of it.
-            transport.set_write_buffer_limits(high=0)
-
     async def stop(self) -> None:
         """Let the kernel take the rest of an answer, or cancel its handler; then close."""
         task = self._task
@@ -403,12 +302,13 @@
     async def _serve(self) -> None:
         try:
             while self._pending and not self.disconnected:
-                request, keep = self._pending.popleft()
-                if len(self._pending) == MAX_PENDING - 1:
-                    self._transport.resume_reading()
-                self._begin_request(request, keep)
+                was_full, pending = self._pending.full, self._pending.take()
+                self._begin_request(pending)
+                if was_full and not self._pending.full:
+                    self._reader.resume()
+                    self._resume_reading()
                 try:
-                    await self._handler(request, self)
+                    await self._handler(pending.request, self)
                 except asyncio.CancelledError:
                     # Requests that were read behind this one are answered, too: by a refusal.
                     if not self._pending or not self._begun or self.disconnected:
@@ -432,9 +332,9 @@
             self._answered = True
             self._changed_ms = self._clock.now_ms
 
-    def _begin_request(self, request: Request, keep: bool) -> None:
-        self._memory.began(len(request.body))
-        self._keep_alive = keep
+    def _begin_request(self, pending: PendingRequest) -> None:
+        self._memory.began(pending.held_bytes)
+        self._keep_alive = pending.keep
         self._begun = False
 
     def _end_request(self) -> bool:
--- a/packages/gateway/src/tamarack_gateway/caller_memory.py
+++ b/packages/gateway/src/tamarack_gateway/caller_memory.py
@@ -22,19 +22,23 @@
         """Count the read part of a request that is not complete; False if it does not fit."""
         return self._requests.resize(self._complete_bytes + reading_bytes)
 
-    def received(self, body_bytes: int) -> None:
-        """Count a complete request, which is not refused for its size any more."""
-        if body_bytes or self._requests.held_bytes:
-            self._complete_bytes += body_bytes
-            self._requests.charge(self._complete_bytes)
+    def received(self, held_bytes: int, *, limited: bool = False) -> bool:
+        """Count a complete request; False if it is limited and does not fit."""
+        complete_bytes = self._complete_bytes + held_bytes
+        if not limited:
+            self._requests.charge(complete_bytes)
+        elif not self._requests.resize(complete_bytes):
+            return False
+        self._complete_bytes = complete_bytes
+        return True
 
     def dropped(self) -> None:
         """Count the read part of an incomplete request no more."""
         self._requests.charge(self._complete_bytes)
 
-    def began(self, body_bytes: int) -> None:
+    def began(self, held_bytes: int) -> None:
         """Record that the next request in order is being answered."""
-        self._answered_bytes = body_bytes
+        self._answered_bytes = held_bytes
 
     def ended(self) -> None:
         """Count the request that has been answered no more."""
--- a/packages/gateway/src/tamarack_gateway/listeners.py
+++ b/packages/gateway/src/tamarack_gateway/listeners.py
@@ -15,6 +15,7 @@
 )
 from tamarack_gateway.connection_limiter import ConnectionLimiter
 from tamarack_gateway.fleet_state import FleetState
+from tamarack_gateway.reading_turns import ReadingTurns
 
 
 class Listeners:
@@ -43,6 +44,7 @@
         self._connections = connections
         self._limiter = limiter
         self._accept_rate = accept_rate
+        self._turns = ReadingTurns(clock)
         self._sockets: list[AcceptingSocket] = []
 
     def listen_to_callers(self, address: str, handler: Handler, *, refuse_early: Refusal) -> str:
@@ -83,6 +85,7 @@
             self._limiter.record_read,
             self._limiter.record_unanswered,
             state.memory,
+            self._turns,
         )
         connection.closing = state.leaving is not None
         return connection
--- a/packages/gateway/src/tamarack_gateway/sending_connection.py
+++ b/packages/gateway/src/tamarack_gateway/sending_connection.py
@@ -5,7 +5,8 @@
 import asyncio
 
 from tamarack_core.endpoint_registry import Endpoint
-from tamarack_gateway.caller_connection import CallerConnection, CallerDisconnectedError
+from tamarack_gateway.answer_writer import CallerDisconnectedError
+from tamarack_gateway.caller_connection import CallerConnection
 from tamarack_gateway.connection_pool import ConnectionPool
 from tamarack_gateway.endpoint_connection import ConnectError, EndpointConnection
 
--- a/tests/misbehaving_callers.py
+++ b/tests/misbehaving_callers.py
@@ -86,6 +86,10 @@
     "header line without end": Shape(b"long: ", b"a", SENDABLE_BYTES),
     "header lines without end": Shape(b"", SHORT_HEADER, SENDABLE_BYTES),
     "heads that stop short": Shape(b"", SHORT_HEADER, UNFINISHED_HEAD, callers=100),
+    "complete heads, bodies that stop short": Shape(
+        SHORT_HEADER * (UNFINISHED_HEAD // len(SHORT_HEADER)) + b"content-length: 2\r\n\r\nx",
+        callers=100,
+    ),
     "request line without end": Shape(b"GET /", b"a", SENDABLE_BYTES, bare=True),
     "empty lines without end": Shape(b"\r\n", b"\r\n", SENDABLE_BYTES, bare=True),
     "large chunks that stop short": Shape(CHUNKED, LARGE_CHUNK, UNFINISHED_LARGE),
--- a/tests/test_misbehaving_callers.py
+++ b/tests/test_misbehaving_callers.py
@@ -12,7 +12,15 @@
 
 import pytest
 from gateway_site import HOST, Fleet, configuration, connect, read_answer
-from misbehaving_callers import BODY_BYTES, HEADER_BYTES, SENDABLE_BYTES, SHAPES, Shape, crowd
+from misbehaving_callers import (
+    BODY_BYTES,
+    HEADER_BYTES,
+    SENDABLE_BYTES,
+    SHAPES,
+    SHORT_HEADER,
+    Shape,
+    crowd,
+)
 
 from tamarack_gateway.event_loop import new_event_loop
 from tamarack_standins.claimed_ports import METRICS_PORT, ClaimedPorts
@@ -86,6 +94,18 @@
             writer.close()
 
 
+INSIDE_LIMITS = {
+    "a body of one-byte chunks": b"transfer-encoding: chunked\r\n\r\n"
+    + b"1\r\nx\r\n" * BODY_BYTES
+    + b"0\r\n\r\n",
+    "a head of short lines": SHORT_HEADER * (HEADER_BYTES // 2 // len(SHORT_HEADER))
+    + b"content-length: 1\r\n\r\nx",
+    "a body in one chunk": b"transfer-encoding: chunked\r\n\r\n"
+    + b"%x\r\n" % BODY_BYTES
+    + b"x" * BODY_BYTES
+    + b"\r\n0\r\n\r\n",
+}
+
 UNFRAMED = ("header line without end", "header lines without end", "request line without end")
 """Bytes that the first version of the routers' own protocol takes for parts of a message."""
 
@@ -169,6 +189,21 @@
     play(scenario())
 
 
+@pytest.mark.parametrize("rest", INSIDE_LIMITS.values(), ids=INSIDE_LIMITS.keys())
+def test_a_single_request_inside_the_limits_is_served(rest: bytes, tmp_path: Path) -> None:
+    """Guards against a request that is refused since its own reading delays the event loop."""
+
+    async def scenario() -> None:
+        async with router(tmp_path) as tested:
+            for _ in range(3):
+                reader, writer = await connect(tested.address("callers"))
+                writer.write(OPENING + rest)
+                assert (await read_answer(reader)).status == 200
+                writer.close()
+
+    play(scenario())
+
+
 def test_pipelined_requests_whose_answers_nobody_reads(tmp_path: Path) -> None:
     """Guards against requests in one packet that each cost far more memory than their bytes."""
 
--- a/tests/test_stalled_callers.py
+++ b/tests/test_stalled_callers.py
@@ -9,7 +9,8 @@
 from slow_caller import SlowCaller
 
 from tamarack_gateway import caller_connection
-from tamarack_gateway.caller_connection import MAX_PENDING, WRITE_HIGH_BYTES
+from tamarack_gateway.caller_connection import WRITE_HIGH_BYTES
+from tamarack_gateway.request_queue import MAX_PENDING
 from tamarack_standins.platform_worker import PlatformWorker, Script
 
 STALLED_MS = 1_500.0
