Unfinished requests make room for others at the limits of connections and of memory

What callers saw: 400 connections that had sent nothing, or a part of a request, took all places of a router with 400 descriptors, and ordinary callers were turned away for up to 30 s; 50 bodies of 1 MB that stopped short held the budget, and an ordinary request of 1 MB got 503.

Cause: only connections that had been answered were closed to make room, and what half-read requests held was free again after 30 s without a byte.

Change: when no idle connection can be closed, those go that have owed a request or the rest of one longest, 0.25 s at least, unless the kernel holds bytes of it; half a request gets 408 (not run). When a part of a request does not fit into the budget, the oldest half-read ones make room, one search each 100 ms.

--- a/packages/gateway/src/tamarack_gateway/caller_connection.py
+++ b/packages/gateway/src/tamarack_gateway/caller_connection.py
@@ -52,6 +52,11 @@
     return False
 
 
+def no_reclaim(caller: CallerConnection) -> bool:
+    """Free no memory."""
+    return False
+
+
 def no_record(took_ms: float) -> None:
     """Record nothing."""
 
@@ -84,6 +89,9 @@
     memory
         Budget for the bytes of requests that are read or answered, and of answers that the caller
         has not taken.
+    reclaim
+        Called when a part of a request does not fit into the budget; returns whether it has freed
+        memory of others.
     turns
         Order in which bytes are parsed that take long; None for a connection by itself.
 
@@ -105,6 +113,7 @@
         record_read: Callable[[float], None] = no_record,
         record_unanswered: Callable[[], None] = no_count,
         memory: MemoryBudget = UNLIMITED,
+        reclaim: Callable[[CallerConnection], bool] = no_reclaim,
         turns: ReadingTurns | None = None,
     ) -> None:
         super().__init__(CallerMemory(memory))
@@ -117,12 +126,13 @@
         self._clock = clock
         self._bounds = bounds
         self._registry = registry
+        self._reclaim = reclaim
         events = RequestEvents(
             self._begin_reading,
             self._expect,
             self._take,
             self._refuse,
-            self._memory.reserve,
+            self._reserve,
             self._read_waiting,
         )
         self._reader = RequestReader(clock, bounds, events, turns or ReadingTurns(clock))
@@ -200,6 +210,10 @@
         if self._task is None:
             self._task = asyncio.ensure_future(self._serve())
 
+    def _reserve(self, held_bytes: int) -> bool:
+        memory = self._memory
+        return memory.reserve(held_bytes) or (self._reclaim(self) and memory.reserve(held_bytes))
+
     def _refuse(self, status: int) -> None:
         # An answer like others: it is written after those to the requests before it.
         self._memory.dropped()
@@ -243,6 +257,22 @@
         idle = self._answered and not self.busy and not self.disconnected
         return self._changed_ms if idle else None
 
+    @property
+    def unfinished_ms(self) -> float | None:
+        """Time since which its caller owes a request, or the rest of one; None if it does not."""
+        if self.disconnected or self._task is not None or self._reader.stopped:
+            return None
+        if self._reader.waiting_bytes:
+            return None
+        if not self._reader.reading and (self._answered or self._pending):
+            return None
+        return self._changed_ms
+
+    @property
+    def half_read_bytes(self) -> int:
+        """Memory in bytes that a half-read request takes."""
+        return self._reader.held_bytes if self._reader.reading else 0
+
     async def stop(self) -> None:
         """Let the kernel take the rest of an answer, or cancel its handler; then close."""
         task = self._task
@@ -285,6 +315,13 @@
         if not self.disconnected and not self._finished and self.idle:
             self._finish(linger=linger)
 
+    def evict(self) -> None:
+        """Close the connection of an unfinished request, which is refused."""
+        if self._reader.reading:
+            self._reader.refuse(408)
+        self._reader.stop()
+        self.cut()
+
     @property
     def _outstanding(self) -> tuple[int, int] | None:
         """Bytes that the caller has to take, and those read of a body; None if it owes nothing."""
--- a/packages/gateway/src/tamarack_gateway/connection_limiter.py
+++ b/packages/gateway/src/tamarack_gateway/connection_limiter.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+from collections.abc import Iterable
 
 from tamarack_gateway.caller_connection import CallerConnection
 from tamarack_gateway.fleet_state import FleetState
@@ -26,8 +27,12 @@
 iteration."""
 
 MIN_IDLE_MS = 250.0
-"""A connection is not closed to make room for this long after its last answer: a caller that sends
-its next request at once would find the connection closed."""
+"""A connection is not closed to make room for this long after its last answer, or after it was
+opened or a request on it begun: a caller that sends at once would find the connection closed."""
+
+RECLAIM_INTERVAL_MS = 100.0
+"""Minimum time between two searches for half-read requests that hold memory; each looks at all
+connections, and bytes that do not fit may come with every packet."""
 
 LOG_INTERVAL_MS = 1_000.0
 """Minimum time between two log lines about rejected connections; up to 600 a second are
@@ -46,6 +51,8 @@
     ----------
     closed
         Idle connections that were closed to make room.
+    evicted
+        Connections of unfinished requests that were closed to make room or to free memory.
     turned_away
         New connections that were closed unread because the limit was reached.
     unanswered
@@ -61,8 +68,8 @@
         self._reading_ms = 0.0
         self.turned_away = 0
         self.unanswered = 0
-        self._logged_ms = float("-inf")
-        self.closed = 0
+        self._logged_ms = self._reclaimed_ms = float("-inf")
+        self.closed = self.evicted = 0
 
     @property
     def limit(self) -> float:
@@ -105,7 +112,7 @@
             self._freed = 0
             return True
         if not self._freed:
-            self._freed = self._close_idle()
+            self._freed = self._close_idle() or self._evict(self._connections)
         if self._freed:
             self._freed -= 1
             return True
@@ -125,6 +132,34 @@
         self.closed += len(oldest)
         return len(oldest)
 
+    def reclaim(self, caller: CallerConnection) -> bool:
+        """Free the memory of the oldest half-read requests but this one; False if there are none.
+
+        The alternative is to refuse requests that are being read for as long as others stop short.
+        """
+        now_ms = self._state.clock.now_ms
+        if now_ms - self._reclaimed_ms < RECLAIM_INTERVAL_MS:
+            return False
+        self._reclaimed_ms = now_ms
+        others = (c for c in self._connections if c is not caller and c.half_read_bytes)
+        return self._evict(others) > 0
+
+    def _evict(self, connections: Iterable[CallerConnection]) -> int:
+        now_ms = self._state.clock.now_ms
+        unfinished = [
+            (since_ms, id(connection), connection)
+            for connection in connections
+            if (since_ms := connection.unfinished_ms) is not None
+            and now_ms - since_ms >= MIN_IDLE_MS
+        ]
+        oldest = heapq.nsmallest(EVICTION_BATCH, unfinished)
+        # What the kernel holds of a request is not the caller's delay.
+        evicted = [connection for _, _, connection in oldest if not connection.has_unread]
+        for connection in evicted:
+            connection.evict()
+        self.evicted += len(evicted)
+        return len(evicted)
+
     def _log_rejection(self) -> None:
         self.turned_away += 1
         now_ms = self._state.clock.now_ms
@@ -138,4 +173,5 @@
             unused=sum(connection.unused for connection in self._connections),
             turned_away=self.turned_away,
             closed=self.closed,
+            evicted=self.evicted,
         )
--- a/packages/gateway/src/tamarack_gateway/listeners.py
+++ b/packages/gateway/src/tamarack_gateway/listeners.py
@@ -85,6 +85,7 @@
             self._limiter.record_read,
             self._limiter.record_unanswered,
             state.memory,
+            self._limiter.reclaim,
             self._turns,
         )
         connection.closing = state.leaving is not None
