A listener of tamarackd bounds its connections, and no silent one takes a thread

What callers saw: 400 connections to the listener for metrics left 415 open descriptors (250 allowed at 100 connections), and 24 silent TLS connections kept everybody else from connecting: no answer within the test's 60 s.

Cause: cheroot accepts without a limit, hands each accepted connection to a worker thread before it has sent anything, and shakes hands in the thread that accepts.

Change: max-connections (4,000; at most 0.4 of the process's descriptors for callers, 0.1 for operators and metrics each). At the limit the connection that has owed a request longest, 0.25 s at least, is shut down for a new one. A connection waits in the selector, and without TLS gets a thread once its head is complete (the bytes are peeked at; SO_RCVLOWAT keeps the selector quiet until more come). Handshakes are made in worker threads, within the time for a call.

--- a/packages/router/src/tamarack_router/http_listener.py
+++ b/packages/router/src/tamarack_router/http_listener.py
@@ -9,18 +9,24 @@
 from typing import Any, NamedTuple, Protocol
 from urllib.parse import parse_qsl
 
-from cheroot.server import Gateway, HTTPConnection, HTTPServer
+from cheroot.server import Gateway
 
 from tamarack_core.errors import ErrorCode, Outcome, Refusal
 from tamarack_router.call_timeouts import CallTimeouts
 from tamarack_router.chunked_body import ChunkedBody
 from tamarack_router.drain import drain
 from tamarack_router.http_reply import Reply, refusal_reply
+from tamarack_router.http_server import (
+    MAX_HEADER_BYTES,
+    BoundedServer,
+    LazyHandshakeAdapter,
+    connection_class,
+)
 from tamarack_router.logs import PartLog
+from tamarack_router.open_connections import OpenConnections
 
 # With cheroot's default backlog of 5, connections are reset when 200 callers connect at once.
 BACKLOG = 1_024
-MAX_HEADER_BYTES = 16_384
 KEEP_ALIVE_CONNECTIONS = 2_000
 IDLE_TIMEOUT_S = 10
 
@@ -64,18 +70,21 @@
 
 
 class ListenerLimits(NamedTuple):
-    """Limits on the threads and on the time in which a call is received.
+    """Limits on the threads, on the connections and on the time in which a call is received.
 
     Attributes
     ----------
     send_ms
         Longest time for head and body together, in milliseconds.
+    connections
+        Maximum number of open connections.
     share_alpha
         Slow calls of one workspace may hold this many times the free threads.
     """
 
     threads: int
     send_ms: int
+    connections: int
     share_alpha: float = 1.0
 
 
@@ -102,7 +111,7 @@
     ) -> None:
         host, _, port = address.rpartition(":")
         self._timeouts = CallTimeouts(limits.send_ms / 1000, limits.threads, limits.share_alpha)
-        self._server = HTTPServer(
+        self._server = BoundedServer(
             (host, int(port)),
             _gateway_for(app, PartLog(part), self._timeouts),
             minthreads=limits.threads,
@@ -115,12 +124,12 @@
         self._server.max_request_body_size = 0
         self._server.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
         self._server.timeout = IDLE_TIMEOUT_S
-        self._server.ConnectionClass = _connection_class(self._timeouts)
+        open_connections = OpenConnections(limits.connections)
+        self._server.open_connections = open_connections
+        self._server.ConnectionClass = connection_class(self._timeouts, open_connections)
         self._server.error_log = _error_log(PartLog(part))  # type: ignore[method-assign]
         if certificate:
-            from cheroot.ssl.builtin import BuiltinSSLAdapter
-
-            self._server.ssl_adapter = BuiltinSSLAdapter(certificate, private_key)
+            self._server.ssl_adapter = LazyHandshakeAdapter(certificate, private_key)
         self._thread = threading.Thread(target=self._server.serve, name=part, daemon=True)
 
     def __enter__(self) -> HttpListener:
@@ -145,20 +154,6 @@
         return f"{host}:{port}"
 
 
-def _connection_class(timeouts: CallTimeouts) -> type:
-    class WatchedConnection(HTTPConnection):
-        """A connection whose time in a worker thread is bounded."""
-
-        def communicate(self) -> Any:
-            timeouts.watch(self.socket)
-            try:
-                return super().communicate()
-            finally:
-                timeouts.release(self.socket)
-
-    return WatchedConnection
-
-
 def _gateway_for(app: App, log: PartLog, timeouts: CallTimeouts) -> type:
     class AppGateway(Gateway):
         """Passes a request to the app, then writes its reply or hands over the socket."""
--- a/packages/router/src/tamarack_router/main.py
+++ b/packages/router/src/tamarack_router/main.py
@@ -27,6 +27,7 @@
 from tamarack_router.mailbox import Mailbox
 from tamarack_router.messages import EndHeld, Leave, PlanExit
 from tamarack_router.metrics_app import MetricsApp
+from tamarack_router.open_connections import connection_limit
 from tamarack_router.order_task import OrderTask
 from tamarack_router.peer_links import CurveKeys, PeerLinks
 from tamarack_router.platform import InstanceList, ObjectStore, TableService
@@ -45,6 +46,11 @@
 FINAL_GOSSIP_WAIT_S = 0.3
 LOG_EVERY_POLLS = 100
 
+CALLERS_FRACTION = 0.4
+OPERATORS_FRACTION = 0.1
+"""Fractions of the process's descriptors for connections of callers, and to the listener for
+operators and the one for metrics each; requests that are held, and endpoints, take others."""
+
 
 class _Signals:
     """Handles SIGTERM and SIGINT; a second signal skips the wait for address lifetimes."""
@@ -104,7 +110,9 @@
             tracing,
             CallerLimits(settings.max_body_bytes, settings.address_ttl_ms),
         )
-        callers = self._listen("callers", settings.listen, self.caller_app, settings.threads)
+        callers = self._listen(
+            "callers", settings.listen, self.caller_app, settings.threads, CALLERS_FRACTION
+        )
         core = self._core(boot, links.address, callers.address)
         self.control = Control(
             clock, core, links, mailbox, self.relay.mailbox, views, lambda: held.free, settings.peer
@@ -174,16 +182,20 @@
             },
             lambda: self.relay.gauges,
         )
-        self._listen("admin", settings.admin_listen, admin, settings.admin_threads)
-        self._listen("metrics", settings.metrics_listen, metrics, settings.admin_threads)
+        threads = settings.admin_threads
+        self._listen("admin", settings.admin_listen, admin, threads, OPERATORS_FRACTION)
+        self._listen("metrics", settings.metrics_listen, metrics, threads, OPERATORS_FRACTION)
 
-    def _listen(self, part: str, address: str, app: App, threads: int) -> HttpListener:
+    def _listen(
+        self, part: str, address: str, app: App, threads: int, descriptor_fraction: float
+    ) -> HttpListener:
         settings = self._settings
+        connections = connection_limit(settings.max_connections, descriptor_fraction)
         listener = HttpListener(
             part,
             address,
             app,
-            ListenerLimits(threads, settings.send_ms, settings.share_alpha),
+            ListenerLimits(threads, settings.send_ms, connections, settings.share_alpha),
             certificate=settings.tls_certificate if part != "metrics" else "",
             private_key=settings.tls_key if part != "metrics" else "",
         )
--- a/packages/router/src/tamarack_router/settings.py
+++ b/packages/router/src/tamarack_router/settings.py
@@ -35,6 +35,7 @@
     platform: str
     threads: int
     admin_threads: int
+    max_connections: int
     max_held: int
     share_alpha: float
     max_body_bytes: int
@@ -197,6 +198,12 @@
     Setting("platform", _url, None, "base URL of the platform's services"),
     Setting("threads", _integer(2, 512), "8", "threads that read callers' requests"),
     Setting("admin_threads", _integer(1, 64), "4", "threads for operators, and for metrics"),
+    Setting(
+        "max_connections",
+        _integer(16, 100_000),
+        "4000",
+        "maximum number of connections open to a listener; less if descriptors are few",
+    ),
     Setting("max_held", _integer(1, 100_000), "2000", "maximum number of requests held"),
     Setting(
         "share_alpha",
