A caller of tamarackd that sends on behind its request is given up after 4 MB

Seen by reading: the relay reads and drops what follows a held request, 4 KiB a turn of its loop, for as long as the answer takes. No caller is known to have done it, and no test shows it on the code before: suspected, not shown.

Change: after 4 MB the caller counts as gone; its connection closes.

--- a/packages/router/src/tamarack_router/follower.py
+++ b/packages/router/src/tamarack_router/follower.py
@@ -14,6 +14,10 @@
 from tamarack_router.stored_answer import AnswerState, StoredAnswer
 
 WRITE_BYTES = 262_144
+
+DISCARD_BYTES = 4_000_000
+"""Bytes that a caller may send behind its request; one that sends more is given up."""
+
 _PLACEHOLDER_REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
@@ -48,6 +52,7 @@
         self._head_sent = False
         self._complete = False
         self._gone = False
+        self._discarded = 0
         self._http = h11.Connection(h11.SERVER)
         # h11 frames a response only after it has parsed a request; cheroot parsed the real one.
         self._http.receive_data(_PLACEHOLDER_REQUEST)
@@ -113,7 +118,9 @@
 
     def _check_disconnect(self) -> None:
         try:
-            if not self._sock.recv(4096):
+            received = len(self._sock.recv(4096))
+            self._discarded += received
+            if not received or self._discarded > DISCARD_BYTES:
                 self._gone = True
         except (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError):
             return
