A router's exit waits at most 1 s for the library of its peers' sockets

On the platform the process would have been killed at the end of its grace time.

Change: the context ends in a thread of its own, for which the exit waits 1 s.

--- a/packages/gateway/src/tamarack_gateway/peer_sockets.py
+++ b/packages/gateway/src/tamarack_gateway/peer_sockets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import threading
 from collections.abc import Callable
 from typing import Any
 
@@ -38,6 +39,10 @@
 """Received frames that are dispatched before the event loop gets to its other work: after a freeze,
 thousands may wait."""
 
+TERM_TIMEOUT_S = 1.0
+"""Longest time in seconds to wait for the library's threads at the exit; without a limit, a
+connection that does not end would keep the process from ending."""
+
 POLLIN = int(zmq.POLLIN)
 """As a number: the enumeration's own operators take longer than the call of the socket."""
 
@@ -104,7 +109,9 @@
             self._next_turn.cancel()
         self._out.close(linger=100)
         self._in.close(linger=0)
-        self._context.term()
+        ending = threading.Thread(target=self._context.term, name="peers-end", daemon=True)
+        ending.start()
+        ending.join(TERM_TIMEOUT_S)
 
     @property
     def address(self) -> str:
