--- a/tests/test_misbehaving_callers.py
+++ b/tests/test_misbehaving_callers.py
@@ -4,14 +4,12 @@
 
 import asyncio
 import contextlib
-import os
-import random
 from collections.abc import AsyncIterator, Coroutine
 from pathlib import Path
 from typing import Any, NamedTuple
 
 import pytest
-from gateway_site import HOST, Fleet, configuration, connect, read_answer
+from gateway_site import HOST, Fleet, connect, read_answer
 from misbehaving_callers import (
     BODY_BYTES,
     HEADER_BYTES,
@@ -21,10 +19,10 @@
     Shape,
     crowd,
 )
+from router_process import router_process
 
 from tamarack_gateway.event_loop import new_event_loop
-from tamarack_standins.claimed_ports import METRICS_PORT, ClaimedPorts
-from tamarack_standins.platform_store import PlatformStore
+from tamarack_standins.claimed_ports import METRICS_PORT
 from tamarack_standins.platform_worker import PlatformWorker
 from tamarack_standins.process_usage import ProcessUsage
 from tamarack_standins.soak_routers import SoakRouters
@@ -118,32 +116,13 @@
 @contextlib.asynccontextmanager
 async def router(folder: Path) -> AsyncIterator[Router]:
     """Run a router as a process, before one endpoint."""
-    async with contextlib.AsyncExitStack() as stack:
-        ports = stack.enter_context(ClaimedPorts(os.getpid()))
-        store = await stack.enter_async_context(PlatformStore())
-        limits = {
-            "maxHeaderBytes": HEADER_BYTES,
-            "maxBodyBytes": BODY_BYTES,
-            "tokensPerS": 300_000,
-        }
-        await store.put("op", "config", configuration(limits=limits))
-        worker = await stack.enter_async_context(PlatformWorker("w1"))
-        await store.put("servers", "w1", worker.entry("web"))
-        broken: list[str] = []
-        routers = await stack.enter_async_context(
-            SoakRouters(
-                1,
-                folder,
-                ports,
-                store.address,
-                rng=random.Random(1),
-                broken=broken.append,
-                limits={"memoryMb": MEMORY_MB, "maxFds": DESCRIPTORS},
-            )
-        )
-        await routers.until_ready()
+    async with router_process(
+        folder,
+        {"web": [PlatformWorker("w1")]},
+        caller_limits={"maxHeaderBytes": HEADER_BYTES, "maxBodyBytes": BODY_BYTES},
+        process_limits={"memoryMb": MEMORY_MB, "maxFds": DESCRIPTORS},
+    ) as routers:
         yield Router(routers, Fleet({}))
-        assert not broken
 
 
 def play(coroutine: Coroutine[Any, Any, None]) -> None:
--- a/tests/test_router_memory.py
+++ b/tests/test_router_memory.py
@@ -4,21 +4,17 @@
 
 import asyncio
 import contextlib
-import os
-import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
 from typing import NamedTuple
 
 import pytest
-from gateway_site import Answer, Fleet, configuration, connect, play, read_answer
+from gateway_site import Answer, Fleet, connect, play, read_answer
+from router_process import router_process
 from slow_caller import SlowCaller
 
-from tamarack_standins.claimed_ports import ClaimedPorts
 from tamarack_standins.endless_worker import Endless, EndlessWorker
-from tamarack_standins.platform_store import PlatformStore
 from tamarack_standins.platform_worker import PlatformWorker, Script
-from tamarack_standins.soak_routers import SoakRouters
 
 MEMORY_MB = 160
 """Memory that the settings allow the router; its platform would end it beyond that."""
@@ -53,28 +49,11 @@
 @contextlib.asynccontextmanager
 async def router(folder: Path, **services: list[PlatformWorker]) -> AsyncIterator[Router]:
     """Run a router as a process."""
-    async with contextlib.AsyncExitStack() as stack:
-        ports = stack.enter_context(ClaimedPorts(os.getpid()))
-        store = await stack.enter_async_context(PlatformStore())
-        limits = {"maxBodyBytes": BODY_BYTES, "tokensPerS": 300_000}
-        await store.put("op", "config", configuration(limits=limits))
-        for service, workers in services.items():
-            for worker in workers:
-                await stack.enter_async_context(worker)
-                await store.put("servers", worker.name, worker.entry(service))
-        broken: list[str] = []
-        routers = await stack.enter_async_context(
-            SoakRouters(
-                1,
-                folder,
-                ports,
-                store.address,
-                rng=random.Random(1),
-                broken=broken.append,
-                limits={"memoryMb": MEMORY_MB},
-            )
-        )
-        await routers.until_ready()
+    limits = {"maxBodyBytes": BODY_BYTES}
+    memory = {"memoryMb": MEMORY_MB}
+    async with router_process(
+        folder, services, caller_limits=limits, process_limits=memory
+    ) as routers:
 
         def peak_bytes() -> int:
             usage = routers.usage(0)
@@ -82,7 +61,6 @@
             return usage.peak_bytes
 
         yield Router(routers.address(0), Fleet({}), peak_bytes)
-        assert not broken
 
 
 async def press(ask: Callable[[], Awaitable[object]], callers: int) -> list[object]:
