--- /dev/null
+++ b/packages/standins/src/tamarack_standins/raw_worker.py
@@ -0,0 +1,70 @@
+"""A stand-in of a worker in trouble: answers with bytes that need not be an answer."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from enum import Enum
+
+from tamarack_standins.platform_worker import PlatformWorker, ReceivedRequest, Script
+from tamarack_standins.wire import reset
+
+RECEIVE_BUFFER_BYTES = 65_536
+"""Socket buffer of the worker: a long request is still being written when an early answer ends."""
+
+
+class Ending(Enum):
+    """What happens to the connection behind the answer."""
+
+    KEPT = "kept"
+    CLOSED = "closed"
+    HALF_CLOSED = "half-closed"
+    """The worker closes its direction and goes on reading, as servers do that answer early."""
+    RESET = "reset"
+
+
+class RawWorker(PlatformWorker):
+    """Sends the same bytes for each request.
+
+    Parameters
+    ----------
+    answer
+        Bytes sent for each request, head included.
+    early
+        Whether they are sent before the request's body has been read.
+    pause_s
+        Delay in seconds between the answer and the end of the connection.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        answer: bytes,
+        *,
+        early: bool = False,
+        ending: Ending = Ending.KEPT,
+        pause_s: float = 0.0,
+    ) -> None:
+        super().__init__(name, Script(early=early))
+        self._raw = answer
+        self._ending = ending
+        self._pause_s = pause_s
+
+    async def __aenter__(self) -> PlatformWorker:
+        await super().__aenter__()
+        assert self._server is not None
+        for listener in self._server.sockets:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        return self
+
+    async def _answer(
+        self, script: Script, received: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        writer.write(self._raw)
+        await writer.drain()
+        await asyncio.sleep(self._pause_s)
+        if self._ending is Ending.RESET:
+            reset(writer)
+        elif self._ending is Ending.HALF_CLOSED:
+            writer.write_eof()
+        return self._ending is Ending.KEPT
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -2,16 +2,12 @@
 
 from __future__ import annotations
 
-import json
-import socket
-import struct
-import threading
 from collections.abc import Callable
-from types import TracebackType
 from typing import Any
 
 import pytest
 import urllib3
+from cutting_server import HEAD, CuttingServer
 
 from tamarack_client.admin import AdminClient, AdminError
 from tamarack_client.client import Client, OutcomeUnknownError
@@ -19,67 +15,9 @@
 from tamarack_ctl.main import main
 from tamarack_router.platform import InstanceList, ObjectStore, PlatformError, TableService
 
-BODY = b'{"key": "a", "version": 1, "value": 2, "rows": [], "instances": []}'
-HEAD = b"HTTP/1.1 200 OK\r\nServer: a\r\nContent-Length: %d\r\n\r\n" % len(BODY)
 CUTS = [HEAD.index(b" OK"), HEAD.index(b"Server"), HEAD.index(b"Content"), HEAD.index(b": 6")]
 """After the status, the status line and a header, and inside the name of the length."""
 
-RESET = struct.pack("ii", 1, 0)
-"""Linger option of a socket whose close resets its connection."""
-
-
-class CuttingServer:
-    """Answers each connection with the first bytes of an answer, and closes it.
-
-    Parameters
-    ----------
-    sent
-        Bytes sent of the answer.
-    reset
-        Whether the connection is reset, and not closed in order.
-    """
-
-    def __init__(self, sent: int, *, reset: bool = False, answer: bytes = HEAD + BODY) -> None:
-        self._data = answer[:sent]
-        self._reset = reset
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self._thread = threading.Thread(target=self._serve)
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        self.url = f"http://{self.address}"
-
-    def __enter__(self) -> CuttingServer:
-        self._thread.start()
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        self._listener.shutdown(socket.SHUT_RDWR)
-        self._thread.join()
-        self._listener.close()
-
-    def _serve(self) -> None:
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            with connection:
-                received = connection.recv(65_536)
-                if received.startswith(b"GET /v1/addresses"):
-                    connection.sendall(self._addresses())
-                    continue
-                connection.sendall(self._data)
-                if self._reset:
-                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-
-    def _addresses(self) -> bytes:
-        body = json.dumps({"addresses": [self.address], "keeper_token": "t", "ttl_ms": 60_000})
-        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body.encode())
-
 
 @pytest.mark.parametrize("reset", [False, True])
 @pytest.mark.parametrize("cut", range(len(HEAD)))
