Tests of broken answers: versions, phrases, transfer codings, cuts behind a blank

- Blanks behind the value of a length or a transfer coding, which HTTP allows.
The parser frames the body by them, the gateway does not understand them, takes the answer for one that ends with its connection, and a cut one for whole.
- An interim answer of another status than 100 to 103 may have a body for the parser; it is put before the answer's own.
- tamarackd: a second answer in the bytes of the first replaces its status and lengthens its body.

--- a/packages/standins/src/tamarack_standins/raw_worker.py
+++ b/packages/standins/src/tamarack_standins/raw_worker.py
@@ -18,6 +18,7 @@
 
     KEPT = "kept"
     CLOSED = "closed"
+    """The kernel resets the connection if a part of the request has not been read."""
     HALF_CLOSED = "half-closed"
     """The worker closes its direction and goes on reading, as servers do that answer early."""
     RESET = "reset"
@@ -65,6 +66,8 @@
         await asyncio.sleep(self._pause_s)
         if self._ending is Ending.RESET:
             reset(writer)
+        elif self._ending is Ending.CLOSED:
+            writer.close()
         elif self._ending is Ending.HALF_CLOSED:
             writer.write_eof()
         return self._ending is Ending.KEPT
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from broken_heads import head, no_heads
+from broken_heads import head, no_framings, no_heads, no_status_lines
 from gateway_site import Answer, Fleet, configuration, play, until
 
 from tamarack_core.clock import BootClock
@@ -20,7 +20,9 @@
 
 BODY = b"id: 1\ndata: x\n\n"
 FRAMING = b"Content-Length: %d" % len(BODY)
-NO_HEADS = no_heads(SIGNED, FRAMING)
+NO_HEADS = no_heads(SIGNED, FRAMING) | no_status_lines(SIGNED, FRAMING)
+CHUNKED = b"%x\r\n%s\r\n0\r\n\r\n" % (len(BODY), BODY)
+NO_FRAMINGS = no_framings(SIGNED)
 
 PATHS = ["/page/1", "/rewrite/1"]
 
@@ -107,16 +109,66 @@
     play(scenario())
 
 
+@pytest.mark.parametrize("path", PATHS)
+@pytest.mark.parametrize("broken", NO_FRAMINGS.values(), ids=NO_FRAMINGS)
+def test_a_body_whose_end_is_not_known_never_reaches_the_caller(broken: bytes, path: str) -> None:
+    """Guards against a coded body, or the framing of its chunks, that passes for the plain one."""
+
+    async def scenario() -> None:
+        answer = await ask(path, RawWorker("w1", broken + CHUNKED, ending=Ending.CLOSED))
+        assert (answer.status, answer.body) == (502, b"")
+
+    play(scenario())
+
+
+BLANK_BEHIND = {
+    "length": (head(b"200", SIGNED, FRAMING + b" \t"), BODY),
+    "chunked": (head(b"200", SIGNED, b"Transfer-Encoding: Chunked "), CHUNKED),
+}
+"""Heads and bodies whose framing has blanks behind its value, which HTTP allows."""
+
+
+@pytest.mark.parametrize("path", PATHS)
+@pytest.mark.parametrize(("framed", "body"), BLANK_BEHIND.values(), ids=BLANK_BEHIND)
+def test_a_cut_body_is_not_whole_when_blanks_follow_its_framing(
+    framed: bytes, body: bytes, path: str
+) -> None:
+    """Guards against an answer that was cut and counts as one that ends with its connection."""
+
+    async def scenario() -> None:
+        assert (await ask(path, RawWorker("w1", framed + body))).body == BODY
+        cut = RawWorker("w1", framed + body[:-1], ending=Ending.CLOSED)
+        answer = await ask(path, cut)
+        assert answer.status == 502 or not answer.whole
+
+    play(scenario())
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_bytes_behind_an_interim_head_are_not_the_answers(path: str) -> None:
+    """Guards against a body of an interim answer that is put before the answer's own."""
+
+    async def scenario() -> None:
+        interim = head(b"150", b"Content-Length: 7") + b"id: 0\n\n"
+        chunks = head(b"200", SIGNED, b"Transfer-Encoding: chunked") + CHUNKED
+        answer = await ask(path, RawWorker("w1", interim + chunks))
+        assert answer.status == 502
+
+    play(scenario())
+
+
 @pytest.mark.parametrize("path", PATHS)
 @pytest.mark.parametrize(
     "sound",
     [
         head(b"200", SIGNED, FRAMING),
         head(b"299", SIGNED, FRAMING),
+        head(b"200", SIGNED, FRAMING).replace(b"Status", b"\t\x80\xff"),
+        head(b"200", SIGNED, FRAMING).replace(b"HTTP/1.1", b"HTTP/1.0"),
         head(b"100") + head(b"103", b"Link: </a>") + head(b"200", SIGNED, FRAMING),
         head(b"200", b"!#$%&'*+-.^_`|~09azAZ: \x80\xff \t\"()", SIGNED, FRAMING),
     ],
-    ids=["200", "299", "interim", "odd-bytes"],
+    ids=["200", "299", "phrase", "version", "interim", "odd-bytes"],
 )
 def test_a_sound_answer_is_passed_on(sound: bytes, path: str) -> None:
     """Guards against checks of a head that refuse what HTTP allows."""
@@ -128,13 +180,16 @@
     play(scenario())
 
 
-@pytest.mark.parametrize("broken", NO_HEADS.values(), ids=NO_HEADS)
+STORES_HEADS = NO_HEADS | NO_FRAMINGS
+
+
+@pytest.mark.parametrize("broken", STORES_HEADS.values(), ids=STORES_HEADS)
 def test_a_stores_answer_that_is_none_tells_nothing(broken: bytes) -> None:
     """Guards against an epoch that is learnt from a head that is none in HTTP."""
 
     async def scenario() -> None:
         spoiled = broken.replace(SIGNED, b"Store-Era: 7")
-        async with RawWorker("store", spoiled + BODY) as store:
+        async with RawWorker("store", spoiled + BODY, ending=Ending.CLOSED) as store:
             clock = BootClock()
             epoch = StoreEpoch(clock)
             client = StoreClient(lambda: store.address, PlatformStore(), clock, epoch)
@@ -163,14 +218,15 @@
 
 
 @pytest.mark.parametrize("pause_s", [0.0, 0.05])
+@pytest.mark.parametrize("ending", [Ending.RESET, Ending.CLOSED])
 @pytest.mark.parametrize("path", PATHS)
 def test_a_part_of_an_answer_is_not_whole_when_its_upload_is_reset(
-    path: str, pause_s: float
+    path: str, ending: Ending, pause_s: float
 ) -> None:
     """Guards against a reset that the unfinished upload hides behind an orderly end."""
 
     async def scenario() -> None:
-        worker = RawWorker("w1", EARLY, early=True, ending=Ending.RESET, pause_s=pause_s)
+        worker = RawWorker("w1", EARLY, early=True, ending=ending, pause_s=pause_s)
         answer = await upload(path, worker)
         assert answer is None or answer.status == 502 or not answer.whole
         assert worker.closed_early == 1
--- a/tests/test_broken_answers_clients.py
+++ b/tests/test_broken_answers_clients.py
@@ -8,7 +8,7 @@
 
 import pytest
 import urllib3
-from broken_heads import head, no_heads
+from broken_heads import head, no_framings, no_heads, no_status_lines
 from cutting_server import BODY, CuttingServer
 
 from tamarack_client.admin import AdminClient, AdminError
@@ -17,6 +17,7 @@
 from tamarack_core.memory_budget import UNLIMITED
 from tamarack_ctl.main import main
 from tamarack_router.endpoint_connection import (
+    Body,
     ConnectionEvent,
     ConnectionFailed,
     End,
@@ -29,7 +30,11 @@
 from tamarack_router.stored_answer import StoredAnswer
 
 CHUNKED = b"%x\r\n%s\r\n0\r\n\r\n" % (len(BODY), BODY)
-NO_HEADS = no_heads(b"Transfer-Encoding: chunked")
+NO_HEADS = (
+    no_heads(b"Transfer-Encoding: chunked")
+    | no_status_lines(b"Transfer-Encoding: chunked")
+    | no_framings()
+)
 SOUND = head(b"200", b"Content-Length: %d" % len(BODY)) + BODY
 OUTCOME = b"Tamarack-Outcome: ran"
 
@@ -61,12 +66,14 @@
         pool.request("GET", server.url)
 
 
-@pytest.mark.parametrize("length", [b"-1", b"+67", b"6_7", b"x", b"67 0"])
-def test_a_length_that_is_no_number_is_not_read_as_none(length: bytes) -> None:
-    """Guards against a cut answer that passes for whole since its length was not understood."""
-    cut = head(b"200", b"Content-Length: " + length) + BODY[:1]
+@pytest.mark.parametrize("blank", [b" ", b"\t"])
+def test_a_cut_body_is_not_whole_when_a_blank_follows_its_length(blank: bytes) -> None:
+    """Guards against a length that is not understood, and an answer that ends when it is cut."""
+    framed = head(b"200", b"Content-Length: %d" % len(BODY) + blank)
+    with CuttingServer(answer=framed + BODY) as server, HttpPool(retries=False) as pool:
+        assert pool.request("GET", server.url).data == BODY
     with (
-        CuttingServer(answer=cut) as server,
+        CuttingServer(answer=framed + BODY[:1]) as server,
         HttpPool(retries=False) as pool,
         pytest.raises(urllib3.exceptions.HTTPError),
     ):
@@ -246,6 +253,12 @@
     assert last == End()
 
 
+def test_an_answer_behind_the_requests_own_belongs_to_no_request() -> None:
+    """Guards against a second answer whose status and body replace or lengthen the first."""
+    events = events_of(SOUND + head(b"500", b"Content-Length: 1") + b"x")
+    assert [type(event) for event in events] == [Head, Body, End]
+
+
 def test_a_part_of_an_endpoints_answer_is_not_whole_when_its_upload_is_reset() -> None:
     """Guards against a reset that the unfinished upload hides behind an orderly end."""
     events = events_of(EARLY, UPLOAD.encode(), reset=True)
