The gateway checks a worker's head as a whole before it believes any of it

What callers saw: an answer with status 000 reached a client as `HTTP/1.1 0 Status` with the worker's stamp and body; 600 and more were passed on, too. With X-Not-Executed in such a head the caller was told "not run", and a request that may run once was run by a second worker.

Cause: the parser accepts what has the form of a head. The connection then picked single fields, and each later reader (status, notices, framing, the store's epoch) believed its own. Nothing said that the head as a whole is one. The same cause let through other versions of HTTP, control bytes in the phrase, transfer codings other than chunks (the coded body passed for the plain one), a body of an interim answer (put before the answer's own), and blanks behind a length, with which a cut answer counted as one that ends with its connection.

Change: tamarack_core.answer_head checks version, status (100 to 599, and no 101, which nobody asks for), phrase, names, values and framing, and returns how the body is delimited. The connection makes an AnswerHead only out of a checked head, so that all that is read out of it (not run, leaving, rest, epoch, length) is; a head that fails is a broken answer: 502, or another worker where the request may be repeated.

Field names with blanks or control bytes, and early answers reset during an upload, held in the gateway before (the parser refuses them; a reset is told from an orderly end) and keep their tests.

--- a/packages/gateway/src/tamarack_gateway/endpoint_connection.py
+++ b/packages/gateway/src/tamarack_gateway/endpoint_connection.py
@@ -12,6 +12,7 @@
 
 import httptools
 
+from tamarack_core.answer_head import MIN_FINAL_STATUS, check_head
 from tamarack_core.memory_budget import UNLIMITED, MemoryBudget
 from tamarack_gateway.http_messages import AnswerHead, Headers
 
@@ -72,6 +73,7 @@
         self._held_back = False
         self._transport: Any = None
         self._parser: Any = httptools.HttpResponseParser(self)
+        self._reason = b""
         self._headers: Headers = []
         self._head: AnswerHead | None = None
         self._chunks: deque[bytes] = deque()
@@ -117,7 +119,8 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             if not self._complete:
-                self._error = BrokenAnswerError(str(error) or "not an answer")
+                # Errors of this class's callbacks are wrapped.
+                self._error = BrokenAnswerError(str(error.__context__ or error) or "not an answer")
             self.abort()
         if self._framing_bytes > MAX_FRAMING_BYTES and not self._complete:
             self._error = self._error or BrokenAnswerError("bytes that are no answer, without end")
@@ -137,7 +140,10 @@
         if self._complete:
             self._reusable = False
             return
-        self._headers = []
+        self._reason, self._headers = b"", []
+
+    def on_status(self, reason: bytes) -> None:
+        self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
         # Trailers are dropped: the head has been checked without them.
@@ -148,18 +154,15 @@
         if self._complete:
             return
         status = self._parser.get_status_code()
-        if 100 <= status < 200:
+        version = self._parser.get_http_version()
+        framing = check_head(version, status, self._reason, self._headers)
+        if status < MIN_FINAL_STATUS:
             return
         self._reusable = self._parser.should_keep_alive()
-        length, chunked = None, False
         for name, value in self._headers:
-            if name == b"content-length" and value.isdigit():
-                length = int(value)
-            elif name == b"transfer-encoding" and value.lower() == b"chunked":
-                chunked = True
-            elif name == b"keep-alive":
+            if name == b"keep-alive":
                 self.keep_alive_ms = _keep_alive_ms(value) or self.keep_alive_ms
-        self._head = AnswerHead(status, self._headers, length, chunked)
+        self._head = AnswerHead(status, self._headers, framing.length, framing.chunked)
         self._framing_bytes = 0
 
     def on_body(self, body: bytes) -> None:
