tamarackd checks an endpoint's head with the check of the gateway

What callers saw: statuses of 600 and more, other versions of HTTP, control bytes in the phrase and transfer codings other than chunks passed for answers. A head with a status below 100 was skipped like an interim one, so that an answer behind it counted as the request's, or the request waited for the connection's end. An offer to switch protocols raised an exception out of the connection, into the task that relays all requests.

Cause: the same as in the gateway; a list of its own (at least 200) decided what is a head, and the parser's signal of an upgrade is no parser error.

Change: the connection uses tamarack_core.answer_head. The callback raises, so that the parser stops: after a failure that is only noted, the body's events followed it and were added to an answer that is being resumed. A head that is too large ends the same way.

Resets of early answers were told as failures before and keep their test.

--- a/packages/router/src/tamarack_router/endpoint_connection.py
+++ b/packages/router/src/tamarack_router/endpoint_connection.py
@@ -14,6 +14,8 @@
 import h11
 import httptools
 
+from tamarack_core.answer_head import MIN_FINAL_STATUS, MalformedHeadError, check_head
+
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 """Maximum size of a head, and received bytes without any of a body in which it must be complete:
@@ -68,7 +70,8 @@
         self._connected = False
         self._ended = False
         self._events: list[ConnectionEvent] = []
-        self._headers: dict[str, str] = {}
+        self._reason = b""
+        self._headers: list[tuple[bytes, bytes]] = []
         self._head_bytes = self._framing_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
 
@@ -110,7 +113,8 @@
         except OSError as error:
             self._broke(errno.errorcode.get(error.errno or 0, str(error)))
         except httptools.HttpParserError as error:
-            self._broke(f"malformed answer: {error}")
+            # Errors of this class's callbacks are wrapped.
+            self._broke(f"malformed answer: {error.__context__ or error}")
         events = self._events
         self._events = []
         return events
@@ -146,22 +150,30 @@
 
     # Callbacks of the parser
 
+    def on_message_begin(self) -> None:
+        """Handle the start of a head."""
+        self._reason, self._headers = b"", []
+
+    def on_status(self, reason: bytes) -> None:
+        """Handle a part of the reason phrase."""
+        self._reason += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Handle one header."""
         self._head_bytes += len(name) + len(value)
         # Without a limit an endpoint that sends endless headers would exhaust the router's memory.
-        if self._head_bytes <= MAX_HEAD_BYTES:
-            self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise MalformedHeadError("the head is too large")
+        self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Handle the end of the response head."""
         status = self._parser.get_status_code()
-        if self._head_bytes > MAX_HEAD_BYTES:
-            self._broke("the head is too large")
-        elif status >= 200:
-            self._events.append(Head(status, self._headers))
+        check_head(self._parser.get_http_version(), status, self._reason, self._headers)
+        if status >= MIN_FINAL_STATUS:
+            headers = {n.decode().lower(): v.decode("latin-1") for n, v in self._headers}
+            self._events.append(Head(status, headers))
             self._framing_bytes = 0
-        self._headers = {}
 
     def on_body(self, data: bytes) -> None:
         """Handle a part of the body."""
@@ -170,7 +182,7 @@
 
     def on_message_complete(self) -> None:
         """Handle the end of the answer, which may arrive before the whole request was sent."""
-        if not self._ended and self._parser.get_status_code() >= 200:
+        if not self._ended and self._parser.get_status_code() >= MIN_FINAL_STATUS:
             self._ended = True
             self._events.append(End())
 
