tamarackd: bytes behind an endpoint's answer belong to no request

What a caller would see: an endpoint sends a second answer in the bytes of the first, and the caller gets the status of the second with both bodies.

Cause: the parser goes on to the next message unless the answer says that the connection closes. Its events were handled after the end of the first, which a run does not expect: it begins the answer anew and adds to its body.

Change: after the end the connection tells nothing. Found by reading; the test failed before and passes.

--- a/packages/router/src/tamarack_router/endpoint_connection.py
+++ b/packages/router/src/tamarack_router/endpoint_connection.py
@@ -168,6 +168,8 @@
 
     def on_headers_complete(self) -> None:
         """Handle the end of the response head."""
+        if self._ended:
+            return
         status = self._parser.get_status_code()
         check_head(self._parser.get_http_version(), status, self._reason, self._headers)
         if status >= MIN_FINAL_STATUS:
@@ -177,8 +179,9 @@
 
     def on_body(self, data: bytes) -> None:
         """Handle a part of the body."""
-        self._framing_bytes = 0
-        self._events.append(Body(data))
+        if not self._ended:
+            self._framing_bytes = 0
+            self._events.append(Body(data))
 
     def on_message_complete(self) -> None:
         """Handle the end of the answer, which may arrive before the whole request was sent."""
