tamarackd: the status of a resumed answer is checked like that of a head

What callers saw: an engine that answers a resumed stream with a Tamarack-Status of 000 or 999 gave its caller that status; with one that is no number, the exception left the task that relays all requests.

Cause: the value was converted, not checked. Change: final_status of the shared check; anything else ends the run as one whose outcome is not known, as a refusal to resume does.

--- a/packages/core/src/tamarack_core/answer_head.py
+++ b/packages/core/src/tamarack_core/answer_head.py
@@ -16,6 +16,8 @@
 MAX_LENGTH_DIGITS = 18
 """Digits of the largest length of a body that is read, which fits into 64 bits."""
 
+THREE_DIGITS = re.compile("[0-9]{3}")
+
 TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 """Name of a field (RFC 9110, section 5.6.2)."""
 
@@ -42,6 +44,12 @@
     chunked: bool
 
 
+def final_status(text: str) -> int | None:
+    """Status of a final answer, sent as text; None if it is none."""
+    status = int(text) if THREE_DIGITS.fullmatch(text) else 0
+    return status if MIN_FINAL_STATUS <= status <= MAX_STATUS else None
+
+
 def check_head(
     version: str, status: int, reason: bytes, headers: Iterable[tuple[bytes, bytes]]
 ) -> Framing:
--- a/packages/router/src/tamarack_router/run.py
+++ b/packages/router/src/tamarack_router/run.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from tamarack_core.answer_head import final_status
 from tamarack_core.defaults import PROGRESS_STEP
 from tamarack_core.memory_budget import Holding
 from tamarack_router.endpoint_connection import (
@@ -214,7 +215,10 @@
                 self._resumes = RESUME_TRIES
                 return self.lost()
             if not self.answer.status:
-                original = int(headers.get("tamarack-status", "200"))
+                original = final_status(headers.get("tamarack-status", "200"))
+                if original is None:
+                    self._resumes = RESUME_TRIES
+                    return self.lost()
                 self.answer.begin(original, headers.get("content-type", ""))
             return Step.DATA
         if status == 503 and headers.get(NOT_RUN_HEADER) == "not-run":
