tamarackd: events behind the end of a run are not its answer's

What a caller would see: a stream is resumed at an engine that no longer knows it, and the text of the 404 comes as the stream's next bytes before it is cut.

Cause: all events of one read were handled before the first decisive step was taken, so that a body behind a refusal, or behind a failure that leads to a resumption, was added to the answer; a resumption then asked for the wrong offset.

Change: handling ends at the first step that is not data; the order of steps, which chose among several, is no longer needed.

--- a/packages/router/src/tamarack_router/run_sockets.py
+++ b/packages/router/src/tamarack_router/run_sockets.py
@@ -12,10 +12,6 @@
 
 OnStep = Callable[[HeldRequest, Run, Step], None]
 
-# If one read yields several steps, only the first in this order is taken: a run that has ended or
-# failed has nothing more to write.
-STEP_ORDER = (Step.RESUME, Step.FAILED, Step.BROKEN, Step.FINISHED, Step.DATA)
-
 
 class RunSockets:
     """Connections of the runs, registered with the relay's selector.
@@ -61,8 +57,10 @@
 
     def _handle_events(self, held: HeldRequest, run: Run, events: list[ConnectionEvent]) -> None:
         now_ms = self._clock.now_ms
-        steps = {run.handle_event(event, now_ms) for event in events}
-        for step in STEP_ORDER:
-            if step in steps:
-                self._on_step(held, run, step)
-                return
+        for event in events:
+            step = run.handle_event(event, now_ms)
+            if step is not Step.DATA:
+                # What follows is not of this run's answer.
+                break
+        if events:
+            self._on_step(held, run, step)
--- a/tests/test_broken_answers_clients.py
+++ b/tests/test_broken_answers_clients.py
@@ -4,6 +4,7 @@
 
 import selectors
 from collections.abc import Callable
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -14,6 +15,7 @@
 from tamarack_client.admin import AdminClient, AdminError
 from tamarack_client.client import Client, OutcomeUnknownError
 from tamarack_client.http_pool import HttpPool
+from tamarack_core.clock import Clock
 from tamarack_core.memory_budget import UNLIMITED
 from tamarack_ctl.main import main
 from tamarack_router.endpoint_connection import (
@@ -27,6 +29,7 @@
 from tamarack_router.messages import EndpointCall
 from tamarack_router.platform import InstanceList, ObjectStore, PlatformError, TableService, Write
 from tamarack_router.run import Run, RunLimits, Step
+from tamarack_router.run_sockets import RunSockets
 from tamarack_router.stored_answer import StoredAnswer
 
 CHUNKED = b"%x\r\n%s\r\n0\r\n\r\n" % (len(BODY), BODY)
@@ -275,3 +278,24 @@
     run = Run(call, answer, "127.0.0.1:1", limits, "", 0.0, holding=holding, adopted="r2~1~1")
     step = run.handle_event(Head(200, {"tamarack-status": status}), 0.0)
     assert (step, answer.status) == (Step.FAILED, 0)
+
+
+def test_bytes_behind_a_refusal_to_resume_are_not_the_answers() -> None:
+    """Guards against the text of an endpoint's refusal in the stream of its caller."""
+    refusal = head(b"404", b"Content-Length: 7") + b"no such"
+    call = EndpointCall("POST", "/v1/completions", [], b"{}", "model", True)
+    answer = StoredAnswer("r1~1~1", "w", stream=True)
+    answer.begin(200, "text/event-stream")
+    answer.body += b"data: a\n\n"
+    steps = []
+    with CuttingServer(answer=refusal) as server, selectors.DefaultSelector() as selector:
+        limits, holding = RunLimits(1_000, 1_000), UNLIMITED.holding()
+        run = Run(call, answer, server.address, limits, "", 0.0, holding=holding, adopted="r~1~1")
+        held: Any = SimpleNamespace(run=run)
+        sockets = RunSockets(Clock(), selector, lambda held, run, step: steps.append(step))
+        sockets.open(held, run)
+        while not steps:
+            for key, mask in selector.select(5.0):
+                key.data(mask)
+        sockets.close(run)
+    assert (steps, bytes(answer.body)) == ([Step.BROKEN], b"data: a\n\n")
