The client library reads a head as a whole, with the check of the routers

What callers, operators and the platform's clients saw: an answer with a line that is no header (a blank, a control byte or a high byte in its name) came back as a success with a part of its body, or with the framing of its chunks in it. Statuses such as 0200, +200 and 600, lengths that are no number, interim answers other than 100 and switches of protocols were answers, too.

Cause: the standard library takes the first line that is no header for the end of the headers, so that the length behind it is lost, and urllib3 only logs it. It converts a status by int(), and treats every status but 100 as final.

Change: read_answer_head reads the lines up to the final answer's empty line, checks each head by tamarack_core.answer_head, drops interim ones, and only then hands them to the standard library. A status line that is none fails at once.

--- a/packages/client/src/tamarack_client/http_pool.py
+++ b/packages/client/src/tamarack_client/http_pool.py
@@ -1,16 +1,16 @@
-"""Connection pools that reject an answer with an incomplete head or of unbounded size."""
+"""Connection pools that reject an answer with a malformed head or of unbounded size."""
 
 from __future__ import annotations
 
 import http.client
-from typing import Any, BinaryIO, NamedTuple
+import io
+from typing import Any, NamedTuple
 
 import urllib3
 from urllib3.connection import HTTPConnection, HTTPSConnection
 from urllib3.response import BaseHTTPResponse
 
-MAX_HEAD_BYTES = 262_144
-"""Maximum size of an answer's head, with interim answers before it."""
+from tamarack_client.head_reader import read_answer_head
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 """Maximum size of an answer that is read whole."""
@@ -45,46 +45,23 @@
     return b"".join(pieces)
 
 
-class _HeadReader:
-    """Lines of a head; raises `IncompleteRead` where they end before the empty line."""
-
-    def __init__(self, file: BinaryIO) -> None:
-        self._file = file
-        self._begun = False
-        self._bytes = 0
-
-    def readline(self, limit: int = -1, /) -> bytes:
-        """Read a line; empty only if the connection closed before the first one."""
-        line = self._file.readline(limit)
-        if self._begun and not line:
-            raise http.client.IncompleteRead(b"")
-        self._begun = True
-        self._bytes += len(line)
-        if self._bytes > MAX_HEAD_BYTES:
-            raise http.client.LineTooLong("head")
-        return line
-
-    def close(self) -> None:
-        """Close the file."""
-        self._file.close()
-
-
 class CompleteHeadResponse(http.client.HTTPResponse):
-    """An answer with a complete head.
+    """An answer whose head has been checked as a whole.
 
-    The standard library takes the end of the connection for the end of the head: without the
-    length that would have followed, an answer that was cut there is a success without a body.
+    The standard library takes the end of the connection, or the first line that is no header, for
+    the end of the head. Without the length that would have followed, a part of an answer is a
+    success.
     """
 
     def begin(self) -> None:
-        """Read the head; raises `IncompleteRead` if the connection closes within it."""
+        """Read the head of the final answer; raises `HTTPException` if it is cut or malformed."""
         file = self.fp
-        reader = _HeadReader(file)
-        self.fp = reader  # type: ignore[assignment]
+        head = io.BytesIO(read_answer_head(file))
+        self.fp = head  # type: ignore[assignment]
         try:
             super().begin()
         finally:
-            if self.fp is reader:
+            if self.fp is head:
                 self.fp = file
 
 
@@ -105,7 +82,7 @@
 
 
 class HttpPool(urllib3.PoolManager):
-    """A `urllib3.PoolManager` that raises `ProtocolError` for a head that is cut or too large."""
+    """A `urllib3.PoolManager` that raises `ProtocolError` for a head that is malformed or cut."""
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
