The client library: no answer ends with a connection that failed to take its request

What callers saw: a server answers a long upload at once with a 200 that has no length, sends a part of its body and resets the connection. The part came back as a complete answer; a write to the table service or the object store counted as applied.

Cause: the kernel reports a reset once. The write of the request takes the error, which urllib3 drops since the answer may be there already, and the reader of the answer then finds an orderly end.

Change: after a failed write an answer counts only if it tells where it ends, by a length or by chunks. One that a server sends early and ends with a half-closed connection while it reads the request to its end is read as before, and so is one with a length whose connection is reset behind it.

--- a/packages/client/src/tamarack_client/http_pool.py
+++ b/packages/client/src/tamarack_client/http_pool.py
@@ -65,12 +65,43 @@
                 self.fp = file
 
 
-class _Connection(HTTPConnection):
-    response_class = CompleteHeadResponse
+class DelimitedResponse(CompleteHeadResponse):
+    """An answer that does not end with its connection.
+
+    A failed write takes the connection's error, and the reader then finds an orderly end.
+    """
+
+    def begin(self) -> None:
+        """Read the head; raises `IncompleteRead` if only the connection delimits the body."""
+        super().begin()
+        if self.length is None and not self.chunked:
+            raise http.client.IncompleteRead(b"")
+
+
+class _AnswerReader(http.client.HTTPConnection):
+    """Selects how the answer to a request is read."""
+
+    def connect(self) -> None:
+        """Connect; an answer may again end with its connection."""
+        self.response_class = CompleteHeadResponse
+        super().connect()
+
+    def send(self, data: Any) -> None:
+        """Write a part of a request."""
+        try:
+            super().send(data)
+        except OSError:
+            # A server may answer a request before it has read all of it.
+            self.response_class = DelimitedResponse
+            raise
+
+
+class _Connection(_AnswerReader, HTTPConnection):
+    """A connection without TLS."""
 
 
-class _SecureConnection(HTTPSConnection):
-    response_class = CompleteHeadResponse
+class _SecureConnection(_AnswerReader, HTTPSConnection):
+    """A connection with TLS."""
 
 
 class _Pool(urllib3.HTTPConnectionPool):
