Plain terms for the validation of heads; reasons that say what is invalid

Names and texts of the new code and its tests use the terms of RFC 9110 (malformed head, framing, interim response).

--- a/packages/client/src/tamarack_client/head_reader.py
+++ b/packages/client/src/tamarack_client/head_reader.py
@@ -1,4 +1,4 @@
-"""Reads the head of an answer line by line, and checks it before anybody else reads it."""
+"""Reads and validates the head of a response before the standard library parses it."""
 
 from __future__ import annotations
 
@@ -6,17 +6,17 @@
 import re
 from typing import BinaryIO, NamedTuple
 
-from tamarack_core.answer_head import MIN_FINAL_STATUS, MalformedHeadError, check_head
+from tamarack_core.answer_head import MIN_FINAL_STATUS, MalformedHeadError, validate_head
 
 MAX_HEAD_BYTES = 262_144
-"""Maximum size of an answer's head, with interim answers before it."""
+"""Maximum size of a head, including interim responses before it."""
 
 EMPTY_LINES = (b"\r\n", b"\n")
 STATUS_LINE = re.compile(rb"HTTP/([0-9]\.[0-9]) ([0-9]{3})(?: (.*))?")
 
 
 class _StatusLine(NamedTuple):
-    """First line of a head, as sent and decoded."""
+    """First line of a head, as received and parsed."""
 
     line: bytes
     version: str
@@ -25,9 +25,9 @@
 
 
 def read_answer_head(file: BinaryIO) -> bytes:
-    """Read the head of the final answer; empty if the connection closes before the first byte.
+    """Read the head of the final response; empty if the connection closes before the first byte.
 
-    Interim answers are dropped.
+    Interim responses are skipped.
 
     Raises
     ------
@@ -46,7 +46,7 @@
         elif line not in EMPTY_LINES:
             fields.append(line)
         else:
-            _check(status_line, fields)
+            _validate(status_line, fields)
             if status_line.status >= MIN_FINAL_STATUS:
                 return b"".join([status_line.line, *fields, line])
             status_line, fields = None, []
@@ -63,15 +63,15 @@
     return _StatusLine(line, version.decode(), int(status), reason)
 
 
-def _check(status_line: _StatusLine, fields: list[bytes]) -> None:
+def _validate(status_line: _StatusLine, fields: list[bytes]) -> None:
     headers = []
     for field in fields:
         name, colon, value = _without_end(field).partition(b":")
         if not colon:
-            raise http.client.HTTPException(f"not a header: {field[:64]!r}")
+            raise http.client.HTTPException(f"not a header field: {field[:64]!r}")
         headers.append((name, value))
     try:
-        check_head(status_line.version, status_line.status, status_line.reason, headers)
+        validate_head(status_line.version, status_line.status, status_line.reason, headers)
     except MalformedHeadError as error:
         raise http.client.HTTPException(f"malformed head: {error}") from error
 
--- a/packages/client/src/tamarack_client/http_pool.py
+++ b/packages/client/src/tamarack_client/http_pool.py
@@ -1,4 +1,4 @@
-"""Connection pools that reject an answer with a malformed head or of unbounded size."""
+"""Connection pools that reject answers with a malformed head or of unbounded size."""
 
 from __future__ import annotations
 
@@ -46,15 +46,14 @@
 
 
 class CompleteHeadResponse(http.client.HTTPResponse):
-    """An answer whose head has been checked as a whole.
+    """A response with a complete and valid head.
 
-    The standard library takes the end of the connection, or the first line that is no header, for
-    the end of the head. Without the length that would have followed, a part of an answer is a
-    success.
+    The standard library ends the head at the first malformed line or at the end of the connection.
+    If the length would have followed, a truncated response is returned as complete.
     """
 
     def begin(self) -> None:
-        """Read the head of the final answer; raises `HTTPException` if it is cut or malformed."""
+        """Read the head of the final response; raises `HTTPException` if it is not valid."""
         file = self.fp
         head = io.BytesIO(read_answer_head(file))
         self.fp = head  # type: ignore[assignment]
@@ -66,23 +65,24 @@
 
 
 class DelimitedResponse(CompleteHeadResponse):
-    """An answer that does not end with its connection.
+    """A response that is not delimited by the close of its connection.
 
-    A failed write takes the connection's error, and the reader then finds an orderly end.
+    The kernel reports a reset once. If a failed write has consumed that error, reading ends like
+    after an orderly close.
     """
 
     def begin(self) -> None:
-        """Read the head; raises `IncompleteRead` if only the connection delimits the body."""
+        """Read the head; raises `IncompleteRead` if only the close would delimit the body."""
         super().begin()
         if self.length is None and not self.chunked:
             raise http.client.IncompleteRead(b"")
 
 
-class _AnswerReader(http.client.HTTPConnection):
-    """Selects how the answer to a request is read."""
+class _ValidatingConnection(http.client.HTTPConnection):
+    """A connection that validates the heads of its responses."""
 
     def connect(self) -> None:
-        """Connect; an answer may again end with its connection."""
+        """Connect; responses on a new connection may be delimited by its close."""
         self.response_class = CompleteHeadResponse
         super().connect()
 
@@ -91,17 +91,17 @@
         try:
             super().send(data)
         except OSError:
-            # A server may answer a request before it has read all of it.
+            # urllib3 still reads the response: the server may have sent it early.
             self.response_class = DelimitedResponse
             raise
 
 
-class _Connection(_AnswerReader, HTTPConnection):
-    """A connection without TLS."""
+class _Connection(_ValidatingConnection, HTTPConnection):
+    """A validating connection without TLS."""
 
 
-class _SecureConnection(_AnswerReader, HTTPSConnection):
-    """A connection with TLS."""
+class _SecureConnection(_ValidatingConnection, HTTPSConnection):
+    """A validating connection with TLS."""
 
 
 class _Pool(urllib3.HTTPConnectionPool):
@@ -113,7 +113,7 @@
 
 
 class HttpPool(urllib3.PoolManager):
-    """A `urllib3.PoolManager` that raises `ProtocolError` for a head that is malformed or cut."""
+    """A `urllib3.PoolManager` that raises `ProtocolError` for a malformed or truncated head."""
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
--- a/packages/gateway/src/tamarack_gateway/endpoint_connection.py
+++ b/packages/gateway/src/tamarack_gateway/endpoint_connection.py
@@ -12,7 +12,7 @@
 
 import httptools
 
-from tamarack_core.answer_head import MIN_FINAL_STATUS, check_head
+from tamarack_core.answer_head import MIN_FINAL_STATUS, validate_head
 from tamarack_core.memory_budget import UNLIMITED, MemoryBudget
 from tamarack_gateway.http_messages import AnswerHead, Headers
 
@@ -119,7 +119,7 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             if not self._complete:
-                # Errors of this class's callbacks are wrapped.
+                # The parser wraps errors that callbacks raise.
                 self._error = BrokenAnswerError(str(error.__context__ or error) or "not an answer")
             self.abort()
         if self._framing_bytes > MAX_FRAMING_BYTES and not self._complete:
@@ -155,7 +155,7 @@
             return
         status = self._parser.get_status_code()
         version = self._parser.get_http_version()
-        framing = check_head(version, status, self._reason, self._headers)
+        framing = validate_head(version, status, self._reason, self._headers)
         if status < MIN_FINAL_STATUS:
             return
         self._reusable = self._parser.should_keep_alive()
--- a/packages/router/src/tamarack_router/endpoint_connection.py
+++ b/packages/router/src/tamarack_router/endpoint_connection.py
@@ -14,7 +14,7 @@
 import h11
 import httptools
 
-from tamarack_core.answer_head import MIN_FINAL_STATUS, MalformedHeadError, check_head
+from tamarack_core.answer_head import MIN_FINAL_STATUS, MalformedHeadError, validate_head
 
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
@@ -113,7 +113,7 @@
         except OSError as error:
             self._broke(errno.errorcode.get(error.errno or 0, str(error)))
         except httptools.HttpParserError as error:
-            # Errors of this class's callbacks are wrapped.
+            # The parser wraps errors that callbacks raise.
             self._broke(f"malformed answer: {error.__context__ or error}")
         events = self._events
         self._events = []
@@ -171,7 +171,7 @@
         if self._ended:
             return
         status = self._parser.get_status_code()
-        check_head(self._parser.get_http_version(), status, self._reason, self._headers)
+        validate_head(self._parser.get_http_version(), status, self._reason, self._headers)
         if status >= MIN_FINAL_STATUS:
             headers = {n.decode().lower(): v.decode("latin-1") for n, v in self._headers}
             self._events.append(Head(status, headers))
--- a/packages/router/src/tamarack_router/run_sockets.py
+++ b/packages/router/src/tamarack_router/run_sockets.py
@@ -60,7 +60,7 @@
         for event in events:
             step = run.handle_event(event, now_ms)
             if step is not Step.DATA:
-                # What follows is not of this run's answer.
+                # Later bytes on this connection do not belong to the answer.
                 break
         if events:
             self._on_step(held, run, step)
--- a/packages/standins/src/tamarack_standins/raw_worker.py
+++ b/packages/standins/src/tamarack_standins/raw_worker.py
@@ -1,4 +1,4 @@
-"""A stand-in of a worker in trouble: answers with bytes that need not be an answer."""
+"""A stand-in of a faulty worker: sends arbitrary bytes as its response."""
 
 from __future__ import annotations
 
@@ -10,31 +10,31 @@
 from tamarack_standins.wire import reset
 
 RECEIVE_BUFFER_BYTES = 65_536
-"""Socket buffer of the worker: a long request is still being written when an early answer ends."""
+"""Small, so that a long upload is still being written when an early response ends."""
 
 
 class Ending(Enum):
-    """What happens to the connection behind the answer."""
+    """What happens to the connection after the response."""
 
     KEPT = "kept"
     CLOSED = "closed"
-    """The kernel resets the connection if a part of the request has not been read."""
+    """The kernel sends a reset if part of the request is unread."""
     HALF_CLOSED = "half-closed"
-    """The worker closes its direction and goes on reading, as servers do that answer early."""
+    """The worker closes its sending direction and reads the rest of the request."""
     RESET = "reset"
 
 
 class RawWorker(PlatformWorker):
-    """Sends the same bytes for each request.
+    """Sends the same bytes in response to each request.
 
     Parameters
     ----------
     answer
-        Bytes sent for each request, head included.
+        Bytes of the response, including its head.
     early
-        Whether they are sent before the request's body has been read.
+        Whether the response is sent before the request's body has been read.
     pause_s
-        Delay in seconds between the answer and the end of the connection.
+        Delay in seconds between the response and the end of the connection.
     """
 
     def __init__(
--- a/tests/cutting_server.py
+++ b/tests/cutting_server.py
@@ -1,4 +1,4 @@
-"""A stand-in of a server whose answers are cut, or are none, for blocking readers."""
+"""A stand-in of a server that sends truncated or malformed responses, for blocking clients."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
     reset
         Whether the connection is reset, and not closed in order.
     drains
-        Whether the rest of the request is read before the close, as by servers that answer early.
+        Whether the server half-closes the connection and reads the rest of the request.
     """
 
     def __init__(
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -1,9 +1,9 @@
-"""Answers of workers and of the store that are no answers in HTTP, as the gateway reads them."""
+"""Malformed and truncated responses of workers and of the store, as read by the gateway."""
 
 from __future__ import annotations
 
 import pytest
-from broken_heads import head, no_framings, no_heads, no_status_lines
+from broken_heads import head, malformed_framings, malformed_heads, malformed_status_lines
 from gateway_site import Answer, Fleet, configuration, play, until
 
 from tamarack_core.clock import BootClock
@@ -16,13 +16,13 @@
 
 SIGNED = f"X-Server-Stamp: {SIGNATURE}.w1".encode()
 NOTICES = [b"X-Not-Executed: 1", b"Server-Leaving: 1", b"Retry-After: 60"]
-"""What a worker says about itself and the request in its answers."""
+"""Header fields by which a worker reports about itself and about the request."""
 
 BODY = b"id: 1\ndata: x\n\n"
 FRAMING = b"Content-Length: %d" % len(BODY)
-NO_HEADS = no_heads(SIGNED, FRAMING) | no_status_lines(SIGNED, FRAMING)
+MALFORMED_HEADS = malformed_heads(SIGNED, FRAMING) | malformed_status_lines(SIGNED, FRAMING)
 CHUNKED = b"%x\r\n%s\r\n0\r\n\r\n" % (len(BODY), BODY)
-NO_FRAMINGS = no_framings(SIGNED)
+MALFORMED_FRAMINGS = malformed_framings(SIGNED)
 
 PATHS = ["/page/1", "/rewrite/1"]
 
@@ -39,9 +39,9 @@
 
 
 @pytest.mark.parametrize("path", PATHS)
-@pytest.mark.parametrize("broken", NO_HEADS.values(), ids=NO_HEADS)
-def test_a_head_that_is_none_never_reaches_the_caller(broken: bytes, path: str) -> None:
-    """Guards against an answer that is none in HTTP and is passed on, whole or changed."""
+@pytest.mark.parametrize("broken", MALFORMED_HEADS.values(), ids=MALFORMED_HEADS)
+def test_a_malformed_head_never_reaches_the_caller(broken: bytes, path: str) -> None:
+    """Guards against a malformed response that is forwarded to the caller."""
 
     async def scenario() -> None:
         answer = await ask(path, RawWorker("w1", broken + BODY))
@@ -51,9 +51,9 @@
     play(scenario())
 
 
-@pytest.mark.parametrize("broken", NO_HEADS.values(), ids=NO_HEADS)
-def test_a_repeatable_request_goes_on_at_a_sound_worker(broken: bytes) -> None:
-    """Guards against an answer that is none in HTTP and ends a request that can be served."""
+@pytest.mark.parametrize("broken", MALFORMED_HEADS.values(), ids=MALFORMED_HEADS)
+def test_an_idempotent_request_is_retried_after_a_malformed_head(broken: bytes) -> None:
+    """Guards against a malformed response that fails a request which another worker can serve."""
 
     async def scenario() -> None:
         workers = [RawWorker("w1", broken + BODY), PlatformWorker("w2")]
@@ -66,8 +66,8 @@
 
 
 @pytest.mark.parametrize("status", [b"000", b"099", b"600"])
-def test_nothing_is_read_out_of_a_head_that_is_none(status: bytes) -> None:
-    """Guards against a request told as not run, or a worker out of use, on a broken head's word."""
+def test_no_field_of_a_malformed_head_is_used(status: bytes) -> None:
+    """Guards against a request reported as not run, or a worker excluded, by a malformed head."""
 
     async def scenario() -> None:
         worker = RawWorker("w1", head(status, *NOTICES, b"Content-Length: 0"))
@@ -83,8 +83,8 @@
 
 
 @pytest.mark.parametrize("path", PATHS)
-def test_an_answer_behind_a_head_that_is_none_is_not_the_requests(path: str) -> None:
-    """Guards against a status below 100 that is taken for an interim answer."""
+def test_a_response_after_a_malformed_head_is_not_used(path: str) -> None:
+    """Guards against a status below 100 that is skipped like an interim response."""
 
     async def scenario() -> None:
         sound = head(b"200", SIGNED, FRAMING) + BODY
@@ -97,8 +97,8 @@
 @pytest.mark.parametrize(
     "upgrade", [[], [b"Connection: upgrade", b"Upgrade: h2c"]], ids=["bare", "upgrade"]
 )
-def test_a_switch_of_protocols_that_nobody_asked_for_is_no_answer(upgrade: list[bytes]) -> None:
-    """Guards against a parser's signal of an upgrade that ends the reader with an exception."""
+def test_an_unrequested_protocol_switch_is_malformed(upgrade: list[bytes]) -> None:
+    """Guards against an exception of the parser that is not handled."""
 
     async def scenario() -> None:
         worker = RawWorker("w1", head(b"101", *upgrade) + head(b"200", SIGNED, FRAMING) + BODY)
@@ -110,9 +110,9 @@
 
 
 @pytest.mark.parametrize("path", PATHS)
-@pytest.mark.parametrize("broken", NO_FRAMINGS.values(), ids=NO_FRAMINGS)
-def test_a_body_whose_end_is_not_known_never_reaches_the_caller(broken: bytes, path: str) -> None:
-    """Guards against a coded body, or the framing of its chunks, that passes for the plain one."""
+@pytest.mark.parametrize("broken", MALFORMED_FRAMINGS.values(), ids=MALFORMED_FRAMINGS)
+def test_a_body_with_invalid_framing_never_reaches_the_caller(broken: bytes, path: str) -> None:
+    """Guards against an encoded body, or chunk framing, that is forwarded as the body."""
 
     async def scenario() -> None:
         answer = await ask(path, RawWorker("w1", broken + CHUNKED, ending=Ending.CLOSED))
@@ -121,19 +121,19 @@
     play(scenario())
 
 
-BLANK_BEHIND = {
+TRAILING_WHITESPACE = {
     "length": (head(b"200", SIGNED, FRAMING + b" \t"), BODY),
     "chunked": (head(b"200", SIGNED, b"Transfer-Encoding: Chunked "), CHUNKED),
 }
-"""Heads and bodies whose framing has blanks behind its value, which HTTP allows."""
+"""Heads and bodies with whitespace after the value of a framing field, which is valid."""
 
 
 @pytest.mark.parametrize("path", PATHS)
-@pytest.mark.parametrize(("framed", "body"), BLANK_BEHIND.values(), ids=BLANK_BEHIND)
-def test_a_cut_body_is_not_whole_when_blanks_follow_its_framing(
+@pytest.mark.parametrize(("framed", "body"), TRAILING_WHITESPACE.values(), ids=TRAILING_WHITESPACE)
+def test_a_truncated_body_is_detected_despite_trailing_whitespace(
     framed: bytes, body: bytes, path: str
 ) -> None:
-    """Guards against an answer that was cut and counts as one that ends with its connection."""
+    """Guards against a truncated response that is taken for one delimited by the close."""
 
     async def scenario() -> None:
         assert (await ask(path, RawWorker("w1", framed + body))).body == BODY
@@ -145,8 +145,8 @@
 
 
 @pytest.mark.parametrize("path", PATHS)
-def test_bytes_behind_an_interim_head_are_not_the_answers(path: str) -> None:
-    """Guards against a body of an interim answer that is put before the answer's own."""
+def test_the_body_of_an_interim_response_is_not_forwarded(path: str) -> None:
+    """Guards against bytes of an interim response that are prepended to the final one."""
 
     async def scenario() -> None:
         interim = head(b"150", b"Content-Length: 7") + b"id: 0\n\n"
@@ -170,8 +170,8 @@
     ],
     ids=["200", "299", "phrase", "version", "interim", "odd-bytes"],
 )
-def test_a_sound_answer_is_passed_on(sound: bytes, path: str) -> None:
-    """Guards against checks of a head that refuse what HTTP allows."""
+def test_a_valid_response_is_forwarded(sound: bytes, path: str) -> None:
+    """Guards against validation that rejects valid heads."""
 
     async def scenario() -> None:
         answer = await ask(path, RawWorker("w1", sound + BODY))
@@ -180,12 +180,12 @@
     play(scenario())
 
 
-STORES_HEADS = NO_HEADS | NO_FRAMINGS
+MALFORMED_STORE_HEADS = MALFORMED_HEADS | MALFORMED_FRAMINGS
 
 
-@pytest.mark.parametrize("broken", STORES_HEADS.values(), ids=STORES_HEADS)
-def test_a_stores_answer_that_is_none_tells_nothing(broken: bytes) -> None:
-    """Guards against an epoch that is learnt from a head that is none in HTTP."""
+@pytest.mark.parametrize("broken", MALFORMED_STORE_HEADS.values(), ids=MALFORMED_STORE_HEADS)
+def test_no_field_of_a_malformed_head_of_the_store_is_used(broken: bytes) -> None:
+    """Guards against a store epoch that is read from a malformed head."""
 
     async def scenario() -> None:
         spoiled = broken.replace(SIGNED, b"Store-Era: 7")
@@ -202,14 +202,14 @@
 
 
 UPLOAD = b"u" * 8_000_000
-"""Body of a request that is longer than the sockets' buffers."""
+"""Request body that exceeds the socket buffers."""
 
 PART = b"id: 1\ndata: x\n\n"
 EARLY = head(b"200", SIGNED) + PART
 
 
 async def upload(path: str, worker: PlatformWorker) -> Answer | None:
-    """The answer to a long upload; None if the connection closed without one."""
+    """The response to a long upload; None if the connection closed without one."""
     async with Fleet({service_of(path): [worker]}) as fleet:
         limits = {"maxBodyBytes": len(UPLOAD), "tokensPerS": 300_000}
         await fleet.store.put("op", "config", configuration(2, limits=limits))
@@ -220,10 +220,10 @@
 @pytest.mark.parametrize("pause_s", [0.0, 0.05])
 @pytest.mark.parametrize("ending", [Ending.RESET, Ending.CLOSED])
 @pytest.mark.parametrize("path", PATHS)
-def test_a_part_of_an_answer_is_not_whole_when_its_upload_is_reset(
+def test_a_reset_during_an_upload_truncates_the_response(
     path: str, ending: Ending, pause_s: float
 ) -> None:
-    """Guards against a reset that the unfinished upload hides behind an orderly end."""
+    """Guards against a reset that is mistaken for an orderly close."""
 
     async def scenario() -> None:
         worker = RawWorker("w1", EARLY, early=True, ending=ending, pause_s=pause_s)
@@ -235,8 +235,8 @@
 
 
 @pytest.mark.parametrize("path", PATHS)
-def test_an_early_answer_is_whole_when_its_worker_reads_the_upload_to_its_end(path: str) -> None:
-    """Guards against a sound early answer that is refused since its upload was not complete."""
+def test_an_early_response_is_forwarded_if_the_worker_reads_the_whole_upload(path: str) -> None:
+    """Guards against a valid early response that is rejected because of the pending upload."""
 
     async def scenario() -> None:
         worker = RawWorker("w1", EARLY, early=True, ending=Ending.HALF_CLOSED)
--- a/tests/test_broken_answers_clients.py
+++ b/tests/test_broken_answers_clients.py
@@ -1,4 +1,4 @@
-"""Answers that are none in HTTP, as tamarackd, the client library and tamarackctl read them."""
+"""Malformed and truncated responses, as read by tamarackd, the client library and tamarackctl."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 import pytest
 import urllib3
-from broken_heads import head, no_framings, no_heads, no_status_lines
+from broken_heads import head, malformed_framings, malformed_heads, malformed_status_lines
 from cutting_server import BODY, CuttingServer
 
 from tamarack_client.admin import AdminClient, AdminError
@@ -33,22 +33,24 @@
 from tamarack_router.stored_answer import StoredAnswer
 
 CHUNKED = b"%x\r\n%s\r\n0\r\n\r\n" % (len(BODY), BODY)
-NO_HEADS = (
-    no_heads(b"Transfer-Encoding: chunked")
-    | no_status_lines(b"Transfer-Encoding: chunked")
-    | no_framings()
+MALFORMED_HEADS = (
+    malformed_heads(b"Transfer-Encoding: chunked")
+    | malformed_status_lines(b"Transfer-Encoding: chunked")
+    | malformed_framings()
 )
 SOUND = head(b"200", b"Content-Length: %d" % len(BODY)) + BODY
 OUTCOME = b"Tamarack-Outcome: ran"
 
 UPLOAD = "u" * 8_000_000
-"""Text of a request that is longer than the sockets' buffers."""
+"""Request body that exceeds the socket buffers."""
 
 EARLY = head(b"200") + BODY[:1]
-"""A part of an answer that would end with its connection."""
+"""Part of a response that is delimited by the close of its connection."""
 
-every_broken_head = pytest.mark.parametrize("broken", NO_HEADS.values(), ids=NO_HEADS)
-some_broken_heads = pytest.mark.parametrize(
+every_malformed_head = pytest.mark.parametrize(
+    "broken", MALFORMED_HEADS.values(), ids=MALFORMED_HEADS
+)
+some_malformed_heads = pytest.mark.parametrize(
     "broken",
     [head(b"000"), head(b"0200", OUTCOME), head(b"200", b"X Fill: 1", OUTCOME)],
     ids=["000", "0200", "name"],
@@ -58,9 +60,9 @@
 # The client library
 
 
-@every_broken_head
-def test_a_head_that_is_none_is_not_read_as_an_answer(broken: bytes) -> None:
-    """Guards against a line that hides the rest of a head, and with it where the body ends."""
+@every_malformed_head
+def test_a_malformed_head_is_rejected(broken: bytes) -> None:
+    """Guards against a malformed line that hides the rest of the head, framing included."""
     with (
         CuttingServer(answer=broken + CHUNKED) as server,
         HttpPool(retries=False) as pool,
@@ -70,8 +72,8 @@
 
 
 @pytest.mark.parametrize("blank", [b" ", b"\t"])
-def test_a_cut_body_is_not_whole_when_a_blank_follows_its_length(blank: bytes) -> None:
-    """Guards against a length that is not understood, and an answer that ends when it is cut."""
+def test_a_truncated_body_is_detected_despite_trailing_whitespace(blank: bytes) -> None:
+    """Guards against a length that is ignored, so that the close delimits the body."""
     framed = head(b"200", b"Content-Length: %d" % len(BODY) + blank)
     with CuttingServer(answer=framed + BODY) as server, HttpPool(retries=False) as pool:
         assert pool.request("GET", server.url).data == BODY
@@ -95,16 +97,16 @@
     ],
     ids=["plain", "no-reason", "line-feeds", "values", "continue", "interim"],
 )
-def test_a_sound_head_is_read(sound: bytes) -> None:
-    """Guards against checks of a head that refuse what HTTP allows."""
+def test_a_valid_head_is_accepted(sound: bytes) -> None:
+    """Guards against validation that rejects valid heads."""
     with CuttingServer(answer=sound) as server, HttpPool(retries=False) as pool:
         answer = pool.request("GET", server.url)
         assert (answer.status, answer.data) == (200, BODY)
 
 
 @pytest.mark.parametrize("upgrade", [[], [b"Connection: upgrade", b"Upgrade: h2c"]])
-def test_a_switch_of_protocols_is_no_answer(upgrade: list[bytes]) -> None:
-    """Guards against a connection that is no longer HTTP and passes for an empty answer."""
+def test_an_unrequested_protocol_switch_is_rejected(upgrade: list[bytes]) -> None:
+    """Guards against a protocol switch that is returned as an empty response."""
     with (
         CuttingServer(answer=head(b"101", *upgrade) + SOUND) as server,
         HttpPool(retries=False) as pool,
@@ -113,9 +115,9 @@
         pool.request("GET", server.url)
 
 
-@some_broken_heads
-def test_a_caller_gets_no_answer_from_a_broken_head(broken: bytes) -> None:
-    """Guards against a completion, or a stream that ends as complete, out of a broken head."""
+@some_malformed_heads
+def test_callers_get_no_response_with_a_malformed_head(broken: bytes) -> None:
+    """Guards against a completion or a complete stream from a malformed response."""
     with CuttingServer(answer=broken + BODY) as server, Client([server.address], "key") as client:
         with pytest.raises(OutcomeUnknownError):
             client.complete("m", "p", deadline_s=0.2)
@@ -132,20 +134,20 @@
 }
 
 
-@some_broken_heads
+@some_malformed_heads
 @pytest.mark.parametrize("call", STORE_CALLS.values(), ids=STORE_CALLS)
-def test_a_store_call_with_a_broken_head_has_no_known_effect(
+def test_the_effect_of_a_store_call_is_unknown_after_a_malformed_head(
     call: Callable[[str], Any], broken: bytes
 ) -> None:
-    """Guards against a write that counts as applied, or a row that is read, on a broken head."""
+    """Guards against a write that counts as applied, or a row read, from a malformed response."""
     with CuttingServer(answer=broken + BODY) as server, pytest.raises(PlatformError) as error:
         call(server.url)
     assert error.value.effect_unknown or call is not STORE_CALLS["transact"]
 
 
-@some_broken_heads
-def test_operators_are_told_nothing_out_of_a_broken_head(broken: bytes) -> None:
-    """Guards against a command that reports success on a broken head."""
+@some_malformed_heads
+def test_commands_fail_after_a_malformed_head(broken: bytes) -> None:
+    """Guards against a command that reports success after a malformed response."""
     with CuttingServer(answer=broken + BODY) as server:
         with pytest.raises(AdminError) as error:
             AdminClient([server.address], "token").call("POST", "changes", {})
@@ -154,11 +156,11 @@
         assert main(["release", server.address, "f"]) != 0
 
 
-# Long uploads that are answered early
+# Early responses to long uploads
 
 
-def test_a_part_of_an_answer_is_not_whole_when_its_upload_is_reset() -> None:
-    """Guards against a reset that shows as the upload's error and leaves an orderly end."""
+def test_a_reset_during_an_upload_truncates_the_response() -> None:
+    """Guards against a reset that only the upload sees, so that reading ends in order."""
     with (
         CuttingServer(answer=EARLY, reset=True) as server,
         HttpPool(retries=False) as pool,
@@ -167,22 +169,22 @@
         pool.request("POST", server.url, body=UPLOAD.encode())
 
 
-def test_an_early_answer_is_read_when_its_server_reads_the_upload_to_its_end() -> None:
-    """Guards against a sound early answer that is refused since it came before the upload's end."""
+def test_an_early_response_is_accepted_if_the_server_reads_the_whole_upload() -> None:
+    """Guards against a valid response that is rejected because it came early."""
     answer = head(b"200") + BODY
     with CuttingServer(answer=answer, drains=True) as server, HttpPool(retries=False) as pool:
         assert pool.request("POST", server.url, body=UPLOAD.encode()).data == BODY
 
 
-def test_an_early_answer_with_a_length_is_read_though_its_upload_is_reset() -> None:
-    """Guards against a refusal of a long upload that the caller does not get to see."""
+def test_an_early_response_with_a_length_is_accepted_despite_a_reset() -> None:
+    """Guards against a rejection of a long upload that the caller never sees."""
     with CuttingServer(answer=SOUND, reset=True) as server, HttpPool(retries=False) as pool:
         assert pool.request("POST", server.url, body=UPLOAD.encode()).data == BODY
 
 
 @pytest.mark.parametrize("call", ["transact", "put"])
-def test_a_write_is_not_applied_on_a_part_of_an_early_answer(call: str) -> None:
-    """Guards against a store that resets an upload, which counts as stored."""
+def test_a_write_does_not_count_as_applied_after_a_reset(call: str) -> None:
+    """Guards against a store that resets an upload which then counts as stored."""
     with (
         CuttingServer(answer=head(b"200"), reset=True) as server,
         pytest.raises(PlatformError) as error,
@@ -191,8 +193,8 @@
     assert error.value.effect_unknown or call != "transact"
 
 
-def test_callers_and_operators_get_no_part_of_an_early_answer() -> None:
-    """Guards against a router that resets an upload, and part of whose answer passes for whole."""
+def test_callers_and_operators_get_no_truncated_response() -> None:
+    """Guards against a truncated response of a router that resets an upload."""
     early = head(b"200", OUTCOME) + b"1"
     with CuttingServer(answer=early, reset=True) as server:
         with Client([server.address], "key") as client:
@@ -209,7 +211,7 @@
 
 
 def events_of(answer: bytes, body: bytes = b"x", *, reset: bool = False) -> list[ConnectionEvent]:
-    """All that an endpoint's connection tells of an answer."""
+    """All events of a connection to an endpoint that sends these bytes."""
     events: list[ConnectionEvent] = []
     with (
         CuttingServer(answer=answer, reset=reset) as server,
@@ -228,9 +230,9 @@
     return events
 
 
-@every_broken_head
-def test_an_endpoints_broken_head_is_malformed(broken: bytes) -> None:
-    """Guards against a status, a body or a notice that is read out of a broken head."""
+@every_malformed_head
+def test_a_malformed_head_of_an_endpoint_is_rejected(broken: bytes) -> None:
+    """Guards against a status, body or header field that is read from a malformed head."""
     (event,) = events_of(broken + CHUNKED)
     assert isinstance(event, ConnectionFailed)
     assert event.reason.startswith("malformed answer")
@@ -238,39 +240,45 @@
 
 @pytest.mark.parametrize(
     "before",
-    [head(b"000"), head(b"042"), head(b"101"), head(b"101", b"Connection: upgrade", b"Upgrade: x")],
-    ids=["000", "042", "101", "upgrade"],
+    [
+        head(b"000"),
+        head(b"042", b"Content-Length: 0"),
+        head(b"101"),
+        head(b"101", b"Connection: upgrade", b"Upgrade: x"),
+        head(b"150", b"Content-Length: 1") + b"x",
+    ],
+    ids=["000", "042", "101", "upgrade", "body"],
 )
-def test_an_answer_behind_a_broken_head_is_not_the_requests(before: bytes) -> None:
-    """Guards against a broken head that is skipped like an interim answer, or ends the relay."""
+def test_a_response_after_a_malformed_head_is_not_used(before: bytes) -> None:
+    """Guards against a malformed head that is skipped, or whose exception ends the relay."""
     (event,) = events_of(before + SOUND)
     assert isinstance(event, ConnectionFailed)
 
 
 @pytest.mark.parametrize("interim", [b"", head(b"100"), head(b"103", b"Link: </a>")])
-def test_an_endpoints_sound_answer_is_read(interim: bytes) -> None:
-    """Guards against checks of a head that refuse what HTTP allows."""
+def test_a_valid_response_of_an_endpoint_is_accepted(interim: bytes) -> None:
+    """Guards against validation that rejects valid heads."""
     first, *_, last = events_of(interim + SOUND)
     assert isinstance(first, Head)
     assert first.status == 200
     assert last == End()
 
 
-def test_an_answer_behind_the_requests_own_belongs_to_no_request() -> None:
-    """Guards against a second answer whose status and body replace or lengthen the first."""
+def test_a_second_response_of_an_endpoint_is_ignored() -> None:
+    """Guards against a second response that is merged into the first."""
     events = events_of(SOUND + head(b"500", b"Content-Length: 1") + b"x")
     assert [type(event) for event in events] == [Head, Body, End]
 
 
-def test_a_part_of_an_endpoints_answer_is_not_whole_when_its_upload_is_reset() -> None:
-    """Guards against a reset that the unfinished upload hides behind an orderly end."""
+def test_a_reset_during_an_upload_truncates_the_response_of_an_endpoint() -> None:
+    """Guards against a reset that is mistaken for an orderly close."""
     events = events_of(EARLY, UPLOAD.encode(), reset=True)
     assert isinstance(events[-1], ConnectionFailed)
 
 
 @pytest.mark.parametrize("status", ["000", "099", "103", "600", "-1", "+200", "x", ""])
-def test_a_resumed_answer_has_a_status(status: str) -> None:
-    """Guards against an answer that begins with no status, or ends the relay that reads it."""
+def test_a_resumed_response_needs_a_valid_status(status: str) -> None:
+    """Guards against an invalid status that reaches the caller or ends the relay."""
     call = EndpointCall("POST", "/v1/completions", [], b"{}", "model", True)
     answer = StoredAnswer("r1~1~1", "w", stream=True)
     limits = RunLimits(1_000, 1_000)
@@ -280,8 +288,8 @@
     assert (step, answer.status) == (Step.FAILED, 0)
 
 
-def test_bytes_behind_a_refusal_to_resume_are_not_the_answers() -> None:
-    """Guards against the text of an endpoint's refusal in the stream of its caller."""
+def test_the_body_of_a_failed_resumption_is_not_forwarded() -> None:
+    """Guards against an error message of an endpoint inside the stream of a caller."""
     refusal = head(b"404", b"Content-Length: 7") + b"no such"
     call = EndpointCall("POST", "/v1/completions", [], b"{}", "model", True)
     answer = StoredAnswer("r1~1~1", "w", stream=True)
